Base types, interfaces of the decision core and the inner protocol

Cause: five parts are built side by side and need one set of boundaries first. Conclusion: every engine takes events and a time and appends actions, so that tests run in virtual time.

--- /dev/null
+++ b/src/base/endpoint.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace lycheefield {
+
+/// An IP number and a port. Host names are never used.
+struct Endpoint {
+    std::string address;
+    std::uint16_t port = 0;
+
+    std::string toString() const { return address + ":" + std::to_string(port); }
+
+    friend bool operator==(const Endpoint&, const Endpoint&) = default;
+    friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
+};
+
+}
--- /dev/null
+++ b/src/base/leg.cpp
@@ -0,0 +1,30 @@
+#include "base/leg.h"
+
+namespace lycheefield {
+
+std::string_view toString(LegOutcome outcome)
+{
+    switch (outcome) {
+    case LegOutcome::Ok:
+        return "ok";
+    case LegOutcome::Refused:
+        return "refused";
+    case LegOutcome::Expired:
+        return "expired";
+    case LegOutcome::Quarantined:
+        return "quarantined";
+    case LegOutcome::VersionGone:
+        return "version-gone";
+    case LegOutcome::ShardMoved:
+        return "shard-moved";
+    case LegOutcome::Cancelled:
+        return "cancelled";
+    case LegOutcome::Failed:
+        return "failed";
+    case LegOutcome::Lost:
+        return "lost";
+    }
+    return "lost";
+}
+
+}
--- /dev/null
+++ b/src/base/random_source.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+
+namespace lycheefield {
+
+/// Where decisions draw randomness from, so that a test can seed it. Not thread safe: each
+/// decision object has its own.
+class RandomSource {
+public:
+    virtual ~RandomSource() = default;
+    virtual std::uint64_t next() = 0;
+
+    /// Uniform in [0, bound). Precondition: bound > 0.
+    std::uint64_t below(std::uint64_t bound);
+    /// Uniform in [0, 1).
+    double unit();
+};
+
+/// Pseudo-random numbers from a seed: the same seed gives the same sequence everywhere.
+class SeededRandom final : public RandomSource {
+public:
+    explicit SeededRandom(std::uint64_t seed)
+        : m_engine(seed)
+    {
+    }
+    std::uint64_t next() override { return m_engine(); }
+
+private:
+    std::mt19937_64 m_engine;
+};
+
+/// Draws a 64-bit seed from the operating system.
+std::uint64_t systemSeed();
+
+}
--- /dev/null
+++ b/src/base/stored_object.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace lycheefield {
+
+/// Version of one object in the platform's object API. 0 means that the object does not exist.
+struct ObjectVersion {
+    std::uint64_t value = 0;
+    friend auto operator<=>(const ObjectVersion&, const ObjectVersion&) = default;
+};
+
+struct StoredObject {
+    std::string key;
+    ObjectVersion version;
+    std::string value;
+    friend bool operator==(const StoredObject&, const StoredObject&) = default;
+};
+
+/// How a call to the object API ended.
+enum class StoreStatus : std::uint8_t {
+    Ok,
+    NotFound,
+    Conflict, ///< The condition did not hold; nothing was written.
+    Unavailable, ///< The call was refused or never left; nothing was written.
+    Lost, ///< No answer: a write may have taken effect, or may yet.
+};
+
+}
--- /dev/null
+++ b/src/claims/claim_engine.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "base/random_source.h"
+#include "base/time.h"
+#include "claims/claim_action.h"
+#include "claims/claim_settings.h"
+
+#include <memory>
+
+namespace lycheefield {
+
+/// Asks for the right to run a request that must run at most once.
+struct ClaimRequest {
+    RequestId request; ///< Doubles as the attempt's token: never used by another attempt.
+    IdempotencyKey key;
+    Fingerprint fingerprint;
+    TimePoint deadline = never;
+};
+
+struct ClaimCounters {
+    std::uint64_t claims = 0;
+    std::uint64_t granted = 0;
+    std::uint64_t storeReads = 0;
+    std::uint64_t storeWrites = 0;
+    std::uint64_t conflicts = 0;
+    std::uint64_t lostAnswers = 0;
+
+    friend bool operator==(const ClaimCounters&, const ClaimCounters&) = default;
+};
+
+/// Claims idempotency keys in the platform's object API, many in one write.
+///
+/// It does no I/O. Safety rests on the store's conditional update alone. Not thread safe: each
+/// instance runs one on its own strand.
+class ClaimEngine {
+public:
+    virtual ~ClaimEngine() = default;
+
+    /// Ends in exactly one ClaimDecided for the request, at its deadline at the latest.
+    virtual void claim(const ClaimRequest&, TimePoint, ClaimActions&) = 0;
+    /// Records how a granted request ended; goes out with the next batch.
+    virtual void recordOutcome(const RequestId&, RunState, const std::string& answer, TimePoint, ClaimActions&) = 0;
+    /// A granted request was not run: its key may be claimed again.
+    virtual void release(const RequestId&, TimePoint, ClaimActions&) = 0;
+    virtual void onStoreReply(const StoreReply&, TimePoint, ClaimActions&) = 0;
+    virtual void onTimer(TimePoint, ClaimActions&) = 0;
+    virtual TimePoint nextWake() const = 0;
+    /// Claims undecided and outcomes not yet written.
+    virtual std::size_t pending() const = 0;
+    virtual ClaimCounters counters() const = 0;
+};
+
+std::unique_ptr<ClaimEngine> makeClaimEngine(const ClaimSettings&, std::unique_ptr<RandomSource>);
+
+}
--- /dev/null
+++ b/src/membership/ownership.cpp
@@ -0,0 +1,83 @@
+#include "membership/ownership.h"
+
+#include "base/fingerprint.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace lycheefield {
+
+namespace {
+
+struct Candidate {
+    std::uint64_t score = 0;
+    InstanceName name;
+};
+
+std::vector<const Instance*> candidatesFor(const MembershipView& view, const ZoneName& zone)
+{
+    constexpr std::size_t ownerAndStandby = 2;
+    std::vector<const Instance*> inZone;
+    std::vector<const Instance*> all;
+    for (const auto& [name, instance] : view.instances()) {
+        if (!instance.canOwn())
+            continue;
+        all.push_back(&instance);
+        if (instance.zone == zone)
+            inZone.push_back(&instance);
+    }
+    return inZone.size() >= ownerAndStandby ? inZone : all;
+}
+
+BlockOwners rank(const Block& block, const std::vector<const Instance*>& candidates)
+{
+    const auto seed = stableHash(block.service.value() + '\0' + block.zone.value(), block.index);
+    std::vector<Candidate> ranked;
+    for (const auto* it : candidates)
+        ranked.push_back({ stableHash(it->name.value(), seed), it->name });
+    std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) { return a.score > b.score; });
+    BlockOwners owners;
+    if (!ranked.empty())
+        owners.owner = ranked[0].name;
+    if (ranked.size() > 1)
+        owners.standby = ranked[1].name;
+    return owners;
+}
+
+}
+
+Ownership::Ownership(const MembershipView& view, const ShardMap& map)
+{
+    std::map<std::pair<ServiceName, ZoneName>, std::uint32_t> counts;
+    for (const auto& [name, server] : map.servers()) {
+        const auto n = counts[{ server.service, server.zone }]++;
+        m_blocks.emplace(name, Block { server.service, server.zone, n / maxServersPerBlock });
+    }
+    std::map<ZoneName, std::vector<const Instance*>> candidates;
+    for (const auto& [name, block] : m_blocks) {
+        if (m_owners.contains(block))
+            continue;
+        auto it = candidates.find(block.zone);
+        if (it == candidates.end())
+            it = candidates.emplace(block.zone, candidatesFor(view, block.zone)).first;
+        if (!it->second.empty())
+            m_owners.emplace(block, rank(block, it->second));
+    }
+}
+
+const BlockOwners* Ownership::ownersOf(const ServerName& name) const
+{
+    const auto block = m_blocks.find(name);
+    if (block == m_blocks.end())
+        return nullptr;
+    const auto it = m_owners.find(block->second);
+    return it == m_owners.end() ? nullptr : &it->second;
+}
+
+bool Ownership::holds(const InstanceName& instance, const ServerName& server) const
+{
+    const auto* owners = ownersOf(server);
+    return owners && (owners->owner == instance || owners->standby == instance);
+}
+
+}
--- /dev/null
+++ b/src/query/query_engine.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/random_source.h"
+#include "query/query_action.h"
+#include "query/query_settings.h"
+#include "query/query_tables.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace lycheefield {
+
+/// A request as it came from a caller, already matched to a rule.
+struct CallerRequest {
+    RequestId id;
+    std::string path; ///< Chooses the rule.
+    std::shared_ptr<const std::string> body;
+    std::string record; ///< For a record or an order: the key that chooses the shard.
+    std::string traceparent;
+    TimePoint deadline = never; ///< The caller's own; the rule's applies when it is sooner.
+};
+
+/// Counters that only grow, for /metrics and for tests.
+struct QueryCounters {
+    std::uint64_t requests = 0;
+    std::uint64_t firstLegs = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t cancels = 0;
+    std::uint64_t strayResults = 0; ///< Late, duplicate and foreign answers, dropped.
+    std::uint64_t restarts = 0; ///< Queries started again on a newer index version.
+    std::uint64_t completeAnswers = 0;
+    std::uint64_t partialAnswers = 0;
+    std::uint64_t refusals = 0;
+
+    friend bool operator==(const QueryCounters&, const QueryCounters&) = default;
+};
+
+/// The decisions of the entry role: plans each request, chooses replicas, hedges, retries, merges.
+///
+/// It does no I/O. Every call takes the time and appends to the actions that the caller must
+/// carry out. Not thread safe: an instance runs several engines, each on its own strand.
+class QueryEngine {
+public:
+    virtual ~QueryEngine() = default;
+
+    /// Starts a request. Precondition: the id was never used before.
+    virtual void start(const CallerRequest&, const QueryTables&, TimePoint, QueryActions&) = 0;
+    /// One answer from a relay, whether awaited or not.
+    virtual void onLegResult(const LegResult&, TimePoint, QueryActions&) = 0;
+    /// The connection to a relay broke: every leg that it had and that is not answered is lost.
+    virtual void onRelayLost(const InstanceName&, TimePoint, QueryActions&) = 0;
+    /// The caller went away or asked to cancel. No DeliverAnswer follows when the caller is gone.
+    virtual void cancel(const RequestId&, bool callerIsGone, TimePoint, QueryActions&) = 0;
+    /// What a relay told about a server outside of an answer: drain, versions, load.
+    virtual void onServerState(const ServerState&, TimePoint) = 0;
+    /// Runs what has come due. Call it no later than nextWake().
+    virtual void onTimer(TimePoint, QueryActions&) = 0;
+    /// When onTimer must run next; `never` when nothing waits.
+    virtual TimePoint nextWake() const = 0;
+
+    virtual std::size_t inFlight() const = 0;
+    virtual QueryCounters counters() const = 0;
+};
+
+/// Builds the engine that the settings ask for: all policies, or the plain baseline.
+std::unique_ptr<QueryEngine> makeQueryEngine(const QuerySettings&, const InstanceName& self, const ZoneName&, std::unique_ptr<RandomSource>);
+
+}
--- /dev/null
+++ b/src/query/query_settings.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "base/time.h"
+#include "base/units.h"
+
+namespace lycheefield {
+
+using namespace std::chrono_literals;
+
+/// Switches and bounds of the entry's policies. Each policy can be turned off to measure what it earns.
+struct QuerySettings {
+    bool hedge = true;
+    bool chooseByLoad = true; ///< Off: replicas in turn.
+    bool retryRefusals = true;
+    Share hedgeQuantile { 0.95 }; ///< A leg slower than this quantile of its class may be hedged.
+    Duration minimumHedgeDelay = 2ms;
+    Duration crossZoneCost = 3ms; ///< What a replica in another zone must be better by.
+
+    friend bool operator==(const QuerySettings&, const QuerySettings&) = default;
+};
+
+}
--- /dev/null
+++ b/src/wire/inner.thrift
@@ -0,0 +1,136 @@
+namespace cpp lycheefield.wire
+
+// One leg to run at one server.
+struct LegOrder {
+    1: required i32 leg
+    2: required i32 attempt
+    3: required i32 shard
+    4: required string server
+    5: optional bool isHedge = false
+}
+
+// All the legs of one request that one relay runs.
+struct WorkOrder {
+    1: required i64 requestLife
+    2: required i64 requestCounter
+    3: required string entry
+    4: required string serviceName
+    5: required i32 kind
+    6: required i32 priority
+    7: required i64 budgetMicros // Time left until the deadline when the message was sent.
+    8: required i64 indexVersion
+    9: required i64 partitionEpoch
+    10: required i64 fingerprint
+    11: required binary body
+    12: optional string traceparent
+    13: required list<LegOrder> legs
+}
+
+struct LegKey {
+    1: required i64 requestLife
+    2: required i64 requestCounter
+    3: required i32 leg
+    4: required i32 attempt
+}
+
+struct ServerState {
+    1: required string server
+    2: required i32 inFlight
+    3: required i32 queued
+    4: required i32 slots
+    5: required list<i64> versions
+    6: required bool draining
+    7: required bool ejected
+    8: required i64 recentLatencyMicros
+}
+
+struct LegResult {
+    1: required LegKey key
+    2: required i32 shard
+    3: required i32 outcome
+    4: required i64 indexVersion
+    5: required i64 partitionEpoch
+    6: required list<string> batches
+    7: required binary body
+    8: required ServerState state
+    9: required i64 queueMicros
+    10: required i64 serviceMicros
+    11: optional bool crashed = false
+    12: optional i64 retryAfterMicros = 0
+    13: optional string detail
+}
+
+struct CrashNews {
+    1: required i64 fingerprint
+    2: required i32 crashes
+    3: required i64 quarantineMicros
+}
+
+// First message on each connection, both ways.
+struct Hello {
+    1: required string instance
+    2: required i64 life
+    3: required string zone
+}
+
+// What one instance says of another (or of itself) in a digest.
+struct InstanceDigest {
+    1: required string name
+    2: required i64 life
+    3: required i64 incarnation
+    4: required i32 health
+    5: optional string innerAddress
+    6: optional i32 innerPort
+    7: optional string httpAddress
+    8: optional i32 httpPort
+    9: optional string zone
+    10: optional i64 ruleRevision
+}
+
+// Probe or its answer; carries what the sender thinks is news.
+struct Gossip {
+    1: required i64 sequence
+    2: required bool isAnswer
+    3: required list<InstanceDigest> digests
+    4: required i64 ruleRevision
+    5: optional string probeTarget // Ask the receiver to probe this instance for the sender.
+    6: optional i64 catalogRevision
+}
+
+struct RuleRequest {
+    1: required i64 haveRevision
+}
+
+// Rules as a difference from the revision that the receiver has, or whole when baseRevision is 0.
+struct RuleDelta {
+    1: required i64 baseRevision
+    2: required i64 revision
+    3: required list<i32> removedLines
+    4: required list<string> addedLines
+    5: required list<i32> addedAt
+    6: required i64 resultHash
+}
+
+// A call for an instance that another instance must answer: cancel or explain a request.
+struct Control {
+    1: required i64 sequence
+    2: required string verb
+    3: required string argument
+    4: optional bool isAnswer = false
+    5: optional string payload
+}
+
+// The one message of a frame. Exactly one body field is set; a receiver skips fields it does not know.
+struct Envelope {
+    1: required i32 protocolVersion
+    2: optional Hello hello
+    3: optional WorkOrder work
+    4: optional LegKey cancel
+    5: optional list<LegResult> results
+    6: optional list<ServerState> servers
+    7: optional CrashNews crash
+    8: optional Gossip gossip
+    9: optional RuleRequest ruleRequest
+    10: optional RuleDelta ruleDelta
+    11: optional Control control
+}
--- /dev/null
+++ b/tests/membership/ownership_test.cpp
@@ -0,0 +1,73 @@
+#include "membership/ownership.h"
+
+#include <doctest/doctest.h>
+
+namespace lycheefield {
+
+namespace {
+
+Instance instanceIn(const std::string& name, const std::string& zone)
+{
+    Instance instance;
+    instance.name = InstanceName(name);
+    instance.zone = ZoneName(zone);
+    return instance;
+}
+
+ShardMap twelveServersIn(const std::string& zone)
+{
+    std::vector<Server> servers;
+    for (int i = 0; i < 12; ++i) {
+        Server server;
+        server.name = ServerName("s" + std::to_string(i));
+        server.zone = ZoneName(zone);
+        server.service = ServiceName("quotedesk");
+        servers.push_back(server);
+    }
+    return ShardMap({}, servers);
+}
+
+}
+
+TEST_CASE("blocks of servers get an owner and a standby" * doctest::test_suite("membership"))
+{
+    const auto map = twelveServersIn("a");
+    const std::vector<Instance> all { instanceIn("i0", "a"), instanceIn("i1", "a"), instanceIn("i2", "a"), instanceIn("i3", "b") };
+    const Ownership ownership { MembershipView(all), map };
+
+    SUBCASE("both are in the servers' own zone")
+    {
+        for (const auto& [name, server] : map.servers()) {
+            const auto* owners = ownership.ownersOf(name);
+            REQUIRE(owners);
+            CHECK(owners->owner != owners->standby);
+            CHECK(owners->owner != InstanceName("i3"));
+            CHECK(owners->standby != InstanceName("i3"));
+        }
+    }
+    SUBCASE("when the owner goes, the standby takes over and nothing else moves")
+    {
+        const auto before = *ownership.ownersOf(ServerName("s0"));
+        auto changed = all;
+        for (auto& it : changed) {
+            if (it.name == before.owner)
+                it.health = InstanceHealth::Leaving;
+        }
+        const Ownership after { MembershipView(changed), map };
+        CHECK(after.ownersOf(ServerName("s0"))->owner == before.standby);
+        for (const auto& [name, server] : map.servers()) {
+            const auto old = ownership.ownersOf(name)->owner;
+            if (old != before.owner)
+                CHECK(after.ownersOf(name)->owner == old);
+        }
+    }
+    SUBCASE("a zone with one instance borrows from the others")
+    {
+        const Ownership sparse { MembershipView({ instanceIn("i0", "a"), instanceIn("i3", "b") }), map };
+        const auto* owners = sparse.ownersOf(ServerName("s0"));
+        REQUIRE(owners);
+        CHECK_FALSE(owners->standby.value().empty());
+    }
+}
+
+}
