Metrics, traces and log lines

Cause: every daemon role counts, traces and logs the same way. Change: lock-free counters and Boost.Accumulators quantiles rendered as Prometheus text, a bounded trace store written out as OTLP JSON, W3C traceparent, easylogging++ behind one function for changes of state. Figures: observe_test passes; no load measured yet. Conclusion: counters first; a log line only where a state changes.

--- /dev/null
+++ b/src/observe/easylogging.cpp
@@ -0,0 +1,4 @@
+// The one translation unit that holds easylogging++'s own code.
+#include <easylogging++.cc>
+
+INITIALIZE_EASYLOGGINGPP
--- /dev/null
+++ b/src/observe/metrics.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "observe/latency_summary.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace lycheefield {
+
+/// A count that only grows. Thread safe and lock free.
+class Counter {
+public:
+    void add(std::uint64_t n = 1) { m_value.fetch_add(n, std::memory_order_relaxed); }
+    std::uint64_t value() const { return m_value.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<std::uint64_t> m_value { 0 };
+};
+
+/// All counters, gauges and latency summaries of one process, by their Prometheus names.
+///
+/// Names start with "lycheefield_"; a name may carry labels, as in `lycheefield_legs_total{outcome="ok"}`.
+/// Thread safe. References stay valid for the life of the registry: look a counter up once and keep it.
+class Metrics {
+public:
+    Counter& counter(const std::string& name);
+    LatencySummary& latency(const std::string& name);
+    /// Registers a value that is read when the metrics are rendered. The function must be thread safe.
+    void gauge(const std::string& name, std::function<double()>);
+
+    /// The Prometheus text format, version 0.0.4. Durations are in seconds.
+    std::string render() const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<std::string, std::unique_ptr<Counter>> m_counters;
+    std::map<std::string, std::unique_ptr<LatencySummary>> m_latencies;
+    std::map<std::string, std::function<double()>> m_gauges;
+};
+
+}
--- /dev/null
+++ b/tests/observe/observe_test.cpp
@@ -0,0 +1,79 @@
+#include "observe/metrics.h"
+#include "observe/span.h"
+#include "observe/trace_store.h"
+
+#include <doctest/doctest.h>
+
+namespace lycheefield {
+
+using namespace std::chrono_literals;
+
+TEST_CASE("metrics are rendered as Prometheus text" * doctest::test_suite("observe"))
+{
+    Metrics metrics;
+    metrics.counter("lycheefield_legs_total{outcome=\"ok\"}").add(3);
+    metrics.counter("lycheefield_legs_total{outcome=\"lost\"}").add();
+    metrics.gauge("lycheefield_instances_alive", [] { return 9.0; });
+    for (int i = 1; i <= 1000; ++i)
+        metrics.latency("lycheefield_search_seconds").add(1ms * i);
+    const auto text = metrics.render();
+    CHECK(text.find("lycheefield_legs_total{outcome=\"ok\"} 3\n") != std::string::npos);
+    CHECK(text.find("lycheefield_instances_alive 9\n") != std::string::npos);
+    CHECK(text.find("lycheefield_search_seconds_count 1000\n") != std::string::npos);
+
+    SUBCASE("a metric with two label sets has one TYPE line")
+    {
+        const auto first = text.find("# TYPE lycheefield_legs_total");
+        CHECK(first != std::string::npos);
+        CHECK(text.find("# TYPE lycheefield_legs_total", first + 1) == std::string::npos);
+    }
+    SUBCASE("quantiles of an even spread are near their true values")
+    {
+        const auto values = metrics.latency("lycheefield_search_seconds").values();
+        CHECK(values.p50 > 450ms);
+        CHECK(values.p50 < 550ms);
+        CHECK(values.p99 > 960ms);
+        CHECK(values.p99 <= 1000ms);
+    }
+}
+
+TEST_CASE("a traceparent header is read and written" * doctest::test_suite("observe"))
+{
+    const std::string header = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
+    const auto parent = TraceParent::parse(header);
+    CHECK(parent.traceId == "4bf92f3577b34da6a3ce929d0e0e4736");
+    CHECK(parent.toString() == header);
+    CHECK(TraceParent::parse("00-xyz").traceId.empty());
+    CHECK(TraceParent::parse("00-00000000000000000000000000000000-00f067aa0ba902b7-01").traceId.empty());
+}
+
+TEST_CASE("the trace store keeps the newest traces in bounded memory" * doctest::test_suite("observe"))
+{
+    TraceStore store(2, 1);
+    const RequestId first { ProcessLife(1), 1 };
+    const RequestId second { ProcessLife(1), 2 };
+    const RequestId third { ProcessLife(1), 3 };
+    store.begin(first, "a");
+    store.begin(second, "b");
+    store.begin(third, "c");
+    CHECK_FALSE(store.find(first));
+    REQUIRE(store.find(third));
+
+    SUBCASE("spans past the bound are counted, not kept")
+    {
+        store.addSpan(third, Span { SpanId(1), SpanId(0), "entry", TimePoint(1ms), TimePoint(2ms), { { "legs", "20" } } });
+        store.addSpan(third, Span {});
+        CHECK(store.find(third)->spans.size() == 1);
+        CHECK(store.find(third)->droppedSpans == 1);
+        const auto otlp = toOtlpJson(*store.find(third), "i0");
+        CHECK(otlp.find("\"name\":\"entry\"") != std::string::npos);
+        CHECK(otlp.find("\"traceId\":\"c\"") != std::string::npos);
+    }
+    SUBCASE("a span for a trace that is gone changes nothing")
+    {
+        store.addSpan(first, Span {});
+        CHECK_FALSE(store.find(first));
+    }
+}
+
+}
