Entry policies: replica choice by load and latency, hedging, retry budget; fan-out bench

Cause: with replicas in turn and no hedge the slowest leg sets the wait of every search. Change: replicas chosen by the usual time of a leg there, load and zone; late legs hedged past the 0.95 quantile of their class once at most a quarter of the legs (never fewer than 4) is outstanding, or when they are twice as late; up to 3 attempts; hedges <= 5 % of first legs by a bucket that starts empty, retries <= 10 %.

--- /dev/null
+++ b/bench/fan_out_bench.cpp
@@ -0,0 +1,141 @@
+#include "bench/virtual_fleet.h"
+
+#include <CLI/CLI.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstring>
+#include <string>
+#include <vector>
+
+namespace lycheefield::bench {
+
+namespace {
+
+struct Scenario {
+    const char* name;
+    double slowReplicas;
+    double slowLegs;
+    double delayedMessages;
+};
+
+const Scenario scenarios[] = { { "replicas", 0.1, 0, 0 }, { "legs", 0, 0.02, 0 }, { "both", 0.1, 0.02, 0.01 } };
+
+struct Policy {
+    const char* name;
+    void (*apply)(QuerySettings&);
+};
+
+const Policy policies[] = {
+    { "baseline", [](QuerySettings& it) { it.hedge = it.chooseByLoad = it.retryRefusals = false; } },
+    { "choice", [](QuerySettings& it) { it.hedge = false; } },
+    { "hedge", [](QuerySettings& it) { it.chooseByLoad = false; } },
+    { "all", [](QuerySettings&) {} },
+};
+
+Rule searchRule()
+{
+    Rule rule;
+    rule.name = "bench";
+    rule.pathPrefix = "/search";
+    rule.service = ServiceName("quotedesk");
+    rule.deadline = 2s;
+    rule.minimumCoverage = Share { 0.5 };
+    rule.comment = "the fan-out bench";
+    return rule;
+}
+
+void print(const char* scenario, const char* policy, const FleetShape& shape, const FleetFigures& it)
+{
+    std::printf("%s,%s,%u,%.0f,%.2f,%.2f,%.2f,%.4f,%.4f,%.4f,%.4f,%.3f,%.3f,%.2f,%u,%u\n", scenario, policy, shape.shards, shape.queriesPerSecond, it.p50, it.p99,
+        it.p999, it.extraLegs, it.hedges, it.complete, it.answered, it.backendLoad, it.wasted, it.cpuPerLeg, it.felled, it.shardsFelled);
+    std::fflush(stdout);
+}
+
+FleetShape shapeOf(const FleetShape& base, std::uint32_t legs, const Scenario& scenario)
+{
+    auto shape = base;
+    shape.shards = legs;
+    shape.slowReplicas = scenario.slowReplicas;
+    shape.slowLegs = scenario.slowLegs;
+    shape.delayedMessages = scenario.delayedMessages;
+    return shape;
+}
+
+/// The worst of the scenarios, each against its own baseline.
+struct Worst {
+    double p99Ratio = 0;
+    double extraLegs = 0;
+    double complete = 1;
+    double cpuPerLeg = 0;
+
+    void take(const FleetFigures& figures, double baseline)
+    {
+        p99Ratio = std::max(p99Ratio, figures.p99 / baseline);
+        extraLegs = std::max(extraLegs, figures.extraLegs);
+        complete = std::min(complete, figures.complete);
+        cpuPerLeg = std::max(cpuPerLeg, figures.cpuPerLeg);
+    }
+    std::string toString(std::uint32_t legs) const
+    {
+        char buf[200];
+        std::snprintf(buf, sizeof buf, " p99_ratio_%u=%.3f extra_legs_%u=%.4f complete_%u=%.4f cpu_us_per_leg_%u=%.2f", legs, p99Ratio, legs, extraLegs, legs, complete, legs, cpuPerLeg);
+        return buf;
+    }
+};
+
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    using namespace lycheefield;
+    using namespace lycheefield::bench;
+    std::vector<std::uint32_t> fanOuts { 20, 100, 460 };
+    std::string onlyPolicy;
+    std::string onlyScenario;
+    FleetShape base;
+    base.rule = searchRule();
+    std::int64_t retransmissionMillis = 200;
+    CLI::App app("Fan-out in virtual time: tail, extra legs and processor time, each policy on and off.");
+    app.add_option("legs", fanOuts, "shards of the service");
+    app.add_option("--policy", onlyPolicy, "run this policy beside the baseline");
+    app.add_option("--scenario", onlyScenario, "run only this scenario");
+    app.add_option("--rate", base.queriesPerSecond, "queries a second over all instances");
+    app.add_option("--queries", base.queries, "queries in a run");
+    app.add_option("--seed", base.seed, "seed of the fleet and of the engines");
+    app.add_option("--retransmission-ms", retransmissionMillis, "delay of a message that is sent again");
+    app.add_option("--quantile", base.policies.hedgeQuantile.value, "quantile past which a leg is late");
+    app.add_option("--outstanding", base.policies.hedgeWhenOutstanding.value, "share of legs outstanding at most for a hedge");
+    app.add_option("--very-late", base.policies.veryLateFactor, "hedge delays after which a leg is hedged in any case");
+    app.add_option("--attempts", base.policies.maxAttempts, "attempts of a leg at most");
+    CLI11_PARSE(app, argc, argv);
+    base.retransmission = std::chrono::milliseconds(retransmissionMillis);
+    std::printf("scenario,policy,legs,rate,p50_ms,p99_ms,p999_ms,extra_legs,hedges,complete,answered,backend_load,wasted,cpu_us_per_leg,felled,shards_felled\n");
+    std::string last = "seed=" + std::to_string(base.seed);
+    for (const auto legs : fanOuts) {
+        Worst worst;
+        for (const auto& scenario : scenarios) {
+            if (!onlyScenario.empty() && onlyScenario != scenario.name)
+                continue;
+            double baseline = 0;
+            for (const auto& policy : policies) {
+                const bool isBaseline = std::strcmp(policy.name, "baseline") == 0;
+                if (!isBaseline && !onlyPolicy.empty() && onlyPolicy != policy.name)
+                    continue;
+                auto shape = shapeOf(base, legs, scenario);
+                policy.apply(shape.policies);
+                const auto figures = VirtualFleet(shape).run();
+                print(scenario.name, policy.name, shape, figures);
+                if (isBaseline)
+                    baseline = figures.p99;
+                if (std::strcmp(policy.name, "all") == 0)
+                    worst.take(figures, baseline);
+            }
+        }
+        last += worst.toString(legs);
+    }
+    std::printf("%s\n", last.c_str());
+    return 0;
+}
--- /dev/null
+++ b/bench/virtual_fleet.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "base/random_source.h"
+#include "bench/event_queue.h"
+#include "bench/fleet_shape.h"
+#include "query/query_engine.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace lycheefield::bench {
+
+/// Entries with the real decision code before fake relays, servers and links, on a virtual clock.
+class VirtualFleet {
+public:
+    explicit VirtualFleet(const FleetShape&);
+    FleetFigures run();
+
+private:
+    struct Entry {
+        InstanceName name;
+        ZoneName zone;
+        std::unique_ptr<QueryEngine> engine;
+        TimePoint wakeAt = never;
+    };
+    struct Leg {
+        WorkOrder work; ///< Without legs.
+        LegOrder order;
+        TimePoint arrived {};
+        TimePoint began {};
+        bool cancelled = false;
+    };
+    struct FakeServer {
+        ServerName name;
+        ZoneName zone;
+        std::uint32_t shard = 0;
+        double factor = 1;
+        TimePoint downUntil {};
+        std::deque<std::shared_ptr<Leg>> queue;
+        std::map<LegKey, std::shared_ptr<Leg>> running;
+        double recentMicros = 0;
+    };
+
+    void buildTables();
+    void arrive(std::uint32_t index);
+    void perform(Entry&, QueryActions&);
+    void performWork(Entry&, SendWork&);
+    void delivered(const Answer&);
+    void arm(Entry&);
+    template <typename Call>
+    void callEngine(Entry&, Call);
+
+    Duration linkDelay(const ZoneName&, const ZoneName&);
+    void take(FakeServer&, std::shared_ptr<Leg>);
+    void beginNext(FakeServer&);
+    void finish(FakeServer&, const std::shared_ptr<Leg>&);
+    void crash(FakeServer&);
+    void cancelAt(const ServerName&, const LegKey&);
+    void reply(const FakeServer&, const Leg&, LegOutcome, bool crashed = false);
+    Duration serviceTime(const FakeServer&);
+    bool isPoison(const Leg&) const;
+
+    FleetShape m_shape;
+    EventQueue m_events;
+    SeededRandom m_random;
+    QueryTables m_tables;
+    std::vector<Entry> m_entries;
+    std::unordered_map<InstanceName, ZoneName> m_zones;
+    std::unordered_map<ServerName, FakeServer> m_servers;
+    std::vector<std::vector<ServerName>> m_replicas;
+    std::unordered_map<std::uint64_t, std::pair<TimePoint, std::uint32_t>> m_startedAt; ///< By request counter.
+    std::map<LegKey, ServerName> m_placeOf;
+    std::vector<double> m_latencies;
+    std::uint32_t m_complete = 0;
+    std::uint32_t m_answered = 0;
+    std::uint32_t m_counted = 0;
+    std::uint64_t m_begun = 0;
+    double m_busyMicros = 0;
+    double m_wastedMicros = 0;
+    std::int64_t m_cpuNanos = 0;
+    std::uint32_t m_felled = 0;
+    std::uint32_t m_shardsFelled = 0;
+};
+
+}
--- /dev/null
+++ b/src/query/hedge_planner.cpp
@@ -0,0 +1,89 @@
+#include "query/hedge_planner.h"
+
+#include <algorithm>
+
+namespace lycheefield {
+
+namespace {
+
+/// Below so many samples a quantile says nothing, and no leg is called late.
+constexpr double samplesNeeded = 100;
+/// So few outstanding legs are always worth a hedge, however narrow the query is.
+constexpr double fewLegs = 4;
+constexpr std::uint32_t samplesPerUpdate = 32;
+
+}
+
+HedgePlanner::HedgePlanner(const QuerySettings& settings, const ZoneName& self)
+    : m_settings(settings)
+    , m_self(self)
+{
+}
+
+LegClass& HedgePlanner::classOf(const ServiceName& service, const ZoneName& serverZone)
+{
+    return m_classes[{ service, serverZone == m_self }];
+}
+
+void HedgePlanner::note(LegClass& legClass, Duration latency)
+{
+    legClass.latencies.add(latency);
+    if (legClass.samplesUntilUpdate > 0) {
+        --legClass.samplesUntilUpdate;
+        return;
+    }
+    legClass.samplesUntilUpdate = samplesPerUpdate;
+    legClass.hedgeDelay = std::max(m_settings.minimumHedgeDelay, legClass.latencies.quantile(m_settings.hedgeQuantile));
+}
+
+Duration HedgePlanner::delayOf(const LegClass& legClass) const
+{
+    return legClass.latencies.weight() < samplesNeeded ? Duration::max() : legClass.hedgeDelay;
+}
+
+bool HedgePlanner::waitsForFew(const Query& query) const
+{
+    const auto few = std::max(fewLegs, m_settings.hedgeWhenOutstanding.value * static_cast<double>(query.legs.size()));
+    return static_cast<double>(query.openLegs) <= few;
+}
+
+TimePoint HedgePlanner::lateAt(const LegState& leg, double delays) const
+{
+    if (!leg.isOpen || leg.attempts.empty() || leg.attempts.size() >= m_settings.maxAttempts)
+        return never;
+    const auto& last = leg.attempts.back();
+    if (!last.isOpen)
+        return never;
+    const auto delay = delayOf(*last.legClass);
+    return delay == Duration::max() ? never : last.sentAt + Duration(static_cast<std::int64_t>(delays * static_cast<double>(delay.count())));
+}
+
+std::vector<std::size_t> HedgePlanner::lateLegs(const Query& query, TimePoint now) const
+{
+    std::vector<std::size_t> late;
+    if (!m_settings.hedge || !query.mayHedge)
+        return late;
+    const auto delays = waitsForFew(query) ? 1 : m_settings.veryLateFactor;
+    for (std::size_t i = 0; i < query.legs.size(); ++i) {
+        if (query.legs[i].isOpen && lateAt(query.legs[i], delays) <= now)
+            late.push_back(i);
+    }
+    std::sort(late.begin(), late.end(), [&](auto a, auto b) { return query.legs[a].attempts.back().sentAt < query.legs[b].attempts.back().sentAt; });
+    return late;
+}
+
+TimePoint HedgePlanner::nextLate(const Query& query, TimePoint now) const
+{
+    auto next = never;
+    if (!m_settings.hedge || !query.mayHedge)
+        return next;
+    const auto delays = waitsForFew(query) ? 1 : m_settings.veryLateFactor;
+    for (const auto& it : query.legs) {
+        const auto at = it.isOpen ? lateAt(it, delays) : never;
+        if (at > now)
+            next = std::min(next, at);
+    }
+    return next;
+}
+
+}
--- a/src/query/leg_state.h
+++ b/src/query/leg_state.h
@@ -4,6 +4,7 @@
 #include "base/time.h"
 #include "catalog/shard_map.h"
 #include "query/answer.h"
+#include "query/leg_class.h"
 #include "query/server_record.h"
 
 #include <optional>
@@ -17,6 +18,7 @@
     AttemptNumber number;
     ServerRecord* server = nullptr;
     InstanceName relay;
+    LegClass* legClass = nullptr;
     TimePoint sentAt {};
     bool isHedge = false;
     bool isOpen = true; ///< Its result is still awaited.
--- a/src/query/query.h
+++ b/src/query/query.h
@@ -3,6 +3,7 @@
 #include "query/leg_state.h"
 #include "query/query_engine.h"
 #include "query/query_tables.h"
+#include "query/rule_budget.h"
 #include "rules/rule.h"
 
 #include <cstddef>
@@ -24,6 +25,8 @@
     std::vector<LegState> legs;
     std::size_t openLegs = 0;
     std::size_t covered = 0;
+    RuleBudget* budget = nullptr;
+    bool mayHedge = true; ///< False for what must not run twice, and once its content is suspect.
     std::uint32_t attemptBase = 0; ///< Number of the first attempt since the last start.
     bool ran = false; ///< An answer proved that some part ran.
     bool mayHaveRun = false; ///< An attempt ended without proof that it did not run.
--- a/src/query/query_settings.h
+++ b/src/query/query_settings.h
@@ -3,6 +3,8 @@
 #include "base/time.h"
 #include "base/units.h"
 
+#include <cstdint>
+
 namespace lycheefield {
 
 using namespace std::chrono_literals;
@@ -12,6 +14,9 @@
     bool hedge = true;
     bool chooseByLoad = true; ///< Off: replicas in turn.
     bool retryRefusals = true;
+    Share hedgeWhenOutstanding { 0.25 }; ///< Legs are hedged once a query waits for this share of them at most.
+    double veryLateFactor = 2; ///< A leg later than this many hedge delays is hedged however many are outstanding.
+    std::uint32_t maxAttempts = 3; ///< Of one leg, hedges included.
     Share hedgeQuantile { 0.95 }; ///< A leg slower than this quantile of its class may be hedged.
     Duration minimumHedgeDelay = 2ms;
     Duration crossZoneCost = 3ms; ///< What a replica in another zone must be better by.
--- a/src/query/replica_chooser.h
+++ b/src/query/replica_chooser.h
@@ -14,6 +14,7 @@
 struct ReplicaChoice {
     ServerRecord* server = nullptr; ///< Null when no replica can take it.
     InstanceName relay;
+    const ZoneName* zone = nullptr; ///< Of the server; points into the shard map.
 };
 
 /// Picks the server of an attempt, and the relay that owns it. Not thread safe.
@@ -21,18 +22,19 @@
 public:
     ReplicaChooser(const QuerySettings&, const ZoneName& self, ServerTable&, RandomSource&);
 
-    /// The replica for the next attempt of that leg. Replicas that were tried or that no longer
-    /// serve the pinned version are left out.
-    ReplicaChoice choose(const Query&, const LegState&, TimePoint);
+    /// The replica for the next attempt of that leg. Replicas that no longer serve the pinned
+    /// version are left out, and those that were tried too, unless it may be tried again.
+    ReplicaChoice choose(const Query&, const LegState&, bool again);
 
 private:
-    std::vector<ReplicaChoice> candidatesOf(const Query&, const LegState&);
+    std::vector<ReplicaChoice> candidatesOf(const Query&, const LegState&, bool again);
+    double expectedMicros(const ReplicaChoice&, std::uint32_t slots) const;
+    const ReplicaChoice& better(const ReplicaChoice&, const ReplicaChoice&);
 
     const QuerySettings& m_settings;
     const ZoneName m_self;
     ServerTable& m_servers;
     RandomSource& m_random;
-    std::uint64_t m_turn = 0;
 };
 
 }
--- a/src/query/server_record.h
+++ b/src/query/server_record.h
@@ -4,6 +4,7 @@
 #include "base/leg.h"
 #include "base/time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -14,7 +15,14 @@
     ServerName name;
     std::optional<ServerState> state;
     TimePoint stateAt {}; ///< When state was heard.
+    double latencyMicros = 0; ///< Usual time from sending a leg to its answer; 0 when unknown.
     std::uint32_t outstanding = 0; ///< Our own legs there whose result is awaited.
+
+    /// Legs there, as far as known: the relay counts all entries' legs, we count those it has not seen yet.
+    std::uint32_t load() const { return state ? std::max(outstanding, state->inFlight + state->queued) : outstanding; }
+    std::uint32_t slots() const { return state && state->slots > 0 ? state->slots : 1; }
+    /// Takes one leg's time. A single outlier moves the usual time by a quarter at most.
+    void noteLatency(Duration);
 };
 
 }
--- a/src/query/standard_query_engine.cpp
+++ b/src/query/standard_query_engine.cpp
@@ -13,6 +13,7 @@
     , m_self(std::move(self))
     , m_random(std::move(random))
     , m_replicas(m_settings, zone, m_servers, *m_random)
+    , m_hedges(m_settings, zone)
 {
 }
 
@@ -24,13 +25,15 @@
     query.tables = tables;
     query.rule = tables.rules->match(request.path);
     if (!query.rule)
-        return deliver(query, Error { ErrorKind::NotFound, "no rule matches the path " + request.path, "ask the operators for a rule" }, actions);
+        return deliver(query, Error { ErrorKind::NotFound, "no rule matches the path " + request.path, "ask the operators for a rule" }, now, actions);
     query.deadline = std::min(request.deadline, now + query.rule->deadline);
     if (query.deadline <= now)
-        return deliver(query, Error { ErrorKind::DeadlineExceeded, "the deadline had passed on arrival", "allow more time" }, actions);
+        return deliver(query, Error { ErrorKind::DeadlineExceeded, "the deadline had passed on arrival", "allow more time" }, now, actions);
     if (query.rule->preference == AnswerPreference::Tail && query.rule->softDeadline.count() > 0)
         query.softDeadline = now + query.rule->softDeadline;
     query.fingerprint = fingerprintOf(query.rule->service, request.body ? std::string_view(*request.body) : std::string_view());
+    query.budget = &m_budgets[query.rule->name];
+    query.mayHedge = query.rule->kind != RequestKind::Order;
     plan(query, now, actions);
 }
 
@@ -52,10 +55,10 @@
     query.service = query.tables.shards->findService(query.rule->service);
     const auto shards = query.service ? shardsOf(query) : std::vector<const Shard*>();
     if (shards.empty())
-        return deliver(query, Error { ErrorKind::Unavailable, "the catalogue has no shards of " + query.rule->service.value(), "check the rule's service" }, actions);
+        return deliver(query, Error { ErrorKind::Unavailable, "the catalogue has no shards of " + query.rule->service.value(), "check the rule's service" }, now, actions);
     const auto version = SnapshotChooser(*query.tables.shards, m_servers).choose(shards);
     if (!version)
-        return deliver(query, Error { ErrorKind::Unavailable, "no index version is served by every shard", "send it again" }, actions);
+        return deliver(query, Error { ErrorKind::Unavailable, "no index version is served by every shard", "send it again" }, now, actions);
     query.version = *version;
     query.legs.resize(shards.size());
     query.openLegs = shards.size();
@@ -68,6 +71,7 @@
         else
             closeLeg(query, query.legs[i], "no instance owns a usable replica");
     }
+    query.budget->earn(*query.rule, query.openLegs);
     batch.flush(query, m_self, actions);
     settle(query, now, actions);
 }
@@ -75,13 +79,14 @@
 bool StandardQueryEngine::sendAttempt(Query& query, std::size_t leg, bool isHedge, TimePoint now, WorkBatch& batch)
 {
     auto& state = query.legs[leg];
-    const auto choice = m_replicas.choose(query, state, now);
+    const auto choice = m_replicas.choose(query, state, isHedge && state.attempts.size() > 1);
     if (!choice.server)
         return false;
     Attempt attempt;
     attempt.number = AttemptNumber(query.attemptBase + static_cast<std::uint32_t>(state.attempts.size()));
     attempt.server = choice.server;
     attempt.relay = choice.relay;
+    attempt.legClass = &m_hedges.classOf(query.rule->service, *choice.zone);
     attempt.sentAt = now;
     attempt.isHedge = isHedge;
     ++choice.server->outstanding;
@@ -123,36 +128,61 @@
         ++m_counters.mixedVersions;
         outcome = LegOutcome::VersionGone;
     }
-    if (outcome == LegOutcome::Ok)
-        return takeAnswer(query, leg, result, actions);
+    if (outcome == LegOutcome::Ok) {
+        m_hedges.note(*attempt.legClass, now - attempt.sentAt);
+        attempt.server->noteLatency(now - attempt.sentAt);
+        return takeAnswer(query, leg, result, now, actions);
+    }
+    endUnanswered(query, leg, outcome, result.detail, now, actions);
+}
+
+void StandardQueryEngine::endUnanswered(Query& query, LegState& leg, LegOutcome outcome, const std::string& detail, TimePoint now, QueryActions& actions)
+{
     leg.lastOutcome = outcome;
     if (leg.hasOpenAttempt())
         return;
     const auto index = static_cast<std::size_t>(&leg - query.legs.data());
     WorkBatch batch;
-    if (mayRetry(query, leg, outcome, now) && sendAttempt(query, index, false, now, batch)) {
+    if (mayRetry(query, outcome, now) && sendAttempt(query, index, false, now, batch)) {
         ++m_counters.retries;
         return batch.flush(query, m_self, actions);
     }
-    closeLeg(query, leg, std::string(toString(outcome)) + (result.detail.empty() ? "" : ": " + result.detail));
+    closeLeg(query, leg, std::string(toString(outcome)) + (detail.empty() ? "" : ": " + detail));
 }
 
-bool StandardQueryEngine::mayRetry(const Query& query, const LegState&, LegOutcome outcome, TimePoint now) const
+bool StandardQueryEngine::mayRetry(Query& query, LegOutcome outcome, TimePoint now)
 {
     if (!m_settings.retryRefusals || now >= query.deadline || outcome == LegOutcome::Quarantined)
         return false;
-    if (query.rule->kind == RequestKind::Order)
-        return !query.ran && !query.mayHaveRun;
-    return true;
+    if (query.rule->kind == RequestKind::Order && (query.ran || query.mayHaveRun))
+        return false;
+    // A server that lost the version did no work, and each replica is asked once: no budget is needed.
+    if (outcome == LegOutcome::VersionGone || outcome == LegOutcome::ShardMoved)
+        return true;
+    return query.budget->retries.spend();
 }
 
-void StandardQueryEngine::takeAnswer(Query& query, LegState& leg, const LegResult& result, QueryActions& actions)
+void StandardQueryEngine::hedgeLateLegs(Query& query, TimePoint now, QueryActions& actions)
+{
+    WorkBatch batch;
+    for (const auto leg : m_hedges.lateLegs(query, now)) {
+        if (query.budget->hedges.tokens() < 1)
+            break;
+        if (sendAttempt(query, leg, true, now, batch)) {
+            query.budget->hedges.spend();
+            ++m_counters.hedges;
+        }
+    }
+    batch.flush(query, m_self, actions);
+}
+
+void StandardQueryEngine::takeAnswer(Query& query, LegState& leg, const LegResult& result, TimePoint now, QueryActions& actions)
 {
     leg.answer = ShardAnswer { leg.shard->number, result.batches, result.body };
     leg.isOpen = false;
     --query.openLegs;
     ++query.covered;
-    cancelOpenAttempts(query, static_cast<std::size_t>(&leg - query.legs.data()), actions);
+    cancelOpenAttempts(query, static_cast<std::size_t>(&leg - query.legs.data()), now, actions);
 }
 
 void StandardQueryEngine::closeLeg(Query& query, LegState& leg, std::string reason)
@@ -162,7 +192,7 @@
     --query.openLegs;
 }
 
-void StandardQueryEngine::cancelOpenAttempts(Query& query, std::size_t leg, QueryActions& actions)
+void StandardQueryEngine::cancelOpenAttempts(Query& query, std::size_t leg, TimePoint now, QueryActions& actions)
 {
     for (auto& it : query.legs[leg].attempts) {
         if (!it.isOpen)
@@ -170,26 +200,37 @@
         it.isOpen = false;
         --it.server->outstanding;
         query.mayHaveRun = true;
+        noteLoser(it, now);
         ++m_counters.cancels;
         actions.emplace_back(SendCancel { it.relay, { query.request.id, LegNumber(static_cast<std::uint32_t>(leg)), it.number } });
     }
 }
 
+void StandardQueryEngine::noteLoser(const Attempt& attempt, TimePoint now)
+{
+    const auto elapsed = now - attempt.sentAt;
+    if (elapsed <= m_hedges.delayOf(*attempt.legClass))
+        return;
+    m_hedges.note(*attempt.legClass, elapsed);
+    attempt.server->noteLatency(elapsed);
+}
+
 void StandardQueryEngine::settle(Query& query, TimePoint now, QueryActions& actions)
 {
     const bool deadlinePassed = now >= query.deadline;
     const bool enough = query.coversEnough();
     if (query.openLegs == 0 || deadlinePassed) {
         if (enough)
-            return deliver(query, std::nullopt, actions);
-        return deliver(query, refusalOf(query, deadlinePassed), actions);
+            return deliver(query, std::nullopt, now, actions);
+        return deliver(query, refusalOf(query, deadlinePassed), now, actions);
     }
     if (now >= query.softDeadline && enough)
-        return deliver(query, std::nullopt, actions);
+        return deliver(query, std::nullopt, now, actions);
+    hedgeLateLegs(query, now, actions);
     schedule(query, now);
 }
 
-void StandardQueryEngine::deliver(Query& query, std::optional<Error> refusal, QueryActions& actions)
+void StandardQueryEngine::deliver(Query& query, std::optional<Error> refusal, TimePoint now, QueryActions& actions)
 {
     auto answer = buildAnswer(query, std::move(refusal));
     if (answer.refusal)
@@ -199,13 +240,13 @@
     else
         ++m_counters.partialAnswers;
     actions.emplace_back(DeliverAnswer { std::move(answer) });
-    forget(query, actions);
+    forget(query, now, actions);
 }
 
-void StandardQueryEngine::forget(Query& query, QueryActions& actions)
+void StandardQueryEngine::forget(Query& query, TimePoint now, QueryActions& actions)
 {
     for (std::size_t i = 0; i < query.legs.size(); ++i)
-        cancelOpenAttempts(query, i, actions);
+        cancelOpenAttempts(query, i, now, actions);
     m_due.erase({ query.due, query.request.id });
     const auto id = query.request.id;
     m_queries.erase(id);
@@ -213,7 +254,8 @@
 
 void StandardQueryEngine::schedule(Query& query, TimePoint now)
 {
-    const auto due = now < query.softDeadline ? std::min(query.deadline, query.softDeadline) : query.deadline;
+    auto due = now < query.softDeadline ? std::min(query.deadline, query.softDeadline) : query.deadline;
+    due = std::min(due, m_hedges.nextLate(query, now));
     if (due == query.due)
         return;
     m_due.erase({ query.due, query.request.id });
@@ -245,16 +287,16 @@
     }
 }
 
-void StandardQueryEngine::cancel(const RequestId& id, bool callerIsGone, TimePoint, QueryActions& actions)
+void StandardQueryEngine::cancel(const RequestId& id, bool callerIsGone, TimePoint now, QueryActions& actions)
 {
     const auto it = m_queries.find(id);
     if (it == m_queries.end())
         return;
     auto& query = *it->second;
     if (callerIsGone)
-        return forget(query, actions);
+        return forget(query, now, actions);
     const bool notRun = runStateOf(query) == RunState::NotRun;
-    deliver(query, Error { notRun ? ErrorKind::Unavailable : ErrorKind::UnknownOutcome, "cancelled on request", "send it again if it is still wanted" }, actions);
+    deliver(query, Error { notRun ? ErrorKind::Unavailable : ErrorKind::UnknownOutcome, "cancelled on request", "send it again if it is still wanted" }, now, actions);
 }
 
 void StandardQueryEngine::onServerState(const ServerState& state, TimePoint now)
--- /dev/null
+++ b/src/query/token_bucket.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "base/units.h"
+
+#include <algorithm>
+
+namespace lycheefield {
+
+/// Allows extra work in proportion to the work that is needed anyway. What was spent never
+/// exceeds the initial tokens plus the share of what was earned. Not thread safe.
+class TokenBucket {
+public:
+    TokenBucket(double initial, double capacity)
+        : m_tokens(initial)
+        , m_capacity(capacity)
+    {
+    }
+
+    void earn(Share share, double work) { m_tokens = std::min(m_capacity, m_tokens + share.value * work); }
+    /// Takes one token; false when there is none.
+    bool spend()
+    {
+        // Sums of 0.05 fall short of whole numbers by rounding.
+        constexpr double oneToken = 1 - 1e-9;
+        if (m_tokens < oneToken)
+            return false;
+        m_tokens -= 1;
+        return true;
+    }
+    double tokens() const { return m_tokens; }
+
+private:
+    double m_tokens;
+    double m_capacity;
+};
+
+}
