Stand-in backend servers: slots, caps, versions, drains, crashes

Change: BackendServer holds the behaviour without I/O, for tests in virtual time; listener, session and fleet put many of them behind HTTP in one process and write the catalog entry. Conclusion: one model of a server for both kinds of test.

--- /dev/null
+++ b/tests/standin/backend_fleet.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "base/clock.h"
+#include "catalog/catalog_json.h"
+#include "standin/backend_listener.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lycheefield::standin {
+
+/// What one stand-in fleet looks like: the servers of one service.
+struct FleetPlan {
+    std::string service = "quotedesk";
+    std::uint32_t shards = 20;
+    std::uint32_t replicas = 2;
+    std::uint32_t batchesPerShard = 4;
+    std::vector<std::string> zones { "ikeja-a", "lekki-b", "ibadan-c" };
+    std::string address = "127.0.0.1";
+    std::uint64_t seed = 1;
+    std::uint64_t firstVersion = 1;
+    Duration versionEvery {}; ///< A new index version comes this often; zero: never.
+    Duration versionSpread { 500000 }; ///< Servers take a new version up one by one over this time.
+    Duration versionKept { 2000000 }; ///< The old version is served this long after the last has the new.
+    BackendBehaviour behaviour;
+    BackendListener::Limits limits;
+};
+
+/// Servers of one service, their index versions and their catalog entry on the platform.
+/// Everything runs on the thread that runs the io_context.
+class BackendFleet {
+public:
+    BackendFleet(boost::asio::io_context&, FleetPlan, Endpoint platform, const Clock&);
+
+    /// Starts all servers and writes the catalog entry. Throws std::runtime_error when the platform
+    /// takes no entry.
+    void start();
+    /// Answers /standin/… : `counters`, `orders`, `set?server=NAME|all&KEY=VALUE…`, `repartition`, `publish`.
+    std::string control(const std::string& target);
+
+private:
+    void buildCatalog();
+    bool writeCatalog();
+    void setIndexOf(std::size_t server);
+    void publishNext();
+    void repartition();
+    std::string counters() const;
+    std::string orders() const;
+    void set(const std::string& query);
+    void later(Duration, std::function<void()>);
+
+    boost::asio::io_context& m_io;
+    FleetPlan m_plan;
+    Endpoint m_platform;
+    const Clock& m_clock;
+    CatalogEntry m_catalog;
+    std::vector<std::shared_ptr<BackendListener>> m_listeners;
+    std::vector<std::shared_ptr<BackendServer>> m_servers;
+    std::vector<std::set<IndexVersion>> m_versions;
+    std::set<PartitionEpoch> m_epochs;
+    IndexVersion m_newest;
+};
+
+}
--- /dev/null
+++ b/tests/standin/http_call.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "base/endpoint.h"
+
+#include <optional>
+#include <string>
+
+namespace lycheefield::standin {
+
+struct HttpReply {
+    unsigned status = 0;
+    std::string body;
+};
+
+/// One blocking HTTP call on a connection of its own; empty when the peer can't be reached or
+/// does not answer. For stand-ins and tools, never on a request's path.
+std::optional<HttpReply> httpCall(const Endpoint&, const std::string& method, const std::string& target, const std::string& body = {});
+
+}
