--- /dev/null
+++ b/src/dispatch/connection_pool.cpp
@@ -0,0 +1,105 @@
+#include "dispatch/connection_pool.h"
+
+#include <algorithm>
+
+namespace lycheefield {
+
+namespace {
+
+constexpr auto firstRetryDelay = 20ms;
+constexpr std::uint32_t maxRetryDoublings = 6;
+/// Holders of a server while an old and a new view are both in force: two owners, two standbys.
+constexpr std::uint32_t holdersInTwoViews = 4;
+constexpr std::uint32_t controlConnections = 1;
+
+}
+
+std::uint32_t workConnectionLimit(std::uint32_t connectionCap, const RelaySettings& settings)
+{
+    if (connectionCap <= settings.reservedConnections)
+        return 0;
+    const auto shared = connectionCap - settings.reservedConnections;
+    const auto byShare = static_cast<std::uint32_t>(settings.ownerShareOfCap.value * shared);
+    const auto held = std::min(byShare, shared / holdersInTwoViews);
+    return held > controlConnections ? held - controlConnections : 0;
+}
+
+bool ConnectionPool::onConnected(ConnectionId id)
+{
+    const auto it = m_states.find(id);
+    if (it == m_states.end())
+        return false;
+    if (it->second != State::Opening)
+        return true;
+    it->second = State::Idle;
+    --m_opening;
+    m_idle.insert(m_idle.begin(), id);
+    m_refusedInARow = 0;
+    m_retryAt = never;
+    ++m_counters.opened;
+    return true;
+}
+
+bool ConnectionPool::onLost(ConnectionId id, TimePoint now)
+{
+    const auto it = m_states.find(id);
+    if (it == m_states.end())
+        return false;
+    const auto wasOpening = it->second == State::Opening;
+    m_states.erase(it);
+    std::erase(m_idle, id);
+    if (!wasOpening)
+        return false;
+    --m_opening;
+    m_retryAt = now + firstRetryDelay * (1U << std::min(m_refusedInARow, maxRetryDoublings));
+    ++m_refusedInARow;
+    return true;
+}
+
+ConnectionId ConnectionPool::takeIdle()
+{
+    const auto id = m_idle.back();
+    m_idle.pop_back();
+    m_states[id] = State::Busy;
+    return id;
+}
+
+void ConnectionPool::release(ConnectionId id)
+{
+    const auto it = m_states.find(id);
+    if (it == m_states.end())
+        return;
+    it->second = State::Idle;
+    m_idle.push_back(id);
+}
+
+void ConnectionPool::closeOneIdle(RelayActions& actions)
+{
+    const auto id = m_idle.front();
+    m_idle.erase(m_idle.begin());
+    m_states.erase(id);
+    actions.push_back(CloseConnection { m_server, id });
+}
+
+void ConnectionPool::balance(std::uint32_t wanted, TimePoint now, RelayActions& actions)
+{
+    wanted = std::min(wanted, m_limit);
+    while (size() > wanted && !m_idle.empty())
+        closeOneIdle(actions);
+    if (m_retryAt != never) {
+        if (now < m_retryAt)
+            return;
+        m_retryAt = never;
+    }
+    // After a refusal one connection at a time feels out whether the server accepts again.
+    if (m_refusedInARow > 0)
+        wanted = std::min(wanted, openCount() + 1);
+    while (size() < wanted) {
+        const ConnectionId id(++m_counters.lastId);
+        m_states.emplace(id, State::Opening);
+        ++m_opening;
+        actions.push_back(OpenConnection { m_server, id });
+    }
+}
+
+}
