--- /dev/null
+++ b/tests/standin/platform_store.cpp
@@ -0,0 +1,225 @@
+#include "standin/platform_store.h"
+
+#include <algorithm>
+
+namespace lycheefield::standin {
+
+namespace {
+
+bool startsWith(const std::string& text, const std::string& prefix)
+{
+    return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+constexpr double microsecondsPerSecond = 1e6;
+
+}
+
+StoreStatus toStoreStatus(const PlatformAnswer& answer)
+{
+    if (answer.lost)
+        return StoreStatus::Lost;
+    switch (answer.status) {
+    case PlatformStatus::Ok:
+        return StoreStatus::Ok;
+    case PlatformStatus::NotFound:
+        return StoreStatus::NotFound;
+    case PlatformStatus::Conflict:
+        return StoreStatus::Conflict;
+    case PlatformStatus::TooLarge:
+    case PlatformStatus::RateLimited:
+    case PlatformStatus::Outage:
+        return StoreStatus::Unavailable;
+    }
+    return StoreStatus::Unavailable;
+}
+
+std::optional<PlatformAnswer> PlatformStore::refuse(TimePoint now)
+{
+    advance(now);
+    PlatformAnswer answer;
+    answer.delay = m_faults.delay;
+    if (m_faults.outage) {
+        ++m_counters.refusedInOutage;
+        answer.status = PlatformStatus::Outage;
+        return answer;
+    }
+    if (m_faults.callsPerSecond == 0)
+        return std::nullopt;
+    const double limit = m_faults.callsPerSecond;
+    m_tokens = std::min(limit, m_tokens + limit * static_cast<double>((now - m_refilled).count()) / microsecondsPerSecond);
+    m_refilled = now;
+    if (m_tokens >= 1) {
+        m_tokens -= 1;
+        return std::nullopt;
+    }
+    ++m_counters.rateLimited;
+    answer.status = PlatformStatus::RateLimited;
+    return answer;
+}
+
+PlatformAnswer PlatformStore::read(const std::string& key, TimePoint now)
+{
+    ++m_counters.reads;
+    if (auto refusal = refuse(now))
+        return *refusal;
+    PlatformAnswer answer;
+    answer.delay = m_faults.delay;
+    auto it = m_objects.find(key);
+    if (it == m_objects.end()) {
+        answer.status = PlatformStatus::NotFound;
+        answer.object.key = key;
+        return answer;
+    }
+    answer.object = it->second;
+    return answer;
+}
+
+PlatformAnswer PlatformStore::write(const std::string& key, ObjectVersion expected, const std::string& value, TimePoint now)
+{
+    ++m_counters.writes;
+    m_counters.bytesWritten += value.size();
+    if (auto refusal = refuse(now))
+        return *refusal;
+    PlatformAnswer answer;
+    answer.delay = m_faults.delay;
+    if (value.size() > maxValueBytes) {
+        answer.status = PlatformStatus::TooLarge;
+        return answer;
+    }
+    if (m_faults.lateWrites > 0) {
+        --m_faults.lateWrites;
+        ++m_counters.lostAnswers;
+        m_late.push_back({ now + m_faults.lateBy, key, expected, value });
+        answer.lost = true;
+        return answer;
+    }
+    answer = apply(key, expected, value);
+    answer.delay = m_faults.delay;
+    if (m_faults.loseWriteAnswers > 0) {
+        --m_faults.loseWriteAnswers;
+        ++m_counters.lostAnswers;
+        answer.lost = true;
+    }
+    return answer;
+}
+
+PlatformAnswer PlatformStore::apply(const std::string& key, ObjectVersion expected, const std::string& value)
+{
+    PlatformAnswer answer;
+    answer.object.key = key;
+    auto it = m_objects.find(key);
+    const ObjectVersion current = it == m_objects.end() ? ObjectVersion {} : it->second.version;
+    if (current != expected) {
+        ++m_counters.conflicts;
+        answer.status = PlatformStatus::Conflict;
+        answer.object.version = current;
+        return answer;
+    }
+    answer.object.version = ObjectVersion { ++m_revision };
+    m_objects[key] = StoredObject { key, answer.object.version, value };
+    if (m_listener)
+        m_listener();
+    return answer;
+}
+
+PlatformAnswer PlatformStore::list(const std::string& prefix, TimePoint now)
+{
+    ++m_counters.lists;
+    if (auto refusal = refuse(now))
+        return *refusal;
+    PlatformAnswer answer;
+    answer.delay = m_faults.delay;
+    answer.revision = m_revision;
+    answer.objects = changedAfter(prefix, 0);
+    return answer;
+}
+
+PlatformAnswer PlatformStore::beginWatch(TimePoint now)
+{
+    ++m_counters.watches;
+    if (auto refusal = refuse(now))
+        return *refusal;
+    PlatformAnswer answer;
+    answer.delay = m_faults.delay;
+    answer.revision = m_revision;
+    return answer;
+}
+
+std::vector<StoredObject> PlatformStore::changedAfter(const std::string& prefix, std::uint64_t revision) const
+{
+    std::vector<StoredObject> changed;
+    for (auto it = m_objects.lower_bound(prefix); it != m_objects.end() && startsWith(it->first, prefix); ++it) {
+        if (it->second.version.value > revision)
+            changed.push_back(it->second);
+    }
+    return changed;
+}
+
+PlatformAnswer PlatformStore::reportInstance(const std::string& name, std::string report, TimePoint now)
+{
+    ++m_counters.instanceCalls;
+    if (auto refusal = refuse(now))
+        return *refusal;
+    m_instances[name] = std::move(report);
+    rememberInstances(now);
+    PlatformAnswer answer;
+    answer.delay = m_faults.delay;
+    return answer;
+}
+
+void PlatformStore::removeInstance(const std::string& name, TimePoint now)
+{
+    m_instances.erase(name);
+    rememberInstances(now);
+}
+
+void PlatformStore::rememberInstances(TimePoint now)
+{
+    m_instanceHistory.emplace_back(now, m_instances);
+    // Only the newest state older than the lag, and those after it, can still be shown.
+    while (m_instanceHistory.size() > 1 && m_instanceHistory[1].first + m_faults.instanceLag <= now)
+        m_instanceHistory.pop_front();
+}
+
+std::optional<InstanceReports> PlatformStore::instances(TimePoint now)
+{
+    ++m_counters.instanceCalls;
+    if (refuse(now))
+        return std::nullopt;
+    InstanceReports shown;
+    for (const auto& [at, reports] : m_instanceHistory) {
+        if (at + m_faults.instanceLag <= now)
+            shown = reports;
+    }
+    return shown;
+}
+
+void PlatformStore::advance(TimePoint now)
+{
+    while (true) {
+        auto due = std::min_element(m_late.begin(), m_late.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
+        if (due == m_late.end() || due->at > now)
+            return;
+        const LateWrite late = *due;
+        m_late.erase(due);
+        apply(late.key, late.expected, late.value);
+    }
+}
+
+TimePoint PlatformStore::nextWake() const
+{
+    TimePoint next = never;
+    for (const auto& late : m_late)
+        next = std::min(next, late.at);
+    return next;
+}
+
+void PlatformStore::setFaults(const PlatformFaults& faults)
+{
+    if (faults.callsPerSecond != m_faults.callsPerSecond)
+        m_tokens = faults.callsPerSecond;
+    m_faults = faults;
+}
+
+}
