--- /dev/null
+++ b/src/base/quantity_text.cpp
@@ -0,0 +1,131 @@
+#include "base/quantity_text.h"
+
+#include <boost/spirit/home/x3.hpp>
+
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <limits>
+
+namespace lycheefield {
+
+namespace x3 = boost::spirit::x3;
+
+namespace {
+
+/// Long enough for every sensible quantity, short enough that no product with a unit overflows.
+constexpr unsigned maxDigits = 12;
+using Digits = x3::uint_parser<std::uint64_t, 10, 1, maxDigits>;
+
+struct Unit {
+    const char* name;
+    std::uint64_t factor;
+};
+
+constexpr std::array<Unit, 5> durationUnits { { { "us", 1 }, { "ms", 1'000 }, { "s", 1'000'000 }, { "m", 60'000'000 }, { "h", 3'600'000'000 } } };
+constexpr std::array<Unit, 3> byteUnits { { { "B", 1 }, { "KiB", 1024 }, { "MiB", 1024 * 1024 } } };
+
+template <std::size_t N>
+x3::symbols<std::uint64_t> symbolsOf(const std::array<Unit, N>& units)
+{
+    x3::symbols<std::uint64_t> symbols;
+    for (const auto& it : units)
+        symbols.add(it.name, it.factor);
+    return symbols;
+}
+
+template <std::size_t N>
+std::optional<std::uint64_t> parseScaled(std::string_view text, const std::array<Unit, N>& units)
+{
+    std::uint64_t number = 0;
+    std::uint64_t factor = 0;
+    const auto setNumber = [&](const auto& context) { number = x3::_attr(context); };
+    const auto setFactor = [&](const auto& context) { factor = x3::_attr(context); };
+    const auto grammar = Digits()[setNumber] >> symbolsOf(units)[setFactor] >> x3::eoi;
+    if (!x3::parse(text.begin(), text.end(), grammar))
+        return std::nullopt;
+    if (number > std::uint64_t(std::numeric_limits<std::int64_t>::max()) / factor)
+        return std::nullopt;
+    return number * factor;
+}
+
+/// Uses the largest unit that gives a whole number.
+template <std::size_t N>
+std::string formatScaled(std::uint64_t value, const std::array<Unit, N>& units)
+{
+    const auto* best = &units.front();
+    for (const auto& it : units) {
+        if (value && value % it.factor == 0)
+            best = &it;
+    }
+    return std::to_string(value / best->factor) + best->name;
+}
+
+constexpr int sharePlaces = 6;
+constexpr double shareStep = 1e6;
+
+}
+
+std::optional<Duration> parseDuration(std::string_view text)
+{
+    const auto value = parseScaled(text, durationUnits);
+    if (!value)
+        return std::nullopt;
+    return Duration(static_cast<Duration::rep>(*value));
+}
+
+std::string formatDuration(Duration duration)
+{
+    return formatScaled(static_cast<std::uint64_t>(duration.count()), durationUnits);
+}
+
+std::optional<Share> parseShare(std::string_view text)
+{
+    std::uint64_t whole = 0;
+    std::string places;
+    const auto setWhole = [&](const auto& context) { whole = x3::_attr(context); };
+    const auto addPlace = [&](const auto& context) { places += x3::_attr(context); };
+    const auto fraction = x3::lit('.') >> x3::repeat(1, sharePlaces)[x3::char_('0', '9')[addPlace]];
+    const auto grammar = Digits()[setWhole] >> -fraction >> '%' >> x3::eoi;
+    if (!x3::parse(text.begin(), text.end(), grammar))
+        return std::nullopt;
+    places.resize(sharePlaces, '0');
+    const auto percents = static_cast<double>(whole) + std::stod(places) / shareStep;
+    if (percents > 100)
+        return std::nullopt;
+    return percent(percents);
+}
+
+std::string formatShare(Share share)
+{
+    char buf[64];
+    std::snprintf(buf, sizeof(buf), "%.*f", sharePlaces, share.value * 100);
+    std::string text = buf;
+    text.erase(text.find_last_not_of('0') + 1);
+    if (text.ends_with('.'))
+        text.pop_back();
+    return text + "%";
+}
+
+std::optional<ByteCount> parseByteCount(std::string_view text)
+{
+    const auto value = parseScaled(text, byteUnits);
+    if (!value)
+        return std::nullopt;
+    return ByteCount { *value };
+}
+
+std::string formatByteCount(ByteCount bytes)
+{
+    return formatScaled(bytes.value, byteUnits);
+}
+
+std::optional<std::uint64_t> parseWholeNumber(std::string_view text)
+{
+    std::uint64_t value = 0;
+    if (!x3::parse(text.begin(), text.end(), Digits() >> x3::eoi, value))
+        return std::nullopt;
+    return value;
+}
+
+}
