Read settings from INI, all mistakes at once

One table describes every key: section, type, unit, range, purpose and the member of Settings that it sets. Defaults are taken from the settings structs, so they stand once. inih reports only the first malformed line; lines are therefore counted and checked in the callback that feeds it.

--- /dev/null
+++ b/src/settings/setting_key.cpp
@@ -0,0 +1,268 @@
+#include "settings/setting_key.h"
+
+#include "base/quantity_text.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <limits>
+#include <optional>
+#include <sstream>
+#include <type_traits>
+#include <utility>
+
+namespace lycheefield {
+
+namespace {
+
+constexpr std::size_t maxNameBytes = 128;
+
+template <typename T>
+using Choices = std::array<std::pair<const char*, T>, 2>;
+
+constexpr Choices<bool> switchChoices { { { "on", true }, { "off", false } } };
+constexpr Choices<Routing> routingChoices { { { "relay", Routing::Relay }, { "direct", Routing::Direct } } };
+constexpr Choices<LogFormat> logFormatChoices { { { "text", LogFormat::Text }, { "json", LogFormat::Json } } };
+
+template <typename T>
+std::optional<T> parseChoice(std::string_view text, const Choices<T>& choices)
+{
+    for (const auto& [name, value] : choices) {
+        if (text == name)
+            return value;
+    }
+    return std::nullopt;
+}
+
+template <typename T>
+std::string formatChoice(T value, const Choices<T>& choices)
+{
+    return choices[0].second == value ? choices[0].first : choices[1].first;
+}
+
+bool isName(std::string_view text)
+{
+    const auto allowed = [](char c) { return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '.' || c == '_' || c == '-'; };
+    return !text.empty() && text.size() <= maxNameBytes && std::all_of(text.begin(), text.end(), allowed);
+}
+
+bool isIpNumber(std::string_view text)
+{
+    constexpr int bytesOfAddress = 4;
+    for (int i = 0; i < bytesOfAddress; ++i) {
+        std::uint8_t byte = 0;
+        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), byte);
+        if (ec != std::errc())
+            return false;
+        text.remove_prefix(end - text.data());
+        if (i + 1 < bytesOfAddress) {
+            if (!text.starts_with('.'))
+                return false;
+            text.remove_prefix(1);
+        }
+    }
+    return text.empty();
+}
+
+/// How one type of value is named, parsed and formatted.
+template <typename T>
+struct ValueType;
+
+template <typename T>
+struct WholeNumberType {
+    static constexpr auto name = "whole number";
+    static constexpr auto unit = "-";
+    static constexpr auto choices = "";
+    static std::string format(T value) { return std::to_string(value); }
+    static std::optional<T> parse(std::string_view text)
+    {
+        const auto value = parseWholeNumber(text);
+        if (!value || *value > std::numeric_limits<T>::max())
+            return std::nullopt;
+        return static_cast<T>(*value);
+    }
+};
+
+template <>
+struct ValueType<std::uint16_t> : WholeNumberType<std::uint16_t> {
+};
+
+template <>
+struct ValueType<std::uint32_t> : WholeNumberType<std::uint32_t> {
+};
+
+template <>
+struct ValueType<Duration> {
+    static constexpr auto name = "duration";
+    static constexpr auto unit = "us, ms, s, m or h";
+    static constexpr auto choices = "";
+    static std::string format(Duration value) { return formatDuration(value); }
+    static std::optional<Duration> parse(std::string_view text) { return parseDuration(text); }
+};
+
+template <>
+struct ValueType<Share> {
+    static constexpr auto name = "share";
+    static constexpr auto unit = "%";
+    static constexpr auto choices = "";
+    static std::string format(Share value) { return formatShare(value); }
+    static std::optional<Share> parse(std::string_view text) { return parseShare(text); }
+};
+
+template <>
+struct ValueType<ByteCount> {
+    static constexpr auto name = "size";
+    static constexpr auto unit = "B, KiB or MiB";
+    static constexpr auto choices = "";
+    static std::string format(ByteCount value) { return formatByteCount(value); }
+    static std::optional<ByteCount> parse(std::string_view text) { return parseByteCount(text); }
+};
+
+template <>
+struct ValueType<bool> {
+    static constexpr auto name = "switch";
+    static constexpr auto unit = "-";
+    static constexpr auto choices = "on or off";
+    static std::string format(bool value) { return formatChoice(value, switchChoices); }
+    static std::optional<bool> parse(std::string_view text) { return parseChoice(text, switchChoices); }
+};
+
+template <>
+struct ValueType<Routing> {
+    static constexpr auto name = "choice";
+    static constexpr auto unit = "-";
+    static constexpr auto choices = "relay or direct";
+    static std::string format(Routing value) { return formatChoice(value, routingChoices); }
+    static std::optional<Routing> parse(std::string_view text) { return parseChoice(text, routingChoices); }
+};
+
+template <>
+struct ValueType<LogFormat> {
+    static constexpr auto name = "choice";
+    static constexpr auto unit = "-";
+    static constexpr auto choices = "text or json";
+    static std::string format(LogFormat value) { return formatChoice(value, logFormatChoices); }
+    static std::optional<LogFormat> parse(std::string_view text) { return parseChoice(text, logFormatChoices); }
+};
+
+/// The only plain texts are addresses.
+template <>
+struct ValueType<std::string> {
+    static constexpr auto name = "text";
+    static constexpr auto unit = "-";
+    static constexpr auto choices = "an IPv4 number, such as 10.0.3.7";
+    static std::string format(const std::string& value) { return value; }
+    static std::optional<std::string> parse(std::string_view text)
+    {
+        if (!isIpNumber(text))
+            return std::nullopt;
+        return std::string(text);
+    }
+};
+
+template <typename T>
+struct NameType {
+    static constexpr auto name = "text";
+    static constexpr auto unit = "-";
+    static constexpr auto choices = "letters, digits, '.', '_' and '-', at most 128";
+    static std::string format(const T& value) { return value.value(); }
+    static std::optional<T> parse(std::string_view text)
+    {
+        if (!isName(text))
+            return std::nullopt;
+        return T(std::string(text));
+    }
+};
+
+template <>
+struct ValueType<InstanceName> : NameType<InstanceName> {
+};
+
+template <>
+struct ValueType<ZoneName> : NameType<ZoneName> {
+};
+
+template <typename T>
+bool inRange(const T& value, const SettingRange& range)
+{
+    if (range.least.empty())
+        return true;
+    return value >= *ValueType<T>::parse(range.least) && value <= *ValueType<T>::parse(range.greatest);
+}
+
+/// Calls a function template with the member that the key points at.
+template <typename Visitor>
+auto visitField(const SettingKey& key, Settings& settings, Visitor visitor)
+{
+    return std::visit([&](auto* member) { return visitor(member); }, key.field(settings));
+}
+
+std::string padded(std::string text, std::size_t width)
+{
+    if (text.size() < width)
+        text.resize(width, ' ');
+    return text;
+}
+
+}
+
+std::string SettingKey::type() const
+{
+    Settings defaults;
+    return visitField(*this, defaults, [](auto* member) { return std::string(ValueType<std::remove_pointer_t<decltype(member)>>::name); });
+}
+
+std::string SettingKey::unit() const
+{
+    Settings defaults;
+    return visitField(*this, defaults, [](auto* member) { return std::string(ValueType<std::remove_pointer_t<decltype(member)>>::unit); });
+}
+
+std::string SettingKey::allowed() const
+{
+    Settings defaults;
+    const auto choices = visitField(*this, defaults, [](auto* member) { return std::string(ValueType<std::remove_pointer_t<decltype(member)>>::choices); });
+    if (range.least.empty())
+        return choices;
+    return type() + " from " + range.least + " to " + range.greatest;
+}
+
+std::string SettingKey::defaultText() const
+{
+    if (required)
+        return "required";
+    Settings defaults;
+    return visitField(*this, defaults, [](auto* member) { return ValueType<std::remove_pointer_t<decltype(member)>>::format(*member); });
+}
+
+bool SettingKey::assign(Settings& settings, std::string_view text) const
+{
+    return visitField(*this, settings, [&](auto* member) {
+        using T = std::remove_pointer_t<decltype(member)>;
+        const auto value = ValueType<T>::parse(text);
+        if (!value || !inRange(*value, range))
+            return false;
+        *member = *value;
+        return true;
+    });
+}
+
+std::string describeSettings()
+{
+    constexpr std::size_t keyWidth = 32;
+    constexpr std::size_t typeWidth = 14;
+    constexpr std::size_t unitWidth = 19;
+    constexpr std::size_t defaultWidth = 12;
+    constexpr std::size_t allowedWidth = 40;
+    std::ostringstream out;
+    const auto row = [&](const auto& key, const auto& type, const auto& unit, const auto& initial, const auto& allowed, const auto& doc) {
+        out << padded(key, keyWidth) << padded(type, typeWidth) << padded(unit, unitWidth) << padded(initial, defaultWidth)
+            << padded(allowed, allowedWidth) << ' ' << doc << '\n';
+    };
+    row("KEY", "TYPE", "UNIT", "DEFAULT", "ALLOWED", "PURPOSE");
+    for (const auto& it : settingKeys())
+        row(it.fullName(), it.type(), it.unit(), it.defaultText(), it.allowed(), it.doc);
+    return out.str();
+}
+
+}
--- /dev/null
+++ b/tests/settings/settings_test.cpp
@@ -0,0 +1,126 @@
+#include "settings/setting_key.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+namespace lycheefield {
+
+namespace {
+
+const std::string required = "[instance]\nname = i1\nzone = ikeja-a\n[platform]\nport = 7000\n";
+
+Settings settingsOf(const std::string& text)
+{
+    auto parsed = parseSettings(text, "test.ini");
+    REQUIRE(std::holds_alternative<Settings>(parsed));
+    return std::get<Settings>(parsed);
+}
+
+std::vector<SettingError> errorsOf(const std::string& text)
+{
+    auto parsed = parseSettings(text, "test.ini");
+    REQUIRE(std::holds_alternative<std::vector<SettingError>>(parsed));
+    return std::get<std::vector<SettingError>>(parsed);
+}
+
+}
+
+TEST_CASE("a settings file sets what it names" * doctest::test_suite("settings"))
+{
+    SUBCASE("and leaves the rest at its defaults")
+    {
+        const auto settings = settingsOf(required);
+        CHECK(settings.instance.name == InstanceName("i1"));
+        CHECK(settings.instance.zone == ZoneName("ikeja-a"));
+        CHECK(settings.platform.endpoint == Endpoint { "127.0.0.1", 7000 });
+        CHECK(settings.relay == RelaySettings());
+        CHECK(settings.reachableAddress() == "127.0.0.1");
+    }
+    SUBCASE("of every type, with comments and blanks")
+    {
+        const auto settings = settingsOf(required
+            + "[query]\n  hedge = off ; for a trial\n# whole line\n\nhedge_quantile=99.9%\n"
+              "[instance]\nrouting: direct\nlog_format = json\n[http]\r\nmax_body = 64KiB\r\n[listen]\nhttp_port = 8080\n[claims]\nbatch_window = 500us");
+        CHECK_FALSE(settings.query.hedge);
+        CHECK(settings.query.hedgeQuantile == percent(99.9));
+        CHECK(settings.instance.routing == Routing::Direct);
+        CHECK(settings.instance.logFormat == LogFormat::Json);
+        CHECK(settings.http.maxBody == kibibytes(64));
+        CHECK(settings.listen.httpPort == 8080);
+        CHECK(settings.claims.batchWindow == std::chrono::microseconds(500));
+    }
+    SUBCASE("and the examples are good")
+    {
+        for (const auto* it : { "kobowire", "sac-ngoi" }) {
+            const auto parsed = loadSettings(std::string(LYCHEEFIELD_SOURCE_DIR "/examples/") + it + "/settings.ini");
+            CHECK(std::holds_alternative<Settings>(parsed));
+        }
+    }
+}
+
+TEST_CASE("all bad settings are reported at once" * doctest::test_suite("settings"))
+{
+    SUBCASE("with file, line, key and what is allowed")
+    {
+        const auto errors = errorsOf("[instance]\nname = \nzone = a b\nthreads = 0\nthreads = 2\n[nowhere]\nx = 1\nno sense\n[query]\nhedge = yes\n");
+        REQUIRE(errors.size() == 8);
+        const std::vector<std::pair<std::uint32_t, std::string>> expected { { 2, "instance.name" }, { 3, "instance.zone" }, { 4, "instance.threads" },
+            { 5, "instance.threads" }, { 7, "nowhere.x" }, { 8, "" }, { 10, "query.hedge" }, { 0, "platform.port" } };
+        for (std::size_t i = 0; i < expected.size(); ++i) {
+            CAPTURE(i);
+            CHECK(errors[i].file == "test.ini");
+            CHECK(errors[i].line == expected[i].first);
+            CHECK(errors[i].key == expected[i].second);
+            CHECK_FALSE(errors[i].allowed.empty());
+        }
+        CHECK(errors[2].allowed == "whole number from 1 to 256");
+        CHECK(errors[6].allowed == "on or off");
+    }
+    SUBCASE("missing keys are named")
+    {
+        const auto errors = errorsOf("");
+        REQUIRE(errors.size() == 3);
+        CHECK(errors[0].key == "instance.name");
+        CHECK(errors[0].line == 0);
+        CHECK(errors[2].key == "platform.port");
+    }
+    SUBCASE("values out of range, of another unit or too long")
+    {
+        for (const auto* it : { "[listen]\nhttp_port = 65536", "[listen]\nhttp_port = -1", "[listen]\naddress = localhost", "[listen]\naddress = 1.2.3.4.5",
+                 "[listen]\naddress = 256.0.0.1", "[relay]\nowner_share_of_cap = 51%", "[drain]\nlimit = 60", "[http]\nmax_body = 17MiB", "[query", "= 3" })
+            CHECK_FALSE(errorsOf(required + it).empty());
+        CHECK(errorsOf(required + "[listen]\naddress = " + std::string(300, '1') + "\nhttp_port = x").size() == 3);
+    }
+    SUBCASE("settings that do not fit each other")
+    {
+        CHECK(errorsOf(required + "[membership]\nprobe_timeout = 2s\nprobe_period = 1s").front().key == "membership.probe_timeout");
+        CHECK(errorsOf(required + "[listen]\naddress = 0.0.0.0").front().key == "listen.advertised_address");
+    }
+    SUBCASE("a file that is not there")
+    {
+        const auto parsed = loadSettings("/nonexistent/settings.ini");
+        REQUIRE(std::holds_alternative<std::vector<SettingError>>(parsed));
+        CHECK(std::get<std::vector<SettingError>>(parsed).size() == 1);
+    }
+}
+
+TEST_CASE("the table of keys is sound" * doctest::test_suite("settings"))
+{
+    std::set<std::string> names;
+    std::set<void*> members;
+    Settings settings;
+    for (const auto& it : settingKeys()) {
+        CAPTURE(it.fullName());
+        CHECK(names.insert(it.fullName()).second);
+        CHECK(members.insert(std::visit([](auto* member) { return static_cast<void*>(member); }, it.field(settings))).second);
+        CHECK_FALSE(it.allowed().empty());
+        CHECK_FALSE(it.doc.empty());
+        if (!it.required && !it.defaultText().empty())
+            CHECK(it.assign(settings, it.defaultText()));
+        CHECK(describeSettings().find(it.fullName()) != std::string::npos);
+    }
+    CHECK(settings == Settings());
+}
+
+}
