HTTP adapters for the platform: object store, watches, instance list

Cause: claims, rules and membership need the platform's object API and instance list. Change: PlatformClient keeps connections alive, sets timeouts, tells Lost from Unavailable by whether a byte was sent, spends a budget for each instance, pauses with backoff and jitter after refusals, and counts every call. StoreWatcher goes on from the last revision after an error. Conclusion: tests run the adapters over real sockets against the stand-in platform.

--- /dev/null
+++ b/src/platform/http_instance_list.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "platform/instance_list.h"
+#include "platform/platform_client.h"
+
+#include <memory>
+
+namespace lycheefield {
+
+/// The platform's instance list over HTTP. Thread safe.
+class HttpInstanceList final : public InstanceList {
+public:
+    /// True when the platform took the report.
+    using ReportHandler = std::function<void(bool)>;
+
+    explicit HttpInstanceList(std::shared_ptr<PlatformClient>);
+
+    void fetch(Handler) override;
+    /// Tells the platform this instance's ports and state: live, or leaving.
+    void report(const Instance&, ReportHandler);
+
+private:
+    std::shared_ptr<PlatformClient> m_client;
+};
+
+}
--- /dev/null
+++ b/src/platform/http_object_store.cpp
@@ -0,0 +1,134 @@
+#include "platform/http_object_store.h"
+
+#include "platform/percent_coding.h"
+
+#include <boost/json.hpp>
+
+#include <optional>
+
+namespace lycheefield {
+
+namespace {
+
+namespace json = boost::json;
+
+/// The platform answers a watch a little before we would give it up.
+constexpr Duration watchMargin = 2s;
+
+std::optional<json::object> parseBody(const std::string& body)
+{
+    json::error_code ec;
+    auto value = json::parse(body, ec);
+    if (ec || !value.is_object())
+        return std::nullopt;
+    return std::move(value.as_object());
+}
+
+std::optional<std::uint64_t> number(const json::object& object, std::string_view name)
+{
+    const auto* value = object.if_contains(name);
+    if (!value)
+        return std::nullopt;
+    const auto n = json::try_value_to<std::uint64_t>(*value);
+    return n ? std::optional(*n) : std::nullopt;
+}
+
+std::optional<std::string> text(const json::object& object, std::string_view name)
+{
+    const auto* value = object.if_contains(name);
+    if (!value || !value->is_string())
+        return std::nullopt;
+    return std::string(value->as_string());
+}
+
+std::optional<StoredObject> toObject(const json::value& value)
+{
+    const auto* object = value.if_object();
+    if (!object)
+        return std::nullopt;
+    auto key = text(*object, "key");
+    const auto version = number(*object, "version");
+    auto content = text(*object, "value");
+    if (!key || !version || !content)
+        return std::nullopt;
+    return StoredObject { std::move(*key), ObjectVersion { *version }, std::move(*content) };
+}
+
+std::optional<WatchBatch> toBatch(const std::string& body)
+{
+    const auto parsed = parseBody(body);
+    if (!parsed)
+        return std::nullopt;
+    const auto revision = number(*parsed, "revision");
+    const auto* objects = parsed->if_contains("objects");
+    if (!revision || !objects || !objects->is_array())
+        return std::nullopt;
+    WatchBatch batch { StoreStatus::Ok, *revision, {} };
+    for (const auto& it : objects->get_array()) {
+        auto object = toObject(it);
+        if (!object)
+            return std::nullopt;
+        batch.changed.push_back(std::move(*object));
+    }
+    return batch;
+}
+
+/// An answer that can't be read tells nothing of what the call did.
+WatchBatch readBatch(const PlatformReply& reply)
+{
+    if (reply.status != StoreStatus::Ok)
+        return WatchBatch { reply.status, 0, {} };
+    return toBatch(reply.body).value_or(WatchBatch { StoreStatus::Lost, 0, {} });
+}
+
+}
+
+HttpObjectStore::HttpObjectStore(std::shared_ptr<PlatformClient> client)
+    : m_client(std::move(client))
+{
+}
+
+void HttpObjectStore::read(const std::string& key, ObjectHandler handler)
+{
+    PlatformCall call { PlatformCallKind::Read, "/v1/objects/" + percentEncode(key), {}, {} };
+    m_client->call(std::move(call), [key, handler = std::move(handler)](const PlatformReply& reply) {
+        if (reply.status != StoreStatus::Ok)
+            return handler(reply.status, StoredObject { key, {}, {} });
+        const auto parsed = parseBody(reply.body);
+        auto object = parsed ? toObject(*parsed) : std::nullopt;
+        if (!object || object->key != key)
+            return handler(StoreStatus::Lost, StoredObject { key, {}, {} });
+        handler(StoreStatus::Ok, std::move(*object));
+    });
+}
+
+void HttpObjectStore::write(const std::string& key, ObjectVersion expected, const std::string& value, ObjectHandler handler)
+{
+    const auto target = "/v1/objects/" + percentEncode(key) + "?if-version=" + std::to_string(expected.value);
+    PlatformCall call { PlatformCallKind::Write, target, value, {} };
+    m_client->call(std::move(call), [key, handler = std::move(handler)](const PlatformReply& reply) {
+        const auto parsed = parseBody(reply.body);
+        const auto version = parsed ? number(*parsed, "version") : std::nullopt;
+        const StoredObject object { key, ObjectVersion { version.value_or(0) }, {} };
+        if (reply.status == StoreStatus::Ok && !version)
+            return handler(StoreStatus::Lost, object);
+        handler(reply.status, object);
+    });
+}
+
+void HttpObjectStore::list(const std::string& prefix, ListHandler handler)
+{
+    PlatformCall call { PlatformCallKind::List, "/v1/list?prefix=" + percentEncode(prefix), {}, {} };
+    m_client->call(std::move(call), [handler = std::move(handler)](const PlatformReply& reply) { handler(readBatch(reply)); });
+}
+
+void HttpObjectStore::watch(const std::string& prefix, std::uint64_t afterRevision, ListHandler handler)
+{
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(m_client->settings().watchTimeout);
+    const auto target = "/v1/watch?prefix=" + percentEncode(prefix) + "&after=" + std::to_string(afterRevision)
+        + "&timeout-ms=" + std::to_string(wait.count());
+    PlatformCall call { PlatformCallKind::Watch, target, {}, wait + watchMargin };
+    m_client->call(std::move(call), [handler = std::move(handler)](const PlatformReply& reply) { handler(readBatch(reply)); });
+}
+
+}
--- /dev/null
+++ b/src/platform/platform_client.cpp
@@ -0,0 +1,360 @@
+#include "platform/platform_client.h"
+
+#include "platform/backoff.h"
+#include "platform/call_budget.h"
+#include "platform/platform_connection.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <deque>
+#include <mutex>
+#include <set>
+#include <vector>
+
+namespace lycheefield {
+
+namespace asio = boost::asio;
+
+namespace {
+
+bool isWrite(PlatformCallKind kind)
+{
+    return kind == PlatformCallKind::Write || kind == PlatformCallKind::Report;
+}
+
+enum HttpStatus : unsigned int {
+    Ok = 200,
+    NotFound = 404,
+    Conflict = 409,
+    FirstServerError = 500,
+    ServiceUnavailable = 503,
+};
+
+/// 503 and all of 4xx say that nothing was done; after another server error a write may have taken effect.
+StoreStatus statusOf(const HttpExchangeResult& result)
+{
+    if (!result.isAnswered)
+        return result.wasSent ? StoreStatus::Lost : StoreStatus::Unavailable;
+    switch (result.status) {
+    case HttpStatus::Ok:
+        return StoreStatus::Ok;
+    case HttpStatus::NotFound:
+        return StoreStatus::NotFound;
+    case HttpStatus::Conflict:
+        return StoreStatus::Conflict;
+    case HttpStatus::ServiceUnavailable:
+        return StoreStatus::Unavailable;
+    default:
+        return result.status >= HttpStatus::FirstServerError ? StoreStatus::Lost : StoreStatus::Unavailable;
+    }
+}
+
+constexpr double burstSeconds = 0.5;
+
+CallBudget makeBudget(std::uint32_t callsPerSecond)
+{
+    const double rate = std::max(1U, callsPerSecond);
+    return { rate, std::max(1.0, rate * burstSeconds) };
+}
+
+}
+
+class PlatformClient::Impl : public std::enable_shared_from_this<Impl> {
+public:
+    Impl(const asio::any_io_executor& executor, const PlatformSettings& settings)
+        : m_executor(executor)
+        , m_strand(asio::make_strand(executor))
+        , m_settings(settings)
+        , m_reads(makeBudget(settings.readsPerSecond))
+        , m_writes(makeBudget(settings.writesPerSecond))
+        , m_backoff(settings.backoffFirst, settings.backoffMost, std::make_unique<SeededRandom>(systemSeed()))
+    {
+    }
+
+    void call(PlatformCall call, Handler handler)
+    {
+        asio::post(m_strand, [self = shared_from_this(), call = std::move(call), handler = std::move(handler)]() mutable {
+            self->admit(std::move(call), std::move(handler));
+        });
+    }
+
+    void stop()
+    {
+        asio::post(m_strand, [self = shared_from_this()] { self->doStop(); });
+    }
+
+    PlatformCounters counters() const
+    {
+        const std::lock_guard lock(m_countersMutex);
+        return m_counters;
+    }
+
+    const PlatformSettings& settings() const { return m_settings; }
+
+private:
+    /// A call that was admitted, and where it stands.
+    struct Pending {
+        PlatformCall call;
+        Handler handler;
+        TimePoint deadline;
+        bool wasRetried = false;
+        std::unique_ptr<asio::steady_timer> waitTimer;
+    };
+    using PendingPtr = std::shared_ptr<Pending>;
+    using ConnectionPtr = std::shared_ptr<PlatformConnection>;
+
+    template <typename Change>
+    void count(Change change)
+    {
+        const std::lock_guard lock(m_countersMutex);
+        change(m_counters);
+    }
+
+    void admit(PlatformCall, Handler);
+    void countCall(PlatformCallKind);
+    void dispatch(const PendingPtr&);
+    void wait(const PendingPtr&);
+    void open(const PendingPtr&);
+    void run(const PendingPtr&, const ConnectionPtr&, bool isReused);
+    void onResult(const PendingPtr&, const ConnectionPtr&, bool isReused, HttpExchangeResult);
+    void giveBack(const PendingPtr&, const ConnectionPtr&);
+    void startWaiting();
+    void noteStatus(StoreStatus);
+    void finish(const PendingPtr&, PlatformReply);
+    void reply(Handler, PlatformReply);
+    void doStop();
+
+    Duration timeLeft(const Pending& pending) const { return pending.deadline - m_clock.now(); }
+
+    asio::any_io_executor m_executor;
+    asio::strand<asio::any_io_executor> m_strand;
+    PlatformSettings m_settings;
+    SteadyClock m_clock;
+    CallBudget m_reads;
+    CallBudget m_writes;
+    Backoff m_backoff;
+    TimePoint m_pausedUntil {};
+    bool m_isStopped = false;
+    std::uint32_t m_pooled = 0; ///< Connections of the pool, opening, busy or idle.
+    std::vector<ConnectionPtr> m_idle;
+    std::set<ConnectionPtr> m_busy;
+    std::deque<PendingPtr> m_waiting;
+    mutable std::mutex m_countersMutex;
+    PlatformCounters m_counters;
+};
+
+void PlatformClient::Impl::admit(PlatformCall call, Handler handler)
+{
+    const auto now = m_clock.now();
+    if (m_isStopped)
+        return reply(std::move(handler), {});
+    if (now < m_pausedUntil) {
+        count([](auto& counters) { ++counters.refusedByPause; });
+        return reply(std::move(handler), {});
+    }
+    auto& budget = isWrite(call.kind) ? m_writes : m_reads;
+    if (!budget.take(now)) {
+        count([](auto& counters) { ++counters.refusedByBudget; });
+        return reply(std::move(handler), {});
+    }
+    auto pending = std::make_shared<Pending>();
+    const auto timeout = call.timeout == Duration {} ? m_settings.callTimeout : call.timeout;
+    pending->deadline = now + timeout;
+    pending->call = std::move(call);
+    pending->handler = std::move(handler);
+    dispatch(pending);
+}
+
+void PlatformClient::Impl::countCall(PlatformCallKind kind)
+{
+    count([kind](auto& counters) {
+        switch (kind) {
+        case PlatformCallKind::Read:
+            ++counters.reads;
+            return;
+        case PlatformCallKind::Write:
+            ++counters.writes;
+            return;
+        case PlatformCallKind::List:
+            ++counters.lists;
+            return;
+        case PlatformCallKind::Watch:
+            ++counters.watches;
+            return;
+        case PlatformCallKind::Instances:
+        case PlatformCallKind::Report:
+            ++counters.instanceCalls;
+            return;
+        }
+    });
+}
+
+void PlatformClient::Impl::dispatch(const PendingPtr& pending)
+{
+    if (pending->call.kind == PlatformCallKind::Watch)
+        return open(pending);
+    while (!m_idle.empty()) {
+        auto connection = m_idle.back();
+        m_idle.pop_back();
+        if (connection->isOpen())
+            return run(pending, connection, true);
+        --m_pooled;
+    }
+    if (m_pooled < m_settings.maxConnections)
+        return open(pending);
+    wait(pending);
+}
+
+void PlatformClient::Impl::wait(const PendingPtr& pending)
+{
+    if (m_waiting.size() >= m_settings.maxWaitingCalls)
+        return finish(pending, {});
+    pending->waitTimer = std::make_unique<asio::steady_timer>(m_strand, timeLeft(*pending));
+    pending->waitTimer->async_wait([self = shared_from_this(), pending](const boost::system::error_code& ec) {
+        if (ec || std::erase(self->m_waiting, pending) == 0)
+            return;
+        self->finish(pending, {});
+    });
+    m_waiting.push_back(pending);
+}
+
+void PlatformClient::Impl::open(const PendingPtr& pending)
+{
+    const bool isWatch = pending->call.kind == PlatformCallKind::Watch;
+    if (!isWatch)
+        ++m_pooled;
+    auto connection = makePlatformConnection(m_strand);
+    m_busy.insert(connection);
+    count([](auto& counters) { ++counters.connectionsOpened; });
+    const auto timeout = std::min(m_settings.connectTimeout, timeLeft(*pending));
+    connection->connect(m_settings.endpoint, timeout, [self = shared_from_this(), pending, connection](bool isConnected) {
+        if (isConnected)
+            return self->run(pending, connection, false);
+        self->noteStatus(StoreStatus::Unavailable);
+        self->giveBack(pending, connection);
+        self->finish(pending, {});
+    });
+}
+
+void PlatformClient::Impl::run(const PendingPtr& pending, const ConnectionPtr& connection, bool isReused)
+{
+    m_busy.insert(connection);
+    countCall(pending->call.kind);
+    const HttpExchange exchange { isWrite(pending->call.kind), pending->call.target, pending->call.body };
+    connection->exchange(exchange, timeLeft(*pending), [self = shared_from_this(), pending, connection, isReused](HttpExchangeResult result) {
+        self->onResult(pending, connection, isReused, std::move(result));
+    });
+}
+
+void PlatformClient::Impl::onResult(const PendingPtr& pending, const ConnectionPtr& connection, bool isReused, HttpExchangeResult result)
+{
+    count([&](auto& counters) {
+        counters.bytesSent += result.bytesSent;
+        counters.bytesReceived += result.bytesReceived;
+    });
+    giveBack(pending, connection);
+    const auto status = statusOf(result);
+    const bool mayRetry = isReused && !result.isAnswered && !isWrite(pending->call.kind) && !pending->wasRetried && timeLeft(*pending) > Duration {};
+    if (mayRetry && !m_isStopped) {
+        pending->wasRetried = true;
+        return dispatch(pending);
+    }
+    noteStatus(status);
+    finish(pending, { status, std::move(result.body) });
+}
+
+void PlatformClient::Impl::giveBack(const PendingPtr& pending, const ConnectionPtr& connection)
+{
+    m_busy.erase(connection);
+    if (pending->call.kind == PlatformCallKind::Watch) {
+        connection->close();
+        return;
+    }
+    if (connection->isOpen() && !m_isStopped)
+        m_idle.push_back(connection);
+    else
+        --m_pooled;
+    startWaiting();
+}
+
+void PlatformClient::Impl::startWaiting()
+{
+    if (m_waiting.empty() || (m_idle.empty() && m_pooled >= m_settings.maxConnections))
+        return;
+    auto next = m_waiting.front();
+    m_waiting.pop_front();
+    next->waitTimer->cancel();
+    dispatch(next);
+}
+
+void PlatformClient::Impl::noteStatus(StoreStatus status)
+{
+    if (status != StoreStatus::Unavailable) {
+        m_backoff.onSuccess();
+        return;
+    }
+    const auto delay = m_backoff.onFailure();
+    if (m_backoff.failures() >= m_settings.failuresBeforePause)
+        m_pausedUntil = m_clock.now() + delay;
+}
+
+void PlatformClient::Impl::finish(const PendingPtr& pending, PlatformReply answer)
+{
+    count([&](auto& counters) {
+        if (answer.status == StoreStatus::Lost)
+            ++counters.lost;
+        if (answer.status == StoreStatus::Unavailable)
+            ++counters.unavailable;
+    });
+    reply(std::move(pending->handler), std::move(answer));
+}
+
+void PlatformClient::Impl::reply(Handler handler, PlatformReply answer)
+{
+    asio::post(m_executor, [handler = std::move(handler), answer = std::move(answer)]() mutable { handler(std::move(answer)); });
+}
+
+void PlatformClient::Impl::doStop()
+{
+    m_isStopped = true;
+    for (const auto& connection : m_idle)
+        connection->close();
+    m_idle.clear();
+    const auto busy = m_busy;
+    for (const auto& connection : busy)
+        connection->close();
+    const auto waiting = std::exchange(m_waiting, {});
+    for (const auto& pending : waiting) {
+        pending->waitTimer->cancel();
+        finish(pending, {});
+    }
+}
+
+PlatformClient::PlatformClient(const asio::any_io_executor& executor, const PlatformSettings& settings)
+    : m_impl(std::make_shared<Impl>(executor, settings))
+{
+}
+
+PlatformClient::~PlatformClient()
+{
+    m_impl->stop();
+}
+
+void PlatformClient::call(PlatformCall call, Handler handler)
+{
+    m_impl->call(std::move(call), std::move(handler));
+}
+
+PlatformCounters PlatformClient::counters() const
+{
+    return m_impl->counters();
+}
+
+const PlatformSettings& PlatformClient::settings() const
+{
+    return m_impl->settings();
+}
+
+}
--- /dev/null
+++ b/src/platform/platform_connection.cpp
@@ -0,0 +1,130 @@
+#include "platform/platform_connection.h"
+
+#include "base/endpoint.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <optional>
+#include <utility>
+
+namespace lycheefield {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+
+/// A list may hold many objects of 1 MB.
+constexpr std::uint64_t responseLimit = 64ULL * 1024 * 1024;
+
+class BeastConnection final : public PlatformConnection, public std::enable_shared_from_this<BeastConnection> {
+public:
+    explicit BeastConnection(const asio::any_io_executor& executor)
+        : m_stream(executor)
+    {
+    }
+
+    void connect(const Endpoint& endpoint, Duration timeout, ConnectHandler handler) override
+    {
+        error_code ec;
+        const auto address = asio::ip::make_address(endpoint.address, ec);
+        if (ec) {
+            asio::post(m_stream.get_executor(), [handler = std::move(handler)] { handler(false); });
+            return;
+        }
+        m_host = endpoint.toString();
+        m_stream.expires_after(timeout);
+        m_stream.async_connect(asio::ip::tcp::endpoint(address, endpoint.port),
+            [self = shared_from_this(), handler = std::move(handler)](error_code ec) {
+                self->onConnected(ec);
+                handler(!ec);
+            });
+    }
+
+    void exchange(const HttpExchange& exchange, Duration timeout, ExchangeHandler handler) override
+    {
+        m_handler = std::move(handler);
+        m_result = {};
+        m_request = {};
+        m_request.version(httpVersion);
+        m_request.method(exchange.isPut ? http::verb::put : http::verb::get);
+        m_request.target(exchange.target);
+        m_request.set(http::field::host, m_host);
+        m_request.body() = exchange.body;
+        m_request.prepare_payload();
+        m_stream.expires_after(timeout);
+        http::async_write(m_stream, m_request, [self = shared_from_this()](error_code ec, std::size_t sent) { self->onWritten(ec, sent); });
+    }
+
+    bool isOpen() const override { return m_isOpen; }
+
+    void close() override
+    {
+        m_isOpen = false;
+        m_stream.close();
+    }
+
+private:
+    static constexpr unsigned int httpVersion = 11;
+
+    void onConnected(error_code ec)
+    {
+        m_isOpen = !ec;
+        if (!ec)
+            m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+    }
+
+    void onWritten(error_code ec, std::size_t sent)
+    {
+        m_result.bytesSent = sent;
+        m_result.wasSent = sent > 0;
+        if (ec)
+            return fail();
+        m_parser.emplace();
+        m_parser->body_limit(responseLimit);
+        http::async_read(m_stream, m_buf, *m_parser, [self = shared_from_this()](error_code ec, std::size_t received) { self->onRead(ec, received); });
+    }
+
+    void onRead(error_code ec, std::size_t received)
+    {
+        m_result.bytesReceived = received;
+        if (ec)
+            return fail();
+        m_isOpen = m_isOpen && m_parser->get().keep_alive();
+        m_stream.expires_never();
+        m_result.isAnswered = true;
+        m_result.status = m_parser->get().result_int();
+        m_result.body = std::move(m_parser->get().body());
+        finish();
+    }
+
+    void fail()
+    {
+        close();
+        finish();
+    }
+
+    void finish() { std::exchange(m_handler, nullptr)(std::move(m_result)); }
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buf;
+    std::string m_host;
+    bool m_isOpen = false;
+    http::request<http::string_body> m_request;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    HttpExchangeResult m_result;
+    ExchangeHandler m_handler;
+};
+
+}
+
+std::shared_ptr<PlatformConnection> makePlatformConnection(const asio::any_io_executor& executor)
+{
+    return std::make_shared<BeastConnection>(executor);
+}
+
+}
--- /dev/null
+++ b/src/platform/store_watcher.cpp
@@ -0,0 +1,69 @@
+#include "platform/store_watcher.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace lycheefield {
+
+namespace asio = boost::asio;
+
+StoreWatcher::StoreWatcher(const asio::any_io_executor& executor, std::shared_ptr<ObjectStore> store, std::string prefix, Handler handler, Backoff backoff)
+    : m_strand(asio::make_strand(executor))
+    , m_timer(m_strand)
+    , m_store(std::move(store))
+    , m_prefix(std::move(prefix))
+    , m_handler(std::move(handler))
+    , m_backoff(std::move(backoff))
+{
+}
+
+void StoreWatcher::start()
+{
+    asio::post(m_strand, [self = shared_from_this()] { self->ask(); });
+}
+
+void StoreWatcher::stop()
+{
+    asio::post(m_strand, [self = shared_from_this()] {
+        self->m_isStopped = true;
+        self->m_timer.cancel();
+    });
+}
+
+void StoreWatcher::ask()
+{
+    if (m_isStopped)
+        return;
+    auto onReply = [self = shared_from_this()](const WatchBatch& batch) {
+        asio::post(self->m_strand, [self, batch] { self->onBatch(batch); });
+    };
+    if (m_isListed)
+        m_store->watch(m_prefix, m_revision, std::move(onReply));
+    else
+        m_store->list(m_prefix, std::move(onReply));
+}
+
+void StoreWatcher::onBatch(const WatchBatch& batch)
+{
+    if (m_isStopped)
+        return;
+    if (batch.status != StoreStatus::Ok) {
+        m_timer.expires_after(m_backoff.onFailure());
+        m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
+            if (!ec)
+                self->ask();
+        });
+        m_handler(batch);
+        return;
+    }
+    m_backoff.onSuccess();
+    const bool isFirst = !std::exchange(m_isListed, true);
+    m_revision = std::max(m_revision, batch.revision);
+    if (isFirst || !batch.changed.empty())
+        m_handler(batch);
+    ask();
+}
+
+}
--- /dev/null
+++ b/tests/platform/platform_fixture.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "platform/http_instance_list.h"
+#include "platform/http_object_store.h"
+#include "standin/platform_server.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <optional>
+
+namespace lycheefield {
+
+/// The stand-in platform and a client of it on one io_context that only the test's thread runs.
+struct PlatformFixture {
+    explicit PlatformFixture(PlatformSettings changed = {})
+        : server(context)
+        , settings(std::move(changed))
+    {
+        settings.endpoint = { "127.0.0.1", server.listen("127.0.0.1", 0) };
+        client = std::make_shared<PlatformClient>(context.get_executor(), settings);
+        store = std::make_shared<HttpObjectStore>(client);
+    }
+
+    /// Runs events until the value is there.
+    template <typename T>
+    const T& await(const std::optional<T>& value)
+    {
+        context.restart();
+        while (!value && context.run_one() > 0) { }
+        return value.value();
+    }
+
+    struct Reply {
+        StoreStatus status;
+        StoredObject object;
+    };
+
+    Reply write(const std::string& key, std::uint64_t expected, const std::string& value)
+    {
+        std::optional<Reply> reply;
+        store->write(key, ObjectVersion { expected }, value, [&](StoreStatus status, StoredObject object) { reply = Reply { status, std::move(object) }; });
+        return await(reply);
+    }
+    Reply read(const std::string& key)
+    {
+        std::optional<Reply> reply;
+        store->read(key, [&](StoreStatus status, StoredObject object) { reply = Reply { status, std::move(object) }; });
+        return await(reply);
+    }
+    template <typename Change>
+    void change(Change change)
+    {
+        auto faults = server.store().faults();
+        change(faults);
+        server.store().setFaults(faults);
+    }
+
+    boost::asio::io_context context { 1 };
+    standin::PlatformServer server;
+    PlatformSettings settings;
+    std::shared_ptr<PlatformClient> client;
+    std::shared_ptr<HttpObjectStore> store;
+};
+
+}
