Rules: differences, checks, keeper and conditional apply

RuleKeeper holds what is in force: the revision only rises, whole texts come from the store, differences from peers, and a difference counts only with the right hash. RuleWriter is the sequence of one apply: it keeps the old revision in the history before it replaces it, so that a lost answer can be settled even if another operator's write came on top. Both do no I/O.

--- /dev/null
+++ b/src/rules/rule_delta.cpp
@@ -0,0 +1,197 @@
+#include "rules/rule_delta.h"
+
+#include "base/fingerprint.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace lycheefield {
+
+namespace {
+
+using Lines = std::vector<std::string_view>;
+
+/// More cells than this are not compared one by one: the changed part is then replaced whole.
+constexpr std::size_t maxTableCells = 4'000'000;
+
+/// The pieces between line ends; joining them with line ends gives the text again.
+Lines splitLines(std::string_view text)
+{
+    Lines lines;
+    for (;;) {
+        const auto end = text.find('\n');
+        lines.push_back(text.substr(0, end));
+        if (end == std::string_view::npos)
+            return lines;
+        text.remove_prefix(end + 1);
+    }
+}
+
+/// The parts of two texts that are left when equal lines at both ends are taken off.
+struct Middle {
+    std::size_t first = 0;
+    std::size_t baseEnd = 0;
+    std::size_t end = 0;
+};
+
+Middle findMiddle(const Lines& base, const Lines& lines)
+{
+    Middle middle { 0, base.size(), lines.size() };
+    while (middle.first < middle.baseEnd && middle.first < middle.end && base[middle.first] == lines[middle.first])
+        ++middle.first;
+    while (middle.baseEnd > middle.first && middle.end > middle.first && base[middle.baseEnd - 1] == lines[middle.end - 1]) {
+        --middle.baseEnd;
+        --middle.end;
+    }
+    return middle;
+}
+
+/// Lengths of the longest common subsequences of all pairs of tails.
+class CommonTails {
+public:
+    CommonTails(const Lines& base, const Lines& lines, const Middle& middle)
+        : m_width(middle.end - middle.first + 1)
+        , m_lengths((middle.baseEnd - middle.first + 1) * m_width)
+    {
+        for (auto i = middle.baseEnd - middle.first; i-- > 0;) {
+            for (auto j = middle.end - middle.first; j-- > 0;) {
+                const bool same = base[middle.first + i] == lines[middle.first + j];
+                m_lengths[i * m_width + j] = same ? at(i + 1, j + 1) + 1 : std::max(at(i + 1, j), at(i, j + 1));
+            }
+        }
+    }
+    std::uint32_t at(std::size_t i, std::size_t j) const { return m_lengths[i * m_width + j]; }
+
+private:
+    std::size_t m_width;
+    std::vector<std::uint32_t> m_lengths;
+};
+
+void removeLines(RuleDelta& delta, std::size_t first, std::size_t end)
+{
+    for (auto i = first; i < end; ++i)
+        delta.removedLines.push_back(static_cast<std::uint32_t>(i));
+}
+
+void addLines(RuleDelta& delta, const Lines& lines, std::size_t first, std::size_t end)
+{
+    for (auto i = first; i < end; ++i)
+        delta.addedLines.push_back({ static_cast<std::uint32_t>(i), std::string(lines[i]) });
+}
+
+void compareMiddle(RuleDelta& delta, const Lines& base, const Lines& lines, const Middle& middle)
+{
+    const CommonTails tails(base, lines, middle);
+    auto i = middle.first;
+    auto j = middle.first;
+    while (i < middle.baseEnd && j < middle.end) {
+        if (base[i] == lines[j]) {
+            ++i;
+            ++j;
+        } else if (tails.at(i + 1 - middle.first, j - middle.first) >= tails.at(i - middle.first, j + 1 - middle.first)) {
+            removeLines(delta, i, i + 1);
+            ++i;
+        } else {
+            addLines(delta, lines, j, j + 1);
+            ++j;
+        }
+    }
+    removeLines(delta, i, middle.baseEnd);
+    addLines(delta, lines, j, middle.end);
+}
+
+std::optional<Lines> keptLines(const Lines& base, const std::vector<std::uint32_t>& removed)
+{
+    Lines kept;
+    auto it = removed.begin();
+    for (std::size_t i = 0; i < base.size(); ++i) {
+        if (it != removed.end() && *it == i)
+            ++it;
+        else
+            kept.push_back(base[i]);
+    }
+    if (it != removed.end())
+        return std::nullopt;
+    return kept;
+}
+
+std::optional<Lines> mergedLines(const Lines& kept, const std::vector<AddedLine>& added)
+{
+    Lines merged;
+    auto next = kept.begin();
+    for (const auto& it : added) {
+        while (merged.size() < it.at && next != kept.end())
+            merged.push_back(*next++);
+        if (merged.size() != it.at)
+            return std::nullopt;
+        merged.push_back(it.text);
+    }
+    merged.insert(merged.end(), next, kept.end());
+    return merged;
+}
+
+std::optional<std::string> joinLines(const Lines& lines)
+{
+    std::string text;
+    for (std::size_t i = 0; i < lines.size(); ++i) {
+        if (text.size() + lines[i].size() > maxRuleFileBytes)
+            return std::nullopt;
+        if (i)
+            text += '\n';
+        text += lines[i];
+    }
+    return text;
+}
+
+}
+
+std::uint64_t hashOfRules(RuleRevision revision, std::string_view text)
+{
+    return stableHash(text, revision.value());
+}
+
+RuleDelta makeRuleDelta(RuleRevision baseRevision, std::string_view baseText, RuleRevision revision, std::string_view text)
+{
+    RuleDelta delta;
+    delta.base = baseRevision;
+    delta.revision = revision;
+    delta.resultHash = hashOfRules(revision, text);
+    const auto base = splitLines(baseText);
+    const auto lines = splitLines(text);
+    const auto middle = findMiddle(base, lines);
+    if ((middle.baseEnd - middle.first + 1) * (middle.end - middle.first + 1) <= maxTableCells) {
+        compareMiddle(delta, base, lines, middle);
+        return delta;
+    }
+    removeLines(delta, middle.first, middle.baseEnd);
+    addLines(delta, lines, middle.first, middle.end);
+    return delta;
+}
+
+std::optional<std::string> applyRuleDelta(std::string_view baseText, const RuleDelta& delta)
+{
+    const auto base = splitLines(baseText);
+    const auto kept = keptLines(base, delta.removedLines);
+    if (!kept)
+        return std::nullopt;
+    const auto merged = mergedLines(*kept, delta.addedLines);
+    if (!merged)
+        return std::nullopt;
+    auto text = joinLines(*merged);
+    if (!text || hashOfRules(delta.revision, *text) != delta.resultHash)
+        return std::nullopt;
+    return text;
+}
+
+std::string describeRuleDelta(std::string_view baseText, const RuleDelta& delta)
+{
+    std::ostringstream out;
+    const auto base = splitLines(baseText);
+    for (const auto it : delta.removedLines)
+        out << '-' << it + 1 << ": " << base.at(it) << '\n';
+    for (const auto& it : delta.addedLines)
+        out << '+' << it.at + 1 << ": " << it.text << '\n';
+    return out.str();
+}
+
+}
--- /dev/null
+++ b/src/rules/rule_keeper.cpp
@@ -0,0 +1,143 @@
+#include "rules/rule_keeper.h"
+
+#include "rules/rule_parser.h"
+
+#include <algorithm>
+
+namespace lycheefield {
+
+RuleKeeper::RuleKeeper(RuleKeeperSettings settings)
+    : m_settings(settings)
+{
+}
+
+void RuleKeeper::onStored(const StoredRules& rules, RuleActions& actions)
+{
+    m_knowsStore = true;
+    accept(rules.revision, rules.text, actions);
+}
+
+void RuleKeeper::onPeerRevision(const InstanceName& peer, RuleRevision revision, TimePoint now, RuleActions& actions)
+{
+    if (revision <= m_revision || revision <= m_refused) {
+        m_peers.erase(peer);
+        return;
+    }
+    m_peers[peer] = revision;
+    if (!m_asked)
+        request(now, actions);
+}
+
+void RuleKeeper::onRequest(const InstanceName& peer, RuleRevision have, RuleActions& actions)
+{
+    if (have >= m_revision)
+        return;
+    const auto* base = textOf(have);
+    ++m_counts.deltasSent;
+    if (base)
+        actions.emplace_back(SendRules { peer, makeRuleDelta(have, *base, m_revision, m_text) });
+    else
+        actions.emplace_back(SendRules { peer, makeRuleDelta(RuleRevision(), "", m_revision, m_text) });
+}
+
+void RuleKeeper::onDelta(const InstanceName& peer, const RuleDelta& delta, TimePoint now, RuleActions& actions)
+{
+    if (m_asked == peer) {
+        m_asked.reset();
+        m_requestEnds = never;
+    }
+    if (delta.revision <= m_revision)
+        ++m_counts.lowerRefused;
+    else
+        applyDelta(peer, delta, actions);
+    std::erase_if(m_peers, [&](const auto& it) { return it.second <= m_revision || it.second <= m_refused; });
+    if (!m_asked && !m_peers.empty())
+        request(now, actions);
+}
+
+/// A difference that does not fit is followed by a request for the whole text; a peer whose whole
+/// text does not fit either is not asked again until its next message.
+void RuleKeeper::applyDelta(const InstanceName& peer, const RuleDelta& delta, RuleActions& actions)
+{
+    const auto* base = textOf(delta.base);
+    const auto text = base ? applyRuleDelta(*base, delta) : std::nullopt;
+    if (text) {
+        m_wantsWhole = false;
+        accept(delta.revision, *text, actions);
+        return;
+    }
+    ++m_counts.malformed;
+    if (m_wantsWhole)
+        m_peers.erase(peer);
+    m_wantsWhole = !m_wantsWhole;
+}
+
+void RuleKeeper::onTimer(TimePoint now, RuleActions& actions)
+{
+    if (now < m_requestEnds)
+        return;
+    m_requestEnds = never;
+    std::erase_if(m_peers, [&](const auto& it) { return it.second <= m_revision; });
+    request(now, actions);
+}
+
+void RuleKeeper::accept(RuleRevision revision, const std::string& text, RuleActions& actions)
+{
+    if (revision < m_revision) {
+        ++m_counts.lowerRefused;
+        return;
+    }
+    if (revision == m_revision || revision <= m_refused)
+        return;
+    auto parsed = parseRules(text, revision);
+    if (!std::holds_alternative<RuleTable>(parsed)) {
+        ++m_counts.malformed;
+        m_refused = revision;
+        actions.emplace_back(NoteRules { "revision " + std::to_string(revision.value()) + " can't be read by this version of the program; revision "
+            + std::to_string(m_revision.value()) + " stays in force" });
+        return;
+    }
+    if (m_revision.value())
+        m_oldTexts.push_back({ m_revision, m_text });
+    if (m_oldTexts.size() > m_settings.keptRevisions)
+        m_oldTexts.pop_front();
+    m_revision = revision;
+    m_text = text;
+    ++m_counts.accepted;
+    actions.emplace_back(PublishRules { std::get<RuleTable>(std::move(parsed)) });
+    actions.emplace_back(NoteRules { "rule revision " + std::to_string(revision.value()) + " is in force" });
+}
+
+/// Asks the peer after the one asked last, so that a silent peer does not hold up the others.
+void RuleKeeper::request(TimePoint now, RuleActions& actions)
+{
+    const auto peer = nextNewerPeer();
+    m_asked = peer;
+    if (!peer)
+        return;
+    ++m_counts.requests;
+    m_requestEnds = now + m_settings.requestTimeout;
+    actions.emplace_back(RequestRules { *peer, m_wantsWhole ? RuleRevision() : m_revision });
+}
+
+std::optional<InstanceName> RuleKeeper::nextNewerPeer() const
+{
+    if (m_peers.empty())
+        return std::nullopt;
+    const auto it = m_asked ? m_peers.upper_bound(*m_asked) : m_peers.begin();
+    return it == m_peers.end() ? m_peers.begin()->first : it->first;
+}
+
+/// The text of a revision in force now or lately; the empty text for revision 0; else null.
+const std::string* RuleKeeper::textOf(RuleRevision revision) const
+{
+    static const std::string empty;
+    if (!revision.value())
+        return &empty;
+    if (revision == m_revision)
+        return &m_text;
+    const auto it = std::find_if(m_oldTexts.begin(), m_oldTexts.end(), [&](const auto& old) { return old.revision == revision; });
+    return it == m_oldTexts.end() ? nullptr : &it->text;
+}
+
+}
--- a/src/rules/rule_parser.cpp
+++ b/src/rules/rule_parser.cpp
@@ -1,6 +1,7 @@
 #include "rules/rule_parser.h"
 
 #include "base/quantity_text.h"
+#include "rules/rule_delta.h"
 #include "rules/rule_line.h"
 
 #include <boost/spirit/home/x3.hpp>
@@ -15,7 +16,6 @@
 
 namespace {
 
-constexpr std::size_t maxFileBytes = 512 * 1024; ///< Half of what a value of the platform's store may hold.
 constexpr std::size_t maxPathBytes = 1024;
 constexpr std::size_t maxNameBytes = 128;
 constexpr Duration maxDeadline = std::chrono::minutes(10);
@@ -231,7 +231,7 @@
 
 ParsedRules parseRules(std::string_view text, RuleRevision revision)
 {
-    if (text.size() > maxFileBytes)
+    if (text.size() > maxRuleFileBytes)
         return std::vector<RuleError> { { 1, 1, "the file has more than 512 KiB", "remove rules that are no longer needed" } };
     std::vector<Rule> rules;
     std::vector<RuleError> errors;
--- /dev/null
+++ b/tests/rules/rule_keeper_test.cpp
@@ -0,0 +1,146 @@
+#include "rules/rule_keeper.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace lycheefield {
+
+namespace {
+
+const TimePoint now(Duration(1000));
+const InstanceName peer("i1");
+const InstanceName other("i2");
+
+StoredRules stored(std::uint64_t revision)
+{
+    StoredRules rules;
+    rules.revision = RuleRevision(revision);
+    rules.text = "match /a service s deadline " + std::to_string(revision) + "ms # Ngozi: revision\nmatch /b service s deadline 1s # x\n";
+    return rules;
+}
+
+template <typename T>
+std::vector<T> allOf(const RuleActions& actions)
+{
+    std::vector<T> found;
+    for (const auto& it : actions) {
+        if (const auto* action = std::get_if<T>(&it))
+            found.push_back(*action);
+    }
+    return found;
+}
+
+}
+
+TEST_CASE("the revision in force only rises" * doctest::test_suite("rules"))
+{
+    RuleKeeper keeper;
+    RuleActions actions;
+    CHECK_FALSE(keeper.isReady());
+    keeper.onStored(stored(5), actions);
+    REQUIRE(allOf<PublishRules>(actions).size() == 1);
+    CHECK(allOf<PublishRules>(actions).front().table.revision() == RuleRevision(5));
+    CHECK(keeper.isReady());
+    actions.clear();
+
+    SUBCASE("a store that went back changes nothing")
+    {
+        keeper.onStored(stored(4), actions);
+        keeper.onStored(stored(5), actions);
+        keeper.onNoneStored();
+        CHECK(actions.empty());
+        CHECK(keeper.revision() == RuleRevision(5));
+        CHECK(keeper.counts().lowerRefused == 1);
+    }
+    SUBCASE("nor does a peer that offers less")
+    {
+        keeper.onPeerRevision(peer, RuleRevision(4), now, actions);
+        keeper.onDelta(peer, makeRuleDelta(RuleRevision(), "", RuleRevision(4), stored(4).text), now, actions);
+        CHECK(actions.empty());
+        CHECK(keeper.revision() == RuleRevision(5));
+    }
+    SUBCASE("a text that can't be read is refused once and the old rules stay in force")
+    {
+        auto bad = stored(6);
+        bad.text = "nonsense";
+        keeper.onStored(bad, actions);
+        keeper.onStored(bad, actions);
+        keeper.onPeerRevision(peer, RuleRevision(6), now, actions);
+        CHECK(keeper.revision() == RuleRevision(5));
+        CHECK(allOf<NoteRules>(actions).size() == 1);
+        CHECK(actions.size() == 1);
+        keeper.onStored(stored(7), actions);
+        CHECK(keeper.revision() == RuleRevision(7));
+    }
+}
+
+TEST_CASE("rules pass from peer to peer as differences" * doctest::test_suite("rules"))
+{
+    RuleKeeper sender;
+    RuleKeeper receiver;
+    RuleActions actions;
+    sender.onStored(stored(5), actions);
+    receiver.onStored(stored(5), actions);
+    sender.onStored(stored(6), actions);
+    actions.clear();
+    receiver.onPeerRevision(peer, RuleRevision(6), now, actions);
+    REQUIRE(allOf<RequestRules>(actions).size() == 1);
+    CHECK(allOf<RequestRules>(actions).front().have == RuleRevision(5));
+
+    SUBCASE("only the changed line travels")
+    {
+        RuleActions answer;
+        sender.onRequest(other, RuleRevision(5), answer);
+        const auto delta = allOf<SendRules>(answer).at(0).delta;
+        CHECK(delta.addedLines.size() == 1);
+        actions.clear();
+        receiver.onDelta(peer, delta, now, actions);
+        CHECK(receiver.text() == sender.text());
+        CHECK(receiver.revision() == RuleRevision(6));
+        CHECK(receiver.nextTimer() == never);
+    }
+    SUBCASE("a difference that does not fit is followed by the whole text, and that by silence")
+    {
+        actions.clear();
+        auto delta = makeRuleDelta(RuleRevision(5), "another text", RuleRevision(6), stored(6).text);
+        receiver.onDelta(peer, delta, now, actions);
+        REQUIRE(allOf<RequestRules>(actions).size() == 1);
+        CHECK(allOf<RequestRules>(actions).front().have == RuleRevision());
+        actions.clear();
+        receiver.onDelta(peer, delta, now, actions);
+        CHECK(actions.empty());
+        CHECK(receiver.counts().malformed == 2);
+        receiver.onPeerRevision(other, RuleRevision(6), now, actions);
+        CHECK(allOf<RequestRules>(actions).size() == 1);
+    }
+    SUBCASE("a silent peer is passed over")
+    {
+        receiver.onPeerRevision(other, RuleRevision(6), now, actions);
+        CHECK(allOf<RequestRules>(actions).size() == 1);
+        actions.clear();
+        receiver.onTimer(receiver.nextTimer(), actions);
+        REQUIRE(allOf<RequestRules>(actions).size() == 1);
+        CHECK(allOf<RequestRules>(actions).front().peer == other);
+        receiver.onPeerGone(peer);
+        receiver.onPeerGone(other);
+        actions.clear();
+        receiver.onTimer(receiver.nextTimer(), actions);
+        CHECK(actions.empty());
+        CHECK(receiver.nextTimer() == never);
+    }
+    SUBCASE("a new instance gets the whole file")
+    {
+        RuleKeeper fresh;
+        RuleActions answer;
+        sender.onRequest(other, RuleRevision(), answer);
+        fresh.onDelta(peer, allOf<SendRules>(answer).at(0).delta, now, actions);
+        CHECK(fresh.text() == sender.text());
+        CHECK(fresh.isReady());
+        answer.clear();
+        sender.onRequest(other, RuleRevision(6), answer);
+        CHECK(answer.empty());
+    }
+}
+
+}
--- /dev/null
+++ b/tests/rules/rule_writer_test.cpp
@@ -0,0 +1,196 @@
+#include "rules/rule_writer.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+namespace lycheefield {
+
+namespace {
+
+/// An object store whose next calls can be made to fail.
+class FlakyStore {
+public:
+    StoredObject& object(const std::string& key)
+    {
+        auto& it = m_objects[key];
+        it.key = key;
+        return it;
+    }
+    StoreStatus read(const std::string& key, StoredObject& found)
+    {
+        found = object(key);
+        return found.version.value ? StoreStatus::Ok : StoreStatus::NotFound;
+    }
+    StoreStatus write(const WriteObject& request)
+    {
+        auto& it = object(request.key);
+        if (it.version != request.expected)
+            return StoreStatus::Conflict;
+        ++it.version.value;
+        it.value = request.value;
+        return StoreStatus::Ok;
+    }
+
+private:
+    std::map<std::string, StoredObject> m_objects;
+};
+
+RuleProposal proposal(std::uint64_t base, const std::string& id)
+{
+    return { RuleRevision(base), RuleRevision(), ApplyId(id), "ngozi", "2026-12-04T06:00:00Z", "# text of " + id };
+}
+
+/// Does what the writer asks until it ends. Conditional writes of rules/current go through `onWrite`.
+template <typename OnWrite>
+RuleWriterAction run(RuleWriter& writer, FlakyStore& store, OnWrite onWrite)
+{
+    auto action = writer.start();
+    for (;;) {
+        if (const auto* it = std::get_if<ReadObject>(&action)) {
+            StoredObject found;
+            const auto status = store.read(it->key, found);
+            action = writer.onRead(status, found);
+        } else if (const auto* it = std::get_if<WriteObject>(&action)) {
+            const auto request = *it;
+            action = writer.onWritten(request.key == currentRulesKey ? onWrite(request) : store.write(request));
+        } else if (std::holds_alternative<PauseBeforeRetry>(action)) {
+            action = writer.onRetry();
+        } else {
+            return action;
+        }
+    }
+}
+
+RuleWriterAction run(RuleWriter& writer, FlakyStore& store)
+{
+    return run(writer, store, [&](const auto& request) { return store.write(request); });
+}
+
+StoredRules rulesAt(FlakyStore& store, const std::string& key)
+{
+    return parseStoredRules(store.object(key).value).value();
+}
+
+}
+
+TEST_CASE("an operator's rules replace the revision that they started from" * doctest::test_suite("rules"))
+{
+    FlakyStore store;
+    RuleWriter first(proposal(0, "first"));
+    CHECK(run(first, store) == RuleWriterAction(RulesAccepted { RuleRevision(1) }));
+
+    SUBCASE("the old revision goes to the history")
+    {
+        RuleWriter second(proposal(1, "second"));
+        CHECK(run(second, store) == RuleWriterAction(RulesAccepted { RuleRevision(2) }));
+        CHECK(rulesAt(store, currentRulesKey).text == "# text of second");
+        CHECK(rulesAt(store, ruleHistoryKey(RuleRevision(1))).text == "# text of first");
+    }
+    SUBCASE("the loser of two gets what the winner wrote")
+    {
+        RuleWriter late(proposal(0, "late"));
+        const auto end = run(late, store);
+        REQUIRE(std::holds_alternative<RulesConflict>(end));
+        CHECK(std::get<RulesConflict>(end).current.applyId == ApplyId("first"));
+    }
+    SUBCASE("also when the winner comes between read and write")
+    {
+        RuleWriter loser(proposal(1, "loser"));
+        const auto end = run(loser, store, [&](const auto& request) {
+            RuleWriter winner(proposal(1, "winner"));
+            run(winner, store);
+            return store.write(request);
+        });
+        REQUIRE(std::holds_alternative<RulesConflict>(end));
+        CHECK(std::get<RulesConflict>(end).current.applyId == ApplyId("winner"));
+    }
+    SUBCASE("the new revision is above whatever an instance has in force")
+    {
+        auto ahead = proposal(1, "ahead");
+        ahead.highestInForce = RuleRevision(9);
+        RuleWriter writer(ahead);
+        CHECK(run(writer, store) == RuleWriterAction(RulesAccepted { RuleRevision(10) }));
+    }
+}
+
+TEST_CASE("a lost answer is settled by reading back" * doctest::test_suite("rules"))
+{
+    FlakyStore store;
+    RuleWriter first(proposal(0, "first"));
+    run(first, store);
+    RuleWriter writer(proposal(1, "mine"), 3);
+    int calls = 0;
+
+    SUBCASE("the write took effect")
+    {
+        const auto end = run(writer, store, [&](const auto& request) {
+            ++calls;
+            store.write(request);
+            return StoreStatus::Lost;
+        });
+        CHECK(end == RuleWriterAction(RulesAccepted { RuleRevision(2) }));
+        CHECK(calls == 1);
+    }
+    SUBCASE("it did not, and is sent again with the same condition")
+    {
+        const auto end = run(writer, store, [&](const auto& request) { return ++calls == 1 ? StoreStatus::Lost : store.write(request); });
+        CHECK(end == RuleWriterAction(RulesAccepted { RuleRevision(2) }));
+        CHECK(calls == 2);
+        CHECK(rulesAt(store, currentRulesKey).revision == RuleRevision(2));
+    }
+    SUBCASE("it takes effect late, so that the second try meets the first")
+    {
+        WriteObject delayed;
+        const auto end = run(writer, store, [&](const auto& request) {
+            if (++calls == 1) {
+                delayed = request;
+                return StoreStatus::Lost;
+            }
+            store.write(delayed);
+            return store.write(request);
+        });
+        CHECK(end == RuleWriterAction(RulesAccepted { RuleRevision(2) }));
+    }
+    SUBCASE("it took effect and was superseded before the read-back")
+    {
+        const auto end = run(writer, store, [&](const auto& request) {
+            store.write(request);
+            RuleWriter next(proposal(2, "next"));
+            run(next, store);
+            return StoreStatus::Lost;
+        });
+        CHECK(end == RuleWriterAction(RulesAccepted { RuleRevision(2) }));
+    }
+    SUBCASE("another operator's write took its place")
+    {
+        const auto end = run(writer, store, [&](const auto&) {
+            RuleWriter winner(proposal(1, "winner"));
+            run(winner, store);
+            RuleWriter next(proposal(2, "next"));
+            run(next, store);
+            return StoreStatus::Lost;
+        });
+        REQUIRE(std::holds_alternative<RulesConflict>(end));
+        CHECK(std::get<RulesConflict>(end).current.applyId == ApplyId("next"));
+    }
+    SUBCASE("a store that never answers leaves the outcome unknown, and says so")
+    {
+        const auto end = run(writer, store, [&](const auto&) { return StoreStatus::Lost; });
+        REQUIRE(std::holds_alternative<ApplyFailed>(end));
+        CHECK((std::get<ApplyFailed>(end).error.kind == ErrorKind::UnknownOutcome));
+    }
+    SUBCASE("a store in an outage leaves nothing changed, and says so")
+    {
+        const auto end = run(writer, store, [&](const auto&) { return StoreStatus::Unavailable; });
+        REQUIRE(std::holds_alternative<ApplyFailed>(end));
+        CHECK((std::get<ApplyFailed>(end).error.kind == ErrorKind::Unavailable));
+    }
+    SUBCASE("an outage that ends in time does no harm")
+    {
+        const auto end = run(writer, store, [&](const auto& request) { return ++calls == 1 ? StoreStatus::Unavailable : store.write(request); });
+        CHECK(end == RuleWriterAction(RulesAccepted { RuleRevision(2) }));
+    }
+}
+
+}
