lycheefield-load: open-loop load that judges every answer

Cause: tail, truth and extra load have to be measured on real processes, candidate and baseline in one run. Conclusion: a wrong answer shows up as an outcome of its own, not as a fast success.

--- /dev/null
+++ b/programs/lycheefield_load.cpp
@@ -0,0 +1,107 @@
+#include "base/clock.h"
+#include "load/load_plan.h"
+#include "load/load_report.h"
+#include "load/load_runner.h"
+
+#include <CLI/CLI.hpp>
+
+#include <fstream>
+#include <iostream>
+
+using namespace lycheefield;
+
+namespace {
+
+constexpr int exitFailure = 1;
+constexpr int exitUsage = 2;
+
+struct Options {
+    std::vector<std::string> targets;
+    std::vector<std::string> baseline;
+    std::vector<std::string> classes { "search:/search/quotes:search:1:1000" };
+    double seconds = 5;
+    double warmUpSeconds = 1;
+    double timeoutSeconds = 10;
+    LoadPlan plan;
+};
+
+Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+void addOptions(CLI::App& app, Options& options)
+{
+    app.add_option("--target", options.targets, "address:port of an instance under test; repeat it")->required();
+    app.add_option("--baseline", options.baseline, "address:port of a baseline instance; rounds then alternate between both sides");
+    app.add_option("--class", options.classes, "name:path:search|record|order:weight:deadline-ms; repeat it")->capture_default_str();
+    app.add_option("--rate", options.plan.ratePerSecond, "Requests a second, open loop")->capture_default_str()->check(CLI::PositiveNumber);
+    app.add_option("--seconds", options.seconds, "Length of a round, seconds")->capture_default_str()->check(CLI::PositiveNumber);
+    app.add_option("--warm-up", options.warmUpSeconds, "Sent before each round and not counted, seconds")->capture_default_str();
+    app.add_option("--rounds", options.plan.rounds, "Rounds of each side")->capture_default_str()->check(CLI::Range(1, 1000));
+    app.add_option("--timeout", options.timeoutSeconds, "A later answer counts as none, seconds")->capture_default_str();
+    app.add_option("--connections", options.plan.maxConnections, "Connections in all; requests past them are not sent")->capture_default_str();
+    app.add_option("--seed", options.plan.seed, "Seed of arrivals and of the mix")->capture_default_str();
+    app.add_option("--csv", options.plan.csvPath, "File for one line an observation");
+}
+
+bool addSide(LoadPlan& plan, const std::string& name, const std::vector<std::string>& targets)
+{
+    LoadSide side { name, {} };
+    for (const auto& it : targets) {
+        const auto endpoint = parseEndpoint(it);
+        if (!endpoint) {
+            std::cerr << endpoint.error() << '\n';
+            return false;
+        }
+        side.targets.push_back(endpoint.value());
+    }
+    plan.sides.push_back(std::move(side));
+    return true;
+}
+
+bool complete(Options& options)
+{
+    auto& plan = options.plan;
+    plan.roundLength = fromSeconds(options.seconds);
+    plan.warmUp = fromSeconds(options.warmUpSeconds);
+    plan.timeout = fromSeconds(options.timeoutSeconds);
+    for (const auto& it : options.classes) {
+        const auto requestClass = parseRequestClass(it);
+        if (!requestClass) {
+            std::cerr << requestClass.error() << '\n';
+            return false;
+        }
+        plan.classes.push_back(requestClass.value());
+    }
+    return addSide(plan, "candidate", options.targets) && (options.baseline.empty() || addSide(plan, "baseline", options.baseline));
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    CLI::App app("Open-loop load on lycheefield instances; latency counts from the intended send time");
+    app.set_version_flag("--version", LYCHEEFIELD_VERSION);
+    Options options;
+    addOptions(app, options);
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& e) {
+        return app.exit(e) == 0 ? 0 : exitUsage;
+    }
+    if (!complete(options))
+        return exitUsage;
+    const SteadyClock clock;
+    const auto observations = LoadRunner(options.plan, clock).run();
+    writeReport(std::cout, options.plan, observations);
+    if (options.plan.csvPath.empty())
+        return 0;
+    std::ofstream csv(options.plan.csvPath);
+    writeCsv(csv, options.plan, observations);
+    if (!csv.flush()) {
+        std::cerr << "can't write " << options.plan.csvPath << "; choose another file with --csv\n";
+        return exitFailure;
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/load/load_runner.cpp
@@ -0,0 +1,185 @@
+#include "load/load_runner.h"
+
+#include "load/answer_check.h"
+#include "load/caller_connection.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cmath>
+#include <map>
+
+namespace lycheefield {
+
+namespace asio = boost::asio;
+
+class LoadRunner::Impl {
+public:
+    Impl(LoadPlan plan, const Clock& clock)
+        : m_plan(std::move(plan))
+        , m_clock(clock)
+        , m_random(m_plan.seed)
+        , m_timer(m_io)
+        , m_idle(m_plan.sides.size())
+    {
+        for (std::size_t i = 0; i < m_plan.sides.size(); ++i)
+            m_idle[i].resize(m_plan.sides[i].targets.size());
+        for (const auto& it : m_plan.classes)
+            m_totalWeight += it.weight;
+    }
+
+    std::vector<Observation> run()
+    {
+        m_start = m_clock.now();
+        m_next = m_start;
+        scheduleNext();
+        m_io.run();
+        return std::move(m_observations);
+    }
+
+private:
+    using Connection = std::shared_ptr<CallerConnection>;
+
+    Duration slotLength() const { return m_plan.warmUp + m_plan.roundLength; }
+
+    std::uint32_t sideAt(Duration elapsed) const { return static_cast<std::uint32_t>((elapsed / slotLength()) % static_cast<Duration::rep>(m_plan.sides.size())); }
+
+    bool isWarmUp(Duration elapsed) const { return elapsed % slotLength() < m_plan.warmUp; }
+
+    Duration wholeLength() const { return slotLength() * static_cast<Duration::rep>(m_plan.rounds * m_plan.sides.size()); }
+
+    void scheduleNext()
+    {
+        const double gapSeconds = -std::log(1 - m_random.unit()) / m_plan.ratePerSecond;
+        m_next += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gapSeconds));
+        if (m_next - m_start >= wholeLength())
+            return;
+        const auto wait = m_next - m_clock.now();
+        if (wait <= Duration::zero()) {
+            asio::post(m_io, [this] { sendNow(); });
+            return;
+        }
+        m_timer.expires_after(wait);
+        m_timer.async_wait([this](boost::system::error_code ec) {
+            if (!ec)
+                sendNow();
+        });
+    }
+
+    std::uint32_t drawClass()
+    {
+        double at = m_random.unit() * m_totalWeight;
+        for (std::uint32_t i = 0; i + 1 < m_plan.classes.size(); ++i) {
+            at -= m_plan.classes[i].weight;
+            if (at < 0)
+                return i;
+        }
+        return static_cast<std::uint32_t>(m_plan.classes.size() - 1);
+    }
+
+    void sendNow()
+    {
+        Observation observation;
+        observation.intended = m_next - m_start;
+        observation.side = sideAt(observation.intended);
+        observation.requestClass = drawClass();
+        observation.target = static_cast<std::uint32_t>(m_sent % m_plan.sides[observation.side].targets.size());
+        send(observation, m_next);
+        scheduleNext();
+    }
+
+    void send(Observation observation, TimePoint intended)
+    {
+        const auto number = ++m_sent;
+        const auto& requestClass = m_plan.classes[observation.requestClass];
+        const auto connection = takeConnection(observation.side, observation.target);
+        if (!connection)
+            return record(std::move(observation));
+        const std::string nonce = std::to_string(m_plan.seed) + "-" + std::to_string(number);
+        const std::string body = "{\"nonce\":\"" + nonce + "\"}";
+        if (requestClass.kind == RequestKind::Order)
+            observation.body = nonce;
+        connection->post(requestClass.path, headersFor(requestClass, nonce), body, [this, observation, intended, connection, body](const CallerConnection::Reply& reply) {
+            finish(observation, intended, connection, body, reply);
+        });
+    }
+
+    CallerConnection::Headers headersFor(const RequestClass& requestClass, const std::string& nonce) const
+    {
+        CallerConnection::Headers headers;
+        if (requestClass.deadline.count())
+            headers.emplace_back("X-Deadline-Ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(requestClass.deadline).count()));
+        if (requestClass.kind == RequestKind::Record)
+            headers.emplace_back("X-Record-Key", nonce);
+        if (requestClass.kind == RequestKind::Order)
+            headers.emplace_back("Idempotency-Key", nonce);
+        return headers;
+    }
+
+    void finish(Observation observation, TimePoint intended, const Connection& connection, const std::string& body, const CallerConnection::Reply& reply)
+    {
+        observation.latency = m_clock.now() - intended;
+        observation.status = reply.status;
+        if (reply.arrived) {
+            const auto checked = checkAnswer(reply.status, reply.body, body);
+            observation.outcome = checked.outcome;
+            observation.why = checked.why;
+        } else {
+            observation.outcome = LoadOutcome::Cut;
+            observation.why = "no answer";
+        }
+        if (connection->isUsable())
+            m_idle[observation.side][observation.target].push_back(connection);
+        else
+            --m_connections;
+        record(std::move(observation));
+    }
+
+    void record(Observation observation)
+    {
+        if (!isWarmUp(observation.intended))
+            m_observations.push_back(std::move(observation));
+    }
+
+    Connection takeConnection(std::uint32_t side, std::uint32_t target)
+    {
+        auto& idle = m_idle[side][target];
+        if (!idle.empty()) {
+            auto connection = idle.back();
+            idle.pop_back();
+            return connection;
+        }
+        if (m_connections >= m_plan.maxConnections)
+            return nullptr;
+        ++m_connections;
+        return CallerConnection::create(m_io, m_plan.sides[side].targets[target], m_plan.timeout);
+    }
+
+    LoadPlan m_plan;
+    const Clock& m_clock;
+    SeededRandom m_random;
+    asio::io_context m_io;
+    asio::steady_timer m_timer;
+    std::vector<std::vector<std::vector<Connection>>> m_idle;
+    std::vector<Observation> m_observations;
+    double m_totalWeight = 0;
+    TimePoint m_start;
+    TimePoint m_next;
+    std::uint64_t m_sent = 0;
+    std::size_t m_connections = 0;
+};
+
+LoadRunner::LoadRunner(LoadPlan plan, const Clock& clock)
+    : m_impl(std::make_unique<Impl>(std::move(plan), clock))
+{
+}
+
+LoadRunner::~LoadRunner() = default;
+
+std::vector<Observation> LoadRunner::run()
+{
+    return m_impl->run();
+}
+
+}
