--- /dev/null
+++ b/src/http/http_message.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace lycheefield {
+
+/// Header fields in the order they came; names compare without case.
+class HttpHeaders {
+public:
+    HttpHeaders() = default;
+    HttpHeaders(std::initializer_list<std::pair<std::string, std::string>> fields)
+        : m_fields(fields)
+    {
+    }
+
+    void add(std::string name, std::string value) { m_fields.emplace_back(std::move(name), std::move(value)); }
+    /// The first value of that name; empty when there is none.
+    std::string_view find(std::string_view name) const;
+    const std::vector<std::pair<std::string, std::string>>& fields() const { return m_fields; }
+
+    friend bool operator==(const HttpHeaders&, const HttpHeaders&) = default;
+
+private:
+    std::vector<std::pair<std::string, std::string>> m_fields;
+};
+
+struct HttpRequest {
+    std::string method;
+    std::string target; ///< Path and query, as sent.
+    HttpHeaders headers;
+    std::string body;
+
+    /// The target without its query.
+    std::string_view path() const { return std::string_view(target).substr(0, target.find('?')); }
+
+    friend bool operator==(const HttpRequest&, const HttpRequest&) = default;
+};
+
+struct HttpReply {
+    unsigned status = 200;
+    std::string contentType = "application/json";
+    std::string body;
+    HttpHeaders headers {};
+
+    friend bool operator==(const HttpReply&, const HttpReply&) = default;
+};
+
+}
--- /dev/null
+++ b/src/http/http_server.cpp
@@ -0,0 +1,131 @@
+#include "http/http_server.h"
+
+#include "http/http_server_session.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <map>
+#include <mutex>
+
+namespace lycheefield {
+
+class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
+public:
+    Impl(boost::asio::io_context& io, HttpHandler& handler, std::shared_ptr<const Clock> clock, std::shared_ptr<HttpServerCounters> counters, HttpLimits limits)
+        : m_io(io)
+        , m_context { handler, std::move(clock), std::move(counters), limits, std::make_shared<std::atomic<bool>>(false), {} }
+        , m_acceptor(boost::asio::make_strand(io))
+    {
+    }
+
+    Result<Endpoint> listen(const Endpoint& endpoint)
+    {
+        m_context.onEnd = [weak = weak_from_this()](std::uint64_t id) {
+            if (const auto self = weak.lock())
+                self->remove(id);
+        };
+        boost::system::error_code ec;
+        const auto address = boost::asio::ip::make_address(endpoint.address, ec);
+        if (ec)
+            return Error { ErrorKind::InvalidInput, "address " + endpoint.address + " is no IP number", "give an IP number" };
+        const boost::asio::ip::tcp::endpoint local(address, endpoint.port);
+        try {
+            m_acceptor.open(local.protocol());
+            m_acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+            m_acceptor.bind(local);
+            m_acceptor.listen();
+        } catch (const boost::system::system_error& ex) {
+            return Error { ErrorKind::Unavailable, "can't listen on " + endpoint.toString() + ": " + ex.what(), "choose a free port, or 0" };
+        }
+        accept();
+        return Endpoint { endpoint.address, m_acceptor.local_endpoint().port() };
+    }
+
+    void beginDrain()
+    {
+        m_context.draining->store(true);
+        const std::lock_guard lock(m_mutex);
+        for (const auto& [id, session] : m_sessions)
+            session->closeIfIdle();
+    }
+
+    void close()
+    {
+        boost::asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+            boost::system::error_code ec;
+            self->m_acceptor.close(ec);
+        });
+        const std::lock_guard lock(m_mutex);
+        for (const auto& [id, session] : m_sessions)
+            session->close();
+    }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept(boost::asio::make_strand(m_io),
+            [self = shared_from_this()](const boost::system::error_code& ec, boost::asio::ip::tcp::socket socket) { self->onAccepted(ec, std::move(socket)); });
+    }
+
+    void onAccepted(const boost::system::error_code& ec, boost::asio::ip::tcp::socket socket)
+    {
+        if (ec == boost::asio::error::operation_aborted || !m_acceptor.is_open())
+            return;
+        if (!ec)
+            add(std::move(socket));
+        accept();
+    }
+
+    void add(boost::asio::ip::tcp::socket socket)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_sessions.size() >= m_context.limits.maxConnections) {
+            ++m_context.counters->overLimit;
+            return;
+        }
+        ++m_context.counters->connections;
+        const auto id = ++m_lastId;
+        auto session = std::make_shared<HttpServerSession>(id, std::move(socket), m_context);
+        m_sessions.emplace(id, session);
+        session->start();
+    }
+
+    void remove(std::uint64_t id)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_sessions.erase(id);
+    }
+
+    boost::asio::io_context& m_io;
+    HttpServerContext m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::mutex m_mutex;
+    std::map<std::uint64_t, std::shared_ptr<HttpServerSession>> m_sessions;
+    std::uint64_t m_lastId = 0;
+};
+
+HttpServer::HttpServer(
+    boost::asio::io_context& io, HttpHandler& handler, std::shared_ptr<const Clock> clock, std::shared_ptr<HttpServerCounters> counters, HttpLimits limits)
+    : m_impl(std::make_shared<Impl>(io, handler, std::move(clock), std::move(counters), limits))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+Result<Endpoint> HttpServer::listen(const Endpoint& endpoint)
+{
+    return m_impl->listen(endpoint);
+}
+
+void HttpServer::beginDrain()
+{
+    m_impl->beginDrain();
+}
+
+void HttpServer::close()
+{
+    m_impl->close();
+}
+
+}
--- /dev/null
+++ b/src/http/http_server_session.cpp
@@ -0,0 +1,304 @@
+#include "http/http_server_session.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/make_printable.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
+
+namespace lycheefield {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+    constexpr std::size_t readBytes = 8 * 1024;
+    constexpr auto watchInterval = std::chrono::seconds(1);
+
+    /// Ties a request to its session for as long as somebody may still answer it.
+    class SessionExchange final : public HttpExchange {
+    public:
+        SessionExchange(std::shared_ptr<HttpServerSession> session, std::uint64_t number)
+            : m_session(std::move(session))
+            , m_number(number)
+        {
+        }
+        ~SessionExchange() override
+        {
+            if (!m_answered.exchange(true))
+                m_session->respond(m_number, { 500, "text/plain", "no answer\n" });
+        }
+        SessionExchange(const SessionExchange&) = delete;
+        SessionExchange& operator=(const SessionExchange&) = delete;
+
+        void respond(HttpReply reply) override
+        {
+            if (!m_answered.exchange(true))
+                m_session->respond(m_number, std::move(reply));
+        }
+        void onGone(std::function<void()> handler) override { m_session->setGoneHandler(m_number, std::move(handler)); }
+
+    private:
+        std::shared_ptr<HttpServerSession> m_session;
+        std::uint64_t m_number;
+        std::atomic<bool> m_answered { false };
+    };
+
+    void appendHeader(std::string& out, std::string_view name, std::string_view value)
+    {
+        out.append(name).append(": ").append(value).append("\r\n");
+    }
+
+    std::string formatReply(const HttpReply& reply, bool keepAlive)
+    {
+        std::string out;
+        out.reserve(reply.body.size() + 256);
+        const auto reason = http::obsolete_reason(static_cast<http::status>(reply.status));
+        out.append("HTTP/1.1 ").append(std::to_string(reply.status)).append(" ").append(reason.data(), reason.size()).append("\r\n");
+        if (!reply.contentType.empty())
+            appendHeader(out, "Content-Type", reply.contentType);
+        for (const auto& [name, value] : reply.headers.fields())
+            appendHeader(out, name, value);
+        if (reply.status != 204)
+            appendHeader(out, "Content-Length", std::to_string(reply.body.size()));
+        if (!keepAlive)
+            appendHeader(out, "Connection", "close");
+        out.append("\r\n");
+        if (reply.status != 204)
+            out.append(reply.body);
+        return out;
+    }
+
+}
+
+HttpServerSession::HttpServerSession(std::uint64_t id, boost::asio::ip::tcp::socket socket, HttpServerContext context)
+    : m_id(id)
+    , m_socket(std::move(socket))
+    , m_context(std::move(context))
+    , m_watchdog(m_socket.get_executor())
+    , m_buffer(m_context.limits.maxHeaderBytes + m_context.limits.maxPipelinedBytes + m_context.limits.maxBodyBytes)
+{
+}
+
+void HttpServerSession::start()
+{
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        boost::system::error_code ec;
+        self->m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
+        self->m_idleSince = self->m_context.clock->now();
+        self->resetParser();
+        self->readMore();
+        self->watch();
+    });
+}
+
+void HttpServerSession::close()
+{
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->finish(); });
+}
+
+void HttpServerSession::closeIfIdle()
+{
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        if (!self->m_handling && self->m_messageStarted == never)
+            self->finish();
+    });
+}
+
+void HttpServerSession::resetParser()
+{
+    m_parser.emplace();
+    m_parser->header_limit(m_context.limits.maxHeaderBytes);
+    m_parser->body_limit(m_context.limits.maxBodyBytes);
+    m_parser->eager(true);
+    m_continueSent = false;
+}
+
+void HttpServerSession::readMore()
+{
+    const bool isFull = m_handling && m_buffer.size() >= m_context.limits.maxPipelinedBytes;
+    if (m_reading || m_closed || isFull)
+        return;
+    m_reading = true;
+    m_socket.async_read_some(m_buffer.prepare(readBytes),
+        [self = shared_from_this()](const boost::system::error_code& ec, std::size_t n) { self->onRead(ec, n); });
+}
+
+void HttpServerSession::onRead(const boost::system::error_code& ec, std::size_t n)
+{
+    m_reading = false;
+    if (m_closed)
+        return;
+    if (ec) {
+        noticeGone();
+        finish();
+        return;
+    }
+    m_buffer.commit(n);
+    if (!m_handling)
+        parseMore();
+    if (!m_closed)
+        readMore();
+}
+
+void HttpServerSession::noticeGone()
+{
+    if (!m_handling)
+        return;
+    ++m_context.counters->gone;
+    if (m_goneHandler)
+        std::exchange(m_goneHandler, nullptr)();
+}
+
+void HttpServerSession::parseMore()
+{
+    if (m_buffer.size() == 0)
+        return;
+    if (m_messageStarted == never)
+        m_messageStarted = m_context.clock->now();
+    boost::system::error_code ec;
+    while (m_buffer.size() > 0 && !m_parser->is_done() && !ec) {
+        const auto n = m_parser->put(m_buffer.data(), ec);
+        m_buffer.consume(n);
+        if (n == 0)
+            break;
+    }
+    if (ec && ec != http::error::need_more) {
+        refuse(ec);
+        return;
+    }
+    if (m_parser->is_done())
+        dispatch();
+    else
+        continueIfExpected();
+}
+
+void HttpServerSession::continueIfExpected()
+{
+    if (!m_parser->is_header_done() || m_continueSent || !boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue"))
+        return;
+    m_continueSent = true;
+    auto line = std::make_shared<const std::string>("HTTP/1.1 100 Continue\r\n\r\n");
+    boost::asio::async_write(m_socket, boost::asio::buffer(*line), [self = shared_from_this(), line](const boost::system::error_code&, std::size_t) {});
+}
+
+void HttpServerSession::refuse(const boost::system::error_code& ec)
+{
+    unsigned status = 400;
+    if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
+        status = 431;
+    else if (ec == http::error::body_limit)
+        status = 413;
+    ++(status == 400 ? m_context.counters->malformed : m_context.counters->oversized);
+    m_handling = true;
+    ++m_requestNumber;
+    sendReply({ status, "text/plain", ec.message() + "\n" }, false);
+}
+
+void HttpServerSession::dispatch()
+{
+    ++m_context.counters->requests;
+    m_messageStarted = never;
+    m_handling = true;
+    auto message = m_parser->release();
+    m_keepAlive = message.keep_alive() && !m_context.draining->load();
+    HttpRequest request;
+    request.method.assign(message.method_string().data(), message.method_string().size());
+    request.target.assign(message.target().data(), message.target().size());
+    for (const auto& field : message)
+        request.headers.add({ field.name_string().data(), field.name_string().size() }, { field.value().data(), field.value().size() });
+    request.body = std::move(message.body());
+    const auto number = ++m_requestNumber;
+    m_context.handler.handle(std::move(request), std::make_shared<SessionExchange>(shared_from_this(), number));
+}
+
+void HttpServerSession::respond(std::uint64_t requestNumber, HttpReply reply)
+{
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this(), requestNumber, reply = std::move(reply)]() mutable {
+        if (self->m_closed || requestNumber != self->m_requestNumber)
+            return;
+        self->m_goneHandler = nullptr;
+        self->sendReply(std::move(reply), self->m_keepAlive && !self->m_context.draining->load());
+    });
+}
+
+void HttpServerSession::setGoneHandler(std::uint64_t requestNumber, std::function<void()> handler)
+{
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this(), requestNumber, handler = std::move(handler)] {
+        if (requestNumber != self->m_requestNumber)
+            return;
+        if (self->m_closed)
+            handler();
+        else
+            self->m_goneHandler = handler;
+    });
+}
+
+void HttpServerSession::sendReply(HttpReply reply, bool keepAlive)
+{
+    m_out = formatReply(reply, keepAlive);
+    m_writeStarted = m_context.clock->now();
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_out),
+        [self = shared_from_this(), keepAlive](const boost::system::error_code& ec, std::size_t) { self->onWritten(ec, keepAlive); });
+}
+
+void HttpServerSession::onWritten(const boost::system::error_code& ec, bool keepAlive)
+{
+    if (m_closed)
+        return;
+    m_writeStarted = never;
+    m_handling = false;
+    if (ec || !keepAlive) {
+        boost::system::error_code ignored;
+        m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+        finish();
+        return;
+    }
+    m_idleSince = m_context.clock->now();
+    resetParser();
+    parseMore();
+    if (!m_closed)
+        readMore();
+}
+
+bool HttpServerSession::isOverdue(TimePoint now) const
+{
+    const auto& limits = m_context.limits;
+    const bool messageLate = m_messageStarted != never && now - m_messageStarted > limits.messageTimeout;
+    const bool writeLate = m_writeStarted != never && now - m_writeStarted > limits.writeTimeout;
+    const bool idleLate = !m_handling && m_messageStarted == never && now - m_idleSince > limits.idleTimeout;
+    return messageLate || writeLate || idleLate;
+}
+
+void HttpServerSession::watch()
+{
+    m_watchdog.expires_after(watchInterval);
+    m_watchdog.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
+        if (ec || self->m_closed)
+            return;
+        if (!self->isOverdue(self->m_context.clock->now())) {
+            self->watch();
+            return;
+        }
+        if (self->m_messageStarted != never || self->m_writeStarted != never)
+            ++self->m_context.counters->slow;
+        self->noticeGone();
+        self->finish();
+    });
+}
+
+void HttpServerSession::finish()
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    boost::system::error_code ec;
+    m_watchdog.cancel();
+    m_socket.close(ec);
+    m_goneHandler = nullptr;
+    m_context.onEnd(m_id);
+}
+
+}
--- /dev/null
+++ b/src/http/http_server_session.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "base/clock.h"
+#include "http/http_limits.h"
+#include "http/http_message.h"
+#include "http/http_server.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace lycheefield {
+
+/// What the sessions of one server share.
+struct HttpServerContext {
+    HttpHandler& handler;
+    std::shared_ptr<const Clock> clock;
+    std::shared_ptr<HttpServerCounters> counters;
+    HttpLimits limits;
+    std::shared_ptr<std::atomic<bool>> draining;
+    /// Runs once when a session ends.
+    std::function<void(std::uint64_t)> onEnd;
+};
+
+/// One connection of a caller. One read is always under way, so that a caller who closes is
+/// noticed while its request is handled; what is pipelined waits in the buffer.
+///
+/// Private to the package: only http_server.cpp and tests include this header.
+class HttpServerSession : public std::enable_shared_from_this<HttpServerSession> {
+public:
+    /// Precondition: the socket's executor is a strand.
+    HttpServerSession(std::uint64_t id, boost::asio::ip::tcp::socket, HttpServerContext);
+
+    void start();
+    void close();
+    /// Closes the connection if no request is under way.
+    void closeIfIdle();
+    /// Sends the reply to the request of that number; ignored when it was answered before.
+    void respond(std::uint64_t requestNumber, HttpReply);
+    void setGoneHandler(std::uint64_t requestNumber, std::function<void()>);
+
+private:
+    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    void readMore();
+    void onRead(const boost::system::error_code&, std::size_t);
+    void parseMore();
+    void resetParser();
+    void refuse(const boost::system::error_code&);
+    void dispatch();
+    void continueIfExpected();
+    void sendReply(HttpReply, bool keepAlive);
+    void write(std::string bytes, bool keepAlive);
+    void onWritten(const boost::system::error_code&, bool keepAlive);
+    void noticeGone();
+    void watch();
+    bool isOverdue(TimePoint) const;
+    void finish();
+
+    std::uint64_t m_id;
+    boost::asio::ip::tcp::socket m_socket;
+    HttpServerContext m_context;
+    boost::asio::steady_timer m_watchdog;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<Parser> m_parser;
+    std::function<void()> m_goneHandler;
+    std::string m_out;
+    std::uint64_t m_requestNumber = 0;
+    TimePoint m_messageStarted = never; ///< `never` while no message is incomplete.
+    TimePoint m_writeStarted = never;
+    TimePoint m_idleSince = never;
+    bool m_handling = false; ///< A request waits for its reply, or the reply is being written.
+    bool m_keepAlive = true;
+    bool m_reading = false;
+    bool m_continueSent = false;
+    bool m_closed = false;
+};
+
+}
--- /dev/null
+++ b/src/wire/asio_peer_network.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "base/snapshot.h"
+#include "wire/peer_link.h"
+#include "wire/peer_server.h"
+
+#include <map>
+#include <memory>
+#include <shared_mutex>
+
+namespace lycheefield {
+
+/// PeerNetwork over TCP: one link to each peer that this process speaks to, one server for those
+/// that speak to it.
+class AsioPeerNetwork final : public PeerNetwork {
+public:
+    /// Precondition: the view and the handler outlive the network.
+    AsioPeerNetwork(PeerContext, const Snapshot<MembershipView>&, PeerHandler&);
+    ~AsioPeerNetwork() override;
+    AsioPeerNetwork(const AsioPeerNetwork&) = delete;
+    AsioPeerNetwork& operator=(const AsioPeerNetwork&) = delete;
+
+    Result<Endpoint> listen(const Endpoint&);
+    void send(const InstanceName& to, PeerMessage) override;
+    void reply(const InstanceName& to, PeerMessage) override;
+    void broadcast(const PeerMessage&) override;
+    /// Closes the links to instances that have left the view. Call it when the view changes.
+    void dropGone();
+    void close();
+
+private:
+    std::shared_ptr<PeerLink> linkTo(const InstanceName&);
+
+    PeerContext m_context;
+    const Snapshot<MembershipView>& m_view;
+    PeerHandler& m_handler;
+    std::shared_ptr<PeerServer> m_server;
+    std::shared_mutex m_mutex;
+    std::map<InstanceName, std::shared_ptr<PeerLink>> m_links;
+};
+
+}
--- /dev/null
+++ b/src/wire/peer_message.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/leg.h"
+#include "base/time.h"
+#include "dispatch/relay_action.h"
+#include "membership/view.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lycheefield {
+
+/// First message on each connection, both ways: who speaks.
+struct Hello {
+    InstanceName instance;
+    ProcessLife life;
+    ZoneName zone;
+
+    friend bool operator==(const Hello&, const Hello&) = default;
+};
+
+/// Cancel one attempt of one leg.
+struct CancelLeg {
+    LegKey key;
+
+    friend bool operator==(const CancelLeg&, const CancelLeg&) = default;
+};
+
+/// Ends of some attempts, back to the entry that ordered them.
+struct LegResults {
+    std::vector<LegResult> results;
+
+    friend bool operator==(const LegResults&, const LegResults&) = default;
+};
+
+/// What a relay tells of its servers outside of an answer.
+struct ServerNews {
+    std::vector<ServerState> servers;
+
+    friend bool operator==(const ServerNews&, const ServerNews&) = default;
+};
+
+/// What one instance says of another, or of itself.
+struct InstanceDigest {
+    Instance instance;
+    std::uint64_t incarnation = 0;
+    RuleRevision ruleRevision;
+
+    friend bool operator==(const InstanceDigest&, const InstanceDigest&) = default;
+};
+
+/// A probe or its answer; carries what the sender thinks is news.
+struct Gossip {
+    std::uint64_t sequence = 0;
+    bool isAnswer = false;
+    std::vector<InstanceDigest> digests;
+    RuleRevision ruleRevision;
+    InstanceName probeTarget; ///< Not empty: probe this instance for the sender.
+    std::uint64_t catalogRevision = 0;
+
+    friend bool operator==(const Gossip&, const Gossip&) = default;
+};
+
+/// Asks for the rules that came after the revision the sender has.
+struct RuleRequest {
+    RuleRevision haveRevision;
+
+    friend bool operator==(const RuleRequest&, const RuleRequest&) = default;
+};
+
+/// Rules as a difference from the revision that the receiver has, or whole when baseRevision is 0.
+struct RuleDelta {
+    RuleRevision baseRevision;
+    RuleRevision revision;
+    std::vector<std::uint32_t> removedLines;
+    std::vector<std::string> addedLines;
+    std::vector<std::uint32_t> addedAt;
+    std::uint64_t resultHash = 0;
+
+    friend bool operator==(const RuleDelta&, const RuleDelta&) = default;
+};
+
+/// A call that another instance must answer: cancel or explain a request.
+struct Control {
+    std::uint64_t sequence = 0;
+    std::string verb;
+    std::string argument;
+    bool isAnswer = false;
+    std::string payload;
+
+    friend bool operator==(const Control&, const Control&) = default;
+};
+
+/// The one message of a frame.
+using PeerMessage = std::variant<Hello, WorkOrder, CancelLeg, LegResults, ServerNews, AnnounceCrash, Gossip, RuleRequest, RuleDelta, Control>;
+
+}
--- /dev/null
+++ b/src/wire/peer_server.cpp
@@ -0,0 +1,125 @@
+#include "wire/peer_server.h"
+
+#include <boost/asio/post.hpp>
+
+namespace lycheefield {
+
+namespace {
+
+    /// Connections of peers at one time; each instance needs one to each other.
+    constexpr std::size_t maxPeerSessions = 2048;
+
+}
+
+PeerServer::PeerServer(PeerContext context, PeerHandler& handler)
+    : m_context(std::move(context))
+    , m_handler(handler)
+    , m_acceptor(boost::asio::make_strand(m_context.io))
+{
+}
+
+Result<Endpoint> PeerServer::listen(const Endpoint& endpoint)
+{
+    boost::system::error_code ec;
+    const auto address = boost::asio::ip::make_address(endpoint.address, ec);
+    if (ec)
+        return Error { ErrorKind::InvalidInput, "inner address " + endpoint.address + " is no IP number", "give an IP number" };
+    const boost::asio::ip::tcp::endpoint local(address, endpoint.port);
+    try {
+        m_acceptor.open(local.protocol());
+        m_acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+        m_acceptor.bind(local);
+        m_acceptor.listen();
+    } catch (const boost::system::system_error& ex) {
+        return Error { ErrorKind::Unavailable, "can't listen on " + endpoint.toString() + ": " + ex.what(), "choose a free port, or 0" };
+    }
+    accept();
+    return Endpoint { endpoint.address, m_acceptor.local_endpoint().port() };
+}
+
+void PeerServer::accept()
+{
+    m_acceptor.async_accept(boost::asio::make_strand(m_context.io),
+        [self = shared_from_this()](const boost::system::error_code& ec, boost::asio::ip::tcp::socket socket) { self->onAccepted(ec, std::move(socket)); });
+}
+
+void PeerServer::onAccepted(const boost::system::error_code& ec, boost::asio::ip::tcp::socket socket)
+{
+    if (ec == boost::asio::error::operation_aborted || !m_acceptor.is_open())
+        return;
+    if (!ec) {
+        auto session = std::make_shared<FrameSession>(
+            std::move(socket), m_context.self, shared_from_this(), m_context.clock, m_context.counters, m_context.limits);
+        const std::lock_guard lock(m_mutex);
+        if (m_sessions.size() < maxPeerSessions) {
+            m_sessions.insert(session);
+            session->start();
+        }
+    }
+    accept();
+}
+
+void PeerServer::reply(const InstanceName& to, PeerMessage message)
+{
+    std::shared_ptr<FrameSession> session;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto it = m_byPeer.find(to);
+        if (it == m_byPeer.end())
+            return;
+        session = it->second;
+    }
+    session->send(std::move(message));
+}
+
+void PeerServer::close()
+{
+    boost::asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+        boost::system::error_code ec;
+        self->m_acceptor.close(ec);
+    });
+    const std::lock_guard lock(m_mutex);
+    for (const auto& it : m_sessions)
+        it->close();
+}
+
+bool PeerServer::onHello(FrameSession& session, const Hello& hello)
+{
+    std::shared_ptr<FrameSession> older;
+    {
+        const std::lock_guard lock(m_mutex);
+        auto& current = m_byPeer[hello.instance];
+        older = std::move(current);
+        current = session.shared_from_this();
+    }
+    if (older) {
+        older->close();
+        m_handler.onPeerGone(hello.instance);
+    }
+    return true;
+}
+
+void PeerServer::onMessage(FrameSession& session, PeerMessage message)
+{
+    m_handler.onPeerMessage(*session.peer(), std::move(message));
+}
+
+void PeerServer::onClosed(FrameSession& session, std::vector<PeerMessage>)
+{
+    const auto self = session.shared_from_this();
+    bool wasCurrent = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_sessions.erase(self);
+        if (session.peer()) {
+            const auto it = m_byPeer.find(session.peer()->instance);
+            wasCurrent = it != m_byPeer.end() && it->second == self;
+            if (wasCurrent)
+                m_byPeer.erase(it);
+        }
+    }
+    if (wasCurrent)
+        m_handler.onPeerGone(session.peer()->instance);
+}
+
+}
--- /dev/null
+++ b/src/wire/peer_server.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "wire/peer_link.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+
+namespace lycheefield {
+
+/// Accepts the connections of peers. Public methods are thread safe.
+class PeerServer : public FrameSessionEvents, public std::enable_shared_from_this<PeerServer> {
+public:
+    /// Precondition: the handler outlives the server.
+    PeerServer(PeerContext, PeerHandler&);
+
+    /// Listens on the endpoint; port 0 lets the kernel choose. Call it once.
+    Result<Endpoint> listen(const Endpoint&);
+    /// To the peer's newest connection; dropped when there is none.
+    void reply(const InstanceName& to, PeerMessage);
+    void close();
+
+    bool onHello(FrameSession&, const Hello&) override;
+    void onMessage(FrameSession&, PeerMessage) override;
+    void onClosed(FrameSession&, std::vector<PeerMessage> unsent) override;
+
+private:
+    void accept();
+    void onAccepted(const boost::system::error_code&, boost::asio::ip::tcp::socket);
+
+    PeerContext m_context;
+    PeerHandler& m_handler;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::mutex m_mutex;
+    std::map<InstanceName, std::shared_ptr<FrameSession>> m_byPeer;
+    std::set<std::shared_ptr<FrameSession>> m_sessions;
+    bool m_closed = false;
+};
+
+}
