--- /dev/null
+++ b/src/daemon/caller_api.cpp
@@ -0,0 +1,183 @@
+#include "daemon/caller_api.h"
+
+#include "base/fingerprint.h"
+#include "daemon/answer_json.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace lycheefield {
+
+namespace {
+
+constexpr std::size_t maxKeyBytes = 256;
+constexpr Duration longestDeadline = std::chrono::minutes(10);
+
+/// The caller's own deadline; an error when the header is no positive whole number.
+Result<TimePoint> deadlineIn(const HttpRequest& request, TimePoint now)
+{
+    const auto text = request.headers.find("X-Deadline-Ms");
+    if (text.empty())
+        return never;
+    std::uint32_t millis = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), millis);
+    if (ec != std::errc() || end != text.data() + text.size() || millis == 0)
+        return Error { ErrorKind::InvalidInput, "X-Deadline-Ms is no positive whole number", "give milliseconds, as in X-Deadline-Ms: 80" };
+    return now + std::min<Duration>(longestDeadline, std::chrono::milliseconds(millis));
+}
+
+Error answerOf(const ClaimDecided& decided)
+{
+    switch (decided.verdict) {
+    case ClaimVerdict::DifferentContent:
+        return { ErrorKind::Conflict, "the idempotency key was used with other content", "use a new key for new content" };
+    case ClaimVerdict::InProgress:
+        return { ErrorKind::UnknownOutcome, "another attempt holds the idempotency key and has recorded no outcome",
+            "ask again later with the same key" };
+    case ClaimVerdict::StoreUnavailable:
+    case ClaimVerdict::AlreadyDone:
+    case ClaimVerdict::Granted:
+        break;
+    }
+    return { ErrorKind::Unavailable, "the store that keeps idempotency keys did not answer", "send it again with the same key" };
+}
+
+RunState runStateOf(const ClaimDecided& decided)
+{
+    return decided.verdict == ClaimVerdict::InProgress ? RunState::Unknown : RunState::NotRun;
+}
+
+}
+
+/// One request of a caller between its arrival and its reply.
+struct CallerApi::Call {
+    CallerRequest request;
+    std::shared_ptr<HttpExchange> exchange;
+    std::string traceparent; ///< For the reply's header.
+    bool isClaimed = false;
+};
+
+CallerApi::CallerApi(EntryDriver& entry, const SharedTables& tables, ClaimService& claims, RequestLog& log, OperatorApi& operators, std::shared_ptr<const Clock> clock)
+    : m_entry(entry)
+    , m_tables(tables)
+    , m_claims(claims)
+    , m_log(log)
+    , m_operators(operators)
+    , m_clock(std::move(clock))
+{
+}
+
+void CallerApi::handle(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
+{
+    if (m_operators.handle(request, exchange))
+        return;
+    handleCall(std::move(request), std::move(exchange));
+}
+
+void CallerApi::handleCall(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
+{
+    const auto now = m_clock->now();
+    auto call = std::make_shared<Call>();
+    const auto id = m_entry.nextId();
+    call->request.id = id;
+    call->request.path = std::string(request.path());
+    call->exchange = std::move(exchange);
+    auto caller = TraceParent::parse(std::string(request.headers.find("traceparent")));
+    if (caller.traceId.empty())
+        caller = { id.toString(), SpanId() };
+    call->traceparent = TraceParent { caller.traceId, entrySpanOf(id) }.toString();
+    const auto refuse = [&](unsigned status, const Error& error) { respond(*call, refusalReply(status, id, error)); };
+
+    if (request.method != "POST" && request.method != "GET")
+        return refuse(405, { ErrorKind::InvalidInput, "method " + request.method + " is not supported here", "use POST or GET" });
+    const auto rules = m_tables.rules.read();
+    const auto* rule = rules->match(call->request.path);
+    if (!rule)
+        return refuse(404, { ErrorKind::NotFound, "no rule matches the path " + call->request.path, "check the path, or ask the operators for a rule" });
+    const auto deadline = deadlineIn(request, now);
+    if (!deadline)
+        return refuse(400, deadline.error());
+    const std::string key(request.headers.find("Idempotency-Key"));
+    if (rule->kind == RequestKind::Order && (key.empty() || key.size() > maxKeyBytes))
+        return refuse(400, { ErrorKind::InvalidInput, "Idempotency-Key is missing or longer than 256 bytes", "give each order a key of its own, and the same key when it is sent again" });
+
+    call->request.deadline = std::min(deadline.value(), now + rule->deadline);
+    call->request.record = std::string(request.headers.find("X-Record-Key"));
+    if (call->request.record.empty())
+        call->request.record = rule->kind == RequestKind::Order ? key : request.target;
+    call->request.body = std::make_shared<const std::string>(std::move(request.body));
+    call->request.traceparent = call->traceparent;
+    m_log.begin(id, caller, call->request.path, now);
+    if (rule->kind == RequestKind::Order)
+        claimThenStart(call, *rule, key);
+    else
+        start(call);
+}
+
+void CallerApi::claimThenStart(const std::shared_ptr<Call>& call, const Rule& rule, const std::string& key)
+{
+    ClaimRequest claim;
+    claim.request = call->request.id;
+    claim.key = IdempotencyKey(key);
+    claim.fingerprint = fingerprintOf(rule.service, *call->request.body);
+    claim.deadline = call->request.deadline;
+    m_claims.claim(claim, [this, call](const ClaimDecided& decided) { onClaimDecided(call, decided); });
+}
+
+void CallerApi::onClaimDecided(const std::shared_ptr<Call>& call, const ClaimDecided& decided)
+{
+    if (decided.verdict == ClaimVerdict::Granted) {
+        m_log.note(call->request.id, "the idempotency key was claimed");
+        call->isClaimed = true;
+        start(call);
+        return;
+    }
+    Answer answer;
+    answer.request = call->request.id;
+    if (decided.verdict == ClaimVerdict::AlreadyDone && !decided.recordedAnswer.empty()) {
+        m_log.note(call->request.id, "the idempotency key had run before; its recorded answer is given");
+        m_log.end(answer, m_clock->now());
+        HttpReply reply;
+        reply.body = decided.recordedAnswer;
+        reply.headers.add("X-Request-Id", call->request.id.toString());
+        respond(*call, std::move(reply));
+        return;
+    }
+    answer.runState = decided.verdict == ClaimVerdict::AlreadyDone ? decided.recordedState : runStateOf(decided);
+    answer.refusal = decided.verdict == ClaimVerdict::AlreadyDone
+        ? Error { ErrorKind::Conflict, "the idempotency key ran before and its answer was not kept", "don't send it again" }
+        : answerOf(decided);
+    m_log.note(call->request.id, "not dispatched: " + answer.refusal->message);
+    m_log.end(answer, m_clock->now());
+    respond(*call, replyFor(answer));
+}
+
+void CallerApi::start(const std::shared_ptr<Call>& call)
+{
+    // An order goes on when its caller goes: its outcome is recorded for whoever asks again.
+    if (!call->isClaimed) {
+        call->exchange->onGone([this, id = call->request.id] { m_entry.cancel(id, true, nullptr); });
+    }
+    m_entry.start(call->request, [this, call](const Answer& answer) {
+        auto reply = replyFor(answer);
+        if (call->isClaimed)
+            settleClaim(answer, reply);
+        respond(*call, std::move(reply));
+    });
+}
+
+void CallerApi::settleClaim(const Answer& answer, const HttpReply& reply)
+{
+    if (answer.runState == RunState::NotRun)
+        m_claims.release(answer.request);
+    else
+        m_claims.recordOutcome(answer.request, answer.runState, answer.runState == RunState::Ran ? reply.body : std::string());
+}
+
+void CallerApi::respond(const Call& call, HttpReply reply) const
+{
+    reply.headers.add("traceparent", call.traceparent);
+    call.exchange->respond(std::move(reply));
+}
+
+}
--- /dev/null
+++ b/src/daemon/caller_api.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "daemon/claim_service.h"
+#include "daemon/entry_driver.h"
+#include "daemon/request_log.h"
+#include "http/http_server.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lycheefield {
+
+/// Answers operators' paths (/healthz, /status, …). Thread safe.
+class OperatorApi {
+public:
+    virtual ~OperatorApi() = default;
+    /// False when the path is none of its own.
+    virtual bool handle(const HttpRequest&, const std::shared_ptr<HttpExchange>&) = 0;
+};
+
+/// Takes callers' requests over HTTP: matches the rule, claims what must run once, starts the query
+/// and sends the answer. Thread safe.
+class CallerApi final : public HttpHandler {
+public:
+    /// Precondition: everything outlives the server that calls this.
+    CallerApi(EntryDriver&, const SharedTables&, ClaimService&, RequestLog&, OperatorApi&, std::shared_ptr<const Clock>);
+
+    void handle(HttpRequest, std::shared_ptr<HttpExchange>) override;
+
+private:
+    struct Call;
+
+    void handleCall(HttpRequest, std::shared_ptr<HttpExchange>);
+    void start(const std::shared_ptr<Call>&);
+    void claimThenStart(const std::shared_ptr<Call>&, const Rule&, const std::string& key);
+    void onClaimDecided(const std::shared_ptr<Call>&, const ClaimDecided&);
+    void settleClaim(const Answer&, const HttpReply&);
+    void respond(const Call&, HttpReply) const;
+
+    EntryDriver& m_entry;
+    const SharedTables& m_tables;
+    ClaimService& m_claims;
+    RequestLog& m_log;
+    OperatorApi& m_operators;
+    std::shared_ptr<const Clock> m_clock;
+};
+
+}
--- /dev/null
+++ b/src/daemon/entry_driver.cpp
@@ -0,0 +1,54 @@
+#include "daemon/entry_driver.h"
+
+namespace lycheefield {
+
+EntryDriver::EntryDriver(
+    const EntryContext& context, const QuerySettings& settings, const InstanceName& self, const ZoneName& zone, ProcessLife life, std::size_t engines)
+    : m_life(life)
+{
+    for (std::size_t i = 0; i < engines; ++i) {
+        auto engine = makeQueryEngine(settings, self, zone, std::make_unique<SeededRandom>(systemSeed()));
+        m_shards.push_back(std::make_shared<EntryShard>(context, std::move(engine)));
+    }
+}
+
+void EntryDriver::start(CallerRequest request, AnswerHandler handler)
+{
+    shardOf(request.id).start(std::move(request), std::move(handler));
+}
+
+void EntryDriver::onLegResult(LegResult result)
+{
+    if (!isOurs(result.key.request)) {
+        ++m_foreignResults;
+        return;
+    }
+    shardOf(result.key.request).onLegResult(std::move(result));
+}
+
+void EntryDriver::onRelayLost(const InstanceName& relay)
+{
+    for (const auto& it : m_shards)
+        it->onRelayLost(relay);
+}
+
+void EntryDriver::onServerState(const ServerState& state)
+{
+    for (const auto& it : m_shards)
+        it->onServerState(state);
+}
+
+void EntryDriver::cancel(const RequestId& id, bool callerIsGone, std::function<void(bool)> done)
+{
+    shardOf(id).cancel(id, callerIsGone, std::move(done));
+}
+
+std::size_t EntryDriver::inFlight() const
+{
+    std::size_t n = 0;
+    for (const auto& it : m_shards)
+        n += it->inFlight();
+    return n;
+}
+
+}
--- /dev/null
+++ b/src/daemon/entry_driver.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "daemon/entry_shard.h"
+#include "query/query_settings.h"
+
+#include <atomic>
+#include <memory>
+#include <vector>
+
+namespace lycheefield {
+
+/// The entry role: several query engines, each on its own strand. A request's counter chooses the
+/// engine, so that its results find it without a table. Thread safe.
+class EntryDriver {
+public:
+    EntryDriver(const EntryContext&, const QuerySettings&, const InstanceName& self, const ZoneName&, ProcessLife, std::size_t engines);
+
+    /// An id that no request had before.
+    RequestId nextId() { return { m_life, m_counter.fetch_add(1, std::memory_order_relaxed) + 1 }; }
+    bool isOurs(const RequestId& id) const { return id.life == m_life; }
+
+    /// Precondition: the id came from nextId() and was not used before.
+    void start(CallerRequest, AnswerHandler);
+    /// Results for another process life are dropped and counted.
+    void onLegResult(LegResult);
+    void onRelayLost(const InstanceName&);
+    void onServerState(const ServerState&);
+    void cancel(const RequestId&, bool callerIsGone, std::function<void(bool)> done);
+
+    std::size_t inFlight() const;
+    std::uint64_t foreignResults() const { return m_foreignResults.load(std::memory_order_relaxed); }
+    const std::vector<std::shared_ptr<EntryShard>>& shards() const { return m_shards; }
+
+private:
+    EntryShard& shardOf(const RequestId& id) { return *m_shards[id.counter % m_shards.size()]; }
+
+    ProcessLife m_life;
+    std::atomic<std::uint64_t> m_counter { 0 };
+    std::atomic<std::uint64_t> m_foreignResults { 0 };
+    std::vector<std::shared_ptr<EntryShard>> m_shards;
+};
+
+}
--- /dev/null
+++ b/src/daemon/entry_shard.cpp
@@ -0,0 +1,120 @@
+#include "daemon/entry_shard.h"
+
+#include <boost/asio/post.hpp>
+
+namespace lycheefield {
+
+EntryShard::EntryShard(const EntryContext& context, std::unique_ptr<QueryEngine> engine)
+    : m_context(context)
+    , m_engine(std::move(engine))
+    , m_strand(boost::asio::make_strand(context.io))
+    , m_timer(m_strand, context.clock)
+{
+}
+
+void EntryShard::start(CallerRequest request, AnswerHandler handler)
+{
+    ++m_inFlight;
+    boost::asio::post(m_strand, [self = shared_from_this(), request = std::move(request), handler = std::move(handler)]() mutable {
+        self->m_handlers.emplace(request.id, std::move(handler));
+        QueryActions actions;
+        self->m_engine->start(request, self->m_context.tables.read(), self->m_context.clock->now(), actions);
+        self->carryOut(actions);
+    });
+}
+
+void EntryShard::onLegResult(LegResult result)
+{
+    boost::asio::post(m_strand, [self = shared_from_this(), result = std::move(result)] {
+        const auto now = self->m_context.clock->now();
+        self->m_context.log.endLeg(result, now);
+        QueryActions actions;
+        self->m_engine->onLegResult(result, now, actions);
+        self->carryOut(actions);
+    });
+}
+
+void EntryShard::onRelayLost(const InstanceName& relay)
+{
+    boost::asio::post(m_strand, [self = shared_from_this(), relay] {
+        QueryActions actions;
+        self->m_engine->onRelayLost(relay, self->m_context.clock->now(), actions);
+        self->carryOut(actions);
+    });
+}
+
+void EntryShard::onServerState(const ServerState& state)
+{
+    boost::asio::post(m_strand, [self = shared_from_this(), state] {
+        self->m_engine->onServerState(state, self->m_context.clock->now());
+        self->arm();
+    });
+}
+
+void EntryShard::cancel(const RequestId& id, bool callerIsGone, std::function<void(bool)> done)
+{
+    boost::asio::post(m_strand, [self = shared_from_this(), id, callerIsGone, done = std::move(done)] {
+        const auto it = self->m_handlers.find(id);
+        const bool isHere = it != self->m_handlers.end();
+        if (isHere) {
+            QueryActions actions;
+            self->m_engine->cancel(id, callerIsGone, self->m_context.clock->now(), actions);
+            if (callerIsGone && self->m_handlers.erase(id) > 0)
+                --self->m_inFlight;
+            self->carryOut(actions);
+        }
+        if (done)
+            done(isHere);
+    });
+}
+
+void EntryShard::readCounters(std::function<void(const QueryCounters&)> function)
+{
+    boost::asio::post(m_strand, [self = shared_from_this(), function = std::move(function)] { function(self->m_engine->counters()); });
+}
+
+void EntryShard::carryOut(QueryActions& actions)
+{
+    for (auto& it : actions)
+        std::visit([this](auto& action) { carryOut(action); }, it);
+    arm();
+}
+
+void EntryShard::carryOut(SendWork& action)
+{
+    m_context.log.beginLegs(action.relay, action.work, m_context.clock->now());
+    m_context.relays.sendWork(action.relay, std::move(action.work));
+}
+
+void EntryShard::carryOut(SendCancel& action)
+{
+    m_context.relays.sendCancel(action.relay, action.key);
+}
+
+void EntryShard::carryOut(DeliverAnswer& action)
+{
+    const auto it = m_handlers.find(action.answer.request);
+    if (it == m_handlers.end())
+        return;
+    const auto handler = std::move(it->second);
+    m_handlers.erase(it);
+    --m_inFlight;
+    m_context.log.end(action.answer, m_context.clock->now());
+    handler(action.answer);
+}
+
+void EntryShard::carryOut(NoteDecision& action)
+{
+    m_context.log.note(action.request, std::move(action.text));
+}
+
+void EntryShard::arm()
+{
+    m_timer.arm(m_engine->nextWake(), [self = shared_from_this()] {
+        QueryActions actions;
+        self->m_engine->onTimer(self->m_context.clock->now(), actions);
+        self->carryOut(actions);
+    });
+}
+
+}
--- /dev/null
+++ b/src/daemon/entry_shard.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "base/clock.h"
+#include "daemon/engine_timer.h"
+#include "daemon/peer_ports.h"
+#include "daemon/request_log.h"
+#include "daemon/shared_tables.h"
+#include "daemon/strand.h"
+#include "query/query_engine.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace lycheefield {
+
+/// Gets the one answer of a request. Called on the strand of the request's engine.
+using AnswerHandler = std::function<void(const Answer&)>;
+
+/// What the shards of the entry have in common.
+struct EntryContext {
+    boost::asio::io_context& io;
+    std::shared_ptr<const Clock> clock;
+    const SharedTables& tables;
+    RelayPort& relays;
+    RequestLog& log;
+};
+
+/// Drives one QueryEngine on a strand of its own and carries out its actions. Public methods are
+/// thread safe.
+class EntryShard : public std::enable_shared_from_this<EntryShard> {
+public:
+    EntryShard(const EntryContext&, std::unique_ptr<QueryEngine>);
+
+    void start(CallerRequest, AnswerHandler);
+    void onLegResult(LegResult);
+    void onRelayLost(const InstanceName&);
+    void onServerState(const ServerState&);
+    /// Tells through the handler whether the request was in flight here.
+    void cancel(const RequestId&, bool callerIsGone, std::function<void(bool)>);
+
+    std::size_t inFlight() const { return m_inFlight.load(std::memory_order_relaxed); }
+    /// Hands over the engine's counters on its strand.
+    void readCounters(std::function<void(const QueryCounters&)>);
+
+private:
+    void carryOut(QueryActions&);
+    void carryOut(SendWork&);
+    void carryOut(SendCancel&);
+    void carryOut(DeliverAnswer&);
+    void carryOut(NoteDecision&);
+    void arm();
+
+    EntryContext m_context;
+    std::unique_ptr<QueryEngine> m_engine;
+    Strand m_strand;
+    EngineTimer m_timer;
+    std::unordered_map<RequestId, AnswerHandler> m_handlers;
+    std::atomic<std::size_t> m_inFlight { 0 };
+};
+
+}
--- /dev/null
+++ b/src/daemon/operator_api.cpp
@@ -0,0 +1,118 @@
+#include "daemon/operator_api.h"
+
+#include <boost/json.hpp>
+
+namespace lycheefield {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view tracePrefix = "/traces/";
+constexpr std::string_view requestPrefix = "/v1/requests/";
+
+HttpReply textReply(unsigned status, std::string text)
+{
+    return { status, "text/plain", std::move(text) };
+}
+
+HttpReply notFound(const std::string& what)
+{
+    return textReply(404, what + "\n");
+}
+
+std::string_view nameOf(InstanceHealth health)
+{
+    switch (health) {
+    case InstanceHealth::Alive:
+        return "alive";
+    case InstanceHealth::Suspect:
+        return "suspect";
+    case InstanceHealth::Leaving:
+        return "leaving";
+    case InstanceHealth::Gone:
+        return "gone";
+    }
+    return "gone";
+}
+
+}
+
+bool OperatorPaths::handle(const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange)
+{
+    const auto path = request.path();
+    const bool isGet = request.method == "GET";
+    if (path == "/healthz" && isGet) {
+        exchange->respond(textReply(200, "ok\n"));
+    } else if (path == "/readyz" && isGet) {
+        exchange->respond(ready());
+    } else if (path == "/metrics" && isGet) {
+        exchange->respond({ 200, "text/plain; version=0.0.4", m_parts.metrics.render() });
+    } else if (path == "/status" && isGet) {
+        exchange->respond(status());
+    } else if (path.starts_with(tracePrefix) && isGet) {
+        exchange->respond(trace(path.substr(tracePrefix.size())));
+    } else if (path.starts_with(requestPrefix) && request.method == "DELETE") {
+        const auto id = RequestId::parse(path.substr(requestPrefix.size()));
+        if (!id)
+            exchange->respond(textReply(400, "a request id has 32 hexadecimal digits\n"));
+        else
+            m_parts.cancel(*id, [exchange](HttpReply reply) { exchange->respond(std::move(reply)); });
+    } else {
+        return false;
+    }
+    return true;
+}
+
+HttpReply OperatorPaths::ready() const
+{
+    const auto readiness = m_parts.readiness();
+    return textReply(readiness.isReady ? 200 : 503, (readiness.isReady ? "ready" : readiness.reason) + "\n");
+}
+
+HttpReply OperatorPaths::trace(std::string_view text) const
+{
+    const auto id = RequestId::parse(text);
+    if (!id)
+        return textReply(400, "a request id has 32 hexadecimal digits\n");
+    const auto trace = m_parts.log.find(*id);
+    if (!trace)
+        return notFound("this instance keeps no trace of that request; its id names the instance that took it");
+    HttpReply reply;
+    reply.body = toOtlpJson(*trace, m_parts.self.value());
+    return reply;
+}
+
+HttpReply OperatorPaths::status() const
+{
+    const auto view = m_parts.tables.view.read();
+    const auto shards = m_parts.tables.shards.read();
+    const auto ownership = m_parts.tables.ownership.read();
+    const auto readiness = m_parts.readiness();
+    json::object instances;
+    for (const auto& [name, instance] : view->instances())
+        instances[name.value()] = { { "health", nameOf(instance.health) }, { "zone", instance.zone.value() }, { "inner", instance.inner.toString() }, { "http", instance.http.toString() } };
+    json::array owned;
+    for (const auto& [server, block] : ownership->blocks()) {
+        const auto* owners = ownership->ownersOf(server);
+        if (owners && owners->owner == m_parts.self)
+            owned.emplace_back(server.value());
+    }
+    const json::object body {
+        { "instance", m_parts.self.value() },
+        { "ready", readiness.isReady },
+        { "reason", readiness.reason },
+        { "rules", m_parts.tables.rules.read()->revision().value() },
+        { "services", shards->services().size() },
+        { "servers", shards->servers().size() },
+        { "requests_in_flight", m_parts.entry.inFlight() },
+        { "legs_in_flight", m_parts.relay.inFlight() },
+        { "owned_servers", std::move(owned) },
+        { "instances", std::move(instances) },
+    };
+    HttpReply reply;
+    reply.body = json::serialize(body);
+    return reply;
+}
+
+}
--- /dev/null
+++ b/src/daemon/peer_router.cpp
@@ -0,0 +1,102 @@
+#include "daemon/peer_router.h"
+
+#include "daemon/entry_driver.h"
+#include "daemon/relay_driver.h"
+
+namespace lycheefield {
+
+void PeerRouter::connect(EntryDriver& entry, RelayDriver& relay, PeerNetwork& network, OtherHandler other)
+{
+    m_entry = &entry;
+    m_relay = &relay;
+    m_network = &network;
+    m_other = std::move(other);
+}
+
+void PeerRouter::sendWork(const InstanceName& relay, WorkOrder work)
+{
+    if (relay == m_self)
+        m_relay->onWork(work);
+    else
+        m_network->send(relay, std::move(work));
+}
+
+void PeerRouter::sendCancel(const InstanceName& relay, const LegKey& key)
+{
+    if (relay == m_self)
+        m_relay->onCancel(key);
+    else
+        m_network->send(relay, CancelLeg { key });
+}
+
+void PeerRouter::returnResult(const InstanceName& entry, LegResult result)
+{
+    if (entry == m_self) {
+        m_entry->onLegResult(std::move(result));
+        return;
+    }
+    LegResults message;
+    message.results.push_back(std::move(result));
+    m_network->reply(entry, std::move(message));
+}
+
+void PeerRouter::announceServer(const ServerState& state)
+{
+    m_entry->onServerState(state);
+    m_network->broadcast(ServerNews { { state } });
+}
+
+void PeerRouter::announceCrash(const AnnounceCrash& news)
+{
+    m_relay->onCrashNews(news);
+    m_network->broadcast(news);
+}
+
+void PeerRouter::onPeerMessage(const Hello& from, PeerMessage message)
+{
+    if (auto* work = std::get_if<WorkOrder>(&message)) {
+        // Results go to whoever sent the order, whatever it says of itself.
+        work->entry = from.instance;
+        m_relay->onWork(*work);
+    } else if (const auto* cancel = std::get_if<CancelLeg>(&message)) {
+        m_relay->onCancel(cancel->key);
+    } else if (auto* results = std::get_if<LegResults>(&message)) {
+        for (auto& it : results->results)
+            m_entry->onLegResult(std::move(it));
+    } else if (const auto* news = std::get_if<ServerNews>(&message)) {
+        for (const auto& it : news->servers)
+            m_entry->onServerState(it);
+    } else if (const auto* crash = std::get_if<AnnounceCrash>(&message)) {
+        m_relay->onCrashNews(*crash);
+    } else {
+        m_other(from, std::move(message));
+    }
+}
+
+void PeerRouter::onLinkLost(const InstanceName& peer)
+{
+    m_entry->onRelayLost(peer);
+}
+
+void PeerRouter::onUndelivered(const InstanceName& to, PeerMessage message)
+{
+    const auto* work = std::get_if<WorkOrder>(&message);
+    if (!work)
+        return;
+    for (const auto& it : work->legs) {
+        LegResult result;
+        result.key = { work->request, it.leg, it.attempt };
+        result.shard = it.shard;
+        result.outcome = LegOutcome::Refused;
+        result.state.server = it.server;
+        result.detail = "no connection to relay " + to.value();
+        m_entry->onLegResult(std::move(result));
+    }
+}
+
+void PeerRouter::onPeerGone(const InstanceName& peer)
+{
+    m_relay->onEntryLost(peer);
+}
+
+}
--- /dev/null
+++ b/src/daemon/relay_driver.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "daemon/relay_shard.h"
+#include "daemon/shared_tables.h"
+#include "dispatch/relay_settings.h"
+
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+namespace lycheefield {
+
+/// The relay role: several relay engines, each on its own strand. A server belongs to one engine
+/// for the life of the process, chosen by its block when it is first seen. Thread safe.
+class RelayDriver {
+public:
+    RelayDriver(const RelayContext&, const RelaySettings&, const SharedTables&, std::size_t engines);
+
+    /// Reads the tables again. Call it after they changed.
+    void onTables();
+    void onWork(const WorkOrder&);
+    void onCancel(const LegKey&);
+    void onEntryLost(const InstanceName&);
+    void onCrashNews(const AnnounceCrash&);
+    void beginDrain();
+    void close();
+
+    std::size_t inFlight() const;
+    const std::vector<std::shared_ptr<RelayShard>>& shards() const { return m_shards; }
+
+private:
+    using Assignment = std::unordered_map<ServerName, std::size_t>;
+
+    std::size_t shardOf(const Assignment&, const ServerName&) const;
+
+    const SharedTables& m_tables;
+    std::vector<std::shared_ptr<RelayShard>> m_shards;
+    std::mutex m_mutex; ///< Held while the assignment changes.
+    Snapshot<Assignment> m_assignment;
+};
+
+}
--- /dev/null
+++ b/src/daemon/relay_shard.cpp
@@ -0,0 +1,198 @@
+#include "daemon/relay_shard.h"
+
+#include <boost/asio/post.hpp>
+
+namespace lycheefield {
+
+RelayShard::RelayShard(const RelayContext& context, std::unique_ptr<RelayEngine> engine)
+    : m_context(context)
+    , m_engine(std::move(engine))
+    , m_strand(boost::asio::make_strand(context.io))
+    , m_timer(m_strand, context.clock)
+    , m_healthTimer(m_strand)
+    , m_map(std::make_shared<const ShardMap>())
+{
+}
+
+void RelayShard::run(Call call)
+{
+    boost::asio::post(m_strand, [self = shared_from_this(), call = std::move(call)] { self->runHere(call); });
+}
+
+void RelayShard::runHere(const Call& call)
+{
+    RelayActions actions;
+    call(*m_engine, m_context.clock->now(), actions);
+    for (auto& it : actions)
+        std::visit([this](auto& action) { carryOut(action); }, it);
+    m_inFlight.store(m_engine->inFlight(), std::memory_order_relaxed);
+    arm();
+}
+
+void RelayShard::arm()
+{
+    if (m_closed)
+        return;
+    m_timer.arm(m_engine->nextWake(), [self = shared_from_this()] {
+        self->runHere([](RelayEngine& engine, TimePoint now, RelayActions& actions) { engine.onTimer(now, actions); });
+    });
+}
+
+void RelayShard::onTables(std::shared_ptr<const ShardMap> map, std::shared_ptr<const Ownership> ownership)
+{
+    run([this, map = std::move(map), ownership = std::move(ownership)](RelayEngine& engine, TimePoint now, RelayActions& actions) {
+        m_map = map;
+        updateControls(*ownership);
+        engine.onTables(map, ownership, now, actions);
+    });
+}
+
+void RelayShard::updateControls(const Ownership& ownership)
+{
+    for (auto it = m_controls.begin(); it != m_controls.end();) {
+        const bool isKept = m_map->findServer(it->first) && ownership.holds(m_context.self, it->first);
+        if (!isKept)
+            it->second->close();
+        it = isKept ? std::next(it) : m_controls.erase(it);
+    }
+    for (const auto& [name, server] : m_map->servers()) {
+        if (!m_closed && !m_controls.contains(name) && ownership.holds(m_context.self, name))
+            m_controls.emplace(name, m_context.backends.openControl(m_strand, server, weak_from_this()));
+    }
+    if (!m_isPolling && !m_controls.empty())
+        pollHealth();
+}
+
+void RelayShard::pollHealth()
+{
+    m_isPolling = true;
+    for (const auto& [name, control] : m_controls)
+        control->pollHealth();
+    m_healthTimer.expires_after(m_context.healthPeriod);
+    m_healthTimer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
+        if (!ec && !self->m_closed)
+            self->pollHealth();
+    });
+}
+
+void RelayShard::onWork(WorkOrder work)
+{
+    m_inFlight.fetch_add(work.legs.size(), std::memory_order_relaxed);
+    run([work = std::move(work)](RelayEngine& engine, TimePoint now, RelayActions& actions) { engine.onWork(work, now, actions); });
+}
+
+void RelayShard::onCancel(const LegKey& key)
+{
+    run([key](RelayEngine& engine, TimePoint now, RelayActions& actions) { engine.onCancel(key, now, actions); });
+}
+
+void RelayShard::onEntryLost(const InstanceName& entry)
+{
+    run([entry](RelayEngine& engine, TimePoint now, RelayActions& actions) { engine.onEntryLost(entry, now, actions); });
+}
+
+void RelayShard::onCrashNews(const AnnounceCrash& news)
+{
+    run([news](RelayEngine& engine, TimePoint now, RelayActions&) { engine.onCrashNews(news, now); });
+}
+
+void RelayShard::beginDrain()
+{
+    run([](RelayEngine& engine, TimePoint now, RelayActions& actions) { engine.beginDrain(now, actions); });
+}
+
+void RelayShard::close()
+{
+    boost::asio::post(m_strand, [self = shared_from_this()] {
+        self->m_closed = true;
+        self->m_timer.cancel();
+        self->m_healthTimer.cancel();
+        for (const auto& [id, connection] : self->m_connections)
+            connection->close();
+        for (const auto& [name, control] : self->m_controls)
+            control->close();
+        self->m_connections.clear();
+        self->m_controls.clear();
+    });
+}
+
+void RelayShard::readState(std::function<void(const RelayCounters&, const std::vector<ServerState>&)> function)
+{
+    boost::asio::post(m_strand, [self = shared_from_this(), function = std::move(function)] { function(self->m_engine->counters(), self->m_engine->states()); });
+}
+
+void RelayShard::onBackendConnected(const ServerName& server, ConnectionId id)
+{
+    runHere([&](RelayEngine& engine, TimePoint now, RelayActions& actions) { engine.onConnected(server, id, now, actions); });
+}
+
+void RelayShard::onBackendAnswer(const ServerName& server, ConnectionId id, const ServerAnswer& answer)
+{
+    runHere([&](RelayEngine& engine, TimePoint now, RelayActions& actions) { engine.onServerAnswer(server, id, answer, now, actions); });
+}
+
+void RelayShard::onBackendLost(const ServerName& server, ConnectionId id, bool bytesHanded)
+{
+    m_connections.erase(id);
+    runHere([&](RelayEngine& engine, TimePoint now, RelayActions& actions) { engine.onConnectionLost(server, id, bytesHanded, now, actions); });
+}
+
+void RelayShard::onBackendHealth(const ServerName& server, const HealthReport& report)
+{
+    runHere([&](RelayEngine& engine, TimePoint now, RelayActions& actions) { engine.onHealth(server, report, now, actions); });
+}
+
+void RelayShard::carryOut(OpenConnection& action)
+{
+    const auto* server = m_map->findServer(action.server);
+    if (!server || m_closed) {
+        run([action](RelayEngine& engine, TimePoint now, RelayActions& actions) { engine.onConnectionLost(action.server, action.connection, false, now, actions); });
+        return;
+    }
+    m_connections[action.connection] = m_context.backends.open(m_strand, *server, action.connection, weak_from_this());
+}
+
+void RelayShard::carryOut(CloseConnection& action)
+{
+    const auto it = m_connections.find(action.connection);
+    if (it == m_connections.end())
+        return;
+    it->second->close();
+    m_connections.erase(it);
+}
+
+void RelayShard::carryOut(RunLeg& action)
+{
+    const auto it = m_connections.find(action.connection);
+    if (it == m_connections.end()) {
+        run([server = action.server, id = action.connection](RelayEngine& engine, TimePoint now, RelayActions& actions) {
+            engine.onConnectionLost(server, id, false, now, actions);
+        });
+        return;
+    }
+    it->second->run(action.work, m_context.clock->now());
+}
+
+void RelayShard::carryOut(CancelAtServer& action)
+{
+    const auto it = m_controls.find(action.server);
+    if (it != m_controls.end())
+        it->second->cancel(action.key);
+}
+
+void RelayShard::carryOut(ReturnResult& action)
+{
+    m_context.entries.returnResult(action.entry, std::move(action.result));
+}
+
+void RelayShard::carryOut(AnnounceServer& action)
+{
+    m_context.entries.announceServer(action.state);
+}
+
+void RelayShard::carryOut(AnnounceCrash& action)
+{
+    m_context.entries.announceCrash(action);
+}
+
+}
--- /dev/null
+++ b/src/daemon/relay_shard.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "daemon/engine_timer.h"
+#include "daemon/peer_ports.h"
+#include "daemon/strand.h"
+#include "dispatch/relay_engine.h"
+#include "http/backend_connection.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace lycheefield {
+
+/// What the shards of the relay have in common.
+struct RelayContext {
+    boost::asio::io_context& io;
+    std::shared_ptr<const Clock> clock;
+    InstanceName self;
+    EntryPort& entries;
+    BackendConnector& backends;
+    Duration healthPeriod = std::chrono::seconds(1);
+};
+
+/// Drives one RelayEngine on a strand of its own, with the connections to its servers. Public
+/// methods are thread safe.
+class RelayShard : public BackendEvents, public std::enable_shared_from_this<RelayShard> {
+public:
+    RelayShard(const RelayContext&, std::unique_ptr<RelayEngine>);
+
+    /// The map holds this shard's servers only.
+    void onTables(std::shared_ptr<const ShardMap>, std::shared_ptr<const Ownership>);
+    void onWork(WorkOrder);
+    void onCancel(const LegKey&);
+    void onEntryLost(const InstanceName&);
+    void onCrashNews(const AnnounceCrash&);
+    void beginDrain();
+    /// Closes what is open. Call it when nothing is in flight any more.
+    void close();
+
+    std::size_t inFlight() const { return m_inFlight.load(std::memory_order_relaxed); }
+    /// Hands over counters and states on the strand.
+    void readState(std::function<void(const RelayCounters&, const std::vector<ServerState>&)>);
+
+    void onBackendConnected(const ServerName&, ConnectionId) override;
+    void onBackendAnswer(const ServerName&, ConnectionId, const ServerAnswer&) override;
+    void onBackendLost(const ServerName&, ConnectionId, bool bytesHanded) override;
+    void onBackendHealth(const ServerName&, const HealthReport&) override;
+
+private:
+    using Call = std::function<void(RelayEngine&, TimePoint, RelayActions&)>;
+
+    /// Calls the engine on the strand and carries out what it decided.
+    void run(Call);
+    /// As run; precondition: already on the strand.
+    void runHere(const Call&);
+    void carryOut(OpenConnection&);
+    void carryOut(CloseConnection&);
+    void carryOut(RunLeg&);
+    void carryOut(CancelAtServer&);
+    void carryOut(ReturnResult&);
+    void carryOut(AnnounceServer&);
+    void carryOut(AnnounceCrash&);
+    void arm();
+    void updateControls(const Ownership&);
+    void pollHealth();
+
+    RelayContext m_context;
+    std::unique_ptr<RelayEngine> m_engine;
+    Strand m_strand;
+    EngineTimer m_timer;
+    boost::asio::steady_timer m_healthTimer;
+    std::shared_ptr<const ShardMap> m_map;
+    std::map<ConnectionId, std::shared_ptr<BackendConnection>> m_connections;
+    std::map<ServerName, std::shared_ptr<BackendControl>> m_controls;
+    std::atomic<std::size_t> m_inFlight { 0 };
+    bool m_isPolling = false;
+    bool m_closed = false;
+};
+
+}
--- /dev/null
+++ b/src/daemon/request_log.cpp
@@ -0,0 +1,167 @@
+#include "daemon/request_log.h"
+
+#include "base/fingerprint.h"
+
+#include <algorithm>
+
+namespace lycheefield {
+
+namespace {
+
+    constexpr std::size_t maxLegsKept = 4096;
+    constexpr std::size_t maxDecisionsKept = 256;
+
+    SpanId deriveSpan(const RequestId& request, const LegKey* key, std::string_view kind)
+    {
+        std::string text = request.toString();
+        if (key)
+            text += "/" + std::to_string(key->leg.value()) + "/" + std::to_string(key->attempt.value());
+        text += kind;
+        return SpanId(std::max<std::uint64_t>(1, stableHash(text)));
+    }
+
+}
+
+SpanId entrySpanOf(const RequestId& request)
+{
+    return deriveSpan(request, nullptr, "entry");
+}
+
+SpanId legSpanOf(const LegKey& key)
+{
+    return deriveSpan(key.request, &key, "leg");
+}
+
+SpanId queueSpanOf(const LegKey& key)
+{
+    return deriveSpan(key.request, &key, "queue");
+}
+
+SpanId serverSpanOf(const LegKey& key)
+{
+    return deriveSpan(key.request, &key, "server");
+}
+
+RequestLog::RequestLog(std::size_t maxRequests)
+    : m_maxPerPart(std::max<std::size_t>(1, maxRequests / std::tuple_size_v<decltype(m_parts)>))
+{
+}
+
+void RequestLog::begin(const RequestId& id, const TraceParent& caller, const std::string& path, TimePoint now)
+{
+    auto& part = partOf(id);
+    const std::lock_guard lock(part.mutex);
+    part.records[id] = { caller, path, now, never, {}, {}, {} };
+    part.order.push_back(id);
+    if (part.order.size() <= m_maxPerPart)
+        return;
+    part.records.erase(part.order.front());
+    part.order.pop_front();
+}
+
+void RequestLog::beginLegs(const InstanceName& relay, const WorkOrder& work, TimePoint now)
+{
+    auto& part = partOf(work.request);
+    const std::lock_guard lock(part.mutex);
+    const auto it = part.records.find(work.request);
+    if (it == part.records.end())
+        return;
+    auto& legs = it->second.legs;
+    for (const auto& leg : work.legs) {
+        if (legs.size() < maxLegsKept)
+            legs.push_back({ leg, relay, now, never, LegOutcome::Lost, {}, {}, {} });
+    }
+}
+
+void RequestLog::endLeg(const LegResult& result, TimePoint now)
+{
+    auto& part = partOf(result.key.request);
+    const std::lock_guard lock(part.mutex);
+    const auto record = part.records.find(result.key.request);
+    if (record == part.records.end())
+        return;
+    auto& legs = record->second.legs;
+    const auto it = std::find_if(legs.begin(), legs.end(),
+        [&](const LegRecord& leg) { return leg.order.leg == result.key.leg && leg.order.attempt == result.key.attempt && leg.end == never; });
+    if (it == legs.end())
+        return;
+    it->end = now;
+    it->outcome = result.outcome;
+    it->queueTime = result.queueTime;
+    it->serviceTime = result.serviceTime;
+    it->detail = result.detail;
+}
+
+void RequestLog::note(const RequestId& id, std::string decision)
+{
+    auto& part = partOf(id);
+    const std::lock_guard lock(part.mutex);
+    const auto it = part.records.find(id);
+    if (it != part.records.end() && it->second.decisions.size() < maxDecisionsKept)
+        it->second.decisions.push_back(std::move(decision));
+}
+
+void RequestLog::end(const Answer& answer, TimePoint now)
+{
+    auto& part = partOf(answer.request);
+    const std::lock_guard lock(part.mutex);
+    const auto it = part.records.find(answer.request);
+    if (it == part.records.end())
+        return;
+    it->second.end = now;
+    if (answer.refusal)
+        it->second.outcome = std::string(toString(answer.refusal->kind));
+    else
+        it->second.outcome = answer.isComplete() ? "complete" : "partial";
+}
+
+void RequestLog::addLegSpans(const RequestId& id, const LegRecord& leg, Trace& trace)
+{
+    const LegKey key { id, leg.order.leg, leg.order.attempt };
+    Span span { legSpanOf(key), entrySpanOf(id), "leg", leg.start, leg.end, {} };
+    span.attributes = { { "shard", std::to_string(leg.order.shard.value()) }, { "server", leg.order.server.value() }, { "relay", leg.relay.value() },
+        { "attempt", std::to_string(leg.order.attempt.value()) } };
+    if (leg.order.isHedge)
+        span.attributes.emplace_back("hedge", "true");
+    if (leg.end == never) {
+        span.end = leg.start;
+        span.attributes.emplace_back("outcome", "no answer yet");
+        trace.spans.push_back(std::move(span));
+        return;
+    }
+    span.attributes.emplace_back("outcome", std::string(toString(leg.outcome)));
+    if (!leg.detail.empty())
+        span.attributes.emplace_back("detail", leg.detail);
+    trace.spans.push_back(std::move(span));
+    // The clocks of two instances are not compared: what the relay did not spend was on the way, half each way.
+    const auto onTheWay = std::max(Duration {}, leg.end - leg.start - leg.queueTime - leg.serviceTime);
+    const auto arrived = leg.start + onTheWay / 2;
+    const auto sent = arrived + leg.queueTime;
+    trace.spans.push_back({ queueSpanOf(key), legSpanOf(key), "relay.queue", arrived, sent, {} });
+    if (leg.serviceTime > Duration {})
+        trace.spans.push_back({ serverSpanOf(key), legSpanOf(key), "server", sent, sent + leg.serviceTime, { { "server", leg.order.server.value() } } });
+}
+
+std::optional<Trace> RequestLog::find(const RequestId& id) const
+{
+    Record record;
+    {
+        const auto& part = partOf(id);
+        const std::lock_guard lock(part.mutex);
+        const auto it = part.records.find(id);
+        if (it == part.records.end())
+            return std::nullopt;
+        record = it->second;
+    }
+    Trace trace;
+    trace.request = id;
+    trace.traceId = record.caller.traceId;
+    const auto end = record.end == never ? record.start : record.end;
+    trace.spans.push_back({ entrySpanOf(id), record.caller.parent, "entry", record.start, end, { { "path", record.path }, { "outcome", record.outcome } } });
+    for (const auto& it : record.legs)
+        addLegSpans(id, it, trace);
+    trace.decisions = std::move(record.decisions);
+    return trace;
+}
+
+}
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -4,6 +4,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "base/units.h"
+#include "observe/log.h"
 
 #include <cstdint>
 #include <string>
@@ -18,11 +19,6 @@
     Direct, ///< From the entry straight to the server.
 };
 
-enum class LogFormat : std::uint8_t {
-    Text,
-    Json,
-};
-
 /// Who this instance is.
 struct InstanceSettings {
     InstanceName name; ///< Required.
