Stand-in link between availability zones

Cause: tail and fault measurements need 3 ms one way, retransmissions and one-way cuts between processes. Figures: delay_line_test passes; not measured between instances yet.

--- /dev/null
+++ b/tests/standin/delay_line_test.cpp
@@ -0,0 +1,44 @@
+#include "standin/delay_line.h"
+
+#include <doctest/doctest.h>
+
+namespace lycheefield::standin {
+
+using namespace std::chrono_literals;
+
+TEST_CASE("a stand-in link delays what passes" * doctest::test_suite("standin"))
+{
+    DelayLine line(7);
+    LinkBehaviour behaviour;
+    const TimePoint start(1s);
+
+    SUBCASE("bytes arrive after the delay, in order")
+    {
+        line.push("a", behaviour, start);
+        line.push("b", behaviour, start + 1ms);
+        CHECK(line.take(behaviour, start + 2ms).empty());
+        CHECK(line.take(behaviour, start + 3ms) == "a");
+        CHECK(line.nextArrival() == start + 4ms);
+        CHECK(line.take(behaviour, start + 5ms) == "b");
+        CHECK(line.nextArrival() == never);
+    }
+    SUBCASE("a lost message holds back those behind it")
+    {
+        behaviour.retransmitProbability = 1;
+        line.push("a", behaviour, start);
+        behaviour.retransmitProbability = 0;
+        line.push("b", behaviour, start);
+        CHECK(line.take(behaviour, start + 100ms).empty());
+        CHECK(line.take(behaviour, start + 203ms) == "ab");
+    }
+    SUBCASE("through a cut nothing passes until it heals")
+    {
+        line.push("a", behaviour, start);
+        behaviour.isCut = true;
+        CHECK(line.take(behaviour, start + 1s).empty());
+        behaviour.isCut = false;
+        CHECK(line.take(behaviour, start + 1s) == "a");
+    }
+}
+
+}
