--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,243 @@
+#include "daemon/daemon.h"
+
+#include "daemon/caller_api.h"
+#include "daemon/catalog_role.h"
+#include "daemon/drain.h"
+#include "daemon/entry_driver.h"
+#include "daemon/instances_role.h"
+#include "daemon/operator_api.h"
+#include "daemon/peer_router.h"
+#include "daemon/relay_driver.h"
+#include "daemon/rules_role.h"
+#include "observe/log.h"
+#include "observe/metrics.h"
+#include "platform/http_object_store.h"
+#include "wire/asio_peer_network.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <cstdio>
+#include <fstream>
+#include <thread>
+
+namespace lycheefield {
+
+namespace {
+
+/// Query engines and relay engines for each thread: more than one, so that threads seldom wait for a strand.
+constexpr std::size_t enginesPerThread = 2;
+
+PlatformClientSettings clientSettings(const PlatformSettings& settings)
+{
+    PlatformClientSettings out;
+    out.endpoint = settings.endpoint;
+    out.callTimeout = settings.requestTimeout;
+    out.watchTimeout = settings.watchTimeout;
+    out.readsPerSecond = out.writesPerSecond = settings.callsPerSecond;
+    out.backoffFirst = settings.backoffMinimum;
+    out.backoffMost = settings.backoffMaximum;
+    return out;
+}
+
+HttpLimits httpLimits(const HttpSettings& settings)
+{
+    HttpLimits out;
+    out.maxHeaderBytes = static_cast<std::uint32_t>(settings.maxHeader.value);
+    out.maxBodyBytes = settings.maxBody.value;
+    out.maxConnections = settings.maxConnections;
+    out.messageTimeout = settings.bodyTimeout;
+    out.idleTimeout = settings.idleTimeout;
+    return out;
+}
+
+FrameSessionLimits frameLimits(const HttpSettings& settings)
+{
+    FrameSessionLimits out;
+    out.frame.maxFrameBytes = static_cast<std::uint32_t>(settings.maxFrame.value);
+    return out;
+}
+
+}
+
+class Daemon::Impl {
+public:
+    explicit Impl(const Settings& settings)
+        : m_settings(settings)
+        , m_io(static_cast<int>(settings.instance.threads))
+        , m_clock(std::make_shared<SteadyClock>())
+        , m_life(systemSeed())
+        , m_publisher(m_tables, settings.instance.name, settings.instance.routing == Routing::Direct)
+        , m_log(settings.observe.tracesKept)
+        , m_router(settings.instance.name)
+        , m_backends(makeHttpBackendConnector())
+        , m_entry({ m_io, m_clock, m_tables, m_router, m_log }, settings.query, settings.instance.name, settings.instance.zone, m_life, engineCount())
+        , m_relay({ m_io, m_clock, settings.instance.name, m_router, *m_backends }, settings.relay, m_tables, engineCount())
+        , m_network({ m_io, { settings.instance.name, m_life, settings.instance.zone }, m_clock, m_wireCounters, frameLimits(settings.http) }, m_tables.view, m_router)
+        , m_operators({ settings.instance.name, m_tables, m_entry, m_relay, m_log, m_metrics, [this] { return readiness(); },
+              [this](const RequestId& id, std::function<void(HttpReply)> done) { cancel(id, std::move(done)); } })
+        , m_api(m_entry, m_tables, m_claims, m_log, m_operators, m_clock)
+        , m_http(m_io, m_api, m_clock, m_httpCounters, httpLimits(settings.http))
+        , m_signals(m_io, SIGTERM, SIGINT)
+    {
+        m_router.connect(m_entry, m_relay, m_network, [](const Hello&, const PeerMessage&) {});
+        m_publisher.addListener([this] {
+            m_relay.onTables();
+            m_network.dropGone();
+        });
+    }
+
+    Result<void> start()
+    {
+        const auto inner = m_network.listen({ m_settings.listen.address, m_settings.listen.innerPort });
+        if (!inner)
+            return inner.error();
+        const auto http = m_http.listen({ m_settings.listen.address, m_settings.listen.httpPort });
+        if (!http)
+            return http.error();
+        m_innerPort = inner.value().port;
+        m_httpPort = http.value().port;
+        startPlatform();
+        logChange(LogLevel::Info, "listening", { { "http", http.value().toString() }, { "inner", inner.value().toString() } });
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+
+    Result<void> writePorts(const std::string& path) const
+    {
+        const std::string draft = path + ".tmp";
+        std::ofstream out(draft);
+        out << "http = " << m_httpPort << "\ninner = " << m_innerPort << '\n';
+        out.close();
+        if (!out || std::rename(draft.c_str(), path.c_str()) != 0)
+            return Error { ErrorKind::Unavailable, "can't write " + path, "choose a folder that exists and is writable" };
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+
+    int run()
+    {
+        awaitSignal();
+        std::vector<std::thread> threads;
+        for (std::uint32_t i = 1; i < m_settings.instance.threads; ++i)
+            threads.emplace_back([this] { m_io.run(); });
+        m_io.run();
+        for (auto& it : threads)
+            it.join();
+        return 0;
+    }
+
+private:
+    std::size_t engineCount() const { return enginesPerThread * m_settings.instance.threads; }
+
+    void startPlatform()
+    {
+        const auto& address = m_settings.reachableAddress();
+        const Instance self { m_settings.instance.name, m_life, { address, m_innerPort }, { address, m_httpPort }, m_settings.instance.zone, InstanceHealth::Alive };
+        auto client = std::make_shared<PlatformClient>(m_io.get_executor(), clientSettings(m_settings.platform));
+        auto store = std::make_shared<HttpObjectStore>(client);
+        m_instances = std::make_shared<InstancesRole>(
+            m_io.get_executor(), std::make_shared<HttpInstanceList>(client), m_publisher, self, m_settings.platform.listPeriod);
+        m_catalog = std::make_shared<CatalogRole>(m_io.get_executor(), store, m_publisher);
+        m_rules = std::make_shared<RulesRole>(m_io.get_executor(), store, m_tables, m_publisher);
+        m_instances->start();
+        m_catalog->start();
+        m_rules->start();
+    }
+
+    Readiness readiness() const
+    {
+        if (m_isDraining)
+            return { false, "draining" };
+        if (!m_catalog || !m_catalog->isLoaded())
+            return { false, "the catalog has not been read" };
+        if (m_tables.rules.read()->revision() == RuleRevision())
+            return { false, "no rules have been read" };
+        return { true, {} };
+    }
+
+    void cancel(const RequestId& id, std::function<void(HttpReply)> done)
+    {
+        if (!m_entry.isOurs(id)) {
+            done({ 404, "text/plain", "not a request of this instance\n" });
+            return;
+        }
+        m_entry.cancel(id, false, [done = std::move(done)](bool wasHere) {
+            done(wasHere ? HttpReply { 202, "text/plain", "cancelled\n" } : HttpReply { 404, "text/plain", "no such request in flight\n" });
+        });
+    }
+
+    void awaitSignal()
+    {
+        m_signals.async_wait([this](const boost::system::error_code& ec, int) {
+            if (ec)
+                return;
+            if (!m_isDraining.exchange(true))
+                drain();
+            awaitSignal();
+        });
+    }
+
+    void drain()
+    {
+        logChange(LogLevel::Info, "draining");
+        m_instances->beginLeaving();
+        DrainParts parts;
+        parts.inFlight = [this] { return m_entry.inFlight() + m_relay.inFlight() + m_claims.pending(); };
+        parts.closeIdle = [this] { m_http.beginDrain(); };
+        parts.stopLegs = [this] { m_relay.beginDrain(); };
+        parts.stop = [this] { m_io.stop(); };
+        m_drain = std::make_shared<Drain>(m_io.get_executor(), m_clock, m_settings.drain, std::move(parts));
+        m_drain->start();
+    }
+
+    Settings m_settings;
+    boost::asio::io_context m_io;
+    std::shared_ptr<SteadyClock> m_clock;
+    ProcessLife m_life;
+    SharedTables m_tables;
+    TablePublisher m_publisher;
+    RequestLog m_log;
+    Metrics m_metrics;
+    std::shared_ptr<WireCounters> m_wireCounters = std::make_shared<WireCounters>();
+    std::shared_ptr<HttpServerCounters> m_httpCounters = std::make_shared<HttpServerCounters>();
+    PeerRouter m_router;
+    std::unique_ptr<BackendConnector> m_backends;
+    EntryDriver m_entry;
+    RelayDriver m_relay;
+    AsioPeerNetwork m_network;
+    NoClaimService m_claims;
+    OperatorPaths m_operators;
+    CallerApi m_api;
+    HttpServer m_http;
+    boost::asio::signal_set m_signals;
+    std::shared_ptr<InstancesRole> m_instances;
+    std::shared_ptr<CatalogRole> m_catalog;
+    std::shared_ptr<RulesRole> m_rules;
+    std::shared_ptr<Drain> m_drain;
+    std::atomic<bool> m_isDraining { false };
+    std::uint16_t m_httpPort = 0;
+    std::uint16_t m_innerPort = 0;
+};
+
+Daemon::Daemon(const Settings& settings)
+    : m_impl(std::make_unique<Impl>(settings))
+{
+}
+
+Daemon::~Daemon() = default;
+
+Result<void> Daemon::start()
+{
+    return m_impl->start();
+}
+
+Result<void> Daemon::writePorts(const std::string& path) const
+{
+    return m_impl->writePorts(path);
+}
+
+int Daemon::run()
+{
+    return m_impl->run();
+}
+
+}
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "base/error.h"
+#include "settings/settings.h"
+
+#include <memory>
+#include <string>
+
+namespace lycheefield {
+
+/// One instance: all roles, their threads and connections.
+class Daemon {
+public:
+    explicit Daemon(const Settings&);
+    ~Daemon();
+    Daemon(const Daemon&) = delete;
+    Daemon& operator=(const Daemon&) = delete;
+
+    /// Listens and starts the roles. The ports are then known.
+    Result<void> start();
+    /// Writes the ports as INI: http = N, inner = N. Precondition: start() succeeded.
+    Result<void> writePorts(const std::string& path) const;
+    /// Serves until SIGTERM or SIGINT, then drains. Returns the exit code. Precondition: start() succeeded.
+    int run();
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+}
--- /dev/null
+++ b/src/daemon/drain.cpp
@@ -0,0 +1,60 @@
+#include "daemon/drain.h"
+
+#include "observe/log.h"
+
+namespace lycheefield {
+
+namespace {
+
+constexpr Duration checkInterval = std::chrono::milliseconds(50);
+/// Checks in a row that find nothing in flight: between two of them a message may still be on its way.
+constexpr unsigned int quietChecksNeeded = 4;
+
+}
+
+Drain::Drain(const boost::asio::any_io_executor& executor, std::shared_ptr<const Clock> clock, const DrainSettings& settings, DrainParts parts)
+    : m_strand(executor)
+    , m_timer(m_strand)
+    , m_clock(std::move(clock))
+    , m_settings(settings)
+    , m_parts(std::move(parts))
+{
+}
+
+void Drain::start()
+{
+    m_started = m_clock->now();
+    check();
+}
+
+void Drain::check()
+{
+    const auto elapsed = m_clock->now() - m_started;
+    if (elapsed >= m_settings.balancerLag) {
+        if (!m_legsStopped)
+            m_parts.stopLegs();
+        m_legsStopped = true;
+        m_parts.closeIdle();
+        m_quietChecks = m_parts.inFlight() == 0 ? m_quietChecks + 1 : 0;
+    }
+    if (m_quietChecks >= quietChecksNeeded || elapsed >= m_settings.limit) {
+        finish();
+        return;
+    }
+    m_timer.expires_after(checkInterval);
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
+        if (!ec)
+            self->check();
+    });
+}
+
+void Drain::finish()
+{
+    const auto n = m_parts.inFlight();
+    if (n > 0)
+        logChange(LogLevel::Warning, "the drain limit ends what is still in flight", { { "requests_and_legs", std::to_string(n) } });
+    logChange(LogLevel::Info, "drained");
+    m_parts.stop();
+}
+
+}
--- a/src/daemon/relay_driver.cpp
+++ b/src/daemon/relay_driver.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-    std::uint64_t hashOf(const Block& block)
-    {
-        return stableHash(block.service.value() + "/" + block.zone.value() + "/" + std::to_string(block.index));
-    }
+std::uint64_t hashOf(const Block& block)
+{
+    return stableHash(block.service.value() + "/" + block.zone.value() + "/" + std::to_string(block.index));
+}
 
 }
 
--- a/src/daemon/request_log.cpp
+++ b/src/daemon/request_log.cpp
@@ -8,17 +8,17 @@
 
 namespace {
 
-    constexpr std::size_t maxLegsKept = 4096;
-    constexpr std::size_t maxDecisionsKept = 256;
+constexpr std::size_t maxLegsKept = 4096;
+constexpr std::size_t maxDecisionsKept = 256;
 
-    SpanId deriveSpan(const RequestId& request, const LegKey* key, std::string_view kind)
-    {
-        std::string text = request.toString();
-        if (key)
-            text += "/" + std::to_string(key->leg.value()) + "/" + std::to_string(key->attempt.value());
-        text += kind;
-        return SpanId(std::max<std::uint64_t>(1, stableHash(text)));
-    }
+SpanId deriveSpan(const RequestId& request, const LegKey* key, std::string_view kind)
+{
+    std::string text = request.toString();
+    if (key)
+        text += "/" + std::to_string(key->leg.value()) + "/" + std::to_string(key->attempt.value());
+    text += kind;
+    return SpanId(std::max<std::uint64_t>(1, stableHash(text)));
+}
 
 }
 
--- a/src/http/backend_message.cpp
+++ b/src/http/backend_message.cpp
@@ -14,96 +14,96 @@
 
 namespace {
 
-    std::string_view kindName(RequestKind kind)
-    {
-        switch (kind) {
-        case RequestKind::Search:
-            return "search";
-        case RequestKind::Record:
-            return "record";
-        case RequestKind::Order:
-            return "order";
-        }
+std::string_view kindName(RequestKind kind)
+{
+    switch (kind) {
+    case RequestKind::Search:
         return "search";
+    case RequestKind::Record:
+        return "record";
+    case RequestKind::Order:
+        return "order";
     }
+    return "search";
+}
 
-    std::optional<std::uint64_t> parseNumber(std::string_view text)
-    {
-        std::uint64_t n = 0;
-        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-        if (text.empty() || ec != std::errc() || end != text.data() + text.size())
-            return std::nullopt;
-        return n;
-    }
+std::optional<std::uint64_t> parseNumber(std::string_view text)
+{
+    std::uint64_t n = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+    if (text.empty() || ec != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return n;
+}
 
-    /// Calls the function with each item of a comma list, blanks trimmed.
-    template <typename Function>
-    void forEachItem(std::string_view list, Function function)
-    {
-        while (!list.empty()) {
-            const auto comma = list.find(',');
-            auto item = list.substr(0, comma);
-            list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
-            while (!item.empty() && item.front() == ' ')
-                item.remove_prefix(1);
-            while (!item.empty() && item.back() == ' ')
-                item.remove_suffix(1);
-            if (!item.empty())
-                function(item);
-        }
+/// Calls the function with each item of a comma list, blanks trimmed.
+template <typename Function>
+void forEachItem(std::string_view list, Function function)
+{
+    while (!list.empty()) {
+        const auto comma = list.find(',');
+        auto item = list.substr(0, comma);
+        list = comma == std::string_view::npos ? std::string_view() : list.substr(comma + 1);
+        while (!item.empty() && item.front() == ' ')
+            item.remove_prefix(1);
+        while (!item.empty() && item.back() == ' ')
+            item.remove_suffix(1);
+        if (!item.empty())
+            function(item);
     }
+}
 
-    void addLegHeaders(HttpHeaders& headers, const LegKey& key)
-    {
-        headers.add("X-Request-Id", key.request.toString());
-        headers.add("X-Leg", std::to_string(key.leg.value()));
-        headers.add("X-Attempt", std::to_string(key.attempt.value()));
-    }
+void addLegHeaders(HttpHeaders& headers, const LegKey& key)
+{
+    headers.add("X-Request-Id", key.request.toString());
+    headers.add("X-Leg", std::to_string(key.leg.value()));
+    headers.add("X-Attempt", std::to_string(key.attempt.value()));
+}
 
-    bool isJson(const std::string& text)
-    {
-        json::error_code ec;
-        json::parse(text, ec);
-        return !ec;
-    }
+bool isJson(const std::string& text)
+{
+    json::error_code ec;
+    json::parse(text, ec);
+    return !ec;
+}
 
-    LegOutcome outcomeOf(unsigned status, std::string_view reason)
-    {
-        if (status == 200)
-            return LegOutcome::Ok;
-        if (status == 409 && reason == "version-gone")
-            return LegOutcome::VersionGone;
-        if (status == 409 && reason == "shard-moved")
-            return LegOutcome::ShardMoved;
-        if (status == 503 && (reason == "shed" || reason == "draining" || reason == "cold"))
-            return LegOutcome::Refused;
-        if (status == 504 && reason == "expired")
-            return LegOutcome::Expired;
-        if (status == 499)
-            return LegOutcome::Cancelled;
-        return LegOutcome::Failed;
-    }
+LegOutcome outcomeOf(unsigned status, std::string_view reason)
+{
+    if (status == 200)
+        return LegOutcome::Ok;
+    if (status == 409 && reason == "version-gone")
+        return LegOutcome::VersionGone;
+    if (status == 409 && reason == "shard-moved")
+        return LegOutcome::ShardMoved;
+    if (status == 503 && (reason == "shed" || reason == "draining" || reason == "cold"))
+        return LegOutcome::Refused;
+    if (status == 504 && reason == "expired")
+        return LegOutcome::Expired;
+    if (status == 499)
+        return LegOutcome::Cancelled;
+    return LegOutcome::Failed;
+}
 
-    /// Fills what only an answer that ran carries; turns the outcome to Failed when that is missing.
-    void readResult(HttpReply& reply, ServerAnswer& answer)
-    {
-        const auto version = parseNumber(reply.headers.find("X-Index-Version"));
-        const auto epoch = parseNumber(reply.headers.find("X-Partition-Epoch"));
-        if (!version || !epoch) {
-            answer.outcome = LegOutcome::Failed;
-            answer.detail = "answer without index version or partition epoch";
-            return;
-        }
-        if (!isJson(reply.body)) {
-            answer.outcome = LegOutcome::Failed;
-            answer.detail = "answer body is not JSON";
-            return;
-        }
-        answer.version = IndexVersion(*version);
-        answer.epoch = PartitionEpoch(*epoch);
-        forEachItem(reply.headers.find("X-Batches"), [&](std::string_view item) { answer.batches.emplace_back(std::string(item)); });
-        answer.body = std::move(reply.body);
+/// Fills what only an answer that ran carries; turns the outcome to Failed when that is missing.
+void readResult(HttpReply& reply, ServerAnswer& answer)
+{
+    const auto version = parseNumber(reply.headers.find("X-Index-Version"));
+    const auto epoch = parseNumber(reply.headers.find("X-Partition-Epoch"));
+    if (!version || !epoch) {
+        answer.outcome = LegOutcome::Failed;
+        answer.detail = "answer without index version or partition epoch";
+        return;
+    }
+    if (!isJson(reply.body)) {
+        answer.outcome = LegOutcome::Failed;
+        answer.detail = "answer body is not JSON";
+        return;
     }
+    answer.version = IndexVersion(*version);
+    answer.epoch = PartitionEpoch(*epoch);
+    forEachItem(reply.headers.find("X-Batches"), [&](std::string_view item) { answer.batches.emplace_back(std::string(item)); });
+    answer.body = std::move(reply.body);
+}
 
 }
 
--- a/src/http/http_client_connection.cpp
+++ b/src/http/http_client_connection.cpp
@@ -17,193 +17,193 @@
 
 namespace {
 
-    constexpr std::size_t readBytes = 16 * 1024;
+constexpr std::size_t readBytes = 16 * 1024;
 
-    std::string formatRequest(const HttpRequest& request, const std::string& host)
+std::string formatRequest(const HttpRequest& request, const std::string& host)
+{
+    std::string out;
+    out.reserve(request.body.size() + 512);
+    out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n");
+    for (const auto& [name, value] : request.headers.fields())
+        out.append(name).append(": ").append(value).append("\r\n");
+    if (!request.body.empty() || request.method != "GET")
+        out.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
+    out.append("\r\n").append(request.body);
+    return out;
+}
+
+class BeastClientConnection final : public HttpClientConnection, public std::enable_shared_from_this<BeastClientConnection> {
+public:
+    BeastClientConnection(const boost::asio::any_io_executor& executor, const Endpoint& endpoint, std::weak_ptr<HttpClientEvents> events, HttpLimits limits)
+        : m_socket(executor)
+        , m_timer(executor)
+        , m_host(endpoint.toString())
+        , m_events(std::move(events))
+        , m_limits(limits)
+        , m_buffer(limits.maxHeaderBytes + limits.maxBodyBytes)
     {
-        std::string out;
-        out.reserve(request.body.size() + 512);
-        out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n");
-        for (const auto& [name, value] : request.headers.fields())
-            out.append(name).append(": ").append(value).append("\r\n");
-        if (!request.body.empty() || request.method != "GET")
-            out.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
-        out.append("\r\n").append(request.body);
-        return out;
     }
 
-    class BeastClientConnection final : public HttpClientConnection, public std::enable_shared_from_this<BeastClientConnection> {
-    public:
-        BeastClientConnection(const boost::asio::any_io_executor& executor, const Endpoint& endpoint, std::weak_ptr<HttpClientEvents> events, HttpLimits limits)
-            : m_socket(executor)
-            , m_timer(executor)
-            , m_host(endpoint.toString())
-            , m_events(std::move(events))
-            , m_limits(limits)
-            , m_buffer(limits.maxHeaderBytes + limits.maxBodyBytes)
-        {
+    void connect(const Endpoint& endpoint, Duration timeout)
+    {
+        boost::system::error_code ec;
+        const auto address = boost::asio::ip::make_address(endpoint.address, ec);
+        if (ec) {
+            boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->lose("address is no IP number"); });
+            return;
         }
+        m_socket.async_connect({ address, endpoint.port }, [self = shared_from_this()](const boost::system::error_code& ec) { self->onConnected(ec); });
+        m_timer.expires_after(timeout);
+        m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
+            if (!ec)
+                self->lose("connecting took too long");
+        });
+    }
 
-        void connect(const Endpoint& endpoint, Duration timeout)
-        {
-            boost::system::error_code ec;
-            const auto address = boost::asio::ip::make_address(endpoint.address, ec);
-            if (ec) {
-                boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->lose("address is no IP number"); });
-                return;
-            }
-            m_socket.async_connect({ address, endpoint.port }, [self = shared_from_this()](const boost::system::error_code& ec) { self->onConnected(ec); });
-            m_timer.expires_after(timeout);
-            m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
-                if (!ec)
-                    self->lose("connecting took too long");
+    void send(const HttpRequest& request) override
+    {
+        if (m_closed) {
+            boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+                if (const auto events = self->m_events.lock())
+                    events->onLost(false, "connection had ended");
             });
+            return;
         }
+        if (m_ending)
+            return; // onLost follows at once.
+        m_inFlight = true;
+        m_out = formatRequest(request, m_host);
+        resetParser();
+        boost::asio::async_write(m_socket, boost::asio::buffer(m_out), [self = shared_from_this()](const boost::system::error_code& ec, std::size_t) {
+            if (ec)
+                self->lose(ec.message());
+        });
+    }
 
-        void send(const HttpRequest& request) override
-        {
-            if (m_closed) {
-                boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-                    if (const auto events = self->m_events.lock())
-                        events->onLost(false, "connection had ended");
-                });
-                return;
-            }
-            if (m_ending)
-                return; // onLost follows at once.
-            m_inFlight = true;
-            m_out = formatRequest(request, m_host);
-            resetParser();
-            boost::asio::async_write(m_socket, boost::asio::buffer(m_out), [self = shared_from_this()](const boost::system::error_code& ec, std::size_t) {
-                if (ec)
-                    self->lose(ec.message());
-            });
-        }
+    void close() override
+    {
+        m_events.reset();
+        lose({});
+    }
 
-        void close() override
-        {
-            m_events.reset();
-            lose({});
+private:
+    void onConnected(const boost::system::error_code& ec)
+    {
+        m_timer.cancel();
+        if (m_closed)
+            return;
+        if (ec) {
+            lose(ec.message());
+            return;
         }
+        boost::system::error_code ignored;
+        m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        readMore();
+        if (const auto events = m_events.lock())
+            events->onConnected();
+    }
 
-    private:
-        void onConnected(const boost::system::error_code& ec)
-        {
-            m_timer.cancel();
-            if (m_closed)
-                return;
-            if (ec) {
-                lose(ec.message());
-                return;
-            }
-            boost::system::error_code ignored;
-            m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-            readMore();
-            if (const auto events = m_events.lock())
-                events->onConnected();
-        }
+    void resetParser()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(m_limits.maxHeaderBytes);
+        m_parser->body_limit(m_limits.maxBodyBytes);
+        m_parser->eager(true);
+    }
 
-        void resetParser()
-        {
-            m_parser.emplace();
-            m_parser->header_limit(m_limits.maxHeaderBytes);
-            m_parser->body_limit(m_limits.maxBodyBytes);
-            m_parser->eager(true);
-        }
+    void readMore()
+    {
+        m_socket.async_read_some(m_buffer.prepare(readBytes),
+            [self = shared_from_this()](const boost::system::error_code& ec, std::size_t n) { self->onRead(ec, n); });
+    }
 
-        void readMore()
-        {
-            m_socket.async_read_some(m_buffer.prepare(readBytes),
-                [self = shared_from_this()](const boost::system::error_code& ec, std::size_t n) { self->onRead(ec, n); });
+    void onRead(const boost::system::error_code& ec, std::size_t n)
+    {
+        if (m_closed)
+            return;
+        if (ec) {
+            onReadError(ec);
+            return;
         }
-
-        void onRead(const boost::system::error_code& ec, std::size_t n)
-        {
-            if (m_closed)
-                return;
-            if (ec) {
-                onReadError(ec);
-                return;
-            }
-            m_buffer.commit(n);
-            if (!m_inFlight) {
-                lose("server sent bytes that nobody asked for");
-                return;
-            }
-            parseMore();
-            if (!m_closed)
-                readMore();
+        m_buffer.commit(n);
+        if (!m_inFlight) {
+            lose("server sent bytes that nobody asked for");
+            return;
         }
+        parseMore();
+        if (!m_closed)
+            readMore();
+    }
 
-        void onReadError(const boost::system::error_code& ec)
-        {
-            boost::system::error_code parseError;
-            if (m_inFlight && ec == boost::asio::error::eof && m_parser->is_header_done())
-                m_parser->put_eof(parseError);
-            if (m_inFlight && !parseError && m_parser->is_done())
-                finishReply();
-            if (!m_closed)
-                lose(ec.message());
-        }
+    void onReadError(const boost::system::error_code& ec)
+    {
+        boost::system::error_code parseError;
+        if (m_inFlight && ec == boost::asio::error::eof && m_parser->is_header_done())
+            m_parser->put_eof(parseError);
+        if (m_inFlight && !parseError && m_parser->is_done())
+            finishReply();
+        if (!m_closed)
+            lose(ec.message());
+    }
 
-        void parseMore()
-        {
-            boost::system::error_code ec;
-            while (m_buffer.size() > 0 && !m_parser->is_done() && !ec) {
-                const auto n = m_parser->put(m_buffer.data(), ec);
-                m_buffer.consume(n);
-                if (n == 0)
-                    break;
-            }
-            if (ec && ec != http::error::need_more) {
-                lose("answer can't be read: " + ec.message());
-                return;
-            }
-            if (m_parser->is_done())
-                finishReply();
+    void parseMore()
+    {
+        boost::system::error_code ec;
+        while (m_buffer.size() > 0 && !m_parser->is_done() && !ec) {
+            const auto n = m_parser->put(m_buffer.data(), ec);
+            m_buffer.consume(n);
+            if (n == 0)
+                break;
         }
-
-        void finishReply()
-        {
-            auto message = m_parser->release();
-            m_inFlight = false;
-            HttpReply reply;
-            reply.status = message.result_int();
-            reply.contentType.clear();
-            for (const auto& field : message)
-                reply.headers.add({ field.name_string().data(), field.name_string().size() }, { field.value().data(), field.value().size() });
-            reply.body = std::move(message.body());
-            m_ending = !message.keep_alive();
-            if (const auto events = m_events.lock())
-                events->onReply(std::move(reply));
-            if (m_ending)
-                lose("server closes the connection");
+        if (ec && ec != http::error::need_more) {
+            lose("answer can't be read: " + ec.message());
+            return;
         }
+        if (m_parser->is_done())
+            finishReply();
+    }
 
-        void lose(const std::string& reason)
-        {
-            if (m_closed)
-                return;
-            m_closed = true;
-            boost::system::error_code ec;
-            m_timer.cancel();
-            m_socket.close(ec);
-            if (const auto events = m_events.lock())
-                events->onLost(m_inFlight, reason);
-        }
+    void finishReply()
+    {
+        auto message = m_parser->release();
+        m_inFlight = false;
+        HttpReply reply;
+        reply.status = message.result_int();
+        reply.contentType.clear();
+        for (const auto& field : message)
+            reply.headers.add({ field.name_string().data(), field.name_string().size() }, { field.value().data(), field.value().size() });
+        reply.body = std::move(message.body());
+        m_ending = !message.keep_alive();
+        if (const auto events = m_events.lock())
+            events->onReply(std::move(reply));
+        if (m_ending)
+            lose("server closes the connection");
+    }
+
+    void lose(const std::string& reason)
+    {
+        if (m_closed)
+            return;
+        m_closed = true;
+        boost::system::error_code ec;
+        m_timer.cancel();
+        m_socket.close(ec);
+        if (const auto events = m_events.lock())
+            events->onLost(m_inFlight, reason);
+    }
 
-        boost::asio::ip::tcp::socket m_socket;
-        boost::asio::steady_timer m_timer;
-        std::string m_host;
-        std::weak_ptr<HttpClientEvents> m_events;
-        HttpLimits m_limits;
-        boost::beast::flat_buffer m_buffer;
-        std::optional<http::response_parser<http::string_body>> m_parser;
-        std::string m_out;
-        bool m_inFlight = false;
-        bool m_ending = false; ///< The server has said that it closes after this reply.
-        bool m_closed = false;
-    };
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    std::string m_host;
+    std::weak_ptr<HttpClientEvents> m_events;
+    HttpLimits m_limits;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    std::string m_out;
+    bool m_inFlight = false;
+    bool m_ending = false; ///< The server has said that it closes after this reply.
+    bool m_closed = false;
+};
 
 }
 
--- a/src/http/http_server_session.cpp
+++ b/src/http/http_server_session.cpp
@@ -14,62 +14,62 @@
 
 namespace {
 
-    constexpr std::size_t readBytes = 8 * 1024;
-    constexpr auto watchInterval = std::chrono::seconds(1);
+constexpr std::size_t readBytes = 8 * 1024;
+constexpr auto watchInterval = std::chrono::seconds(1);
 
-    /// Ties a request to its session for as long as somebody may still answer it.
-    class SessionExchange final : public HttpExchange {
-    public:
-        SessionExchange(std::shared_ptr<HttpServerSession> session, std::uint64_t number)
-            : m_session(std::move(session))
-            , m_number(number)
-        {
-        }
-        ~SessionExchange() override
-        {
-            if (!m_answered.exchange(true))
-                m_session->respond(m_number, { 500, "text/plain", "no answer\n" });
-        }
-        SessionExchange(const SessionExchange&) = delete;
-        SessionExchange& operator=(const SessionExchange&) = delete;
-
-        void respond(HttpReply reply) override
-        {
-            if (!m_answered.exchange(true))
-                m_session->respond(m_number, std::move(reply));
-        }
-        void onGone(std::function<void()> handler) override { m_session->setGoneHandler(m_number, std::move(handler)); }
-
-    private:
-        std::shared_ptr<HttpServerSession> m_session;
-        std::uint64_t m_number;
-        std::atomic<bool> m_answered { false };
-    };
-
-    void appendHeader(std::string& out, std::string_view name, std::string_view value)
+/// Ties a request to its session for as long as somebody may still answer it.
+class SessionExchange final : public HttpExchange {
+public:
+    SessionExchange(std::shared_ptr<HttpServerSession> session, std::uint64_t number)
+        : m_session(std::move(session))
+        , m_number(number)
+    {
+    }
+    ~SessionExchange() override
     {
-        out.append(name).append(": ").append(value).append("\r\n");
+        if (!m_answered.exchange(true))
+            m_session->respond(m_number, { 500, "text/plain", "no answer\n" });
     }
+    SessionExchange(const SessionExchange&) = delete;
+    SessionExchange& operator=(const SessionExchange&) = delete;
 
-    std::string formatReply(const HttpReply& reply, bool keepAlive)
+    void respond(HttpReply reply) override
     {
-        std::string out;
-        out.reserve(reply.body.size() + 256);
-        const auto reason = http::obsolete_reason(static_cast<http::status>(reply.status));
-        out.append("HTTP/1.1 ").append(std::to_string(reply.status)).append(" ").append(reason.data(), reason.size()).append("\r\n");
-        if (!reply.contentType.empty())
-            appendHeader(out, "Content-Type", reply.contentType);
-        for (const auto& [name, value] : reply.headers.fields())
-            appendHeader(out, name, value);
-        if (reply.status != 204)
-            appendHeader(out, "Content-Length", std::to_string(reply.body.size()));
-        if (!keepAlive)
-            appendHeader(out, "Connection", "close");
-        out.append("\r\n");
-        if (reply.status != 204)
-            out.append(reply.body);
-        return out;
+        if (!m_answered.exchange(true))
+            m_session->respond(m_number, std::move(reply));
     }
+    void onGone(std::function<void()> handler) override { m_session->setGoneHandler(m_number, std::move(handler)); }
+
+private:
+    std::shared_ptr<HttpServerSession> m_session;
+    std::uint64_t m_number;
+    std::atomic<bool> m_answered { false };
+};
+
+void appendHeader(std::string& out, std::string_view name, std::string_view value)
+{
+    out.append(name).append(": ").append(value).append("\r\n");
+}
+
+std::string formatReply(const HttpReply& reply, bool keepAlive)
+{
+    std::string out;
+    out.reserve(reply.body.size() + 256);
+    const auto reason = http::obsolete_reason(static_cast<http::status>(reply.status));
+    out.append("HTTP/1.1 ").append(std::to_string(reply.status)).append(" ").append(reason.data(), reason.size()).append("\r\n");
+    if (!reply.contentType.empty())
+        appendHeader(out, "Content-Type", reply.contentType);
+    for (const auto& [name, value] : reply.headers.fields())
+        appendHeader(out, name, value);
+    if (reply.status != 204)
+        appendHeader(out, "Content-Length", std::to_string(reply.body.size()));
+    if (!keepAlive)
+        appendHeader(out, "Connection", "close");
+    out.append("\r\n");
+    if (reply.status != 204)
+        out.append(reply.body);
+    return out;
+}
 
 }
 
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -63,7 +63,7 @@
 
 class PlatformClient::Impl : public std::enable_shared_from_this<Impl> {
 public:
-    Impl(const asio::any_io_executor& executor, const PlatformSettings& settings)
+    Impl(const asio::any_io_executor& executor, const PlatformClientSettings& settings)
         : m_executor(executor)
         , m_strand(asio::make_strand(executor))
         , m_settings(settings)
@@ -91,7 +91,7 @@
         return m_counters;
     }
 
-    const PlatformSettings& settings() const { return m_settings; }
+    const PlatformClientSettings& settings() const { return m_settings; }
 
 private:
     /// A call that was admitted, and where it stands.
@@ -130,7 +130,7 @@
 
     asio::any_io_executor m_executor;
     asio::strand<asio::any_io_executor> m_strand;
-    PlatformSettings m_settings;
+    PlatformClientSettings m_settings;
     SteadyClock m_clock;
     CallBudget m_reads;
     CallBudget m_writes;
@@ -332,7 +332,7 @@
     }
 }
 
-PlatformClient::PlatformClient(const asio::any_io_executor& executor, const PlatformSettings& settings)
+PlatformClient::PlatformClient(const asio::any_io_executor& executor, const PlatformClientSettings& settings)
     : m_impl(std::make_shared<Impl>(executor, settings))
 {
 }
@@ -352,7 +352,7 @@
     return m_impl->counters();
 }
 
-const PlatformSettings& PlatformClient::settings() const
+const PlatformClientSettings& PlatformClient::settings() const
 {
     return m_impl->settings();
 }
--- a/src/platform/platform_client.h
+++ b/src/platform/platform_client.h
@@ -2,8 +2,8 @@
 
 #include "base/clock.h"
 #include "base/stored_object.h"
+#include "platform/platform_client_settings.h"
 #include "platform/platform_counters.h"
-#include "platform/platform_settings.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -45,7 +45,7 @@
     using Handler = std::function<void(PlatformReply)>;
 
     /// Handlers run on the executor.
-    PlatformClient(const boost::asio::any_io_executor&, const PlatformSettings&);
+    PlatformClient(const boost::asio::any_io_executor&, const PlatformClientSettings&);
     /// Closes all connections; calls under way end as Unavailable or Lost.
     ~PlatformClient();
     PlatformClient(const PlatformClient&) = delete;
@@ -53,7 +53,7 @@
 
     void call(PlatformCall, Handler);
     PlatformCounters counters() const;
-    const PlatformSettings& settings() const;
+    const PlatformClientSettings& settings() const;
 
 private:
     class Impl;
--- a/src/platform/platform_settings.h
+++ b/src/platform/platform_client_settings.h
@@ -10,7 +10,7 @@
 using namespace std::chrono_literals;
 
 /// How this instance calls the platform.
-struct PlatformSettings {
+struct PlatformClientSettings {
     Endpoint endpoint;
     Duration connectTimeout = 300ms;
     Duration callTimeout = 1s; ///< From the call to its answer, waiting for a connection included.
@@ -23,7 +23,7 @@
     Duration backoffMost = 2s;
     std::uint32_t failuresBeforePause = 5; ///< After so many refusals in a row calls pause for the backoff.
 
-    friend bool operator==(const PlatformSettings&, const PlatformSettings&) = default;
+    friend bool operator==(const PlatformClientSettings&, const PlatformClientSettings&) = default;
 };
 
 }
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -9,216 +9,216 @@
 
 namespace {
 
-    std::int64_t toSigned(std::uint64_t value)
-    {
-        return static_cast<std::int64_t>(value);
+std::int64_t toSigned(std::uint64_t value)
+{
+    return static_cast<std::int64_t>(value);
+}
+
+std::int32_t toSigned(std::uint32_t value)
+{
+    return static_cast<std::int32_t>(value);
+}
+
+std::int64_t timeLeft(TimePoint deadline, TimePoint now)
+{
+    return std::max<std::int64_t>(0, (deadline - now).count());
+}
+
+LegKey toWire(const lycheefield::LegKey& key)
+{
+    LegKey out;
+    out.requestLife = toSigned(key.request.life.value());
+    out.requestCounter = toSigned(key.request.counter);
+    out.leg = toSigned(key.leg.value());
+    out.attempt = toSigned(key.attempt.value());
+    return out;
+}
+
+LegOrder toWire(const lycheefield::LegOrder& leg)
+{
+    LegOrder out;
+    out.leg = toSigned(leg.leg.value());
+    out.attempt = toSigned(leg.attempt.value());
+    out.shard = toSigned(leg.shard.value());
+    out.server = leg.server.value();
+    if (leg.isHedge)
+        out.__set_isHedge(true);
+    return out;
+}
+
+WorkOrder toWire(const lycheefield::WorkOrder& work, TimePoint now)
+{
+    WorkOrder out;
+    out.requestLife = toSigned(work.request.life.value());
+    out.requestCounter = toSigned(work.request.counter);
+    out.entry = work.entry.value();
+    out.serviceName = work.service.value();
+    out.kind = static_cast<std::int32_t>(work.kind);
+    out.priority = static_cast<std::int32_t>(work.priority);
+    out.budgetMicros = timeLeft(work.deadline, now);
+    out.indexVersion = toSigned(work.version.value());
+    out.partitionEpoch = toSigned(work.epoch.value());
+    out.fingerprint = toSigned(work.fingerprint.value());
+    if (work.body)
+        out.body = *work.body;
+    if (!work.traceparent.empty())
+        out.__set_traceparent(work.traceparent);
+    out.legs.reserve(work.legs.size());
+    for (const auto& it : work.legs)
+        out.legs.push_back(toWire(it));
+    return out;
+}
+
+ServerState toWire(const lycheefield::ServerState& state)
+{
+    ServerState out;
+    out.server = state.server.value();
+    out.inFlight = toSigned(state.inFlight);
+    out.queued = toSigned(state.queued);
+    out.slots = toSigned(state.slots);
+    for (const auto& it : state.versions)
+        out.versions.push_back(toSigned(it.value()));
+    out.draining = state.draining;
+    out.ejected = state.ejected;
+    out.recentLatencyMicros = state.recentLatency.count();
+    return out;
+}
+
+LegResult toWire(const lycheefield::LegResult& result)
+{
+    LegResult out;
+    out.key = toWire(result.key);
+    out.shard = toSigned(result.shard.value());
+    out.outcome = static_cast<std::int32_t>(result.outcome);
+    out.indexVersion = toSigned(result.version.value());
+    out.partitionEpoch = toSigned(result.epoch.value());
+    for (const auto& it : result.batches)
+        out.batches.push_back(it.value());
+    out.body = result.body;
+    out.state = toWire(result.state);
+    out.queueMicros = result.queueTime.count();
+    out.serviceMicros = result.serviceTime.count();
+    if (result.crashed)
+        out.__set_crashed(true);
+    if (result.retryAfter != Duration {})
+        out.__set_retryAfterMicros(result.retryAfter.count());
+    if (!result.detail.empty())
+        out.__set_detail(result.detail);
+    return out;
+}
+
+void setEndpoint(const Endpoint& endpoint, std::string& address, std::int32_t& port)
+{
+    address = endpoint.address;
+    port = endpoint.port;
+}
+
+InstanceDigest toWire(const lycheefield::InstanceDigest& digest)
+{
+    InstanceDigest out;
+    out.name = digest.instance.name.value();
+    out.life = toSigned(digest.instance.life.value());
+    out.incarnation = toSigned(digest.incarnation);
+    out.health = static_cast<std::int32_t>(digest.instance.health);
+    if (digest.instance.inner.port != 0) {
+        setEndpoint(digest.instance.inner, out.innerAddress, out.innerPort);
+        out.__isset.innerAddress = out.__isset.innerPort = true;
     }
+    if (digest.instance.http.port != 0) {
+        setEndpoint(digest.instance.http, out.httpAddress, out.httpPort);
+        out.__isset.httpAddress = out.__isset.httpPort = true;
+    }
+    if (!digest.instance.zone.value().empty())
+        out.__set_zone(digest.instance.zone.value());
+    if (digest.ruleRevision.value() != 0)
+        out.__set_ruleRevision(toSigned(digest.ruleRevision.value()));
+    return out;
+}
 
-    std::int32_t toSigned(std::uint32_t value)
+/// Puts each kind of message into its field of the envelope.
+struct EnvelopeWriter {
+    TimePoint now;
+    Envelope& out;
+
+    void operator()(const lycheefield::Hello& hello) const
     {
-        return static_cast<std::int32_t>(value);
+        Hello body;
+        body.instance = hello.instance.value();
+        body.life = toSigned(hello.life.value());
+        body.zone = hello.zone.value();
+        out.__set_hello(body);
     }
-
-    std::int64_t timeLeft(TimePoint deadline, TimePoint now)
+    void operator()(const lycheefield::WorkOrder& work) const
     {
-        return std::max<std::int64_t>(0, (deadline - now).count());
+        out.work = toWire(work, now);
+        out.__isset.work = true;
     }
-
-    LegKey toWire(const lycheefield::LegKey& key)
+    void operator()(const CancelLeg& cancel) const { out.__set_cancel(toWire(cancel.key)); }
+    void operator()(const LegResults& message) const
     {
-        LegKey out;
-        out.requestLife = toSigned(key.request.life.value());
-        out.requestCounter = toSigned(key.request.counter);
-        out.leg = toSigned(key.leg.value());
-        out.attempt = toSigned(key.attempt.value());
-        return out;
+        out.results.reserve(message.results.size());
+        for (const auto& it : message.results)
+            out.results.push_back(toWire(it));
+        out.__isset.results = true;
     }
-
-    LegOrder toWire(const lycheefield::LegOrder& leg)
+    void operator()(const ServerNews& news) const
     {
-        LegOrder out;
-        out.leg = toSigned(leg.leg.value());
-        out.attempt = toSigned(leg.attempt.value());
-        out.shard = toSigned(leg.shard.value());
-        out.server = leg.server.value();
-        if (leg.isHedge)
-            out.__set_isHedge(true);
-        return out;
+        for (const auto& it : news.servers)
+            out.servers.push_back(toWire(it));
+        out.__isset.servers = true;
     }
-
-    WorkOrder toWire(const lycheefield::WorkOrder& work, TimePoint now)
+    void operator()(const AnnounceCrash& crash) const
     {
-        WorkOrder out;
-        out.requestLife = toSigned(work.request.life.value());
-        out.requestCounter = toSigned(work.request.counter);
-        out.entry = work.entry.value();
-        out.serviceName = work.service.value();
-        out.kind = static_cast<std::int32_t>(work.kind);
-        out.priority = static_cast<std::int32_t>(work.priority);
-        out.budgetMicros = timeLeft(work.deadline, now);
-        out.indexVersion = toSigned(work.version.value());
-        out.partitionEpoch = toSigned(work.epoch.value());
-        out.fingerprint = toSigned(work.fingerprint.value());
-        if (work.body)
-            out.body = *work.body;
-        if (!work.traceparent.empty())
-            out.__set_traceparent(work.traceparent);
-        out.legs.reserve(work.legs.size());
-        for (const auto& it : work.legs)
-            out.legs.push_back(toWire(it));
-        return out;
+        CrashNews body;
+        body.fingerprint = toSigned(crash.fingerprint.value());
+        body.crashes = toSigned(crash.crashes);
+        body.quarantineMicros = crash.quarantine.count();
+        out.__set_crash(body);
     }
-
-    ServerState toWire(const lycheefield::ServerState& state)
+    void operator()(const lycheefield::Gossip& gossip) const
     {
-        ServerState out;
-        out.server = state.server.value();
-        out.inFlight = toSigned(state.inFlight);
-        out.queued = toSigned(state.queued);
-        out.slots = toSigned(state.slots);
-        for (const auto& it : state.versions)
-            out.versions.push_back(toSigned(it.value()));
-        out.draining = state.draining;
-        out.ejected = state.ejected;
-        out.recentLatencyMicros = state.recentLatency.count();
-        return out;
+        Gossip body;
+        body.sequence = toSigned(gossip.sequence);
+        body.isAnswer = gossip.isAnswer;
+        for (const auto& it : gossip.digests)
+            body.digests.push_back(toWire(it));
+        body.ruleRevision = toSigned(gossip.ruleRevision.value());
+        if (!gossip.probeTarget.value().empty())
+            body.__set_probeTarget(gossip.probeTarget.value());
+        if (gossip.catalogRevision != 0)
+            body.__set_catalogRevision(toSigned(gossip.catalogRevision));
+        out.__set_gossip(body);
     }
-
-    LegResult toWire(const lycheefield::LegResult& result)
+    void operator()(const lycheefield::RuleRequest& request) const
     {
-        LegResult out;
-        out.key = toWire(result.key);
-        out.shard = toSigned(result.shard.value());
-        out.outcome = static_cast<std::int32_t>(result.outcome);
-        out.indexVersion = toSigned(result.version.value());
-        out.partitionEpoch = toSigned(result.epoch.value());
-        for (const auto& it : result.batches)
-            out.batches.push_back(it.value());
-        out.body = result.body;
-        out.state = toWire(result.state);
-        out.queueMicros = result.queueTime.count();
-        out.serviceMicros = result.serviceTime.count();
-        if (result.crashed)
-            out.__set_crashed(true);
-        if (result.retryAfter != Duration {})
-            out.__set_retryAfterMicros(result.retryAfter.count());
-        if (!result.detail.empty())
-            out.__set_detail(result.detail);
-        return out;
+        RuleRequest body;
+        body.haveRevision = toSigned(request.haveRevision.value());
+        out.__set_ruleRequest(body);
     }
-
-    void setEndpoint(const Endpoint& endpoint, std::string& address, std::int32_t& port)
+    void operator()(const lycheefield::RuleDelta& delta) const
     {
-        address = endpoint.address;
-        port = endpoint.port;
+        RuleDelta body;
+        body.baseRevision = toSigned(delta.baseRevision.value());
+        body.revision = toSigned(delta.revision.value());
+        body.removedLines.assign(delta.removedLines.begin(), delta.removedLines.end());
+        body.addedLines = delta.addedLines;
+        body.addedAt.assign(delta.addedAt.begin(), delta.addedAt.end());
+        body.resultHash = toSigned(delta.resultHash);
+        out.__set_ruleDelta(body);
     }
-
-    InstanceDigest toWire(const lycheefield::InstanceDigest& digest)
+    void operator()(const lycheefield::Control& control) const
     {
-        InstanceDigest out;
-        out.name = digest.instance.name.value();
-        out.life = toSigned(digest.instance.life.value());
-        out.incarnation = toSigned(digest.incarnation);
-        out.health = static_cast<std::int32_t>(digest.instance.health);
-        if (digest.instance.inner.port != 0) {
-            setEndpoint(digest.instance.inner, out.innerAddress, out.innerPort);
-            out.__isset.innerAddress = out.__isset.innerPort = true;
-        }
-        if (digest.instance.http.port != 0) {
-            setEndpoint(digest.instance.http, out.httpAddress, out.httpPort);
-            out.__isset.httpAddress = out.__isset.httpPort = true;
-        }
-        if (!digest.instance.zone.value().empty())
-            out.__set_zone(digest.instance.zone.value());
-        if (digest.ruleRevision.value() != 0)
-            out.__set_ruleRevision(toSigned(digest.ruleRevision.value()));
-        return out;
+        Control body;
+        body.sequence = toSigned(control.sequence);
+        body.verb = control.verb;
+        body.argument = control.argument;
+        if (control.isAnswer)
+            body.__set_isAnswer(true);
+        if (!control.payload.empty())
+            body.__set_payload(control.payload);
+        out.__set_control(body);
     }
-
-    /// Puts each kind of message into its field of the envelope.
-    struct EnvelopeWriter {
-        TimePoint now;
-        Envelope& out;
-
-        void operator()(const lycheefield::Hello& hello) const
-        {
-            Hello body;
-            body.instance = hello.instance.value();
-            body.life = toSigned(hello.life.value());
-            body.zone = hello.zone.value();
-            out.__set_hello(body);
-        }
-        void operator()(const lycheefield::WorkOrder& work) const
-        {
-            out.work = toWire(work, now);
-            out.__isset.work = true;
-        }
-        void operator()(const CancelLeg& cancel) const { out.__set_cancel(toWire(cancel.key)); }
-        void operator()(const LegResults& message) const
-        {
-            out.results.reserve(message.results.size());
-            for (const auto& it : message.results)
-                out.results.push_back(toWire(it));
-            out.__isset.results = true;
-        }
-        void operator()(const ServerNews& news) const
-        {
-            for (const auto& it : news.servers)
-                out.servers.push_back(toWire(it));
-            out.__isset.servers = true;
-        }
-        void operator()(const AnnounceCrash& crash) const
-        {
-            CrashNews body;
-            body.fingerprint = toSigned(crash.fingerprint.value());
-            body.crashes = toSigned(crash.crashes);
-            body.quarantineMicros = crash.quarantine.count();
-            out.__set_crash(body);
-        }
-        void operator()(const lycheefield::Gossip& gossip) const
-        {
-            Gossip body;
-            body.sequence = toSigned(gossip.sequence);
-            body.isAnswer = gossip.isAnswer;
-            for (const auto& it : gossip.digests)
-                body.digests.push_back(toWire(it));
-            body.ruleRevision = toSigned(gossip.ruleRevision.value());
-            if (!gossip.probeTarget.value().empty())
-                body.__set_probeTarget(gossip.probeTarget.value());
-            if (gossip.catalogRevision != 0)
-                body.__set_catalogRevision(toSigned(gossip.catalogRevision));
-            out.__set_gossip(body);
-        }
-        void operator()(const lycheefield::RuleRequest& request) const
-        {
-            RuleRequest body;
-            body.haveRevision = toSigned(request.haveRevision.value());
-            out.__set_ruleRequest(body);
-        }
-        void operator()(const lycheefield::RuleDelta& delta) const
-        {
-            RuleDelta body;
-            body.baseRevision = toSigned(delta.baseRevision.value());
-            body.revision = toSigned(delta.revision.value());
-            body.removedLines.assign(delta.removedLines.begin(), delta.removedLines.end());
-            body.addedLines = delta.addedLines;
-            body.addedAt.assign(delta.addedAt.begin(), delta.addedAt.end());
-            body.resultHash = toSigned(delta.resultHash);
-            out.__set_ruleDelta(body);
-        }
-        void operator()(const lycheefield::Control& control) const
-        {
-            Control body;
-            body.sequence = toSigned(control.sequence);
-            body.verb = control.verb;
-            body.argument = control.argument;
-            if (control.isAnswer)
-                body.__set_isAnswer(true);
-            if (!control.payload.empty())
-                body.__set_payload(control.payload);
-            out.__set_control(body);
-        }
-    };
+};
 
 }
 
--- a/src/wire/convert_from.cpp
+++ b/src/wire/convert_from.cpp
@@ -9,244 +9,244 @@
 
 namespace {
 
-    /// Reads values out of one envelope and remembers the first that lies out of its range.
-    class Reader {
-    public:
-        Reader(TimePoint now, const FrameLimits& limits)
-            : m_now(now)
-            , m_limits(limits)
-        {
-        }
-
-        bool failed() const { return !m_bad.empty(); }
-        const std::string& bad() const { return m_bad; }
-
-        static std::uint64_t number(std::int64_t value) { return static_cast<std::uint64_t>(value); }
-
-        std::uint32_t count(std::int32_t value, const char* field)
-        {
-            if (value < 0)
-                fail(field);
-            return static_cast<std::uint32_t>(value);
-        }
-
-        Duration duration(std::int64_t micros, const char* field)
-        {
-            if (micros < 0 || micros > m_limits.maxBudget.count())
-                fail(field);
-            return Duration(micros);
-        }
-
-        TimePoint deadline(std::int64_t micros, const char* field) { return m_now + duration(micros, field); }
-
-        std::uint16_t port(std::int32_t value, const char* field)
-        {
-            if (value < 0 || value > std::numeric_limits<std::uint16_t>::max())
-                fail(field);
-            return static_cast<std::uint16_t>(value);
-        }
-
-        template <typename Enum>
-        Enum choice(std::int32_t value, Enum last, const char* field)
-        {
-            if (value < 0 || value > static_cast<std::int32_t>(last))
-                fail(field);
-            return static_cast<Enum>(value);
-        }
-
-        std::string name(std::string& value, const char* field)
-        {
-            if (value.empty())
-                fail(field);
-            return std::move(value);
-        }
-
-    private:
-        void fail(const char* field)
-        {
-            if (m_bad.empty())
-                m_bad = field;
-        }
-
-        TimePoint m_now;
-        const FrameLimits& m_limits;
-        std::string m_bad;
-    };
-
-    RequestId requestId(std::int64_t life, std::int64_t counter)
+/// Reads values out of one envelope and remembers the first that lies out of its range.
+class Reader {
+public:
+    Reader(TimePoint now, const FrameLimits& limits)
+        : m_now(now)
+        , m_limits(limits)
     {
-        return { ProcessLife(Reader::number(life)), Reader::number(counter) };
     }
 
-    lycheefield::LegKey fromWire(const LegKey& in, Reader& reader)
-    {
-        return { requestId(in.requestLife, in.requestCounter), LegNumber(reader.count(in.leg, "leg")), AttemptNumber(reader.count(in.attempt, "attempt")) };
-    }
+    bool failed() const { return !m_bad.empty(); }
+    const std::string& bad() const { return m_bad; }
 
-    lycheefield::LegOrder fromWire(LegOrder& in, Reader& reader)
-    {
-        lycheefield::LegOrder out;
-        out.leg = LegNumber(reader.count(in.leg, "leg"));
-        out.attempt = AttemptNumber(reader.count(in.attempt, "attempt"));
-        out.shard = ShardNumber(reader.count(in.shard, "shard"));
-        out.server = ServerName(reader.name(in.server, "server"));
-        out.isHedge = in.isHedge;
-        return out;
-    }
+    static std::uint64_t number(std::int64_t value) { return static_cast<std::uint64_t>(value); }
 
-    lycheefield::WorkOrder fromWire(WorkOrder& in, Reader& reader)
+    std::uint32_t count(std::int32_t value, const char* field)
     {
-        lycheefield::WorkOrder out;
-        out.request = requestId(in.requestLife, in.requestCounter);
-        out.entry = InstanceName(reader.name(in.entry, "entry"));
-        out.service = ServiceName(reader.name(in.serviceName, "serviceName"));
-        out.kind = reader.choice(in.kind, RequestKind::Order, "kind");
-        out.priority = reader.choice(in.priority, Priority::Batch, "priority");
-        out.deadline = reader.deadline(in.budgetMicros, "budgetMicros");
-        out.version = IndexVersion(Reader::number(in.indexVersion));
-        out.epoch = PartitionEpoch(Reader::number(in.partitionEpoch));
-        out.fingerprint = Fingerprint(Reader::number(in.fingerprint));
-        out.body = std::make_shared<const std::string>(std::move(in.body));
-        out.traceparent = std::move(in.traceparent);
-        out.legs.reserve(in.legs.size());
-        for (auto& it : in.legs)
-            out.legs.push_back(fromWire(it, reader));
-        return out;
+        if (value < 0)
+            fail(field);
+        return static_cast<std::uint32_t>(value);
     }
 
-    lycheefield::ServerState fromWire(ServerState& in, Reader& reader)
+    Duration duration(std::int64_t micros, const char* field)
     {
-        lycheefield::ServerState out;
-        out.server = ServerName(std::move(in.server));
-        out.inFlight = reader.count(in.inFlight, "inFlight");
-        out.queued = reader.count(in.queued, "queued");
-        out.slots = reader.count(in.slots, "slots");
-        for (const auto it : in.versions)
-            out.versions.emplace_back(Reader::number(it));
-        out.draining = in.draining;
-        out.ejected = in.ejected;
-        out.recentLatency = reader.duration(in.recentLatencyMicros, "recentLatencyMicros");
-        return out;
+        if (micros < 0 || micros > m_limits.maxBudget.count())
+            fail(field);
+        return Duration(micros);
     }
 
-    lycheefield::LegResult fromWire(LegResult& in, Reader& reader)
-    {
-        lycheefield::LegResult out;
-        out.key = fromWire(in.key, reader);
-        out.shard = ShardNumber(reader.count(in.shard, "shard"));
-        out.outcome = reader.choice(in.outcome, LegOutcome::Lost, "outcome");
-        out.version = IndexVersion(Reader::number(in.indexVersion));
-        out.epoch = PartitionEpoch(Reader::number(in.partitionEpoch));
-        for (auto& it : in.batches)
-            out.batches.emplace_back(std::move(it));
-        out.body = std::move(in.body);
-        out.state = fromWire(in.state, reader);
-        out.queueTime = reader.duration(in.queueMicros, "queueMicros");
-        out.serviceTime = reader.duration(in.serviceMicros, "serviceMicros");
-        out.crashed = in.crashed;
-        out.retryAfter = reader.duration(in.retryAfterMicros, "retryAfterMicros");
-        out.detail = std::move(in.detail);
-        return out;
-    }
+    TimePoint deadline(std::int64_t micros, const char* field) { return m_now + duration(micros, field); }
 
-    lycheefield::InstanceDigest fromWire(InstanceDigest& in, Reader& reader)
+    std::uint16_t port(std::int32_t value, const char* field)
     {
-        lycheefield::InstanceDigest out;
-        out.instance.name = InstanceName(reader.name(in.name, "name"));
-        out.instance.life = ProcessLife(Reader::number(in.life));
-        out.instance.inner = { std::move(in.innerAddress), reader.port(in.innerPort, "innerPort") };
-        out.instance.http = { std::move(in.httpAddress), reader.port(in.httpPort, "httpPort") };
-        out.instance.zone = ZoneName(std::move(in.zone));
-        out.instance.health = reader.choice(in.health, InstanceHealth::Gone, "health");
-        out.incarnation = Reader::number(in.incarnation);
-        out.ruleRevision = RuleRevision(Reader::number(in.ruleRevision));
-        return out;
+        if (value < 0 || value > std::numeric_limits<std::uint16_t>::max())
+            fail(field);
+        return static_cast<std::uint16_t>(value);
     }
 
-    lycheefield::Gossip fromWire(Gossip& in, Reader& reader)
+    template <typename Enum>
+    Enum choice(std::int32_t value, Enum last, const char* field)
     {
-        lycheefield::Gossip out;
-        out.sequence = Reader::number(in.sequence);
-        out.isAnswer = in.isAnswer;
-        for (auto& it : in.digests)
-            out.digests.push_back(fromWire(it, reader));
-        out.ruleRevision = RuleRevision(Reader::number(in.ruleRevision));
-        out.probeTarget = InstanceName(std::move(in.probeTarget));
-        out.catalogRevision = Reader::number(in.catalogRevision);
-        return out;
+        if (value < 0 || value > static_cast<std::int32_t>(last))
+            fail(field);
+        return static_cast<Enum>(value);
     }
 
-    lycheefield::RuleDelta fromWire(RuleDelta& in, Reader& reader)
+    std::string name(std::string& value, const char* field)
     {
-        lycheefield::RuleDelta out;
-        out.baseRevision = RuleRevision(Reader::number(in.baseRevision));
-        out.revision = RuleRevision(Reader::number(in.revision));
-        for (const auto it : in.removedLines)
-            out.removedLines.push_back(reader.count(it, "removedLines"));
-        out.addedLines = std::move(in.addedLines);
-        for (const auto it : in.addedAt)
-            out.addedAt.push_back(reader.count(it, "addedAt"));
-        out.resultHash = Reader::number(in.resultHash);
-        return out;
+        if (value.empty())
+            fail(field);
+        return std::move(value);
     }
 
-    lycheefield::Control fromWire(Control& in)
+private:
+    void fail(const char* field)
     {
-        return { Reader::number(in.sequence), std::move(in.verb), std::move(in.argument), in.isAnswer, std::move(in.payload) };
+        if (m_bad.empty())
+            m_bad = field;
     }
 
-    LegResults fromWire(std::vector<LegResult>& in, Reader& reader)
-    {
-        LegResults out;
-        out.results.reserve(in.size());
-        for (auto& it : in)
-            out.results.push_back(fromWire(it, reader));
-        return out;
-    }
+    TimePoint m_now;
+    const FrameLimits& m_limits;
+    std::string m_bad;
+};
 
-    ServerNews fromWire(std::vector<ServerState>& in, Reader& reader)
-    {
-        ServerNews out;
-        out.servers.reserve(in.size());
-        for (auto& it : in)
-            out.servers.push_back(fromWire(it, reader));
-        return out;
-    }
+RequestId requestId(std::int64_t life, std::int64_t counter)
+{
+    return { ProcessLife(Reader::number(life)), Reader::number(counter) };
+}
 
-    int bodiesIn(const Envelope& in)
-    {
-        const auto& set = in.__isset;
-        return set.hello + set.work + set.cancel + set.results + set.servers + set.crash + set.gossip + set.ruleRequest + set.ruleDelta + set.control;
-    }
+lycheefield::LegKey fromWire(const LegKey& in, Reader& reader)
+{
+    return { requestId(in.requestLife, in.requestCounter), LegNumber(reader.count(in.leg, "leg")), AttemptNumber(reader.count(in.attempt, "attempt")) };
+}
 
-    /// Precondition: exactly one body field is set.
-    PeerMessage readBody(Envelope& in, Reader& reader)
-    {
-        const auto& set = in.__isset;
-        if (set.hello) {
-            return lycheefield::Hello { InstanceName(reader.name(in.hello.instance, "instance")), ProcessLife(Reader::number(in.hello.life)),
-                ZoneName(std::move(in.hello.zone)) };
-        }
-        if (set.work)
-            return fromWire(in.work, reader);
-        if (set.cancel)
-            return CancelLeg { fromWire(in.cancel, reader) };
-        if (set.results)
-            return fromWire(in.results, reader);
-        if (set.servers)
-            return fromWire(in.servers, reader);
-        if (set.crash) {
-            return AnnounceCrash { Fingerprint(Reader::number(in.crash.fingerprint)), reader.count(in.crash.crashes, "crashes"),
-                reader.duration(in.crash.quarantineMicros, "quarantineMicros") };
-        }
-        if (set.gossip)
-            return fromWire(in.gossip, reader);
-        if (set.ruleRequest)
-            return lycheefield::RuleRequest { RuleRevision(Reader::number(in.ruleRequest.haveRevision)) };
-        if (set.ruleDelta)
-            return fromWire(in.ruleDelta, reader);
-        return fromWire(in.control);
+lycheefield::LegOrder fromWire(LegOrder& in, Reader& reader)
+{
+    lycheefield::LegOrder out;
+    out.leg = LegNumber(reader.count(in.leg, "leg"));
+    out.attempt = AttemptNumber(reader.count(in.attempt, "attempt"));
+    out.shard = ShardNumber(reader.count(in.shard, "shard"));
+    out.server = ServerName(reader.name(in.server, "server"));
+    out.isHedge = in.isHedge;
+    return out;
+}
+
+lycheefield::WorkOrder fromWire(WorkOrder& in, Reader& reader)
+{
+    lycheefield::WorkOrder out;
+    out.request = requestId(in.requestLife, in.requestCounter);
+    out.entry = InstanceName(reader.name(in.entry, "entry"));
+    out.service = ServiceName(reader.name(in.serviceName, "serviceName"));
+    out.kind = reader.choice(in.kind, RequestKind::Order, "kind");
+    out.priority = reader.choice(in.priority, Priority::Batch, "priority");
+    out.deadline = reader.deadline(in.budgetMicros, "budgetMicros");
+    out.version = IndexVersion(Reader::number(in.indexVersion));
+    out.epoch = PartitionEpoch(Reader::number(in.partitionEpoch));
+    out.fingerprint = Fingerprint(Reader::number(in.fingerprint));
+    out.body = std::make_shared<const std::string>(std::move(in.body));
+    out.traceparent = std::move(in.traceparent);
+    out.legs.reserve(in.legs.size());
+    for (auto& it : in.legs)
+        out.legs.push_back(fromWire(it, reader));
+    return out;
+}
+
+lycheefield::ServerState fromWire(ServerState& in, Reader& reader)
+{
+    lycheefield::ServerState out;
+    out.server = ServerName(std::move(in.server));
+    out.inFlight = reader.count(in.inFlight, "inFlight");
+    out.queued = reader.count(in.queued, "queued");
+    out.slots = reader.count(in.slots, "slots");
+    for (const auto it : in.versions)
+        out.versions.emplace_back(Reader::number(it));
+    out.draining = in.draining;
+    out.ejected = in.ejected;
+    out.recentLatency = reader.duration(in.recentLatencyMicros, "recentLatencyMicros");
+    return out;
+}
+
+lycheefield::LegResult fromWire(LegResult& in, Reader& reader)
+{
+    lycheefield::LegResult out;
+    out.key = fromWire(in.key, reader);
+    out.shard = ShardNumber(reader.count(in.shard, "shard"));
+    out.outcome = reader.choice(in.outcome, LegOutcome::Lost, "outcome");
+    out.version = IndexVersion(Reader::number(in.indexVersion));
+    out.epoch = PartitionEpoch(Reader::number(in.partitionEpoch));
+    for (auto& it : in.batches)
+        out.batches.emplace_back(std::move(it));
+    out.body = std::move(in.body);
+    out.state = fromWire(in.state, reader);
+    out.queueTime = reader.duration(in.queueMicros, "queueMicros");
+    out.serviceTime = reader.duration(in.serviceMicros, "serviceMicros");
+    out.crashed = in.crashed;
+    out.retryAfter = reader.duration(in.retryAfterMicros, "retryAfterMicros");
+    out.detail = std::move(in.detail);
+    return out;
+}
+
+lycheefield::InstanceDigest fromWire(InstanceDigest& in, Reader& reader)
+{
+    lycheefield::InstanceDigest out;
+    out.instance.name = InstanceName(reader.name(in.name, "name"));
+    out.instance.life = ProcessLife(Reader::number(in.life));
+    out.instance.inner = { std::move(in.innerAddress), reader.port(in.innerPort, "innerPort") };
+    out.instance.http = { std::move(in.httpAddress), reader.port(in.httpPort, "httpPort") };
+    out.instance.zone = ZoneName(std::move(in.zone));
+    out.instance.health = reader.choice(in.health, InstanceHealth::Gone, "health");
+    out.incarnation = Reader::number(in.incarnation);
+    out.ruleRevision = RuleRevision(Reader::number(in.ruleRevision));
+    return out;
+}
+
+lycheefield::Gossip fromWire(Gossip& in, Reader& reader)
+{
+    lycheefield::Gossip out;
+    out.sequence = Reader::number(in.sequence);
+    out.isAnswer = in.isAnswer;
+    for (auto& it : in.digests)
+        out.digests.push_back(fromWire(it, reader));
+    out.ruleRevision = RuleRevision(Reader::number(in.ruleRevision));
+    out.probeTarget = InstanceName(std::move(in.probeTarget));
+    out.catalogRevision = Reader::number(in.catalogRevision);
+    return out;
+}
+
+lycheefield::RuleDelta fromWire(RuleDelta& in, Reader& reader)
+{
+    lycheefield::RuleDelta out;
+    out.baseRevision = RuleRevision(Reader::number(in.baseRevision));
+    out.revision = RuleRevision(Reader::number(in.revision));
+    for (const auto it : in.removedLines)
+        out.removedLines.push_back(reader.count(it, "removedLines"));
+    out.addedLines = std::move(in.addedLines);
+    for (const auto it : in.addedAt)
+        out.addedAt.push_back(reader.count(it, "addedAt"));
+    out.resultHash = Reader::number(in.resultHash);
+    return out;
+}
+
+lycheefield::Control fromWire(Control& in)
+{
+    return { Reader::number(in.sequence), std::move(in.verb), std::move(in.argument), in.isAnswer, std::move(in.payload) };
+}
+
+LegResults fromWire(std::vector<LegResult>& in, Reader& reader)
+{
+    LegResults out;
+    out.results.reserve(in.size());
+    for (auto& it : in)
+        out.results.push_back(fromWire(it, reader));
+    return out;
+}
+
+ServerNews fromWire(std::vector<ServerState>& in, Reader& reader)
+{
+    ServerNews out;
+    out.servers.reserve(in.size());
+    for (auto& it : in)
+        out.servers.push_back(fromWire(it, reader));
+    return out;
+}
+
+int bodiesIn(const Envelope& in)
+{
+    const auto& set = in.__isset;
+    return set.hello + set.work + set.cancel + set.results + set.servers + set.crash + set.gossip + set.ruleRequest + set.ruleDelta + set.control;
+}
+
+/// Precondition: exactly one body field is set.
+PeerMessage readBody(Envelope& in, Reader& reader)
+{
+    const auto& set = in.__isset;
+    if (set.hello) {
+        return lycheefield::Hello { InstanceName(reader.name(in.hello.instance, "instance")), ProcessLife(Reader::number(in.hello.life)),
+            ZoneName(std::move(in.hello.zone)) };
+    }
+    if (set.work)
+        return fromWire(in.work, reader);
+    if (set.cancel)
+        return CancelLeg { fromWire(in.cancel, reader) };
+    if (set.results)
+        return fromWire(in.results, reader);
+    if (set.servers)
+        return fromWire(in.servers, reader);
+    if (set.crash) {
+        return AnnounceCrash { Fingerprint(Reader::number(in.crash.fingerprint)), reader.count(in.crash.crashes, "crashes"),
+            reader.duration(in.crash.quarantineMicros, "quarantineMicros") };
     }
+    if (set.gossip)
+        return fromWire(in.gossip, reader);
+    if (set.ruleRequest)
+        return lycheefield::RuleRequest { RuleRevision(Reader::number(in.ruleRequest.haveRevision)) };
+    if (set.ruleDelta)
+        return fromWire(in.ruleDelta, reader);
+    return fromWire(in.control);
+}
 
 }
 
--- a/src/wire/frame_codec.cpp
+++ b/src/wire/frame_codec.cpp
@@ -15,37 +15,37 @@
 
 namespace {
 
-    using apache::thrift::transport::TMemoryBuffer;
-    using Protocol = apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer>;
+using apache::thrift::transport::TMemoryBuffer;
+using Protocol = apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer>;
 
-    Error unreadable(std::string message)
-    {
-        return { ErrorKind::InvalidInput, std::move(message), "run instances of the same release and check what else connects to this port" };
-    }
+Error unreadable(std::string message)
+{
+    return { ErrorKind::InvalidInput, std::move(message), "run instances of the same release and check what else connects to this port" };
+}
 
-    void appendHeader(std::uint32_t length, std::string& out)
-    {
-        std::array<unsigned char, frameHeaderBytes> header {};
-        boost::endian::store_big_u32(header.data(), length);
-        out.append(header.begin(), header.end());
-    }
+void appendHeader(std::uint32_t length, std::string& out)
+{
+    std::array<unsigned char, frameHeaderBytes> header {};
+    boost::endian::store_big_u32(header.data(), length);
+    out.append(header.begin(), header.end());
+}
 
-    Result<wire::Envelope> readEnvelope(std::string_view payload, const FrameLimits& limits)
-    {
-        // TMemoryBuffer only observes the bytes; its interface lacks const.
-        auto* bytes = reinterpret_cast<std::uint8_t*>(const_cast<char*>(payload.data()));
-        auto buf = std::make_shared<TMemoryBuffer>(bytes, static_cast<std::uint32_t>(payload.size()));
-        Protocol protocol(buf, static_cast<std::int32_t>(limits.maxFrameBytes), static_cast<std::int32_t>(limits.maxListItems));
-        wire::Envelope envelope;
-        try {
-            envelope.read(&protocol);
-        } catch (const std::exception& ex) {
-            return unreadable(std::string("frame can't be read: ") + ex.what());
-        }
-        if (buf->available_read() != 0)
-            return unreadable("frame has bytes after its message");
-        return envelope;
+Result<wire::Envelope> readEnvelope(std::string_view payload, const FrameLimits& limits)
+{
+    // TMemoryBuffer only observes the bytes; its interface lacks const.
+    auto* bytes = reinterpret_cast<std::uint8_t*>(const_cast<char*>(payload.data()));
+    auto buf = std::make_shared<TMemoryBuffer>(bytes, static_cast<std::uint32_t>(payload.size()));
+    Protocol protocol(buf, static_cast<std::int32_t>(limits.maxFrameBytes), static_cast<std::int32_t>(limits.maxListItems));
+    wire::Envelope envelope;
+    try {
+        envelope.read(&protocol);
+    } catch (const std::exception& ex) {
+        return unreadable(std::string("frame can't be read: ") + ex.what());
     }
+    if (buf->available_read() != 0)
+        return unreadable("frame has bytes after its message");
+    return envelope;
+}
 
 }
 
--- a/src/wire/frame_session.cpp
+++ b/src/wire/frame_session.cpp
@@ -12,10 +12,10 @@
 
 namespace {
 
-    constexpr std::size_t initialReadBytes = 16 * 1024;
-    /// Frames are gathered up to this size before a write starts.
-    constexpr std::size_t writeBatchBytes = 256 * 1024;
-    constexpr auto watchInterval = std::chrono::seconds(1);
+constexpr std::size_t initialReadBytes = 16 * 1024;
+/// Frames are gathered up to this size before a write starts.
+constexpr std::size_t writeBatchBytes = 256 * 1024;
+constexpr auto watchInterval = std::chrono::seconds(1);
 
 }
 
--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-    constexpr Duration connectTimeout = std::chrono::seconds(1);
-    constexpr Duration firstBackoff = std::chrono::milliseconds(20);
-    constexpr Duration longestBackoff = std::chrono::seconds(2);
+constexpr Duration connectTimeout = std::chrono::seconds(1);
+constexpr Duration firstBackoff = std::chrono::milliseconds(20);
+constexpr Duration longestBackoff = std::chrono::seconds(2);
 
 }
 
--- a/src/wire/peer_server.cpp
+++ b/src/wire/peer_server.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-    /// Connections of peers at one time; each instance needs one to each other.
-    constexpr std::size_t maxPeerSessions = 2048;
+/// Connections of peers at one time; each instance needs one to each other.
+constexpr std::size_t maxPeerSessions = 2048;
 
 }
 
--- a/tests/platform/http_object_store_test.cpp
+++ b/tests/platform/http_object_store_test.cpp
@@ -69,7 +69,7 @@
     }
     SUBCASE("because it took longer than the timeout")
     {
-        PlatformSettings settings;
+        PlatformClientSettings settings;
         settings.callTimeout = 20ms;
         PlatformFixture slow(settings);
         slow.change([](auto& faults) { faults.delay = 10s; });
@@ -110,7 +110,7 @@
     }
     SUBCASE("and after refusals in a row calls pause without being sent")
     {
-        PlatformSettings settings;
+        PlatformClientSettings settings;
         settings.failuresBeforePause = 2;
         settings.backoffFirst = 1h;
         settings.backoffMost = 1h;
@@ -123,7 +123,7 @@
     }
     SUBCASE("because this instance's own budget is spent")
     {
-        PlatformSettings settings;
+        PlatformClientSettings settings;
         settings.writesPerSecond = 1;
         PlatformFixture platform(settings);
         CHECK(platform.write("k", 0, "v").status == StoreStatus::Ok);
@@ -135,7 +135,7 @@
 
 TEST_CASE("More calls than connections wait their turn")
 {
-    PlatformSettings settings;
+    PlatformClientSettings settings;
     settings.maxConnections = 2;
     PlatformFixture platform(settings);
     std::optional<int> all;
--- a/tests/platform/platform_fixture.h
+++ b/tests/platform/platform_fixture.h
@@ -12,7 +12,7 @@
 
 /// The stand-in platform and a client of it on one io_context that only the test's thread runs.
 struct PlatformFixture {
-    explicit PlatformFixture(PlatformSettings changed = {})
+    explicit PlatformFixture(PlatformClientSettings changed = {})
         : server(context)
         , settings(std::move(changed))
     {
@@ -57,7 +57,7 @@
 
     boost::asio::io_context context { 1 };
     standin::PlatformServer server;
-    PlatformSettings settings;
+    PlatformClientSettings settings;
     std::shared_ptr<PlatformClient> client;
     std::shared_ptr<HttpObjectStore> store;
 };
--- a/tests/platform/store_watcher_test.cpp
+++ b/tests/platform/store_watcher_test.cpp
@@ -10,7 +10,7 @@
 
 TEST_CASE("A watcher sees every change, also those made in an outage")
 {
-    PlatformSettings settings;
+    PlatformClientSettings settings;
     settings.backoffFirst = 1ms;
     settings.backoffMost = 2ms;
     PlatformFixture platform(settings);
