Dial peers of other zones through a gateway

Change: [listen] cross_zone_gateway_*; PeerLink asks the gateway by HTTP CONNECT before its Hello. Conclusion: the inner protocol itself is unchanged.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -51,6 +51,13 @@
     return out;
 }
 
+std::optional<Endpoint> gatewayOf(const ListenSettings& settings)
+{
+    if (!settings.crossZoneGateway.port)
+        return std::nullopt;
+    return settings.crossZoneGateway;
+}
+
 FrameSessionLimits frameLimits(const HttpSettings& settings)
 {
     FrameSessionLimits out;
@@ -73,7 +80,7 @@
         , m_backends(makeHttpBackendConnector())
         , m_entry({ m_io, m_clock, m_tables, m_router, m_log }, settings.query, settings.instance.name, settings.instance.zone, m_life, engineCount())
         , m_relay({ m_io, m_clock, settings.instance.name, m_router, *m_backends }, settings.relay, m_tables, engineCount())
-        , m_network({ m_io, { settings.instance.name, m_life, settings.instance.zone }, m_clock, m_wireCounters, frameLimits(settings.http) }, m_tables.view, m_router)
+        , m_network({ m_io, { settings.instance.name, m_life, settings.instance.zone }, m_clock, m_wireCounters, frameLimits(settings.http), gatewayOf(settings.listen) }, m_tables.view, m_router)
         , m_operators({ settings.instance.name, m_tables, m_entry, m_relay, m_log, m_metrics, [this] { return readiness(); },
               [this](const RequestId& id, std::function<void(HttpReply)> done) { cancel(id, std::move(done)); } })
         , m_api(m_entry, m_tables, m_claims, m_log, m_operators, m_clock)
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -36,6 +36,7 @@
     std::string advertisedAddress; ///< Told to peers and the platform; empty: the listen address.
     std::uint16_t httpPort = 0;
     std::uint16_t innerPort = 0;
+    Endpoint crossZoneGateway { "127.0.0.1", 0 }; ///< HTTP CONNECT gateway to peers in other zones; port 0: none.
 
     friend bool operator==(const ListenSettings&, const ListenSettings&) = default;
 };
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -23,6 +23,16 @@
     return &settings.platform.endpoint.port;
 }
 
+SettingField gatewayAddress(Settings& settings)
+{
+    return &settings.listen.crossZoneGateway.address;
+}
+
+SettingField gatewayPort(Settings& settings)
+{
+    return &settings.listen.crossZoneGateway.port;
+}
+
 void addInstance(std::vector<SettingKey>& keys)
 {
     constexpr auto section = &Settings::instance;
@@ -43,6 +53,8 @@
                                 { "listen", "advertised_address", fieldOf<section, &ListenSettings::advertisedAddress>, {}, "IP number told to peers and the platform; empty: the one listened on." },
                                 { "listen", "http_port", fieldOf<section, &ListenSettings::httpPort>, { "0", "65535" }, "Port for callers and operators; 0: the kernel chooses." },
                                 { "listen", "inner_port", fieldOf<section, &ListenSettings::innerPort>, { "0", "65535" }, "Port for peers; 0: the kernel chooses." },
+                                { "listen", "cross_zone_gateway_address", gatewayAddress, {}, "IP number of the HTTP CONNECT gateway to peers in other zones." },
+                                { "listen", "cross_zone_gateway_port", gatewayPort, { "0", "65535" }, "Port of that gateway; 0: peers are dialled directly." },
                             });
 }
 
--- a/src/wire/asio_peer_network.cpp
+++ b/src/wire/asio_peer_network.cpp
@@ -30,18 +30,24 @@
     const std::unique_lock lock(m_mutex);
     auto& link = m_links[peer];
     if (!link) {
-        const auto locate = [&view = m_view, peer]() -> std::optional<Endpoint> {
-            const auto current = view.read();
-            const auto* instance = current->find(peer);
-            if (!instance || instance->health == InstanceHealth::Gone)
-                return std::nullopt;
-            return instance->inner;
-        };
+        const auto locate = [this, peer]() { return routeTo(peer); };
         link = std::make_shared<PeerLink>(m_context, peer, locate, m_handler);
     }
     return link;
 }
 
+std::optional<PeerRoute> AsioPeerNetwork::routeTo(const InstanceName& peer) const
+{
+    const auto view = m_view.read();
+    const auto* instance = view->find(peer);
+    if (!instance || instance->health == InstanceHealth::Gone)
+        return std::nullopt;
+    PeerRoute route { instance->inner, std::nullopt };
+    if (instance->zone != m_context.self.zone)
+        route.gateway = m_context.crossZoneGateway;
+    return route;
+}
+
 void AsioPeerNetwork::send(const InstanceName& to, PeerMessage message)
 {
     linkTo(to)->send(std::move(message));
--- a/src/wire/asio_peer_network.h
+++ b/src/wire/asio_peer_network.h
@@ -30,6 +30,7 @@
 
 private:
     std::shared_ptr<PeerLink> linkTo(const InstanceName&);
+    std::optional<PeerRoute> routeTo(const InstanceName&) const;
 
     PeerContext m_context;
     const Snapshot<MembershipView>& m_view;
--- /dev/null
+++ b/src/wire/gateway_handshake.cpp
@@ -0,0 +1,78 @@
+#include "wire/gateway_handshake.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <memory>
+#include <string>
+
+namespace lycheefield {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t maxReplyBytes = 4096;
+
+/// Reads the reply byte by byte: what follows its empty line already belongs to the peer.
+class Handshake : public std::enable_shared_from_this<Handshake> {
+public:
+    using Handler = std::function<void(const boost::system::error_code&)>;
+
+    Handshake(asio::ip::tcp::socket& socket, const Endpoint& peer, Handler handler)
+        : m_socket(socket)
+        , m_request("CONNECT " + peer.toString() + " HTTP/1.1\r\nHost: " + peer.toString() + "\r\n\r\n")
+        , m_handler(std::move(handler))
+    {
+    }
+
+    void start()
+    {
+        asio::async_write(m_socket, asio::buffer(m_request), [self = shared_from_this()](const boost::system::error_code& ec, std::size_t) {
+            if (ec)
+                return self->m_handler(ec);
+            self->readByte();
+        });
+    }
+
+private:
+    void readByte()
+    {
+        asio::async_read(m_socket, asio::buffer(&m_byte, 1), [self = shared_from_this()](const boost::system::error_code& ec, std::size_t) {
+            if (ec)
+                return self->m_handler(ec);
+            self->m_reply += self->m_byte;
+            self->onByte();
+        });
+    }
+
+    void onByte()
+    {
+        if (m_reply.ends_with("\r\n\r\n"))
+            return m_handler(verdict());
+        if (m_reply.size() >= maxReplyBytes)
+            return m_handler(asio::error::message_size);
+        readByte();
+    }
+
+    boost::system::error_code verdict() const
+    {
+        const bool isGranted = m_reply.starts_with("HTTP/1.1 200") || m_reply.starts_with("HTTP/1.0 200");
+        return isGranted ? boost::system::error_code() : boost::system::error_code(asio::error::connection_refused);
+    }
+
+    asio::ip::tcp::socket& m_socket;
+    std::string m_request;
+    std::string m_reply;
+    char m_byte = 0;
+    Handler m_handler;
+};
+
+}
+
+void askGateway(asio::ip::tcp::socket& socket, const Endpoint& peer, std::function<void(const boost::system::error_code&)> handler)
+{
+    std::make_shared<Handshake>(socket, peer, std::move(handler))->start();
+}
+
+}
--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -1,5 +1,7 @@
 #include "wire/peer_link.h"
 
+#include "wire/gateway_handshake.h"
+
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -61,16 +63,16 @@
 
 void PeerLink::connect()
 {
-    const auto endpoint = m_locate();
+    const auto route = m_locate();
     boost::system::error_code ec;
-    const auto address = endpoint ? boost::asio::ip::make_address(endpoint->address, ec) : boost::asio::ip::address();
-    if (!endpoint || ec) {
+    const auto address = route ? boost::asio::ip::make_address(route->firstHop().address, ec) : boost::asio::ip::address();
+    if (!route || ec) {
         backOff();
         return;
     }
     m_state = State::Connecting;
     m_connecting.emplace(m_strand);
-    m_connecting->async_connect({ address, endpoint->port }, [self = shared_from_this()](const boost::system::error_code& ec) { self->onConnected(ec); });
+    m_connecting->async_connect({ address, route->firstHop().port }, [self = shared_from_this(), route](const boost::system::error_code& ec) { self->onFirstHop(*route, ec); });
     m_timer.expires_after(connectTimeout);
     m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
         if (!ec && self->m_state == State::Connecting && self->m_connecting) {
@@ -80,6 +82,17 @@
     });
 }
 
+void PeerLink::onFirstHop(const PeerRoute& route, const boost::system::error_code& ec)
+{
+    if (ec || !route.gateway || m_closed || !m_connecting) {
+        onConnected(ec);
+        return;
+    }
+    boost::system::error_code ignored;
+    m_connecting->set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    askGateway(*m_connecting, route.peer, [self = shared_from_this()](const boost::system::error_code& ec) { self->onConnected(ec); });
+}
+
 void PeerLink::onConnected(const boost::system::error_code& ec)
 {
     m_timer.cancel();
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -4,6 +4,7 @@
 #include "membership/view.h"
 #include "wire/frame_session.h"
 #include "wire/peer_network.h"
+#include "wire/peer_route.h"
 
 #include <functional>
 #include <memory>
@@ -18,6 +19,7 @@
     std::shared_ptr<const Clock> clock;
     std::shared_ptr<WireCounters> counters;
     FrameSessionLimits limits;
+    std::optional<Endpoint> crossZoneGateway; ///< Peers in other zones are dialled through it.
 };
 
 /// The connection that this process keeps open to one peer, on demand, with backoff between tries.
@@ -27,7 +29,7 @@
 class PeerLink : public FrameSessionEvents, public std::enable_shared_from_this<PeerLink> {
 public:
     /// Where the peer is now; empty when the view doesn't know it.
-    using Locate = std::function<std::optional<Endpoint>()>;
+    using Locate = std::function<std::optional<PeerRoute>()>;
 
     /// Precondition: the handler outlives the link.
     PeerLink(PeerContext, InstanceName peer, Locate, PeerHandler&);
@@ -50,6 +52,7 @@
 
     void deliver(PeerMessage);
     void connect();
+    void onFirstHop(const PeerRoute&, const boost::system::error_code&);
     void onConnected(const boost::system::error_code&);
     void giveUp();
     void backOff();
