Membership: probes, digests and suspicion without I/O

SWIM's idea, with the order of digests (incarnation, life, health) over all lives of a name, so that a restarted process takes its name back by refuting what is said of its predecessor. A member is suspected after two failed probes in a row, each tried again directly and through two others.

Tested with 9 and 510 engines in virtual time.

--- /dev/null
+++ b/src/membership/member_table.cpp
@@ -0,0 +1,153 @@
+#include "membership/member_table.h"
+
+#include <tuple>
+
+namespace lycheefield {
+
+namespace {
+
+auto rankOf(std::uint64_t incarnation, ProcessLife life, InstanceHealth health)
+{
+    return std::make_tuple(incarnation, life, health);
+}
+
+bool supersedes(const MemberDigest& digest, const Member& member)
+{
+    return rankOf(digest.incarnation, digest.life, digest.health) > rankOf(member.incarnation, member.instance.life, member.instance.health);
+}
+
+Instance instanceOf(const MemberDigest& digest)
+{
+    return { digest.name, digest.life, digest.address->inner, digest.address->http, digest.address->zone, digest.health };
+}
+
+}
+
+MergeEffect MemberTable::merge(const MemberDigest& digest, TimePoint now)
+{
+    const auto it = m_members.find(digest.name);
+    if (it == m_members.end()) {
+        if (!digest.address || digest.health == InstanceHealth::Gone)
+            return MergeEffect::None;
+        m_members.emplace(digest.name, Member { instanceOf(digest), digest.incarnation, now });
+        ++m_changes;
+        return MergeEffect::Changed;
+    }
+    auto& member = it->second;
+    const bool isNewLife = digest.life != member.instance.life;
+    if (!supersedes(digest, member) || (isNewLife && !digest.address))
+        return MergeEffect::None;
+    const auto before = member.instance;
+    if (digest.address)
+        member.instance = { digest.name, digest.life, digest.address->inner, digest.address->http, digest.address->zone, before.health };
+    if (isNewLife || digest.health == InstanceHealth::Alive)
+        member.left = false;
+    member.incarnation = digest.incarnation;
+    setHealth(member, digest.health, now);
+    if (member.instance == before)
+        return MergeEffect::Refreshed;
+    ++m_changes;
+    return MergeEffect::Changed;
+}
+
+bool MemberTable::addListed(const Instance& instance, TimePoint now)
+{
+    const auto [it, isNew] = m_members.try_emplace(instance.name, Member { instance, 0, now });
+    if (isNew) {
+        ++m_changes;
+        return true;
+    }
+    auto& member = it->second;
+    const bool leaves = instance.life == member.instance.life && instance.health == InstanceHealth::Leaving && member.instance.canOwn();
+    if (leaves)
+        setHealth(member, InstanceHealth::Leaving, now);
+    return leaves;
+}
+
+void MemberTable::setHealth(Member& member, InstanceHealth health, TimePoint now)
+{
+    if (health == member.instance.health)
+        return;
+    if (health == InstanceHealth::Leaving)
+        member.left = true;
+    ++m_changes;
+    member.instance.health = health;
+    member.since = now;
+    member.failedProbes = 0;
+}
+
+void MemberTable::forgetGone(TimePoint before)
+{
+    std::erase_if(m_members, [&](const auto& it) { return it.second.instance.health == InstanceHealth::Gone && it.second.since < before; });
+}
+
+Member* MemberTable::find(const InstanceName& name)
+{
+    const auto it = m_members.find(name);
+    return it == m_members.end() ? nullptr : &it->second;
+}
+
+const Member* MemberTable::find(const InstanceName& name) const
+{
+    const auto it = m_members.find(name);
+    return it == m_members.end() ? nullptr : &it->second;
+}
+
+std::vector<InstanceName> MemberTable::namesWith(bool (*wanted)(const Member&)) const
+{
+    std::vector<InstanceName> names;
+    for (const auto& [name, member] : m_members) {
+        if (wanted(member))
+            names.push_back(name);
+    }
+    return names;
+}
+
+std::vector<InstanceName> MemberTable::present() const
+{
+    return namesWith([](const Member& it) { return it.instance.health != InstanceHealth::Gone; });
+}
+
+std::vector<InstanceName> MemberTable::lost() const
+{
+    return namesWith([](const Member& it) { return it.instance.health == InstanceHealth::Gone && !it.left; });
+}
+
+std::vector<InstanceName> MemberTable::suspects() const
+{
+    return namesWith([](const Member& it) { return it.instance.health == InstanceHealth::Suspect; });
+}
+
+void MemberTable::restartSuspicions(TimePoint now)
+{
+    for (auto& [name, member] : m_members) {
+        member.failedProbes = 0;
+        if (member.instance.health == InstanceHealth::Suspect)
+            member.since = now;
+    }
+}
+
+MembershipView MemberTable::viewWith(const Instance& self) const
+{
+    std::vector<Instance> instances { self };
+    for (const auto& [name, member] : m_members) {
+        if (member.instance.health != InstanceHealth::Gone)
+            instances.push_back(member.instance);
+    }
+    return MembershipView(instances);
+}
+
+MemberDigest digestOf(const Instance& instance, std::uint64_t incarnation)
+{
+    auto digest = fullDigestOf(instance, incarnation);
+    if (instance.health != InstanceHealth::Alive)
+        digest.address.reset();
+    return digest;
+}
+
+MemberDigest fullDigestOf(const Instance& instance, std::uint64_t incarnation)
+{
+    return { instance.name, instance.life, incarnation, instance.health, MemberAddress { instance.inner, instance.http, instance.zone } };
+}
+
+}
--- a/src/membership/membership_settings.h
+++ b/src/membership/membership_settings.h
@@ -15,7 +15,7 @@
     Duration probeTimeout = 150ms; ///< A probe without an answer for this long is tried through others.
     std::uint32_t indirectProbes = 2; ///< Instances that are asked to probe a silent one.
     Duration suspicionTime = 3s; ///< A suspect that does not refute for this long is gone.
-    Duration goneMemory = 60s; ///< How long a gone or left instance is remembered, so that old news does not revive it.
+    Duration goneMemory = 10min; ///< How long a gone or left instance is remembered, so that old news does not revive it.
     Duration isolationTime = 5s; ///< Without an answer from any peer or the store for this long, the instance is not ready.
     std::uint32_t maxDigests = 6; ///< Digests in one message at most.
     ByteCount bytesPerSecond = kibibytes(3); ///< Budget for everything sent to peers for membership and rules.
--- /dev/null
+++ b/tests/support/membership_cluster.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "base/random_source.h"
+#include "membership/membership_engine.h"
+#include "rules/rule_keeper.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lycheefield {
+
+/// The network between the instances of a MembershipCluster.
+struct ClusterNetwork {
+    Share loss { 0 }; ///< Of single messages.
+    Duration leastDelay = 1ms;
+    Duration mostDelay = 6ms;
+    std::set<std::pair<InstanceName, InstanceName>> cuts; ///< From, to: nothing passes that way.
+};
+
+/// Bytes of one message on the wire: frame, and IP and TCP headers.
+using MessageSize = std::function<std::size_t(const GossipMessage&)>;
+using DeltaSize = std::function<std::size_t(const RuleDelta&)>;
+
+/// Many membership engines and rule keepers in one process, in virtual time, joined by a network
+/// that loses and delays messages, and by a store that the watchers read.
+class MembershipCluster {
+public:
+    struct Node {
+        Instance self;
+        std::unique_ptr<SeededRandom> random;
+        std::unique_ptr<MembershipEngine> engine;
+        RuleKeeper keeper;
+        bool stopped = false; ///< Ended: messages to it are lost.
+        bool paused = false; ///< Stands still: messages to it wait.
+        std::vector<RuleRevision> revisions; ///< Each revision put in force, in order.
+        std::uint64_t bytes = 0; ///< Sent and received.
+        std::uint64_t epoch = 0; ///< Tells timers of this life from those of an earlier one.
+    };
+
+    MembershipCluster(std::uint64_t seed, MembershipSettings);
+
+    void setSizes(MessageSize message, DeltaSize delta);
+    ClusterNetwork& network() { return m_network; }
+    /// Starts an instance, or starts it again with a new life; it reads the list once.
+    Node& start(const std::string& name, const std::string& zone);
+    /// Starts instances i0, i1, … spread over the zones, all in each other's list.
+    void startMany(std::size_t n, std::size_t zones);
+    void stop(const std::string& name);
+    void pause(const std::string& name);
+    void resume(const std::string& name);
+    /// Puts rules into the store; those that watch it see them after the delay.
+    void storeRules(const StoredRules&, Duration delay);
+    /// Runs `action` on one instance and carries out what it wants.
+    void act(const std::string& name, const std::function<void(MembershipEngine&, MembershipActions&)>& action);
+    void runFor(Duration);
+
+    Node& node(const std::string& name) { return m_nodes.at(InstanceName(name)); }
+    std::map<InstanceName, Node>& nodes() { return m_nodes; }
+    TimePoint now() const { return m_now; }
+    /// Instances running now that have at least this revision in force.
+    std::size_t countWith(RuleRevision) const;
+    /// Instances running now whose view shows the other in this health; Gone: that do not show it.
+    std::size_t countSeeing(const std::string& other, InstanceHealth) const;
+    std::size_t running() const;
+    /// Messages sent since the start.
+    std::uint64_t messages() const { return m_messages; }
+
+private:
+    struct Event {
+        TimePoint at;
+        std::uint64_t order;
+        std::function<void()> run;
+        bool operator<(const Event& other) const { return std::tie(at, order) > std::tie(other.at, other.order); }
+    };
+
+    void schedule(TimePoint, std::function<void()>);
+    void wake(const InstanceName&, std::uint64_t epoch);
+    void deliver(const InstanceName& from, const InstanceName& to, std::size_t bytes, std::function<void(Node&)>);
+    void receive(Node&, std::size_t bytes, const std::function<void(Node&)>&);
+    void carryOut(Node&, MembershipActions);
+    void carryOut(Node&, RuleActions);
+    std::vector<Instance> listed() const;
+
+    ClusterNetwork m_network;
+    MembershipSettings m_settings;
+    SeededRandom m_random;
+    MessageSize m_messageSize;
+    DeltaSize m_deltaSize;
+    std::map<InstanceName, Node> m_nodes;
+    std::map<InstanceName, std::vector<std::function<void()>>> m_held; ///< For paused instances.
+    std::priority_queue<Event> m_events;
+    TimePoint m_now { 1s };
+    std::uint64_t m_order = 0;
+    std::uint64_t m_messages = 0;
+};
+
+}
