Look for late legs only when one can have become late

Cause: every answer scanned all legs of its query for late ones; CPU per leg grew with the fan-out. Change: the time of the next late leg is kept and recomputed only when an attempt was sent, the query came to wait for few, or that time has come.

--- a/src/query/query.h
+++ b/src/query/query.h
@@ -26,6 +26,8 @@
     std::size_t openLegs = 0;
     std::size_t covered = 0;
     RuleBudget* budget = nullptr;
+    TimePoint hedgeCheckAt {}; ///< When late legs are looked for next; the past: at the next event.
+    bool waitedForFew = false; ///< At the last look for late legs.
     bool mayHedge = true; ///< False for what must not run twice, and once its content is suspect.
     std::uint32_t attemptBase = 0; ///< Number of the first attempt since the last start.
     bool ran = false; ///< An answer proved that some part ran.
--- a/src/query/standard_query_engine.cpp
+++ b/src/query/standard_query_engine.cpp
@@ -89,6 +89,7 @@
     attempt.legClass = &m_hedges.classOf(query.rule->service, *choice.zone);
     attempt.sentAt = now;
     attempt.isHedge = isHedge;
+    query.hedgeCheckAt = {};
     ++choice.server->outstanding;
     const LegNumber number(static_cast<std::uint32_t>(leg));
     batch.add(choice.relay, { number, attempt.number, state.shard->number, choice.server->name, isHedge });
@@ -164,6 +165,11 @@
 
 void StandardQueryEngine::hedgeLateLegs(Query& query, TimePoint now, QueryActions& actions)
 {
+    // Between two looks legs only end, so no other leg can become late before the time computed last.
+    const bool waitsForFew = m_hedges.waitsForFew(query);
+    if (now < query.hedgeCheckAt && waitsForFew == query.waitedForFew)
+        return;
+    query.waitedForFew = waitsForFew;
     WorkBatch batch;
     for (const auto leg : m_hedges.lateLegs(query, now)) {
         if (query.budget->hedges.tokens() < 1)
@@ -173,6 +179,7 @@
             ++m_counters.hedges;
         }
     }
+    query.hedgeCheckAt = m_hedges.nextLate(query, now);
     batch.flush(query, m_self, actions);
 }
 
@@ -255,7 +262,7 @@
 void StandardQueryEngine::schedule(Query& query, TimePoint now)
 {
     auto due = now < query.softDeadline ? std::min(query.deadline, query.softDeadline) : query.deadline;
-    due = std::min(due, m_hedges.nextLate(query, now));
+    due = std::min(due, query.hedgeCheckAt);
     if (due == query.due)
         return;
     m_due.erase({ query.due, query.request.id });
