Look again for hedge tokens that other queries earn

Cause: a query whose late legs found no token was not looked at again before its next leg became late. Change: it is looked at again every 20 ms.

--- a/src/query/standard_query_engine.cpp
+++ b/src/query/standard_query_engine.cpp
@@ -8,6 +8,13 @@
 
 namespace lycheefield {
 
+namespace {
+
+/// How long a query with late legs waits for other queries to earn hedges.
+constexpr Duration waitForTokens = 20ms;
+
+}
+
 StandardQueryEngine::StandardQueryEngine(const QuerySettings& settings, InstanceName self, const ZoneName& zone, std::unique_ptr<RandomSource> random)
     : m_settings(settings)
     , m_self(std::move(self))
@@ -170,16 +177,21 @@
     if (now < query.hedgeCheckAt && waitsForFew == query.waitedForFew)
         return;
     query.waitedForFew = waitsForFew;
+    bool wantsTokens = false;
     WorkBatch batch;
     for (const auto leg : m_hedges.lateLegs(query, now)) {
-        if (query.budget->hedges.tokens() < 1)
+        if (query.budget->hedges.tokens() < 1) {
+            wantsTokens = true;
             break;
+        }
         if (sendAttempt(query, leg, true, now, batch)) {
             query.budget->hedges.spend();
             ++m_counters.hedges;
         }
     }
     query.hedgeCheckAt = m_hedges.nextLate(query, now);
+    if (wantsTokens)
+        query.hedgeCheckAt = std::min(query.hedgeCheckAt, now + waitForTokens);
     batch.flush(query, m_self, actions);
 }
 
