--- a/src/query/answer_builder.cpp
+++ b/src/query/answer_builder.cpp
@@ -15,7 +15,7 @@
 {
     switch (outcome) {
     case LegOutcome::Quarantined:
-        return { ErrorKind::Quarantined, "this content crashed backend servers lately", "change the request, or ask the operators" };
+        return quarantineRefusal();
     case LegOutcome::Expired:
         return { ErrorKind::DeadlineExceeded, "it could not be done before the deadline", "send it again, or allow more time" };
     case LegOutcome::Refused:
@@ -35,6 +35,11 @@
 
 }
 
+Error quarantineRefusal()
+{
+    return { ErrorKind::Quarantined, "this content crashed backend servers lately", "change the request, or ask the operators" };
+}
+
 RunState runStateOf(const Query& query)
 {
     if (query.ran)
@@ -54,6 +59,7 @@
     answer.request = query.request.id;
     answer.runState = runStateOf(query);
     answer.version = query.version;
+    answer.retryAfter = query.retryAfter;
     if (query.service)
         answer.epoch = query.service->epoch;
     for (const auto& it : query.legs) {
--- /dev/null
+++ b/src/query/crash_evidence.cpp
@@ -0,0 +1,116 @@
+#include "query/crash_evidence.h"
+
+#include <algorithm>
+
+namespace lycheefield {
+
+namespace {
+
+/// Legs of one query that die within this time are one crash.
+constexpr Duration crashWindow = std::chrono::milliseconds(200);
+/// So many separate crashes are no coincidence, even without a probe.
+constexpr std::uint32_t crashesToQuarantine = 3;
+
+}
+
+const CrashEvidence::Record* CrashEvidence::find(Fingerprint fingerprint, TimePoint now) const
+{
+    if (m_records.empty())
+        return nullptr;
+    const auto it = m_records.find(fingerprint);
+    return it == m_records.end() || it->second.until <= now ? nullptr : &it->second;
+}
+
+void CrashEvidence::makeRoom(TimePoint now)
+{
+    std::erase_if(m_records, [&](const auto& it) { return it.second.until <= now; });
+    if (m_records.size() < maxRecords)
+        return;
+    // Quarantined content must not escape by a flood of other content.
+    const auto isLessWorth = [](const auto& a, const auto& b) {
+        return std::pair(a.second.quarantinedUntil, a.second.until) < std::pair(b.second.quarantinedUntil, b.second.until);
+    };
+    m_records.erase(std::min_element(m_records.begin(), m_records.end(), isLessWorth));
+}
+
+CrashEvidence::Record& CrashEvidence::recordOf(Fingerprint fingerprint, TimePoint now)
+{
+    const auto it = m_records.find(fingerprint);
+    if (it != m_records.end() && it->second.until > now)
+        return it->second;
+    if (it != m_records.end())
+        m_records.erase(it);
+    if (m_records.size() >= maxRecords)
+        makeRoom(now);
+    return m_records[fingerprint];
+}
+
+ContentStanding CrashEvidence::standingOf(Fingerprint fingerprint, TimePoint now) const
+{
+    const auto* record = find(fingerprint, now);
+    if (!record)
+        return ContentStanding::Clear;
+    return record->quarantinedUntil > now ? ContentStanding::Quarantined : ContentStanding::Suspect;
+}
+
+void CrashEvidence::noteCrash(Fingerprint fingerprint, const ServerName& server, bool wasProbe, TimePoint now)
+{
+    auto& record = recordOf(fingerprint, now);
+    if (record.crashes == 0 || now - record.lastCrash > crashWindow)
+        ++record.crashes;
+    record.lastCrash = now;
+    m_lastCrash = now;
+    record.until = now + memory;
+    record.felled[server] = now;
+    if (wasProbe || record.crashes >= crashesToQuarantine)
+        record.quarantinedUntil = now + memory;
+}
+
+void CrashEvidence::noteNews(const CrashNews& news, TimePoint now)
+{
+    if (news.crashes == 0) {
+        const auto it = m_records.find(news.fingerprint);
+        if (it != m_records.end() && it->second.quarantinedUntil <= now)
+            m_records.erase(it);
+        return;
+    }
+    auto& record = recordOf(news.fingerprint, now);
+    record.crashes = std::max(record.crashes, 1U);
+    record.lastCrash = now;
+    m_lastCrash = now;
+    record.until = std::max(record.until, now + std::max(memory, news.quarantine));
+    if (!news.server.value().empty())
+        record.felled[news.server] = now;
+    if (news.quarantine > Duration {})
+        record.quarantinedUntil = std::max(record.quarantinedUntil, now + news.quarantine);
+}
+
+void CrashEvidence::noteAnswer(const ServerName& server, TimePoint sentAt)
+{
+    for (auto& [fingerprint, record] : m_records) {
+        const auto it = record.felled.find(server);
+        if (it != record.felled.end() && it->second < sentAt)
+            record.felled.erase(it);
+    }
+}
+
+bool CrashEvidence::mayAsk(Fingerprint fingerprint, const Shard& shard, const ServerName& server, TimePoint now) const
+{
+    const auto* record = find(fingerprint, now);
+    if (!record)
+        return true;
+    return std::all_of(shard.replicas.begin(), shard.replicas.end(), [&](const auto& it) { return it == server || !record->felled.contains(it); });
+}
+
+const ServerName* CrashEvidence::probeServer(Fingerprint fingerprint, TimePoint now) const
+{
+    const auto* record = find(fingerprint, now);
+    return record && !record->felled.empty() ? &record->felled.begin()->first : nullptr;
+}
+
+bool CrashEvidence::sawCrashWithin(Duration duration, TimePoint now) const
+{
+    return m_lastCrash > TimePoint {} && now - m_lastCrash < duration;
+}
+
+}
--- a/src/query/leg_state.h
+++ b/src/query/leg_state.h
@@ -7,6 +7,7 @@
 #include "query/leg_class.h"
 #include "query/server_record.h"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -28,10 +29,10 @@
 struct LegState {
     const Shard* shard = nullptr;
     std::vector<Attempt> attempts;
-    std::vector<ServerName> gone; ///< Replicas that no longer serve the pinned version or epoch.
+    std::vector<const ServerRecord*> gone; ///< Replicas that no longer serve the pinned version or epoch.
     std::optional<ShardAnswer> answer;
     std::optional<LegOutcome> lastOutcome; ///< Of the try that ended last without an answer.
-    bool isOpen = true;
+    bool isOpen = true; ///< Neither answered nor given up.
     std::string reason; ///< Why there is no answer, once it is closed without one.
 
     /// The try of that number whose result is awaited, or null.
@@ -51,6 +52,7 @@
         }
         return false;
     }
+    bool isGoneAt(const ServerRecord* server) const { return std::find(gone.begin(), gone.end(), server) != gone.end(); }
     bool wasTriedAt(const ServerRecord* server) const
     {
         for (const auto& it : attempts) {
--- /dev/null
+++ b/src/query/lost_relays.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+
+#include <unordered_map>
+
+namespace lycheefield {
+
+/// Relays whose connection broke lately: until membership moves their blocks, the standby is asked.
+/// Not thread safe.
+class LostRelays {
+public:
+    /// By then the view has either moved the blocks or taken the relay back.
+    static constexpr Duration memory = std::chrono::seconds(3);
+
+    void noteLost(const InstanceName& relay, TimePoint now) { m_lostAt[relay] = now; }
+    void noteHeard(const InstanceName& relay)
+    {
+        if (!m_lostAt.empty())
+            m_lostAt.erase(relay);
+    }
+    bool isLost(const InstanceName& relay, TimePoint now) const
+    {
+        if (m_lostAt.empty())
+            return false;
+        const auto it = m_lostAt.find(relay);
+        return it != m_lostAt.end() && now - it->second < memory;
+    }
+
+private:
+    std::unordered_map<InstanceName, TimePoint> m_lostAt;
+};
+
+}
--- a/src/query/query.h
+++ b/src/query/query.h
@@ -7,6 +7,7 @@
 #include "rules/rule.h"
 
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 namespace lycheefield {
@@ -29,7 +30,18 @@
     TimePoint hedgeCheckAt {}; ///< When late legs are looked for next; the past: at the next event.
     bool waitedForFew = false; ///< At the last look for late legs.
     bool mayHedge = true; ///< False for what must not run twice, and once its content is suspect.
+    bool isSuspect = false; ///< Its content may crash servers: no hedge, no retry.
+    std::optional<std::size_t> canary; ///< The leg sent ahead; the others are held until it is answered.
+    std::optional<InstanceName> canaryRelay; ///< Only this relay probes suspect content.
+    std::uint32_t canaryTries = 0;
+    TimePoint releaseAt = never; ///< When the held legs go out.
+    TimePoint startedAt {};
+    TimePoint replanAt = never; ///< It waits for newer tables until then, and looks again.
+    std::vector<IndexVersion> goneVersions;
+    std::optional<PartitionEpoch> goneEpoch;
     std::uint32_t attemptBase = 0; ///< Number of the first attempt since the last start.
+    std::uint32_t starts = 0;
+    Duration retryAfter {}; ///< The longest that a server asked for.
     bool ran = false; ///< An answer proved that some part ran.
     bool mayHaveRun = false; ///< An attempt ended without proof that it did not run.
 
--- a/src/query/query_engine.h
+++ b/src/query/query_engine.h
@@ -2,9 +2,11 @@
 
 #include "base/clock.h"
 #include "base/random_source.h"
+#include "query/crash_news.h"
 #include "query/query_action.h"
 #include "query/query_settings.h"
 #include "query/query_tables.h"
+#include "query/table_source.h"
 
 #include <cstdint>
 #include <map>
@@ -35,6 +37,10 @@
     std::uint64_t completeAnswers = 0;
     std::uint64_t partialAnswers = 0;
     std::uint64_t refusals = 0;
+    std::uint64_t canaries = 0; ///< Legs sent alone ahead of the others.
+    std::uint64_t crashes = 0; ///< Legs that died with their server.
+    std::uint64_t quarantined = 0; ///< Requests refused for their content.
+    std::uint64_t notAdmitted = 0; ///< Requests refused because they could not be done in time.
     std::uint64_t mixedVersions = 0; ///< Answers of another version or epoch than asked for, not used.
 
     friend bool operator==(const QueryCounters&, const QueryCounters&) = default;
@@ -58,6 +64,8 @@
     virtual void cancel(const RequestId&, bool callerIsGone, TimePoint, QueryActions&) = 0;
     /// What a relay told about a server outside of an answer: drain, versions, load.
     virtual void onServerState(const ServerState&, TimePoint) = 0;
+    /// A relay's news about content that crashed a server. Every engine of every instance must hear it.
+    virtual void onCrashNews(const CrashNews&, TimePoint, QueryActions&) = 0;
     /// Runs what has come due. Call it no later than nextWake().
     virtual void onTimer(TimePoint, QueryActions&) = 0;
     /// When onTimer must run next; `never` when nothing waits.
@@ -67,7 +75,9 @@
     virtual QueryCounters counters() const = 0;
 };
 
-/// Builds the engine that the settings ask for: all policies, or the plain baseline.
-std::unique_ptr<QueryEngine> makeQueryEngine(const QuerySettings&, const InstanceName& self, const ZoneName&, std::unique_ptr<RandomSource>);
+/// Builds the engine that the settings ask for: all policies, or the plain baseline. Without a
+/// source of newer tables a query that has to start again uses those that it started with.
+std::unique_ptr<QueryEngine> makeQueryEngine(
+    const QuerySettings&, const InstanceName& self, const ZoneName&, std::unique_ptr<RandomSource>, std::shared_ptr<const TableSource> = nullptr);
 
 }
--- a/src/query/query_settings.h
+++ b/src/query/query_settings.h
@@ -2,6 +2,7 @@
 
 #include "base/time.h"
 #include "base/units.h"
+#include "query/canary_mode.h"
 
 #include <cstdint>
 
@@ -19,6 +20,8 @@
     std::uint32_t maxAttempts = 3; ///< Of one leg, hedges included.
     Share hedgeQuantile { 0.95 }; ///< A leg slower than this quantile of its class may be hedged.
     Duration minimumHedgeDelay = 2ms;
+    CanaryMode canary = CanaryMode::SuspectOnly;
+    bool admission = true; ///< Refuse what can't be done in time before it costs anything.
     Duration crossZoneCost = 3ms; ///< What a replica in another zone must be better by.
 
     friend bool operator==(const QuerySettings&, const QuerySettings&) = default;
--- a/src/query/replica_chooser.cpp
+++ b/src/query/replica_chooser.cpp
@@ -11,37 +11,54 @@
 /// A replica is preferred for its speed only when it is faster by more than this factor.
 constexpr double clearlyFaster = 1.25;
 
+/// Older news of a server's queue is no ground for refusing a request.
+constexpr Duration loadIsKnownFor = 500ms;
+
 }
 
-ReplicaChooser::ReplicaChooser(const QuerySettings& settings, const ZoneName& self, ServerTable& servers, RandomSource& random)
+ReplicaChooser::ReplicaChooser(const QuerySettings& settings, const ZoneName& self, ServerTable& servers, const LostRelays& lostRelays, const CrashEvidence& evidence, RandomSource& random)
     : m_settings(settings)
     , m_self(self)
     , m_servers(servers)
+    , m_lostRelays(lostRelays)
+    , m_evidence(evidence)
     , m_random(random)
 {
 }
 
-std::vector<ReplicaChoice> ReplicaChooser::candidatesOf(const Query& query, const LegState& leg, bool again)
+std::vector<ReplicaChoice> ReplicaChooser::candidatesOf(const Query& query, const LegState& leg, bool again, TimePoint now)
 {
-    const SnapshotChooser snapshots(*query.tables.shards, m_servers);
+    const SnapshotChooser snapshots(*query.tables.shards, m_servers, now);
     std::vector<ReplicaChoice> usable;
     std::vector<ReplicaChoice> avoided;
     for (const auto& name : leg.shard->replicas) {
         const auto* owners = query.tables.ownership->ownersOf(name);
         const auto* server = query.tables.shards->findServer(name);
-        if (!owners || owners->owner.value().empty() || !server)
+        const auto* relay = owners ? relayOf(*owners, now) : nullptr;
+        if (!relay || !server || (query.canaryRelay && *query.canaryRelay != *relay))
             continue;
         auto& record = m_servers.recordOf(name);
-        if ((!again && leg.wasTriedAt(&record)) || !snapshots.serves(name, query.version))
+        if ((!again && leg.wasTriedAt(&record)) || leg.isGoneAt(&record) || !snapshots.serves(name, query.version))
+            continue;
+        if (!m_evidence.mayAsk(query.fingerprint, *leg.shard, name, now))
             continue;
         const bool avoid = server->leaving || (record.state && (record.state->draining || record.state->ejected));
-        (avoid ? avoided : usable).push_back({ &record, owners->owner, &server->zone });
+        (avoid ? avoided : usable).push_back({ &record, *relay, &server->zone });
     }
     return usable.empty() ? avoided : usable;
 }
 
-double ReplicaChooser::expectedMicros(const ReplicaChoice& choice, std::uint32_t slots) const
+const InstanceName* ReplicaChooser::relayOf(const BlockOwners& owners, TimePoint now) const
+{
+    const bool hasStandby = !owners.standby.value().empty();
+    if (hasStandby && m_lostRelays.isLost(owners.owner, now) && !m_lostRelays.isLost(owners.standby, now))
+        return &owners.standby;
+    return owners.owner.value().empty() ? nullptr : &owners.owner;
+}
+
+double ReplicaChooser::expectedMicros(const ReplicaChoice& choice) const
 {
+    const auto slots = choice.server->slots();
     const auto& record = *choice.server;
     const auto link = *choice.zone == m_self ? 0 : 2 * static_cast<double>(m_settings.crossZoneCost.count());
     const auto reported = record.state ? static_cast<double>(record.state->recentLatency.count()) : 0;
@@ -51,9 +68,20 @@
     return own + std::max(0.0, ahead) / slots * serviceTime;
 }
 
-ReplicaChoice ReplicaChooser::choose(const Query& query, const LegState& leg, bool again)
+Duration ReplicaChooser::soonest(const ReplicaChoice& choice, TimePoint now) const
+{
+    const auto& record = *choice.server;
+    if (!record.state || now - record.stateAt > loadIsKnownFor)
+        return {};
+    const auto& state = *record.state;
+    const auto ahead = std::max(0.0, static_cast<double>(record.load()) + 1 - record.slots());
+    const auto micros = static_cast<double>(state.recentLatency.count()) * (1 + ahead / record.slots());
+    return Duration(static_cast<std::int64_t>(micros)) + (*choice.zone == m_self ? Duration {} : 2 * m_settings.crossZoneCost);
+}
+
+ReplicaChoice ReplicaChooser::choose(const Query& query, const LegState& leg, bool again, TimePoint now)
 {
-    const auto candidates = candidatesOf(query, leg, again);
+    const auto candidates = candidatesOf(query, leg, again, now);
     if (candidates.empty())
         return {};
     if (candidates.size() == 1)
@@ -69,8 +97,8 @@
 
 const ReplicaChoice& ReplicaChooser::better(const ReplicaChoice& a, const ReplicaChoice& b)
 {
-    const auto timeA = expectedMicros(a, a.server->slots());
-    const auto timeB = expectedMicros(b, b.server->slots());
+    const auto timeA = expectedMicros(a);
+    const auto timeB = expectedMicros(b);
     if (timeA * clearlyFaster < timeB)
         return a;
     if (timeB * clearlyFaster < timeA)
--- a/src/query/replica_chooser.h
+++ b/src/query/replica_chooser.h
@@ -2,6 +2,8 @@
 
 #include "base/random_source.h"
 #include "catalog/shard_map.h"
+#include "query/crash_evidence.h"
+#include "query/lost_relays.h"
 #include "query/query.h"
 #include "query/query_settings.h"
 #include "query/server_table.h"
@@ -20,20 +22,27 @@
 /// Picks the server of an attempt, and the relay that owns it. Not thread safe.
 class ReplicaChooser {
 public:
-    ReplicaChooser(const QuerySettings&, const ZoneName& self, ServerTable&, RandomSource&);
+    ReplicaChooser(const QuerySettings&, const ZoneName& self, ServerTable&, const LostRelays&, const CrashEvidence&, RandomSource&);
 
     /// The replica for the next attempt of that leg. Replicas that no longer serve the pinned
     /// version are left out, and those that were tried too, unless it may be tried again.
-    ReplicaChoice choose(const Query&, const LegState&, bool again);
+    ReplicaChoice choose(const Query&, const LegState&, bool again, TimePoint);
+    /// How long a leg sent to that replica now would take, in microseconds, as far as is known.
+    double expectedMicros(const ReplicaChoice&) const;
+    /// The earliest that a leg sent to that replica now may be answered; zero when its load is not known.
+    Duration soonest(const ReplicaChoice&, TimePoint) const;
+    /// Replicas that can take the next attempt; those to be avoided only when there is no other.
+    std::vector<ReplicaChoice> candidatesOf(const Query&, const LegState&, bool again, TimePoint);
 
 private:
-    std::vector<ReplicaChoice> candidatesOf(const Query&, const LegState&, bool again);
-    double expectedMicros(const ReplicaChoice&, std::uint32_t slots) const;
+    const InstanceName* relayOf(const BlockOwners&, TimePoint) const;
     const ReplicaChoice& better(const ReplicaChoice&, const ReplicaChoice&);
 
     const QuerySettings& m_settings;
     const ZoneName m_self;
     ServerTable& m_servers;
+    const LostRelays& m_lostRelays;
+    const CrashEvidence& m_evidence;
     RandomSource& m_random;
 };
 
--- a/src/query/snapshot_chooser.cpp
+++ b/src/query/snapshot_chooser.cpp
@@ -9,28 +9,43 @@
 
 const std::vector<IndexVersion> noVersions;
 
+/// What a relay said longer ago may be older than the shard map.
+constexpr Duration freshFor = std::chrono::seconds(5);
+
 }
 
-SnapshotChooser::SnapshotChooser(const ShardMap& map, const ServerTable& servers)
+SnapshotChooser::SnapshotChooser(const ShardMap& map, const ServerTable& servers, TimePoint now)
     : m_map(map)
     , m_servers(servers)
+    , m_now(now)
 {
 }
 
 const std::vector<IndexVersion>& SnapshotChooser::versionsOf(const ServerName& name) const
 {
     const auto* record = m_servers.find(name);
-    if (record && record->state && !record->state->versions.empty())
+    if (record && record->state && !record->state->versions.empty() && m_now - record->stateAt < freshFor)
         return record->state->versions;
     const auto* server = m_map.findServer(name);
     return server ? server->versions : noVersions;
 }
 
+bool SnapshotChooser::isLive(const ServerName& name) const
+{
+    const auto* record = m_servers.find(name);
+    return !record || !record->state || m_now - record->stateAt >= freshFor || !(record->state->ejected || record->state->draining);
+}
+
 std::vector<IndexVersion> SnapshotChooser::versionsOf(const Shard& shard) const
 {
+    const bool anyLive = std::any_of(shard.replicas.begin(), shard.replicas.end(), [&](const auto& it) { return isLive(it); });
     std::vector<IndexVersion> versions;
     for (const auto& it : shard.replicas) {
+        if (anyLive && !isLive(it))
+            continue;
         const auto& served = versionsOf(it);
+        if (versions == served)
+            continue;
         std::vector<IndexVersion> merged;
         std::set_union(versions.begin(), versions.end(), served.begin(), served.end(), std::back_inserter(merged));
         versions = std::move(merged);
@@ -38,23 +53,26 @@
     return versions;
 }
 
-std::optional<IndexVersion> SnapshotChooser::choose(const std::vector<const Shard*>& shards) const
+std::optional<IndexVersion> SnapshotChooser::choose(const std::vector<const Shard*>& shards, const std::vector<IndexVersion>& gone) const
 {
     std::vector<IndexVersion> common;
     bool first = true;
     bool reported = false;
     for (const auto* shard : shards) {
-        const auto versions = versionsOf(*shard);
+        auto versions = versionsOf(*shard);
         reported = reported || !versions.empty();
         if (first) {
-            common = versions;
+            common = std::move(versions);
             first = false;
             continue;
         }
+        if (common == versions)
+            continue;
         std::vector<IndexVersion> both;
         std::set_intersection(common.begin(), common.end(), versions.begin(), versions.end(), std::back_inserter(both));
         common = std::move(both);
     }
+    std::erase_if(common, [&](IndexVersion it) { return std::find(gone.begin(), gone.end(), it) != gone.end(); });
     if (!common.empty())
         return common.back();
     if (!reported)
--- a/src/query/standard_query_engine.h
+++ b/src/query/standard_query_engine.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "query/crash_evidence.h"
 #include "query/hedge_planner.h"
+#include "query/lost_relays.h"
 #include "query/query.h"
 #include "query/query_engine.h"
 #include "query/replica_chooser.h"
@@ -17,41 +19,66 @@
 /// The engine behind makeQueryEngine.
 class StandardQueryEngine final : public QueryEngine {
 public:
-    StandardQueryEngine(const QuerySettings&, InstanceName self, const ZoneName&, std::unique_ptr<RandomSource>);
+    StandardQueryEngine(const QuerySettings&, InstanceName self, const ZoneName&, std::unique_ptr<RandomSource>, std::shared_ptr<const TableSource>);
 
     void start(const CallerRequest&, const QueryTables&, TimePoint, QueryActions&) override;
     void onLegResult(const LegResult&, TimePoint, QueryActions&) override;
     void onRelayLost(const InstanceName&, TimePoint, QueryActions&) override;
     void cancel(const RequestId&, bool callerIsGone, TimePoint, QueryActions&) override;
     void onServerState(const ServerState&, TimePoint) override;
+    void onCrashNews(const CrashNews&, TimePoint, QueryActions&) override;
     void onTimer(TimePoint, QueryActions&) override;
     TimePoint nextWake() const override;
     std::size_t inFlight() const override { return m_queries.size(); }
     QueryCounters counters() const override { return m_counters; }
 
 private:
+    // Planning: from tables to the first legs, and once more when the snapshot is gone.
     void plan(Query&, TimePoint, QueryActions&);
     std::vector<const Shard*> shardsOf(const Query&) const;
-    bool sendAttempt(Query&, std::size_t leg, bool isHedge, TimePoint, WorkBatch&);
+    void awaitTables(Query&, TimePoint);
+    bool mayStartAgain(const Query&, TimePoint) const;
+    void startAgain(Query&, LegOutcome, TimePoint, QueryActions&);
+    /// Sends every leg that is held or new. False when the query was refused instead.
+    bool sendHeldLegs(Query&, TimePoint, QueryActions&);
+    /// By how much the legs would miss the deadline; zero when enough of them can keep it.
+    Duration latenessOf(const Query&, const std::vector<ReplicaChoice>&, TimePoint) const;
+
+    // Canary: one leg ahead of the others.
+    bool needsCanary(const Query&, TimePoint) const;
+    bool sendCanary(Query&, TimePoint, QueryActions&);
+    /// Goes on once the canary's end is known. False when the query was delivered.
+    bool stepCanary(Query&, TimePoint, QueryActions&);
+    void refuseSuspect(Query&, TimePoint, QueryActions&);
+    void noteCrash(Query&, LegState&, const Attempt&, TimePoint, QueryActions&);
+
+    // Attempts.
+    void sendAttempt(Query&, std::size_t leg, const ReplicaChoice&, bool isHedge, TimePoint, WorkBatch&);
     void endAttempt(Query&, LegState&, Attempt&, const LegResult&, TimePoint, QueryActions&);
+    LegOutcome checkedOutcome(const Query&, const LegResult&);
+    void endUnanswered(Query&, LegState&, LegOutcome, const std::string& detail, TimePoint, QueryActions&);
     bool mayRetry(Query&, LegOutcome, TimePoint);
-    /// Learns from an attempt that was cancelled because another was faster.
-    void noteLoser(const Attempt&, TimePoint);
     void hedgeLateLegs(Query&, TimePoint, QueryActions&);
-    void endUnanswered(Query&, LegState&, LegOutcome, const std::string& detail, TimePoint, QueryActions&);
     void closeLeg(Query&, LegState&, std::string reason);
     void takeAnswer(Query&, LegState&, const LegResult&, TimePoint, QueryActions&);
     void cancelOpenAttempts(Query&, std::size_t leg, TimePoint, QueryActions&);
+    /// Learns from an attempt that was cancelled because another was faster.
+    void noteLoser(const Attempt&, TimePoint);
+
     /// Delivers the answer when it is time to; the query is gone then.
     void settle(Query&, TimePoint, QueryActions&);
     void deliver(Query&, std::optional<Error> refusal, TimePoint, QueryActions&);
     void forget(Query&, TimePoint, QueryActions&);
     void schedule(Query&, TimePoint);
+    void note(const Query&, std::string text, QueryActions&) const;
 
     QuerySettings m_settings;
     InstanceName m_self;
     std::unique_ptr<RandomSource> m_random;
+    std::shared_ptr<const TableSource> m_source; ///< Null: a query keeps the tables that it started with.
     ServerTable m_servers;
+    LostRelays m_lostRelays;
+    CrashEvidence m_evidence;
     ReplicaChooser m_replicas;
     HedgePlanner m_hedges;
     std::map<std::string, RuleBudget> m_budgets; ///< By the rule's name, so that a new revision inherits them.
--- /dev/null
+++ b/src/query/standard_query_engine_attempts.cpp
@@ -0,0 +1,168 @@
+#include "query/standard_query_engine.h"
+
+#include <algorithm>
+
+namespace lycheefield {
+
+namespace {
+
+/// How long a query with late legs waits for other queries to earn hedges.
+constexpr Duration waitForTokens = 20ms;
+
+}
+
+void StandardQueryEngine::sendAttempt(Query& query, std::size_t leg, const ReplicaChoice& choice, bool isHedge, TimePoint now, WorkBatch& batch)
+{
+    auto& state = query.legs[leg];
+    Attempt attempt;
+    attempt.number = AttemptNumber(query.attemptBase + static_cast<std::uint32_t>(state.attempts.size()));
+    attempt.server = choice.server;
+    attempt.relay = choice.relay;
+    attempt.legClass = &m_hedges.classOf(query.rule->service, *choice.zone);
+    attempt.sentAt = now;
+    attempt.isHedge = isHedge;
+    query.hedgeCheckAt = {};
+    ++choice.server->outstanding;
+    const LegNumber number(static_cast<std::uint32_t>(leg));
+    batch.add(choice.relay, { number, attempt.number, state.shard->number, choice.server->name, isHedge });
+    state.attempts.push_back(std::move(attempt));
+}
+
+LegOutcome StandardQueryEngine::checkedOutcome(const Query& query, const LegResult& result)
+{
+    // An order that ran has run, whatever the version; a mixed answer can't come of one leg.
+    if (result.outcome != LegOutcome::Ok || query.rule->kind == RequestKind::Order)
+        return result.outcome;
+    if (result.version == query.version && result.epoch == query.service->epoch)
+        return LegOutcome::Ok;
+    ++m_counters.mixedVersions;
+    return result.epoch == query.service->epoch ? LegOutcome::VersionGone : LegOutcome::ShardMoved;
+}
+
+void StandardQueryEngine::endAttempt(Query& query, LegState& leg, Attempt& attempt, const LegResult& result, TimePoint now, QueryActions& actions)
+{
+    attempt.isOpen = false;
+    --attempt.server->outstanding;
+    query.ran = query.ran || result.outcome == LegOutcome::Ok || result.outcome == LegOutcome::Failed;
+    query.mayHaveRun = query.mayHaveRun || !provesNotRun(result.outcome);
+    query.retryAfter = std::max(query.retryAfter, result.retryAfter);
+    if (result.outcome == LegOutcome::Ok && !m_evidence.isEmpty())
+        m_evidence.noteAnswer(attempt.server->name, attempt.sentAt);
+    if (result.outcome != LegOutcome::Lost || result.crashed)
+        m_lostRelays.noteHeard(attempt.relay);
+    if (result.crashed)
+        noteCrash(query, leg, attempt, now, actions);
+    if (!leg.isOpen)
+        return;
+    const auto outcome = checkedOutcome(query, result);
+    if (outcome == LegOutcome::Ok) {
+        m_hedges.note(*attempt.legClass, now - attempt.sentAt);
+        attempt.server->noteLatency(now - attempt.sentAt);
+        return takeAnswer(query, leg, result, now, actions);
+    }
+    if (outcome == LegOutcome::VersionGone || outcome == LegOutcome::ShardMoved)
+        leg.gone.push_back(attempt.server);
+    endUnanswered(query, leg, outcome, result.detail, now, actions);
+}
+
+void StandardQueryEngine::endUnanswered(Query& query, LegState& leg, LegOutcome outcome, const std::string& detail, TimePoint now, QueryActions& actions)
+{
+    leg.lastOutcome = outcome;
+    if (leg.hasOpenAttempt())
+        return;
+    const bool isGone = outcome == LegOutcome::VersionGone || outcome == LegOutcome::ShardMoved;
+    auto choice = m_replicas.choose(query, leg, false, now);
+    // A lost relay's server may be alive: its standby can ask it again, unless the request must run once.
+    if (!choice.server && outcome == LegOutcome::Lost && query.rule->kind != RequestKind::Order)
+        choice = m_replicas.choose(query, leg, true, now);
+    if (choice.server && mayRetry(query, outcome, now)) {
+        WorkBatch batch;
+        sendAttempt(query, static_cast<std::size_t>(&leg - query.legs.data()), choice, false, now, batch);
+        ++m_counters.retries;
+        return batch.flush(query, m_self, actions);
+    }
+    if (isGone && !choice.server && mayStartAgain(query, now))
+        return startAgain(query, outcome, now, actions);
+    closeLeg(query, leg, std::string(toString(outcome)) + (detail.empty() ? "" : ": " + detail));
+}
+
+bool StandardQueryEngine::mayRetry(Query& query, LegOutcome outcome, TimePoint now)
+{
+    if (!m_settings.retryRefusals || query.isSuspect || now >= query.deadline || outcome == LegOutcome::Quarantined)
+        return false;
+    if (query.rule->kind == RequestKind::Order && (query.ran || query.mayHaveRun))
+        return false;
+    // A server that lost the version did no work, and each replica is asked once: no budget is needed.
+    if (outcome == LegOutcome::VersionGone || outcome == LegOutcome::ShardMoved)
+        return true;
+    return query.budget->retries.spend();
+}
+
+void StandardQueryEngine::hedgeLateLegs(Query& query, TimePoint now, QueryActions& actions)
+{
+    // Between two looks legs only end, so no other leg can become late before the time computed last.
+    const bool waitsForFew = m_hedges.waitsForFew(query);
+    if (now < query.hedgeCheckAt && waitsForFew == query.waitedForFew)
+        return;
+    query.waitedForFew = waitsForFew;
+    bool wantsTokens = false;
+    WorkBatch batch;
+    for (const auto leg : m_hedges.lateLegs(query, now)) {
+        if (!query.budget->hedges.has()) {
+            wantsTokens = true;
+            break;
+        }
+        const auto& state = query.legs[leg];
+        const auto choice = m_replicas.choose(query, state, state.attempts.size() > 1, now);
+        if (!choice.server)
+            continue;
+        sendAttempt(query, leg, choice, true, now, batch);
+        query.budget->hedges.spend();
+        ++m_counters.hedges;
+    }
+    query.hedgeCheckAt = m_hedges.nextLate(query, now);
+    if (wantsTokens)
+        query.hedgeCheckAt = std::min(query.hedgeCheckAt, now + waitForTokens);
+    batch.flush(query, m_self, actions);
+}
+
+void StandardQueryEngine::takeAnswer(Query& query, LegState& leg, const LegResult& result, TimePoint now, QueryActions& actions)
+{
+    leg.answer = ShardAnswer { leg.shard->number, result.batches, result.body };
+    leg.isOpen = false;
+    --query.openLegs;
+    ++query.covered;
+    cancelOpenAttempts(query, static_cast<std::size_t>(&leg - query.legs.data()), now, actions);
+}
+
+void StandardQueryEngine::closeLeg(Query& query, LegState& leg, std::string reason)
+{
+    leg.isOpen = false;
+    leg.reason = std::move(reason);
+    --query.openLegs;
+}
+
+void StandardQueryEngine::cancelOpenAttempts(Query& query, std::size_t leg, TimePoint now, QueryActions& actions)
+{
+    for (auto& it : query.legs[leg].attempts) {
+        if (!it.isOpen)
+            continue;
+        it.isOpen = false;
+        --it.server->outstanding;
+        query.mayHaveRun = true;
+        noteLoser(it, now);
+        ++m_counters.cancels;
+        actions.emplace_back(SendCancel { it.relay, { query.request.id, LegNumber(static_cast<std::uint32_t>(leg)), it.number } });
+    }
+}
+
+void StandardQueryEngine::noteLoser(const Attempt& attempt, TimePoint now)
+{
+    const auto elapsed = now - attempt.sentAt;
+    if (elapsed <= m_hedges.delayOf(*attempt.legClass))
+        return;
+    m_hedges.note(*attempt.legClass, elapsed);
+    attempt.server->noteLatency(elapsed);
+}
+
+}
--- /dev/null
+++ b/src/query/standard_query_engine_plan.cpp
@@ -0,0 +1,249 @@
+#include "base/fingerprint.h"
+#include "query/answer_builder.h"
+#include "query/snapshot_chooser.h"
+#include "query/standard_query_engine.h"
+
+#include <algorithm>
+
+namespace lycheefield {
+
+namespace {
+
+/// How often a query without a usable snapshot looks for newer tables.
+constexpr Duration replanInterval = 5ms;
+/// Attempts are numbered from a multiple of this, so that those before a new start stay apart.
+constexpr std::uint32_t attemptsPerStart = 100;
+constexpr std::uint32_t maxStarts = 2;
+constexpr std::uint32_t maxCanaryTries = 3;
+constexpr Duration recentCrash = 10s;
+/// Time for the other relays to hear that a probe cleared the content.
+constexpr Duration releaseDelay = 20ms;
+
+}
+
+std::vector<const Shard*> StandardQueryEngine::shardsOf(const Query& query) const
+{
+    std::vector<const Shard*> shards;
+    const auto& all = query.service->shards;
+    if (query.rule->kind == RequestKind::Search) {
+        for (const auto& it : all)
+            shards.push_back(&it);
+    } else if (!all.empty()) {
+        shards.push_back(&all[stableHash(query.request.record) % all.size()]);
+    }
+    return shards;
+}
+
+void StandardQueryEngine::plan(Query& query, TimePoint now, QueryActions& actions)
+{
+    if (query.replanAt != never && m_source) {
+        const auto newest = m_source->newest();
+        query.tables.shards = newest.shards;
+        query.tables.ownership = newest.ownership;
+    }
+    query.replanAt = never;
+    query.service = query.tables.shards->findService(query.rule->service);
+    const auto shards = query.service ? shardsOf(query) : std::vector<const Shard*>();
+    if (shards.empty())
+        return deliver(query, Error { ErrorKind::Unavailable, "the catalogue has no shards of " + query.rule->service.value(), "check the rule's service" }, now, actions);
+    const auto version = SnapshotChooser(*query.tables.shards, m_servers, now).choose(shards, query.goneVersions);
+    if (!version || (query.goneEpoch && query.service->epoch <= *query.goneEpoch)) {
+        awaitTables(query, now);
+        return settle(query, now, actions);
+    }
+    query.version = *version;
+    query.legs.resize(shards.size());
+    query.openLegs = shards.size();
+    for (std::size_t i = 0; i < shards.size(); ++i)
+        query.legs[i].shard = shards[i];
+    if (++query.starts == 1)
+        query.budget->earn(*query.rule, query.openLegs);
+    if (needsCanary(query, now)) {
+        if (sendCanary(query, now, actions))
+            return schedule(query, now);
+        if (query.isSuspect)
+            return refuseSuspect(query, now, actions);
+    }
+    if (sendHeldLegs(query, now, actions))
+        settle(query, now, actions);
+}
+
+void StandardQueryEngine::awaitTables(Query& query, TimePoint now)
+{
+    query.legs.clear();
+    query.openLegs = 0;
+    query.covered = 0;
+    query.replanAt = now + replanInterval;
+}
+
+bool StandardQueryEngine::mayStartAgain(const Query& query, TimePoint now) const
+{
+    if (query.starts >= maxStarts || query.isSuspect || now >= query.softDeadline)
+        return false;
+    if (query.rule->kind == RequestKind::Order && (query.ran || query.mayHaveRun))
+        return false;
+    // The new start needs at least the time that the first took to find out.
+    return query.deadline - now >= now - query.startedAt;
+}
+
+void StandardQueryEngine::startAgain(Query& query, LegOutcome why, TimePoint now, QueryActions& actions)
+{
+    ++m_counters.restarts;
+    note(query, "started again: " + std::string(toString(why)) + " at every replica of a shard", actions);
+    for (std::size_t i = 0; i < query.legs.size(); ++i)
+        cancelOpenAttempts(query, i, now, actions);
+    if (why == LegOutcome::ShardMoved)
+        query.goneEpoch = query.service->epoch;
+    else
+        query.goneVersions.push_back(query.version);
+    query.attemptBase += attemptsPerStart;
+    query.canary.reset();
+    query.canaryRelay.reset();
+    query.releaseAt = never;
+    awaitTables(query, now);
+    query.replanAt = now;
+}
+
+bool StandardQueryEngine::sendHeldLegs(Query& query, TimePoint now, QueryActions& actions)
+{
+    query.canary.reset();
+    query.canaryRelay.reset();
+    query.releaseAt = never;
+    std::vector<ReplicaChoice> choices(query.legs.size());
+    for (std::size_t i = 0; i < query.legs.size(); ++i) {
+        const auto& leg = query.legs[i];
+        if (leg.isOpen && !leg.hasOpenAttempt())
+            choices[i] = m_replicas.choose(query, leg, false, now);
+    }
+    const auto lateness = latenessOf(query, choices, now);
+    if (lateness > Duration {}) {
+        query.retryAfter = lateness;
+        ++m_counters.notAdmitted;
+        deliver(query, Error { ErrorKind::Overloaded, "it can't be done before its deadline", "send it again after the time given" }, now, actions);
+        return false;
+    }
+    WorkBatch batch;
+    for (std::size_t i = 0; i < query.legs.size(); ++i) {
+        auto& leg = query.legs[i];
+        if (!leg.isOpen || leg.hasOpenAttempt())
+            continue;
+        if (choices[i].server) {
+            sendAttempt(query, i, choices[i], false, now, batch);
+            ++m_counters.firstLegs;
+        } else {
+            closeLeg(query, leg, "no usable replica");
+        }
+    }
+    batch.flush(query, m_self, actions);
+    return true;
+}
+
+Duration StandardQueryEngine::latenessOf(const Query& query, const std::vector<ReplicaChoice>& choices, TimePoint now) const
+{
+    if (!m_settings.admission)
+        return {};
+    std::size_t late = 0;
+    Duration longest {};
+    for (const auto& it : choices) {
+        const auto lateness = it.server ? now + m_replicas.soonest(it, now) - query.deadline : Duration {};
+        if (lateness <= Duration {})
+            continue;
+        ++late;
+        longest = std::max(longest, lateness);
+    }
+    const auto n = static_cast<double>(query.legs.size());
+    return (n - static_cast<double>(late)) / n >= query.rule->minimumCoverage.value ? Duration {} : longest;
+}
+
+bool StandardQueryEngine::needsCanary(const Query& query, TimePoint now) const
+{
+    if (query.legs.size() < 2)
+        return false;
+    if (query.isSuspect || m_settings.canary == CanaryMode::Always)
+        return true;
+    return m_settings.canary == CanaryMode::WhileRecent && m_evidence.sawCrashWithin(recentCrash, now);
+}
+
+bool StandardQueryEngine::sendCanary(Query& query, TimePoint now, QueryActions& actions)
+{
+    if (query.canaryTries++ >= maxCanaryTries)
+        return false;
+    std::size_t first = query.fingerprint.value() % query.legs.size();
+    const auto* probeServer = m_evidence.probeServer(query.fingerprint, now);
+    const auto* owners = probeServer ? query.tables.ownership->ownersOf(*probeServer) : nullptr;
+    if (owners) {
+        query.canaryRelay = owners->owner;
+        for (std::size_t i = 0; i < query.legs.size(); ++i) {
+            const auto& replicas = query.legs[i].shard->replicas;
+            if (std::find(replicas.begin(), replicas.end(), *probeServer) != replicas.end())
+                first = i;
+        }
+    }
+    for (std::size_t n = 0; n < query.legs.size(); ++n) {
+        const auto leg = (first + n) % query.legs.size();
+        if (!query.legs[leg].isOpen || query.legs[leg].hasOpenAttempt())
+            continue;
+        const auto choice = m_replicas.choose(query, query.legs[leg], false, now);
+        if (!choice.server)
+            continue;
+        WorkBatch batch;
+        query.canary = leg;
+        sendAttempt(query, leg, choice, false, now, batch);
+        ++m_counters.firstLegs;
+        ++m_counters.canaries;
+        note(query, "leg " + std::to_string(leg) + " goes ahead alone to " + choice.server->name.value(), actions);
+        batch.flush(query, m_self, actions);
+        return true;
+    }
+    return false;
+}
+
+bool StandardQueryEngine::stepCanary(Query& query, TimePoint now, QueryActions& actions)
+{
+    auto& leg = query.legs[*query.canary];
+    if (leg.isOpen || query.releaseAt != never)
+        return true;
+    if (leg.answer) {
+        if (!query.isSuspect)
+            return sendHeldLegs(query, now, actions);
+        query.releaseAt = now + releaseDelay;
+        return true;
+    }
+    if (leg.lastOutcome == LegOutcome::Quarantined || m_evidence.standingOf(query.fingerprint, now) == ContentStanding::Quarantined) {
+        deliver(query, quarantineRefusal(), now, actions);
+        return false;
+    }
+    if (leg.lastOutcome && provesNotRun(*leg.lastOutcome)) {
+        leg.isOpen = true; // Another replica may take it once the content is cleared.
+        ++query.openLegs;
+    }
+    if (sendCanary(query, now, actions))
+        return true;
+    if (!query.isSuspect)
+        return sendHeldLegs(query, now, actions);
+    refuseSuspect(query, now, actions);
+    return false;
+}
+
+void StandardQueryEngine::refuseSuspect(Query& query, TimePoint now, QueryActions& actions)
+{
+    deliver(query, Error { ErrorKind::Unavailable, "its content may crash servers, and none is free to try it", "send it again later" }, now, actions);
+}
+
+void StandardQueryEngine::noteCrash(Query& query, LegState& leg, const Attempt& attempt, TimePoint now, QueryActions& actions)
+{
+    ++m_counters.crashes;
+    const auto index = static_cast<std::size_t>(&leg - query.legs.data());
+    const bool wasProbe = query.isSuspect && (query.canary == index || query.legs.size() == 1);
+    m_evidence.noteCrash(query.fingerprint, attempt.server->name, wasProbe, now);
+    for (const auto& [id, other] : m_queries) {
+        if (other->fingerprint != query.fingerprint)
+            continue;
+        other->isSuspect = true;
+        other->mayHedge = false;
+    }
+    note(query, "server " + attempt.server->name.value() + " died while leg " + std::to_string(index) + " ran; no hedge and no retry from now on", actions);
+    cancelOpenAttempts(query, index, now, actions);
+}
+
+}
--- a/src/query/token_bucket.h
+++ b/src/query/token_bucket.h
@@ -17,12 +17,11 @@
     }
 
     void earn(Share share, double work) { m_tokens = std::min(m_capacity, m_tokens + share.value * work); }
+    bool has() const { return m_tokens >= oneToken; }
     /// Takes one token; false when there is none.
     bool spend()
     {
-        // Sums of 0.05 fall short of whole numbers by rounding.
-        constexpr double oneToken = 1 - 1e-9;
-        if (m_tokens < oneToken)
+        if (!has())
             return false;
         m_tokens -= 1;
         return true;
@@ -30,6 +29,9 @@
     double tokens() const { return m_tokens; }
 
 private:
+    /// Sums of 0.05 fall short of whole numbers by rounding.
+    static constexpr double oneToken = 1 - 1e-9;
+
     double m_tokens;
     double m_capacity;
 };
--- /dev/null
+++ b/tests/query/crash_test.cpp
@@ -0,0 +1,206 @@
+#include "query/crash_evidence.h"
+#include "query_fixture.h"
+
+#include "base/fingerprint.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+namespace lycheefield {
+
+namespace {
+
+const ServiceName service("quotedesk");
+
+std::set<ServerName> serversOf(const std::vector<SendWork>& work)
+{
+    std::set<ServerName> servers;
+    for (const auto& it : work) {
+        for (const auto& leg : it.work.legs)
+            servers.insert(leg.server);
+    }
+    return servers;
+}
+
+}
+
+TEST_CASE("content that crashes every server that runs it" * doctest::test_suite("query"))
+{
+    QueryFixture fixture(8);
+    fixture.start("/search", "", "poison");
+    const auto first = fixture.takeWork();
+    std::set<ServerName> felled;
+    for (const auto& it : first) {
+        for (const auto& leg : it.work.legs) {
+            fixture.crash(it, leg);
+            felled.insert(leg.server);
+        }
+    }
+    const auto answers = fixture.takeAnswers();
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].refusal.has_value());
+    CHECK((answers[0].runState == RunState::Unknown));
+
+    SUBCASE("is neither hedged nor retried")
+    {
+        fixture.advance(200ms);
+        CHECK(fixture.takeWork().empty());
+        CHECK(felled.size() == 8);
+    }
+    SUBCASE("sent again without end, it fells one more server at most, and never the other replica of a shard")
+    {
+        std::set<ServerName> further;
+        for (int i = 0; i < 50; ++i) {
+            fixture.start("/search", "", "poison");
+            for (auto work = fixture.takeWork(); !work.empty(); work = fixture.takeWork()) {
+                CHECK(fixture.legsIn(work) == 1);
+                for (const auto& server : serversOf(work)) {
+                    CHECK(felled.contains(server));
+                    further.insert(server);
+                }
+                for (const auto& it : work) {
+                    for (const auto& leg : it.work.legs)
+                        fixture.crash(it, leg);
+                }
+            }
+            fixture.advance(1s);
+        }
+        CHECK(further.size() == 1);
+        const auto last = fixture.takeAnswers();
+        REQUIRE(last.size() == 50);
+        CHECK((last.back().refusal->kind == ErrorKind::Quarantined));
+        CHECK((last.back().runState == RunState::NotRun));
+        CHECK(fixture.engine->counters().quarantined >= 49);
+    }
+    SUBCASE("other content goes on as before")
+    {
+        fixture.start("/search", "", "innocent");
+        CHECK(fixture.legsIn(fixture.takeWork()) == 8);
+    }
+}
+
+TEST_CASE("content that ran beside a crash is tried by one leg, then runs" * doctest::test_suite("query"))
+{
+    QueryFixture fixture(8);
+    fixture.start("/search", "", "innocent");
+    const auto first = fixture.takeWork();
+    const auto& died = first[0].work.legs[0];
+    fixture.crash(first[0], died);
+    for (const auto& it : first) {
+        for (const auto& leg : it.work.legs) {
+            if (leg.leg != died.leg)
+                fixture.answer(it, leg);
+        }
+    }
+    const auto partial = fixture.takeAnswers();
+    REQUIRE(partial.size() == 1);
+    CHECK(partial[0].covered.size() == 7);
+    REQUIRE(partial[0].missing.size() == 1);
+    CHECK(partial[0].missing[0].shard == died.shard);
+
+    fixture.advance(1s);
+    fixture.start("/search", "", "innocent");
+    const auto canary = fixture.takeWork();
+    REQUIRE(fixture.legsIn(canary) == 1);
+    CHECK(canary[0].work.legs[0].server == died.server);
+
+    SUBCASE("the probe is answered: the others follow")
+    {
+        fixture.answer(canary[0], canary[0].work.legs[0]);
+        fixture.advance(30ms);
+        fixture.answerAll();
+        const auto answers = fixture.takeAnswers();
+        REQUIRE(answers.size() == 1);
+        CHECK(answers[0].isComplete());
+        CHECK(fixture.engine->counters().quarantined == 0);
+    }
+    SUBCASE("the probe is refused, as by a server that is down: another leg goes ahead")
+    {
+        fixture.end(canary[0], canary[0].work.legs[0], LegOutcome::Refused);
+        const auto next = fixture.takeWork();
+        REQUIRE(fixture.legsIn(next) == 1);
+        CHECK(next[0].work.legs[0].shard != died.shard);
+        fixture.answer(next[0], next[0].work.legs[0]);
+        fixture.advance(30ms);
+        fixture.answerAll();
+        const auto answers = fixture.takeAnswers();
+        REQUIRE(answers.size() == 1);
+        CHECK(answers[0].covered.size() >= 7);
+    }
+    SUBCASE("a relay clears it: it runs as usual")
+    {
+        fixture.engine->onCrashNews({ fingerprintOf(service, "innocent"), 0, {}, {} }, fixture.now, fixture.actions);
+        fixture.start("/search", "", "innocent");
+        CHECK(fixture.legsIn(fixture.takeWork()) == 8);
+    }
+}
+
+TEST_CASE("news of crashes elsewhere" * doctest::test_suite("query"))
+{
+    QueryFixture fixture(8);
+    const auto fingerprint = fingerprintOf(service, "poison");
+
+    SUBCASE("suspicion: one leg first, at the felled server's relay")
+    {
+        fixture.engine->onCrashNews({ fingerprint, 1, {}, ServerName("s3b") }, fixture.now, fixture.actions);
+        fixture.start("/search", "", "poison");
+        const auto work = fixture.takeWork();
+        REQUIRE(fixture.legsIn(work) == 1);
+        CHECK(work[0].work.legs[0].server == ServerName("s3b"));
+    }
+    SUBCASE("quarantine: refused, not run, also for orders and records")
+    {
+        fixture.engine->onCrashNews({ fingerprint, 2, 5min, ServerName("s3b") }, fixture.now, fixture.actions);
+        for (const std::string path : { "/search", "/record", "/order" }) {
+            fixture.start(path, "key", "poison");
+            CHECK(fixture.takeWork().empty());
+            const auto answers = fixture.takeAnswers();
+            REQUIRE(answers.size() == 1);
+            CHECK((answers[0].refusal->kind == ErrorKind::Quarantined));
+            CHECK((answers[0].runState == RunState::NotRun));
+        }
+        fixture.advance(6min);
+        fixture.start("/search", "", "poison");
+        CHECK(fixture.legsIn(fixture.takeWork()) == 8);
+    }
+    SUBCASE("a query in flight is neither hedged nor retried from then on")
+    {
+        fixture.start("/search", "", "poison");
+        const auto work = fixture.takeWork();
+        fixture.engine->onCrashNews({ fingerprint, 1, {}, ServerName("s3b") }, fixture.now, fixture.actions);
+        fixture.end(work[0], work[0].work.legs[0], LegOutcome::Refused);
+        CHECK(fixture.takeWork().empty());
+    }
+}
+
+TEST_CASE("a record or an order that crashed its server is not tried at the other replica" * doctest::test_suite("query"))
+{
+    for (const std::string path : { "/record", "/order" }) {
+        QueryFixture fixture(8);
+        fixture.start(path, "key", "poison");
+        const auto work = fixture.takeWork();
+        const auto server = work[0].work.legs[0].server;
+        fixture.crash(work[0], work[0].work.legs[0]);
+        const auto answers = fixture.takeAnswers();
+        REQUIRE(answers.size() == 1);
+        CHECK((answers[0].runState == RunState::Unknown));
+        fixture.start(path, "key", "poison");
+        CHECK(serversOf(fixture.takeWork()) == std::set<ServerName> { server });
+    }
+}
+
+TEST_CASE("crash evidence is bounded and keeps the quarantined" * doctest::test_suite("query"))
+{
+    CrashEvidence evidence;
+    const TimePoint now { 1s };
+    evidence.noteCrash(Fingerprint(1), ServerName("s"), true, now);
+    for (std::uint64_t i = 2; i < 3 * CrashEvidence::maxRecords; ++i)
+        evidence.noteCrash(Fingerprint(i), ServerName("s"), false, now + Duration(i));
+    CHECK((evidence.standingOf(Fingerprint(1), now + 1s) == ContentStanding::Quarantined));
+    CHECK((evidence.standingOf(Fingerprint(2), now + 1s) == ContentStanding::Clear));
+    CHECK((evidence.standingOf(Fingerprint(3 * CrashEvidence::maxRecords - 1), now + 1s) == ContentStanding::Suspect));
+    CHECK((evidence.standingOf(Fingerprint(1), now + CrashEvidence::memory) == ContentStanding::Clear));
+}
+
+}
--- a/tests/query/query_fixture.cpp
+++ b/tests/query/query_fixture.cpp
@@ -34,7 +34,7 @@
 }
 
 QueryFixture::QueryFixture(std::uint32_t shards, const QuerySettings& settings, std::uint64_t seed)
-    : engine(makeQueryEngine(settings, InstanceName("ra"), ZoneName("a"), std::make_unique<SeededRandom>(seed)))
+    : engine(makeQueryEngine(settings, InstanceName("ra"), ZoneName("a"), std::make_unique<SeededRandom>(seed), std::shared_ptr<const TableSource>(std::shared_ptr<void>(), this)))
 {
     Service service;
     service.name = ServiceName("quotedesk");
@@ -114,6 +114,19 @@
     send(resultOf(sent, leg, outcome));
 }
 
+void QueryFixture::crash(const SendWork& sent, const LegOrder& leg)
+{
+    auto result = resultOf(sent, leg, LegOutcome::Lost);
+    result.crashed = true;
+    send(result);
+}
+
+void QueryFixture::setVersions(const std::vector<IndexVersion>& versions)
+{
+    for (auto& it : servers)
+        it.versions = versions;
+}
+
 void QueryFixture::answerAll()
 {
     for (auto work = takeWork(); !work.empty(); work = takeWork()) {
--- a/tests/query/query_fixture.h
+++ b/tests/query/query_fixture.h
@@ -10,7 +10,7 @@
 
 /// One engine over a small fleet: every shard has two replicas, "sNa" in zone a owned by relay
 /// "ra" and "sNb" in zone b owned by relay "rb". Time moves only by calls.
-class QueryFixture {
+class QueryFixture : public TableSource {
 public:
     explicit QueryFixture(std::uint32_t shards, const QuerySettings& = {}, std::uint64_t seed = 7);
 
@@ -20,6 +20,7 @@
     std::vector<Server> servers;
     std::vector<Instance> instances;
     QueryTables tables() const;
+    QueryTables newest() const override { return tables(); }
 
     /// Starts a request and returns its id.
     RequestId start(const std::string& path, const std::string& record = "key", const std::string& body = "body");
@@ -28,6 +29,9 @@
     void end(const SendWork&, const LegOrder&, LegOutcome);
     void send(const LegResult&);
     LegResult resultOf(const SendWork&, const LegOrder&, LegOutcome) const;
+    /// The leg dies with its server.
+    void crash(const SendWork&, const LegOrder&);
+    void setVersions(const std::vector<IndexVersion>&);
     /// Answers every leg sent and not yet answered.
     void answerAll();
     /// Moves the time on, running timers when they are due.
--- /dev/null
+++ b/tests/query/snapshot_test.cpp
@@ -0,0 +1,215 @@
+#include "query/snapshot_chooser.h"
+#include "query_fixture.h"
+
+#include <doctest/doctest.h>
+
+namespace lycheefield {
+
+namespace {
+
+ServerState stateOf(const std::string& server, std::vector<IndexVersion> versions, bool draining = false)
+{
+    ServerState state;
+    state.server = ServerName(server);
+    state.versions = std::move(versions);
+    state.draining = draining;
+    return state;
+}
+
+std::vector<const Shard*> shardsOf(const ShardMap& map)
+{
+    std::vector<const Shard*> shards;
+    for (const auto& it : map.findService(ServiceName("quotedesk"))->shards)
+        shards.push_back(&it);
+    return shards;
+}
+
+}
+
+TEST_CASE("the snapshot is the newest version that every shard can serve" * doctest::test_suite("query"))
+{
+    QueryFixture fixture(2);
+    const IndexVersion v10(10);
+    const IndexVersion v11(11);
+    const IndexVersion v12(12);
+    ServerTable table;
+    const auto choose = [&] {
+        const auto tables = fixture.tables();
+        return SnapshotChooser(*tables.shards, table, fixture.now).choose(shardsOf(*tables.shards));
+    };
+    fixture.setVersions({ v10, v11 });
+
+    SUBCASE("one replica of each shard is enough")
+    {
+        fixture.servers[0].versions = { v10, v11, v12 };
+        CHECK(choose() == v11);
+        fixture.servers[3].versions = { v12 };
+        CHECK(choose() == v12);
+    }
+    SUBCASE("a relay's fresher word goes before the map, an old word does not")
+    {
+        table.note(stateOf("s0a", { v12 }), fixture.now);
+        table.note(stateOf("s1a", { v11, v12 }), fixture.now);
+        CHECK(choose() == v12);
+        fixture.now += 1min;
+        CHECK(choose() == v11);
+    }
+    SUBCASE("a draining replica does not count while the other lives")
+    {
+        table.note(stateOf("s0a", { v12 }, true), fixture.now);
+        table.note(stateOf("s1a", { v12 }), fixture.now);
+        CHECK(choose() == v11);
+        table.note(stateOf("s0b", { v10 }, true), fixture.now);
+        CHECK(choose() == v12);
+    }
+    SUBCASE("no version is common")
+    {
+        for (int i = 0; i < 2; ++i)
+            fixture.servers[i].versions = { v12 };
+        CHECK_FALSE(choose().has_value());
+    }
+    SUBCASE("a service without snapshots")
+    {
+        fixture.setVersions({});
+        CHECK(choose() == IndexVersion(0));
+    }
+}
+
+TEST_CASE("a version that goes while the query runs" * doctest::test_suite("query"))
+{
+    QueryFixture fixture(4);
+    fixture.start("/search");
+    const auto work = fixture.takeWork();
+    const auto& leg = work[0].work.legs[0];
+    fixture.end(work[0], leg, LegOutcome::VersionGone);
+
+    SUBCASE("gone at one replica: the other is asked for the same version")
+    {
+        const auto again = fixture.takeWork();
+        REQUIRE(fixture.legsIn(again) == 1);
+        CHECK(again[0].work.version == IndexVersion(10));
+        CHECK(again[0].work.legs[0].server != leg.server);
+    }
+    SUBCASE("gone at both: the query starts again, once, on the newer version, and mixes nothing")
+    {
+        fixture.setVersions({ IndexVersion(11) });
+        for (const auto& it : fixture.servers)
+            fixture.engine->onServerState(stateOf(it.name.value(), { IndexVersion(11) }), fixture.now);
+        const auto again = fixture.takeWork();
+        fixture.end(again[0], again[0].work.legs[0], LegOutcome::VersionGone);
+        fixture.advance(1ms);
+        const auto second = fixture.takeWork();
+        REQUIRE(fixture.legsIn(second) == 4);
+        CHECK(fixture.takeCancels().size() == 3);
+        for (const auto& it : second)
+            CHECK(it.work.version == IndexVersion(11));
+        // Answers to the first start come late and must not count.
+        for (const auto& it : work) {
+            for (const auto& old : it.work.legs)
+                fixture.answer(it, old);
+        }
+        CHECK(fixture.takeAnswers().empty());
+        SUBCASE("answered")
+        {
+            for (const auto& it : second) {
+                for (const auto& order : it.work.legs)
+                    fixture.answer(it, order);
+            }
+            const auto answers = fixture.takeAnswers();
+            REQUIRE(answers.size() == 1);
+            CHECK(answers[0].isComplete());
+            CHECK(answers[0].version == IndexVersion(11));
+            CHECK(fixture.engine->counters().restarts == 1);
+        }
+        SUBCASE("gone again: the shard is missing, there is no third start")
+        {
+            for (const auto& it : second) {
+                for (const auto& order : it.work.legs)
+                    fixture.end(it, order, LegOutcome::VersionGone);
+            }
+            for (const auto& it : fixture.takeWork()) {
+                for (const auto& order : it.work.legs)
+                    fixture.end(it, order, LegOutcome::VersionGone);
+            }
+            fixture.advance(200ms);
+            CHECK(fixture.takeAnswers().size() == 1);
+            CHECK(fixture.engine->counters().restarts == 1);
+        }
+    }
+}
+
+TEST_CASE("an answer of another version or epoch is not used" * doctest::test_suite("query"))
+{
+    QueryFixture fixture(2);
+    fixture.start("/search");
+    const auto work = fixture.takeWork();
+    auto result = fixture.resultOf(work[0], work[0].work.legs[0], LegOutcome::Ok);
+    SUBCASE("version") { result.version = IndexVersion(11); }
+    SUBCASE("epoch") { result.epoch = PartitionEpoch(6); }
+    fixture.send(result);
+    CHECK(fixture.engine->counters().mixedVersions == 1);
+    const auto again = fixture.takeWork();
+    REQUIRE(fixture.legsIn(again) == 1);
+    CHECK(again[0].work.legs[0].server != work[0].work.legs[0].server);
+}
+
+TEST_CASE("shards repartitioned while the query runs" * doctest::test_suite("query"))
+{
+    QueryFixture fixture(2);
+    const auto moveAll = [&](const std::vector<SendWork>& sent) {
+        for (const auto& it : sent) {
+            for (const auto& leg : it.work.legs)
+                fixture.end(it, leg, LegOutcome::ShardMoved);
+        }
+    };
+    fixture.start("/search");
+    const auto first = fixture.takeWork();
+    moveAll(first);
+    moveAll(fixture.takeWork());
+    fixture.advance(20ms);
+    CHECK(fixture.takeWork().empty());
+
+    SUBCASE("the newer map arrives: the query starts again on it")
+    {
+        fixture.services[0].epoch = PartitionEpoch(6);
+        fixture.services[0].shards.pop_back();
+        fixture.advance(10ms);
+        const auto second = fixture.takeWork();
+        REQUIRE(fixture.legsIn(second) == 1);
+        CHECK(second[0].work.epoch == PartitionEpoch(6));
+        fixture.answer(second[0], second[0].work.legs[0]);
+        const auto answers = fixture.takeAnswers();
+        REQUIRE(answers.size() == 1);
+        CHECK(answers[0].isComplete());
+        CHECK(answers[0].epoch == PartitionEpoch(6));
+    }
+    SUBCASE("it does not: refused at the deadline; a leg was cancelled unanswered, so unknown")
+    {
+        fixture.advance(100ms);
+        const auto answers = fixture.takeAnswers();
+        REQUIRE(answers.size() == 1);
+        CHECK(answers[0].refusal.has_value());
+        CHECK((answers[0].runState == RunState::Unknown));
+    }
+}
+
+TEST_CASE("a record and an order whose shard moved truly did not run" * doctest::test_suite("query"))
+{
+    for (const std::string path : { "/record", "/order" }) {
+        QueryFixture fixture(2);
+        fixture.start(path);
+        for (int i = 0; i < 2; ++i) {
+            const auto sent = fixture.takeWork();
+            REQUIRE(fixture.legsIn(sent) == 1);
+            fixture.end(sent[0], sent[0].work.legs[0], LegOutcome::ShardMoved);
+        }
+        fixture.advance(100ms);
+        CHECK(fixture.takeWork().empty());
+        const auto answers = fixture.takeAnswers();
+        REQUIRE(answers.size() == 1);
+        CHECK(answers[0].refusal.has_value());
+        CHECK((answers[0].runState == RunState::NotRun));
+    }
+}
+
+}
