--- a/src/query/rule_budget.h
+++ b/src/query/rule_budget.h
@@ -5,22 +5,28 @@
 
 namespace lycheefield {
 
-/// What the queries of one rule may still spend on extra legs.
-struct RuleBudget {
-    /// Hedges start from nothing, so their share holds from the first query on.
-    TokenBucket hedges { 0, maxHedgeTokens };
-    /// A few retries are there from the start: a rule with single legs must not wait for its first.
-    TokenBucket retries { initialRetryTokens, maxRetryTokens };
+/// What the queries of one rule may still spend on extra legs. Hedges keep to their own share of the
+/// first legs. Hedges and retries together keep to a share of the legs that were answered: when
+/// nothing is answered, retries only add load. Not thread safe.
+class RuleBudget {
+public:
+    /// To be called for each first leg.
+    void earnLeg(const Rule& rule) { m_hedges.earn(rule.hedgeBudget, 1); }
+    /// To be called for each leg that got its answer.
+    void earnAnswer(const Rule& rule) { m_extra.earn(std::max(rule.hedgeBudget, rule.retryBudget), 1); }
 
-    static constexpr double maxHedgeTokens = 200;
-    static constexpr double initialRetryTokens = 10;
-    static constexpr double maxRetryTokens = 100;
+    bool hasHedge() const { return m_hedges.has() && m_extra.has(); }
+    bool spendHedge() { return hasHedge() && m_hedges.spend() && m_extra.spend(); }
+    bool spendRetry() { return m_extra.spend(); }
 
-    void earn(const Rule& rule, std::size_t firstLegs)
-    {
-        hedges.earn(rule.hedgeBudget, static_cast<double>(firstLegs));
-        retries.earn(rule.retryBudget, static_cast<double>(firstLegs));
-    }
+private:
+    /// Enough for the legs that a few relays have of a wide query.
+    static constexpr double maxSaved = 200;
+    /// A rule with single legs must not wait for its first retry.
+    static constexpr double initialExtra = 10;
+
+    TokenBucket m_hedges { 0, maxSaved };
+    TokenBucket m_extra { initialExtra, maxSaved };
 };
 
 }
--- a/src/query/standard_query_engine.h
+++ b/src/query/standard_query_engine.h
@@ -54,6 +54,7 @@
 
     // Attempts.
     void sendAttempt(Query&, std::size_t leg, const ReplicaChoice&, bool isHedge, TimePoint, WorkBatch&);
+    void sendFirstAttempt(Query&, std::size_t leg, const ReplicaChoice&, TimePoint, WorkBatch&);
     void endAttempt(Query&, LegState&, Attempt&, const LegResult&, TimePoint, QueryActions&);
     LegOutcome checkedOutcome(const Query&, const LegResult&);
     void endUnanswered(Query&, LegState&, LegOutcome, const std::string& detail, TimePoint, QueryActions&);
--- a/src/query/standard_query_engine_attempts.cpp
+++ b/src/query/standard_query_engine_attempts.cpp
@@ -28,6 +28,15 @@
     state.attempts.push_back(std::move(attempt));
 }
 
+void StandardQueryEngine::sendFirstAttempt(Query& query, std::size_t leg, const ReplicaChoice& choice, TimePoint now, WorkBatch& batch)
+{
+    sendAttempt(query, leg, choice, false, now, batch);
+    ++m_counters.firstLegs;
+    // Legs of a second start are extra work themselves.
+    if (query.starts == 1)
+        query.budget->earnLeg(*query.rule);
+}
+
 LegOutcome StandardQueryEngine::checkedOutcome(const Query& query, const LegResult& result)
 {
     // An order that ran has run, whatever the version; a mixed answer can't come of one leg.
@@ -95,7 +104,7 @@
     // A server that lost the version did no work, and each replica is asked once: no budget is needed.
     if (outcome == LegOutcome::VersionGone || outcome == LegOutcome::ShardMoved)
         return true;
-    return query.budget->retries.spend();
+    return query.budget->spendRetry();
 }
 
 void StandardQueryEngine::hedgeLateLegs(Query& query, TimePoint now, QueryActions& actions)
@@ -108,7 +117,7 @@
     bool wantsTokens = false;
     WorkBatch batch;
     for (const auto leg : m_hedges.lateLegs(query, now)) {
-        if (!query.budget->hedges.has()) {
+        if (!query.budget->hasHedge()) {
             wantsTokens = true;
             break;
         }
@@ -117,7 +126,7 @@
         if (!choice.server)
             continue;
         sendAttempt(query, leg, choice, true, now, batch);
-        query.budget->hedges.spend();
+        query.budget->spendHedge();
         ++m_counters.hedges;
     }
     query.hedgeCheckAt = m_hedges.nextLate(query, now);
@@ -132,6 +141,7 @@
     leg.isOpen = false;
     --query.openLegs;
     ++query.covered;
+    query.budget->earnAnswer(*query.rule);
     cancelOpenAttempts(query, static_cast<std::size_t>(&leg - query.legs.data()), now, actions);
 }
 
--- a/src/query/standard_query_engine_plan.cpp
+++ b/src/query/standard_query_engine_plan.cpp
@@ -56,8 +56,7 @@
     query.openLegs = shards.size();
     for (std::size_t i = 0; i < shards.size(); ++i)
         query.legs[i].shard = shards[i];
-    if (++query.starts == 1)
-        query.budget->earn(*query.rule, query.openLegs);
+    ++query.starts;
     if (needsCanary(query, now)) {
         if (sendCanary(query, now, actions))
             return schedule(query, now);
@@ -128,8 +127,7 @@
         if (!leg.isOpen || leg.hasOpenAttempt())
             continue;
         if (choices[i].server) {
-            sendAttempt(query, i, choices[i], false, now, batch);
-            ++m_counters.firstLegs;
+            sendFirstAttempt(query, i, choices[i], now, batch);
         } else {
             closeLeg(query, leg, "no usable replica");
         }
@@ -188,8 +186,7 @@
             continue;
         WorkBatch batch;
         query.canary = leg;
-        sendAttempt(query, leg, choice, false, now, batch);
-        ++m_counters.firstLegs;
+        sendFirstAttempt(query, leg, choice, now, batch);
         ++m_counters.canaries;
         note(query, "leg " + std::to_string(leg) + " goes ahead alone to " + choice.server->name.value(), actions);
         batch.flush(query, m_self, actions);
