Relay policies: admission, shedding, drain, ejection, quarantine

Cause: the thin relay queued without regard to deadlines and knew nothing of servers that drain, fail, shed or crash. Change: one small class a policy. Admission by the measured service time and the legs ahead; ConcurrencyLimit (halves on a shed, ramps after a cold start); DrainSigns (catalog, mark, health, refused connections, news of other relays); Ejection with PeerGroup's floor; CrashTable. Relays hear each other's drain news through RelayEngine::onServerNews (new, does nothing by default), and AnnounceCrash names the server (new member at the end). The check of the thin version that no timer is left after a leg expired gave way to a stricter one: legs past their deadline are cancelled at the server, and a hung server's connections are closed.

--- a/src/dispatch/relay_action.h
+++ b/src/dispatch/relay_action.h
@@ -46,11 +46,13 @@
     ServerState state;
 };
 
-/// Tell every instance that this content crashed a server, and whether it is quarantined.
+/// Tell every instance that this content crashed a server, and whether it is quarantined. It goes to
+/// the other engines of this instance too.
 struct AnnounceCrash {
     Fingerprint fingerprint;
-    std::uint32_t crashes = 0;
+    std::uint32_t crashes = 0; ///< Zero: a probe cleared the content.
     Duration quarantine {}; ///< Zero: under suspicion only.
+    ServerName server {}; ///< The server that crashed; empty when the news does not say.
 };
 
 using RelayAction = std::variant<OpenConnection, CloseConnection, RunLeg, CancelAtServer, ReturnResult, AnnounceServer, AnnounceCrash>;
--- a/src/dispatch/relay_engine.cpp
+++ b/src/dispatch/relay_engine.cpp
@@ -9,13 +9,31 @@
 
 namespace {
 
-class BlockRelayEngine final : public RelayEngine {
+/// Copies what all legs of an order share.
+std::shared_ptr<const WorkOrder> withoutLegs(const WorkOrder& order)
+{
+    auto copy = std::make_shared<WorkOrder>();
+    copy->request = order.request;
+    copy->entry = order.entry;
+    copy->service = order.service;
+    copy->kind = order.kind;
+    copy->priority = order.priority;
+    copy->deadline = order.deadline;
+    copy->version = order.version;
+    copy->epoch = order.epoch;
+    copy->fingerprint = order.fingerprint;
+    copy->body = order.body;
+    copy->traceparent = order.traceparent;
+    return copy;
+}
+
+class BlockRelayEngine final : public RelayEngine, private ServerDirectory {
 public:
     BlockRelayEngine(const RelaySettings& settings, const InstanceName& self, std::unique_ptr<RandomSource> random)
-        : m_random(std::move(random))
+        : m_self(self)
+        , m_random(std::move(random))
+        , m_shared(settings, *this)
     {
-        m_shared.settings = settings;
-        m_shared.self = self;
     }
 
     void onTables(std::shared_ptr<const ShardMap>, std::shared_ptr<const Ownership>, TimePoint, RelayActions&) override;
@@ -26,8 +44,9 @@
     void onConnectionLost(const ServerName&, ConnectionId, bool bytesHanded, TimePoint, RelayActions&) override;
     void onServerAnswer(const ServerName&, ConnectionId, const ServerAnswer&, TimePoint, RelayActions&) override;
     void onHealth(const ServerName&, const HealthReport&, TimePoint, RelayActions&) override;
-    void onCrashNews(const AnnounceCrash&, TimePoint) override { }
-    void beginDrain(TimePoint, RelayActions&) override { m_shared.isDraining = true; }
+    void onCrashNews(const AnnounceCrash&, TimePoint) override;
+    void onServerNews(const ServerState&, TimePoint, RelayActions&) override;
+    void beginDrain(TimePoint, RelayActions&) override { m_isDraining = true; }
     void onTimer(TimePoint, RelayActions&) override;
     TimePoint nextWake() const override;
     std::size_t inFlight() const override { return m_shared.legs.size(); }
@@ -39,28 +58,36 @@
     ServerRelay* find(const ServerName&);
     void refuse(const WorkOrder&, const LegOrder&, const std::string& detail, RelayActions&);
     void dropIdleServers();
+    void hold(const Server&, RelayRole, TimePoint, RelayActions&);
 
+    bool exists(const ServerName& name) const override { return m_map && m_map->findServer(name); }
+    bool owns(const ServerName& name) const override { return roleAt(name) == RelayRole::Owner; }
+    bool shareShard(const ServerName&, const ServerName&) const override;
+
+    InstanceName m_self;
+    bool m_isDraining = false;
     std::unique_ptr<RandomSource> m_random;
     RelayShared m_shared;
     std::shared_ptr<const ShardMap> m_map;
     std::shared_ptr<const Ownership> m_ownership;
-    std::map<ServerName, ServerRelay> m_servers;
+    std::map<ServerName, std::unique_ptr<ServerRelay>> m_servers;
+    std::map<ServerName, TimePoint> m_drainMarks; ///< Of servers that this relay does not hold.
 };
 
 RelayRole BlockRelayEngine::roleAt(const ServerName& name) const
 {
-    const auto* owners = m_ownership->ownersOf(name);
+    const auto* owners = m_ownership ? m_ownership->ownersOf(name) : nullptr;
     if (!owners)
         return RelayRole::None;
-    if (owners->owner == m_shared.self)
+    if (owners->owner == m_self)
         return RelayRole::Owner;
-    return owners->standby == m_shared.self ? RelayRole::Standby : RelayRole::None;
+    return owners->standby == m_self ? RelayRole::Standby : RelayRole::None;
 }
 
 ServerRelay* BlockRelayEngine::find(const ServerName& name)
 {
     const auto it = m_servers.find(name);
-    return it == m_servers.end() ? nullptr : &it->second;
+    return it == m_servers.end() ? nullptr : it->second.get();
 }
 
 void BlockRelayEngine::onTables(std::shared_ptr<const ShardMap> map, std::shared_ptr<const Ownership> ownership, TimePoint now, RelayActions& actions)
@@ -69,25 +96,50 @@
     m_ownership = std::move(ownership);
     for (const auto& [name, server] : m_map->servers()) {
         const auto role = roleAt(name);
-        auto it = m_servers.find(name);
-        if (it == m_servers.end()) {
-            if (role == RelayRole::None)
-                continue;
-            it = m_servers.try_emplace(name, server, m_shared).first;
-        }
-        it->second.setServer(server, now, actions);
-        it->second.setRole(role, now, actions);
+        if (auto* relay = find(name))
+            relay->onTables(server, role, now, actions);
+        else if (role != RelayRole::None)
+            hold(server, role, now, actions);
     }
+    std::erase_if(m_drainMarks, [&](const auto& it) { return !m_map->findServer(it.first); });
     for (auto& [name, relay] : m_servers) {
         if (!m_map->findServer(name))
-            relay.setRole(RelayRole::None, now, actions);
+            relay->onGone(now, actions);
     }
     dropIdleServers();
 }
 
+void BlockRelayEngine::hold(const Server& server, RelayRole role, TimePoint now, RelayActions& actions)
+{
+    auto& relay = *m_servers.emplace(server.name, std::make_unique<ServerRelay>(server, role, m_shared)).first->second;
+    const auto mark = m_drainMarks.find(server.name);
+    if (mark != m_drainMarks.end()) {
+        relay.onDrainNews(mark->second, now, actions);
+        m_drainMarks.erase(mark);
+    }
+    relay.onTables(server, role, now, actions);
+}
+
 void BlockRelayEngine::dropIdleServers()
 {
-    std::erase_if(m_servers, [](const auto& entry) { return entry.second.role() == RelayRole::None && entry.second.isIdle(); });
+    std::erase_if(m_servers, [this](const auto& it) {
+        const auto& relay = *it.second;
+        if (relay.role() != RelayRole::None || !relay.isIdle())
+            return false;
+        if (relay.drainMarkedAt() != never && exists(it.first))
+            m_drainMarks.insert_or_assign(it.first, relay.drainMarkedAt());
+        return true;
+    });
+}
+
+void BlockRelayEngine::onServerNews(const ServerState& state, TimePoint now, RelayActions& actions)
+{
+    if (auto* relay = find(state.server))
+        relay->onDrainNews(state.draining ? now : never, now, actions);
+    else if (!state.draining)
+        m_drainMarks.erase(state.server);
+    else if (exists(state.server))
+        m_drainMarks.insert_or_assign(state.server, now);
 }
 
 void BlockRelayEngine::refuse(const WorkOrder& order, const LegOrder& leg, const std::string& detail, RelayActions& actions)
@@ -104,7 +156,7 @@
 
 void BlockRelayEngine::onWork(const WorkOrder& order, TimePoint now, RelayActions& actions)
 {
-    const auto shared = std::make_shared<const WorkOrder>(order);
+    const auto shared = withoutLegs(order);
     for (const auto& leg : order.legs) {
         const RelayLeg taken { shared, leg, now };
         // A second copy of a leg that is here gets no answer of its own: it would contradict the first.
@@ -112,7 +164,7 @@
             continue;
         ++m_shared.counters.legs;
         auto* relay = find(leg.server);
-        if (m_shared.isDraining)
+        if (m_isDraining)
             refuse(order, leg, "the relay is draining", actions);
         else if (!relay)
             refuse(order, leg, "this relay does not hold the server", actions);
@@ -133,7 +185,7 @@
 void BlockRelayEngine::onEntryLost(const InstanceName& entry, TimePoint now, RelayActions& actions)
 {
     for (auto& [name, relay] : m_servers)
-        relay.onEntryLost(entry, now, actions);
+        relay->onEntryLost(entry, now, actions);
 }
 
 void BlockRelayEngine::onConnected(const ServerName& name, ConnectionId id, TimePoint now, RelayActions& actions)
@@ -166,11 +218,29 @@
         relay->onHealth(report, now, actions);
 }
 
+void BlockRelayEngine::onCrashNews(const AnnounceCrash& news, TimePoint now)
+{
+    if (m_shared.settings.quarantine)
+        m_shared.crashes.onNews(news, now);
+}
+
+bool BlockRelayEngine::shareShard(const ServerName& a, const ServerName& b) const
+{
+    const auto* server = m_map ? m_map->findServer(a) : nullptr;
+    const auto* service = server ? m_map->findService(server->service) : nullptr;
+    if (!service)
+        return false;
+    return std::any_of(service->shards.begin(), service->shards.end(), [&](const auto& shard) {
+        const auto& names = shard.replicas;
+        return std::find(names.begin(), names.end(), a) != names.end() && std::find(names.begin(), names.end(), b) != names.end();
+    });
+}
+
 void BlockRelayEngine::onTimer(TimePoint now, RelayActions& actions)
 {
     for (auto& [name, relay] : m_servers) {
-        if (relay.nextWake() <= now)
-            relay.onTimer(now, actions);
+        if (relay->nextWake() <= now)
+            relay->onTimer(now, actions);
     }
 }
 
@@ -178,7 +248,7 @@
 {
     auto wake = never;
     for (const auto& [name, relay] : m_servers)
-        wake = std::min(wake, relay.nextWake());
+        wake = std::min(wake, relay->nextWake());
     return wake;
 }
 
@@ -187,7 +257,7 @@
     std::vector<ServerState> states;
     states.reserve(m_servers.size());
     for (const auto& [name, relay] : m_servers)
-        states.push_back(relay.state());
+        states.push_back(relay->state());
     return states;
 }
 
--- a/src/dispatch/relay_engine.h
+++ b/src/dispatch/relay_engine.h
@@ -78,6 +78,8 @@
     virtual void onHealth(const ServerName&, const HealthReport&, TimePoint, RelayActions&) = 0;
     /// Another relay's news about content that crashed a server.
     virtual void onCrashNews(const AnnounceCrash&, TimePoint) = 0;
+    /// What another relay announced about a server, whether this one holds it or may do so later.
+    virtual void onServerNews(const ServerState&, TimePoint, RelayActions&) { }
     /// No new legs are taken from now on; those taken are finished.
     virtual void beginDrain(TimePoint, RelayActions&) = 0;
 
--- a/src/dispatch/server_relay.h
+++ b/src/dispatch/server_relay.h
@@ -1,11 +1,15 @@
 #pragma once
 
 #include "catalog/shard_map.h"
-#include "dispatch/connection_pool.h"
+#include "dispatch/concurrency_limit.h"
+#include "dispatch/drain_signs.h"
+#include "dispatch/ejection.h"
 #include "dispatch/leg_queue.h"
-#include "dispatch/relay_engine.h"
+#include "dispatch/relay_shared.h"
+#include "dispatch/service_time.h"
 
 #include <map>
+#include <optional>
 
 namespace lycheefield {
 
@@ -16,23 +20,18 @@
     Owner,
 };
 
-/// What all servers of one engine share.
-struct RelayShared {
-    RelaySettings settings;
-    InstanceName self;
-    RelayCounters counters;
-    ConnectionCounters connections;
-    bool isDraining = false;
-    std::map<LegKey, ServerName> legs; ///< Every leg taken and not answered, and where it is.
-};
-
 /// The decisions of the relay role for one server. Not thread safe.
 class ServerRelay {
 public:
-    ServerRelay(const Server&, RelayShared&);
+    ServerRelay(const Server&, RelayRole, RelayShared&);
+    ~ServerRelay();
+    ServerRelay(const ServerRelay&) = delete;
+    ServerRelay& operator=(const ServerRelay&) = delete;
 
-    void setServer(const Server&, TimePoint, RelayActions&);
-    void setRole(RelayRole, TimePoint, RelayActions&);
+    /// The catalog's description and this instance's role, as the tables say now.
+    void onTables(const Server&, RelayRole, TimePoint, RelayActions&);
+    /// The catalog no longer knows the server.
+    void onGone(TimePoint, RelayActions&);
     RelayRole role() const { return m_role; }
 
     /// Takes the leg: queues it, runs it or answers it.
@@ -44,33 +43,77 @@
     void onServerAnswer(ConnectionId, const ServerAnswer&, TimePoint, RelayActions&);
     void onHealth(const HealthReport&, TimePoint, RelayActions&);
     void onTimer(TimePoint, RelayActions&);
+    /// Another relay saw at that time that the server drains, or, with `never`, that it does not.
+    void onDrainNews(TimePoint markedAt, TimePoint, RelayActions&);
+    /// Since when the server drains for a reason that the catalog does not give; `never` when it does not.
+    TimePoint drainMarkedAt() const;
     TimePoint nextWake() const;
 
     ServerState state() const;
-    std::size_t inFlight() const { return m_running.size() + m_queue.size(); }
+    std::size_t inFlight() const { return m_running.size() + m_queue.size() + (m_probe ? 1 : 0); }
     /// True when nothing is left to do and no connection is held.
     bool isIdle() const { return inFlight() == 0 && m_pool.size() == 0; }
 
 private:
+    /// One crash, or what may turn out to be a lost connection only.
+    struct Crash {
+        CrashId id;
+        TimePoint at = never;
+        ConnectionId newestConnection; ///< Those opened later tell nothing about it.
+    };
+
+    // Taking legs.
+    std::optional<LegResult> turnAway(RelayLeg&, TimePoint, RelayActions&);
+    bool canFinishInTime(const RelayLeg&, TimePoint) const;
+    Duration expectedWait(const RelayLeg&, TimePoint) const;
+    bool makeRoom(const RelayLeg&, TimePoint, RelayActions&);
+
+    // Sending legs.
     void dispatch(TimePoint, RelayActions&);
+    void dispatchProbe(TimePoint, RelayActions&);
+    void dropDue(TimePoint, RelayActions&);
+    void cancelOverdue(TimePoint, RelayActions&);
     void send(RelayLeg, TimePoint, RelayActions&);
-    std::uint32_t wantedConnections() const;
-    void refuse(const RelayLeg&, LegOutcome, const std::string& detail, TimePoint, RelayActions&);
-    void refuseAll(const std::vector<RelayLeg>&, const std::string& detail, TimePoint, RelayActions&);
+    std::uint32_t concurrency(TimePoint) const;
+    std::uint32_t wantedConnections(TimePoint) const;
+    Duration leastTimeLeft() const;
+
+    // Ending legs.
+    LegResult resultFor(const RelayLeg&, LegOutcome, std::string detail) const;
+    void refuse(const RelayLeg&, LegOutcome, std::string detail, TimePoint, RelayActions&);
+    void refuseWaiting(const std::string& detail, TimePoint, RelayActions&);
     void finish(const RunningLeg&, LegResult, TimePoint, RelayActions&);
-    LegResult resultFor(const RelayLeg&, LegOutcome) const;
-    void setDraining(bool, TimePoint, RelayActions&);
+    void cancelAtServer(ConnectionId, RunningLeg&, RelayActions&);
+
+    // Learning about the server.
+    void noteOutcome(const RunningLeg&, const ServerAnswer&, TimePoint, RelayActions&);
+    void noteLatency(Duration, TimePoint, RelayActions&);
+    void noteFailure(Fingerprint, TimePoint, RelayActions&);
+    void noteCrash(const RunningLeg&, TimePoint, RelayActions&);
+    void noteAlive(ConnectionId, const RunningLeg&, RelayActions&);
+    void eject(TimePoint, RelayActions&);
+    /// Announces a change, unless it comes from news that all have.
+    void afterDrainSign(TimePoint, RelayActions&, bool isNews = false);
     void setVersions(std::vector<IndexVersion>);
+    PeerGroup& peers() { return m_shared.groups[m_server.service]; }
 
     Server m_server;
     RelayShared& m_shared;
     RelayRole m_role = RelayRole::None;
     ConnectionPool m_pool;
     LegQueue m_queue;
+    std::optional<RelayLeg> m_probe; ///< Waits for the server to be free of other legs.
     std::map<ConnectionId, RunningLeg> m_running;
     std::vector<IndexVersion> m_versions;
+    ServiceTime m_serviceTime;
+    ConcurrencyLimit m_limit;
+    Ejection m_ejection;
+    DrainSigns m_drainSigns;
     bool m_isDraining = false;
-    Duration m_latency {};
+    TimePoint m_drainingSince = never;
+    Crash m_crash;
+    TimePoint m_nextLimitChange = never;
+    TimePoint m_lastLeg {}; ///< When a leg was last taken.
 };
 
 }
--- a/tests/dispatch/relay_engine_test.cpp
+++ b/tests/dispatch/relay_engine_test.cpp
@@ -98,7 +98,17 @@
         const auto results = relay.take<ReturnResult>();
         REQUIRE(results.size() == 1);
         CHECK(outcomeOf(results[0]) == "expired");
-        CHECK(relay.engine().nextWake() == never);
+        SUBCASE("cancels the legs that run past it, and closes their connections when the server hangs")
+        {
+            CHECK(relay.take<CancelAtServer>().size() == 2);
+            relay.run(2s);
+            CHECK(relay.take<CloseConnection>().size() == 2);
+            const auto lost = relay.take<ReturnResult>();
+            REQUIRE(lost.size() == 2);
+            CHECK(outcomeOf(lost[0]) == "lost");
+            CHECK_FALSE(lost[0].result.crashed);
+            CHECK((relay.engine().nextWake() == never));
+        }
     }
     SUBCASE("a cancelled leg")
     {
--- /dev/null
+++ b/tests/dispatch/relay_world.cpp
@@ -0,0 +1,418 @@
+#include "dispatch/relay_world.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lycheefield {
+
+namespace {
+
+constexpr Duration connectTime = 6ms;
+/// No new work goes anywhere this long after the first relay saw a sign.
+constexpr Duration longestDrainNews = 2s;
+constexpr Duration messageTime = 200us;
+constexpr std::uint32_t wakesWithoutProgress = 10000;
+
+Instance memberNamed(const std::string& name)
+{
+    Instance instance;
+    instance.name = InstanceName(name);
+    instance.zone = ZoneName("a");
+    return instance;
+}
+
+}
+
+void RelayWorld::check(bool holds, const std::string& what)
+{
+    if (!holds)
+        m_violations.push_back("at " + std::to_string(m_now.time_since_epoch().count()) + " us: " + what);
+}
+
+void RelayWorld::addServer(const WorldServer& model)
+{
+    m_servers[model.name].model = model;
+}
+
+void RelayWorld::addRelay(const std::string& name, const RelaySettings& settings)
+{
+    m_relays[name].engine = makeRelayEngine(settings, InstanceName(name), std::make_unique<SeededRandom>(m_random.next()));
+}
+
+std::shared_ptr<const ShardMap> RelayWorld::shardMap() const
+{
+    Service service;
+    service.name = ServiceName("quotedesk");
+    std::vector<Server> servers;
+    for (const auto& [name, world] : m_servers) {
+        Server server;
+        server.name = ServerName(name);
+        server.zone = ZoneName("a");
+        server.service = service.name;
+        server.slots = world.model.slots;
+        server.connectionCap = world.model.cap;
+        servers.push_back(server);
+        while (service.shards.size() <= world.model.shard)
+            service.shards.push_back({ ShardNumber(static_cast<std::uint32_t>(service.shards.size())), {}, {} });
+        service.shards[world.model.shard].replicas.push_back(server.name);
+    }
+    return std::make_shared<const ShardMap>(std::vector<Service> { service }, servers);
+}
+
+void RelayWorld::publish(const std::string& relay, const std::vector<std::string>& instances)
+{
+    std::vector<Instance> members;
+    members.reserve(instances.size());
+    for (const auto& it : instances)
+        members.push_back(memberNamed(it));
+    const auto map = shardMap();
+    auto& ownership = m_relays.at(relay).ownership;
+    ownership = std::make_shared<const Ownership>(MembershipView(members), *map);
+    call(relay, [&](auto& engine, auto& actions) { engine.onTables(map, ownership, m_now, actions); });
+}
+
+void RelayWorld::publishAll()
+{
+    std::vector<std::string> names;
+    for (const auto& [name, relay] : m_relays)
+        names.push_back(name);
+    for (const auto& name : names)
+        publish(name, names);
+}
+
+std::string RelayWorld::ownerOf(const std::string& server) const
+{
+    return m_relays.begin()->second.ownership->ownersOf(ServerName(server))->owner.value();
+}
+
+void RelayWorld::runUntil(TimePoint end)
+{
+    std::uint32_t wakes = 0;
+    for (;;) {
+        auto next = m_events.empty() ? never : m_events.begin()->first;
+        std::string woken;
+        for (const auto& [name, relay] : m_relays) {
+            if (relay.engine->nextWake() < next) {
+                next = relay.engine->nextWake();
+                woken = name;
+            }
+        }
+        if (next > end)
+            break;
+        wakes = next > m_now ? 0 : wakes + 1;
+        m_now = std::max(m_now, next);
+        if (wakes > wakesWithoutProgress)
+            return check(false, "timers run without progress");
+        if (!woken.empty()) {
+            call(woken, [&](auto& engine, auto& actions) { engine.onTimer(m_now, actions); });
+            continue;
+        }
+        const auto event = std::move(m_events.begin()->second);
+        m_events.erase(m_events.begin());
+        event();
+    }
+    m_now = std::max(m_now, end);
+}
+
+void RelayWorld::call(const std::string& relay, const std::function<void(RelayEngine&, RelayActions&)>& event)
+{
+    RelayActions actions;
+    auto& draining = m_relays.at(relay).drainingKnown;
+    draining.clear();
+    for (const auto& state : m_relays.at(relay).engine->states()) {
+        if (state.draining)
+            draining.insert(state.server.value());
+    }
+    event(*m_relays.at(relay).engine, actions);
+    for (const auto& it : actions)
+        std::visit([&](const auto& action) { apply(relay, action); }, it);
+    for (const auto& state : m_relays.at(relay).engine->states())
+        check(state.inFlight <= state.slots, "more legs than slots at " + state.server.value());
+}
+
+LegKey RelayWorld::send(const std::string& relay, const std::string& server, std::uint64_t fingerprint, Priority priority, Duration budget, std::uint64_t request)
+{
+    WorkOrder order;
+    order.request = { ProcessLife(1), request ? request : ++m_lastRequest };
+    order.entry = InstanceName("entry");
+    order.service = ServiceName("quotedesk");
+    order.priority = priority;
+    order.deadline = m_now + budget;
+    order.fingerprint = Fingerprint(fingerprint);
+    order.legs.push_back({ LegNumber(0), AttemptNumber(0), ShardNumber(m_servers.at(server).model.shard), ServerName(server) });
+    const LegKey key { order.request, LegNumber(0), AttemptNumber(0) };
+    m_sent.try_emplace(key, Sent { relay });
+    call(relay, [&](auto& engine, auto& actions) { engine.onWork(order, m_now, actions); });
+    return key;
+}
+
+void RelayWorld::cancel(const std::string& relay, const LegKey& key)
+{
+    call(relay, [&](auto& engine, auto& actions) { engine.onCancel(key, m_now, actions); });
+}
+
+void RelayWorld::loseEntry(const std::string& relay)
+{
+    for (auto& [key, sent] : m_sent)
+        sent.isEntryLost = sent.isEntryLost || (sent.relay == relay && !sent.isAnswered);
+    call(relay, [&](auto& engine, auto& actions) { engine.onEntryLost(InstanceName("entry"), m_now, actions); });
+}
+
+void RelayWorld::crash(const std::string& name)
+{
+    auto& server = m_servers.at(name);
+    if (!server.model.isUp)
+        return;
+    server.model.isUp = false;
+    ++felled[name];
+    const auto handed = std::exchange(server.handed, {});
+    server.running.clear();
+    server.waiting.clear();
+    const auto open = std::exchange(server.open, {});
+    for (const auto& it : open) {
+        server.connections.erase(it);
+        const auto hadLeg = handed.contains(it);
+        at(m_now + messageTime, [this, name, it, hadLeg] {
+            call(it.relay, [&](auto& engine, auto& actions) { engine.onConnectionLost(ServerName(name), it.id, hadLeg, m_now, actions); });
+        });
+    }
+    at(m_now + server.model.restartTime, [this, name] { restart(name); });
+}
+
+void RelayWorld::restart(const std::string& name)
+{
+    auto& model = m_servers.at(name).model;
+    m_servers.at(name).firstSign = never;
+    model.isUp = true;
+    model.isDraining = false;
+}
+
+void RelayWorld::dropConnection(const std::string& name)
+{
+    auto& server = m_servers.at(name);
+    if (server.open.empty())
+        return;
+    auto it = server.open.begin();
+    std::advance(it, static_cast<std::ptrdiff_t>(m_random.below(server.open.size())));
+    const auto dropped = *it;
+    const auto isDropped = [&](const Leg& leg) { return leg.connection == dropped; };
+    std::erase_if(server.running, isDropped);
+    std::erase_if(server.waiting, isDropped);
+    const auto hadLeg = server.handed.erase(dropped) > 0;
+    server.open.erase(dropped);
+    server.connections.erase(dropped);
+    call(dropped.relay, [&](auto& engine, auto& actions) { engine.onConnectionLost(ServerName(name), dropped.id, hadLeg, m_now, actions); });
+    startNext(name);
+}
+
+void RelayWorld::reportHealth(const std::string& name, bool isDraining)
+{
+    for (const auto& [relay, state] : m_relays)
+        call(relay, [&](auto& engine, auto& actions) { engine.onHealth(ServerName(name), { 0, isDraining, {} }, m_now, actions); });
+}
+
+std::size_t RelayWorld::unanswered() const
+{
+    return static_cast<std::size_t>(std::count_if(m_sent.begin(), m_sent.end(), [](const auto& it) { return !it.second.isAnswered && !it.second.isEntryLost; }));
+}
+
+std::uint32_t RelayWorld::connectionsAt(const std::string& name) const
+{
+    auto n = static_cast<std::uint32_t>(m_servers.at(name).connections.size());
+    for (const auto& [relay, state] : m_relays)
+        n += state.ownership && state.ownership->holds(InstanceName(relay), ServerName(name)) ? 1 : 0;
+    return n;
+}
+
+void RelayWorld::checkServer(const std::string& name)
+{
+    const auto& server = m_servers.at(name);
+    const auto connections = connectionsAt(name);
+    m_mostConnections = std::max(m_mostConnections, connections);
+    m_mostAtServer = std::max(m_mostAtServer, static_cast<std::uint32_t>(server.running.size() + server.waiting.size()));
+    check(connections + RelaySettings {}.reservedConnections <= server.model.cap, "the connection cap of " + name + " is passed");
+}
+
+void RelayWorld::apply(const std::string& relay, const OpenConnection& action)
+{
+    const auto name = action.server.value();
+    const ConnectionKey key { relay, action.connection };
+    check(m_servers.at(name).connections.insert(key).second, "a connection is opened twice");
+    checkServer(name);
+    at(m_now + connectTime, [this, name, key] {
+        auto& server = m_servers.at(name);
+        if (!server.connections.contains(key))
+            return;
+        const auto isAccepted = server.model.isUp && !server.model.isDraining;
+        if (isAccepted)
+            server.open.insert(key);
+        else
+            server.connections.erase(key);
+        call(key.relay, [&](auto& engine, auto& actions) {
+            if (isAccepted)
+                engine.onConnected(ServerName(name), key.id, m_now, actions);
+            else
+                engine.onConnectionLost(ServerName(name), key.id, false, m_now, actions);
+        });
+    });
+}
+
+void RelayWorld::apply(const std::string& relay, const CloseConnection& action)
+{
+    auto& server = m_servers.at(action.server.value());
+    const ConnectionKey key { relay, action.connection };
+    const auto isOn = [&](const Leg& leg) { return leg.connection == key; };
+    std::erase_if(server.running, isOn);
+    std::erase_if(server.waiting, isOn);
+    server.connections.erase(key);
+    server.open.erase(key);
+    server.handed.erase(key);
+}
+
+void RelayWorld::apply(const std::string& relay, const RunLeg& action)
+{
+    const auto name = action.server.value();
+    auto& server = m_servers.at(name);
+    const ConnectionKey connection { relay, action.connection };
+    const auto isOn = [&](const Leg& leg) { return leg.connection == connection; };
+    check(std::none_of(server.running.begin(), server.running.end(), isOn), "two legs on one connection");
+    check(std::none_of(server.waiting.begin(), server.waiting.end(), isOn), "two legs on one connection");
+    check(action.work.legs.size() == 1, "not exactly one leg");
+    check(action.work.deadline > m_now, "a leg is sent after its deadline");
+    check(!m_relays.at(relay).drainingKnown.contains(name), "new work for " + name + ", which is known to drain");
+    if (server.model.isDraining) {
+        server.firstSign = std::min(server.firstSign, m_now);
+        check(m_now - server.firstSign <= longestDrainNews, "new work for " + name + " long after the first sign of its drain");
+    }
+    const LegKey key { action.work.request, action.work.legs[0].leg, action.work.legs[0].attempt };
+    if (!server.open.contains(connection))
+        return; // It died meanwhile; the engine is about to hear of it.
+    server.handed.insert(connection);
+    const Leg leg { connection, key, action.work.fingerprint, action.work.deadline, m_now, ++m_lastSerial };
+    if (server.model.isDraining)
+        return answer(name, leg, LegOutcome::Refused);
+    if (server.running.size() >= server.model.slots && server.waiting.size() >= server.model.queueLimit)
+        return answer(name, leg, LegOutcome::Refused, 20ms);
+    server.waiting.push_back(leg);
+    checkServer(name);
+    startNext(name);
+}
+
+void RelayWorld::startNext(const std::string& name)
+{
+    auto& server = m_servers.at(name);
+    while (!server.waiting.empty() && server.running.size() < server.model.slots) {
+        auto leg = server.waiting.front();
+        server.waiting.erase(server.waiting.begin());
+        if (leg.deadline <= m_now) {
+            answer(name, leg, LegOutcome::Expired);
+            continue;
+        }
+        auto& sent = m_sent[leg.key];
+        check(!sent.hasRun, "a leg ran twice");
+        sent.hasRun = true;
+        leg.started = m_now;
+        server.running.push_back(leg);
+        if (m_poison.contains(leg.fingerprint))
+            at(m_now + 1ms, [this, name] { crash(name); });
+        if (!server.model.isHung)
+            at(m_now + drawServiceTime(server.model), [this, name, serial = leg.serial] { finish(name, serial); });
+    }
+}
+
+Duration RelayWorld::drawServiceTime(const WorldServer& model)
+{
+    const auto factor = 0.5 - 0.5 * std::log(1 - m_random.unit());
+    return Duration(static_cast<Duration::rep>(static_cast<double>(model.serviceTime.count()) * factor * model.slowFactor) + 1);
+}
+
+void RelayWorld::finish(const std::string& name, std::uint64_t serial)
+{
+    auto& server = m_servers.at(name);
+    const auto it = std::find_if(server.running.begin(), server.running.end(), [&](const auto& leg) { return leg.serial == serial; });
+    if (it == server.running.end())
+        return;
+    const auto leg = *it;
+    server.running.erase(it);
+    busyTime += m_now - leg.started;
+    if (m_now > leg.deadline)
+        deadTime += m_now - leg.started;
+    answer(name, leg, server.model.isFailing ? LegOutcome::Failed : LegOutcome::Ok);
+    startNext(name);
+}
+
+void RelayWorld::answer(const std::string& name, const Leg& leg, LegOutcome outcome, Duration retryAfter)
+{
+    ServerAnswer answer;
+    answer.key = leg.key;
+    answer.outcome = outcome;
+    answer.retryAfter = retryAfter;
+    answer.draining = m_servers.at(name).model.isDraining;
+    at(m_now + messageTime, [this, name, leg, answer] {
+        if (m_servers.at(name).handed.erase(leg.connection) == 0)
+            return;
+        call(leg.connection.relay, [&](auto& engine, auto& actions) { engine.onServerAnswer(ServerName(name), leg.connection.id, answer, m_now, actions); });
+    });
+}
+
+void RelayWorld::apply(const std::string& relay, const CancelAtServer& action)
+{
+    at(m_now + messageTime, [this, name = action.server.value(), key = action.key] {
+        auto& server = m_servers.at(name);
+        for (auto* legs : { &server.running, &server.waiting }) {
+            const auto it = std::find_if(legs->begin(), legs->end(), [&](const auto& leg) { return leg.key == key; });
+            if (it == legs->end() || server.model.isHung)
+                continue;
+            const auto leg = *it;
+            legs->erase(it);
+            if (legs == &server.running) {
+                busyTime += m_now - leg.started;
+                deadTime += m_now - leg.started;
+            }
+            answer(name, leg, LegOutcome::Cancelled);
+            return startNext(name);
+        }
+    });
+}
+
+void RelayWorld::apply(const std::string& relay, const ReturnResult& action)
+{
+    const auto it = m_sent.find(action.result.key);
+    if (it == m_sent.end())
+        return check(false, "a result for a leg that was never sent");
+    check(!it->second.isAnswered, "two results for one leg");
+    check(!it->second.isEntryLost, "a result for a lost entry");
+    check(!(provesNotRun(action.result.outcome) && it->second.hasRun), "a leg that ran is called not run: " + action.result.detail);
+    it->second.isAnswered = true;
+    ++outcomes[action.result.outcome];
+    if (onResult)
+        onResult(action.result);
+}
+
+void RelayWorld::apply(const std::string& relay, const AnnounceServer& action)
+{
+    auto& known = m_relays.at(relay).drainingKnown;
+    if (action.state.draining)
+        known.insert(action.state.server.value());
+    else
+        known.erase(action.state.server.value());
+    tellOthers(relay, [action](auto& engine, auto now, auto& actions) { engine.onServerNews(action.state, now, actions); });
+}
+
+void RelayWorld::apply(const std::string& relay, const AnnounceCrash& action)
+{
+    tellOthers(relay, [action](auto& engine, auto now, auto&) { engine.onCrashNews(action, now); });
+}
+
+void RelayWorld::tellOthers(const std::string& relay, const std::function<void(RelayEngine&, TimePoint, RelayActions&)>& news)
+{
+    for (const auto& it : m_relays) {
+        if (it.first == relay)
+            continue;
+        at(m_now + newsDelay, [this, name = it.first, news] {
+            call(name, [&](auto& engine, auto& actions) { news(engine, m_now, actions); });
+        });
+    }
+}
+
+}
