--- a/src/dispatch/crash_record.h
+++ b/src/dispatch/crash_record.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 #include "base/strong_id.h"
 #include "base/time.h"
+#include "dispatch/relay_action.h"
 
 #include <cstdint>
 #include <vector>
@@ -23,7 +24,7 @@
     CrashStanding standing = CrashStanding::Watched;
     std::uint32_t crashes = 0;
     std::vector<CrashId> ownCrashes; ///< Crashes that this relay saw.
-    std::vector<ServerName> felled; ///< Servers that crashed while it ran; an empty name is one not told.
+    std::vector<CrashPlace> felled; ///< Where servers crashed while it ran; an empty name is one not told.
     bool isProbing = false;
     TimePoint probeNotBefore {};
     TimePoint quarantinedAt {};
--- a/src/dispatch/crash_table.cpp
+++ b/src/dispatch/crash_table.cpp
@@ -53,7 +53,7 @@
     return m_records[fingerprint];
 }
 
-void CrashTable::onCrash(Fingerprint fingerprint, const ServerName& server, CrashId crash, bool wasProbe, TimePoint now, RelayActions& actions)
+void CrashTable::onCrash(Fingerprint fingerprint, const CrashPlace& place, CrashId crash, bool wasProbe, TimePoint now, RelayActions& actions)
 {
     const auto isKnownGood = m_successes.contains(fingerprint, now);
     m_successes.forget(fingerprint);
@@ -62,37 +62,37 @@
     remember(record.ownCrashes, crash);
     if (wasProbe) {
         record.isProbing = false;
-        return quarantine(fingerprint, record, server, now, actions);
+        return quarantine(fingerprint, record, place, now, actions);
     }
     if (record.standing == CrashStanding::Quarantined) {
-        remember(record.felled, server);
+        remember(record.felled, place);
         return;
     }
     if (isKnownGood && record.standing == CrashStanding::Watched) {
-        remember(record.felled, server);
+        remember(record.felled, place);
         record.until = now + m_settings.quarantineTime;
         return;
     }
-    suspect(fingerprint, record, server, now, actions);
+    suspect(fingerprint, record, place, now, actions);
 }
 
-void CrashTable::suspect(Fingerprint fingerprint, CrashRecord& record, const ServerName& server, TimePoint now, RelayActions& actions)
+void CrashTable::suspect(Fingerprint fingerprint, CrashRecord& record, const CrashPlace& place, TimePoint now, RelayActions& actions)
 {
-    remember(record.felled, server);
+    remember(record.felled, place);
     record.standing = CrashStanding::Suspect;
     record.probeNotBefore = now + probeDelay;
     record.until = now + m_settings.quarantineTime;
-    actions.push_back(AnnounceCrash { fingerprint, record.crashes, Duration {}, server });
+    actions.push_back(AnnounceCrash { fingerprint, record.crashes, Duration {}, place });
 }
 
-void CrashTable::quarantine(Fingerprint fingerprint, CrashRecord& record, const ServerName& server, TimePoint now, RelayActions& actions)
+void CrashTable::quarantine(Fingerprint fingerprint, CrashRecord& record, const CrashPlace& place, TimePoint now, RelayActions& actions)
 {
-    remember(record.felled, server);
+    remember(record.felled, place);
     record.standing = CrashStanding::Quarantined;
     record.quarantinedAt = now;
     record.announcedAt = now;
     record.until = now + m_settings.quarantineTime;
-    actions.push_back(AnnounceCrash { fingerprint, record.crashes, m_settings.quarantineTime, server });
+    actions.push_back(AnnounceCrash { fingerprint, record.crashes, m_settings.quarantineTime, place });
     clearThoseExplainedBy(fingerprint, record, actions);
 }
 
@@ -174,7 +174,7 @@
     }
     if (record.standing == CrashStanding::Quarantined)
         return;
-    remember(record.felled, news.server);
+    remember(record.felled, news.place);
     record.standing = CrashStanding::Suspect;
     record.probeNotBefore = now + probeDelay;
     record.until = now + m_settings.quarantineTime;
@@ -183,27 +183,24 @@
 bool CrashTable::isOurs(const CrashRecord& record) const
 {
     const ServerName* first = nullptr;
-    for (const auto& name : record.felled) {
-        if (name.value().empty())
+    for (const auto& it : record.felled) {
+        if (it.server.value().empty())
             return false;
-        if (m_servers.exists(name) && (!first || name < *first))
-            first = &name;
+        if (m_servers.exists(it.server) && (!first || it.server < *first))
+            first = &it.server;
     }
     // When all of them have left the catalog, the relay that saw the crash goes on.
     return first ? m_servers.owns(*first) : !record.ownCrashes.empty();
 }
 
-bool CrashTable::mayProbe(const CrashRecord& record, const ServerName& server, TimePoint now) const
+bool CrashTable::mayProbe(const CrashRecord& record, const CrashPlace& place, TimePoint now) const
 {
     if (record.isProbing || now < record.probeNotBefore || !isOurs(record))
         return false;
-    const auto isFelled = std::find(record.felled.begin(), record.felled.end(), server) != record.felled.end();
-    if (isFelled)
-        return true;
-    return std::none_of(record.felled.begin(), record.felled.end(), [&](const auto& it) { return m_servers.shareShard(it, server); });
+    return std::all_of(record.felled.begin(), record.felled.end(), [&](const auto& it) { return it.server == place.server || it.shard != place.shard || !m_servers.exists(it.server); });
 }
 
-CrashRuling CrashTable::rule(Fingerprint fingerprint, const ServerName& server, TimePoint now, RelayActions& actions)
+CrashRuling CrashTable::rule(Fingerprint fingerprint, const CrashPlace& place, TimePoint now, RelayActions& actions)
 {
     if (m_records.empty())
         return CrashRuling::Run;
@@ -224,7 +221,7 @@
     case CrashStanding::Suspect:
         break;
     }
-    if (!mayProbe(record, server, now))
+    if (!mayProbe(record, place, now))
         return CrashRuling::Refuse;
     record.isProbing = true;
     return CrashRuling::RunAsProbe;
--- a/src/dispatch/relay_action.h
+++ b/src/dispatch/relay_action.h
@@ -46,13 +46,21 @@
     ServerState state;
 };
 
+/// Where a content ran when a server crashed.
+struct CrashPlace {
+    ServerName server;
+    ShardNumber shard;
+
+    friend bool operator==(const CrashPlace&, const CrashPlace&) = default;
+};
+
 /// Tell every instance that this content crashed a server, and whether it is quarantined. It goes to
 /// the other engines of this instance too.
 struct AnnounceCrash {
     Fingerprint fingerprint;
     std::uint32_t crashes = 0; ///< Zero: a probe cleared the content.
     Duration quarantine {}; ///< Zero: under suspicion only.
-    ServerName server {}; ///< The server that crashed; empty when the news does not say.
+    CrashPlace place {}; ///< The server's name is empty when the news does not say.
 };
 
 using RelayAction = std::variant<OpenConnection, CloseConnection, RunLeg, CancelAtServer, ReturnResult, AnnounceServer, AnnounceCrash>;
--- a/src/dispatch/relay_engine.cpp
+++ b/src/dispatch/relay_engine.cpp
@@ -60,9 +60,9 @@
     void dropIdleServers();
     void hold(const Server&, RelayRole, TimePoint, RelayActions&);
 
-    bool exists(const ServerName& name) const override { return m_map && m_map->findServer(name); }
-    bool owns(const ServerName& name) const override { return roleAt(name) == RelayRole::Owner; }
-    bool shareShard(const ServerName&, const ServerName&) const override;
+    // The map holds this engine's servers only; the ownership knows all.
+    bool exists(const ServerName& name) const override { return m_ownership && m_ownership->blocks().contains(name); }
+    bool owns(const ServerName& name) const override { return m_map && m_map->findServer(name) && roleAt(name) == RelayRole::Owner; }
 
     InstanceName m_self;
     bool m_isDraining = false;
@@ -224,18 +224,6 @@
         m_shared.crashes.onNews(news, now);
 }
 
-bool BlockRelayEngine::shareShard(const ServerName& a, const ServerName& b) const
-{
-    const auto* server = m_map ? m_map->findServer(a) : nullptr;
-    const auto* service = server ? m_map->findService(server->service) : nullptr;
-    if (!service)
-        return false;
-    return std::any_of(service->shards.begin(), service->shards.end(), [&](const auto& shard) {
-        const auto& names = shard.replicas;
-        return std::find(names.begin(), names.end(), a) != names.end() && std::find(names.begin(), names.end(), b) != names.end();
-    });
-}
-
 void BlockRelayEngine::onTimer(TimePoint now, RelayActions& actions)
 {
     for (auto& [name, relay] : m_servers) {
--- a/src/dispatch/server_directory.h
+++ b/src/dispatch/server_directory.h
@@ -8,11 +8,10 @@
 class ServerDirectory {
 public:
     virtual ~ServerDirectory() = default;
+    /// True while the catalog names the server.
     virtual bool exists(const ServerName&) const = 0;
-    /// True when this instance owns the server.
+    /// True when this engine owns the server.
     virtual bool owns(const ServerName&) const = 0;
-    /// True when both are replicas of one shard.
-    virtual bool shareShard(const ServerName&, const ServerName&) const = 0;
 };
 
 }
--- a/src/dispatch/server_relay.cpp
+++ b/src/dispatch/server_relay.cpp
@@ -81,7 +81,7 @@
         return std::nullopt;
     if (m_probe && m_shared.crashes.isBarred(leg.order->fingerprint, now))
         return resultFor(leg, LegOutcome::Quarantined, "its content crashed a server; another probe waits here");
-    switch (m_shared.crashes.rule(leg.order->fingerprint, m_server.name, now, actions)) {
+    switch (m_shared.crashes.rule(leg.order->fingerprint, { m_server.name, leg.leg.shard }, now, actions)) {
     case CrashRuling::Refuse:
         return resultFor(leg, LegOutcome::Quarantined, "its content crashed a server");
     case CrashRuling::RunAsProbe:
--- a/src/dispatch/server_relay_events.cpp
+++ b/src/dispatch/server_relay_events.cpp
@@ -69,7 +69,7 @@
         m_crash = { m_shared.lastCrash, now, ConnectionId(m_shared.connections.lastId) };
     }
     if (m_shared.settings.quarantine)
-        m_shared.crashes.onCrash(running.leg.order->fingerprint, m_server.name, m_crash.id, running.leg.isProbe, now, actions);
+        m_shared.crashes.onCrash(running.leg.order->fingerprint, { m_server.name, running.leg.leg.shard }, m_crash.id, running.leg.isProbe, now, actions);
 }
 
 void ServerRelay::noteAlive(ConnectionId id, const RunningLeg& running, RelayActions& actions)
