Low priorities wait by their own turns, and get one a second at least

Desk work was admitted by the legs ahead only, and then expired in the queue. Change: a priority that waited a second without a turn gets the next one, instead of one in eight; the expected wait also follows how often the priority got a turn lately; a leg must have its mean time and two deviations left, not three.

--- a/src/dispatch/leg_queue.cpp
+++ b/src/dispatch/leg_queue.cpp
@@ -6,57 +6,69 @@
 
 namespace lycheefield {
 
-void LegQueue::push(RelayLeg leg)
+namespace {
+
+/// Weight of the newest gap in the moving average: 1 / gapWeight.
+constexpr int gapWeight = 8;
+
+}
+
+void LegQueue::push(RelayLeg leg, TimePoint now)
 {
     auto& line = m_lines.at(indexOf(leg.order->priority));
+    if (line.legs.empty()) {
+        line.waitingSince = now;
+        line.hadTurn = false;
+    }
     const auto deadline = leg.deadline();
-    line.emplace(deadline, std::move(leg));
+    line.legs.emplace(deadline, std::move(leg));
+    line.starvingSince = std::min(line.starvingSince, now);
     ++m_size;
 }
 
-RelayLeg LegQueue::take(Line& line, Line::iterator it)
+RelayLeg LegQueue::take(Line& line, Legs::iterator it)
 {
     auto leg = std::move(it->second);
-    line.erase(it);
+    line.legs.erase(it);
     --m_size;
     return leg;
 }
 
-LegQueue::Line* LegQueue::nextLine()
+LegQueue::Line* LegQueue::nextLine(TimePoint now)
 {
-    Line* highest = nullptr;
-    Line* lower = nullptr;
+    Line* next = nullptr;
     for (auto& line : m_lines) {
-        if (line.empty())
-            continue;
-        if (!highest)
-            highest = &line;
-        else if (!lower)
-            lower = &line;
+        if (!line.legs.empty() && (!next || line.isStarved(now)))
+            next = &line;
     }
-    if (!lower) {
-        m_turnsAboveWaiting = 0;
-        return highest;
-    }
-    if (++m_turnsAboveWaiting < fairnessInterval)
-        return highest;
-    m_turnsAboveWaiting = 0;
-    return lower;
+    return next;
 }
 
-std::optional<RelayLeg> LegQueue::pop()
+std::optional<RelayLeg> LegQueue::pop(TimePoint now)
 {
-    auto* line = nextLine();
+    auto* line = nextLine(now);
     if (!line)
         return std::nullopt;
-    return take(*line, line->begin());
+    auto leg = take(*line, line->legs.begin());
+    auto& average = line->hadTurn ? line->turnGap : line->firstWait;
+    average += (now - line->waitingSince - average) / gapWeight;
+    line->hadTurn = !line->legs.empty();
+    line->waitingSince = now;
+    line->starvingSince = line->hadTurn ? now : never;
+    return leg;
+}
+
+bool LegQueue::isTurnDue(Priority priority, TimePoint now) const
+{
+    const auto& line = m_lines.at(indexOf(priority));
+    return line.legs.empty() && line.isStarved(now);
 }
 
 std::optional<RelayLeg> LegQueue::remove(const LegKey& key)
 {
     for (auto& line : m_lines) {
-        const auto it = std::find_if(line.begin(), line.end(), [&](const auto& entry) { return entry.second.key() == key; });
-        if (it != line.end())
+        const auto it = std::find_if(line.legs.begin(), line.legs.end(), [&](const auto& entry) { return entry.second.key() == key; });
+        if (it != line.legs.end())
             return take(line, it);
     }
     return std::nullopt;
@@ -66,8 +78,8 @@
 {
     std::vector<RelayLeg> due;
     for (auto& line : m_lines) {
-        while (!line.empty() && line.begin()->first <= now)
-            due.push_back(take(line, line.begin()));
+        while (!line.legs.empty() && line.legs.begin()->first <= now)
+            due.push_back(take(line, line.legs.begin()));
     }
     return due;
 }
@@ -76,7 +88,7 @@
 {
     std::vector<RelayLeg> removed;
     for (auto& line : m_lines) {
-        for (auto it = line.begin(); it != line.end();) {
+        for (auto it = line.legs.begin(); it != line.legs.end();) {
             const auto next = std::next(it);
             if (it->second.order->entry == entry)
                 removed.push_back(take(line, it));
@@ -94,8 +106,8 @@
 const RelayLeg* LegQueue::last() const
 {
     for (auto line = m_lines.rbegin(); line != m_lines.rend(); ++line) {
-        if (!line->empty())
-            return &std::prev(line->end())->second;
+        if (!line->legs.empty())
+            return &std::prev(line->legs.end())->second;
     }
     return nullptr;
 }
@@ -104,17 +116,24 @@
 {
     std::size_t n = 0;
     for (std::size_t i = 0; i < indexOf(priority); ++i)
-        n += m_lines.at(i).size();
-    const auto& line = m_lines.at(indexOf(priority));
+        n += m_lines.at(i).legs.size();
+    const auto& line = m_lines.at(indexOf(priority)).legs;
     return n + static_cast<std::size_t>(std::distance(line.begin(), line.upper_bound(deadline)));
 }
 
+Duration LegQueue::waitForTurn(Priority priority, TimePoint deadline) const
+{
+    const auto& line = m_lines.at(indexOf(priority));
+    const auto ahead = std::distance(line.legs.begin(), line.legs.upper_bound(deadline));
+    return line.firstWait + line.turnGap * ahead;
+}
+
 TimePoint LegQueue::nextDeadline() const
 {
     auto next = never;
     for (const auto& line : m_lines) {
-        if (!line.empty())
-            next = std::min(next, line.begin()->first);
+        if (!line.legs.empty())
+            next = std::min(next, line.legs.begin()->first);
     }
     return next;
 }
--- a/src/dispatch/server_relay.cpp
+++ b/src/dispatch/server_relay.cpp
@@ -59,7 +59,7 @@
     if (leg.isProbe)
         m_probe = std::move(leg);
     else
-        m_queue.push(std::move(leg));
+        m_queue.push(std::move(leg), now);
     dispatch(now, actions);
 }
 
--- a/src/dispatch/server_relay_dispatch.cpp
+++ b/src/dispatch/server_relay_dispatch.cpp
@@ -22,7 +22,8 @@
     const auto ahead = m_queue.countAhead(leg.order->priority, leg.deadline());
     if (ahead == 0 && m_running.size() < limit)
         return pause;
-    return pause + m_serviceTime.mean() * static_cast<int>(ahead + 1) / static_cast<int>(limit);
+    const auto byWork = m_serviceTime.mean() * static_cast<int>(ahead + 1) / static_cast<int>(limit);
+    return pause + std::max(byWork, m_queue.waitForTurn(leg.order->priority, leg.deadline()));
 }
 
 bool ServerRelay::canFinishInTime(const RelayLeg& leg, TimePoint now) const
@@ -32,6 +33,8 @@
     // An idle server always gets a leg, or an estimate that is too long would never be corrected.
     if (m_running.empty() && m_queue.isEmpty())
         return true;
+    if (m_queue.isTurnDue(leg.order->priority, now))
+        return true;
     return now + expectedWait(leg, now) + leastTimeLeft() <= leg.deadline();
 }
 
@@ -85,7 +88,7 @@
         dispatchProbe(now, actions);
     } else {
         while (m_running.size() < concurrency(now) && m_pool.hasIdle()) {
-            auto leg = m_queue.pop();
+            auto leg = m_queue.pop(now);
             if (!leg)
                 break;
             if (m_shared.settings.quarantine && m_shared.crashes.isBarred(leg->order->fingerprint, now))
--- a/src/dispatch/service_time.h
+++ b/src/dispatch/service_time.h
@@ -21,7 +21,7 @@
 private:
     static constexpr int meanWeight = 8;
     static constexpr int deviationWeight = 4;
-    static constexpr int deviationsInHigh = 3;
+    static constexpr int deviationsInHigh = 2;
 
     Duration m_mean {};
     Duration m_deviation {};
--- a/tests/dispatch/relay_world.cpp
+++ b/tests/dispatch/relay_world.cpp
@@ -392,6 +392,8 @@
 void RelayWorld::apply(const std::string& relay, const AnnounceServer& action)
 {
     auto& known = m_relays.at(relay).drainingKnown;
+    if (onServerState)
+        onServerState(action.state);
     if (action.state.draining)
         known.insert(action.state.server.value());
     else
--- a/tests/dispatch/relay_world.h
+++ b/tests/dispatch/relay_world.h
@@ -64,6 +64,7 @@
     void setPoison(std::uint64_t fingerprint) { m_poison.insert(Fingerprint(fingerprint)); }
 
     OnResult onResult;
+    std::function<void(const ServerState&)> onServerState; ///< What relays announce.
     Duration newsDelay = 50ms;
     const std::vector<std::string>& violations() const { return m_violations; }
     std::size_t unanswered() const;
