One type for rule differences and gossip on the wire

wire/peer_message.h had its own RuleDelta, Gossip and InstanceDigest beside those of rules and membership: two classes named lycheefield::RuleDelta in one program. The wire now carries the types of the packages that decide; an impossible value refuses the frame.

--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -1,6 +1,7 @@
 #include "wire/convert.h"
 
 #include "wire/generated/inner_types.h"
+#include "wire/gossip_codec.h"
 
 #include <algorithm>
 #include <initializer_list>
@@ -107,34 +108,6 @@
     return out;
 }
 
-void setEndpoint(const Endpoint& endpoint, std::string& address, std::int32_t& port)
-{
-    address = endpoint.address;
-    port = endpoint.port;
-}
-
-InstanceDigest toWire(const lycheefield::InstanceDigest& digest)
-{
-    InstanceDigest out;
-    out.name = digest.instance.name.value();
-    out.life = toSigned(digest.instance.life.value());
-    out.incarnation = toSigned(digest.incarnation);
-    out.health = static_cast<std::int32_t>(digest.instance.health);
-    if (digest.instance.inner.port != 0) {
-        setEndpoint(digest.instance.inner, out.innerAddress, out.innerPort);
-        out.__isset.innerAddress = out.__isset.innerPort = true;
-    }
-    if (digest.instance.http.port != 0) {
-        setEndpoint(digest.instance.http, out.httpAddress, out.httpPort);
-        out.__isset.httpAddress = out.__isset.httpPort = true;
-    }
-    if (!digest.instance.zone.value().empty())
-        out.__set_zone(digest.instance.zone.value());
-    if (digest.ruleRevision.value() != 0)
-        out.__set_ruleRevision(toSigned(digest.ruleRevision.value()));
-    return out;
-}
-
 /// Puts each kind of message into its field of the envelope.
 struct EnvelopeWriter {
     TimePoint now;
@@ -175,37 +148,14 @@
         body.quarantineMicros = crash.quarantine.count();
         out.__set_crash(body);
     }
-    void operator()(const lycheefield::Gossip& gossip) const
-    {
-        Gossip body;
-        body.sequence = toSigned(gossip.sequence);
-        body.isAnswer = gossip.isAnswer;
-        for (const auto& it : gossip.digests)
-            body.digests.push_back(toWire(it));
-        body.ruleRevision = toSigned(gossip.ruleRevision.value());
-        if (!gossip.probeTarget.value().empty())
-            body.__set_probeTarget(gossip.probeTarget.value());
-        if (gossip.catalogRevision != 0)
-            body.__set_catalogRevision(toSigned(gossip.catalogRevision));
-        out.__set_gossip(body);
-    }
+    void operator()(const GossipMessage& gossip) const { out.__set_gossip(lycheefield::toWire(gossip)); }
     void operator()(const lycheefield::RuleRequest& request) const
     {
         RuleRequest body;
         body.haveRevision = toSigned(request.haveRevision.value());
         out.__set_ruleRequest(body);
     }
-    void operator()(const lycheefield::RuleDelta& delta) const
-    {
-        RuleDelta body;
-        body.baseRevision = toSigned(delta.baseRevision.value());
-        body.revision = toSigned(delta.revision.value());
-        body.removedLines.assign(delta.removedLines.begin(), delta.removedLines.end());
-        body.addedLines = delta.addedLines;
-        body.addedAt.assign(delta.addedAt.begin(), delta.addedAt.end());
-        body.resultHash = toSigned(delta.resultHash);
-        out.__set_ruleDelta(body);
-    }
+    void operator()(const lycheefield::RuleDelta& delta) const { out.__set_ruleDelta(lycheefield::toWire(delta)); }
     void operator()(const lycheefield::Control& control) const
     {
         Control body;
--- a/src/wire/convert_from.cpp
+++ b/src/wire/convert_from.cpp
@@ -1,9 +1,9 @@
 #include "wire/convert.h"
 
 #include "wire/generated/inner_types.h"
+#include "wire/gossip_codec.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace lycheefield::wire {
 
@@ -39,13 +39,6 @@
 
     TimePoint deadline(std::int64_t micros, const char* field) { return m_now + duration(micros, field); }
 
-    std::uint16_t port(std::int32_t value, const char* field)
-    {
-        if (value < 0 || value > std::numeric_limits<std::uint16_t>::max())
-            fail(field);
-        return static_cast<std::uint16_t>(value);
-    }
-
     template <typename Enum>
     Enum choice(std::int32_t value, Enum last, const char* field)
     {
@@ -61,6 +54,8 @@
         return std::move(value);
     }
 
+    void reject(const char* field) { fail(field); }
+
 private:
     void fail(const char* field)
     {
@@ -149,45 +144,14 @@
     return out;
 }
 
-lycheefield::InstanceDigest fromWire(InstanceDigest& in, Reader& reader)
-{
-    lycheefield::InstanceDigest out;
-    out.instance.name = InstanceName(reader.name(in.name, "name"));
-    out.instance.life = ProcessLife(Reader::number(in.life));
-    out.instance.inner = { std::move(in.innerAddress), reader.port(in.innerPort, "innerPort") };
-    out.instance.http = { std::move(in.httpAddress), reader.port(in.httpPort, "httpPort") };
-    out.instance.zone = ZoneName(std::move(in.zone));
-    out.instance.health = reader.choice(in.health, InstanceHealth::Gone, "health");
-    out.incarnation = Reader::number(in.incarnation);
-    out.ruleRevision = RuleRevision(Reader::number(in.ruleRevision));
-    return out;
-}
-
-lycheefield::Gossip fromWire(Gossip& in, Reader& reader)
+/// The value of a conversion that checks by itself; rejects the field when it failed.
+template <typename T>
+T checked(Result<T> result, Reader& reader, const char* field)
 {
-    lycheefield::Gossip out;
-    out.sequence = Reader::number(in.sequence);
-    out.isAnswer = in.isAnswer;
-    for (auto& it : in.digests)
-        out.digests.push_back(fromWire(it, reader));
-    out.ruleRevision = RuleRevision(Reader::number(in.ruleRevision));
-    out.probeTarget = InstanceName(std::move(in.probeTarget));
-    out.catalogRevision = Reader::number(in.catalogRevision);
-    return out;
-}
-
-lycheefield::RuleDelta fromWire(RuleDelta& in, Reader& reader)
-{
-    lycheefield::RuleDelta out;
-    out.baseRevision = RuleRevision(Reader::number(in.baseRevision));
-    out.revision = RuleRevision(Reader::number(in.revision));
-    for (const auto it : in.removedLines)
-        out.removedLines.push_back(reader.count(it, "removedLines"));
-    out.addedLines = std::move(in.addedLines);
-    for (const auto it : in.addedAt)
-        out.addedAt.push_back(reader.count(it, "addedAt"));
-    out.resultHash = Reader::number(in.resultHash);
-    return out;
+    if (result)
+        return std::move(result).value();
+    reader.reject(field);
+    return T();
 }
 
 lycheefield::Control fromWire(Control& in)
@@ -240,11 +204,11 @@
             reader.duration(in.crash.quarantineMicros, "quarantineMicros") };
     }
     if (set.gossip)
-        return fromWire(in.gossip, reader);
+        return checked(lycheefield::fromWire(in.gossip), reader, "gossip");
     if (set.ruleRequest)
         return lycheefield::RuleRequest { RuleRevision(Reader::number(in.ruleRequest.haveRevision)) };
     if (set.ruleDelta)
-        return fromWire(in.ruleDelta, reader);
+        return checked(lycheefield::fromWire(in.ruleDelta), reader, "ruleDelta");
     return fromWire(in.control);
 }
 
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "wire/generated/inner_types.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace lycheefield {
@@ -117,6 +118,9 @@
 {
     if (in.baseRevision < 0 || in.revision <= 0 || in.addedAt.size() != in.addedLines.size())
         return outOfRange("rule difference");
+    const auto isNegative = [](std::int32_t line) { return line < 0; };
+    if (std::any_of(in.removedLines.begin(), in.removedLines.end(), isNegative) || std::any_of(in.addedAt.begin(), in.addedAt.end(), isNegative))
+        return outOfRange("line number");
     RuleDelta delta;
     delta.base = RuleRevision(static_cast<std::uint64_t>(in.baseRevision));
     delta.revision = RuleRevision(static_cast<std::uint64_t>(in.revision));
--- a/src/wire/peer_message.h
+++ b/src/wire/peer_message.h
@@ -4,7 +4,8 @@
 #include "base/leg.h"
 #include "base/time.h"
 #include "dispatch/relay_action.h"
-#include "membership/view.h"
+#include "membership/member_digest.h"
+#include "rules/rule_delta.h"
 
 #include <cstdint>
 #include <string>
@@ -43,27 +44,6 @@
     friend bool operator==(const ServerNews&, const ServerNews&) = default;
 };
 
-/// What one instance says of another, or of itself.
-struct InstanceDigest {
-    Instance instance;
-    std::uint64_t incarnation = 0;
-    RuleRevision ruleRevision;
-
-    friend bool operator==(const InstanceDigest&, const InstanceDigest&) = default;
-};
-
-/// A probe or its answer; carries what the sender thinks is news.
-struct Gossip {
-    std::uint64_t sequence = 0;
-    bool isAnswer = false;
-    std::vector<InstanceDigest> digests;
-    RuleRevision ruleRevision;
-    InstanceName probeTarget; ///< Not empty: probe this instance for the sender.
-    std::uint64_t catalogRevision = 0;
-
-    friend bool operator==(const Gossip&, const Gossip&) = default;
-};
-
 /// Asks for the rules that came after the revision the sender has.
 struct RuleRequest {
     RuleRevision haveRevision;
@@ -71,18 +51,6 @@
     friend bool operator==(const RuleRequest&, const RuleRequest&) = default;
 };
 
-/// Rules as a difference from the revision that the receiver has, or whole when baseRevision is 0.
-struct RuleDelta {
-    RuleRevision baseRevision;
-    RuleRevision revision;
-    std::vector<std::uint32_t> removedLines;
-    std::vector<std::string> addedLines;
-    std::vector<std::uint32_t> addedAt;
-    std::uint64_t resultHash = 0;
-
-    friend bool operator==(const RuleDelta&, const RuleDelta&) = default;
-};
-
 /// A call that another instance must answer: cancel or explain a request.
 struct Control {
     std::uint64_t sequence = 0;
@@ -95,6 +63,6 @@
 };
 
 /// The one message of a frame.
-using PeerMessage = std::variant<Hello, WorkOrder, CancelLeg, LegResults, ServerNews, AnnounceCrash, Gossip, RuleRequest, RuleDelta, Control>;
+using PeerMessage = std::variant<Hello, WorkOrder, CancelLeg, LegResults, ServerNews, AnnounceCrash, GossipMessage, RuleRequest, RuleDelta, Control>;
 
 }
