--- /dev/null
+++ b/src/cli/network_access.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "cli/operator_access.h"
+
+#include "base/endpoint.h"
+
+#include <memory>
+
+namespace lycheefield {
+
+/// OperatorAccess over HTTP.
+std::unique_ptr<OperatorAccess> makeNetworkAccess(const Endpoint& platform);
+
+}
--- /dev/null
+++ b/src/cli/operator_cli.cpp
@@ -0,0 +1,188 @@
+#include "cli/operator_cli.h"
+
+#include "base/random_source.h"
+#include "cli/fleet_status.h"
+#include "cli/network_access.h"
+#include "cli/rule_commands.h"
+#include "settings/setting_key.h"
+
+#include <CLI/CLI.hpp>
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <ctime>
+#include <sstream>
+
+namespace lycheefield {
+
+namespace {
+
+constexpr double defaultWaitSeconds = 10;
+
+struct Options {
+    std::string platform;
+    std::string settingsFile;
+    std::string format = "text";
+    std::string argument;
+    std::optional<std::uint64_t> revision;
+    ApplyOptions apply;
+    double waitSeconds = defaultWaitSeconds;
+};
+
+/// The commands by their objects in CLI11.
+struct Commands {
+    CLI::App* check = nullptr;
+    CLI::App* diff = nullptr;
+    CLI::App* apply = nullptr;
+    CLI::App* history = nullptr;
+    CLI::App* status = nullptr;
+    CLI::App* explain = nullptr;
+    CLI::App* cancel = nullptr;
+    CLI::App* settings = nullptr;
+};
+
+Commands addCommands(CLI::App& app, Options& options)
+{
+    app.set_version_flag("--version", LYCHEEFIELD_VERSION);
+    app.require_subcommand(1);
+    app.fallthrough();
+    app.add_option("--platform", options.platform, "IP:PORT of the platform's service");
+    app.add_option("--settings", options.settingsFile, "Settings file of an instance, to take the platform's address from");
+    app.add_option("--log-format", options.format, "text or json")->check(CLI::IsMember({ "text", "json" }))->capture_default_str();
+    Commands commands;
+    commands.check = app.add_subcommand("check", "Check a rule file; with --platform also against the catalog");
+    commands.diff = app.add_subcommand("diff", "Show how a rule file differs from the accepted rules");
+    commands.apply = app.add_subcommand("apply", "Have a rule file accepted and wait until it is in force everywhere");
+    for (auto* it : { commands.check, commands.diff, commands.apply })
+        it->add_option("FILE", options.argument, "The rule file")->required();
+    commands.apply->add_option("--base", options.revision, "Revision that the file was made from; else its first line '# revision N' says it");
+    commands.apply->add_option("--who", options.apply.who, "Your name, for the history; else $USER");
+    commands.apply->add_option("--wait", options.waitSeconds, "Seconds to wait until the rules are in force everywhere")->check(CLI::Range(0.0, 3600.0))->capture_default_str();
+    commands.history = app.add_subcommand("history", "List the accepted revisions, or print one");
+    commands.history->add_option("REVISION", options.revision, "Print the rule file of this revision");
+    commands.status = app.add_subcommand("status", "Show every instance and the revision in force there");
+    commands.explain = app.add_subcommand("explain", "Tell what happened to a request");
+    commands.cancel = app.add_subcommand("cancel", "Cancel a request");
+    for (auto* it : { commands.explain, commands.cancel })
+        it->add_option("REQUEST-ID", options.argument, "The X-Request-Id of the request")->required();
+    commands.settings = app.add_subcommand("settings", "List every key of the settings file");
+    return commands;
+}
+
+std::optional<Endpoint> parseEndpoint(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    Settings settings;
+    if (!findSettingKey("platform", "address")->assign(settings, text.substr(0, colon)) || !findSettingKey("platform", "port")->assign(settings, text.substr(colon + 1)))
+        return std::nullopt;
+    return settings.platform.endpoint;
+}
+
+std::optional<Endpoint> endpointFromSettings(const std::string& path, Report& report)
+{
+    const auto parsed = loadSettings(path);
+    if (const auto* settings = std::get_if<Settings>(&parsed))
+        return settings->platform.endpoint;
+    for (const auto& it : std::get<std::vector<SettingError>>(parsed)) {
+        std::ostringstream line;
+        line << it;
+        report.mistake(line.str());
+    }
+    return std::nullopt;
+}
+
+/// Empty, and the reason reported, when no usable address was given.
+std::optional<Endpoint> platformOf(const Options& options, Report& report)
+{
+    if (options.platform.empty() && !options.settingsFile.empty())
+        return endpointFromSettings(options.settingsFile, report);
+    const auto endpoint = parseEndpoint(options.platform);
+    if (!endpoint)
+        report.error({ ErrorKind::InvalidInput, "no address of the platform is known", "give --platform IP:PORT or --settings FILE" });
+    return endpoint;
+}
+
+std::string wallClock()
+{
+    const auto now = std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
+    std::tm utc {};
+    gmtime_r(&now, &utc);
+    char buf[32];
+    std::strftime(buf, sizeof(buf), "%Y-%m-%dT%H:%M:%SZ", &utc);
+    return buf;
+}
+
+std::string newApplyId()
+{
+    char buf[40];
+    std::snprintf(buf, sizeof(buf), "%016llx%016llx", static_cast<unsigned long long>(systemSeed()), static_cast<unsigned long long>(systemSeed()));
+    return buf;
+}
+
+std::string userName()
+{
+    const char* name = std::getenv("USER");
+    return name && *name ? name : "unknown";
+}
+
+ExitCode runApply(Options& options, OperatorAccess& access, Report& report)
+{
+    auto& apply = options.apply;
+    apply.file = options.argument;
+    apply.base = options.revision;
+    apply.when = wallClock();
+    apply.applyId = newApplyId();
+    apply.wait = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(options.waitSeconds));
+    if (apply.who.empty())
+        apply.who = userName();
+    return applyRuleFile(apply, access, report);
+}
+
+ExitCode runCommand(const Commands& commands, Options& options, Report& report)
+{
+    if (commands.settings->parsed()) {
+        report.text(describeSettings());
+        return ExitCode::Ok;
+    }
+    const bool isOffline = options.platform.empty() && options.settingsFile.empty();
+    if (commands.check->parsed() && isOffline)
+        return checkRuleFile(options.argument, nullptr, report);
+    const auto platform = platformOf(options, report);
+    if (!platform)
+        return ExitCode::Usage;
+    const auto access = makeNetworkAccess(*platform);
+    if (commands.check->parsed())
+        return checkRuleFile(options.argument, access.get(), report);
+    if (commands.diff->parsed())
+        return diffRuleFile(options.argument, *access, report);
+    if (commands.apply->parsed())
+        return runApply(options, *access, report);
+    if (commands.history->parsed())
+        return showHistory(options.revision, *access, report);
+    if (commands.status->parsed())
+        return showStatus(*access, report);
+    if (commands.explain->parsed())
+        return explainRequest(options.argument, *access, report);
+    return cancelRequest(options.argument, *access, report);
+}
+
+}
+
+int runOperatorCli(int argc, char** argv, std::ostream& out, std::ostream& err)
+{
+    CLI::App app("The operators' tool of lycheefield.", "lycheefield");
+    Options options;
+    const auto commands = addCommands(app, options);
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& ex) {
+        return app.exit(ex, out, err) == 0 ? static_cast<int>(ExitCode::Ok) : static_cast<int>(ExitCode::Usage);
+    }
+    Report report(out, err, options.format == "json");
+    return static_cast<int>(runCommand(commands, options, report));
+}
+
+}
--- /dev/null
+++ b/src/cli/report.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "base/error.h"
+
+#include <ostream>
+#include <string>
+#include <string_view>
+
+namespace lycheefield {
+
+/// Exit codes of the operators' commands.
+enum class ExitCode : int {
+    Ok = 0,
+    Failure = 1,
+    Usage = 2, ///< Wrong arguments or bad settings.
+};
+
+/// Writes what a command has to say, as text or as one JSON object a line. Not thread safe.
+class Report {
+public:
+    /// Precondition: both streams outlive the report.
+    Report(std::ostream& out, std::ostream& err, bool isJson);
+
+    /// A result, to the output stream. In JSON: {"line":TEXT}.
+    void line(std::string_view);
+    /// Text of several lines, as it is.
+    void text(std::string_view);
+    /// A mistake or failure, to the error stream. In JSON: {"error":…}.
+    void error(const Error&);
+    void mistake(std::string_view);
+
+private:
+    std::ostream& m_out;
+    std::ostream& m_err;
+    bool m_isJson;
+};
+
+}
--- /dev/null
+++ b/src/cli/rule_file.cpp
@@ -0,0 +1,64 @@
+#include "cli/rule_file.h"
+
+#include "base/quantity_text.h"
+
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+
+namespace lycheefield {
+
+namespace {
+
+constexpr std::string_view revisionMark = "# revision ";
+
+Error fileError(const std::string& what, const std::string& path)
+{
+    return Error { ErrorKind::NotFound, what + " " + path, "give the path of a rule file that you may read and write" };
+}
+
+}
+
+RuleFile parseRuleFile(std::string_view content)
+{
+    RuleFile file;
+    const auto end = content.find('\n');
+    const auto first = content.substr(0, end);
+    if (first.starts_with(revisionMark)) {
+        if (const auto revision = parseWholeNumber(first.substr(revisionMark.size()))) {
+            file.base = RuleRevision(*revision);
+            content = end == std::string_view::npos ? std::string_view() : content.substr(end + 1);
+        }
+    }
+    file.text = content;
+    return file;
+}
+
+std::string formatRuleFile(const RuleFile& file)
+{
+    if (!file.base)
+        return file.text;
+    return std::string(revisionMark) + std::to_string(file.base->value()) + "\n" + file.text;
+}
+
+Result<RuleFile> readRuleFile(const std::string& path)
+{
+    std::ifstream in(path, std::ios::binary);
+    std::ostringstream content;
+    if (!in || !(content << in.rdbuf()))
+        return fileError("can't read", path);
+    return parseRuleFile(content.str());
+}
+
+Result<void> writeRuleFile(const std::string& path, const RuleFile& file)
+{
+    const std::string draft = path + ".tmp";
+    std::ofstream out(draft, std::ios::binary);
+    out << formatRuleFile(file);
+    out.close();
+    if (!out || std::rename(draft.c_str(), path.c_str()) != 0)
+        return fileError("can't write", path);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+}
