Membership and rules in the daemon

MembershipRole takes the place of InstancesRole: the platform's list seeds the view, probes between instances decide. RulesRole watches the store on two instances of each zone and passes differences between peers. Readiness asks for rules known, some peer or the store answering, and a name that nobody else took. /status and /metrics show bytes of control messages, revision, instances alive. Gone instances that did not leave stay in the view as gone, so that they can be probed again; the network therefore dials them.

--- /dev/null
+++ b/src/daemon/control_status.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "daemon/control_channel.h"
+#include "membership/membership_engine.h"
+#include "rules/rule_keeper.h"
+
+namespace lycheefield {
+
+/// What /status tells of membership and rules.
+struct ControlStatus {
+    ControlBytes bytes;
+    MembershipCounts membership;
+    RuleKeeperCounts rules;
+    bool watchesRules = false; ///< This instance watches the rules in the platform's store.
+};
+
+}
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,9 +2,10 @@
 
 #include "daemon/caller_api.h"
 #include "daemon/catalog_role.h"
+#include "daemon/control_channel.h"
 #include "daemon/drain.h"
 #include "daemon/entry_driver.h"
-#include "daemon/instances_role.h"
+#include "daemon/membership_role.h"
 #include "daemon/operator_api.h"
 #include "daemon/peer_router.h"
 #include "daemon/relay_driver.h"
@@ -16,7 +17,9 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <thread>
@@ -27,6 +30,8 @@
 
 /// Query engines and relay engines for each thread: more than one, so that threads seldom wait for a strand.
 constexpr std::size_t enginesPerThread = 2;
+/// For the last messages to peers to go out.
+constexpr Duration departureTime = std::chrono::milliseconds(50);
 
 PlatformClientSettings clientSettings(const PlatformSettings& settings)
 {
@@ -81,13 +86,14 @@
         , m_entry({ m_io, m_clock, m_tables, m_router, m_log }, settings.query, settings.instance.name, settings.instance.zone, m_life, engineCount())
         , m_relay({ m_io, m_clock, settings.instance.name, m_router, *m_backends }, settings.relay, m_tables, engineCount())
         , m_network({ m_io, { settings.instance.name, m_life, settings.instance.zone }, m_clock, m_wireCounters, frameLimits(settings.http), gatewayOf(settings.listen) }, m_tables.view, m_router)
+        , m_control(m_network, m_clock, settings.fault.peerMessageLoss, std::make_unique<SeededRandom>(systemSeed()))
         , m_operators({ settings.instance.name, m_tables, m_entry, m_relay, m_log, m_metrics, [this] { return readiness(); },
-              [this](const RequestId& id, std::function<void(HttpReply)> done) { cancel(id, std::move(done)); } })
+              [this](const RequestId& id, std::function<void(HttpReply)> done) { cancel(id, std::move(done)); }, [this] { return controlStatus(); } })
         , m_api(m_entry, m_tables, m_claims, m_log, m_operators, m_clock)
         , m_http(m_io, m_api, m_clock, m_httpCounters, httpLimits(settings.http))
         , m_signals(m_io, SIGTERM, SIGINT)
     {
-        m_router.connect(m_entry, m_relay, m_network, [](const Hello&, const PeerMessage&) {});
+        m_router.connect(m_entry, m_relay, m_network, [this](const Hello& from, PeerMessage message) { onControl(from, std::move(message)); });
         m_publisher.addListener([this] {
             m_relay.onTables();
             m_network.dropGone();
@@ -141,13 +147,52 @@
         const Instance self { m_settings.instance.name, m_life, { address, m_innerPort }, { address, m_httpPort }, m_settings.instance.zone, InstanceHealth::Alive };
         auto client = std::make_shared<PlatformClient>(m_io.get_executor(), clientSettings(m_settings.platform));
         auto store = std::make_shared<HttpObjectStore>(client);
-        m_instances = std::make_shared<InstancesRole>(
-            m_io.get_executor(), std::make_shared<HttpInstanceList>(client), m_publisher, self, m_settings.platform.listPeriod);
         m_catalog = std::make_shared<CatalogRole>(m_io.get_executor(), store, m_publisher);
-        m_rules = std::make_shared<RulesRole>(m_io.get_executor(), store, m_tables, m_publisher);
-        m_instances->start();
+        const MembershipContext membership { m_io, m_clock, m_control, m_publisher, std::make_shared<HttpInstanceList>(client) };
+        m_membership = std::make_shared<MembershipRole>(membership, m_settings.membership, self, m_settings.platform.listPeriod);
+        const RulesContext rules { m_io, m_clock, m_control, m_publisher, m_tables, store };
+        m_rules = std::make_shared<RulesRole>(rules, m_settings.instance.name, m_settings.membership.watchersPerZone);
+        m_membership->start([this](const InstanceName& peer, RuleRevision revision) { m_rules->onPeerRevision(peer, revision); });
+        m_rules->start({ [this](RuleRevision revision) { m_membership->onRules(revision); }, [this] { m_membership->onStoreAnswer(); } });
         m_catalog->start();
-        m_rules->start();
+        addControlMetrics();
+    }
+
+    /// Messages of peers that concern membership and rules.
+    void onControl(const Hello& from, PeerMessage message)
+    {
+        m_control.countReceived(message);
+        if (auto* gossip = std::get_if<GossipMessage>(&message))
+            m_membership->onGossip(from.instance, std::move(*gossip));
+        else if (const auto* request = std::get_if<RuleRequest>(&message))
+            m_rules->onRequest(from.instance, request->haveRevision);
+        else if (auto* delta = std::get_if<RuleDelta>(&message))
+            m_rules->onDelta(from.instance, std::move(*delta));
+    }
+
+    ControlStatus controlStatus() const
+    {
+        ControlStatus status;
+        status.bytes = m_control.bytes();
+        status.membership = m_membership->counts();
+        status.rules = m_rules->counts();
+        status.watchesRules = m_rules->isWatching();
+        return status;
+    }
+
+    void addControlMetrics()
+    {
+        m_metrics.gauge("lycheefield_control_bytes_total{direction=\"sent\"}", [this] { return static_cast<double>(m_control.bytes().sent.value); });
+        m_metrics.gauge("lycheefield_control_bytes_total{direction=\"received\"}", [this] { return static_cast<double>(m_control.bytes().received.value); });
+        m_metrics.gauge("lycheefield_rule_revision", [this] { return static_cast<double>(m_tables.rules.read()->revision().value()); });
+        m_metrics.gauge("lycheefield_rules_lower_refused_total", [this] { return static_cast<double>(m_rules->counts().lowerRefused); });
+        m_metrics.gauge("lycheefield_instances_alive", [this] {
+            const auto view = m_tables.view.read();
+            const auto& all = view->instances();
+            return static_cast<double>(std::count_if(all.begin(), all.end(), [](const auto& it) { return it.second.health == InstanceHealth::Alive; }));
+        });
+        m_metrics.gauge("lycheefield_membership_suspicions_total", [this] { return static_cast<double>(m_membership->counts().suspicions); });
+        m_metrics.gauge("lycheefield_membership_refutations_total", [this] { return static_cast<double>(m_membership->counts().refutations); });
     }
 
     Readiness readiness() const
@@ -156,8 +201,12 @@
             return { false, "draining" };
         if (!m_catalog || !m_catalog->isLoaded())
             return { false, "the catalog has not been read" };
-        if (m_tables.rules.read()->revision() == RuleRevision())
-            return { false, "no rules have been read" };
+        if (!m_rules->isReady())
+            return { false, "no rules have been read from the store or a peer" };
+        if (m_membership->isIsolated())
+            return { false, "neither a peer nor the store answers" };
+        if (m_membership->isSuperseded())
+            return { false, "another process took this instance's name" };
         return { true, {} };
     }
 
@@ -186,16 +235,24 @@
     void drain()
     {
         logChange(LogLevel::Info, "draining");
-        m_instances->beginLeaving();
+        m_membership->beginLeaving();
         DrainParts parts;
         parts.inFlight = [this] { return m_entry.inFlight() + m_relay.inFlight() + m_claims.pending(); };
         parts.closeIdle = [this] { m_http.beginDrain(); };
         parts.stopLegs = [this] { m_relay.beginDrain(); };
-        parts.stop = [this] { m_io.stop(); };
+        parts.stop = [this] { depart(); };
         m_drain = std::make_shared<Drain>(m_io.get_executor(), m_clock, m_settings.drain, std::move(parts));
         m_drain->start();
     }
 
+    /// Tells peers, lets the messages go out, and ends the process.
+    void depart()
+    {
+        m_membership->depart();
+        m_departure.expires_after(departureTime);
+        m_departure.async_wait([this](const boost::system::error_code&) { m_io.stop(); });
+    }
+
     Settings m_settings;
     boost::asio::io_context m_io;
     std::shared_ptr<SteadyClock> m_clock;
@@ -211,15 +268,17 @@
     EntryDriver m_entry;
     RelayDriver m_relay;
     AsioPeerNetwork m_network;
+    ControlChannel m_control;
     NoClaimService m_claims;
     OperatorPaths m_operators;
     CallerApi m_api;
     HttpServer m_http;
     boost::asio::signal_set m_signals;
-    std::shared_ptr<InstancesRole> m_instances;
+    std::shared_ptr<MembershipRole> m_membership;
     std::shared_ptr<CatalogRole> m_catalog;
     std::shared_ptr<RulesRole> m_rules;
     std::shared_ptr<Drain> m_drain;
+    boost::asio::steady_timer m_departure { m_io };
     std::atomic<bool> m_isDraining { false };
     std::uint16_t m_httpPort = 0;
     std::uint16_t m_innerPort = 0;
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -36,6 +36,21 @@
     return "gone";
 }
 
+json::object toJson(const ControlStatus& status)
+{
+    return {
+        { "bytes_sent", status.bytes.sent.value },
+        { "bytes_received", status.bytes.received.value },
+        { "probes", status.membership.probes },
+        { "suspicions", status.membership.suspicions },
+        { "refutations", status.membership.refutations },
+        { "watches_rules", status.watchesRules },
+        { "rules_accepted", status.rules.accepted },
+        { "rules_lower_refused", status.rules.lowerRefused },
+        { "rules_malformed", status.rules.malformed },
+    };
+}
+
 }
 
 bool OperatorPaths::handle(const HttpRequest& request, const std::shared_ptr<HttpExchange>& exchange)
@@ -109,6 +124,7 @@
         { "legs_in_flight", m_parts.relay.inFlight() },
         { "owned_servers", std::move(owned) },
         { "instances", std::move(instances) },
+        { "control", toJson(m_parts.control()) },
     };
     HttpReply reply;
     reply.body = json::serialize(body);
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/caller_api.h"
+#include "daemon/control_status.h"
 #include "daemon/relay_driver.h"
 #include "observe/metrics.h"
 
@@ -29,6 +30,7 @@
         Metrics& metrics;
         std::function<Readiness()> readiness;
         std::function<void(const RequestId&, std::function<void(HttpReply)>)> cancel; ///< Cancels wherever the request is.
+        std::function<ControlStatus()> control;
     };
 
     explicit OperatorPaths(Parts parts)
--- a/src/daemon/rules_role.cpp
+++ b/src/daemon/rules_role.cpp
@@ -1,8 +1,11 @@
 #include "daemon/rules_role.h"
 
+#include "membership/rule_watchers.h"
 #include "observe/log.h"
-#include "rules/rule_parser.h"
-#include "rules/stored_rules.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
 
 namespace lycheefield {
 
@@ -10,46 +13,155 @@
 
 constexpr Duration firstBackoff = std::chrono::milliseconds(50);
 constexpr Duration longestBackoff = std::chrono::seconds(5);
+/// Between two looks at the view for whether this instance should watch.
+constexpr Duration viewPeriod = std::chrono::milliseconds(500);
+/// On average between two reads of an instance that does not watch: a net below the peers' news.
+constexpr Duration quietReadPeriod = std::chrono::seconds(60);
+/// Between two reads of an instance that has no rules yet.
+constexpr Duration firstReadPeriod = std::chrono::milliseconds(500);
+
+}
+
+RulesRole::RulesRole(RulesContext context, InstanceName self, std::uint32_t watchersPerZone)
+    : m_context(std::move(context))
+    , m_strand(boost::asio::make_strand(m_context.io))
+    , m_timer(m_strand, m_context.clock)
+    , m_self(std::move(self))
+    , m_watchersPerZone(watchersPerZone)
+    , m_random(systemSeed())
+    , m_nextRead(m_context.clock->now())
+{
+}
+
+void RulesRole::start(Listener listener)
+{
+    m_listener = std::move(listener);
+    boost::asio::post(m_strand, [self = shared_from_this()] { self->wake(); });
+}
+
+/// Runs an event on the strand and carries out what the keeper wants.
+template <typename Event>
+void RulesRole::handle(Event event)
+{
+    boost::asio::post(m_strand, [self = shared_from_this(), event = std::move(event)] {
+        RuleActions actions;
+        event(*self, self->m_context.clock->now(), actions);
+        self->carryOut(std::move(actions));
+    });
+}
+
+void RulesRole::onPeerRevision(const InstanceName& peer, RuleRevision revision)
+{
+    handle([peer, revision](RulesRole& self, TimePoint now, RuleActions& actions) { self.m_keeper.onPeerRevision(peer, revision, now, actions); });
+}
+
+void RulesRole::onRequest(const InstanceName& peer, RuleRevision have)
+{
+    handle([peer, have](RulesRole& self, TimePoint, RuleActions& actions) { self.m_keeper.onRequest(peer, have, actions); });
+}
+
+void RulesRole::onDelta(const InstanceName& peer, RuleDelta delta)
+{
+    handle([peer, delta = std::move(delta)](RulesRole& self, TimePoint now, RuleActions& actions) { self.m_keeper.onDelta(peer, delta, now, actions); });
+}
+
+RuleKeeperCounts RulesRole::counts() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_counts;
+}
 
+void RulesRole::carryOut(RuleActions actions)
+{
+    for (auto& it : actions) {
+        if (auto* published = std::get_if<PublishRules>(&it)) {
+            const auto revision = published->table.revision();
+            m_context.publisher.publishRules(std::move(published->table));
+            m_listener.onRules(revision);
+        } else if (const auto* request = std::get_if<RequestRules>(&it)) {
+            m_context.channel.send(request->peer, RuleRequest { request->have });
+        } else if (auto* rules = std::get_if<SendRules>(&it)) {
+            m_context.channel.reply(rules->peer, std::move(rules->delta));
+        } else if (const auto* note = std::get_if<NoteRules>(&it)) {
+            logChange(LogLevel::Info, "rules", { { "change", note->text } });
+        }
+    }
+    m_isReady = m_keeper.isReady();
+    {
+        const std::lock_guard lock(m_mutex);
+        m_counts = m_keeper.counts();
+    }
+    if (m_keeper.nextTimer() != never)
+        m_timer.arm(m_keeper.nextTimer(), [self = shared_from_this()] { self->wake(); });
 }
 
-RulesRole::RulesRole(const boost::asio::any_io_executor& executor, std::shared_ptr<ObjectStore> store, SharedTables& tables, TablePublisher& publisher)
-    : m_executor(executor)
-    , m_store(std::move(store))
-    , m_tables(tables)
-    , m_publisher(publisher)
+void RulesRole::wake()
 {
+    const auto now = m_context.clock->now();
+    RuleActions actions;
+    m_keeper.onTimer(now, actions);
+    carryOut(std::move(actions));
+    chooseWatching();
+    if (!m_watcher && now >= m_nextRead)
+        readStore(now);
+    m_timer.arm(now + viewPeriod, [self = shared_from_this()] { self->wake(); });
 }
 
-void RulesRole::start()
+void RulesRole::chooseWatching()
 {
+    const bool wanted = watchesRules(*m_context.tables.view.read(), m_self, m_watchersPerZone);
+    if (wanted == (m_watcher != nullptr))
+        return;
+    m_isWatching = wanted;
+    if (!wanted) {
+        m_watcher->stop();
+        m_watcher.reset();
+        return;
+    }
     Backoff backoff(firstBackoff, longestBackoff, std::make_unique<SeededRandom>(systemSeed()));
     m_watcher = std::make_shared<StoreWatcher>(
-        m_executor, m_store, currentRulesKey, [self = shared_from_this()](const WatchBatch& batch) { self->onBatch(batch); }, std::move(backoff));
+        m_context.io.get_executor(), m_context.store, currentRulesKey, [self = shared_from_this()](const WatchBatch& batch) { self->onBatch(batch); }, std::move(backoff));
     m_watcher->start();
 }
 
-void RulesRole::stop()
+void RulesRole::onBatch(const WatchBatch& batch)
 {
-    if (m_watcher)
-        m_watcher->stop();
+    if (batch.status != StoreStatus::Ok)
+        return;
+    handle([batch](RulesRole& self, TimePoint, RuleActions& actions) {
+        self.m_listener.onStoreAnswer();
+        for (const auto& it : batch.changed)
+            self.onStored(StoreStatus::Ok, it.value, actions);
+        if (batch.changed.empty())
+            self.onStored(StoreStatus::NotFound, {}, actions);
+    });
 }
 
-void RulesRole::onBatch(const WatchBatch& batch)
+void RulesRole::readStore(TimePoint now)
 {
-    const std::lock_guard lock(m_mutex);
-    for (const auto& it : batch.changed) {
-        const auto stored = parseStoredRules(it.value);
-        if (!stored || stored.value().revision <= m_tables.rules.read()->revision())
-            continue;
-        auto parsed = parseRules(stored.value().text, stored.value().revision);
-        if (auto* table = std::get_if<RuleTable>(&parsed)) {
-            logChange(LogLevel::Info, "rules in force", { { "revision", std::to_string(stored.value().revision.value()) } });
-            m_publisher.publishRules(std::move(*table));
-        } else {
-            logChange(LogLevel::Error, "stored rules have errors; the revision before stays in force", { { "revision", std::to_string(stored.value().revision.value()) } });
-        }
+    const auto period = m_keeper.isReady() ? quietReadPeriod : firstReadPeriod;
+    m_nextRead = now + period / 2 + Duration(static_cast<Duration::rep>(m_random.below(static_cast<std::uint64_t>(period.count()))));
+    m_context.store->read(currentRulesKey, [self = shared_from_this()](StoreStatus status, StoredObject object) {
+        self->handle([status, object = std::move(object)](RulesRole& role, TimePoint, RuleActions& actions) {
+            if (status == StoreStatus::Ok || status == StoreStatus::NotFound) {
+                role.m_listener.onStoreAnswer();
+                role.onStored(status, object.value, actions);
+            }
+        });
+    });
+}
+
+void RulesRole::onStored(StoreStatus status, const std::string& value, RuleActions& actions)
+{
+    if (status == StoreStatus::NotFound) {
+        m_keeper.onNoneStored();
+        return;
     }
+    const auto stored = parseStoredRules(value);
+    if (stored)
+        m_keeper.onStored(stored.value(), actions);
+    else
+        logChange(LogLevel::Error, "rules in the store can't be read", { { "why", stored.error().message }, { "remedy", stored.error().remedy } });
 }
 
 }
--- a/src/daemon/rules_role.h
+++ b/src/daemon/rules_role.h
@@ -1,32 +1,74 @@
 #pragma once
 
+#include "daemon/control_channel.h"
+#include "daemon/engine_timer.h"
 #include "daemon/shared_tables.h"
 #include "platform/store_watcher.h"
+#include "rules/rule_keeper.h"
 
+#include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 
 namespace lycheefield {
 
-/// Follows the operators' rules in the platform's store and publishes them; never a lower revision.
-/// Thread safe.
+/// What a RulesRole works with. All outlive it.
+struct RulesContext {
+    boost::asio::io_context& io;
+    std::shared_ptr<const Clock> clock;
+    ControlChannel& channel;
+    TablePublisher& publisher;
+    const SharedTables& tables;
+    std::shared_ptr<ObjectStore> store;
+};
+
+/// Runs the rule keeper: a few instances of each zone watch the platform's store, all read it once
+/// at first and then seldom, and all pass differences to peers that ask. Thread safe.
 class RulesRole : public std::enable_shared_from_this<RulesRole> {
 public:
-    /// Precondition: the publisher outlives the role.
-    RulesRole(const boost::asio::any_io_executor&, std::shared_ptr<ObjectStore>, SharedTables&, TablePublisher&);
+    struct Listener {
+        std::function<void(RuleRevision)> onRules; ///< Rules of this revision are in force here.
+        std::function<void()> onStoreAnswer;
+    };
+
+    RulesRole(RulesContext, InstanceName self, std::uint32_t watchersPerZone);
+
+    /// Precondition: called once.
+    void start(Listener);
+    void onPeerRevision(const InstanceName&, RuleRevision);
+    void onRequest(const InstanceName&, RuleRevision have);
+    void onDelta(const InstanceName&, RuleDelta);
 
-    void start();
-    void stop();
+    /// True once rules are in force, or the store said that there are none.
+    bool isReady() const { return m_isReady.load(); }
+    bool isWatching() const { return m_isWatching.load(); }
+    RuleKeeperCounts counts() const;
 
 private:
+    template <typename Event>
+    void handle(Event);
+    void carryOut(RuleActions);
+    void wake();
+    void chooseWatching();
+    void readStore(TimePoint);
     void onBatch(const WatchBatch&);
+    void onStored(StoreStatus, const std::string& value, RuleActions&);
 
-    boost::asio::any_io_executor m_executor;
-    std::shared_ptr<ObjectStore> m_store;
-    SharedTables& m_tables;
-    TablePublisher& m_publisher;
-    std::shared_ptr<StoreWatcher> m_watcher;
-    std::mutex m_mutex;
+    RulesContext m_context;
+    Strand m_strand;
+    EngineTimer m_timer;
+    InstanceName m_self;
+    std::uint32_t m_watchersPerZone;
+    SeededRandom m_random;
+    RuleKeeper m_keeper;
+    Listener m_listener;
+    std::shared_ptr<StoreWatcher> m_watcher; ///< Null while this instance does not watch.
+    TimePoint m_nextRead; ///< When an instance that does not watch reads the store.
+    std::atomic<bool> m_isReady { false };
+    std::atomic<bool> m_isWatching { false };
+    mutable std::mutex m_mutex; ///< Guards m_counts.
+    RuleKeeperCounts m_counts;
 };
 
 }
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -78,7 +78,7 @@
 
 void MemberTable::forgetGone(TimePoint before)
 {
-    std::erase_if(m_members, [&](const auto& it) { return it.second.instance.health == InstanceHealth::Gone && it.second.since < before; });
+    m_changes += std::erase_if(m_members, [&](const auto& it) { return it.second.instance.health == InstanceHealth::Gone && it.second.since < before; });
 }
 
 Member* MemberTable::find(const InstanceName& name)
@@ -131,7 +131,7 @@
 {
     std::vector<Instance> instances { self };
     for (const auto& [name, member] : m_members) {
-        if (member.instance.health != InstanceHealth::Gone)
+        if (member.instance.health != InstanceHealth::Gone || !member.left)
             instances.push_back(member.instance);
     }
     return MembershipView(instances);
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -52,7 +52,8 @@
     void restartSuspicions(TimePoint);
     /// Rises with each change that the view shows.
     std::uint64_t changes() const { return m_changes; }
-    /// The view for others to read: everyone who is not gone, and this instance itself.
+    /// The view for others to read: this instance, everyone who is not gone, and whoever is gone
+    /// without having left, since it may yet be reached again.
     MembershipView viewWith(const Instance& self) const;
 
 private:
--- a/src/wire/asio_peer_network.cpp
+++ b/src/wire/asio_peer_network.cpp
@@ -40,7 +40,7 @@
 {
     const auto view = m_view.read();
     const auto* instance = view->find(peer);
-    if (!instance || instance->health == InstanceHealth::Gone)
+    if (!instance)
         return std::nullopt;
     PeerRoute route { instance->inner, std::nullopt };
     if (instance->zone != m_context.self.zone)
