--- a/src/base/stored_object.h
+++ b/src/base/stored_object.h
@@ -15,7 +15,9 @@
     std::string key;
     ObjectVersion version;
     std::string value;
-    friend bool operator==(const StoredObject&, const StoredObject&) = default;
+    std::int64_t answeredAt = 0; ///< Seconds since the Unix epoch by the store's clock; 0 when it did not tell. Not compared.
+
+    friend bool operator==(const StoredObject& a, const StoredObject& b) { return a.key == b.key && a.version == b.version && a.value == b.value; }
 };
 
 /// How a call to the object API ended.
--- a/src/claims/claim_engine.h
+++ b/src/claims/claim_engine.h
@@ -24,6 +24,14 @@
     std::uint64_t storeWrites = 0;
     std::uint64_t conflicts = 0;
     std::uint64_t lostAnswers = 0;
+    std::uint64_t alreadyDone = 0;
+    std::uint64_t inProgress = 0;
+    std::uint64_t differentContent = 0;
+    std::uint64_t storeUnavailable = 0;
+    std::uint64_t segmentsSealed = 0;
+    std::uint64_t segmentsExpired = 0;
+    std::uint64_t unreadableObjects = 0;
+    std::uint64_t indexedKeys = 0; ///< Keys of sealed segments in memory, 8 bytes each.
 
     friend bool operator==(const ClaimCounters&, const ClaimCounters&) = default;
 };
@@ -38,6 +46,9 @@
 
     /// Ends in exactly one ClaimDecided for the request, at its deadline at the latest.
     virtual void claim(const ClaimRequest&, TimePoint, ClaimActions&) = 0;
+    /// Tells the engine of a claim that another instance's engine was granted for this process, so that
+    /// its outcome can be recorded or its key released here. Does nothing for a claim it knows.
+    virtual void adopt(const ClaimRequest&) = 0;
     /// Records how a granted request ended; goes out with the next batch.
     virtual void recordOutcome(const RequestId&, RunState, const std::string& answer, TimePoint, ClaimActions&) = 0;
     /// A granted request was not run: its key may be claimed again.
@@ -50,6 +61,9 @@
     virtual ClaimCounters counters() const = 0;
 };
 
+/// The partition that a key belongs to.
+std::uint32_t claimPartitionOf(const IdempotencyKey&, const ClaimSettings&);
+
 std::unique_ptr<ClaimEngine> makeClaimEngine(const ClaimSettings&, std::unique_ptr<RandomSource>);
 
 }
--- /dev/null
+++ b/src/claims/claim_partition_write.cpp
@@ -0,0 +1,201 @@
+#include "claims/claim_partition.h"
+
+#include <algorithm>
+
+namespace lycheefield {
+
+namespace {
+
+/// Expired segments that one write of the head lets go.
+constexpr std::uint64_t maxExpiredPerWrite = 8;
+
+}
+
+void ClaimPartition::Batch::add(const ClaimRecord& record)
+{
+    records.push_back(record);
+    lines += toLine(record);
+}
+
+void ClaimPartition::writeNext(TimePoint now, ClaimActions& actions)
+{
+    auto batch = gather(now, actions);
+    const bool isDue = std::any_of(m_unwritten.begin(), m_unwritten.end(), [&](const auto& it) { return it.due <= now; });
+    if (batch.keys.empty() && !isDue) {
+        if (m_needsFreshHead)
+            readHead(now, actions);
+        return;
+    }
+    if (sealedStartsHead()) {
+        batch.sealedBytes = m_sealed->body.size();
+    } else if (isHeadFull()) {
+        return createSegment(now, actions);
+    }
+    writeHead(std::move(batch), now, actions);
+}
+
+/// Releases and outcomes go first: a claim is judged by them and must follow them in the log.
+ClaimPartition::Batch ClaimPartition::gather(TimePoint now, ClaimActions& actions)
+{
+    const std::size_t mostBytes = m_context.settings.maxHeadBytes;
+    Batch batch;
+    for (const auto& it : m_unwritten) {
+        if (batch.lines.size() >= mostBytes)
+            break;
+        batch.add(it.record);
+        ++batch.unwritten;
+    }
+    const auto storeSeconds = m_context.storeClock.secondsAt(now);
+    for (auto it = m_waiting.begin(); it != m_waiting.end() && batch.lines.size() < mostBytes;) {
+        const auto current = it++;
+        // A second claim of a key waits until the first one is settled.
+        if (batch.keys.contains(current->request.key) || judge(current, batch, actions) != Standing::Grantable)
+            continue;
+        const auto& request = current->request;
+        batch.add({ ClaimRecordKind::Claim, request.key, request.request, request.fingerprint, storeSeconds, RunState::Unknown, {} });
+        batch.keys.insert(request.key);
+        current->isInFlight = true;
+    }
+    return batch;
+}
+
+ClaimPartition::Standing ClaimPartition::judge(WaitingList::iterator it, const Batch& batch, ClaimActions& actions)
+{
+    if (fetchSegments(*it, actions))
+        return Standing::NeedsSegments;
+    const auto state = stateOf(*it, batch);
+    if (!state)
+        return Standing::Grantable;
+    auto verdict = ClaimVerdict::InProgress;
+    if (state->token == it->request.request)
+        verdict = ClaimVerdict::Granted;
+    else if (state->fingerprint != it->request.fingerprint)
+        verdict = ClaimVerdict::DifferentContent;
+    else if (state->hasOutcome)
+        verdict = ClaimVerdict::AlreadyDone;
+    // Without an outcome the key may have been released, or settled, since the head was read.
+    const bool mayHaveChanged = verdict != ClaimVerdict::Granted && !state->hasOutcome;
+    if (mayHaveChanged && m_headAsOf < it->arrived) {
+        m_needsFreshHead = true;
+        return Standing::NeedsFreshHead;
+    }
+    decide(it, verdict, &*state, actions);
+    return Standing::Decided;
+}
+
+std::optional<KeyState> ClaimPartition::stateOf(const Waiting& waiting, const Batch& batch) const
+{
+    const auto& key = waiting.request.key;
+    std::optional<KeyState> state;
+    for (const auto& [number, records] : waiting.fetched) {
+        if (number < m_head->segments().first)
+            continue;
+        for (const auto& record : records)
+            state = afterRecord(std::move(state), record);
+    }
+    if (const auto* records = m_head->find(key)) {
+        for (const auto& record : *records)
+            state = afterRecord(std::move(state), record);
+    }
+    for (const auto& record : batch.records) {
+        if (record.key == key)
+            state = afterRecord(std::move(state), record);
+    }
+    return state;
+}
+
+/// True when the claim has to wait for a segment.
+bool ClaimPartition::fetchSegments(Waiting& waiting, ClaimActions& actions)
+{
+    for (const auto number : m_index.segmentsWith(waiting.request.key)) {
+        if (waiting.fetched.contains(number) || waiting.fetching.contains(number))
+            continue;
+        const auto id = nextCall();
+        m_fetches[id] = { waiting.request.request, number };
+        waiting.fetching.insert(number);
+        ++m_context.counters.storeReads;
+        actions.emplace_back(ReadObject { id, segmentKey(m_number, number) });
+    }
+    return !waiting.fetching.empty();
+}
+
+bool ClaimPartition::isHeadFull() const
+{
+    return m_head->claims() >= m_context.settings.maxClaimsPerHead || m_head->body().size() >= m_context.settings.maxHeadBytes;
+}
+
+/// A segment that holds something else than the start of the head's body belongs to a newer head.
+bool ClaimPartition::sealedStartsHead() const
+{
+    return m_sealed && m_sealed->number == m_head->segments().next && m_head->body().compare(0, m_sealed->body.size(), m_sealed->body) == 0;
+}
+
+void ClaimPartition::createSegment(TimePoint now, ClaimActions& actions)
+{
+    for (auto& it : m_waiting)
+        it.isInFlight = false;
+    const auto number = m_head->segments().next;
+    m_sealed.reset();
+    m_headCall = HeadCall { nextCall(), HeadCallKind::CreateSegment, now };
+    ++m_context.counters.storeWrites;
+    actions.emplace_back(WriteObject { m_headCall->id, segmentKey(m_number, number), ObjectVersion {}, segmentText(m_head->body()) });
+}
+
+std::uint64_t ClaimPartition::firstUnexpired(TimePoint now) const
+{
+    const auto storeSeconds = m_context.storeClock.secondsAt(now);
+    const auto lifetime = std::chrono::duration_cast<std::chrono::seconds>(m_context.settings.keyLifetime).count();
+    auto first = m_head->segments().first;
+    const auto last = std::min(m_head->segments().next, first + maxExpiredPerWrite);
+    while (first < last) {
+        const auto* summary = m_index.find(first);
+        if (!summary || summary->newestClaim == SegmentSummary::neverExpires || summary->newestClaim + lifetime >= storeSeconds)
+            break;
+        ++first;
+    }
+    return first;
+}
+
+void ClaimPartition::writeHead(Batch batch, TimePoint now, ClaimActions& actions)
+{
+    batch.segments = { firstUnexpired(now), m_head->segments().next + (batch.sealedBytes > 0 ? 1 : 0) };
+    auto body = m_head->body().substr(batch.sealedBytes);
+    body += batch.lines;
+    m_headCall = HeadCall { nextCall(), HeadCallKind::WriteHead, now };
+    m_nextWrite = now + m_context.settings.batchWindow;
+    ++m_context.counters.storeWrites;
+    actions.emplace_back(WriteObject { m_headCall->id, headKey(m_number), m_headVersion, ClaimLog::headText(batch.segments, body) });
+    m_batch = std::move(batch);
+}
+
+void ClaimPartition::onHeadWritten(const StoreReply& reply, TimePoint issued, TimePoint now, ClaimActions& actions)
+{
+    auto& head = *m_head;
+    if (m_batch.sealedBytes > 0) {
+        if (const auto records = parseClaimRecords(m_sealed->body))
+            m_index.add(m_sealed->number, SegmentSummary::of(*records, m_sealed->version));
+        head.removePrefix(m_batch.sealedBytes);
+        m_sealed.reset();
+        ++m_context.counters.segmentsSealed;
+    }
+    for (auto number = head.segments().first; number < m_batch.segments.first; ++number) {
+        // No head names the segment any more; only its space is at stake, so the answer is not awaited.
+        ++m_context.counters.segmentsExpired;
+        ++m_context.counters.storeWrites;
+        actions.emplace_back(WriteObject { nextCall(), segmentKey(m_number, number), m_index.find(number)->version, {} });
+    }
+    head.setSegments(m_batch.segments);
+    head.append(m_batch.records, m_batch.lines);
+    m_index.removeBefore(m_batch.segments.first);
+    m_headVersion = reply.object.version;
+    m_headAsOf = issued;
+    m_needsFreshHead = false;
+    m_unwritten.erase(m_unwritten.begin(), m_unwritten.begin() + static_cast<std::ptrdiff_t>(m_batch.unwritten));
+    for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+        const auto current = it++;
+        if (current->isInFlight)
+            decide(current, ClaimVerdict::Granted, nullptr, actions);
+    }
+}
+
+}
