--- a/tests/claims/claim_engine_test.cpp
+++ b/tests/claims/claim_engine_test.cpp
@@ -112,6 +112,19 @@
     CHECK(world.violations().empty());
 }
 
+TEST_CASE("A release and the next claim of the key share a write")
+{
+    ClaimWorld world(1, onePartition());
+    world.isRefused = [](std::size_t attempt) { return attempt == 0; };
+    world.claim(0, "order-1");
+    world.run(6ms); // Granted and refused; the release waits for the next write.
+    REQUIRE(world.engine(0).pending() == 1);
+    const auto again = world.claim(0, "order-1", 2);
+    world.run(4ms);
+    CHECK(world.verdict(again) == ClaimVerdict::Granted);
+    CHECK(world.engine(0).counters().storeWrites == 2);
+}
+
 TEST_CASE("The store is down")
 {
     ClaimWorld world(1, onePartition());
--- a/tests/claims/claim_fault_test.cpp
+++ b/tests/claims/claim_fault_test.cpp
@@ -80,22 +80,28 @@
     }
 }
 
-TEST_CASE("Every pair of faults in one claim of two instances")
+TEST_CASE("Every pair of faults in one claim, alone and against another instance")
 {
-    for (std::size_t step = 0; step < 8; ++step) {
-        for (const auto one : allCallFaults) {
-            for (const auto two : allCallFaults) {
-                CAPTURE(step);
-                CAPTURE(static_cast<int>(one));
-                CAPTURE(static_cast<int>(two));
-                ClaimWorld world(2, smallHeads());
-                world.faultOf = [=](std::size_t call) { return call == step ? one : call == step + 1 ? two
-                                                                                                     : CallFault::None; };
-                world.claim(0, "a", 1, 50ms);
-                world.claim(1, "a", 1, 50ms);
-                world.run(1s);
-                checkSettled(world, { "a" }, 1);
-                checkNoViolation(world);
+    for (const std::size_t callers : { 1, 2 }) {
+        for (std::size_t step = 0; step < 6; ++step) {
+            for (std::size_t next = step + 1; next < step + 4; ++next) {
+                for (const auto one : allCallFaults) {
+                    for (const auto two : allCallFaults) {
+                        CAPTURE(callers);
+                        CAPTURE(step);
+                        CAPTURE(next);
+                        CAPTURE(static_cast<int>(one));
+                        CAPTURE(static_cast<int>(two));
+                        ClaimWorld world(2, smallHeads());
+                        world.faultOf = [=](std::size_t call) { return call == step ? one : call == next ? two
+                                                                                                         : CallFault::None; };
+                        for (std::size_t i = 0; i < callers; ++i)
+                            world.claim(i, "a", 1, 50ms);
+                        world.run(1s);
+                        checkSettled(world, { "a" }, 1);
+                        checkNoViolation(world);
+                    }
+                }
             }
         }
     }
--- a/tests/claims/claim_world.cpp
+++ b/tests/claims/claim_world.cpp
@@ -86,7 +86,7 @@
     auto& it = m_instances[instance];
     const auto number = m_attempts.size();
     const RequestId request { it.life, ++it.requests };
-    m_attempts.push_back({ request, instance, key, Fingerprint(content), std::nullopt, 0, false });
+    m_attempts.push_back({ request, instance, key, Fingerprint(content), m_now + deadline, {}, std::nullopt, 0, false });
     m_byRequest[request] = number;
     const ClaimRequest claim { request, IdempotencyKey(key), Fingerprint(content), m_now + deadline };
     deliver(instance, m_now, [this, instance, claim] {
@@ -172,6 +172,7 @@
     auto& attempt = m_attempts[number];
     ++attempt.decisions;
     attempt.decided = decided;
+    attempt.decidedAt = m_now;
     if (decided.verdict != ClaimVerdict::Granted)
         return;
     if (isRefused(number)) {
@@ -214,6 +215,8 @@
             found.push_back("ran without a grant: " + it.key);
         if (!it.decided)
             continue;
+        if (it.decided->verdict == ClaimVerdict::Granted && it.decidedAt >= it.deadline)
+            found.push_back("granted after its deadline: " + it.key);
         const auto run = runs.find(it.key);
         const auto verdict = it.decided->verdict;
         if (verdict == ClaimVerdict::AlreadyDone) {
--- a/tests/claims/claim_world.h
+++ b/tests/claims/claim_world.h
@@ -38,6 +38,8 @@
         std::size_t instance = 0;
         std::string key;
         Fingerprint fingerprint;
+        TimePoint deadline;
+        TimePoint decidedAt {};
         std::optional<ClaimDecided> decided;
         int decisions = 0;
         bool ran = false;
