--- a/tests/claims/claim_segment_test.cpp
+++ b/tests/claims/claim_segment_test.cpp
@@ -96,6 +96,34 @@
     CHECK(world.violations().empty());
 }
 
+TEST_CASE("A sealer stops after it created the segment, and the head grew before the next one seals")
+{
+    ClaimWorld world(3, smallHeads());
+    auto larger = smallHeads();
+    larger.maxClaimsPerHead = 100;
+    world.restartWith(1, larger);
+    claimEach(world, 0, 10);
+    world.claim(0, keyOf(10));
+    while (!world.store().objects().contains("claims/0/segment/0"))
+        world.run(500us);
+    world.restart(0);
+    world.claim(1, keyOf(11));
+    world.run(1s);
+    REQUIRE(world.engine(1).counters().granted == 1);
+
+    const auto sealing = world.claim(2, keyOf(12));
+    world.run(1s);
+    CHECK(world.verdict(sealing) == ClaimVerdict::Granted);
+    CHECK(world.engine(1).counters().segmentsSealed + world.engine(2).counters().segmentsSealed == 1);
+    for (int i = 0; i < 13; ++i) {
+        const auto again = world.claim(i % 3, keyOf(i));
+        world.run(1s);
+        CAPTURE(i);
+        CHECK(world.verdict(again) == (i == 10 ? ClaimVerdict::Granted : ClaimVerdict::AlreadyDone));
+    }
+    CHECK(world.violations().empty());
+}
+
 TEST_CASE("Keys are forgotten after their lifetime, by the store's clock, and space with them")
 {
     ClaimWorld world(2, smallHeads());
--- a/tests/claims/claim_world.cpp
+++ b/tests/claims/claim_world.cpp
@@ -24,20 +24,25 @@
     , m_instances(instances)
 {
     for (std::size_t i = 0; i < instances; ++i)
-        start(i);
+        start(i, m_settings);
 }
 
-void ClaimWorld::start(std::size_t instance)
+void ClaimWorld::start(std::size_t instance, const ClaimSettings& settings)
 {
     auto& it = m_instances[instance];
     it = {};
     it.life = ProcessLife(m_random.next());
-    it.engine = makeClaimEngine(m_settings, std::make_unique<SeededRandom>(m_random.next()));
+    it.engine = makeClaimEngine(settings, std::make_unique<SeededRandom>(m_random.next()));
 }
 
 void ClaimWorld::restart(std::size_t instance)
 {
-    start(instance);
+    start(instance, m_settings);
+}
+
+void ClaimWorld::restartWith(std::size_t instance, const ClaimSettings& settings)
+{
+    start(instance, settings);
 }
 
 void ClaimWorld::pause(std::size_t instance, Duration duration)
--- a/tests/claims/claim_world.h
+++ b/tests/claims/claim_world.h
@@ -51,6 +51,8 @@
     std::size_t claim(std::size_t instance, const std::string& key, std::uint64_t content = 1, Duration deadline = 1s);
     /// As a hard stop: the instance's calls under way still reach the store, its memory is gone.
     void restart(std::size_t instance);
+    /// Restarts the instance with other settings, as a rolling change of them does.
+    void restartWith(std::size_t instance, const ClaimSettings&);
     /// Events reach the instance only after the pause.
     void pause(std::size_t instance, Duration);
 
@@ -92,7 +94,7 @@
         bool operator>(const Event& other) const { return at != other.at ? at > other.at : number > other.number; }
     };
 
-    void start(std::size_t instance);
+    void start(std::size_t instance, const ClaimSettings&);
     void at(TimePoint, std::function<void()>);
     /// Runs at the time, or after the pause, if the instance is still in the same life.
     void deliver(std::size_t instance, TimePoint, std::function<void()>);
