--- a/src/platform/http_object_store.cpp
+++ b/src/platform/http_object_store.cpp
@@ -93,11 +93,12 @@
     PlatformCall call { PlatformCallKind::Read, "/v1/objects/" + percentEncode(key), {}, {} };
     m_client->call(std::move(call), [key, handler = std::move(handler)](const PlatformReply& reply) {
         if (reply.status != StoreStatus::Ok)
-            return handler(reply.status, StoredObject { key, {}, {} });
+            return handler(reply.status, StoredObject { key, {}, {}, reply.answeredAt });
         const auto parsed = parseBody(reply.body);
         auto object = parsed ? toObject(*parsed) : std::nullopt;
         if (!object || object->key != key)
-            return handler(StoreStatus::Lost, StoredObject { key, {}, {} });
+            return handler(StoreStatus::Lost, StoredObject { key, {}, {}, 0 });
+        object->answeredAt = reply.answeredAt;
         handler(StoreStatus::Ok, std::move(*object));
     });
 }
@@ -109,7 +110,7 @@
     m_client->call(std::move(call), [key, handler = std::move(handler)](const PlatformReply& reply) {
         const auto parsed = parseBody(reply.body);
         const auto version = parsed ? number(*parsed, "version") : std::nullopt;
-        const StoredObject object { key, ObjectVersion { version.value_or(0) }, {} };
+        const StoredObject object { key, ObjectVersion { version.value_or(0) }, {}, reply.answeredAt };
         if (reply.status == StoreStatus::Ok && !version)
             return handler(StoreStatus::Lost, object);
         handler(reply.status, object);
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/backoff.h"
 #include "platform/call_budget.h"
+#include "platform/http_date.h"
 #include "platform/platform_connection.h"
 
 #include <boost/asio/post.hpp>
@@ -262,7 +263,7 @@
         return dispatch(pending);
     }
     noteStatus(status);
-    finish(pending, { status, std::move(result.body) });
+    finish(pending, { status, std::move(result.body), parseHttpDate(result.date).value_or(0) });
 }
 
 void PlatformClient::Impl::giveBack(const PendingPtr& pending, const ConnectionPtr& connection)
--- a/src/platform/platform_client.h
+++ b/src/platform/platform_client.h
@@ -33,6 +33,7 @@
 struct PlatformReply {
     StoreStatus status = StoreStatus::Unavailable;
     std::string body;
+    std::int64_t answeredAt = 0; ///< The platform's clock when it answered, in seconds since the Unix epoch; 0 when it did not tell.
 };
 
 /// Calls the platform over HTTP: keep-alive connections, timeouts, call budget, a pause with backoff
--- a/src/platform/platform_connection.cpp
+++ b/src/platform/platform_connection.cpp
@@ -98,6 +98,7 @@
         m_stream.expires_never();
         m_result.isAnswered = true;
         m_result.status = m_parser->get().result_int();
+        m_result.date = std::string(m_parser->get()[http::field::date]);
         m_result.body = std::move(m_parser->get().body());
         finish();
     }
--- a/src/platform/platform_connection.h
+++ b/src/platform/platform_connection.h
@@ -26,6 +26,7 @@
     bool wasSent = false; ///< At least one byte was handed to the connection.
     unsigned int status = 0;
     std::string body;
+    std::string date; ///< The answer's Date header.
     std::uint64_t bytesSent = 0;
     std::uint64_t bytesReceived = 0;
 };
--- a/tests/claims/claim_world.cpp
+++ b/tests/claims/claim_world.cpp
@@ -118,7 +118,7 @@
     setTimer(instance);
 }
 
-void ClaimWorld::call(std::size_t instance, StoreCallId id, std::function<standin::PlatformAnswer(TimePoint)> perform, bool isWrite)
+void ClaimWorld::call(std::size_t instance, StoreCallId id, const std::function<standin::PlatformAnswer(TimePoint)>& perform, bool isWrite)
 {
     const auto fault = faultOf(m_storeCalls++);
     const auto life = m_instances[instance].life;
--- a/tests/platform/http_object_store_test.cpp
+++ b/tests/platform/http_object_store_test.cpp
@@ -1,3 +1,5 @@
+#include "platform/http_date.h"
+#include "platform/percent_coding.h"
 #include "platform/platform_fixture.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -21,6 +23,11 @@
         CHECK(found.status == StoreStatus::Ok);
         CHECK(found.object == StoredObject { "claims/0/head", created.object.version, "one \"quoted\" line\n" });
     }
+    SUBCASE("and the answer tells the platform's time")
+    {
+        CHECK(created.object.answeredAt > 0);
+        CHECK(platform.read("claims/0/head").object.answeredAt >= created.object.answeredAt);
+    }
     SUBCASE("and a second writer with the old condition changes nothing")
     {
         CHECK(platform.write("claims/0/head", 0, "other").status == StoreStatus::Conflict);
@@ -79,6 +86,18 @@
     }
 }
 
+TEST_CASE("HTTP dates and URL escapes")
+{
+    CHECK(toHttpDate(784111777) == "Sun, 06 Nov 1994 08:49:37 GMT");
+    CHECK(parseHttpDate("Sun, 06 Nov 1994 08:49:37 GMT") == 784111777);
+    CHECK_FALSE(parseHttpDate("Sun, 06 Nov 1994"));
+    CHECK_FALSE(parseHttpDate(""));
+    CHECK(percentEncode("claims/0/a b?") == "claims/0/a%20b%3F");
+    CHECK(percentDecode("claims/0/a%20b%3f") == "claims/0/a b?");
+    CHECK_FALSE(percentDecode("%2"));
+    CHECK_FALSE(percentDecode("%zz"));
+}
+
 TEST_CASE("The platform can't be used")
 {
     SUBCASE("because of an outage: nothing was written")
--- a/tests/standin/platform_server.cpp
+++ b/tests/standin/platform_server.cpp
@@ -1,6 +1,7 @@
 #include "standin/platform_server.h"
 
 #include "base/clock.h"
+#include "platform/http_date.h"
 #include "platform/percent_coding.h"
 #include "standin/platform_json.h"
 
@@ -11,6 +12,7 @@
 #include <boost/beast/http.hpp>
 
 #include <charconv>
+#include <ctime>
 #include <set>
 
 namespace lycheefield::standin {
@@ -297,6 +299,7 @@
     m_response = {};
     m_response.version(11);
     m_response.result(status);
+    m_response.set(http::field::date, toHttpDate(std::time(nullptr)));
     m_response.set(http::field::content_type, "application/json");
     m_response.keep_alive(m_parser->is_done() && m_parser->get().keep_alive());
     m_response.body() = std::move(body);
