--- a/tests/claims/claim_world.h
+++ b/tests/claims/claim_world.h
@@ -99,7 +99,7 @@
     /// Runs at the time, or after the pause, if the instance is still in the same life.
     void deliver(std::size_t instance, TimePoint, std::function<void()>);
     void carryOut(std::size_t instance, const ClaimActions&);
-    void call(std::size_t instance, StoreCallId, std::function<standin::PlatformAnswer(TimePoint)>, bool isWrite);
+    void call(std::size_t instance, StoreCallId, const std::function<standin::PlatformAnswer(TimePoint)>&, bool isWrite);
     void onDecided(std::size_t instance, const ClaimDecided&);
     void finish(std::size_t instance, std::size_t attempt);
     void setTimer(std::size_t instance);
