--- a/src/query/replica_chooser.cpp
+++ b/src/query/replica_chooser.cpp
@@ -6,39 +6,106 @@
 
 namespace lycheefield {
 
-ReplicaChooser::ReplicaChooser(const QuerySettings& settings, const ZoneName& self, ServerTable& servers, RandomSource& random)
+namespace {
+
+/// A replica is preferred for its speed only when it is faster by more than this factor.
+constexpr double clearlyFaster = 1.25;
+
+/// Older news of a server's queue is no ground for refusing a request.
+constexpr Duration loadIsKnownFor = 500ms;
+
+}
+
+ReplicaChooser::ReplicaChooser(const QuerySettings& settings, const ZoneName& self, ServerTable& servers, const LostRelays& lostRelays, const CrashEvidence& evidence, RandomSource& random)
     : m_settings(settings)
     , m_self(self)
     , m_servers(servers)
+    , m_lostRelays(lostRelays)
+    , m_evidence(evidence)
     , m_random(random)
 {
 }
 
-std::vector<ReplicaChoice> ReplicaChooser::candidatesOf(const Query& query, const LegState& leg)
+std::vector<ReplicaChoice> ReplicaChooser::candidatesOf(const Query& query, const LegState& leg, bool again, TimePoint now)
 {
-    const SnapshotChooser snapshots(*query.tables.shards, m_servers);
+    const SnapshotChooser snapshots(*query.tables.shards, m_servers, now);
     std::vector<ReplicaChoice> usable;
-    std::vector<ReplicaChoice> draining;
+    std::vector<ReplicaChoice> avoided;
     for (const auto& name : leg.shard->replicas) {
         const auto* owners = query.tables.ownership->ownersOf(name);
         const auto* server = query.tables.shards->findServer(name);
-        if (!owners || owners->owner.value().empty() || !server)
+        const auto* relay = owners ? relayOf(*owners, now) : nullptr;
+        if (!relay || !server || (query.canaryRelay && *query.canaryRelay != *relay))
             continue;
         auto& record = m_servers.recordOf(name);
-        if (leg.wasTriedAt(&record) || !snapshots.serves(name, query.version))
+        if ((!again && leg.wasTriedAt(&record)) || leg.isGoneAt(&record) || !snapshots.serves(name, query.version))
+            continue;
+        if (!m_evidence.mayAsk(query.fingerprint, *leg.shard, name, now))
             continue;
         const bool avoid = server->leaving || (record.state && (record.state->draining || record.state->ejected));
-        (avoid ? draining : usable).push_back({ &record, owners->owner });
+        (avoid ? avoided : usable).push_back({ &record, *relay, &server->zone });
     }
-    return usable.empty() ? draining : usable;
+    return usable.empty() ? avoided : usable;
 }
 
-ReplicaChoice ReplicaChooser::choose(const Query& query, const LegState& leg, TimePoint)
+const InstanceName* ReplicaChooser::relayOf(const BlockOwners& owners, TimePoint now) const
 {
-    const auto candidates = candidatesOf(query, leg);
+    const bool hasStandby = !owners.standby.value().empty();
+    if (hasStandby && m_lostRelays.isLost(owners.owner, now) && !m_lostRelays.isLost(owners.standby, now))
+        return &owners.standby;
+    return owners.owner.value().empty() ? nullptr : &owners.owner;
+}
+
+double ReplicaChooser::expectedMicros(const ReplicaChoice& choice) const
+{
+    const auto slots = choice.server->slots();
+    const auto& record = *choice.server;
+    const auto link = *choice.zone == m_self ? 0 : 2 * static_cast<double>(m_settings.crossZoneCost.count());
+    const auto reported = record.state ? static_cast<double>(record.state->recentLatency.count()) : 0;
+    const auto own = record.latencyMicros > 0 ? record.latencyMicros : reported + link;
+    const auto serviceTime = reported > 0 ? reported : std::max(0.0, own - link);
+    const auto ahead = static_cast<double>(record.load()) + 1 - slots;
+    return own + std::max(0.0, ahead) / slots * serviceTime;
+}
+
+Duration ReplicaChooser::soonest(const ReplicaChoice& choice, TimePoint now) const
+{
+    const auto& record = *choice.server;
+    if (!record.state || now - record.stateAt > loadIsKnownFor)
+        return {};
+    const auto& state = *record.state;
+    const auto ahead = std::max(0.0, static_cast<double>(record.load()) + 1 - record.slots());
+    const auto micros = static_cast<double>(state.recentLatency.count()) * (1 + ahead / record.slots());
+    return Duration(static_cast<std::int64_t>(micros)) + (*choice.zone == m_self ? Duration {} : 2 * m_settings.crossZoneCost);
+}
+
+ReplicaChoice ReplicaChooser::choose(const Query& query, const LegState& leg, bool again, TimePoint now)
+{
+    const auto candidates = candidatesOf(query, leg, again, now);
     if (candidates.empty())
         return {};
-    return candidates[m_turn++ % candidates.size()];
+    if (candidates.size() == 1)
+        return candidates[0];
+    if (!m_settings.chooseByLoad)
+        return candidates[(query.request.id.counter + leg.shard->number.value()) % candidates.size()];
+    // Two at random, then the better of them: with many replicas, all entries taking the best would overload it.
+    const auto n = candidates.size();
+    const auto first = n == 2 ? 0 : m_random.below(n);
+    const auto second = n == 2 ? 1 : (first + 1 + m_random.below(n - 1)) % n;
+    return better(candidates[first], candidates[second]);
+}
+
+const ReplicaChoice& ReplicaChooser::better(const ReplicaChoice& a, const ReplicaChoice& b)
+{
+    const auto timeA = expectedMicros(a);
+    const auto timeB = expectedMicros(b);
+    if (timeA * clearlyFaster < timeB)
+        return a;
+    if (timeB * clearlyFaster < timeA)
+        return b;
+    if (a.server->load() != b.server->load())
+        return a.server->load() < b.server->load() ? a : b;
+    return m_random.below(2) == 0 ? a : b;
 }
 
 }
