--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -72,7 +72,7 @@
     exec 9<>"/dev/tcp/127.0.0.1/$2" || return 1
     printf '%s %s HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\n%sContent-Length: %s\r\n\r\n%s' \
         "$1" "$3" "${header:+$header$'\r\n'}" "${#body}" "$body" >&9
-    sed '1,/^\r$/d' <&9
+    timeout 10 sed '1,/^\r$/d' <&9
     exec 9<&- 9>&-
 }
 
@@ -87,7 +87,7 @@
 {
     local name=$1
     shift
-    start "fleet-$name" "$build/tests/standin-backend" --service "$name" --platform-port "$platform_port" "$@"
+    start "fleet-$name" "$build/tests/standin-backend" --service "$name" --platform-port "$platform_port" --port-file "$run/fleet-$name.port" "$@"
     for _ in $(seq 200); do
         http GET "$platform_port" "/v1/objects/catalog/$name" 2>/dev/null | grep -q epoch && return 0
         sleep 0.05
@@ -96,10 +96,11 @@
     return 1
 }
 
-# Any server of the fleet takes the stand-in's control calls.
+# Port of the fleet's control calls.
 fleet_port()
 {
-    http GET "$platform_port" "/v1/objects/catalog/$1" | grep -oE 'port[\\"]+:[0-9]+' | head -n 1 | grep -oE '[0-9]+$'
+    wait_file "$run/fleet-$1.port"
+    cat "$run/fleet-$1.port"
 }
 
 start_link()
--- a/tests/standin/backend_fleet.cpp
+++ b/tests/standin/backend_fleet.cpp
@@ -56,12 +56,12 @@
 
 void BackendFleet::start()
 {
+    startControl();
     const auto n = m_plan.shards * m_plan.replicas;
     for (std::uint32_t i = 0; i < n; ++i) {
         const ServerName name(m_plan.service + "-" + std::to_string(i / m_plan.replicas) + "-" + std::to_string(i % m_plan.replicas));
         const auto server = std::make_shared<BackendServer>(name, m_plan.behaviour, m_plan.seed + i);
         const auto listener = std::make_shared<BackendListener>(m_io, server, m_plan.limits, m_clock);
-        listener->setControlHandler([this](const std::string& target) { return control(target); });
         listener->listen(m_plan.address);
         server->start(m_clock.now());
         m_servers.push_back(server);
@@ -77,6 +77,15 @@
         later(m_plan.versionEvery, [this] { publishNext(); });
 }
 
+void BackendFleet::startControl()
+{
+    const auto server = std::make_shared<BackendServer>(ServerName("control"), BackendBehaviour {}, m_plan.seed);
+    constexpr BackendListener::Limits limits { 1000, Duration(0) };
+    m_control = std::make_shared<BackendListener>(m_io, server, limits, m_clock);
+    m_control->setControlHandler([this](const std::string& target) { return control(target); });
+    m_control->listen(m_plan.address);
+}
+
 void BackendFleet::buildCatalog()
 {
     m_catalog.service.name = ServiceName(m_plan.service);
--- a/tests/standin/backend_fleet.h
+++ b/tests/standin/backend_fleet.h
@@ -41,8 +41,11 @@
     void start();
     /// Answers /standin/… : `counters`, `orders`, `set?server=NAME|all&KEY=VALUE…`, `repartition`, `publish`.
     std::string control(const std::string& target);
+    /// Takes the control calls; no connection cap. Precondition: start() succeeded.
+    std::uint16_t controlPort() const { return m_control->port(); }
 
 private:
+    void startControl();
     void buildCatalog();
     bool writeCatalog();
     void setIndexOf(std::size_t server);
@@ -58,6 +61,7 @@
     Endpoint m_platform;
     const Clock& m_clock;
     CatalogEntry m_catalog;
+    std::shared_ptr<BackendListener> m_control;
     std::vector<std::shared_ptr<BackendListener>> m_listeners;
     std::vector<std::shared_ptr<BackendServer>> m_servers;
     std::vector<std::set<IndexVersion>> m_versions;
--- a/tests/standin/backend_main.cpp
+++ b/tests/standin/backend_main.cpp
@@ -5,8 +5,7 @@
 
 #include <boost/asio/signal_set.hpp>
 
-#include <cstdio>
-#include <iostream>
+#include <fstream>
 
 using namespace lycheefield;
 using namespace lycheefield::standin;
@@ -22,6 +21,7 @@
     std::int64_t coldMillis = 0;
     std::int64_t versionEveryMillis = 0;
     std::int64_t restartMillis = 2000;
+    std::string portFile;
 };
 
 void addOptions(CLI::App& app, Options& options)
@@ -41,6 +41,7 @@
     app.add_option("--cold-ms", options.coldMillis, "Cold start, milliseconds")->capture_default_str();
     app.add_option("--version-every-ms", options.versionEveryMillis, "A new index version this often, milliseconds; 0: never")->capture_default_str();
     app.add_option("--restart-ms", options.restartMillis, "From a crash to the restart, milliseconds")->capture_default_str();
+    app.add_option("--port-file", options.portFile, "File that gets the port of the control calls under /standin/");
     app.add_option("--seed", options.plan.seed, "Seed of the service times")->capture_default_str();
 }
 
@@ -80,6 +81,8 @@
         logChange(LogLevel::Error, "the fleet did not start", { { "why", e.what() } });
         return 1;
     }
+    if (!options.portFile.empty())
+        std::ofstream(options.portFile) << fleet.controlPort() << '\n';
     logChange(LogLevel::Info, "fleet started", { { "service", options.plan.service } });
     io.run();
     return 0;
