--- a/bench/dispatch/dispatch_bench.cpp
+++ b/bench/dispatch/dispatch_bench.cpp
@@ -1,5 +1,6 @@
 #include "bench/dispatch/relay_load.h"
 
+#include <algorithm>
 #include <cstdio>
 
 namespace lycheefield::bench {
@@ -69,22 +70,119 @@
         static_cast<double>(vanBudget.count()) / 1000, van, desk, wasted, p99);
 }
 
+/// One server of eight is bad in some way; legs are desk work at a share of the capacity.
+struct Trouble {
+    const char* name;
+    double load;
+    void (*begin)(RelayWorld&);
+};
+
+void failSlowly(RelayWorld& world) { world.server("s0a").isFailing = true; }
+
+void failFast(RelayWorld& world)
+{
+    world.server("s0a").isFailing = true;
+    world.server("s0a").slowFactor = 0.1;
 }
 
+void slow(RelayWorld& world) { world.server("s0a").slowFactor = 10; }
+
+void hang(RelayWorld& world) { world.server("s0a").isHung = true; }
+
+void coldRestart(RelayWorld& world)
+{
+    auto& server = world.server("s0a");
+    server.coldFactor = 5;
+    server.coldTime = 3s;
+    world.crash("s0a");
 }
 
-int main()
+void coldUnderLoad(RelayWorld& world)
 {
-    using namespace lycheefield;
-    using namespace lycheefield::bench;
-    RelaySettings off;
-    off.admission = off.ejection = off.slowStart = off.quarantine = false;
-    RelaySettings admissionOff;
-    admissionOff.admission = false;
-    for (const auto& policy : { Policy { "admission_off", admissionOff }, Policy { "all", {} } }) {
+    coldRestart(world);
+    world.server("s0a").coldFactor = 8;
+    world.server("s0a").isColdByLoad = true;
+}
+
+const Trouble troubles[] = {
+    { "cold_by_load", 0.4, coldUnderLoad },
+    { "cold_by_load", 0.7, coldUnderLoad },
+    { "slow", 0.7, slow },
+    { "failing", 0.7, failSlowly },
+    { "hung", 0.7, hang },
+    { "cold_restart", 0.7, coldRestart },
+    { "failing", 0.4, failSlowly },
+    { "failing_fast", 0.4, failFast },
+    { "slow", 0.4, slow },
+    { "hung", 0.4, hang },
+    { "cold_restart", 0.4, coldRestart },
+};
+
+void trouble(const Trouble& it, const Policy& policy, ReplicaChoice choice, const char* choiceName)
+{
+    double inTime = 0;
+    double p50 = 0;
+    double p99 = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        Bench bench(seed, policy.settings, choice);
+        const auto begin = bench.world.now() + 2s;
+        bench.load.start({ Priority::Desk, capacity * it.load, 300ms }, begin + 10s);
+        bench.world.runUntil(begin);
+        bench.load.reset();
+        it.begin(bench.world);
+        bench.world.runUntil(begin + 15s);
+        inTime += bench.load.of(Priority::Desk).share() / seeds;
+        p50 += bench.load.of(Priority::Desk).quantile(0.5) / seeds;
+        p99 += bench.load.of(Priority::Desk).quantile(0.99) / seeds;
+    }
+    std::printf("%s,%s,choice=%s,load=%.2f,in_time=%.4f,p50_ms=%.1f,p99_ms=%.1f\n", it.name, policy.name, choiceName, it.load, inTime, p50, p99);
+}
+
+RelaySettings without(bool RelaySettings::*policy)
+{
+    RelaySettings settings;
+    settings.*policy = false;
+    return settings;
+}
+
+RelaySettings withoutAny()
+{
+    RelaySettings settings;
+    settings.admission = settings.ejection = settings.slowStart = settings.quarantine = false;
+    return settings;
+}
+
+void runOverloads()
+{
+    for (const auto& policy : { Policy { "admission_off", without(&RelaySettings::admission) }, Policy { "all", {} } }) {
         for (const double vanShare : { 0.5, 0.9, 1.0 })
             overload(policy, vanShare, 150ms);
-        overload(policy, 1, 150ms, 1.01);
-        overload(policy, 0.9, 150ms, 0.91);
     }
 }
+
+void runTroubles()
+{
+    const Policy policies[] = { { "off", withoutAny() }, { "ejection_off", without(&RelaySettings::ejection) }, { "slow_start_off", without(&RelaySettings::slowStart) }, { "all", {} } };
+    for (const auto& it : troubles) {
+        for (const auto& policy : policies) {
+            trouble(it, policy, ReplicaChoice::Random, "random");
+            trouble(it, policy, ReplicaChoice::Fastest, "fastest");
+        }
+    }
+}
+
+}
+
+}
+
+/// Arguments name what to run: overload, trouble. Without any, all.
+int main(int argc, char** argv)
+{
+    using namespace lycheefield::bench;
+    const std::vector<std::string> names(argv + 1, argv + argc);
+    const auto isAsked = [&](const char* name) { return names.empty() || std::find(names.begin(), names.end(), name) != names.end(); };
+    if (isAsked("overload"))
+        runOverloads();
+    if (isAsked("trouble"))
+        runTroubles();
+}
--- a/src/dispatch/ejection.h
+++ b/src/dispatch/ejection.h
@@ -7,7 +7,7 @@
 
 namespace lycheefield {
 
-/// Whether a server is ejected: taken out of use for a time because it fails or is slow. Each
+/// Whether a server is ejected: taken out of use for a time because it fails. Each
 /// ejection in a row lasts twice as long; at its end one leg at a time probes the server. Not
 /// thread safe.
 class Ejection {
--- a/src/dispatch/server_relay.h
+++ b/src/dispatch/server_relay.h
@@ -87,7 +87,7 @@
 
     // Learning about the server.
     void noteOutcome(const RunningLeg&, const ServerAnswer&, TimePoint, RelayActions&);
-    void noteLatency(Duration, TimePoint, RelayActions&);
+    void noteSuccess(Duration, TimePoint);
     void noteFailure(Fingerprint, TimePoint, RelayActions&);
     void noteCrash(const RunningLeg&, TimePoint, RelayActions&);
     void noteAlive(ConnectionId, const RunningLeg&, RelayActions&);
--- a/src/dispatch/server_relay_events.cpp
+++ b/src/dispatch/server_relay_events.cpp
@@ -9,13 +9,6 @@
 
 /// Connections that die within this time of the first belong to one crash.
 constexpr Duration crashWindow = 200ms;
-/// A server this many times slower than the median of its peers is ejected.
-constexpr int slowFactor = 3;
-/// Latencies below this are never slow.
-constexpr Duration slowFloor = 5ms;
-constexpr std::uint64_t samplesToJudge = 20;
-/// One answer in this many is compared with the peers.
-constexpr std::uint64_t judgeEvery = 8;
 
 }
 
@@ -115,10 +108,9 @@
     const auto time = now - running.sent;
     switch (answer.outcome) {
     case LegOutcome::Ok:
-        m_limit.onSuccess();
         if (m_shared.settings.quarantine)
             m_shared.crashes.onSuccess(fingerprint, now, actions);
-        noteLatency(time, now, actions);
+        noteSuccess(time, now);
         break;
     case LegOutcome::Failed:
         if (m_shared.settings.quarantine)
@@ -141,28 +133,15 @@
         m_shared.crashes.onProbeEnded(fingerprint);
 }
 
-void ServerRelay::noteLatency(Duration time, TimePoint now, RelayActions& actions)
+void ServerRelay::noteSuccess(Duration time, TimePoint now)
 {
+    m_limit.onSuccess();
     m_serviceTime.add(time);
-    peers().setLatency(m_server.name, m_serviceTime.mean());
-    if (m_ejection.state() == Ejection::State::Probing) {
-        const auto median = peers().medianOfOthers(m_server.name);
-        if (median > Duration {} && time > std::max(slowFloor, median * slowFactor))
-            return eject(now, actions);
-    }
-    if (m_ejection.onSuccess()) {
-        m_serviceTime.reset();
-        peers().setOut(m_server.name, m_isDraining);
-        if (m_shared.settings.slowStart)
-            m_limit.startSlowly(now, m_shared.settings.slowStartTime);
-    }
-    if (!m_shared.settings.ejection || m_ejection.state() != Ejection::State::InUse)
-        return;
-    if (m_serviceTime.samples() < samplesToJudge || m_serviceTime.samples() % judgeEvery != 0)
+    if (!m_ejection.onSuccess())
         return;
-    const auto median = peers().medianOfOthers(m_server.name);
-    if (median > Duration {} && m_serviceTime.mean() > std::max(slowFloor, median * slowFactor))
-        eject(now, actions);
+    peers().setOut(m_server.name, m_isDraining);
+    if (m_shared.settings.slowStart)
+        m_limit.startSlowly(now, m_shared.settings.slowStartTime);
 }
 
 void ServerRelay::noteFailure(Fingerprint fingerprint, TimePoint now, RelayActions& actions)
--- a/tests/dispatch/relay_world.cpp
+++ b/tests/dispatch/relay_world.cpp
@@ -181,8 +181,10 @@
 
 void RelayWorld::restart(const std::string& name)
 {
-    auto& model = m_servers.at(name).model;
-    m_servers.at(name).firstSign = never;
+    auto& server = m_servers.at(name);
+    auto& model = server.model;
+    server.firstSign = never;
+    server.coldUntil = m_now + model.coldTime;
     model.isUp = true;
     model.isDraining = false;
 }
@@ -316,14 +318,17 @@
         if (m_poison.contains(leg.fingerprint))
             at(m_now + 1ms, [this, name] { crash(name); });
         if (!server.model.isHung)
-            at(m_now + drawServiceTime(server.model), [this, name, serial = leg.serial] { finish(name, serial); });
+            at(m_now + drawServiceTime(server), [this, name, serial = leg.serial] { finish(name, serial); });
     }
 }
 
-Duration RelayWorld::drawServiceTime(const WorldServer& model)
+Duration RelayWorld::drawServiceTime(const ServerWorld& server)
 {
+    const auto& model = server.model;
+    const auto perLeg = model.isColdByLoad ? static_cast<double>(server.running.size()) : 1;
+    const auto cold = m_now < server.coldUntil ? model.coldFactor * perLeg : 1;
     const auto factor = 0.5 - 0.5 * std::log(1 - m_random.unit());
-    return Duration(static_cast<Duration::rep>(static_cast<double>(model.serviceTime.count()) * factor * model.slowFactor) + 1);
+    return Duration(static_cast<Duration::rep>(static_cast<double>(model.serviceTime.count()) * factor * model.slowFactor * cold) + 1);
 }
 
 void RelayWorld::finish(const std::string& name, std::uint64_t serial)
--- a/tests/dispatch/relay_world.h
+++ b/tests/dispatch/relay_world.h
@@ -22,6 +22,9 @@
     Duration serviceTime = 10ms; ///< Mean; exponential above half of it.
     double slowFactor = 1;
     Duration restartTime = 1s;
+    double coldFactor = 1; ///< How much slower it is for coldTime after a restart.
+    Duration coldTime {};
+    bool isColdByLoad = false; ///< The factor counts once for each leg that runs.
     bool isUp = true;
     bool isDraining = false;
     bool isFailing = false;
@@ -97,6 +100,7 @@
         std::set<ConnectionKey> handed; ///< Carry a leg whose answer the relay has not read yet.
         std::vector<Leg> running;
         std::vector<Leg> waiting;
+        TimePoint coldUntil {};
         TimePoint firstSign = never; ///< When a relay first learned of the drain.
     };
     struct Relay {
@@ -126,7 +130,7 @@
     void finish(const std::string& server, std::uint64_t serial);
     void answer(const std::string& server, const Leg&, LegOutcome, Duration retryAfter = {});
     void checkServer(const std::string& server);
-    Duration drawServiceTime(const WorldServer&);
+    Duration drawServiceTime(const ServerWorld&);
     std::shared_ptr<const ShardMap> shardMap() const;
 
     SeededRandom m_random;
