--- /dev/null
+++ b/bench/control_bench.cpp
@@ -0,0 +1,139 @@
+// The cost of membership and rules for each instance, with the decision code of many instances in
+// one process and virtual time. Message sizes are those of the real encoding. Processor time and
+// memory include the fake network, so they are upper bounds for the decision code.
+
+#include "support/membership_cluster.h"
+#include "wire/frame_codec.h"
+
+#include <CLI/CLI.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <ctime>
+#include <fstream>
+#include <iostream>
+#include <string>
+
+using namespace lycheefield;
+
+namespace {
+
+constexpr std::size_t headerBytes = 52; ///< IPv4 and TCP with timestamps.
+constexpr std::size_t ruleLines = 200;
+
+struct Options {
+    std::vector<std::size_t> sizes { 9, 30, 90, 510 };
+    std::size_t zones = 6;
+    int seconds = 300;
+    double lossPercent = 0;
+    std::uint64_t seed = 20261204;
+};
+
+struct Cost {
+    double bytesPerSecond = 0; ///< Mean over instances, sent and received.
+    double mostBytesPerSecond = 0; ///< Of the instance with the most.
+    double cpuShare = 0;
+    double megabytes = 0;
+    double slowestChange = 0; ///< Seconds until a rule change was in force everywhere.
+};
+
+double cpuSeconds()
+{
+    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+double residentMegabytes()
+{
+    constexpr double pageMegabytes = 4096 / 1e6;
+    std::ifstream statm("/proc/self/statm");
+    std::size_t size = 0;
+    std::size_t resident = 0;
+    statm >> size >> resident;
+    return static_cast<double>(resident) * pageMegabytes;
+}
+
+StoredRules rules(std::uint64_t revision)
+{
+    StoredRules stored;
+    stored.revision = RuleRevision(revision);
+    for (std::size_t i = 0; i < ruleLines; ++i) {
+        const auto deadline = i == revision % ruleLines ? 80 + revision : 80;
+        stored.text += "match /search/" + std::to_string(i) + " service quotedesk kind search priority van deadline " + std::to_string(deadline)
+            + "ms coverage 95% # asked by Ngozi (van team), 2026-11-30: van lookups first\n";
+    }
+    return stored;
+}
+
+/// Puts a change into the store and runs until it is in force everywhere.
+double timeChange(MembershipCluster& cluster, std::uint64_t revision)
+{
+    constexpr Duration step = 20ms;
+    constexpr Duration limit = 30s;
+    const auto start = cluster.now();
+    cluster.storeRules(rules(revision), 5ms);
+    while (cluster.countWith(RuleRevision(revision)) < cluster.running() && cluster.now() - start < limit)
+        cluster.runFor(step);
+    return std::chrono::duration<double>(cluster.now() - start).count();
+}
+
+Cost measure(std::size_t n, const Options& options)
+{
+    constexpr Duration settling = 20s;
+    constexpr int secondsPerChange = 75; // 1,100 changes a day come every 78 s.
+    const auto memoryBefore = residentMegabytes();
+    MembershipCluster cluster(options.seed, {});
+    cluster.setSizes([](const auto& message) { return encodeFrame(message, TimePoint()).size() + headerBytes; },
+        [](const auto& delta) { return encodeFrame(delta, TimePoint()).size() + headerBytes; });
+    cluster.startMany(n, options.zones);
+    cluster.runFor(settling);
+    cluster.network().loss = percent(options.lossPercent);
+    for (auto& [name, node] : cluster.nodes())
+        node.bytes = 0;
+    const auto cpuBefore = cpuSeconds();
+    const auto started = cluster.now();
+    Cost cost;
+    std::uint64_t revision = 0;
+    for (int passed = 0; passed < options.seconds; passed += secondsPerChange) {
+        cost.slowestChange = std::max(cost.slowestChange, timeChange(cluster, ++revision));
+        if (revision == 2)
+            cluster.stop("i1");
+        if (revision == 3)
+            cluster.start("i1", "zone-1");
+        cluster.runFor(std::chrono::seconds(secondsPerChange));
+    }
+    const auto seconds = std::chrono::duration<double>(cluster.now() - started).count();
+    std::uint64_t bytes = 0;
+    std::uint64_t most = 0;
+    for (const auto& [name, node] : cluster.nodes()) {
+        bytes += node.bytes;
+        most = std::max(most, node.bytes);
+    }
+    const auto instances = static_cast<double>(n);
+    cost.bytesPerSecond = static_cast<double>(bytes) / seconds / instances;
+    cost.mostBytesPerSecond = static_cast<double>(most) / seconds;
+    cost.cpuShare = (cpuSeconds() - cpuBefore) / seconds / instances;
+    cost.megabytes = (residentMegabytes() - memoryBefore) / instances;
+    return cost;
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    CLI::App app("Control cost for each instance, the decision code alone");
+    Options options;
+    app.add_option("--instances", options.sizes, "Numbers of instances");
+    app.add_option("--zones", options.zones, "Availability zones")->capture_default_str();
+    app.add_option("--seconds", options.seconds, "Virtual time of each run")->capture_default_str();
+    app.add_option("--loss-percent", options.lossPercent, "Messages lost")->capture_default_str();
+    app.add_option("--seed", options.seed, "Seed of the network and the engines")->capture_default_str();
+    CLI11_PARSE(app, argc, argv);
+    std::cout << "seed=" << options.seed << " loss_percent=" << options.lossPercent << '\n';
+    for (const auto n : options.sizes) {
+        const auto cost = measure(n, options);
+        std::printf("instances=%zu bytes_per_s=%.0f most_bytes_per_s=%.0f cpu_share=%.5f mb=%.3f slowest_change_s=%.2f\n", n, cost.bytesPerSecond, cost.mostBytesPerSecond,
+            cost.cpuShare, cost.megabytes, cost.slowestChange);
+        std::fflush(stdout);
+    }
+    return 0;
+}
