Give two types of the rule writer and the command line names of their own

Cause: ReadObject, WriteObject and StoreReply stood twice in one namespace with different members, which breaks the one-definition rule at link time. Change: ReadRulesObject, WriteRulesObject, OperatorStoreReply. Conclusion: one name, one type; a program that links claims and rules is well defined.

--- a/src/cli/network_access.cpp
+++ b/src/cli/network_access.cpp
@@ -66,17 +66,17 @@
         m_list = std::make_unique<HttpInstanceList>(m_client);
     }
 
-    StoreReply read(const std::string& key) override
+    OperatorStoreReply read(const std::string& key) override
     {
-        std::optional<StoreReply> reply;
-        m_store->read(key, [&](StoreStatus status, StoredObject object) { reply = StoreReply { status, std::move(object) }; });
+        std::optional<OperatorStoreReply> reply;
+        m_store->read(key, [&](StoreStatus status, StoredObject object) { reply = OperatorStoreReply { status, std::move(object) }; });
         return await(reply);
     }
 
-    StoreReply write(const std::string& key, ObjectVersion expected, const std::string& value) override
+    OperatorStoreReply write(const std::string& key, ObjectVersion expected, const std::string& value) override
     {
-        std::optional<StoreReply> reply;
-        m_store->write(key, expected, value, [&](StoreStatus status, StoredObject object) { reply = StoreReply { status, std::move(object) }; });
+        std::optional<OperatorStoreReply> reply;
+        m_store->write(key, expected, value, [&](StoreStatus status, StoredObject object) { reply = OperatorStoreReply { status, std::move(object) }; });
         return await(reply);
     }
 
--- a/src/cli/operator_access.h
+++ b/src/cli/operator_access.h
@@ -13,7 +13,7 @@
 namespace lycheefield {
 
 /// Answer to one call of the store.
-struct StoreReply {
+struct OperatorStoreReply {
     StoreStatus status = StoreStatus::Unavailable;
     StoredObject object;
 };
@@ -23,8 +23,8 @@
 class OperatorAccess {
 public:
     virtual ~OperatorAccess() = default;
-    virtual StoreReply read(const std::string& key) = 0;
-    virtual StoreReply write(const std::string& key, ObjectVersion expected, const std::string& value) = 0;
+    virtual OperatorStoreReply read(const std::string& key) = 0;
+    virtual OperatorStoreReply write(const std::string& key, ObjectVersion expected, const std::string& value) = 0;
     virtual WatchBatch list(const std::string& prefix) = 0;
     /// Empty when the platform does not answer.
     virtual std::optional<std::vector<Instance>> instances() = 0;
--- a/src/cli/rule_commands.cpp
+++ b/src/cli/rule_commands.cpp
@@ -93,10 +93,10 @@
 {
     auto action = writer.start();
     for (;;) {
-        if (const auto* it = std::get_if<ReadObject>(&action)) {
+        if (const auto* it = std::get_if<ReadRulesObject>(&action)) {
             const auto reply = access.read(it->key);
             action = writer.onRead(reply.status, reply.object);
-        } else if (const auto* it = std::get_if<WriteObject>(&action)) {
+        } else if (const auto* it = std::get_if<WriteRulesObject>(&action)) {
             action = writer.onWritten(access.write(it->key, it->expected, it->value).status);
         } else if (const auto* it = std::get_if<PauseBeforeRetry>(&action)) {
             access.pause(retryPause * std::min(it->retry, maxPauseFactor));
--- a/src/rules/rule_writer.cpp
+++ b/src/rules/rule_writer.cpp
@@ -30,17 +30,17 @@
     switch (step) {
     case Step::ReadCurrent:
     case Step::ReadBack:
-        return ReadObject { currentRulesKey };
+        return ReadRulesObject { currentRulesKey };
     case Step::KeepHistory:
-        return WriteObject { ruleHistoryKey(m_current->revision), ObjectVersion(), formatStoredRules(*m_current) };
+        return WriteRulesObject { ruleHistoryKey(m_current->revision), ObjectVersion(), formatStoredRules(*m_current) };
     case Step::WriteCurrent: {
         const StoredRules rules { m_newRevision, m_proposal.applyId, m_proposal.who, m_proposal.when, m_proposal.text };
-        return WriteObject { currentRulesKey, m_currentVersion, formatStoredRules(rules) };
+        return WriteRulesObject { currentRulesKey, m_currentVersion, formatStoredRules(rules) };
     }
     case Step::ReadHistory:
-        return ReadObject { ruleHistoryKey(m_newRevision) };
+        return ReadRulesObject { ruleHistoryKey(m_newRevision) };
     }
-    return ReadObject { currentRulesKey };
+    return ReadRulesObject { currentRulesKey };
 }
 
 RuleWriterAction RuleWriter::onRead(StoreStatus status, const StoredObject& object)
--- a/src/rules/rule_writer.h
+++ b/src/rules/rule_writer.h
@@ -13,17 +13,17 @@
 namespace lycheefield {
 
 /// Read an object, then call RuleWriter::onRead.
-struct ReadObject {
+struct ReadRulesObject {
     std::string key;
-    friend bool operator==(const ReadObject&, const ReadObject&) = default;
+    friend bool operator==(const ReadRulesObject&, const ReadRulesObject&) = default;
 };
 
 /// Write an object if its version is still the expected one, then call RuleWriter::onWritten.
-struct WriteObject {
+struct WriteRulesObject {
     std::string key;
     ObjectVersion expected;
     std::string value;
-    friend bool operator==(const WriteObject&, const WriteObject&) = default;
+    friend bool operator==(const WriteRulesObject&, const WriteRulesObject&) = default;
 };
 
 /// Call RuleWriter::onRetry after a pause.
@@ -50,7 +50,7 @@
     friend bool operator==(const ApplyFailed&, const ApplyFailed&) = default;
 };
 
-using RuleWriterAction = std::variant<ReadObject, WriteObject, PauseBeforeRetry, RulesAccepted, RulesConflict, ApplyFailed>;
+using RuleWriterAction = std::variant<ReadRulesObject, WriteRulesObject, PauseBeforeRetry, RulesAccepted, RulesConflict, ApplyFailed>;
 
 /// What an operator wants to have in force.
 struct RuleProposal {
--- a/tests/cli/fake_access.h
+++ b/tests/cli/fake_access.h
@@ -15,12 +15,12 @@
 /// The platform and some instances in memory, in virtual time: a pause lets time pass at once.
 class FakeAccess final : public OperatorAccess {
 public:
-    StoreReply read(const std::string& key) override
+    OperatorStoreReply read(const std::string& key) override
     {
         const auto answer = m_store.read(key, m_now);
         return { standin::toStoreStatus(answer), answer.object };
     }
-    StoreReply write(const std::string& key, ObjectVersion expected, const std::string& value) override
+    OperatorStoreReply write(const std::string& key, ObjectVersion expected, const std::string& value) override
     {
         if (beforeWrite)
             std::exchange(beforeWrite, nullptr)();
--- a/tests/rules/rule_writer_test.cpp
+++ b/tests/rules/rule_writer_test.cpp
@@ -22,7 +22,7 @@
         found = object(key);
         return found.version.value ? StoreStatus::Ok : StoreStatus::NotFound;
     }
-    StoreStatus write(const WriteObject& request)
+    StoreStatus write(const WriteRulesObject& request)
     {
         auto& it = object(request.key);
         if (it.version != request.expected)
@@ -47,11 +47,11 @@
 {
     auto action = writer.start();
     for (;;) {
-        if (const auto* it = std::get_if<ReadObject>(&action)) {
+        if (const auto* it = std::get_if<ReadRulesObject>(&action)) {
             StoredObject found;
             const auto status = store.read(it->key, found);
             action = writer.onRead(status, found);
-        } else if (const auto* it = std::get_if<WriteObject>(&action)) {
+        } else if (const auto* it = std::get_if<WriteRulesObject>(&action)) {
             const auto request = *it;
             action = writer.onWritten(request.key == currentRulesKey ? onWrite(request) : store.write(request));
         } else if (std::holds_alternative<PauseBeforeRetry>(action)) {
@@ -141,7 +141,7 @@
     }
     SUBCASE("it takes effect late, so that the second try meets the first")
     {
-        WriteObject delayed;
+        WriteRulesObject delayed;
         const auto end = run(writer, store, [&](const auto& request) {
             if (++calls == 1) {
                 delayed = request;
