Daemon: crash news and newer tables reach the query engines

Cause: the engines had onCrashNews and a table source, and nobody called them. Change: the router passes each AnnounceCrash to the entry too; each engine gets the shared tables. Conclusion: the wire still drops the felled server's name (CrashNews in inner.thrift), so remote news casts suspicion without a place; the entry then probes any leg.

--- a/src/daemon/entry_driver.cpp
+++ b/src/daemon/entry_driver.cpp
@@ -2,12 +2,29 @@
 
 namespace lycheefield {
 
+namespace {
+
+/// The tables in force, for queries that start again. The shared tables outlive it.
+class NewestTables final : public TableSource {
+public:
+    explicit NewestTables(const SharedTables& tables)
+        : m_tables(tables)
+    {
+    }
+    QueryTables newest() const override { return m_tables.read(); }
+
+private:
+    const SharedTables& m_tables;
+};
+
+}
+
 EntryDriver::EntryDriver(
     const EntryContext& context, const QuerySettings& settings, const InstanceName& self, const ZoneName& zone, ProcessLife life, std::size_t engines)
     : m_life(life)
 {
     for (std::size_t i = 0; i < engines; ++i) {
-        auto engine = makeQueryEngine(settings, self, zone, std::make_unique<SeededRandom>(systemSeed()));
+        auto engine = makeQueryEngine(settings, self, zone, std::make_unique<SeededRandom>(systemSeed()), std::make_shared<NewestTables>(context.tables));
         m_shards.push_back(std::make_shared<EntryShard>(context, std::move(engine)));
     }
 }
@@ -38,6 +55,12 @@
         it->onServerState(state);
 }
 
+void EntryDriver::onCrashNews(const CrashNews& news)
+{
+    for (const auto& it : m_shards)
+        it->onCrashNews(news);
+}
+
 void EntryDriver::cancel(const RequestId& id, bool callerIsGone, std::function<void(bool)> done)
 {
     shardOf(id).cancel(id, callerIsGone, std::move(done));
--- a/src/daemon/entry_driver.h
+++ b/src/daemon/entry_driver.h
@@ -25,6 +25,7 @@
     void onLegResult(LegResult);
     void onRelayLost(const InstanceName&);
     void onServerState(const ServerState&);
+    void onCrashNews(const CrashNews&);
     void cancel(const RequestId&, bool callerIsGone, std::function<void(bool)> done);
 
     std::size_t inFlight() const;
--- a/src/daemon/entry_shard.cpp
+++ b/src/daemon/entry_shard.cpp
@@ -51,6 +51,15 @@
     });
 }
 
+void EntryShard::onCrashNews(const CrashNews& news)
+{
+    boost::asio::post(m_strand, [self = shared_from_this(), news] {
+        QueryActions actions;
+        self->m_engine->onCrashNews(news, self->m_context.clock->now(), actions);
+        self->carryOut(actions);
+    });
+}
+
 void EntryShard::cancel(const RequestId& id, bool callerIsGone, std::function<void(bool)> done)
 {
     boost::asio::post(m_strand, [self = shared_from_this(), id, callerIsGone, done = std::move(done)] {
--- a/src/daemon/entry_shard.h
+++ b/src/daemon/entry_shard.h
@@ -38,6 +38,7 @@
     void onLegResult(LegResult);
     void onRelayLost(const InstanceName&);
     void onServerState(const ServerState&);
+    void onCrashNews(const CrashNews&);
     /// Tells through the handler whether the request was in flight here.
     void cancel(const RequestId&, bool callerIsGone, std::function<void(bool)>);
 
--- a/src/daemon/peer_router.cpp
+++ b/src/daemon/peer_router.cpp
@@ -5,6 +5,15 @@
 
 namespace lycheefield {
 
+namespace {
+
+CrashNews newsOf(const AnnounceCrash& crash)
+{
+    return { crash.fingerprint, crash.crashes, crash.quarantine, crash.place.server };
+}
+
+}
+
 void PeerRouter::connect(EntryDriver& entry, RelayDriver& relay, PeerNetwork& network, OtherHandler other)
 {
     m_entry = &entry;
@@ -49,6 +58,7 @@
 void PeerRouter::announceCrash(const AnnounceCrash& news)
 {
     m_relay->onCrashNews(news);
+    m_entry->onCrashNews(newsOf(news));
     m_network->broadcast(news);
 }
 
@@ -68,6 +78,7 @@
             m_entry->onServerState(it);
     } else if (const auto* crash = std::get_if<AnnounceCrash>(&message)) {
         m_relay->onCrashNews(*crash);
+        m_entry->onCrashNews(newsOf(*crash));
     } else {
         m_other(from, std::move(message));
     }
