Coverage true to the batch

Cause: a shard that answered for fewer batches than the catalogue lists still counted as whole. Change: such batches are named with the shard's answer, the answer is partial, and the JSON says why.

--- a/src/daemon/answer_json.cpp
+++ b/src/daemon/answer_json.cpp
@@ -14,6 +14,24 @@
     out.append("\"").append(name).append("\":").append(value);
 }
 
+void appendMissingBatches(const Answer& answer, std::string& out)
+{
+    bool isFirst = answer.missing.empty();
+    for (const auto& it : answer.covered) {
+        if (it.missingBatches.empty())
+            continue;
+        std::string reason = "batches not covered:";
+        for (const auto& batch : it.missingBatches)
+            reason += " " + batch.value();
+        out.append(isFirst ? "{" : ",{");
+        isFirst = false;
+        appendMember(out, "shard", std::to_string(it.shard.value()));
+        out += ",";
+        appendMember(out, "reason", quoteJson(reason));
+        out += "}";
+    }
+}
+
 void appendCoverage(const Answer& answer, std::string& out)
 {
     out += "\"coverage\":{";
@@ -39,6 +57,7 @@
         appendMember(out, "reason", quoteJson(answer.missing[i].reason));
         out += "}";
     }
+    appendMissingBatches(answer, out);
     out += "]}";
 }
 
--- a/src/query/answer.h
+++ b/src/query/answer.h
@@ -5,6 +5,7 @@
 #include "base/leg.h"
 #include "base/run_state.h"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -22,6 +23,7 @@
     ShardNumber shard;
     std::vector<BatchId> batches;
     std::string body;
+    std::vector<BatchId> missingBatches; ///< Batches of the shard, by the catalog, that it does not cover.
     friend bool operator==(const ShardAnswer&, const ShardAnswer&) = default;
 };
 
@@ -36,7 +38,11 @@
     std::optional<Error> refusal; ///< Set when the caller gets no result.
     Duration retryAfter {};
 
-    bool isComplete() const { return !refusal && missing.empty(); }
+    bool isComplete() const
+    {
+        const auto isWhole = [](const ShardAnswer& it) { return it.missingBatches.empty(); };
+        return !refusal && missing.empty() && std::all_of(covered.begin(), covered.end(), isWhole);
+    }
 
     friend bool operator==(const Answer&, const Answer&) = default;
 };
--- a/src/query/standard_query_engine_attempts.cpp
+++ b/src/query/standard_query_engine_attempts.cpp
@@ -9,6 +9,18 @@
 /// How long a query with late legs waits for other queries to earn hedges.
 constexpr Duration waitForTokens = 20ms;
 
+ShardAnswer shardAnswerOf(const Shard& shard, const LegResult& result, bool mustCoverBatches)
+{
+    ShardAnswer answer { shard.number, result.batches, result.body, {} };
+    if (!mustCoverBatches || shard.batches == result.batches)
+        return answer;
+    for (const auto& it : shard.batches) {
+        if (std::find(result.batches.begin(), result.batches.end(), it) == result.batches.end())
+            answer.missingBatches.push_back(it);
+    }
+    return answer;
+}
+
 }
 
 void StandardQueryEngine::sendAttempt(Query& query, std::size_t leg, const ReplicaChoice& choice, bool isHedge, TimePoint now, WorkBatch& batch)
@@ -137,7 +149,7 @@
 
 void StandardQueryEngine::takeAnswer(Query& query, LegState& leg, const LegResult& result, TimePoint now, QueryActions& actions)
 {
-    leg.answer = ShardAnswer { leg.shard->number, result.batches, result.body };
+    leg.answer = shardAnswerOf(*leg.shard, result, query.rule->kind == RequestKind::Search);
     leg.isOpen = false;
     --query.openLegs;
     ++query.covered;
--- a/tests/query/query_engine_test.cpp
+++ b/tests/query/query_engine_test.cpp
@@ -40,6 +40,23 @@
         CHECK(fixture.engine->inFlight() == 0);
         CHECK(fixture.engine->nextWake() == never);
     }
+    SUBCASE("a shard that answers for fewer batches than the catalog has makes the answer partial, and it says so")
+    {
+        for (const auto& it : work) {
+            for (const auto& leg : it.work.legs) {
+                auto result = fixture.resultOf(it, leg, LegOutcome::Ok);
+                if (leg.shard == ShardNumber(3))
+                    result.batches.clear();
+                fixture.send(result);
+            }
+        }
+        const auto answers = fixture.takeAnswers();
+        REQUIRE(answers.size() == 1);
+        CHECK_FALSE(answers[0].isComplete());
+        CHECK(answers[0].covered[3].missingBatches == std::vector { BatchId("batch3") });
+        CHECK(answers[0].covered[4].missingBatches.empty());
+        CHECK(fixture.engine->counters().partialAnswers == 1);
+    }
     SUBCASE("late, duplicate and foreign answers are dropped and counted")
     {
         const auto& first = work[0];
