--- a/src/query/crash_evidence.cpp
+++ b/src/query/crash_evidence.cpp
@@ -53,6 +53,12 @@
     return record->quarantinedUntil > now ? ContentStanding::Quarantined : ContentStanding::Suspect;
 }
 
+Duration CrashEvidence::quarantineLeft(Fingerprint fingerprint, TimePoint now) const
+{
+    const auto* record = find(fingerprint, now);
+    return record && record->quarantinedUntil > now ? record->quarantinedUntil - now : Duration {};
+}
+
 void CrashEvidence::noteCrash(Fingerprint fingerprint, const ServerName& server, bool wasProbe, TimePoint now)
 {
     auto& record = recordOf(fingerprint, now);
--- a/src/query/crash_evidence.h
+++ b/src/query/crash_evidence.h
@@ -19,6 +19,8 @@
     static constexpr Duration memory = std::chrono::minutes(5);
 
     ContentStanding standingOf(Fingerprint, TimePoint) const;
+    /// How long the content is still refused; zero when it is not quarantined.
+    Duration quarantineLeft(Fingerprint, TimePoint) const;
     /// A leg of that content died with the server. Crashes close together count as one.
     void noteCrash(Fingerprint, const ServerName&, bool wasProbe, TimePoint);
     void noteNews(const CrashNews&, TimePoint);
--- a/src/query/standard_query_engine.cpp
+++ b/src/query/standard_query_engine.cpp
@@ -160,6 +160,7 @@
 void StandardQueryEngine::deliver(Query& query, std::optional<Error> refusal, TimePoint now, QueryActions& actions)
 {
     auto answer = buildAnswer(query, std::move(refusal));
+    answer.retryAfter = std::max(answer.retryAfter, m_evidence.quarantineLeft(query.fingerprint, now));
     if (answer.refusal)
         ++m_counters.refusals;
     else if (answer.isComplete())
--- a/src/query/standard_query_engine_attempts.cpp
+++ b/src/query/standard_query_engine_attempts.cpp
@@ -100,6 +100,7 @@
         WorkBatch batch;
         sendAttempt(query, static_cast<std::size_t>(&leg - query.legs.data()), choice, false, now, batch);
         ++m_counters.retries;
+        note(query, "leg " + std::to_string(&leg - query.legs.data()) + " " + std::string(toString(outcome)) + ", sent again to " + choice.server->name.value(), actions);
         return batch.flush(query, m_self, actions);
     }
     if (isGone && !choice.server && mayStartAgain(query, now))
@@ -140,6 +141,7 @@
         sendAttempt(query, leg, choice, true, now, batch);
         query.budget->spendHedge();
         ++m_counters.hedges;
+        note(query, "leg " + std::to_string(leg) + " is late, hedged at " + choice.server->name.value(), actions);
     }
     query.hedgeCheckAt = m_hedges.nextLate(query, now);
     if (wantsTokens)
--- a/src/query/standard_query_engine_plan.cpp
+++ b/src/query/standard_query_engine_plan.cpp
@@ -17,6 +17,8 @@
 constexpr std::uint32_t maxCanaryTries = 3;
 /// Time for the other relays to hear that a probe cleared the content.
 constexpr Duration releaseDelay = 20ms;
+/// By then the relays have agreed on who probes suspect content.
+constexpr Duration suspectRetryAfter = 1s;
 
 }
 
@@ -51,6 +53,7 @@
         return settle(query, now, actions);
     }
     query.version = *version;
+    note(query, "pinned to index version " + std::to_string(version->value()) + ", partition epoch " + std::to_string(query.service->epoch.value()), actions);
     query.legs.resize(shards.size());
     query.openLegs = shards.size();
     for (std::size_t i = 0; i < shards.size(); ++i)
@@ -223,6 +226,7 @@
 
 void StandardQueryEngine::refuseSuspect(Query& query, TimePoint now, QueryActions& actions)
 {
+    query.retryAfter = std::max(query.retryAfter, suspectRetryAfter);
     deliver(query, Error { ErrorKind::Unavailable, "its content may crash servers, and none is free to try it", "send it again later" }, now, actions);
 }
 
--- a/tests/query/crash_test.cpp
+++ b/tests/query/crash_test.cpp
@@ -158,6 +158,7 @@
             const auto answers = fixture.takeAnswers();
             REQUIRE(answers.size() == 1);
             CHECK((answers[0].refusal->kind == ErrorKind::Quarantined));
+            CHECK(answers[0].retryAfter == 5min);
             CHECK((answers[0].runState == RunState::NotRun));
         }
         fixture.advance(6min);
