--- a/src/daemon/entry_driver.cpp
+++ b/src/daemon/entry_driver.cpp
@@ -14,7 +14,8 @@
 
 void EntryDriver::start(CallerRequest request, AnswerHandler handler)
 {
-    shardOf(request.id).start(std::move(request), std::move(handler));
+    auto& shard = shardOf(request.id);
+    shard.start(std::move(request), std::move(handler));
 }
 
 void EntryDriver::onLegResult(LegResult result)
@@ -23,7 +24,8 @@
         ++m_foreignResults;
         return;
     }
-    shardOf(result.key.request).onLegResult(std::move(result));
+    auto& shard = shardOf(result.key.request);
+    shard.onLegResult(std::move(result));
 }
 
 void EntryDriver::onRelayLost(const InstanceName& relay)
--- a/src/http/http_server_session.cpp
+++ b/src/http/http_server_session.cpp
@@ -216,11 +216,11 @@
 
 void HttpServerSession::respond(std::uint64_t requestNumber, HttpReply reply)
 {
-    boost::asio::post(m_socket.get_executor(), [self = shared_from_this(), requestNumber, reply = std::move(reply)]() mutable {
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this(), requestNumber, reply = std::move(reply)] {
         if (self->m_closed || requestNumber != self->m_requestNumber)
             return;
         self->m_goneHandler = nullptr;
-        self->sendReply(std::move(reply), self->m_keepAlive && !self->m_context.draining->load());
+        self->sendReply(reply, self->m_keepAlive && !self->m_context.draining->load());
     });
 }
 
@@ -236,7 +236,7 @@
     });
 }
 
-void HttpServerSession::sendReply(HttpReply reply, bool keepAlive)
+void HttpServerSession::sendReply(const HttpReply& reply, bool keepAlive)
 {
     m_out = formatReply(reply, keepAlive);
     m_writeStarted = m_context.clock->now();
--- a/src/http/http_server_session.h
+++ b/src/http/http_server_session.h
@@ -58,8 +58,7 @@
     void refuse(const boost::system::error_code&);
     void dispatch();
     void continueIfExpected();
-    void sendReply(HttpReply, bool keepAlive);
-    void write(std::string bytes, bool keepAlive);
+    void sendReply(const HttpReply&, bool keepAlive);
     void onWritten(const boost::system::error_code&, bool keepAlive);
     void noticeGone();
     void watch();
--- /dev/null
+++ b/tests/wire/frame_codec_test.cpp
@@ -0,0 +1,232 @@
+#include "wire/frame_codec.h"
+#include "wire/generated/inner_types.h"
+#include "wire/protocol_version.h"
+
+#include <doctest/doctest.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+using namespace lycheefield;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint sentAt { 5s };
+constexpr TimePoint receivedAt { 900s };
+
+std::string_view payloadOf(const std::string& frame)
+{
+    return std::string_view(frame).substr(frameHeaderBytes);
+}
+
+Result<PeerMessage> roundTrip(const PeerMessage& message)
+{
+    return decodeFrame(payloadOf(encodeFrame(message, sentAt)), receivedAt);
+}
+
+/// The payload of an envelope that this process would not send itself.
+std::string encodeEnvelope(const wire::Envelope& envelope)
+{
+    auto buf = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+    apache::thrift::protocol::TCompactProtocol protocol(buf);
+    envelope.write(&protocol);
+    return buf->getBufferAsString();
+}
+
+wire::Envelope envelopeWithCancel()
+{
+    wire::Envelope envelope;
+    envelope.protocolVersion = innerProtocolVersion;
+    wire::LegKey key;
+    key.requestLife = 1;
+    envelope.__set_cancel(key);
+    return envelope;
+}
+
+WorkOrder workOrder()
+{
+    WorkOrder work;
+    work.request = { ProcessLife(0xfedcba9876543210), 7 };
+    work.entry = InstanceName("ikeja-a-1");
+    work.service = ServiceName("quotedesk");
+    work.kind = RequestKind::Order;
+    work.priority = Priority::Van;
+    work.deadline = sentAt + 80ms;
+    work.version = IndexVersion(12);
+    work.epoch = PartitionEpoch(3);
+    work.fingerprint = Fingerprint(0xffffffffffffffff);
+    work.body = std::make_shared<const std::string>(std::string("fuse\0board", 10));
+    work.traceparent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    work.legs = { { LegNumber(0), AttemptNumber(0), ShardNumber(4), ServerName("q4-0"), false },
+        { LegNumber(1), AttemptNumber(1), ShardNumber(5), ServerName("q5-1"), true } };
+    return work;
+}
+
+LegResult legResult()
+{
+    LegResult result;
+    result.key = { { ProcessLife(9), 8 }, LegNumber(2), AttemptNumber(1) };
+    result.shard = ShardNumber(2);
+    result.outcome = LegOutcome::Ok;
+    result.version = IndexVersion(12);
+    result.epoch = PartitionEpoch(3);
+    result.batches = { BatchId("quotedesk/8"), BatchId("quotedesk/9") };
+    result.body = R"({"price":1})";
+    result.state = { ServerName("q2-1"), 2, 3, 4, { IndexVersion(11), IndexVersion(12) }, true, false, 8ms };
+    result.queueTime = 2ms;
+    result.serviceTime = 7ms;
+    result.crashed = true;
+    result.retryAfter = 50ms;
+    result.detail = "status 200";
+    return result;
+}
+
+}
+
+TEST_SUITE_BEGIN("wire");
+
+TEST_CASE("a message comes out of its frame as it went in")
+{
+    SUBCASE("a work order, its deadline carried as time left")
+    {
+        const auto work = workOrder();
+        const auto decoded = roundTrip(work);
+        REQUIRE(decoded.has_value());
+        const auto& got = std::get<WorkOrder>(decoded.value());
+        CHECK(got.request == work.request);
+        CHECK(got.entry == work.entry);
+        CHECK(got.service == work.service);
+        CHECK(got.kind == work.kind);
+        CHECK((got.priority == work.priority));
+        CHECK(got.deadline == receivedAt + 80ms);
+        CHECK(got.version == work.version);
+        CHECK(got.epoch == work.epoch);
+        CHECK(got.fingerprint == work.fingerprint);
+        CHECK(*got.body == *work.body);
+        CHECK(got.traceparent == work.traceparent);
+        CHECK(got.legs == work.legs);
+    }
+    SUBCASE("a deadline that has passed leaves no time")
+    {
+        auto work = workOrder();
+        work.deadline = sentAt - 1s;
+        const auto decoded = roundTrip(work);
+        REQUIRE(decoded.has_value());
+        CHECK(std::get<WorkOrder>(decoded.value()).deadline == receivedAt);
+    }
+    SUBCASE("leg results")
+    {
+        const LegResults results { { legResult(), LegResult {} } };
+        const auto decoded = roundTrip(results);
+        REQUIRE(decoded.has_value());
+        CHECK(std::get<LegResults>(decoded.value()) == results);
+    }
+    SUBCASE("hello, cancel, news of servers and crashes")
+    {
+        const Hello hello { InstanceName("hue-a-1"), ProcessLife(77), ZoneName("hue-a") };
+        CHECK(std::get<Hello>(roundTrip(hello).value()) == hello);
+        const CancelLeg cancel { legResult().key };
+        CHECK(std::get<CancelLeg>(roundTrip(cancel).value()) == cancel);
+        const ServerNews news { { legResult().state } };
+        CHECK(std::get<ServerNews>(roundTrip(news).value()) == news);
+        const auto crash = std::get<AnnounceCrash>(roundTrip(AnnounceCrash { Fingerprint(5), 2, 5min }).value());
+        CHECK(crash.fingerprint == Fingerprint(5));
+        CHECK(crash.crashes == 2);
+        CHECK(crash.quarantine == 5min);
+    }
+    SUBCASE("gossip, rules and control")
+    {
+        Gossip gossip;
+        gossip.sequence = 4;
+        gossip.isAnswer = true;
+        gossip.ruleRevision = RuleRevision(17);
+        gossip.probeTarget = InstanceName("hue-b-1");
+        gossip.catalogRevision = 6;
+        const Instance instance { InstanceName("hue-c-1"), ProcessLife(3), { "127.0.0.1", 7001 }, { "127.0.0.1", 65535 }, ZoneName("hue-c"), InstanceHealth::Suspect };
+        gossip.digests = { { instance, 9, RuleRevision(16) }, {} };
+        gossip.digests[1].instance.name = InstanceName("hue-a-2");
+        CHECK(std::get<Gossip>(roundTrip(gossip).value()) == gossip);
+        const RuleDelta delta { RuleRevision(16), RuleRevision(17), { 3 }, { "match /a", "match /b" }, { 3, 4 }, 0x8000000000000001 };
+        CHECK(std::get<RuleDelta>(roundTrip(delta).value()) == delta);
+        CHECK(std::get<RuleRequest>(roundTrip(RuleRequest { RuleRevision(2) }).value()) == RuleRequest { RuleRevision(2) });
+        const Control control { 3, "cancel", "id", true, "done" };
+        CHECK(std::get<Control>(roundTrip(control).value()) == control);
+    }
+}
+
+TEST_CASE("what can't be understood is refused, never misread")
+{
+    auto envelope = envelopeWithCancel();
+    CHECK(decodeFrame(encodeEnvelope(envelope), receivedAt).has_value());
+
+    SUBCASE("another protocol version")
+    {
+        envelope.protocolVersion = innerProtocolVersion + 1;
+        const auto decoded = decodeFrame(encodeEnvelope(envelope), receivedAt);
+        REQUIRE_FALSE(decoded.has_value());
+        CHECK((decoded.error().kind == ErrorKind::InvalidInput));
+    }
+    SUBCASE("two messages in one frame")
+    {
+        envelope.__set_hello(wire::Hello());
+        CHECK((decodeFrame(encodeEnvelope(envelope), receivedAt).error().kind == ErrorKind::InvalidInput));
+    }
+    SUBCASE("a value out of its range")
+    {
+        envelope.cancel.leg = -1;
+        CHECK((decodeFrame(encodeEnvelope(envelope), receivedAt).error().kind == ErrorKind::InvalidInput));
+    }
+    SUBCASE("an outcome that doesn't exist")
+    {
+        wire::Envelope results;
+        results.protocolVersion = innerProtocolVersion;
+        wire::LegResult result;
+        result.outcome = 9;
+        results.__set_results({ result });
+        CHECK((decodeFrame(encodeEnvelope(results), receivedAt).error().kind == ErrorKind::InvalidInput));
+    }
+    SUBCASE("bytes after the message")
+    {
+        CHECK((decodeFrame(std::string(encodeEnvelope(envelope)).append("x"), receivedAt).error().kind == ErrorKind::InvalidInput));
+    }
+    SUBCASE("a frame cut short, at every length")
+    {
+        const auto whole = encodeFrame(workOrder(), sentAt);
+        for (std::size_t n = 0; n < whole.size() - frameHeaderBytes; ++n) {
+            CAPTURE(n);
+            CHECK_FALSE(decodeFrame(payloadOf(whole).substr(0, n), receivedAt).has_value());
+        }
+    }
+    SUBCASE("more items than the limit")
+    {
+        auto work = workOrder();
+        work.legs.resize(101, work.legs.front());
+        FrameLimits limits;
+        limits.maxListItems = 100;
+        CHECK(decodeFrame(payloadOf(encodeFrame(work, sentAt)), receivedAt).has_value());
+        CHECK((decodeFrame(payloadOf(encodeFrame(work, sentAt)), receivedAt, limits).error().kind == ErrorKind::InvalidInput));
+    }
+}
+
+TEST_CASE("a newer release of the same protocol version is understood as far as possible")
+{
+    SUBCASE("a field that this release doesn't know is skipped")
+    {
+        // Field 14 of type i64, then the message's end: the stop byte of the envelope moves behind it.
+        auto payload = encodeEnvelope(envelopeWithCancel());
+        payload.pop_back();
+        payload += std::string("\xb6\x02", 2);
+        payload.push_back('\0');
+        const auto decoded = decodeFrame(payload, receivedAt);
+        REQUIRE(decoded.has_value());
+        CHECK(std::holds_alternative<CancelLeg>(decoded.value()));
+    }
+    SUBCASE("a frame with only a message that this release doesn't know can be told apart")
+    {
+        wire::Envelope envelope;
+        envelope.protocolVersion = innerProtocolVersion;
+        CHECK((decodeFrame(encodeEnvelope(envelope), receivedAt).error().kind == ErrorKind::NotFound));
+    }
+}
+
+TEST_SUITE_END();
