--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -127,7 +127,7 @@
 void CallerApi::onClaimDecided(const std::shared_ptr<Call>& call, const ClaimDecided& decided)
 {
     if (decided.verdict == ClaimVerdict::Granted) {
-        m_log.note(call->request.id, "the idempotency key was claimed");
+        m_log.note(call->request.id, "the idempotency key was claimed", m_clock->now());
         call->isClaimed = true;
         start(call);
         return;
@@ -135,7 +135,7 @@
     Answer answer;
     answer.request = call->request.id;
     if (decided.verdict == ClaimVerdict::AlreadyDone && !decided.recordedAnswer.empty()) {
-        m_log.note(call->request.id, "the idempotency key had run before; its recorded answer is given");
+        m_log.note(call->request.id, "the idempotency key had run before; its recorded answer is given", m_clock->now());
         m_log.end(answer, m_clock->now());
         HttpReply reply;
         reply.body = decided.recordedAnswer;
@@ -147,7 +147,7 @@
     answer.refusal = decided.verdict == ClaimVerdict::AlreadyDone
         ? Error { ErrorKind::Conflict, "the idempotency key ran before and its answer was not kept", "don't send it again" }
         : answerOf(decided);
-    m_log.note(call->request.id, "not dispatched: " + answer.refusal->message);
+    m_log.note(call->request.id, "not dispatched: " + answer.refusal->message, m_clock->now());
     m_log.end(answer, m_clock->now());
     respond(*call, replyFor(answer));
 }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,12 +2,15 @@
 
 #include "daemon/caller_api.h"
 #include "daemon/catalog_role.h"
+#include "daemon/daemon_metrics.h"
 #include "daemon/drain.h"
 #include "daemon/entry_driver.h"
 #include "daemon/instances_role.h"
 #include "daemon/operator_api.h"
+#include "daemon/peer_calls.h"
 #include "daemon/peer_router.h"
 #include "daemon/relay_driver.h"
+#include "daemon/request_desk.h"
 #include "daemon/rules_role.h"
 #include "observe/log.h"
 #include "observe/metrics.h"
@@ -81,13 +84,16 @@
         , m_entry({ m_io, m_clock, m_tables, m_router, m_log }, settings.query, settings.instance.name, settings.instance.zone, m_life, engineCount())
         , m_relay({ m_io, m_clock, settings.instance.name, m_router, *m_backends }, settings.relay, m_tables, engineCount())
         , m_network({ m_io, { settings.instance.name, m_life, settings.instance.zone }, m_clock, m_wireCounters, frameLimits(settings.http), gatewayOf(settings.listen) }, m_tables.view, m_router)
-        , m_operators({ settings.instance.name, m_tables, m_entry, m_relay, m_log, m_metrics, [this] { return readiness(); },
-              [this](const RequestId& id, std::function<void(HttpReply)> done) { cancel(id, std::move(done)); } })
+        , m_calls(std::make_shared<PeerCalls>(m_io, m_network,
+              [this](const std::string& verb, const std::string& argument, const PeerCalls::Respond& respond) { m_desk.onCall(verb, argument, respond); }))
+        , m_desk(settings.instance.name, m_entry, m_log, m_tables, *m_calls)
+        , m_operators({ settings.instance.name, m_tables, m_entry, m_relay, m_desk, m_metrics, [this] { return readiness(); } })
         , m_api(m_entry, m_tables, m_claims, m_log, m_operators, m_clock)
         , m_http(m_io, m_api, m_clock, m_httpCounters, httpLimits(settings.http))
         , m_signals(m_io, SIGTERM, SIGINT)
     {
-        m_router.connect(m_entry, m_relay, m_network, [](const Hello&, const PeerMessage&) {});
+        m_router.connect(m_entry, m_relay, m_network, [this](const Hello& from, const PeerMessage& message) { onOtherMessage(from, message); });
+        registerMetrics();
         m_publisher.addListener([this] {
             m_relay.onTables();
             m_network.dropGone();
@@ -161,15 +167,20 @@
         return { true, {} };
     }
 
-    void cancel(const RequestId& id, std::function<void(HttpReply)> done)
+    /// Messages that concern neither legs nor servers.
+    void onOtherMessage(const Hello& from, const PeerMessage& message)
     {
-        if (!m_entry.isOurs(id)) {
-            done({ 404, "text/plain", "not a request of this instance\n" });
-            return;
-        }
-        m_entry.cancel(id, false, [done = std::move(done)](bool wasHere) {
-            done(wasHere ? HttpReply { 202, "text/plain", "cancelled\n" } : HttpReply { 404, "text/plain", "no such request in flight\n" });
-        });
+        if (const auto* control = std::get_if<Control>(&message))
+            m_calls->onControl(from.instance, *control);
+    }
+
+    void registerMetrics()
+    {
+        registerEntryMetrics(m_metrics, m_entry);
+        registerRelayMetrics(m_metrics, m_relay);
+        registerHttpMetrics(m_metrics, m_httpCounters);
+        registerWireMetrics(m_metrics, m_wireCounters);
+        registerProcessMetrics(m_metrics);
     }
 
     void awaitSignal()
@@ -212,6 +223,8 @@
     RelayDriver m_relay;
     AsioPeerNetwork m_network;
     NoClaimService m_claims;
+    std::shared_ptr<PeerCalls> m_calls;
+    RequestDesk m_desk;
     OperatorPaths m_operators;
     CallerApi m_api;
     HttpServer m_http;
--- a/src/daemon/entry_driver.cpp
+++ b/src/daemon/entry_driver.cpp
@@ -53,4 +53,23 @@
     return n;
 }
 
+QueryCounters EntryDriver::counters() const
+{
+    QueryCounters sum;
+    for (const auto& it : m_shards) {
+        const auto part = it->counters();
+        sum.requests += part.requests;
+        sum.firstLegs += part.firstLegs;
+        sum.hedges += part.hedges;
+        sum.retries += part.retries;
+        sum.cancels += part.cancels;
+        sum.strayResults += part.strayResults;
+        sum.restarts += part.restarts;
+        sum.completeAnswers += part.completeAnswers;
+        sum.partialAnswers += part.partialAnswers;
+        sum.refusals += part.refusals;
+    }
+    return sum;
+}
+
 }
--- a/src/daemon/entry_driver.h
+++ b/src/daemon/entry_driver.h
@@ -28,6 +28,8 @@
     void cancel(const RequestId&, bool callerIsGone, std::function<void(bool)> done);
 
     std::size_t inFlight() const;
+    /// Sum over all engines.
+    QueryCounters counters() const;
     std::uint64_t foreignResults() const { return m_foreignResults.load(std::memory_order_relaxed); }
     const std::vector<std::shared_ptr<EntryShard>>& shards() const { return m_shards; }
 
--- a/src/daemon/entry_shard.cpp
+++ b/src/daemon/entry_shard.cpp
@@ -68,15 +68,20 @@
     });
 }
 
-void EntryShard::readCounters(std::function<void(const QueryCounters&)> function)
+QueryCounters EntryShard::counters() const
 {
-    boost::asio::post(m_strand, [self = shared_from_this(), function = std::move(function)] { function(self->m_engine->counters()); });
+    const std::lock_guard lock(m_countersMutex);
+    return m_counters;
 }
 
 void EntryShard::carryOut(QueryActions& actions)
 {
     for (auto& it : actions)
         std::visit([this](auto& action) { carryOut(action); }, it);
+    {
+        const std::lock_guard lock(m_countersMutex);
+        m_counters = m_engine->counters();
+    }
     arm();
 }
 
@@ -105,7 +110,7 @@
 
 void EntryShard::carryOut(NoteDecision& action)
 {
-    m_context.log.note(action.request, std::move(action.text));
+    m_context.log.note(action.request, std::move(action.text), m_context.clock->now());
 }
 
 void EntryShard::arm()
--- a/src/daemon/entry_shard.h
+++ b/src/daemon/entry_shard.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <unordered_map>
 
 namespace lycheefield {
@@ -42,8 +43,8 @@
     void cancel(const RequestId&, bool callerIsGone, std::function<void(bool)>);
 
     std::size_t inFlight() const { return m_inFlight.load(std::memory_order_relaxed); }
-    /// Hands over the engine's counters on its strand.
-    void readCounters(std::function<void(const QueryCounters&)>);
+    /// As of the last event.
+    QueryCounters counters() const;
 
 private:
     void carryOut(QueryActions&);
@@ -59,6 +60,8 @@
     EngineTimer m_timer;
     std::unordered_map<RequestId, AnswerHandler> m_handlers;
     std::atomic<std::size_t> m_inFlight { 0 };
+    mutable std::mutex m_countersMutex;
+    QueryCounters m_counters;
 };
 
 }
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -16,11 +16,6 @@
     return { status, "text/plain", std::move(text) };
 }
 
-HttpReply notFound(const std::string& what)
-{
-    return textReply(404, what + "\n");
-}
-
 std::string_view nameOf(InstanceHealth health)
 {
     switch (health) {
@@ -51,13 +46,11 @@
     } else if (path == "/status" && isGet) {
         exchange->respond(status());
     } else if (path.starts_with(tracePrefix) && isGet) {
-        exchange->respond(trace(path.substr(tracePrefix.size())));
+        askDesk(RequestVerb::Trace, path.substr(tracePrefix.size()), exchange);
+    } else if (path.starts_with(requestPrefix) && isGet) {
+        askDesk(RequestVerb::Explain, path.substr(requestPrefix.size()), exchange);
     } else if (path.starts_with(requestPrefix) && request.method == "DELETE") {
-        const auto id = RequestId::parse(path.substr(requestPrefix.size()));
-        if (!id)
-            exchange->respond(textReply(400, "a request id has 32 hexadecimal digits\n"));
-        else
-            m_parts.cancel(*id, [exchange](HttpReply reply) { exchange->respond(std::move(reply)); });
+        askDesk(RequestVerb::Cancel, path.substr(requestPrefix.size()), exchange);
     } else {
         return false;
     }
@@ -70,17 +63,14 @@
     return textReply(readiness.isReady ? 200 : 503, (readiness.isReady ? "ready" : readiness.reason) + "\n");
 }
 
-HttpReply OperatorPaths::trace(std::string_view text) const
+void OperatorPaths::askDesk(RequestVerb verb, std::string_view text, const std::shared_ptr<HttpExchange>& exchange)
 {
     const auto id = RequestId::parse(text);
-    if (!id)
-        return textReply(400, "a request id has 32 hexadecimal digits\n");
-    const auto trace = m_parts.log.find(*id);
-    if (!trace)
-        return notFound("this instance keeps no trace of that request; its id names the instance that took it");
-    HttpReply reply;
-    reply.body = toOtlpJson(*trace, m_parts.self.value());
-    return reply;
+    if (!id) {
+        exchange->respond(textReply(400, "a request id has 32 hexadecimal digits\n"));
+        return;
+    }
+    m_parts.desk.ask(verb, *id, [exchange](HttpReply reply) { exchange->respond(std::move(reply)); });
 }
 
 HttpReply OperatorPaths::status() const
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -2,6 +2,7 @@
 
 #include "daemon/caller_api.h"
 #include "daemon/relay_driver.h"
+#include "daemon/request_desk.h"
 #include "observe/metrics.h"
 
 #include <atomic>
@@ -25,10 +26,9 @@
         const SharedTables& tables;
         EntryDriver& entry;
         RelayDriver& relay;
-        RequestLog& log;
+        RequestDesk& desk;
         Metrics& metrics;
         std::function<Readiness()> readiness;
-        std::function<void(const RequestId&, std::function<void(HttpReply)>)> cancel; ///< Cancels wherever the request is.
     };
 
     explicit OperatorPaths(Parts parts)
@@ -40,7 +40,7 @@
 
 private:
     HttpReply status() const;
-    HttpReply trace(std::string_view id) const;
+    void askDesk(RequestVerb, std::string_view id, const std::shared_ptr<HttpExchange>&);
     HttpReply ready() const;
 
     Parts m_parts;
--- /dev/null
+++ b/src/daemon/peer_calls.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/ids.h"
+#include "daemon/strand.h"
+#include "wire/peer_network.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace lycheefield {
+
+/// Calls to another instance that get one answer or none in time. Thread safe.
+class PeerCalls : public std::enable_shared_from_this<PeerCalls> {
+public:
+    /// Empty when no answer came in time.
+    using AnswerHandler = std::function<void(std::optional<std::string>)>;
+    using Respond = std::function<void(std::string)>;
+    /// Answers a call of a peer, now or later.
+    using CallHandler = std::function<void(const std::string& verb, const std::string& argument, Respond)>;
+
+    /// Precondition: the network outlives the calls.
+    PeerCalls(boost::asio::io_context&, PeerNetwork&, CallHandler);
+
+    void call(const InstanceName& to, const std::string& verb, const std::string& argument, AnswerHandler);
+    /// A call or an answer that came from a peer.
+    void onControl(const InstanceName& from, const Control&);
+
+private:
+    struct Waiting {
+        InstanceName peer;
+        AnswerHandler handler;
+        std::unique_ptr<boost::asio::steady_timer> timer;
+    };
+
+    void finish(std::uint64_t sequence, std::optional<std::string>);
+
+    Strand m_strand;
+    PeerNetwork& m_network;
+    CallHandler m_serve;
+    std::map<std::uint64_t, Waiting> m_waiting;
+    std::uint64_t m_lastSequence = 0;
+};
+
+}
--- a/src/daemon/relay_driver.h
+++ b/src/daemon/relay_driver.h
@@ -27,6 +27,8 @@
     void close();
 
     std::size_t inFlight() const;
+    /// Sum over all engines.
+    RelayCounters counters() const;
     const std::vector<std::shared_ptr<RelayShard>>& shards() const { return m_shards; }
 
 private:
--- a/src/daemon/relay_shard.cpp
+++ b/src/daemon/relay_shard.cpp
@@ -1,9 +1,26 @@
 #include "daemon/relay_shard.h"
 
+#include "daemon/request_log.h"
+
 #include <boost/asio/post.hpp>
 
 namespace lycheefield {
 
+namespace {
+
+/// Makes the server's span the parent of what the server does. Precondition: the order has one leg.
+void setServerSpan(WorkOrder& work)
+{
+    auto parent = TraceParent::parse(work.traceparent);
+    if (parent.traceId.empty())
+        return;
+    const auto& leg = work.legs.front();
+    parent.parent = serverSpanOf({ work.request, leg.leg, leg.attempt });
+    work.traceparent = parent.toString();
+}
+
+}
+
 RelayShard::RelayShard(const RelayContext& context, std::unique_ptr<RelayEngine> engine)
     : m_context(context)
     , m_engine(std::move(engine))
@@ -26,6 +43,10 @@
     for (auto& it : actions)
         std::visit([this](auto& action) { carryOut(action); }, it);
     m_inFlight.store(m_engine->inFlight(), std::memory_order_relaxed);
+    {
+        const std::lock_guard lock(m_countersMutex);
+        m_counters = m_engine->counters();
+    }
     arm();
 }
 
@@ -116,9 +137,15 @@
     });
 }
 
-void RelayShard::readState(std::function<void(const RelayCounters&, const std::vector<ServerState>&)> function)
+RelayCounters RelayShard::counters() const
+{
+    const std::lock_guard lock(m_countersMutex);
+    return m_counters;
+}
+
+void RelayShard::readStates(std::function<void(const std::vector<ServerState>&)> function)
 {
-    boost::asio::post(m_strand, [self = shared_from_this(), function = std::move(function)] { function(self->m_engine->counters(), self->m_engine->states()); });
+    boost::asio::post(m_strand, [self = shared_from_this(), function = std::move(function)] { function(self->m_engine->states()); });
 }
 
 void RelayShard::onBackendConnected(const ServerName& server, ConnectionId id)
@@ -170,6 +197,7 @@
         });
         return;
     }
+    setServerSpan(action.work);
     it->second->run(action.work, m_context.clock->now());
 }
 
--- a/src/daemon/relay_shard.h
+++ b/src/daemon/relay_shard.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <vector>
 
 namespace lycheefield {
@@ -41,8 +42,10 @@
     void close();
 
     std::size_t inFlight() const { return m_inFlight.load(std::memory_order_relaxed); }
-    /// Hands over counters and states on the strand.
-    void readState(std::function<void(const RelayCounters&, const std::vector<ServerState>&)>);
+    /// As of the last event.
+    RelayCounters counters() const;
+    /// Hands over the states of the servers on the strand.
+    void readStates(std::function<void(const std::vector<ServerState>&)>);
 
     void onBackendConnected(const ServerName&, ConnectionId) override;
     void onBackendAnswer(const ServerName&, ConnectionId, const ServerAnswer&) override;
@@ -76,6 +79,8 @@
     std::map<ConnectionId, std::shared_ptr<BackendConnection>> m_connections;
     std::map<ServerName, std::shared_ptr<BackendControl>> m_controls;
     std::atomic<std::size_t> m_inFlight { 0 };
+    mutable std::mutex m_countersMutex;
+    RelayCounters m_counters;
     bool m_isPolling = false;
     bool m_closed = false;
 };
--- /dev/null
+++ b/src/daemon/request_desk.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "daemon/entry_driver.h"
+#include "daemon/peer_calls.h"
+#include "daemon/request_log.h"
+#include "http/http_message.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lycheefield {
+
+/// What operators and callers may ask about a request by its id.
+enum class RequestVerb : std::uint8_t {
+    Cancel,
+    Explain,
+    Trace,
+};
+
+/// Answers questions about a request at the instance that took it: the id names that process's
+/// life, so any instance can pass the question on. Thread safe.
+class RequestDesk {
+public:
+    using Done = std::function<void(HttpReply)>;
+
+    /// Precondition: all outlive the desk.
+    RequestDesk(InstanceName self, EntryDriver&, const RequestLog&, const SharedTables&, PeerCalls&);
+
+    /// Answers here, or asks the instance that took the request.
+    void ask(RequestVerb, const RequestId&, Done);
+    /// A question that another instance passed on.
+    void onCall(const std::string& verb, const std::string& argument, const PeerCalls::Respond&);
+
+private:
+    void answerHere(RequestVerb, const RequestId&, const Done&);
+    HttpReply explain(const RequestId&) const;
+    HttpReply trace(const RequestId&) const;
+
+    InstanceName m_self;
+    EntryDriver& m_entry;
+    const RequestLog& m_log;
+    const SharedTables& m_tables;
+    PeerCalls& m_calls;
+};
+
+}
--- a/src/daemon/request_log.cpp
+++ b/src/daemon/request_log.cpp
@@ -3,6 +3,7 @@
 #include "base/fingerprint.h"
 
 #include <algorithm>
+#include <cstdio>
 
 namespace lycheefield {
 
@@ -11,6 +12,13 @@
 constexpr std::size_t maxLegsKept = 4096;
 constexpr std::size_t maxDecisionsKept = 256;
 
+std::string inMillis(Duration duration)
+{
+    std::array<char, 32> buf {};
+    std::snprintf(buf.data(), buf.size(), "%.3f ms", std::chrono::duration<double, std::milli>(duration).count());
+    return buf.data();
+}
+
 SpanId deriveSpan(const RequestId& request, const LegKey* key, std::string_view kind)
 {
     std::string text = request.toString();
@@ -92,13 +100,13 @@
     it->detail = result.detail;
 }
 
-void RequestLog::note(const RequestId& id, std::string decision)
+void RequestLog::note(const RequestId& id, std::string decision, TimePoint now)
 {
     auto& part = partOf(id);
     const std::lock_guard lock(part.mutex);
     const auto it = part.records.find(id);
     if (it != part.records.end() && it->second.decisions.size() < maxDecisionsKept)
-        it->second.decisions.push_back(std::move(decision));
+        it->second.decisions.emplace_back(now, std::move(decision));
 }
 
 void RequestLog::end(const Answer& answer, TimePoint now)
@@ -142,26 +150,55 @@
         trace.spans.push_back({ serverSpanOf(key), legSpanOf(key), "server", sent, sent + leg.serviceTime, { { "server", leg.order.server.value() } } });
 }
 
+std::optional<RequestLog::Record> RequestLog::copyOf(const RequestId& id) const
+{
+    const auto& part = partOf(id);
+    const std::lock_guard lock(part.mutex);
+    const auto it = part.records.find(id);
+    if (it == part.records.end())
+        return std::nullopt;
+    return it->second;
+}
+
 std::optional<Trace> RequestLog::find(const RequestId& id) const
 {
-    Record record;
-    {
-        const auto& part = partOf(id);
-        const std::lock_guard lock(part.mutex);
-        const auto it = part.records.find(id);
-        if (it == part.records.end())
-            return std::nullopt;
-        record = it->second;
-    }
+    const auto record = copyOf(id);
+    if (!record)
+        return std::nullopt;
     Trace trace;
     trace.request = id;
-    trace.traceId = record.caller.traceId;
-    const auto end = record.end == never ? record.start : record.end;
-    trace.spans.push_back({ entrySpanOf(id), record.caller.parent, "entry", record.start, end, { { "path", record.path }, { "outcome", record.outcome } } });
-    for (const auto& it : record.legs)
+    trace.traceId = record->caller.traceId;
+    const auto end = record->end == never ? record->start : record->end;
+    trace.spans.push_back({ entrySpanOf(id), record->caller.parent, "entry", record->start, end, { { "path", record->path }, { "outcome", record->outcome } } });
+    for (const auto& it : record->legs)
         addLegSpans(id, it, trace);
-    trace.decisions = std::move(record.decisions);
+    for (const auto& [time, text] : record->decisions)
+        trace.decisions.push_back(text);
     return trace;
 }
 
+std::optional<std::vector<std::string>> RequestLog::explain(const RequestId& id) const
+{
+    const auto record = copyOf(id);
+    if (!record)
+        return std::nullopt;
+    std::vector<std::pair<TimePoint, std::string>> events { { record->start, "arrived at " + record->path } };
+    events.insert(events.end(), record->decisions.begin(), record->decisions.end());
+    for (const auto& it : record->legs) {
+        const std::string name = std::string(it.order.isHedge ? "hedge of " : "") + "leg " + std::to_string(it.order.leg.value()) + ", attempt "
+            + std::to_string(it.order.attempt.value()) + " (shard " + std::to_string(it.order.shard.value()) + ")";
+        events.emplace_back(it.start, name + " sent to server " + it.order.server.value() + " through relay " + it.relay.value());
+        if (it.end == never)
+            continue;
+        events.emplace_back(it.end, name + " ended: " + std::string(toString(it.outcome)) + ", " + inMillis(it.queueTime) + " in the relay's queue, " + inMillis(it.serviceTime) + " at the server" + (it.detail.empty() ? "" : "; " + it.detail));
+    }
+    if (record->end != never)
+        events.emplace_back(record->end, "answered: " + record->outcome);
+    std::stable_sort(events.begin(), events.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::vector<std::string> lines;
+    for (const auto& [time, text] : events)
+        lines.push_back(inMillis(time - record->start) + ": " + text);
+    return lines;
+}
+
 }
--- a/src/daemon/request_log.h
+++ b/src/daemon/request_log.h
@@ -30,12 +30,15 @@
     void begin(const RequestId&, const TraceParent& caller, const std::string& path, TimePoint);
     void beginLegs(const InstanceName& relay, const WorkOrder&, TimePoint);
     void endLeg(const LegResult&, TimePoint);
-    void note(const RequestId&, std::string decision);
+    void note(const RequestId&, std::string decision, TimePoint);
     void end(const Answer&, TimePoint);
 
     /// Spans and decisions; empty when the request is not, or no longer, kept.
     std::optional<Trace> find(const RequestId&) const;
 
+    /// What happened, one event a line in the order of time, in words; empty as above.
+    std::optional<std::vector<std::string>> explain(const RequestId&) const;
+
 private:
     struct LegRecord {
         LegOrder order;
@@ -54,7 +57,7 @@
         TimePoint end = never;
         std::string outcome;
         std::vector<LegRecord> legs;
-        std::vector<std::string> decisions;
+        std::vector<std::pair<TimePoint, std::string>> decisions;
     };
     struct Part {
         mutable std::mutex mutex;
@@ -62,6 +65,7 @@
         std::deque<RequestId> order;
     };
 
+    std::optional<Record> copyOf(const RequestId&) const;
     Part& partOf(const RequestId& id) const { return m_parts[id.counter % m_parts.size()]; }
     static void addLegSpans(const RequestId&, const LegRecord&, Trace&);
 
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -62,6 +62,12 @@
     m_gauges[name] = std::move(read);
 }
 
+void Metrics::count(const std::string& name, std::function<std::uint64_t()> read)
+{
+    const std::lock_guard lock(m_mutex);
+    m_counts[name] = std::move(read);
+}
+
 std::string Metrics::render() const
 {
     const std::lock_guard lock(m_mutex);
@@ -71,6 +77,10 @@
         writeType(out, last, name, "counter");
         out << name << ' ' << counter->value() << '\n';
     }
+    for (const auto& [name, read] : m_counts) {
+        writeType(out, last, name, "counter");
+        out << name << ' ' << read() << '\n';
+    }
     for (const auto& [name, read] : m_gauges) {
         writeType(out, last, name, "gauge");
         out << name << ' ' << read() << '\n';
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -33,6 +33,9 @@
     /// Registers a value that is read when the metrics are rendered. The function must be thread safe.
     void gauge(const std::string& name, std::function<double()>);
 
+    /// Registers a count that somebody else keeps. The function must be thread safe.
+    void count(const std::string& name, std::function<std::uint64_t()> read);
+
     /// The Prometheus text format, version 0.0.4. Durations are in seconds.
     std::string render() const;
 
@@ -41,6 +44,7 @@
     std::map<std::string, std::unique_ptr<Counter>> m_counters;
     std::map<std::string, std::unique_ptr<LatencySummary>> m_latencies;
     std::map<std::string, std::function<double()>> m_gauges;
+    std::map<std::string, std::function<std::uint64_t()>> m_counts;
 };
 
 }
