Tests of HTTP and peer connections over loopback sockets

A connection that we end is read for a moment longer, so that its last reply is not lost to a reset.

--- a/src/http/http_client_connection.cpp
+++ b/src/http/http_client_connection.cpp
@@ -40,7 +40,7 @@
         , m_host(endpoint.toString())
         , m_events(std::move(events))
         , m_limits(limits)
-        , m_buffer(limits.maxHeaderBytes + limits.maxBodyBytes)
+        , m_buffer(limits.maxHeaderBytes + limits.maxBodyBytes + 2 * readBytes)
     {
     }
 
--- a/src/http/http_limits.h
+++ b/src/http/http_limits.h
@@ -17,6 +17,7 @@
     Duration messageTimeout = std::chrono::seconds(10); ///< From the first byte of a message to its last.
     Duration idleTimeout = std::chrono::seconds(75); ///< Between two requests of a connection.
     Duration writeTimeout = std::chrono::seconds(10);
+    Duration checkInterval = std::chrono::seconds(1); ///< How often each connection looks whether it is late.
 
     friend bool operator==(const HttpLimits&, const HttpLimits&) = default;
 };
--- a/src/http/http_server_session.cpp
+++ b/src/http/http_server_session.cpp
@@ -15,7 +15,8 @@
 namespace {
 
 constexpr std::size_t readBytes = 8 * 1024;
-constexpr auto watchInterval = std::chrono::seconds(1);
+/// How long a connection that we ended is still read, so that its last reply is not lost to a reset.
+constexpr Duration lingerTimeout = std::chrono::seconds(2);
 
 /// Ties a request to its session for as long as somebody may still answer it.
 class SessionExchange final : public HttpExchange {
@@ -78,7 +79,7 @@
     , m_socket(std::move(socket))
     , m_context(std::move(context))
     , m_watchdog(m_socket.get_executor())
-    , m_buffer(m_context.limits.maxHeaderBytes + m_context.limits.maxPipelinedBytes + m_context.limits.maxBodyBytes)
+    , m_buffer(m_context.limits.maxHeaderBytes + m_context.limits.maxPipelinedBytes + m_context.limits.maxBodyBytes + 2 * readBytes)
 {
 }
 
@@ -131,6 +132,10 @@
     m_reading = false;
     if (m_closed)
         return;
+    if (m_lingerSince != never && !ec) {
+        readMore();
+        return;
+    }
     if (ec) {
         noticeGone();
         finish();
@@ -251,9 +256,7 @@
     m_writeStarted = never;
     m_handling = false;
     if (ec || !keepAlive) {
-        boost::system::error_code ignored;
-        m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-        finish();
+        linger();
         return;
     }
     m_idleSince = m_context.clock->now();
@@ -263,18 +266,34 @@
         readMore();
 }
 
+void HttpServerSession::linger()
+{
+    boost::system::error_code ec;
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+    if (ec) {
+        finish();
+        return;
+    }
+    m_lingerSince = m_context.clock->now();
+    m_messageStarted = never;
+    m_buffer.clear();
+    readMore();
+}
+
 bool HttpServerSession::isOverdue(TimePoint now) const
 {
     const auto& limits = m_context.limits;
     const bool messageLate = m_messageStarted != never && now - m_messageStarted > limits.messageTimeout;
     const bool writeLate = m_writeStarted != never && now - m_writeStarted > limits.writeTimeout;
+    if (m_lingerSince != never)
+        return now - m_lingerSince > lingerTimeout;
     const bool idleLate = !m_handling && m_messageStarted == never && now - m_idleSince > limits.idleTimeout;
     return messageLate || writeLate || idleLate;
 }
 
 void HttpServerSession::watch()
 {
-    m_watchdog.expires_after(watchInterval);
+    m_watchdog.expires_after(m_context.limits.checkInterval);
     m_watchdog.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
         if (ec || self->m_closed)
             return;
@@ -282,7 +301,7 @@
             self->watch();
             return;
         }
-        if (self->m_messageStarted != never || self->m_writeStarted != never)
+        if (self->m_lingerSince == never && (self->m_messageStarted != never || self->m_writeStarted != never))
             ++self->m_context.counters->slow;
         self->noticeGone();
         self->finish();
--- a/src/http/http_server_session.h
+++ b/src/http/http_server_session.h
@@ -61,6 +61,8 @@
     void sendReply(const HttpReply&, bool keepAlive);
     void onWritten(const boost::system::error_code&, bool keepAlive);
     void noticeGone();
+    /// Sends no more, and reads and drops what still comes until the caller closes.
+    void linger();
     void watch();
     bool isOverdue(TimePoint) const;
     void finish();
@@ -77,6 +79,7 @@
     TimePoint m_messageStarted = never; ///< `never` while no message is incomplete.
     TimePoint m_writeStarted = never;
     TimePoint m_idleSince = never;
+    TimePoint m_lingerSince = never; ///< `never` while the connection serves.
     bool m_handling = false; ///< A request waits for its reply, or the reply is being written.
     bool m_keepAlive = true;
     bool m_reading = false;
--- a/src/wire/frame_session.cpp
+++ b/src/wire/frame_session.cpp
@@ -15,7 +15,6 @@
 constexpr std::size_t initialReadBytes = 16 * 1024;
 /// Frames are gathered up to this size before a write starts.
 constexpr std::size_t writeBatchBytes = 256 * 1024;
-constexpr auto watchInterval = std::chrono::seconds(1);
 
 }
 
@@ -189,7 +188,7 @@
 
 void FrameSession::watch()
 {
-    m_watchdog.expires_after(watchInterval);
+    m_watchdog.expires_after(m_limits.checkInterval);
     m_watchdog.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
         if (ec || self->m_closed)
             return;
--- a/src/wire/frame_session.h
+++ b/src/wire/frame_session.h
@@ -42,6 +42,8 @@
     Duration frameTimeout = std::chrono::seconds(10); ///< From the first byte of a frame to its last.
     Duration writeTimeout = std::chrono::seconds(10); ///< A peer that takes no bytes for so long is closed.
 
+    Duration checkInterval = std::chrono::seconds(1); ///< How often each session looks whether its peer is late.
+
     friend bool operator==(const FrameSessionLimits&, const FrameSessionLimits&) = default;
 };
 
--- /dev/null
+++ b/tests/support/raw_caller.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "base/endpoint.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace lycheefield {
+
+/// Sends raw bytes over a loopback socket and keeps all that comes back. Everything runs on the
+/// one thread that runs the io_context, so a test decides what happens in which order.
+class RawCaller {
+public:
+    /// Precondition: something listens there.
+    RawCaller(boost::asio::io_context&, const Endpoint&);
+    RawCaller(const RawCaller&) = delete;
+    RawCaller& operator=(const RawCaller&) = delete;
+
+    void send(std::string_view bytes);
+    /// Closes the connection.
+    void close();
+
+    const std::string& received() const { return m_received; }
+    /// True when the other side has closed.
+    bool isClosed() const { return m_closed; }
+    /// How often the text was received.
+    std::size_t count(std::string_view text) const;
+
+private:
+    void readMore();
+
+    boost::asio::ip::tcp::socket m_socket;
+    std::array<char, 4096> m_buffer {};
+    std::string m_received;
+    bool m_closed = false;
+};
+
+/// Runs the io_context until the condition holds.
+template <typename Condition>
+void runUntil(boost::asio::io_context& io, Condition condition)
+{
+    while (!condition())
+        io.run_one();
+}
+
+}
