--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -61,7 +61,8 @@
     } else if (path == "/status" && isGet) {
         exchange->respond(status());
     } else if (path.starts_with(tracePrefix) && isGet) {
-        askDesk(RequestVerb::Trace, path.substr(tracePrefix.size()), exchange);
+        const bool isTree = request.target.ends_with("?format=tree");
+        askDesk(isTree ? RequestVerb::Tree : RequestVerb::Trace, path.substr(tracePrefix.size()), exchange);
     } else if (path.starts_with(requestPrefix) && isGet) {
         askDesk(RequestVerb::Explain, path.substr(requestPrefix.size()), exchange);
     } else if (path.starts_with(requestPrefix) && request.method == "DELETE") {
--- a/src/daemon/request_desk.cpp
+++ b/src/daemon/request_desk.cpp
@@ -1,5 +1,6 @@
 #include "daemon/request_desk.h"
 
+#include "daemon/trace_tree.h"
 #include "observe/trace_store.h"
 
 #include <boost/json.hpp>
@@ -22,13 +23,15 @@
         return "explain";
     case RequestVerb::Trace:
         return "trace";
+    case RequestVerb::Tree:
+        return "tree";
     }
     return "trace";
 }
 
 std::optional<RequestVerb> verbOf(const std::string& name)
 {
-    for (const auto verb : { RequestVerb::Cancel, RequestVerb::Explain, RequestVerb::Trace }) {
+    for (const auto verb : { RequestVerb::Cancel, RequestVerb::Explain, RequestVerb::Trace, RequestVerb::Tree }) {
         if (nameOf(verb) == name)
             return verb;
     }
@@ -117,6 +120,9 @@
     case RequestVerb::Trace:
         done(trace(id));
         return;
+    case RequestVerb::Tree:
+        done(tree(id));
+        return;
     }
 }
 
@@ -143,4 +149,10 @@
     return reply;
 }
 
+HttpReply RequestDesk::tree(const RequestId& id) const
+{
+    const auto trace = m_log.find(id);
+    return trace ? HttpReply { 200, "text/plain", drawTrace(*trace) } : notKept();
+}
+
 }
--- a/src/daemon/request_desk.h
+++ b/src/daemon/request_desk.h
@@ -15,7 +15,8 @@
 enum class RequestVerb : std::uint8_t {
     Cancel,
     Explain,
-    Trace,
+    Trace, ///< As OTLP JSON.
+    Tree, ///< The trace drawn for people.
 };
 
 /// Answers questions about a request at the instance that took it: the id names that process's
@@ -36,6 +37,7 @@
     void answerHere(RequestVerb, const RequestId&, const Done&);
     HttpReply explain(const RequestId&) const;
     HttpReply trace(const RequestId&) const;
+    HttpReply tree(const RequestId&) const;
 
     InstanceName m_self;
     EntryDriver& m_entry;
--- a/tests/standin/backend_session.h
+++ b/tests/standin/backend_session.h
@@ -43,6 +43,7 @@
     boost::beast::flat_buffer m_buffer;
     Request m_request;
     std::deque<Response> m_responses;
+    bool m_keepAlive = true;
 };
 
 }
