--- a/src/dispatch/relay_settings.h
+++ b/src/dispatch/relay_settings.h
@@ -18,7 +18,7 @@
     std::uint32_t reservedConnections = 2; ///< Of a server's cap, left to others than us.
     Share ownerShareOfCap { 0.25 }; ///< Of what is left: connections that one relay holds at most.
     std::uint32_t maxQueuePerServer = 64;
-    Duration slowStartTime = 5s;
+    Duration slowStartTime = 2s;
     Duration ejectionTime = 5s;
     Duration quarantineTime = 5min;
     Share ejectionFloor { 0.5 }; ///< Share of a block's servers that are never ejected together.
