--- a/src/daemon/entry_driver.cpp
+++ b/src/daemon/entry_driver.cpp
@@ -14,7 +14,8 @@
 
 void EntryDriver::start(CallerRequest request, AnswerHandler handler)
 {
-    shardOf(request.id).start(std::move(request), std::move(handler));
+    auto& shard = shardOf(request.id);
+    shard.start(std::move(request), std::move(handler));
 }
 
 void EntryDriver::onLegResult(LegResult result)
@@ -23,7 +24,8 @@
         ++m_foreignResults;
         return;
     }
-    shardOf(result.key.request).onLegResult(std::move(result));
+    auto& shard = shardOf(result.key.request);
+    shard.onLegResult(std::move(result));
 }
 
 void EntryDriver::onRelayLost(const InstanceName& relay)
@@ -51,4 +53,23 @@
     return n;
 }
 
+QueryCounters EntryDriver::counters() const
+{
+    QueryCounters sum;
+    for (const auto& it : m_shards) {
+        const auto part = it->counters();
+        sum.requests += part.requests;
+        sum.firstLegs += part.firstLegs;
+        sum.hedges += part.hedges;
+        sum.retries += part.retries;
+        sum.cancels += part.cancels;
+        sum.strayResults += part.strayResults;
+        sum.restarts += part.restarts;
+        sum.completeAnswers += part.completeAnswers;
+        sum.partialAnswers += part.partialAnswers;
+        sum.refusals += part.refusals;
+    }
+    return sum;
+}
+
 }
--- a/src/query/query.h
+++ b/src/query/query.h
@@ -3,9 +3,11 @@
 #include "query/leg_state.h"
 #include "query/query_engine.h"
 #include "query/query_tables.h"
+#include "query/rule_budget.h"
 #include "rules/rule.h"
 
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 namespace lycheefield {
@@ -24,7 +26,22 @@
     std::vector<LegState> legs;
     std::size_t openLegs = 0;
     std::size_t covered = 0;
+    RuleBudget* budget = nullptr;
+    TimePoint hedgeCheckAt {}; ///< When late legs are looked for next; the past: at the next event.
+    bool waitedForFew = false; ///< At the last look for late legs.
+    bool mayHedge = true; ///< False for what must not run twice, and once its content is suspect.
+    bool isSuspect = false; ///< Its content may crash servers: no hedge, no retry.
+    std::optional<std::size_t> canary; ///< The leg sent ahead; the others are held until it is answered.
+    std::optional<InstanceName> canaryRelay; ///< Only this relay probes suspect content.
+    std::uint32_t canaryTries = 0;
+    TimePoint releaseAt = never; ///< When the held legs go out.
+    TimePoint startedAt {};
+    TimePoint replanAt = never; ///< It waits for newer tables until then, and looks again.
+    std::vector<IndexVersion> goneVersions;
+    std::optional<PartitionEpoch> goneEpoch;
     std::uint32_t attemptBase = 0; ///< Number of the first attempt since the last start.
+    std::uint32_t starts = 0;
+    Duration retryAfter {}; ///< The longest that a server asked for.
     bool ran = false; ///< An answer proved that some part ran.
     bool mayHaveRun = false; ///< An attempt ended without proof that it did not run.
 
