--- a/bench/rules_bench.cpp
+++ b/bench/rules_bench.cpp
@@ -100,10 +100,10 @@
         RuleWriter writer({ base, {}, ApplyId("bench" + std::to_string(i)), "bench", "", text });
         auto action = writer.start();
         for (;;) {
-            if (const auto* read = std::get_if<ReadObject>(&action)) {
+            if (const auto* read = std::get_if<ReadRulesObject>(&action)) {
                 const auto reply = m_access->read(read->key);
                 action = writer.onRead(reply.status, reply.object);
-            } else if (const auto* write = std::get_if<WriteObject>(&action)) {
+            } else if (const auto* write = std::get_if<WriteRulesObject>(&action)) {
                 action = writer.onWritten(m_access->write(write->key, write->expected, write->value).status);
             } else if (std::holds_alternative<PauseBeforeRetry>(action)) {
                 m_access->pause(pauseBetween);
