--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -3,6 +3,7 @@
 #include "daemon/caller_api.h"
 #include "daemon/control_status.h"
 #include "daemon/relay_driver.h"
+#include "daemon/request_desk.h"
 #include "observe/metrics.h"
 
 #include <atomic>
@@ -26,10 +27,9 @@
         const SharedTables& tables;
         EntryDriver& entry;
         RelayDriver& relay;
-        RequestLog& log;
+        RequestDesk& desk;
         Metrics& metrics;
         std::function<Readiness()> readiness;
-        std::function<void(const RequestId&, std::function<void(HttpReply)>)> cancel; ///< Cancels wherever the request is.
         std::function<ControlStatus()> control;
     };
 
@@ -42,7 +42,7 @@
 
 private:
     HttpReply status() const;
-    HttpReply trace(std::string_view id) const;
+    void askDesk(RequestVerb, std::string_view id, const std::shared_ptr<HttpExchange>&);
     HttpReply ready() const;
 
     Parts m_parts;
