Find the next wake without asking every server; slower recovery after a shed

Cause: nextWake() and the clean-up asked every server at every event: processor time a leg grew with the servers held. After a shed one success brought the limit back, so two relays with different views shed each other's work for ever. Change: WakeIndex keeps the servers' wakes in order; the limit grows by 0.02 for as many successes as it is high, not by 1. Test: four relays with two views at one server never pass its cap, also at the smallest cap; afterwards the old holders have closed their connections.

--- a/bench/dispatch/dispatch_bench.cpp
+++ b/bench/dispatch/dispatch_bench.cpp
@@ -105,17 +105,17 @@
 }
 
 const Trouble troubles[] = {
-    { "cold_by_load", 0.4, coldUnderLoad },
-    { "cold_by_load", 0.7, coldUnderLoad },
-    { "slow", 0.7, slow },
-    { "failing", 0.7, failSlowly },
-    { "hung", 0.7, hang },
-    { "cold_restart", 0.7, coldRestart },
     { "failing", 0.4, failSlowly },
+    { "failing", 0.7, failSlowly },
     { "failing_fast", 0.4, failFast },
     { "slow", 0.4, slow },
+    { "slow", 0.7, slow },
     { "hung", 0.4, hang },
+    { "hung", 0.7, hang },
     { "cold_restart", 0.4, coldRestart },
+    { "cold_restart", 0.7, coldRestart },
+    { "cold_by_load", 0.4, coldUnderLoad },
+    { "cold_by_load", 0.7, coldUnderLoad },
 };
 
 void trouble(const Trouble& it, const Policy& policy, ReplicaChoice choice, const char* choiceName)
@@ -171,11 +171,125 @@
     }
 }
 
+/// Two relays with different views both send to one shard at 0.9 of its capacity; its servers queue nothing.
+void views(const Policy& policy)
+{
+    double inTime = 0;
+    double refusedAtServer = 0;
+    double p99 = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        RelayWorld world(seed);
+        for (const auto* it : { "s0a", "s0b" }) {
+            WorldServer server;
+            server.name = it;
+            server.queueLimit = 0;
+            world.addServer(server);
+        }
+        for (const auto* it : { "i0", "i1" }) {
+            world.addRelay(it, policy.settings);
+            world.publish(it, { it });
+        }
+        RelayLoad load(world, { { "s0a", "s0b" } }, ReplicaChoice::FastestForPriority);
+        load.spread({ "i0", "i1" });
+        world.runUntil(world.now() + 100ms);
+        const auto end = world.now() + 10s;
+        load.start({ Priority::Desk, capacity / 4 * 0.9, 300ms }, end);
+        world.runUntil(end + 2s);
+        inTime += load.of(Priority::Desk).share() / seeds;
+        p99 += load.of(Priority::Desk).quantile(0.99) / seeds;
+        const auto sent = world.relay("i0").counters().sent + world.relay("i1").counters().sent;
+        refusedAtServer += static_cast<double>(world.outcomes[LegOutcome::Refused]) / static_cast<double>(sent) / seeds;
+    }
+    std::printf("two_views,%s,in_time=%.4f,p99_ms=%.1f,refused=%.4f\n", policy.name, inTime, p99, refusedAtServer);
+}
+
+/// A record that crashes servers, sent ten times a second for a minute to any replica of its shard.
+void crashing(const Policy& policy)
+{
+    double felled = 0;
+    double shards = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        Bench bench(seed, policy.settings, ReplicaChoice::Random);
+        constexpr std::uint64_t poison = 0xdead;
+        bench.world.setPoison(poison);
+        for (int i = 0; i < 600; ++i) {
+            const auto server = replica(0, static_cast<std::uint32_t>(bench.world.random().below(2)));
+            bench.world.send("i0", server, poison);
+            bench.world.runUntil(bench.world.now() + 100ms);
+        }
+        for (const auto& [name, times] : bench.world.felled)
+            felled += static_cast<double>(times) / seeds;
+        shards += bench.world.felled.size() > 1 ? 1.0 / seeds : 0;
+    }
+    std::printf("crashing,%s,felled=%.1f,lost_both_replicas=%.2f\n", policy.name, felled, shards);
+}
+
+/// Processor time of the engine alone for a leg: order in, sent, answered, result out.
+void processorTime(std::uint32_t servers)
+{
+    auto engine = makeRelayEngine({}, InstanceName("i0"), std::make_unique<SeededRandom>(1));
+    std::vector<Server> all;
+    for (std::uint32_t i = 0; i < servers; ++i) {
+        Server server;
+        server.name = ServerName("quotedesk-server-" + std::to_string(i));
+        server.service = ServiceName("quotedesk");
+        server.zone = ZoneName("ikeja-a");
+        server.slots = 2;
+        server.connectionCap = 25;
+        all.push_back(server);
+    }
+    Instance self;
+    self.name = InstanceName("i0");
+    const auto map = std::make_shared<const ShardMap>(std::vector<Service>(), all);
+    TimePoint now { Duration(1) };
+    RelayActions actions;
+    engine->onTables(map, std::make_shared<const Ownership>(MembershipView({ self }), *map), now, actions);
+    for (const auto& it : RelayActions(actions)) {
+        if (const auto* open = std::get_if<OpenConnection>(&it))
+            engine->onConnected(open->server, open->connection, now, actions);
+    }
+    constexpr std::uint64_t rounds = 200000;
+    const auto body = std::make_shared<const std::string>(500, 'x');
+    const auto begin = std::chrono::steady_clock::now();
+    std::uint64_t results = 0;
+    for (std::uint64_t i = 0; i < rounds; ++i) {
+        now += 50us;
+        WorkOrder order;
+        order.request = { ProcessLife(1), i };
+        order.entry = InstanceName("i1");
+        order.service = all[0].service;
+        order.deadline = now + 200ms;
+        order.fingerprint = Fingerprint(i * 0x9e3779b97f4a7c15ULL);
+        order.body = body;
+        order.legs.push_back({ LegNumber(0), AttemptNumber(0), ShardNumber(0), all[i % servers].name });
+        actions.clear();
+        engine->onWork(order, now, actions);
+        if (engine->nextWake() <= now)
+            engine->onTimer(now, actions);
+        const auto sent = std::move(actions);
+        actions.clear();
+        for (const auto& it : sent) {
+            const auto* run = std::get_if<RunLeg>(&it);
+            if (!run)
+                continue;
+            ServerAnswer answer;
+            answer.key = { run->work.request, run->work.legs[0].leg, run->work.legs[0].attempt };
+            answer.outcome = LegOutcome::Ok;
+            engine->onServerAnswer(run->server, run->connection, answer, now, actions);
+            if (engine->nextWake() <= now)
+                engine->onTimer(now, actions);
+            results += actions.size();
+        }
+    }
+    const auto nanos = std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::steady_clock::now() - begin).count();
+    std::printf("cpu,servers=%u,ns_per_leg=%.0f,results=%.4f\n", servers, static_cast<double>(nanos) / rounds, static_cast<double>(results) / rounds);
 }
 
 }
 
-/// Arguments name what to run: overload, trouble. Without any, all.
+}
+
+/// Arguments name what to run: overload, trouble, views, crashing, cpu. Without any, all.
 int main(int argc, char** argv)
 {
     using namespace lycheefield::bench;
@@ -185,4 +299,14 @@
         runOverloads();
     if (isAsked("trouble"))
         runTroubles();
+    if (isAsked("views"))
+        views({ "all", {} });
+    if (isAsked("crashing")) {
+        crashing({ "quarantine_off", without(&lycheefield::RelaySettings::quarantine) });
+        crashing({ "all", {} });
+    }
+    for (const std::uint32_t servers : { 5U, 50U, 250U }) {
+        if (isAsked("cpu"))
+            processorTime(servers);
+    }
 }
--- a/bench/dispatch/relay_load.cpp
+++ b/bench/dispatch/relay_load.cpp
@@ -67,7 +67,8 @@
     m_sent[key] = { m_world.now(), m_world.now() + load.budget, load.priority };
     ++m_outstanding[server].at(static_cast<std::size_t>(load.priority));
     ++m_figures.at(static_cast<std::size_t>(load.priority)).sent;
-    m_world.send(m_world.ownerOf(server), server, m_lastRequest, load.priority, load.budget, m_lastRequest);
+    const auto relay = m_relays.empty() ? m_world.ownerOf(server) : m_relays[m_world.random().below(m_relays.size())];
+    m_world.send(relay, server, m_lastRequest, load.priority, load.budget, m_lastRequest);
 }
 
 void RelayLoad::onResult(const LegResult& result)
--- a/bench/dispatch/relay_load.h
+++ b/bench/dispatch/relay_load.h
@@ -37,6 +37,8 @@
 public:
     RelayLoad(RelayWorld&, std::vector<std::vector<std::string>> replicas, ReplicaChoice);
 
+    /// Sends to any of these relays, as if entries with different views did.
+    void spread(std::vector<std::string> relays) { m_relays = std::move(relays); }
     /// Sends the class from now until the time; runs nothing yet.
     void start(const LoadClass&, TimePoint until);
     /// Figures of what was sent from now on.
@@ -59,6 +61,7 @@
     RelayWorld& m_world;
     std::vector<std::vector<std::string>> m_replicas;
     ReplicaChoice m_choice;
+    std::vector<std::string> m_relays; ///< Empty: the owner.
     std::map<LegKey, Sent> m_sent;
     std::map<std::string, ServerState> m_states;
     std::map<std::string, std::array<std::uint32_t, 3>> m_outstanding; ///< By priority.
--- a/src/dispatch/concurrency_limit.cpp
+++ b/src/dispatch/concurrency_limit.cpp
@@ -12,6 +12,8 @@
 constexpr Duration firstBackoff = 5ms;
 constexpr Duration maxBackoff = 1s;
 constexpr double decrease = 0.5;
+/// Added to the limit by as many successes as it is high.
+constexpr double increase = 0.02;
 
 }
 
@@ -37,7 +39,7 @@
 void ConcurrencyLimit::onSuccess()
 {
     m_backoff = Duration {};
-    m_limit = std::min<double>(m_slots, m_limit + 1 / std::max(1.0, m_limit));
+    m_limit = std::min<double>(m_slots, m_limit + increase / std::max(1.0, m_limit));
 }
 
 void ConcurrencyLimit::startSlowly(TimePoint now, Duration time)
--- a/src/dispatch/relay_engine.cpp
+++ b/src/dispatch/relay_engine.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/relay_engine.h"
 
 #include "dispatch/server_relay.h"
+#include "dispatch/wake_index.h"
 
 #include <algorithm>
 #include <utility>
@@ -48,17 +49,29 @@
     void onServerNews(const ServerState&, TimePoint, RelayActions&) override;
     void beginDrain(TimePoint, RelayActions&) override { m_isDraining = true; }
     void onTimer(TimePoint, RelayActions&) override;
-    TimePoint nextWake() const override;
+    TimePoint nextWake() const override { return m_wakes.earliest(); }
     std::size_t inFlight() const override { return m_shared.legs.size(); }
     std::vector<ServerState> states() const override;
     RelayCounters counters() const override;
 
 private:
+    struct Held {
+        WakeIndex::Serial serial = 0;
+        std::unique_ptr<ServerRelay> relay;
+    };
+    using Servers = std::map<ServerName, Held>;
+
     RelayRole roleAt(const ServerName&) const;
-    ServerRelay* find(const ServerName&);
+    /// Runs a call of one server's relay and settles what follows from it. False when it is not held.
+    template <typename Call>
+    bool callAt(const ServerName&, const Call&);
+    /// Runs a call of every server's relay.
+    template <typename Call>
+    void callAll(const Call&);
+    /// Notes when the relay must be woken, or forgets it when it has nothing left to do.
+    Servers::iterator settle(Servers::iterator);
     void refuse(const WorkOrder&, const LegOrder&, const std::string& detail, RelayActions&);
-    void dropIdleServers();
-    void hold(const Server&, RelayRole, TimePoint, RelayActions&);
+    void hold(const Server&, TimePoint, RelayActions&);
 
     // The map holds this engine's servers only; the ownership knows all.
     bool exists(const ServerName& name) const override { return m_ownership && m_ownership->blocks().contains(name); }
@@ -70,7 +83,10 @@
     RelayShared m_shared;
     std::shared_ptr<const ShardMap> m_map;
     std::shared_ptr<const Ownership> m_ownership;
-    std::map<ServerName, std::unique_ptr<ServerRelay>> m_servers;
+    Servers m_servers;
+    std::map<WakeIndex::Serial, ServerName> m_names; ///< Of the servers held.
+    WakeIndex m_wakes;
+    WakeIndex::Serial m_lastSerial = 0;
     std::map<ServerName, TimePoint> m_drainMarks; ///< Of servers that this relay does not hold.
 };
 
@@ -84,10 +100,37 @@
     return owners->standby == m_self ? RelayRole::Standby : RelayRole::None;
 }
 
-ServerRelay* BlockRelayEngine::find(const ServerName& name)
+template <typename Call>
+bool BlockRelayEngine::callAt(const ServerName& name, const Call& call)
 {
     const auto it = m_servers.find(name);
-    return it == m_servers.end() ? nullptr : it->second.get();
+    if (it == m_servers.end())
+        return false;
+    call(*it->second.relay);
+    settle(it);
+    return true;
+}
+
+template <typename Call>
+void BlockRelayEngine::callAll(const Call& call)
+{
+    for (auto it = m_servers.begin(); it != m_servers.end(); it = settle(it))
+        call(it->first, *it->second.relay);
+}
+
+BlockRelayEngine::Servers::iterator BlockRelayEngine::settle(Servers::iterator it)
+{
+    const auto& [name, held] = *it;
+    const auto& relay = *held.relay;
+    if (relay.role() != RelayRole::None || !relay.isIdle()) {
+        m_wakes.set(held.serial, relay.nextWake());
+        return std::next(it);
+    }
+    if (relay.drainMarkedAt() != never && exists(name))
+        m_drainMarks.insert_or_assign(name, relay.drainMarkedAt());
+    m_wakes.set(held.serial, never);
+    m_names.erase(held.serial);
+    return m_servers.erase(it);
 }
 
 void BlockRelayEngine::onTables(std::shared_ptr<const ShardMap> map, std::shared_ptr<const Ownership> ownership, TimePoint now, RelayActions& actions)
@@ -95,48 +138,35 @@
     m_map = std::move(map);
     m_ownership = std::move(ownership);
     for (const auto& [name, server] : m_map->servers()) {
-        const auto role = roleAt(name);
-        if (auto* relay = find(name))
-            relay->onTables(server, role, now, actions);
-        else if (role != RelayRole::None)
-            hold(server, role, now, actions);
+        if (!m_servers.contains(name) && roleAt(name) != RelayRole::None)
+            hold(server, now, actions);
     }
     std::erase_if(m_drainMarks, [&](const auto& it) { return !m_map->findServer(it.first); });
-    for (auto& [name, relay] : m_servers) {
-        if (!m_map->findServer(name))
-            relay->onGone(now, actions);
-    }
-    dropIdleServers();
+    callAll([&](const ServerName& name, ServerRelay& relay) {
+        if (const auto* server = m_map->findServer(name))
+            relay.onTables(*server, roleAt(name), now, actions);
+        else
+            relay.onGone(now, actions);
+    });
 }
 
-void BlockRelayEngine::hold(const Server& server, RelayRole role, TimePoint now, RelayActions& actions)
+void BlockRelayEngine::hold(const Server& server, TimePoint now, RelayActions& actions)
 {
-    auto& relay = *m_servers.emplace(server.name, std::make_unique<ServerRelay>(server, role, m_shared)).first->second;
+    Held held { ++m_lastSerial, std::make_unique<ServerRelay>(server, roleAt(server.name), m_shared) };
     const auto mark = m_drainMarks.find(server.name);
     if (mark != m_drainMarks.end()) {
-        relay.onDrainNews(mark->second, now, actions);
+        held.relay->onDrainNews(mark->second, now, actions);
         m_drainMarks.erase(mark);
     }
-    relay.onTables(server, role, now, actions);
-}
-
-void BlockRelayEngine::dropIdleServers()
-{
-    std::erase_if(m_servers, [this](const auto& it) {
-        const auto& relay = *it.second;
-        if (relay.role() != RelayRole::None || !relay.isIdle())
-            return false;
-        if (relay.drainMarkedAt() != never && exists(it.first))
-            m_drainMarks.insert_or_assign(it.first, relay.drainMarkedAt());
-        return true;
-    });
+    m_names.emplace(held.serial, server.name);
+    m_servers.emplace(server.name, std::move(held));
 }
 
 void BlockRelayEngine::onServerNews(const ServerState& state, TimePoint now, RelayActions& actions)
 {
-    if (auto* relay = find(state.server))
-        relay->onDrainNews(state.draining ? now : never, now, actions);
-    else if (!state.draining)
+    if (callAt(state.server, [&](auto& relay) { relay.onDrainNews(state.draining ? now : never, now, actions); }))
+        return;
+    if (!state.draining)
         m_drainMarks.erase(state.server);
     else if (exists(state.server))
         m_drainMarks.insert_or_assign(state.server, now);
@@ -163,13 +193,10 @@
         if (m_shared.legs.contains(taken.key()))
             continue;
         ++m_shared.counters.legs;
-        auto* relay = find(leg.server);
         if (m_isDraining)
             refuse(order, leg, "the relay is draining", actions);
-        else if (!relay)
+        else if (!callAt(leg.server, [&](auto& relay) { relay.onLeg(taken, now, actions); }))
             refuse(order, leg, "this relay does not hold the server", actions);
-        else
-            relay->onLeg(taken, now, actions);
     }
 }
 
@@ -178,44 +205,35 @@
     const auto it = m_shared.legs.find(key);
     if (it == m_shared.legs.end())
         return;
-    if (auto* relay = find(it->second))
-        relay->onCancel(key, now, actions);
+    const auto name = it->second;
+    callAt(name, [&](auto& relay) { relay.onCancel(key, now, actions); });
 }
 
 void BlockRelayEngine::onEntryLost(const InstanceName& entry, TimePoint now, RelayActions& actions)
 {
-    for (auto& [name, relay] : m_servers)
-        relay->onEntryLost(entry, now, actions);
+    callAll([&](const ServerName&, ServerRelay& relay) { relay.onEntryLost(entry, now, actions); });
 }
 
 void BlockRelayEngine::onConnected(const ServerName& name, ConnectionId id, TimePoint now, RelayActions& actions)
 {
-    if (auto* relay = find(name))
-        relay->onConnected(id, now, actions);
-    else
+    if (!callAt(name, [&](auto& relay) { relay.onConnected(id, now, actions); }))
         actions.push_back(CloseConnection { name, id });
 }
 
 void BlockRelayEngine::onConnectionLost(const ServerName& name, ConnectionId id, bool bytesHanded, TimePoint now, RelayActions& actions)
 {
-    if (auto* relay = find(name))
-        relay->onConnectionLost(id, bytesHanded, now, actions);
-    dropIdleServers();
+    callAt(name, [&](auto& relay) { relay.onConnectionLost(id, bytesHanded, now, actions); });
 }
 
 void BlockRelayEngine::onServerAnswer(const ServerName& name, ConnectionId id, const ServerAnswer& answer, TimePoint now, RelayActions& actions)
 {
-    if (auto* relay = find(name))
-        relay->onServerAnswer(id, answer, now, actions);
-    else
+    if (!callAt(name, [&](auto& relay) { relay.onServerAnswer(id, answer, now, actions); }))
         ++m_shared.counters.wasted;
-    dropIdleServers();
 }
 
 void BlockRelayEngine::onHealth(const ServerName& name, const HealthReport& report, TimePoint now, RelayActions& actions)
 {
-    if (auto* relay = find(name))
-        relay->onHealth(report, now, actions);
+    callAt(name, [&](auto& relay) { relay.onHealth(report, now, actions); });
 }
 
 void BlockRelayEngine::onCrashNews(const AnnounceCrash& news, TimePoint now)
@@ -226,26 +244,23 @@
 
 void BlockRelayEngine::onTimer(TimePoint now, RelayActions& actions)
 {
-    for (auto& [name, relay] : m_servers) {
-        if (relay->nextWake() <= now)
-            relay->onTimer(now, actions);
+    // Each server at most once: one that asks to be woken again at once waits for the next call.
+    const auto servers = m_wakes.dueBy(now);
+    for (const auto serial : servers) {
+        const auto it = m_names.find(serial);
+        if (it == m_names.end())
+            continue;
+        const auto name = it->second;
+        callAt(name, [&](auto& relay) { relay.onTimer(now, actions); });
     }
 }
 
-TimePoint BlockRelayEngine::nextWake() const
-{
-    auto wake = never;
-    for (const auto& [name, relay] : m_servers)
-        wake = std::min(wake, relay->nextWake());
-    return wake;
-}
-
 std::vector<ServerState> BlockRelayEngine::states() const
 {
     std::vector<ServerState> states;
     states.reserve(m_servers.size());
-    for (const auto& [name, relay] : m_servers)
-        states.push_back(relay->state());
+    for (const auto& [name, held] : m_servers)
+        states.push_back(held.relay->state());
     return states;
 }
 
--- /dev/null
+++ b/tests/dispatch/two_views_test.cpp
@@ -0,0 +1,55 @@
+#include "dispatch/relay_world.h"
+
+#include <doctest/doctest.h>
+
+namespace lycheefield {
+
+namespace {
+
+const std::vector<std::string> oldView { "i0", "i1" };
+const std::vector<std::string> newView { "i2", "i3" };
+
+}
+
+TEST_CASE("two views of the instances at once" * doctest::test_suite("dispatch"))
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        RelayWorld world(seed);
+        // The smallest cap at which four holders have a control and a work connection each.
+        const std::uint32_t cap = seed % 2 == 0 ? 25 : 10;
+        world.addServer({ "s0", 0, 2, cap });
+        for (const auto& view : { oldView, newView }) {
+            for (const auto& it : view)
+                world.addRelay(it);
+        }
+        for (const auto& view : { oldView, newView }) {
+            for (const auto& it : view)
+                world.publish(it, view);
+        }
+        const auto relays = [&] {
+            std::vector<std::string> all = oldView;
+            all.insert(all.end(), newView.begin(), newView.end());
+            return all;
+        }();
+        // All four relays send at once, far more than the server can do.
+        for (int i = 0; i < 4000; ++i) {
+            world.send(relays[world.random().below(relays.size())], "s0", world.random().next());
+            world.runUntil(world.now() + 1ms);
+        }
+        // World checks the cap at every connection, and the slots of each relay at every event.
+        REQUIRE_MESSAGE(world.violations().empty(), world.violations().front());
+        CHECK(world.mostConnections() <= cap - RelaySettings {}.reservedConnections);
+        CHECK(world.mostAtServer() > 2);
+        CHECK(world.mostAtServer() <= 4 * 2);
+
+        // The views agree: the old holders close their connections and the slots are exact again.
+        for (const auto& it : relays)
+            world.publish(it, newView);
+        world.runUntil(world.now() + 2s);
+        CHECK(world.connectionsAt("s0") <= cap / 2);
+        CHECK(world.unanswered() == 0);
+    }
+}
+
+}
