Relays hear each other's news of servers

Cause: a relay that takes a server over did not know that it drains, and sent it one leg at least; only entries got ServerNews. Change: PeerRouter hands the news to the relay role as well, which passes it to the engine that has the server. Test: the property test of the engine covers the effect (no new work 2 s after the first sign at any of four relays); the daemon's tests pass. Conclusion: needed for the 2 s promise while ownership moves.

--- a/src/daemon/peer_router.cpp
+++ b/src/daemon/peer_router.cpp
@@ -64,8 +64,10 @@
         for (auto& it : results->results)
             m_entry->onLegResult(std::move(it));
     } else if (const auto* news = std::get_if<ServerNews>(&message)) {
-        for (const auto& it : news->servers)
+        for (const auto& it : news->servers) {
             m_entry->onServerState(it);
+            m_relay->onServerNews(it);
+        }
     } else if (const auto* crash = std::get_if<AnnounceCrash>(&message)) {
         m_relay->onCrashNews(*crash);
     } else {
--- a/src/daemon/relay_driver.cpp
+++ b/src/daemon/relay_driver.cpp
@@ -78,6 +78,11 @@
         it->onCrashNews(news);
 }
 
+void RelayDriver::onServerNews(const ServerState& state)
+{
+    m_shards[shardOf(*m_assignment.read(), state.server)]->onServerNews(state);
+}
+
 void RelayDriver::beginDrain()
 {
     for (const auto& it : m_shards)
--- a/src/daemon/relay_driver.h
+++ b/src/daemon/relay_driver.h
@@ -23,6 +23,8 @@
     void onCancel(const LegKey&);
     void onEntryLost(const InstanceName&);
     void onCrashNews(const AnnounceCrash&);
+    /// What another instance's relay announced about a server.
+    void onServerNews(const ServerState&);
     void beginDrain();
     void close();
 
--- a/src/daemon/relay_shard.cpp
+++ b/src/daemon/relay_shard.cpp
@@ -117,6 +117,11 @@
     run([news](RelayEngine& engine, TimePoint now, RelayActions&) { engine.onCrashNews(news, now); });
 }
 
+void RelayShard::onServerNews(const ServerState& state)
+{
+    run([state](RelayEngine& engine, TimePoint now, RelayActions& actions) { engine.onServerNews(state, now, actions); });
+}
+
 void RelayShard::beginDrain()
 {
     run([](RelayEngine& engine, TimePoint now, RelayActions& actions) { engine.beginDrain(now, actions); });
--- a/src/daemon/relay_shard.h
+++ b/src/daemon/relay_shard.h
@@ -37,6 +37,7 @@
     void onCancel(const LegKey&);
     void onEntryLost(const InstanceName&);
     void onCrashNews(const AnnounceCrash&);
+    void onServerNews(const ServerState&);
     void beginDrain();
     /// Closes what is open. Call it when nothing is in flight any more.
     void close();
