Tests of the relay's policies one by one

Cause: they were covered by random events only. Change: connections and their waits, each sign of a drain, lying health reports, ejection and its floor, the limit after a shed, the table of crashes.

--- /dev/null
+++ b/tests/dispatch/server_policies_test.cpp
@@ -0,0 +1,221 @@
+#include "dispatch/relay_fixture.h"
+
+#include "dispatch/concurrency_limit.h"
+#include "dispatch/connection_pool.h"
+#include "dispatch/crash_table.h"
+
+#include <doctest/doctest.h>
+
+namespace lycheefield {
+
+namespace {
+
+class AllServers final : public ServerDirectory {
+public:
+    bool exists(const ServerName&) const override { return true; }
+    bool owns(const ServerName&) const override { return true; }
+};
+
+}
+
+TEST_CASE("the connections of one relay" * doctest::test_suite("dispatch"))
+{
+    SUBCASE("four holders and the reserve fit under every cap")
+    {
+        const RelaySettings settings;
+        for (std::uint32_t cap = 0; cap < 300; ++cap) {
+            CAPTURE(cap);
+            const auto work = workConnectionLimit(cap, settings);
+            const auto held = work > 0 ? work + 1 : 0;
+            CHECK((work == 0 || 4 * held + settings.reservedConnections <= cap));
+        }
+        CHECK(workConnectionLimit(25, settings) == 4);
+        CHECK(workConnectionLimit(110, settings) == 26);
+    }
+    SUBCASE("are opened again after longer and longer waits when they are refused")
+    {
+        ConnectionCounters counters;
+        ConnectionPool pool(ServerName("s0"), counters);
+        pool.setLimit(4);
+        TimePoint now { Duration(1) };
+        Duration lastWait {};
+        for (int i = 0; i < 5; ++i) {
+            RelayActions actions;
+            pool.balance(2, now, actions);
+            REQUIRE_FALSE(actions.empty());
+            for (const auto& it : actions)
+                CHECK(pool.onLost(std::get<OpenConnection>(it).connection, now));
+            const auto wait = pool.retryAt() - now;
+            CHECK(wait > lastWait);
+            lastWait = wait;
+            now = pool.retryAt();
+        }
+    }
+}
+
+TEST_CASE("a server that drains gets no new work" * doctest::test_suite("dispatch"))
+{
+    RelayFixture relay;
+    relay.addServer("s0");
+    relay.addServer("s1", 1);
+    relay.publish({ "self" });
+    relay.connectAll();
+    for (std::uint64_t i = 0; i < 3; ++i)
+        relay.send(relay.order(i, "s0"));
+    const auto running = relay.take<RunLeg>();
+    REQUIRE(running.size() == 2);
+
+    SUBCASE("from the first mark in an answer on")
+    {
+        relay.answer(running[0], LegOutcome::Ok, true);
+    }
+    SUBCASE("from a health report on, when it is not the only server")
+    {
+        relay.engine().onHealth(ServerName("s0"), { 0, true, {} }, relay.now(), relay.actions());
+    }
+    SUBCASE("from the catalog's word on")
+    {
+        relay.addServer("s0", 0, true);
+        relay.publish({ "self" });
+    }
+    SUBCASE("from refused connections on, when none is left")
+    {
+        relay.lose(running[0]);
+        relay.lose(running[1]);
+        for (const auto& it : relay.take<OpenConnection>())
+            relay.engine().onConnectionLost(it.server, it.connection, false, relay.now(), relay.actions());
+    }
+    const auto announced = relay.take<AnnounceServer>();
+    REQUIRE(announced.size() == 1);
+    CHECK(announced[0].state.draining);
+    std::size_t notRun = 0;
+    for (const auto& it : relay.take<ReturnResult>())
+        notRun += it.result.outcome == LegOutcome::Refused ? 1 : 0;
+    CHECK(notRun == 1);
+    relay.send(relay.order(9, "s0"));
+    CHECK(relay.take<RunLeg>().empty());
+    REQUIRE(relay.take<ReturnResult>().size() == 1);
+}
+
+TEST_CASE("health reports that lie" * doctest::test_suite("dispatch"))
+{
+    RelayFixture relay;
+    for (std::uint32_t i = 0; i < 4; ++i)
+        relay.addServer("s" + std::to_string(i), i);
+    relay.publish({ "self" });
+    relay.connectAll();
+    for (std::uint32_t i = 0; i < 4; ++i)
+        relay.engine().onHealth(ServerName("s" + std::to_string(i)), { 0, true, {} }, relay.now(), relay.actions());
+    CHECK(relay.take<AnnounceServer>().size() == 2);
+}
+
+TEST_CASE("servers that fail are ejected down to the floor" * doctest::test_suite("dispatch"))
+{
+    RelayFixture relay;
+    for (std::uint32_t i = 0; i < 4; ++i)
+        relay.addServer("s" + std::to_string(i), i);
+    relay.publish({ "self" });
+    relay.connectAll();
+    std::uint64_t request = 0;
+    const auto failAll = [&](bool sameContent) {
+        for (std::uint64_t i = 0; i < 40; ++i) {
+            auto order = relay.order(++request, "s" + std::to_string(i % 4));
+            if (sameContent)
+                order.fingerprint = Fingerprint(1);
+            relay.send(order);
+            for (const auto& it : relay.take<RunLeg>())
+                relay.answer(it, LegOutcome::Failed);
+        }
+    };
+    const auto ejected = [&] {
+        std::size_t n = 0;
+        for (const auto& it : relay.engine().states())
+            n += it.ejected ? 1 : 0;
+        return n;
+    };
+    SUBCASE("never for one content alone")
+    {
+        failAll(true);
+        CHECK(ejected() == 0);
+    }
+    SUBCASE("and come back by a probe, each time later")
+    {
+        failAll(false);
+        CHECK(ejected() == 2);
+        relay.run(RelaySettings {}.ejectionTime);
+        CHECK(ejected() == 0);
+        failAll(false);
+        CHECK(ejected() == 2);
+        relay.run(RelaySettings {}.ejectionTime);
+        CHECK(ejected() == 2);
+        relay.run(RelaySettings {}.ejectionTime);
+        CHECK(ejected() == 0);
+    }
+}
+
+TEST_CASE("a server that sheds gets less at a time" * doctest::test_suite("dispatch"))
+{
+    ConcurrencyLimit limit(4);
+    TimePoint now { Duration(1) };
+    limit.onShed(50ms, now);
+    CHECK(limit.at(now) == 0);
+    CHECK((limit.nextChange(now) == now + 50ms));
+    now += 50ms;
+    CHECK(limit.at(now) == 2);
+    int successes = 0;
+    for (; limit.at(now) < 4 && successes < 1000; ++successes)
+        limit.onSuccess();
+    CHECK(successes > 100);
+    CHECK(limit.at(now) == 4);
+}
+
+TEST_CASE("the table of crashes" * doctest::test_suite("dispatch"))
+{
+    const RelaySettings settings;
+    const AllServers servers;
+    CrashTable table(settings, servers);
+    TimePoint now { Duration(1) };
+    RelayActions actions;
+    const CrashPlace place { ServerName("s0"), ShardNumber(0) };
+
+    SUBCASE("is bounded and keeps what is proved")
+    {
+        table.onCrash(Fingerprint(1), place, CrashId(1), true, now, actions);
+        for (std::uint64_t i = 2; i < 5000; ++i) {
+            now += 1ms;
+            table.onCrash(Fingerprint(i), place, CrashId(i), false, now, actions);
+        }
+        CHECK(table.size() <= CrashTable::maxRecords);
+        CHECK((table.rule(Fingerprint(1), place, now, actions) == CrashRuling::Refuse));
+    }
+    SUBCASE("drops its evidence when only a connection had died")
+    {
+        table.onCrash(Fingerprint(1), place, CrashId(1), false, now, actions);
+        CHECK(table.isBarred(Fingerprint(1), now));
+        table.dismiss(CrashId(1), actions);
+        CHECK_FALSE(table.isBarred(Fingerprint(1), now));
+    }
+    SUBCASE("clears what ran beside the proved culprit")
+    {
+        table.onCrash(Fingerprint(1), place, CrashId(1), false, now, actions);
+        table.onCrash(Fingerprint(2), place, CrashId(1), false, now, actions);
+        now += 1s;
+        REQUIRE((table.rule(Fingerprint(1), place, now, actions) == CrashRuling::RunAsProbe));
+        CHECK((table.rule(Fingerprint(1), place, now, actions) == CrashRuling::Refuse));
+        table.onCrash(Fingerprint(1), place, CrashId(2), true, now, actions);
+        CHECK((table.rule(Fingerprint(1), place, now, actions) == CrashRuling::Refuse));
+        CHECK((table.rule(Fingerprint(2), place, now, actions) == CrashRuling::Run));
+    }
+    SUBCASE("keeps a quarantine up while the content is sent, and forgets it when it is not")
+    {
+        table.onCrash(Fingerprint(1), place, CrashId(1), true, now, actions);
+        for (int i = 0; i < 20; ++i) {
+            now += 1min;
+            CHECK((table.rule(Fingerprint(1), place, now, actions) == CrashRuling::Refuse));
+        }
+        now += settings.quarantineTime;
+        CHECK((table.rule(Fingerprint(1), place, now, actions) == CrashRuling::Run));
+    }
+}
+
+}
