--- a/bench/rules_bench.cpp
+++ b/bench/rules_bench.cpp
@@ -8,6 +8,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <iostream>
 #include <string>
@@ -56,7 +57,7 @@
         const auto background = idleRate * seconds(m_access->now() - begun);
         const auto perChange = (storeCalls() - first - background) / static_cast<double>(m_options.changes);
         std::sort(times.begin(), times.end());
-        const auto at = [&](double quantile) { return times[std::min(times.size() - 1, static_cast<std::size_t>(quantile * static_cast<double>(times.size())))]; };
+        const auto at = [&](double quantile) { return times[static_cast<std::size_t>(std::ceil(quantile * static_cast<double>(times.size()))) - 1]; };
         std::printf("instances=%zu changes=%zu p50_s=%.3f p99_s=%.3f max_s=%.3f store_calls=%.1f idle_calls_per_s=%.1f\n", m_instances.size(), times.size(), at(0.5), at(0.99),
             times.back(), perChange, idleRate);
         return times.back() < seconds(limit) ? 0 : 1;
--- a/src/membership/membership_engine.cpp
+++ b/src/membership/membership_engine.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// News go at once to this many peers; each of them does the same.
-constexpr std::size_t announceFanout = 3;
+constexpr std::size_t announceFanout = 5;
 /// Each period of this many, a member that is gone is probed too, so that a healed partition is noticed.
 constexpr std::uint64_t lostProbeInterval = 8;
 /// A member is a suspect after this many failed probes in a row.
