--- a/models/rules.pml
+++ b/models/rules.pml
@@ -4,9 +4,7 @@
  * The two halves meet only in `current`, so each is checked by itself: APPLY has the operators, the
  * store and late writes; SPREAD has the instances, with a store whose revision rises at any moment.
  *
- * safety mutants of APPLY: UNCONDITIONAL LOST_IS_CONFLICT LOST_IS_ACCEPTED NO_HISTORY REBASE REFUSED_AFTER_LOST
- * safety mutants of SPREAD: LOWER
- * liveness mutants of SPREAD: NO_PEERS READ_ONCE
+ * models/checks.list names the checks: safety of both, liveness (LIVENESS) of SPREAD, and mutants.
  *
  * Bounds: 2 operators with 3 tries of the write each; 2 instances; 2 replacements of one; 2 outages. */
 
@@ -52,7 +50,7 @@
 
 inline conditionHolds(who, expected, result)
 {
-#ifdef UNCONDITIONAL
+#ifdef MUT_UNCONDITIONAL
     result = (current + 1 < REVISIONS);
 #else
     result = (current == expected);
@@ -85,7 +83,7 @@
         up;
         if
         :: current != base ->
-#ifdef REBASE
+#ifdef MUT_REBASE
             base = current;
 #else
             tell(me, Conflict);
@@ -96,7 +94,7 @@
     }
 
 keepHistory: /* Step::KeepHistory: create only */
-#ifndef NO_HISTORY
+#ifndef MUT_NO_HISTORY
     atomic {
         up;
         if
@@ -111,7 +109,7 @@
     :: tries == MAX_TRIES ->
         if
         :: lost -> tell(me, Unknown);
-#ifdef REFUSED_AFTER_LOST
+#ifdef MUT_REFUSED_AFTER_LOST
         :: lost -> tell(me, Refused);
 #endif
         :: !lost -> tell(me, Refused);
@@ -145,10 +143,10 @@
        }
     :: atomic { !up -> skip; } goto writeCurrent; /* Refused in an outage. */
     fi;
-#ifdef LOST_IS_CONFLICT
+#ifdef MUT_LOST_IS_CONFLICT
     atomic { tell(me, Conflict); goto done; }
 #endif
-#ifdef LOST_IS_ACCEPTED
+#ifdef MUT_LOST_IS_ACCEPTED
     atomic { tell(me, Accepted); goto done; }
 #endif
 
@@ -160,7 +158,7 @@
         :: seen == base -> goto writeCurrent;
         :: seen != base && author[seen] == me -> tell(me, Accepted); goto done;
         :: seen == base + 1 && author[seen] != me ->
-#ifdef REBASE
+#ifdef MUT_REBASE
             base = seen; goto writeCurrent;
 #else
             tell(me, Conflict); goto done;
@@ -204,7 +202,7 @@
 /* RuleKeeper::accept (src/rules/rule_keeper.cpp). */
 inline accept(instance, offer)
 {
-#ifdef LOWER
+#ifdef MUT_LOWER
     if
     :: offer != 0 && offer != inForce[instance] ->
 #else
@@ -222,14 +220,14 @@
 proctype FromStore(byte me)
 {
     byte offer;
-#ifdef READ_ONCE
+#ifdef MUT_READ_ONCE
     byte reads = 0;
 #endif
 end:
     do
     :: atomic {
         up && current > inForce[me] && (me == 0 || inForce[me] == 0);
-#ifdef READ_ONCE
+#ifdef MUT_READ_ONCE
         reads < 1; reads++;
 #endif
         offer = current;
@@ -244,7 +242,7 @@
     byte offer;
 end:
     do
-#ifndef NO_PEERS
+#ifndef MUT_NO_PEERS
     :: atomic { inForce[1 - me] > inForce[me]; offer = inForce[1 - me]; }
        atomic { accept(me, offer); offer = 0; }
 #else
@@ -314,7 +312,7 @@
     }
 }
 
-#ifdef SPREAD
+#ifdef LIVENESS
 /* Whatever revision was accepted last ends up in force everywhere, for good. */
 ltl spread { <>[] (inForce[0] == current && inForce[1] == current) }
 #endif
