--- a/src/query/crash_evidence.h
+++ b/src/query/crash_evidence.h
@@ -19,6 +19,8 @@
     static constexpr Duration memory = std::chrono::minutes(5);
 
     ContentStanding standingOf(Fingerprint, TimePoint) const;
+    /// How long the content is still refused; zero when it is not quarantined.
+    Duration quarantineLeft(Fingerprint, TimePoint) const;
     /// A leg of that content died with the server. Crashes close together count as one.
     void noteCrash(Fingerprint, const ServerName&, bool wasProbe, TimePoint);
     void noteNews(const CrashNews&, TimePoint);
@@ -29,8 +31,6 @@
     bool mayAsk(Fingerprint, const Shard&, const ServerName&, TimePoint) const;
     /// The first felled server by name, whose relay runs the probe; null when none is known.
     const ServerName* probeServer(Fingerprint, TimePoint) const;
-    /// True when any server crashed within that time.
-    bool sawCrashWithin(Duration, TimePoint) const;
     bool isEmpty() const { return m_records.empty(); }
 
 private:
@@ -47,7 +47,6 @@
     void makeRoom(TimePoint);
 
     std::unordered_map<Fingerprint, Record> m_records;
-    TimePoint m_lastCrash {};
 };
 
 }
--- a/src/query/standard_query_engine_attempts.cpp
+++ b/src/query/standard_query_engine_attempts.cpp
@@ -9,6 +9,18 @@
 /// How long a query with late legs waits for other queries to earn hedges.
 constexpr Duration waitForTokens = 20ms;
 
+ShardAnswer shardAnswerOf(const Shard& shard, const LegResult& result, bool mustCoverBatches)
+{
+    ShardAnswer answer { shard.number, result.batches, result.body, {} };
+    if (!mustCoverBatches || shard.batches == result.batches)
+        return answer;
+    for (const auto& it : shard.batches) {
+        if (std::find(result.batches.begin(), result.batches.end(), it) == result.batches.end())
+            answer.missingBatches.push_back(it);
+    }
+    return answer;
+}
+
 }
 
 void StandardQueryEngine::sendAttempt(Query& query, std::size_t leg, const ReplicaChoice& choice, bool isHedge, TimePoint now, WorkBatch& batch)
@@ -88,6 +100,7 @@
         WorkBatch batch;
         sendAttempt(query, static_cast<std::size_t>(&leg - query.legs.data()), choice, false, now, batch);
         ++m_counters.retries;
+        note(query, "leg " + std::to_string(&leg - query.legs.data()) + " " + std::string(toString(outcome)) + ", sent again to " + choice.server->name.value(), actions);
         return batch.flush(query, m_self, actions);
     }
     if (isGone && !choice.server && mayStartAgain(query, now))
@@ -109,11 +122,11 @@
 
 void StandardQueryEngine::hedgeLateLegs(Query& query, TimePoint now, QueryActions& actions)
 {
-    // Between two looks legs only end, so no other leg can become late before the time computed last.
-    const bool waitsForFew = m_hedges.waitsForFew(query);
-    if (now < query.hedgeCheckAt && waitsForFew == query.waitedForFew)
+    // While the same delay is needed, legs only end, so none can become late before the time computed last.
+    const auto delaysNeeded = m_hedges.delaysNeeded(query);
+    if (now < query.hedgeCheckAt && delaysNeeded == query.delaysNeeded)
         return;
-    query.waitedForFew = waitsForFew;
+    query.delaysNeeded = delaysNeeded;
     bool wantsTokens = false;
     WorkBatch batch;
     for (const auto leg : m_hedges.lateLegs(query, now)) {
@@ -128,6 +141,7 @@
         sendAttempt(query, leg, choice, true, now, batch);
         query.budget->spendHedge();
         ++m_counters.hedges;
+        note(query, "leg " + std::to_string(leg) + " is late, hedged at " + choice.server->name.value(), actions);
     }
     query.hedgeCheckAt = m_hedges.nextLate(query, now);
     if (wantsTokens)
@@ -137,7 +151,7 @@
 
 void StandardQueryEngine::takeAnswer(Query& query, LegState& leg, const LegResult& result, TimePoint now, QueryActions& actions)
 {
-    leg.answer = ShardAnswer { leg.shard->number, result.batches, result.body };
+    leg.answer = shardAnswerOf(*leg.shard, result, query.rule->kind == RequestKind::Search);
     leg.isOpen = false;
     --query.openLegs;
     ++query.covered;
