--- a/src/claims/claim_action.h
+++ b/src/claims/claim_action.h
@@ -49,6 +49,8 @@
     ClaimVerdict verdict = ClaimVerdict::StoreUnavailable;
     RunState recordedState = RunState::Unknown; ///< With alreadyDone.
     std::string recordedAnswer; ///< With alreadyDone.
+
+    friend bool operator==(const ClaimDecided&, const ClaimDecided&) = default;
 };
 
 using ClaimAction = std::variant<ReadObject, WriteObject, ClaimDecided>;
--- a/src/claims/claim_engine.h
+++ b/src/claims/claim_engine.h
@@ -15,6 +15,8 @@
     IdempotencyKey key;
     Fingerprint fingerprint;
     TimePoint deadline = never;
+
+    friend bool operator==(const ClaimRequest&, const ClaimRequest&) = default;
 };
 
 struct ClaimCounters {
--- a/src/claims/claim_settings.h
+++ b/src/claims/claim_settings.h
@@ -9,10 +9,10 @@
 using namespace std::chrono_literals;
 
 struct ClaimSettings {
-    std::uint32_t partitions = 16; ///< Head objects over which keys are spread. The same on every instance.
-    Duration batchWindow = 5ms; ///< Shortest time between two writes to a partition; what comes meanwhile shares the next.
+    std::uint32_t partitions = 2; ///< Head objects over which keys are spread. The same on every instance.
+    Duration batchWindow = 7ms; ///< Shortest time between two writes to a partition; what comes meanwhile shares the next.
     Duration keyLifetime = 24h; ///< After this a key is forgotten.
-    std::uint32_t maxClaimsPerHead = 4000; ///< A fuller head is sealed into a segment.
+    std::uint32_t maxClaimsPerHead = 500; ///< A fuller head is sealed into a segment.
     std::uint32_t maxHeadBytes = 256 * 1024; ///< A larger head is sealed, however few claims it holds.
     std::uint32_t maxKeyBytes = 512; ///< A longer idempotency key is refused.
     std::uint32_t maxAnswerBytes = 2048; ///< Of a longer answer only the run state is recorded.
--- a/src/daemon/claim_service.h
+++ b/src/daemon/claim_service.h
@@ -23,13 +23,4 @@
     virtual std::size_t pending() const = 0;
 };
 
-/// Refuses every claim: for an instance that has no store.
-class NoClaimService final : public ClaimService {
-public:
-    void claim(const ClaimRequest& request, Handler handler) override { handler({ request.request, ClaimVerdict::StoreUnavailable, RunState::Unknown, {} }); }
-    void recordOutcome(const RequestId&, RunState, const std::string&) override { }
-    void release(const RequestId&) override { }
-    std::size_t pending() const override { return 0; }
-};
-
 }
--- /dev/null
+++ b/src/daemon/claims_role.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "daemon/claim_driver.h"
+#include "daemon/claim_service.h"
+#include "daemon/shared_tables.h"
+#include "wire/claim_message.h"
+#include "wire/peer_network.h"
+
+#include <map>
+#include <unordered_map>
+
+namespace lycheefield {
+
+/// The instance that batches the claims of a partition, by rendezvous hashing over the instances that
+/// can own; empty when there is none. Instances whose views differ may disagree: it only costs conflicts.
+InstanceName claimOwner(std::uint32_t partition, const MembershipView&);
+
+/// What a ClaimsRole works with. All outlive it.
+struct ClaimsContext {
+    boost::asio::io_context& io;
+    std::shared_ptr<const Clock> clock;
+    PeerNetwork& network;
+    const Snapshot<MembershipView>& view;
+};
+
+struct ForwardCounters {
+    std::uint64_t asked = 0; ///< Claims sent to another instance.
+    std::uint64_t undelivered = 0; ///< No byte of them left; claimed here instead.
+    std::uint64_t unanswered = 0; ///< Refused, not run: the link broke or the deadline passed.
+    std::uint64_t lateGrants = 0; ///< Granted after they were refused, and released.
+};
+
+/// Grants claims: those of partitions that this instance owns through its own engine, the others by
+/// asking the partition's owner, whose engine batches them.
+///
+/// Who owns a partition is only a matter of speed. A claim whose call to the owner may have arrived is
+/// never claimed by another way: it is refused, not run, and once its owner must have decided, its key
+/// is released. Thread safe.
+class ClaimsRole final : public ClaimService, public std::enable_shared_from_this<ClaimsRole> {
+public:
+    ClaimsRole(const ClaimsContext&, const ClaimSettings&, InstanceName self, std::shared_ptr<ClaimDriver>);
+
+    void claim(const ClaimRequest&, Handler) override;
+    void recordOutcome(const RequestId&, RunState, const std::string& answer) override;
+    void release(const RequestId&) override;
+    std::size_t pending() const override { return m_pending.load(std::memory_order_relaxed) + m_driver->pending(); }
+
+    /// A peer takes this instance for the owner.
+    void onCall(const InstanceName& from, ClaimCall);
+    void onReply(const InstanceName& from, ClaimReply);
+    void onLinkLost(const InstanceName&);
+    /// No byte of the call left.
+    void onUndelivered(const ClaimCall&);
+
+    ClaimCounters counters() const { return m_driver->counters(); }
+    ForwardCounters forwardCounters() const;
+
+private:
+    /// A claim that its owner was asked for.
+    struct Asked {
+        ClaimRequest request;
+        Handler handler; ///< Empty once it was refused here.
+        InstanceName owner;
+        TimePoint until; ///< Its deadline; once refused, when its owner has surely decided.
+    };
+    /// A granted request.
+    struct Granted {
+        ClaimRequest request;
+        InstanceName owner;
+    };
+    /// An outcome or release that its owner did not confirm yet.
+    struct Unsettled {
+        ClaimCall call;
+        InstanceName owner;
+        TimePoint until;
+    };
+
+    void claimHere(const ClaimRequest&, Handler);
+    void ask(const ClaimRequest&, Handler, const InstanceName& owner);
+    void refuse(Asked&);
+    void settle(const RequestId&, RunState, const std::string& answer);
+    void settleHere(const ClaimCall&);
+    void checkTimes();
+    void update();
+
+    ClaimsContext m_context;
+    ClaimSettings m_settings;
+    InstanceName m_self;
+    std::shared_ptr<ClaimDriver> m_driver;
+    Strand m_strand;
+    EngineTimer m_timer;
+    std::unordered_map<RequestId, Asked> m_asked;
+    std::unordered_map<RequestId, Granted> m_granted;
+    std::unordered_map<RequestId, Unsettled> m_unsettled;
+    std::atomic<std::size_t> m_pending { 0 };
+    mutable std::mutex m_countersMutex;
+    ForwardCounters m_counters;
+};
+
+}
--- a/src/daemon/peer_router.cpp
+++ b/src/daemon/peer_router.cpp
@@ -13,6 +13,12 @@
     m_other = std::move(other);
 }
 
+void PeerRouter::connectClaims(LinkLostHandler onLinkLost, UndeliveredClaimHandler onUndelivered)
+{
+    m_claimLinkLost = std::move(onLinkLost);
+    m_undeliveredClaim = std::move(onUndelivered);
+}
+
 void PeerRouter::sendWork(const InstanceName& relay, WorkOrder work)
 {
     if (relay == m_self)
@@ -76,10 +82,14 @@
 void PeerRouter::onLinkLost(const InstanceName& peer)
 {
     m_entry->onRelayLost(peer);
+    if (m_claimLinkLost)
+        m_claimLinkLost(peer);
 }
 
 void PeerRouter::onUndelivered(const InstanceName& to, PeerMessage message)
 {
+    if (const auto* call = std::get_if<ClaimCall>(&message); call && m_undeliveredClaim)
+        m_undeliveredClaim(*call);
     const auto* work = std::get_if<WorkOrder>(&message);
     if (!work)
         return;
--- a/src/daemon/peer_router.h
+++ b/src/daemon/peer_router.h
@@ -16,6 +16,10 @@
 public:
     /// Gets messages that concern neither legs nor servers.
     using OtherHandler = std::function<void(const Hello& from, PeerMessage)>;
+    /// The link to a peer broke; what it was asked may have reached it.
+    using LinkLostHandler = std::function<void(const InstanceName&)>;
+    /// No byte of the call left.
+    using UndeliveredClaimHandler = std::function<void(const ClaimCall&)>;
 
     explicit PeerRouter(InstanceName self)
         : m_self(std::move(self))
@@ -25,6 +29,9 @@
     /// Call it once, before the first message. All outlive the router's use.
     void connect(EntryDriver&, RelayDriver&, PeerNetwork&, OtherHandler);
 
+    /// Call it once, before the first message.
+    void connectClaims(LinkLostHandler onLinkLost, UndeliveredClaimHandler onUndelivered);
+
     void sendWork(const InstanceName& relay, WorkOrder) override;
     void sendCancel(const InstanceName& relay, const LegKey&) override;
     void returnResult(const InstanceName& entry, LegResult) override;
@@ -42,6 +49,8 @@
     RelayDriver* m_relay = nullptr;
     PeerNetwork* m_network = nullptr;
     OtherHandler m_other;
+    LinkLostHandler m_claimLinkLost;
+    UndeliveredClaimHandler m_undeliveredClaim;
 };
 
 }
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -168,6 +168,34 @@
             body.__set_payload(control.payload);
         out.__set_control(body);
     }
+    void operator()(const lycheefield::ClaimCall& call) const
+    {
+        ClaimCall body;
+        body.requestLife = toSigned(call.request.request.life.value());
+        body.requestCounter = toSigned(call.request.request.counter);
+        body.key = call.request.key.value();
+        body.fingerprint = toSigned(call.request.fingerprint.value());
+        body.budgetMicros = timeLeft(call.request.deadline, now);
+        if (call.settledAs) {
+            body.__set_settledAs(static_cast<std::int32_t>(*call.settledAs));
+            body.__set_answer(call.answer);
+        }
+        out.__set_claimCall(body);
+    }
+    void operator()(const lycheefield::ClaimReply& reply) const
+    {
+        ClaimReply body;
+        body.requestLife = toSigned(reply.decided.request.life.value());
+        body.requestCounter = toSigned(reply.decided.request.counter);
+        body.verdict = static_cast<std::int32_t>(reply.decided.verdict);
+        if (reply.decided.verdict == ClaimVerdict::AlreadyDone) {
+            body.__set_recordedState(static_cast<std::int32_t>(reply.decided.recordedState));
+            body.__set_recordedAnswer(reply.decided.recordedAnswer);
+        }
+        if (reply.isSettled)
+            body.__set_isSettled(true);
+        out.__set_claimReply(body);
+    }
 };
 
 }
--- a/src/wire/convert_from.cpp
+++ b/src/wire/convert_from.cpp
@@ -159,6 +159,31 @@
     return { Reader::number(in.sequence), std::move(in.verb), std::move(in.argument), in.isAnswer, std::move(in.payload) };
 }
 
+lycheefield::ClaimCall fromWire(ClaimCall& in, Reader& reader)
+{
+    lycheefield::ClaimCall out;
+    out.request.request = { ProcessLife(Reader::number(in.requestLife)), Reader::number(in.requestCounter) };
+    out.request.key = IdempotencyKey(std::move(in.key));
+    out.request.fingerprint = Fingerprint(Reader::number(in.fingerprint));
+    out.request.deadline = reader.deadline(in.budgetMicros, "budgetMicros");
+    if (in.__isset.settledAs)
+        out.settledAs = reader.choice(in.settledAs, RunState::Unknown, "settledAs");
+    out.answer = std::move(in.answer);
+    return out;
+}
+
+lycheefield::ClaimReply fromWire(ClaimReply& in, Reader& reader)
+{
+    lycheefield::ClaimReply out;
+    out.decided.request = { ProcessLife(Reader::number(in.requestLife)), Reader::number(in.requestCounter) };
+    out.decided.verdict = reader.choice(in.verdict, ClaimVerdict::StoreUnavailable, "verdict");
+    if (in.__isset.recordedState)
+        out.decided.recordedState = reader.choice(in.recordedState, RunState::Unknown, "recordedState");
+    out.decided.recordedAnswer = std::move(in.recordedAnswer);
+    out.isSettled = in.isSettled;
+    return out;
+}
+
 LegResults fromWire(std::vector<LegResult>& in, Reader& reader)
 {
     LegResults out;
@@ -180,7 +205,7 @@
 int bodiesIn(const Envelope& in)
 {
     const auto& set = in.__isset;
-    return set.hello + set.work + set.cancel + set.results + set.servers + set.crash + set.gossip + set.ruleRequest + set.ruleDelta + set.control;
+    return set.hello + set.work + set.cancel + set.results + set.servers + set.crash + set.gossip + set.ruleRequest + set.ruleDelta + set.control + set.claimCall + set.claimReply;
 }
 
 /// Precondition: exactly one body field is set.
@@ -209,6 +234,10 @@
         return lycheefield::RuleRequest { RuleRevision(Reader::number(in.ruleRequest.haveRevision)) };
     if (set.ruleDelta)
         return checked(lycheefield::fromWire(in.ruleDelta), reader, "ruleDelta");
+    if (set.claimCall)
+        return fromWire(in.claimCall, reader);
+    if (set.claimReply)
+        return fromWire(in.claimReply, reader);
     return fromWire(in.control);
 }
 
--- a/src/wire/inner.thrift
+++ b/src/wire/inner.thrift
@@ -120,6 +120,27 @@
     5: optional string payload
 }
 
+// Asks the owner of a key's partition to claim it, or to record how a granted request ended.
+struct ClaimCall {
+    1: required i64 requestLife
+    2: required i64 requestCounter
+    3: required binary key
+    4: required i64 fingerprint
+    5: required i64 budgetMicros // Time left until the deadline when the message was sent.
+    6: optional i32 settledAs
+    7: optional binary answer
+}
+
+// The owner's answer to a ClaimCall.
+struct ClaimReply {
+    1: required i64 requestLife
+    2: required i64 requestCounter
+    3: required i32 verdict
+    4: optional i32 recordedState
+    5: optional binary recordedAnswer
+    6: optional bool isSettled = false
+}
+
 // The one message of a frame. Exactly one body field is set; a receiver skips fields it does not know.
 struct Envelope {
     1: required i32 protocolVersion
@@ -133,4 +154,6 @@
     9: optional RuleRequest ruleRequest
     10: optional RuleDelta ruleDelta
     11: optional Control control
+    12: optional ClaimCall claimCall
+    13: optional ClaimReply claimReply
 }
--- a/src/wire/peer_message.h
+++ b/src/wire/peer_message.h
@@ -6,6 +6,7 @@
 #include "dispatch/relay_action.h"
 #include "membership/member_digest.h"
 #include "rules/rule_delta.h"
+#include "wire/claim_message.h"
 
 #include <cstdint>
 #include <string>
@@ -63,6 +64,6 @@
 };
 
 /// The one message of a frame.
-using PeerMessage = std::variant<Hello, WorkOrder, CancelLeg, LegResults, ServerNews, AnnounceCrash, GossipMessage, RuleRequest, RuleDelta, Control>;
+using PeerMessage = std::variant<Hello, WorkOrder, CancelLeg, LegResults, ServerNews, AnnounceCrash, GossipMessage, RuleRequest, RuleDelta, Control, ClaimCall, ClaimReply>;
 
 }
--- a/tests/claims/claim_engine_test.cpp
+++ b/tests/claims/claim_engine_test.cpp
@@ -10,6 +10,7 @@
 {
     ClaimSettings settings;
     settings.partitions = 1;
+    settings.batchWindow = 5ms;
     return settings;
 }
 
--- a/tests/claims/claim_segment_test.cpp
+++ b/tests/claims/claim_segment_test.cpp
@@ -12,6 +12,7 @@
     ClaimSettings settings;
     settings.partitions = 1;
     settings.maxClaimsPerHead = 10;
+    settings.batchWindow = 5ms;
     settings.keyLifetime = 24h;
     return settings;
 }
