Claims in the daemon: forwarded to the partition's owner, which batches them

Cause: orders were refused, since no claim service was wired in; and claims of one partition made by nine instances conflict with each other. Change: ClaimDriver runs an engine on a strand against the object store. ClaimsRole sends a claim to the partition's owner (rendezvous hashing over the view) over the inner protocol (ClaimCall, ClaimReply); a call that may have arrived is never claimed by another way: refused, not run, and released once its owner must have decided. The write budget of an instance now includes what an owner of every partition needs.

--- /dev/null
+++ b/src/daemon/claim_metrics.h
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace lycheefield {
+
+class ClaimsRole;
+class Metrics;
+class PlatformClient;
+
+/// Registers the counters of the claims. Precondition: the role outlives the metrics' use.
+void addClaimMetrics(Metrics&, const ClaimsRole&);
+/// Registers the counters of the calls to the platform. Precondition: the client outlives the metrics' use.
+void addPlatformMetrics(Metrics&, const PlatformClient&);
+
+}
--- a/src/daemon/claims_role.cpp
+++ b/src/daemon/claims_role.cpp
@@ -9,15 +9,6 @@
 
 namespace lycheefield {
 
-namespace {
-
-/// An owner decides a claim by its deadline, which it learns with the call: a crossing later.
-constexpr Duration decisionMargin = std::chrono::seconds(2);
-/// An outcome that its owner did not confirm for this long is written here.
-constexpr Duration settleTimeout = std::chrono::seconds(1);
-
-}
-
 InstanceName claimOwner(std::uint32_t partition, const MembershipView& view)
 {
     InstanceName owner;
@@ -34,10 +25,11 @@
     return owner;
 }
 
-ClaimsRole::ClaimsRole(const ClaimsContext& context, const ClaimSettings& settings, InstanceName self, std::shared_ptr<ClaimDriver> driver)
+ClaimsRole::ClaimsRole(const ClaimsContext& context, const ClaimSettings& settings, InstanceName self, std::shared_ptr<ClaimDriver> driver, const ForwardTimes& times)
     : m_context(context)
     , m_settings(settings)
     , m_self(std::move(self))
+    , m_times(times)
     , m_driver(std::move(driver))
     , m_strand(boost::asio::make_strand(context.io))
     , m_timer(m_strand, context.clock)
@@ -84,7 +76,7 @@
         const std::lock_guard lock(m_countersMutex);
         ++m_counters.unanswered;
     }
-    asked.until = asked.request.deadline + decisionMargin;
+    asked.until = asked.request.deadline + m_times.decisionMargin;
     const auto handler = std::exchange(asked.handler, nullptr);
     handler({ asked.request.request, ClaimVerdict::StoreUnavailable, RunState::Unknown, {} });
 }
@@ -108,7 +100,7 @@
     ClaimCall call { granted.request, state, answer.size() <= m_settings.maxAnswerBytes ? answer : std::string {} };
     if (granted.owner == m_self)
         return settleHere(call);
-    m_unsettled[request] = { call, granted.owner, m_context.clock->now() + settleTimeout };
+    m_unsettled[request] = { call, granted.owner, m_context.clock->now() + m_times.settleTimeout };
     m_context.network.send(granted.owner, std::move(call));
     update();
 }
--- a/src/daemon/claims_role.h
+++ b/src/daemon/claims_role.h
@@ -23,6 +23,13 @@
     const Snapshot<MembershipView>& view;
 };
 
+struct ForwardTimes {
+    /// An owner decides a claim by its deadline, which it learns with the call: a crossing later.
+    Duration decisionMargin = std::chrono::seconds(2);
+    /// An outcome that its owner did not confirm for this long is written here.
+    Duration settleTimeout = std::chrono::seconds(1);
+};
+
 struct ForwardCounters {
     std::uint64_t asked = 0; ///< Claims sent to another instance.
     std::uint64_t undelivered = 0; ///< No byte of them left; claimed here instead.
@@ -38,7 +45,7 @@
 /// is released. Thread safe.
 class ClaimsRole final : public ClaimService, public std::enable_shared_from_this<ClaimsRole> {
 public:
-    ClaimsRole(const ClaimsContext&, const ClaimSettings&, InstanceName self, std::shared_ptr<ClaimDriver>);
+    ClaimsRole(const ClaimsContext&, const ClaimSettings&, InstanceName self, std::shared_ptr<ClaimDriver>, const ForwardTimes& = {});
 
     void claim(const ClaimRequest&, Handler) override;
     void recordOutcome(const RequestId&, RunState, const std::string& answer) override;
@@ -86,6 +93,7 @@
     ClaimsContext m_context;
     ClaimSettings m_settings;
     InstanceName m_self;
+    ForwardTimes m_times;
     std::shared_ptr<ClaimDriver> m_driver;
     Strand m_strand;
     EngineTimer m_timer;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,6 +2,8 @@
 
 #include "daemon/caller_api.h"
 #include "daemon/catalog_role.h"
+#include "daemon/claim_metrics.h"
+#include "daemon/claims_role.h"
 #include "daemon/control_channel.h"
 #include "daemon/drain.h"
 #include "daemon/entry_driver.h"
@@ -33,13 +35,21 @@
 /// For the last messages to peers to go out.
 constexpr Duration departureTime = std::chrono::milliseconds(50);
 
-PlatformClientSettings clientSettings(const PlatformSettings& settings)
+/// Reads with which an instance that takes over a partition catches up on its segments.
+constexpr std::uint32_t claimReadsPerSecond = 200;
+
+/// The general budget, and what an instance may need that owns every partition of the claims.
+PlatformClientSettings clientSettings(const Settings& all)
 {
+    const auto& settings = all.platform;
+    const auto window = std::max<Duration>(all.claims.batchWindow, std::chrono::milliseconds(1));
+    const auto claimWrites = static_cast<std::uint32_t>(all.claims.partitions * (Duration(std::chrono::seconds(1)) / window));
     PlatformClientSettings out;
     out.endpoint = settings.endpoint;
     out.callTimeout = settings.requestTimeout;
     out.watchTimeout = settings.watchTimeout;
-    out.readsPerSecond = out.writesPerSecond = settings.callsPerSecond;
+    out.readsPerSecond = settings.callsPerSecond + claimReadsPerSecond;
+    out.writesPerSecond = settings.callsPerSecond + claimWrites;
     out.backoffFirst = settings.backoffMinimum;
     out.backoffMost = settings.backoffMaximum;
     return out;
@@ -89,11 +99,15 @@
         , m_control(m_network, m_clock, settings.fault.peerMessageLoss, std::make_unique<SeededRandom>(systemSeed()))
         , m_operators({ settings.instance.name, m_tables, m_entry, m_relay, m_log, m_metrics, [this] { return readiness(); },
               [this](const RequestId& id, std::function<void(HttpReply)> done) { cancel(id, std::move(done)); }, [this] { return controlStatus(); } })
-        , m_api(m_entry, m_tables, m_claims, m_log, m_operators, m_clock)
+        , m_client(std::make_shared<PlatformClient>(m_io.get_executor(), clientSettings(settings)))
+        , m_store(std::make_shared<HttpObjectStore>(m_client))
+        , m_claims(makeClaims())
+        , m_api(m_entry, m_tables, *m_claims, m_log, m_operators, m_clock)
         , m_http(m_io, m_api, m_clock, m_httpCounters, httpLimits(settings.http))
         , m_signals(m_io, SIGTERM, SIGINT)
     {
         m_router.connect(m_entry, m_relay, m_network, [this](const Hello& from, PeerMessage message) { onControl(from, std::move(message)); });
+        m_router.connectClaims([this](const InstanceName& peer) { m_claims->onLinkLost(peer); }, [this](const ClaimCall& call) { m_claims->onUndelivered(call); });
         m_publisher.addListener([this] {
             m_relay.onTables();
             m_network.dropGone();
@@ -145,22 +159,33 @@
     {
         const auto& address = m_settings.reachableAddress();
         const Instance self { m_settings.instance.name, m_life, { address, m_innerPort }, { address, m_httpPort }, m_settings.instance.zone, InstanceHealth::Alive };
-        auto client = std::make_shared<PlatformClient>(m_io.get_executor(), clientSettings(m_settings.platform));
-        auto store = std::make_shared<HttpObjectStore>(client);
-        m_catalog = std::make_shared<CatalogRole>(m_io.get_executor(), store, m_publisher);
-        const MembershipContext membership { m_io, m_clock, m_control, m_publisher, std::make_shared<HttpInstanceList>(client) };
+        m_catalog = std::make_shared<CatalogRole>(m_io.get_executor(), m_store, m_publisher);
+        const MembershipContext membership { m_io, m_clock, m_control, m_publisher, std::make_shared<HttpInstanceList>(m_client) };
         m_membership = std::make_shared<MembershipRole>(membership, m_settings.membership, self, m_settings.platform.listPeriod);
-        const RulesContext rules { m_io, m_clock, m_control, m_publisher, m_tables, store };
+        const RulesContext rules { m_io, m_clock, m_control, m_publisher, m_tables, m_store };
         m_rules = std::make_shared<RulesRole>(rules, m_settings.instance.name, m_settings.membership.watchersPerZone);
         m_membership->start([this](const InstanceName& peer, RuleRevision revision) { m_rules->onPeerRevision(peer, revision); });
         m_rules->start({ [this](RuleRevision revision) { m_membership->onRules(revision); }, [this] { m_membership->onStoreAnswer(); } });
         m_catalog->start();
         addControlMetrics();
+        addClaimMetrics(m_metrics, *m_claims);
+        addPlatformMetrics(m_metrics, *m_client);
+    }
+
+    std::shared_ptr<ClaimsRole> makeClaims()
+    {
+        auto engine = makeClaimEngine(m_settings.claims, std::make_unique<SeededRandom>(systemSeed()));
+        auto driver = std::make_shared<ClaimDriver>(m_io, m_clock, m_store, std::move(engine));
+        return std::make_shared<ClaimsRole>(ClaimsContext { m_io, m_clock, m_network, m_tables.view }, m_settings.claims, m_settings.instance.name, std::move(driver));
     }
 
-    /// Messages of peers that concern membership and rules.
+    /// Messages of peers that concern claims, membership and rules.
     void onControl(const Hello& from, PeerMessage message)
     {
+        if (auto* call = std::get_if<ClaimCall>(&message))
+            return m_claims->onCall(from.instance, std::move(*call));
+        if (auto* reply = std::get_if<ClaimReply>(&message))
+            return m_claims->onReply(from.instance, std::move(*reply));
         m_control.countReceived(message);
         if (auto* gossip = std::get_if<GossipMessage>(&message))
             m_membership->onGossip(from.instance, std::move(*gossip));
@@ -237,7 +262,7 @@
         logChange(LogLevel::Info, "draining");
         m_membership->beginLeaving();
         DrainParts parts;
-        parts.inFlight = [this] { return m_entry.inFlight() + m_relay.inFlight() + m_claims.pending(); };
+        parts.inFlight = [this] { return m_entry.inFlight() + m_relay.inFlight() + m_claims->pending(); };
         parts.closeIdle = [this] { m_http.beginDrain(); };
         parts.stopLegs = [this] { m_relay.beginDrain(); };
         parts.stop = [this] { depart(); };
@@ -269,7 +294,9 @@
     RelayDriver m_relay;
     AsioPeerNetwork m_network;
     ControlChannel m_control;
-    NoClaimService m_claims;
+    std::shared_ptr<PlatformClient> m_client;
+    std::shared_ptr<HttpObjectStore> m_store;
+    std::shared_ptr<ClaimsRole> m_claims;
     OperatorPaths m_operators;
     CallerApi m_api;
     HttpServer m_http;
--- /dev/null
+++ b/tests/daemon/claims_role_test.cpp
@@ -0,0 +1,277 @@
+#include "daemon/claims_role.h"
+#include "standin/platform_store.h"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <set>
+
+namespace lycheefield {
+
+namespace {
+
+/// The platform's state behind the interface, on the test's io_context.
+class StoreFake final : public ObjectStore {
+public:
+    explicit StoreFake(boost::asio::io_context& io)
+        : m_io(io)
+    {
+    }
+
+    void read(const std::string& key, ObjectHandler handler) override { reply(m_state.read(key, TimePoint {}), std::move(handler)); }
+    void write(const std::string& key, ObjectVersion expected, const std::string& value, ObjectHandler handler) override
+    {
+        reply(m_state.write(key, expected, value, TimePoint {}), std::move(handler));
+    }
+    void list(const std::string&, ListHandler) override { }
+    void watch(const std::string&, std::uint64_t, ListHandler) override { }
+
+private:
+    void reply(const standin::PlatformAnswer& answer, ObjectHandler handler)
+    {
+        boost::asio::post(m_io, [answer, handler = std::move(handler)] { handler(standin::toStoreStatus(answer), answer.object); });
+    }
+
+    boost::asio::io_context& m_io;
+    standin::PlatformStore m_state;
+};
+
+enum class Link : std::uint8_t {
+    Up,
+    Undeliverable, ///< Messages come back unsent.
+    AnswersLost, ///< Calls arrive, answers don't.
+};
+
+struct Fleet;
+
+/// Passes messages between the instances of a fleet.
+class NetworkFake final : public PeerNetwork {
+public:
+    NetworkFake(Fleet& fleet, InstanceName self)
+        : m_fleet(fleet)
+        , m_self(std::move(self))
+    {
+    }
+
+    void send(const InstanceName& to, PeerMessage) override;
+    void reply(const InstanceName& to, PeerMessage) override;
+    void broadcast(const PeerMessage&) override { }
+
+private:
+    Fleet& m_fleet;
+    InstanceName m_self;
+};
+
+struct Fleet {
+    explicit Fleet(const std::vector<std::string>& names, const ForwardTimes& times = {})
+        : store(std::make_shared<StoreFake>(io))
+    {
+        settings.partitions = 1;
+        settings.batchWindow = {};
+        settings.outcomeDelay = {};
+        std::vector<Instance> instances;
+        for (const auto& name : names)
+            instances.push_back({ InstanceName(name), ProcessLife(stableHashOf(name)), {}, {}, ZoneName("hue-a"), InstanceHealth::Alive });
+        view.publish(MembershipView(instances));
+        for (const auto& name : names) {
+            const InstanceName self(name);
+            networks.push_back(std::make_unique<NetworkFake>(*this, self));
+            auto driver = std::make_shared<ClaimDriver>(io, clock, store, makeClaimEngine(settings, std::make_unique<SeededRandom>(1)));
+            roles[self] = std::make_shared<ClaimsRole>(ClaimsContext { io, clock, *networks.back(), view }, settings, self, driver, times);
+        }
+        owner = claimOwner(0, *view.read());
+        for (const auto& [name, role] : roles) {
+            if (name != owner)
+                entry = name;
+        }
+    }
+
+    static std::uint64_t stableHashOf(const std::string& name) { return std::hash<std::string> {}(name); }
+
+    /// Starts a claim; the decision appears in the result.
+    std::shared_ptr<std::optional<ClaimDecided>> begin(const InstanceName& at, const std::string& key, Duration deadline = std::chrono::hours(1))
+    {
+        auto decided = std::make_shared<std::optional<ClaimDecided>>();
+        const ClaimRequest request { { ProcessLife(stableHashOf(at.value())), ++requests }, IdempotencyKey(key), Fingerprint(1), clock->now() + deadline };
+        roles[at]->claim(request, [decided](const ClaimDecided& it) { *decided = it; });
+        return decided;
+    }
+    template <typename Condition>
+    void runUntil(Condition isReached)
+    {
+        io.restart();
+        while (!isReached() && io.run_one() > 0) { }
+    }
+    ClaimDecided claim(const InstanceName& at, const std::string& key)
+    {
+        const auto decided = begin(at, key);
+        runUntil([&] { return decided->has_value(); });
+        return decided->value();
+    }
+    void settleAll()
+    {
+        runUntil([&] {
+            for (const auto& [name, role] : roles) {
+                if (role->pending() > 0)
+                    return false;
+            }
+            return true;
+        });
+    }
+
+    boost::asio::io_context io { 1 };
+    std::shared_ptr<SteadyClock> clock = std::make_shared<SteadyClock>();
+    std::shared_ptr<StoreFake> store;
+    ClaimSettings settings;
+    Snapshot<MembershipView> view;
+    std::vector<std::unique_ptr<NetworkFake>> networks;
+    std::map<InstanceName, std::shared_ptr<ClaimsRole>> roles;
+    InstanceName owner;
+    InstanceName entry; ///< One that is not the owner.
+    Link link = Link::Up;
+    std::vector<std::function<void()>> heldReplies;
+    std::uint64_t requests = 0;
+};
+
+void NetworkFake::send(const InstanceName& to, PeerMessage message)
+{
+    boost::asio::post(m_fleet.io, [this, to, message = std::move(message)] {
+        const auto& call = std::get<ClaimCall>(message);
+        if (m_fleet.link == Link::Undeliverable)
+            return m_fleet.roles[m_self]->onUndelivered(call);
+        m_fleet.roles[to]->onCall(m_self, call);
+    });
+}
+
+void NetworkFake::reply(const InstanceName& to, PeerMessage message)
+{
+    auto deliver = [this, to, message = std::move(message)] { m_fleet.roles[to]->onReply(m_self, std::get<ClaimReply>(message)); };
+    if (m_fleet.link == Link::AnswersLost)
+        m_fleet.heldReplies.emplace_back(std::move(deliver));
+    else
+        boost::asio::post(m_fleet.io, std::move(deliver));
+}
+
+}
+
+TEST_SUITE_BEGIN("daemon");
+
+TEST_CASE("Every instance names the same owner, and few partitions move when one leaves")
+{
+    std::vector<Instance> instances;
+    for (int i = 0; i < 9; ++i)
+        instances.push_back({ InstanceName("entry-" + std::to_string(i)), ProcessLife(static_cast<std::uint64_t>(i)), {}, {}, ZoneName("hue-a"), InstanceHealth::Alive });
+    const MembershipView whole(instances);
+    instances.front().health = InstanceHealth::Leaving;
+    const MembershipView without(instances);
+    std::set<InstanceName> owners;
+    for (std::uint32_t i = 0; i < 256; ++i) {
+        const auto owner = claimOwner(i, whole);
+        owners.insert(owner);
+        CHECK(claimOwner(i, without) != instances.front().name);
+        if (owner != instances.front().name)
+            CHECK(claimOwner(i, without) == owner);
+    }
+    CHECK(owners.size() == 9);
+    CHECK(claimOwner(0, MembershipView()).value().empty());
+}
+
+TEST_CASE("A claim goes to its partition's owner")
+{
+    Fleet fleet({ "a", "b", "c" });
+    const auto first = fleet.claim(fleet.entry, "order-1");
+    REQUIRE(first.verdict == ClaimVerdict::Granted);
+    CHECK(fleet.roles[fleet.entry]->forwardCounters().asked == 1);
+
+    SUBCASE("and its outcome too, for whoever asks again")
+    {
+        fleet.roles[fleet.entry]->recordOutcome(first.request, RunState::Ran, "done");
+        fleet.settleAll();
+        for (const auto& [name, role] : fleet.roles) {
+            const auto again = fleet.claim(name, "order-1");
+            CHECK(again.verdict == ClaimVerdict::AlreadyDone);
+            CHECK(again.recordedAnswer == "done");
+        }
+    }
+    SUBCASE("and its release, after which the key is free")
+    {
+        fleet.roles[fleet.entry]->release(first.request);
+        fleet.settleAll();
+        CHECK(fleet.claim(fleet.owner, "order-1").verdict == ClaimVerdict::Granted);
+    }
+    SUBCASE("and while it runs others are told that its outcome is unknown")
+    {
+        CHECK(fleet.claim(fleet.owner, "order-1").verdict == ClaimVerdict::InProgress);
+    }
+    SUBCASE("and its outcome is written here when the owner does not confirm it")
+    {
+        fleet.link = Link::Undeliverable;
+        fleet.roles[fleet.entry]->recordOutcome(first.request, RunState::Ran, "done");
+        fleet.settleAll();
+        CHECK(fleet.claim(fleet.entry, "order-1").verdict == ClaimVerdict::AlreadyDone);
+    }
+    SUBCASE("and its outcome is written here when the link breaks")
+    {
+        fleet.link = Link::AnswersLost;
+        fleet.roles[fleet.entry]->recordOutcome(first.request, RunState::Ran, "done");
+        fleet.runUntil([&] { return !fleet.heldReplies.empty(); });
+        fleet.roles[fleet.entry]->onLinkLost(fleet.owner);
+        fleet.settleAll();
+        fleet.link = Link::Undeliverable;
+        CHECK(fleet.claim(fleet.entry, "order-1").verdict == ClaimVerdict::AlreadyDone);
+    }
+}
+
+TEST_CASE("The owner can't be reached: the claim is made here")
+{
+    Fleet fleet({ "a", "b" });
+    fleet.link = Link::Undeliverable;
+    CHECK(fleet.claim(fleet.entry, "order-1").verdict == ClaimVerdict::Granted);
+    CHECK(fleet.roles[fleet.entry]->forwardCounters().undelivered == 1);
+    fleet.link = Link::Up;
+    CHECK(fleet.claim(fleet.owner, "order-1").verdict == ClaimVerdict::InProgress);
+}
+
+TEST_CASE("The link breaks while the owner decides: refused, not run, and never granted by another way")
+{
+    const ForwardTimes times { std::chrono::milliseconds(1), std::chrono::milliseconds(1) };
+    Fleet fleet({ "a", "b" }, times);
+    fleet.link = Link::AnswersLost;
+    const auto decided = fleet.begin(fleet.entry, "order-1", std::chrono::milliseconds(50));
+    fleet.runUntil([&] { return !fleet.heldReplies.empty(); });
+    fleet.roles[fleet.entry]->onLinkLost(fleet.owner);
+    fleet.runUntil([&] { return decided->has_value(); });
+    CHECK(decided->value().verdict == ClaimVerdict::StoreUnavailable);
+    CHECK(fleet.roles[fleet.entry]->forwardCounters().unanswered == 1);
+
+    SUBCASE("and the key is released once the owner must have decided")
+    {
+        fleet.settleAll();
+        fleet.link = Link::Up;
+        CHECK(fleet.claim(fleet.owner, "order-1").verdict == ClaimVerdict::Granted);
+    }
+    SUBCASE("and a grant that comes late is released at once")
+    {
+        fleet.link = Link::Up;
+        fleet.heldReplies.front()();
+        fleet.settleAll();
+        CHECK(fleet.roles[fleet.entry]->forwardCounters().lateGrants == 1);
+        CHECK(fleet.claim(fleet.owner, "order-1").verdict == ClaimVerdict::Granted);
+    }
+}
+
+TEST_CASE("The owner's answer does not come: refused at the deadline")
+{
+    const ForwardTimes times { std::chrono::milliseconds(1), std::chrono::milliseconds(1) };
+    Fleet fleet({ "a", "b" }, times);
+    fleet.link = Link::AnswersLost;
+    const auto decided = fleet.begin(fleet.entry, "order-1", std::chrono::milliseconds(20));
+    fleet.runUntil([&] { return decided->has_value(); });
+    CHECK(decided->value().verdict == ClaimVerdict::StoreUnavailable);
+    fleet.settleAll();
+    CHECK(fleet.claim(fleet.owner, "order-1").verdict == ClaimVerdict::Granted);
+}
+
+TEST_SUITE_END();
+
+}
