--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -5,12 +5,15 @@
 #include "daemon/claim_metrics.h"
 #include "daemon/claims_role.h"
 #include "daemon/control_channel.h"
+#include "daemon/daemon_metrics.h"
 #include "daemon/drain.h"
 #include "daemon/entry_driver.h"
 #include "daemon/membership_role.h"
 #include "daemon/operator_api.h"
+#include "daemon/peer_calls.h"
 #include "daemon/peer_router.h"
 #include "daemon/relay_driver.h"
+#include "daemon/request_desk.h"
 #include "daemon/rules_role.h"
 #include "observe/log.h"
 #include "observe/metrics.h"
@@ -97,8 +100,10 @@
         , m_relay({ m_io, m_clock, settings.instance.name, m_router, *m_backends }, settings.relay, m_tables, engineCount())
         , m_network({ m_io, { settings.instance.name, m_life, settings.instance.zone }, m_clock, m_wireCounters, frameLimits(settings.http), gatewayOf(settings.listen) }, m_tables.view, m_router)
         , m_control(m_network, m_clock, settings.fault.peerMessageLoss, std::make_unique<SeededRandom>(systemSeed()))
-        , m_operators({ settings.instance.name, m_tables, m_entry, m_relay, m_log, m_metrics, [this] { return readiness(); },
-              [this](const RequestId& id, std::function<void(HttpReply)> done) { cancel(id, std::move(done)); }, [this] { return controlStatus(); } })
+        , m_calls(std::make_shared<PeerCalls>(m_io, m_network,
+              [this](const std::string& verb, const std::string& argument, const PeerCalls::Respond& respond) { m_desk.onCall(verb, argument, respond); }))
+        , m_desk(settings.instance.name, m_entry, m_log, m_tables, *m_calls)
+        , m_operators({ settings.instance.name, m_tables, m_entry, m_relay, m_desk, m_metrics, [this] { return readiness(); }, [this] { return controlStatus(); } })
         , m_client(std::make_shared<PlatformClient>(m_io.get_executor(), clientSettings(settings)))
         , m_store(std::make_shared<HttpObjectStore>(m_client))
         , m_claims(makeClaims())
@@ -108,6 +113,7 @@
     {
         m_router.connect(m_entry, m_relay, m_network, [this](const Hello& from, PeerMessage message) { onControl(from, std::move(message)); });
         m_router.connectClaims([this](const InstanceName& peer) { m_claims->onLinkLost(peer); }, [this](const ClaimCall& call) { m_claims->onUndelivered(call); });
+        registerMetrics();
         m_publisher.addListener([this] {
             m_relay.onTables();
             m_network.dropGone();
@@ -193,6 +199,8 @@
             m_rules->onRequest(from.instance, request->haveRevision);
         else if (auto* delta = std::get_if<RuleDelta>(&message))
             m_rules->onDelta(from.instance, std::move(*delta));
+        else if (const auto* control = std::get_if<Control>(&message))
+            m_calls->onControl(from.instance, *control);
     }
 
     ControlStatus controlStatus() const
@@ -235,15 +243,13 @@
         return { true, {} };
     }
 
-    void cancel(const RequestId& id, std::function<void(HttpReply)> done)
+    void registerMetrics()
     {
-        if (!m_entry.isOurs(id)) {
-            done({ 404, "text/plain", "not a request of this instance\n" });
-            return;
-        }
-        m_entry.cancel(id, false, [done = std::move(done)](bool wasHere) {
-            done(wasHere ? HttpReply { 202, "text/plain", "cancelled\n" } : HttpReply { 404, "text/plain", "no such request in flight\n" });
-        });
+        registerEntryMetrics(m_metrics, m_entry);
+        registerRelayMetrics(m_metrics, m_relay);
+        registerHttpMetrics(m_metrics, m_httpCounters);
+        registerWireMetrics(m_metrics, m_wireCounters);
+        registerProcessMetrics(m_metrics);
     }
 
     void awaitSignal()
@@ -294,10 +300,12 @@
     RelayDriver m_relay;
     AsioPeerNetwork m_network;
     ControlChannel m_control;
+    std::shared_ptr<PeerCalls> m_calls;
+    RequestDesk m_desk;
+    OperatorPaths m_operators;
     std::shared_ptr<PlatformClient> m_client;
     std::shared_ptr<HttpObjectStore> m_store;
     std::shared_ptr<ClaimsRole> m_claims;
-    OperatorPaths m_operators;
     CallerApi m_api;
     HttpServer m_http;
     boost::asio::signal_set m_signals;
--- a/tests/standin/backend_session.cpp
+++ b/tests/standin/backend_session.cpp
@@ -104,8 +104,8 @@
             return;
         }
         const auto request = std::move(self->m_request);
-        self->m_closeAfterAnswer = !request.keep_alive();
-        if (request.keep_alive())
+        self->m_keepAlive = request.keep_alive();
+        if (self->m_keepAlive)
             self->read();
         self->onRequest(request);
     });
@@ -171,7 +171,7 @@
 
 void BackendSession::enqueue(Response response)
 {
-    response.keep_alive(!m_closeAfterAnswer);
+    response.keep_alive(m_keepAlive);
     m_responses.push_back(std::move(response));
     if (m_responses.size() == 1)
         write();
@@ -186,8 +186,8 @@
         }
         self->m_responses.pop_front();
         if (!self->m_responses.empty())
-            return self->write();
-        if (self->m_closeAfterAnswer)
+            self->write();
+        else if (!self->m_keepAlive)
             self->close();
     });
 }
