--- a/bench/virtual_fleet.cpp
+++ b/bench/virtual_fleet.cpp
@@ -320,6 +320,8 @@
     result.epoch = leg.work.epoch;
     result.state = { server.name, static_cast<std::uint32_t>(server.running.size()), static_cast<std::uint32_t>(server.queue.size()), m_shape.slots,
         { IndexVersion(1) }, false, server.downUntil > m_events.now(), Duration(static_cast<std::int64_t>(server.recentMicros)) };
+    if (outcome == LegOutcome::Ok)
+        result.batches = { BatchId("b" + std::to_string(server.shard)) };
     result.crashed = crashed;
     result.queueTime = leg.began > leg.arrived ? leg.began - leg.arrived : Duration {};
     result.serviceTime = leg.began > TimePoint {} ? m_events.now() - leg.began : Duration {};
