--- a/src/query/standard_query_engine_attempts.cpp
+++ b/src/query/standard_query_engine_attempts.cpp
@@ -73,8 +73,6 @@
         m_lostRelays.noteHeard(attempt.relay);
     if (result.crashed)
         noteCrash(query, leg, attempt, now, actions);
-    if (!leg.isOpen)
-        return;
     const auto outcome = checkedOutcome(query, result);
     if (outcome == LegOutcome::Ok) {
         m_hedges.note(*attempt.legClass, now - attempt.sentAt);
--- a/tests/query/query_engine_test.cpp
+++ b/tests/query/query_engine_test.cpp
@@ -72,7 +72,10 @@
         foreign = result;
         foreign.key.leg = LegNumber(4000);
         fixture.send(foreign);
-        CHECK(fixture.engine->counters().strayResults == 4);
+        foreign = fixture.resultOf(first, first.work.legs[1], LegOutcome::Ok);
+        foreign.shard = ShardNumber(7000);
+        fixture.send(foreign);
+        CHECK(fixture.engine->counters().strayResults == 5);
         CHECK(fixture.takeAnswers().empty());
     }
 }
