Tests for the limit after a shed and for who probes

Cause: of eleven faults put in by hand two went unseen: one leg too many after a shed, and a probe by a relay that does not own the first felled server. Change: a test for each; both faults are seen now.

--- a/tests/dispatch/server_policies_test.cpp
+++ b/tests/dispatch/server_policies_test.cpp
@@ -10,10 +10,11 @@
 
 namespace {
 
-class AllServers final : public ServerDirectory {
+/// Every server exists; this engine owns those whose name begins with "s".
+class OwnServers final : public ServerDirectory {
 public:
     bool exists(const ServerName&) const override { return true; }
-    bool owns(const ServerName&) const override { return true; }
+    bool owns(const ServerName& name) const override { return name.value().front() == 's'; }
 };
 
 }
@@ -169,10 +170,27 @@
     CHECK(limit.at(now) == 4);
 }
 
+TEST_CASE("after a shed the relay sends one leg at a time to a server of two slots" * doctest::test_suite("dispatch"))
+{
+    RelayFixture relay;
+    relay.addServer("s0");
+    relay.publish({ "self" });
+    relay.connectAll();
+    for (std::uint64_t i = 0; i < 6; ++i)
+        relay.send(relay.order(i, "s0"));
+    auto running = relay.take<RunLeg>();
+    REQUIRE(running.size() == 2);
+    relay.answer(running[0], LegOutcome::Refused);
+    relay.answer(running[1]);
+    CHECK(relay.take<RunLeg>().empty());
+    relay.run(100ms);
+    CHECK(relay.take<RunLeg>().size() == 1);
+}
+
 TEST_CASE("the table of crashes" * doctest::test_suite("dispatch"))
 {
     const RelaySettings settings;
-    const AllServers servers;
+    const OwnServers servers;
     CrashTable table(settings, servers);
     TimePoint now { Duration(1) };
     RelayActions actions;
@@ -195,6 +213,16 @@
         table.dismiss(CrashId(1), actions);
         CHECK_FALSE(table.isBarred(Fingerprint(1), now));
     }
+    SUBCASE("leaves the probe to the owner of the first felled server")
+    {
+        const CrashPlace elsewhere { ServerName("a0"), ShardNumber(1) };
+        table.onCrash(Fingerprint(1), place, CrashId(1), false, now, actions);
+        table.onNews({ Fingerprint(1), 1, Duration {}, elsewhere }, now);
+        now += 1s;
+        CHECK((table.rule(Fingerprint(1), place, now, actions) == CrashRuling::Refuse));
+        table.onNews({ Fingerprint(1), 0, Duration {}, {} }, now);
+        CHECK((table.rule(Fingerprint(1), place, now, actions) == CrashRuling::Run));
+    }
     SUBCASE("clears what ran beside the proved culprit")
     {
         table.onCrash(Fingerprint(1), place, CrashId(1), false, now, actions);
