Close hung connections 300 ms after the deadline, those of orders after 1 s

Cause: a hung server kept its slots for 1 s a leg, so its ejection, after five failures, took seconds, and refusals at its relay drew more legs meanwhile. Change: hangGrace 300 ms; orders keep 1 s, since a late answer tells whether one ran.

--- a/src/dispatch/server_relay_dispatch.cpp
+++ b/src/dispatch/server_relay_dispatch.cpp
@@ -11,7 +11,15 @@
 /// A standby keeps the connections that it opened for work this long after the last leg.
 constexpr Duration standbyLinger = 5s;
 /// A server that does not answer this long after the leg's deadline is hung: the connection is closed.
-constexpr Duration hangGrace = 1s;
+constexpr Duration hangGrace = 300ms;
+/// For an order the wait is longer, since its answer tells whether it ran.
+constexpr Duration hangGraceOfOrder = 1s;
+
+TimePoint hungAt(const RunningLeg& running)
+{
+    const auto isOrder = running.leg.order->kind == RequestKind::Order;
+    return running.leg.deadline() + (isOrder ? hangGraceOfOrder : hangGrace);
+}
 
 }
 
@@ -67,7 +75,7 @@
             continue;
         running.isOverdue = true;
         cancelAtServer(id, running, actions);
-        if (running.leg.deadline() + hangGrace <= now)
+        if (hungAt(running) <= now)
             hung.push_back(id);
     }
     for (const auto id : hung) {
@@ -159,7 +167,7 @@
         wake = std::min(wake, m_nextLimitChange);
     for (const auto& [id, running] : m_running) {
         if (running.leg.deadline() != never)
-            wake = std::min(wake, running.isOverdue ? running.leg.deadline() + hangGrace : running.leg.deadline());
+            wake = std::min(wake, running.isOverdue ? hungAt(running) : running.leg.deadline());
     }
     if (m_role == RelayRole::Standby && m_pool.size() > standbyWarmConnections && m_pool.hasIdle() && inFlight() == 0)
         wake = std::min(wake, m_lastLeg + standbyLinger);
