Claims: summaries of 64 sealed segments in one object, 4 bytes a key in memory

Cause: an instance that takes over a partition read every sealed segment whole. Change: whoever seals the last segment of a group of 64 writes the group's key hashes as one create-only object; a new owner reads that, and the segments one by one where it is missing or damaged. Hashes are 32 bits: a chance match costs a read of one segment. Expired groups are emptied like segments.

--- a/src/claims/claim_engine.h
+++ b/src/claims/claim_engine.h
@@ -33,7 +33,7 @@
     std::uint64_t segmentsSealed = 0;
     std::uint64_t segmentsExpired = 0;
     std::uint64_t unreadableObjects = 0;
-    std::uint64_t indexedKeys = 0; ///< Keys of sealed segments in memory, 8 bytes each.
+    std::uint64_t indexedKeys = 0; ///< Keys of sealed segments in memory, 4 bytes each.
 
     friend bool operator==(const ClaimCounters&, const ClaimCounters&) = default;
 };
--- a/src/claims/claim_partition.cpp
+++ b/src/claims/claim_partition.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// Segments read at a time when the index is built.
-constexpr std::size_t maxSegmentLoads = 8;
+/// Objects read at a time when the index is built.
+constexpr std::size_t maxLoads = 8;
 
 }
 
@@ -46,7 +46,7 @@
     TimePoint next = never;
     for (const auto& it : m_waiting)
         next = std::min(next, it.request.deadline);
-    if (m_headCall || !m_loads.empty())
+    if (m_headCall || isLoading())
         return next;
     const TimePoint earliest = std::max(m_retryAt, m_head ? m_nextWrite : TimePoint {});
     const bool canAct = std::any_of(m_waiting.begin(), m_waiting.end(), [](const auto& it) { return it.fetching.empty(); });
@@ -66,7 +66,7 @@
 void ClaimPartition::pump(TimePoint now, ClaimActions& actions)
 {
     expire(now, actions);
-    if (m_headCall || !m_loads.empty() || now < m_retryAt || !hasWork(now))
+    if (m_headCall || isLoading() || now < m_retryAt || !hasWork(now))
         return;
     if (!m_head || m_needsFreshHead)
         return readHead(now, actions);
@@ -77,16 +77,41 @@
 
 bool ClaimPartition::loadSegments(ClaimActions& actions)
 {
-    const auto missing = m_index.missing(m_head->segments(), maxSegmentLoads);
+    const auto missing = m_index.missing(m_head->segments(), maxLoads * segmentsPerGroup);
+    std::set<std::uint64_t> groups;
+    std::size_t loads = 0;
     for (const auto number : missing) {
-        const auto id = nextCall();
-        m_loads[id] = number;
-        ++m_context.counters.storeReads;
-        actions.emplace_back(ReadObject { id, segmentKey(m_number, number) });
+        if (loads == maxLoads)
+            break;
+        const auto group = groupOf(number);
+        const bool isComplete = (group + 1) * segmentsPerGroup <= m_head->segments().next;
+        if (!isComplete || m_absentGroups.contains(group)) {
+            loadSegment(number, actions);
+            ++loads;
+        } else if (groups.insert(group).second) {
+            loadGroup(group, actions);
+            ++loads;
+        }
     }
     return missing.empty();
 }
 
+void ClaimPartition::loadGroup(std::uint64_t group, ClaimActions& actions)
+{
+    const auto id = nextCall();
+    m_groupLoads[id] = group;
+    ++m_context.counters.storeReads;
+    actions.emplace_back(ReadObject { id, groupKey(m_number, group) });
+}
+
+void ClaimPartition::loadSegment(std::uint64_t number, ClaimActions& actions)
+{
+    const auto id = nextCall();
+    m_loads[id] = number;
+    ++m_context.counters.storeReads;
+    actions.emplace_back(ReadObject { id, segmentKey(m_number, number) });
+}
+
 void ClaimPartition::readHead(TimePoint now, ClaimActions& actions)
 {
     m_headCall = HeadCall { nextCall(), HeadCallKind::ReadHead, now };
--- a/src/claims/claim_partition.h
+++ b/src/claims/claim_partition.h
@@ -3,7 +3,7 @@
 #include "base/random_source.h"
 #include "claims/claim_engine.h"
 #include "claims/claim_log.h"
-#include "claims/segment_index.h"
+#include "claims/segment_group.h"
 #include "claims/store_clock.h"
 
 #include <deque>
@@ -111,7 +111,10 @@
     // Driving: claim_partition.cpp.
     void pump(TimePoint, ClaimActions&);
     bool hasWork(TimePoint) const;
+    bool isLoading() const { return !m_loads.empty() || !m_groupLoads.empty(); }
     bool loadSegments(ClaimActions&);
+    void loadGroup(std::uint64_t group, ClaimActions&);
+    void loadSegment(std::uint64_t number, ClaimActions&);
     void expire(TimePoint, ClaimActions&);
     void decide(WaitingList::iterator, ClaimVerdict, const KeyState*, ClaimActions&);
     void giveUp(WaitingList::iterator, TimePoint, ClaimActions&);
@@ -133,6 +136,8 @@
     std::uint64_t firstUnexpired(TimePoint) const;
     void writeHead(Batch, TimePoint, ClaimActions&);
     void onHeadWritten(const StoreReply&, TimePoint issued, TimePoint, ClaimActions&);
+    void onSealed(ClaimActions&);
+    void letGoOfExpired(ClaimActions&);
 
     // Replies: claim_partition_replies.cpp.
     void onHeadCall(const HeadCall&, const StoreReply&, TimePoint, ClaimActions&);
@@ -141,6 +146,8 @@
     void onSegmentCreated(const StoreReply&, TimePoint, ClaimActions&);
     void onSegmentRead(const StoreReply&, TimePoint, ClaimActions&);
     void onSegmentLoaded(std::uint64_t number, const StoreReply&, TimePoint, ClaimActions&);
+    void onGroupLoaded(std::uint64_t group, const StoreReply&, TimePoint, ClaimActions&);
+    void onExpiredGroupRead(std::uint64_t group, const StoreReply&, ClaimActions&);
     void onFetched(const Fetch&, const StoreReply&, TimePoint, ClaimActions&);
     void onFailure(StoreStatus, TimePoint, ClaimActions&);
     std::optional<std::vector<ClaimRecord>> readSegment(const StoreReply&);
@@ -160,7 +167,10 @@
 
     std::optional<HeadCall> m_headCall;
     Batch m_batch; ///< While a WriteHead is under way.
-    std::map<StoreCallId, std::uint64_t> m_loads;
+    std::map<StoreCallId, std::uint64_t> m_loads; ///< Segments.
+    std::map<StoreCallId, std::uint64_t> m_groupLoads;
+    std::map<StoreCallId, std::uint64_t> m_expiredGroups; ///< Read for their version, to be emptied.
+    std::set<std::uint64_t> m_absentGroups; ///< Their segments are read one by one.
     std::map<StoreCallId, Fetch> m_fetches;
 
     TimePoint m_nextWrite {};
--- a/src/claims/claim_partition_replies.cpp
+++ b/src/claims/claim_partition_replies.cpp
@@ -15,6 +15,10 @@
         onHeadCall(call, reply, now, actions);
     } else if (auto load = m_loads.extract(reply.call)) {
         onSegmentLoaded(load.mapped(), reply, now, actions);
+    } else if (auto group = m_groupLoads.extract(reply.call)) {
+        onGroupLoaded(group.mapped(), reply, now, actions);
+    } else if (auto expired = m_expiredGroups.extract(reply.call)) {
+        onExpiredGroupRead(expired.mapped(), reply, actions);
     } else if (auto fetch = m_fetches.extract(reply.call)) {
         onFetched(fetch.mapped(), reply, now, actions);
     }
@@ -142,6 +146,29 @@
     onFailure(reply.status == StoreStatus::Lost ? StoreStatus::Lost : StoreStatus::Unavailable, now, actions);
 }
 
+void ClaimPartition::onGroupLoaded(std::uint64_t group, const StoreReply& reply, TimePoint now, ClaimActions& actions)
+{
+    if (reply.status != StoreStatus::Ok && reply.status != StoreStatus::NotFound)
+        return onFailure(reply.status, now, actions);
+    auto summaries = reply.status == StoreStatus::Ok ? parseGroup(reply.object.value) : std::nullopt;
+    if (!summaries || groupOf(summaries->begin()->first) != group || groupOf(summaries->rbegin()->first) != group) {
+        m_absentGroups.insert(group);
+        return;
+    }
+    for (auto& [number, summary] : *summaries) {
+        if (number >= m_head->segments().first)
+            m_index.add(number, std::move(summary));
+    }
+}
+
+void ClaimPartition::onExpiredGroupRead(std::uint64_t group, const StoreReply& reply, ClaimActions& actions)
+{
+    if (reply.status != StoreStatus::Ok || reply.object.value.empty())
+        return;
+    ++m_context.counters.storeWrites;
+    actions.emplace_back(WriteObject { nextCall(), groupKey(m_number, group), reply.object.version, {} });
+}
+
 void ClaimPartition::onFetched(const Fetch& fetch, const StoreReply& reply, TimePoint now, ClaimActions& actions)
 {
     const auto it = findWaiting(fetch.request);
--- a/src/claims/claim_partition_write.cpp
+++ b/src/claims/claim_partition_write.cpp
@@ -168,22 +168,53 @@
     m_batch = std::move(batch);
 }
 
-void ClaimPartition::onHeadWritten(const StoreReply& reply, TimePoint issued, TimePoint now, ClaimActions& actions)
+/// The head has let go of what the segment holds.
+void ClaimPartition::onSealed(ClaimActions& actions)
 {
-    auto& head = *m_head;
-    if (m_batch.sealedBytes > 0) {
-        if (const auto records = parseClaimRecords(m_sealed->body))
-            m_index.add(m_sealed->number, SegmentSummary::of(*records, m_sealed->version));
-        head.removePrefix(m_batch.sealedBytes);
-        m_sealed.reset();
-        ++m_context.counters.segmentsSealed;
+    const auto number = m_sealed->number;
+    if (const auto records = parseClaimRecords(m_sealed->body))
+        m_index.add(number, SegmentSummary::of(*records, m_sealed->version));
+    m_sealed.reset();
+    ++m_context.counters.segmentsSealed;
+    if ((number + 1) % segmentsPerGroup != 0)
+        return;
+    SegmentSummaries summaries;
+    for (auto it = number + 1 - segmentsPerGroup; it <= number; ++it) {
+        if (const auto* summary = m_index.find(it))
+            summaries.emplace(it, *summary);
     }
-    for (auto number = head.segments().first; number < m_batch.segments.first; ++number) {
-        // No head names the segment any more; only its space is at stake, so the answer is not awaited.
+    if (summaries.size() != segmentsPerGroup)
+        return;
+    // Without it the segments are read one by one, so the answer is not awaited.
+    ++m_context.counters.storeWrites;
+    actions.emplace_back(WriteObject { nextCall(), groupKey(m_number, groupOf(number)), ObjectVersion {}, groupText(summaries) });
+}
+
+/// No head names these segments any more; only their space is at stake, so no answer is awaited.
+void ClaimPartition::letGoOfExpired(ClaimActions& actions)
+{
+    for (auto number = m_head->segments().first; number < m_batch.segments.first; ++number) {
         ++m_context.counters.segmentsExpired;
         ++m_context.counters.storeWrites;
         actions.emplace_back(WriteObject { nextCall(), segmentKey(m_number, number), m_index.find(number)->version, {} });
+        if ((number + 1) % segmentsPerGroup != 0)
+            continue;
+        const auto id = nextCall();
+        m_expiredGroups[id] = groupOf(number);
+        m_absentGroups.erase(groupOf(number));
+        ++m_context.counters.storeReads;
+        actions.emplace_back(ReadObject { id, groupKey(m_number, groupOf(number)) });
+    }
+}
+
+void ClaimPartition::onHeadWritten(const StoreReply& reply, TimePoint issued, TimePoint now, ClaimActions& actions)
+{
+    auto& head = *m_head;
+    if (m_batch.sealedBytes > 0) {
+        head.removePrefix(m_batch.sealedBytes);
+        onSealed(actions);
     }
+    letGoOfExpired(actions);
     head.setSegments(m_batch.segments);
     head.append(m_batch.records, m_batch.lines);
     m_index.removeBefore(m_batch.segments.first);
--- a/src/claims/segment_index.cpp
+++ b/src/claims/segment_index.cpp
@@ -6,12 +6,17 @@
 
 namespace lycheefield {
 
+SegmentSummary::KeyHash SegmentSummary::hashOf(const IdempotencyKey& key)
+{
+    return static_cast<KeyHash>(stableHash(key.value()));
+}
+
 SegmentSummary SegmentSummary::of(const std::vector<ClaimRecord>& records, ObjectVersion version)
 {
     SegmentSummary summary { version, 0, {} };
     summary.keyHashes.reserve(records.size());
     for (const auto& record : records) {
-        summary.keyHashes.push_back(stableHash(record.key.value()));
+        summary.keyHashes.push_back(hashOf(record.key));
         if (record.kind == ClaimRecordKind::Claim)
             summary.newestClaim = std::max(summary.newestClaim, record.storeSeconds == 0 ? SegmentSummary::neverExpires : record.storeSeconds);
     }
@@ -40,7 +45,7 @@
 
 std::vector<std::uint64_t> SegmentIndex::segmentsWith(const IdempotencyKey& key) const
 {
-    const auto hash = stableHash(key.value());
+    const auto hash = SegmentSummary::hashOf(key);
     std::vector<std::uint64_t> numbers;
     for (const auto& [number, summary] : m_segments) {
         if (std::binary_search(summary.keyHashes.begin(), summary.keyHashes.end(), hash))
--- a/src/claims/segment_index.h
+++ b/src/claims/segment_index.h
@@ -10,13 +10,17 @@
 
 namespace lycheefield {
 
-/// What is kept of one sealed segment: 8 bytes for each key in it.
+/// What is kept of one sealed segment: 4 bytes for each key in it.
 struct SegmentSummary {
+    /// Another key has the same hash once in 4 billion: that costs a read of the segment, no more.
+    using KeyHash = std::uint32_t;
+    static KeyHash hashOf(const IdempotencyKey&);
+
     static constexpr std::int64_t neverExpires = std::numeric_limits<std::int64_t>::max();
 
     ObjectVersion version; ///< Of the segment's object.
     std::int64_t newestClaim = 0; ///< Store's seconds of the newest claim in it; neverExpires when one has no time.
-    std::vector<std::uint64_t> keyHashes; ///< Ascending, without repeats.
+    std::vector<KeyHash> keyHashes; ///< Ascending, without repeats.
 
     static SegmentSummary of(const std::vector<ClaimRecord>&, ObjectVersion);
 
--- a/tests/claims/claim_segment_test.cpp
+++ b/tests/claims/claim_segment_test.cpp
@@ -1,5 +1,5 @@
 #include "claims/claim_world.h"
-#include "claims/segment_index.h"
+#include "claims/segment_group.h"
 
 #include <doctest/doctest.h>
 
@@ -97,6 +97,56 @@
     CHECK(world.violations().empty());
 }
 
+TEST_CASE("An instance that takes over a partition reads the summaries of many segments at once")
+{
+    auto settings = smallHeads();
+    settings.maxClaimsPerHead = 2;
+    settings.outcomeDelay = 1ms;
+    ClaimWorld world(3, settings);
+    world.runTime = 1ms;
+    const int claims = static_cast<int>(segmentsPerGroup) * 2 * 3;
+    for (int i = 0; i < claims; ++i) {
+        world.claim(0, keyOf(i));
+        world.run(30ms);
+    }
+    REQUIRE(world.store().objects().contains("claims/0/group/1"));
+    const auto sealed = world.engine(0).counters().segmentsSealed;
+    const auto checkOld = [&](std::size_t instance) {
+        for (const int number : { 0, 100, 200, claims - 1 }) {
+            const auto again = world.claim(instance, keyOf(number));
+            world.run(1s);
+            CHECK(world.verdict(again) == ClaimVerdict::AlreadyDone);
+        }
+        CHECK(world.engine(instance).counters().indexedKeys >= 2 * sealed);
+    };
+
+    SUBCASE("with few calls")
+    {
+        checkOld(1);
+        CHECK(world.engine(1).counters().storeReads < 1 + 2 + segmentsPerGroup + 10);
+    }
+    SUBCASE("and one by one when a group's object is missing or damaged")
+    {
+        auto& store = world.store();
+        store.write("claims/0/group/0", store.objects().at("claims/0/group/0").version, "damaged", world.now());
+        checkOld(1);
+        CHECK(world.engine(1).counters().storeReads > segmentsPerGroup);
+    }
+    SUBCASE("and space is given back when the group has expired")
+    {
+        world.run(25h);
+        for (int i = 0; i < 60; ++i) {
+            world.claim(0, "late-" + std::to_string(i));
+            world.run(30ms);
+        }
+        CHECK(world.store().objects().at("claims/0/group/0").value.empty());
+        const auto again = world.claim(2, keyOf(0));
+        world.run(1s);
+        CHECK(world.verdict(again) == ClaimVerdict::Granted);
+    }
+    CHECK(parseGroup(groupText({ { 1, SegmentSummary {} } })) == std::nullopt);
+}
+
 TEST_CASE("A sealer stops after it created the segment, and the head grew before the next one seals")
 {
     ClaimWorld world(3, smallHeads());
