--- /dev/null
+++ b/tests/fault_matrix/cell.cpp
@@ -0,0 +1,84 @@
+#include "fault_matrix/cell.h"
+
+#include "base/random_source.h"
+
+#include <array>
+
+namespace lycheefield::fault_matrix {
+
+namespace {
+
+constexpr std::array allOperations { Operation::Search, Operation::Record, Operation::Order, Operation::Apply, Operation::Join, Operation::Drain };
+
+bool isControl(Operation operation)
+{
+    return operation == Operation::Apply || operation == Operation::Join;
+}
+
+/// True for faults of backend servers and of requests, which rules and joins never meet.
+bool isForRequestsOnly(Fault fault)
+{
+    switch (fault) {
+    case Fault::Straggler:
+    case Fault::ReplicaGone:
+    case Fault::Repartition:
+    case Fault::CrashRequest:
+    case Fault::ServerDraining:
+    case Fault::ServerAtConnectionCap:
+        return true;
+    default:
+        return false;
+    }
+}
+
+bool touches(Fault fault, Operation operation)
+{
+    return !isControl(operation) || !isForRequestsOnly(fault);
+}
+
+}
+
+std::string Cell::name() const
+{
+    std::string text = std::string(nameOf(operation)) + "/" + std::string(nameOf(step));
+    for (const auto it : faults)
+        text += "/" + std::string(nameOf(it));
+    return text + "/seed " + std::to_string(seed);
+}
+
+std::vector<std::string> run(const Cell& cell)
+{
+    return isControl(cell.operation) ? runControlCell(cell) : runRequestCell(cell);
+}
+
+std::vector<Cell> allCells(std::uint64_t seed)
+{
+    std::vector<Cell> cells;
+    for (const auto operation : allOperations) {
+        for (const auto step : stepsOf(operation)) {
+            for (const auto fault : allFaults) {
+                if (touches(fault, operation))
+                    cells.push_back({ operation, step, { fault }, seed, Mutation::None });
+            }
+        }
+    }
+    return cells;
+}
+
+std::vector<Cell> randomPairs(std::uint64_t seed, std::size_t count)
+{
+    SeededRandom random(seed);
+    std::vector<Cell> cells;
+    while (cells.size() < count) {
+        const auto operation = allOperations[random.below(allOperations.size())];
+        const auto steps = stepsOf(operation);
+        const auto step = steps[random.below(steps.size())];
+        const auto first = allFaults[random.below(allFaults.size())];
+        const auto second = allFaults[random.below(allFaults.size())];
+        if (first != second && touches(first, operation) && touches(second, operation))
+            cells.push_back({ operation, step, { first, second }, seed + cells.size(), Mutation::None });
+    }
+    return cells;
+}
+
+}
--- /dev/null
+++ b/tests/fault_matrix/request_world_entry.cpp
@@ -0,0 +1,176 @@
+#include "fault_matrix/request_node.h"
+
+#include "base/fingerprint.h"
+
+namespace lycheefield::fault_matrix {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration requestDeadline = 2s;
+constexpr Duration storeLatency = 2ms;
+constexpr Duration storeTimeout = 500ms;
+
+}
+
+void RequestWorld::send(std::size_t instance, RequestKind kind, const std::string& path, const std::string& body, const std::string& key)
+{
+    auto& node = *m_nodes[instance];
+    const auto now = m_timeline.now();
+    if (node.isDraining && now > node.balancerUntil)
+        return;
+    CallerRequest request;
+    request.id = RequestId { node.self.life, node.nextRequest++ };
+    request.path = path;
+    request.body = std::make_shared<const std::string>(body);
+    request.record = key.empty() ? body : key;
+    request.deadline = now + requestDeadline;
+    if (m_listener && !m_watched)
+        m_watched = request.id;
+    CallRecord record { request.id, kind, key, body, shards, now, request.deadline, {}, never, false, false };
+    record.isExcused = !node.isUp || node.isPaused;
+    m_history.calls.emplace(request.id, record);
+    reached(request.id, Step::Before);
+    onNode(instance, node.epoch, [this, request, kind, key](Node& it) {
+        reached(request.id, Step::Arrived);
+        if (kind == RequestKind::Order && m_options.mutation != Mutation::DispatchWithoutClaim) {
+            it.claiming.emplace(request.id, request);
+            ClaimActions actions;
+            it.claims->claim({ request.id, IdempotencyKey(key), fingerprintOf(ServiceName("desk"), *request.body), request.deadline }, m_timeline.now(), actions);
+            carryOut(it, std::move(actions));
+            return;
+        }
+        QueryActions actions;
+        it.query->start(request, it.tables->tables, m_timeline.now(), actions);
+        carryOut(it, std::move(actions));
+    });
+}
+
+void RequestWorld::carryOut(Node& node, ClaimActions actions)
+{
+    for (const auto& it : actions) {
+        if (const auto* read = std::get_if<ReadObject>(&it))
+            callStore(node, read->call, [this, key = read->key] { return m_store.read(key, m_timeline.now()); });
+        if (const auto* write = std::get_if<WriteObject>(&it)) {
+            for (const auto& [request, call] : node.claiming)
+                reached(request, Step::ClaimSent);
+            callStore(node, write->call, [this, write = *write] { return writeStore(write); });
+        }
+        if (const auto* decided = std::get_if<ClaimDecided>(&it))
+            onClaimDecided(node, *decided);
+    }
+}
+
+standin::PlatformAnswer RequestWorld::writeStore(const WriteObject& write)
+{
+    auto answer = m_store.write(write.key, write.expected, write.value, m_timeline.now());
+    if (answer.lost && m_options.mutation == Mutation::LostWriteTakenAsDone) {
+        answer.lost = false;
+        answer.status = standin::PlatformStatus::Ok;
+        answer.object = { write.key, ObjectVersion { write.expected.value + 1 }, {} };
+    }
+    return answer;
+}
+
+void RequestWorld::callStore(Node& node, StoreCallId call, const std::function<standin::PlatformAnswer()>& ask)
+{
+    m_timeline.after(storeLatency, [this, index = node.index, epoch = node.epoch, call, ask] {
+        const auto answer = ask();
+        const bool isLost = answer.lost || answer.delay > storeTimeout;
+        StoreReply reply { call, isLost ? StoreStatus::Lost : standin::toStoreStatus(answer), answer.object };
+        m_timeline.after(isLost ? storeTimeout : storeLatency + answer.delay, [this, index, epoch, reply] {
+            onNode(index, epoch, [this, reply](Node& it) {
+                ClaimActions actions;
+                it.claims->onStoreReply(reply, m_timeline.now(), actions);
+                carryOut(it, std::move(actions));
+            });
+        });
+    });
+}
+
+void RequestWorld::onClaimDecided(Node& node, const ClaimDecided& decided)
+{
+    const auto it = node.claiming.find(decided.request);
+    if (it == node.claiming.end())
+        return;
+    const auto request = it->second;
+    node.claiming.erase(it);
+    reached(request.id, Step::ClaimSettled);
+    if (decided.verdict == ClaimVerdict::Granted) {
+        node.granted.insert(request.id);
+        QueryActions actions;
+        node.query->start(request, node.tables->tables, m_timeline.now(), actions);
+        carryOut(node, std::move(actions));
+        return;
+    }
+    Answer answer;
+    answer.request = request.id;
+    answer.refusal = Error { ErrorKind::Conflict, "the claim was not granted", "ask again" };
+    answer.runState = RunState::Unknown;
+    if (decided.verdict == ClaimVerdict::AlreadyDone)
+        answer.runState = decided.recordedState;
+    if (decided.verdict == ClaimVerdict::StoreUnavailable || decided.verdict == ClaimVerdict::DifferentContent)
+        answer.runState = RunState::NotRun;
+    m_history.calls.at(request.id).isReplay = decided.verdict == ClaimVerdict::AlreadyDone;
+    deliver(node, answer);
+}
+
+void RequestWorld::carryOut(Node& node, QueryActions actions)
+{
+    for (const auto& it : actions) {
+        if (const auto* work = std::get_if<SendWork>(&it))
+            sendWork(node, *work);
+        if (const auto* cancel = std::get_if<SendCancel>(&it)) {
+            send(node.index, indexOf(cancel->relay), [this, key = cancel->key](Node& relay) {
+                RelayActions out;
+                relay.relay->onCancel(key, m_timeline.now(), out);
+                carryOut(relay, std::move(out));
+            });
+        }
+        if (const auto* done = std::get_if<DeliverAnswer>(&it))
+            deliver(node, done->answer);
+    }
+    arm(node);
+}
+
+void RequestWorld::sendWork(Node& node, const SendWork& action)
+{
+    reached(action.work.request, Step::WorkSent);
+    const auto to = indexOf(action.relay);
+    if (to >= instances) {
+        m_timeline.after(1ms, [this, index = node.index, epoch = node.epoch, lost = action.relay] {
+            onNode(index, epoch, [this, lost](Node& it) {
+                QueryActions out;
+                it.query->onRelayLost(lost, m_timeline.now(), out);
+                carryOut(it, std::move(out));
+            });
+        });
+        return;
+    }
+    send(node.index, to, [this, work = action.work](Node& relay) {
+        RelayActions out;
+        relay.relay->onWork(work, m_timeline.now(), out);
+        carryOut(relay, std::move(out));
+    });
+}
+
+void RequestWorld::deliver(Node& node, const Answer& answer)
+{
+    const auto it = m_history.calls.find(answer.request);
+    if (it == m_history.calls.end())
+        return;
+    it->second.answers.push_back(answer);
+    it->second.answered = m_timeline.now();
+    if (node.granted.erase(answer.request)) {
+        ClaimActions actions;
+        if (answer.runState == RunState::NotRun)
+            node.claims->release(answer.request, m_timeline.now(), actions);
+        else
+            node.claims->recordOutcome(answer.request, answer.runState, "done", m_timeline.now(), actions);
+        carryOut(node, std::move(actions));
+    }
+    reached(answer.request, Step::Answered);
+}
+
+}
--- a/tests/standin/backend_server.cpp
+++ b/tests/standin/backend_server.cpp
@@ -129,6 +129,8 @@
     running.crashes = !m_behaviour.crashMark.empty() && request.body.find(m_behaviour.crashMark) != std::string::npos;
     if (request.kind == RequestKind::Order)
         ++m_ordersRun[request.body];
+    if (m_onBegin)
+        m_onBegin(request, now);
     running.request = std::move(request);
     m_running.push_back(std::move(running));
 }
@@ -169,11 +171,22 @@
 void BackendServer::crash(TimePoint now)
 {
     ++m_counters.crashes;
+    dropAll(now);
+    m_upAt = now + m_behaviour.restartTime;
+}
+
+void BackendServer::stopHard(TimePoint now, Duration downFor)
+{
+    dropAll(now);
+    m_upAt = now + downFor;
+}
+
+void BackendServer::dropAll(TimePoint now)
+{
     for (const auto& it : m_running)
         m_counters.busy += now - it.start;
     m_running.clear();
     m_queue.clear();
-    m_upAt = now + m_behaviour.restartTime;
 }
 
 void BackendServer::advance(TimePoint now, std::vector<BackendReply>& out)
--- a/tests/standin/backend_server.h
+++ b/tests/standin/backend_server.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -86,6 +87,10 @@
     const std::set<IndexVersion>& versions() const { return m_versions; }
 
     void start(TimePoint);
+    /// Goes down at once with all that it runs, and is up again after the time.
+    void stopHard(TimePoint, Duration downFor);
+    /// Called whenever a request gets a slot.
+    void onBegin(std::function<void(const BackendRequest&, TimePoint)> listener) { m_onBegin = std::move(listener); }
     void receive(const BackendRequest&, TimePoint, std::vector<BackendReply>&);
     void cancel(const LegKey&, TimePoint, std::vector<BackendReply>&);
     /// The connection closed: what it had is stopped and not answered.
@@ -115,6 +120,7 @@
     void finish(const Running&, std::vector<BackendReply>&);
     void fillSlots(TimePoint, std::vector<BackendReply>&);
     void crash(TimePoint);
+    void dropAll(TimePoint);
     Duration drawServiceTime(TimePoint);
 
     ServerName m_name;
@@ -128,6 +134,7 @@
     std::vector<Running> m_running;
     BackendCounters m_counters;
     std::map<std::string, std::uint32_t> m_ordersRun;
+    std::function<void(const BackendRequest&, TimePoint)> m_onBegin;
 };
 
 }
