--- a/src/http/http_server_session.cpp
+++ b/src/http/http_server_session.cpp
@@ -3,9 +3,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/make_printable.hpp>
-#include <boost/beast/http/error.hpp>
-#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/message.hpp>
 #include <boost/beast/http/status.hpp>
 
 namespace lycheefield {
@@ -89,7 +87,7 @@
         boost::system::error_code ec;
         self->m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
         self->m_idleSince = self->m_context.clock->now();
-        self->resetParser();
+        self->m_reader.emplace(self->m_context.limits);
         self->readMore();
         self->watch();
     });
@@ -108,15 +106,6 @@
     });
 }
 
-void HttpServerSession::resetParser()
-{
-    m_parser.emplace();
-    m_parser->header_limit(m_context.limits.maxHeaderBytes);
-    m_parser->body_limit(m_context.limits.maxBodyBytes);
-    m_parser->eager(true);
-    m_continueSent = false;
-}
-
 void HttpServerSession::readMore()
 {
     const bool isFull = m_handling && m_buffer.size() >= m_context.limits.maxPipelinedBytes;
@@ -163,43 +152,31 @@
         return;
     if (m_messageStarted == never)
         m_messageStarted = m_context.clock->now();
-    boost::system::error_code ec;
-    while (m_buffer.size() > 0 && !m_parser->is_done() && !ec) {
-        const auto n = m_parser->put(m_buffer.data(), ec);
-        m_buffer.consume(n);
-        if (n == 0)
-            break;
-    }
-    if (ec && ec != http::error::need_more) {
-        refuse(ec);
-        return;
+    switch (m_reader->take(m_buffer)) {
+    case HttpRequestReader::State::NeedsMore:
+        return continueIfExpected();
+    case HttpRequestReader::State::Done:
+        return dispatch();
+    case HttpRequestReader::State::Refused:
+        return refuse();
     }
-    if (m_parser->is_done())
-        dispatch();
-    else
-        continueIfExpected();
 }
 
 void HttpServerSession::continueIfExpected()
 {
-    if (!m_parser->is_header_done() || m_continueSent || !boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue"))
+    if (!m_reader->takeExpectation())
         return;
-    m_continueSent = true;
     auto line = std::make_shared<const std::string>("HTTP/1.1 100 Continue\r\n\r\n");
     boost::asio::async_write(m_socket, boost::asio::buffer(*line), [self = shared_from_this(), line](const boost::system::error_code&, std::size_t) {});
 }
 
-void HttpServerSession::refuse(const boost::system::error_code& ec)
+void HttpServerSession::refuse()
 {
-    unsigned status = 400;
-    if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
-        status = 431;
-    else if (ec == http::error::body_limit)
-        status = 413;
-    ++(status == 400 ? m_context.counters->malformed : m_context.counters->oversized);
+    const bool isMalformed = m_reader->status() == 400;
+    ++(isMalformed ? m_context.counters->malformed : m_context.counters->oversized);
     m_handling = true;
     ++m_requestNumber;
-    sendReply({ status, "text/plain", ec.message() + "\n" }, false);
+    sendReply({ m_reader->status(), "text/plain", m_reader->reason() + "\n" }, false);
 }
 
 void HttpServerSession::dispatch()
@@ -207,16 +184,9 @@
     ++m_context.counters->requests;
     m_messageStarted = never;
     m_handling = true;
-    auto message = m_parser->release();
-    m_keepAlive = message.keep_alive() && !m_context.draining->load();
-    HttpRequest request;
-    request.method.assign(message.method_string().data(), message.method_string().size());
-    request.target.assign(message.target().data(), message.target().size());
-    for (const auto& field : message)
-        request.headers.add({ field.name_string().data(), field.name_string().size() }, { field.value().data(), field.value().size() });
-    request.body = std::move(message.body());
+    m_keepAlive = m_reader->keepAlive() && !m_context.draining->load();
     const auto number = ++m_requestNumber;
-    m_context.handler.handle(std::move(request), std::make_shared<SessionExchange>(shared_from_this(), number));
+    m_context.handler.handle(m_reader->release(), std::make_shared<SessionExchange>(shared_from_this(), number));
 }
 
 void HttpServerSession::respond(std::uint64_t requestNumber, HttpReply reply)
@@ -260,7 +230,7 @@
         return;
     }
     m_idleSince = m_context.clock->now();
-    resetParser();
+    m_reader.emplace(m_context.limits);
     parseMore();
     if (!m_closed)
         readMore();
--- a/src/http/http_server_session.h
+++ b/src/http/http_server_session.h
@@ -3,13 +3,12 @@
 #include "base/clock.h"
 #include "http/http_limits.h"
 #include "http/http_message.h"
+#include "http/http_request_reader.h"
 #include "http/http_server.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <atomic>
 #include <cstdint>
@@ -49,13 +48,10 @@
     void setGoneHandler(std::uint64_t requestNumber, std::function<void()>);
 
 private:
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-
     void readMore();
     void onRead(const boost::system::error_code&, std::size_t);
     void parseMore();
-    void resetParser();
-    void refuse(const boost::system::error_code&);
+    void refuse();
     void dispatch();
     void continueIfExpected();
     void sendReply(const HttpReply&, bool keepAlive);
@@ -72,7 +68,7 @@
     HttpServerContext m_context;
     boost::asio::steady_timer m_watchdog;
     boost::beast::flat_buffer m_buffer;
-    std::optional<Parser> m_parser;
+    std::optional<HttpRequestReader> m_reader;
     std::function<void()> m_goneHandler;
     std::string m_out;
     std::uint64_t m_requestNumber = 0;
@@ -83,7 +79,6 @@
     bool m_handling = false; ///< A request waits for its reply, or the reply is being written.
     bool m_keepAlive = true;
     bool m_reading = false;
-    bool m_continueSent = false;
     bool m_closed = false;
 };
 
