A request's bytes are never read from where another's were

Change: the read under way has memory of its own. A backend connection with bytes behind an answer is closed. Tests: a request that begins to arrive while another is answered (red without the change).

--- a/src/daemon/daemon_metrics.cpp
+++ b/src/daemon/daemon_metrics.cpp
@@ -34,12 +34,12 @@
     const auto count = [&](const char* name, std::uint64_t QueryCounters::*member) {
         metrics.count(name, [&entry, member] { return entry.counters().*member; });
     };
-    count("lycheefield_requests_total", &QueryCounters::requests);
-    count("lycheefield_first_legs_total", &QueryCounters::firstLegs);
-    count("lycheefield_hedges_total", &QueryCounters::hedges);
-    count("lycheefield_retries_total", &QueryCounters::retries);
-    count("lycheefield_cancels_total", &QueryCounters::cancels);
-    count("lycheefield_stray_results_total", &QueryCounters::strayResults);
+    count("lycheefield_query_requests_total", &QueryCounters::requests);
+    count("lycheefield_query_first_legs_total", &QueryCounters::firstLegs);
+    count("lycheefield_query_hedges_total", &QueryCounters::hedges);
+    count("lycheefield_query_retries_total", &QueryCounters::retries);
+    count("lycheefield_query_cancels_total", &QueryCounters::cancels);
+    count("lycheefield_query_stray_results_total", &QueryCounters::strayResults);
     count("lycheefield_query_restarts_total", &QueryCounters::restarts);
     count("lycheefield_answers_total{coverage=\"complete\"}", &QueryCounters::completeAnswers);
     count("lycheefield_answers_total{coverage=\"partial\"}", &QueryCounters::partialAnswers);
--- a/src/http/http_client_connection.cpp
+++ b/src/http/http_client_connection.cpp
@@ -159,8 +159,11 @@
             lose("answer can't be read: " + ec.message());
             return;
         }
-        if (m_parser->is_done())
-            finishReply();
+        if (!m_parser->is_done())
+            return;
+        // What follows the answer belongs to no request; it must never be read as the next answer.
+        m_hasSurplus = m_buffer.size() > 0;
+        finishReply();
     }
 
     void finishReply()
@@ -173,7 +176,7 @@
         for (const auto& field : message)
             reply.headers.add({ field.name_string().data(), field.name_string().size() }, { field.value().data(), field.value().size() });
         reply.body = std::move(message.body());
-        m_ending = !message.keep_alive();
+        m_ending = m_hasSurplus || !message.keep_alive();
         if (const auto events = m_events.lock())
             events->onReply(std::move(reply));
         if (m_ending)
@@ -201,6 +204,7 @@
     std::optional<http::response_parser<http::string_body>> m_parser;
     std::string m_out;
     bool m_inFlight = false;
+    bool m_hasSurplus = false;
     bool m_ending = false; ///< The server has said that it closes after this reply.
     bool m_closed = false;
 };
--- a/src/http/http_server_session.cpp
+++ b/src/http/http_server_session.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr std::size_t readBytes = 8 * 1024;
 /// How long a connection that we ended is still read, so that its last reply is not lost to a reset.
 constexpr Duration lingerTimeout = std::chrono::seconds(2);
 
@@ -77,7 +76,7 @@
     , m_socket(std::move(socket))
     , m_context(std::move(context))
     , m_watchdog(m_socket.get_executor())
-    , m_buffer(m_context.limits.maxHeaderBytes + m_context.limits.maxPipelinedBytes + m_context.limits.maxBodyBytes + 2 * readBytes)
+    , m_buffer(m_context.limits.maxHeaderBytes + m_context.limits.maxPipelinedBytes + m_context.limits.maxBodyBytes + 2 * sizeof(m_chunk))
 {
 }
 
@@ -112,7 +111,7 @@
     if (m_reading || m_closed || isFull)
         return;
     m_reading = true;
-    m_socket.async_read_some(m_buffer.prepare(readBytes),
+    m_socket.async_read_some(boost::asio::buffer(m_chunk),
         [self = shared_from_this()](const boost::system::error_code& ec, std::size_t n) { self->onRead(ec, n); });
 }
 
@@ -130,7 +129,8 @@
         finish();
         return;
     }
-    m_buffer.commit(n);
+    // The buffer is consumed while a read is under way, which moves it: bytes come in by way of m_chunk.
+    m_buffer.commit(boost::asio::buffer_copy(m_buffer.prepare(n), boost::asio::buffer(m_chunk.data(), n)));
     if (!m_handling)
         parseMore();
     if (!m_closed)
--- a/src/http/http_server_session.h
+++ b/src/http/http_server_session.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <functional>
@@ -67,6 +68,7 @@
     boost::asio::ip::tcp::socket m_socket;
     HttpServerContext m_context;
     boost::asio::steady_timer m_watchdog;
+    std::array<char, 8 * 1024> m_chunk {}; ///< Where the read under way puts its bytes.
     boost::beast::flat_buffer m_buffer;
     std::optional<HttpRequestReader> m_reader;
     std::function<void()> m_goneHandler;
--- a/tests/http/http_client_connection_test.cpp
+++ b/tests/http/http_client_connection_test.cpp
@@ -124,6 +124,15 @@
         runUntil(io, [&] { return heard->losses == 1; });
         CHECK(heard->replies.empty());
     }
+    SUBCASE("bytes behind an answer end the connection, so that they answer nothing else")
+    {
+        client->send(someRequest);
+        readRequest();
+        answer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        runUntil(io, [&] { return heard->losses == 1; });
+        CHECK(heard->replies.size() == 1);
+        CHECK_FALSE(heard->bytesHanded);
+    }
     SUBCASE("an answer that can't be read")
     {
         client->send(someRequest);
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -293,6 +293,25 @@
     }
 }
 
+TEST_CASE_FIXTURE(ServerFixture, "a request that begins to arrive while another is answered is read as it was sent")
+{
+    handler.answersAtOnce = false;
+    RawCaller caller(io, endpoint);
+    const std::string header = "POST /x HTTP/1.1\r\nContent-Length: 6\r\n\r\n";
+    caller.send(header + "first.");
+    runUntil(io, [&] { return handler.exchanges.size() == 1; });
+    // The next header comes before the answer has gone out; its body comes afterwards.
+    caller.send(header);
+    runUntil(io, [&] { return io.poll() == 0; });
+    handler.exchanges[0]->respond({ 200, "text/plain", "answer" });
+    runUntil(io, [&] { return caller.count("answer") == 1; });
+    runUntil(io, [&] { return io.poll() == 0; });
+    caller.send("second");
+    runUntil(io, [&] { return handler.exchanges.size() == 2; });
+    CHECK(handler.requests[0].body == "first.");
+    CHECK(handler.requests[1].body == "second");
+}
+
 TEST_CASE_FIXTURE(ServerFixture, "a draining server closes connections, none of them in the middle of a request")
 {
     handler.answersAtOnce = false;
