--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -146,6 +146,8 @@
         return BOOST_OUTCOME_V2_NAMESPACE::success();
     }
 
+    Endpoint httpEndpoint() const { return { m_settings.reachableAddress(), m_httpPort }; }
+
     int run()
     {
         awaitSignal();
@@ -336,6 +338,11 @@
     return m_impl->writePorts(path);
 }
 
+Endpoint Daemon::httpEndpoint() const
+{
+    return m_impl->httpEndpoint();
+}
+
 int Daemon::run()
 {
     return m_impl->run();
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/endpoint.h"
 #include "base/error.h"
 #include "settings/settings.h"
 
@@ -20,6 +21,8 @@
     Result<void> start();
     /// Writes the ports as INI: http = N, inner = N. Precondition: start() succeeded.
     Result<void> writePorts(const std::string& path) const;
+    /// Where callers reach it. Precondition: start() succeeded.
+    Endpoint httpEndpoint() const;
     /// Serves until SIGTERM or SIGINT, then drains. Returns the exit code. Precondition: start() succeeded.
     int run();
 
