--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -57,13 +57,14 @@
     bool isClaimed = false;
 };
 
-CallerApi::CallerApi(EntryDriver& entry, const SharedTables& tables, ClaimService& claims, RequestLog& log, OperatorApi& operators, std::shared_ptr<const Clock> clock)
+CallerApi::CallerApi(EntryDriver& entry, const SharedTables& tables, ClaimService& claims, RequestLog& log, OperatorApi& operators, std::shared_ptr<const Clock> clock, std::uint32_t maxLegs)
     : m_entry(entry)
     , m_tables(tables)
     , m_claims(claims)
     , m_log(log)
     , m_operators(operators)
     , m_clock(std::move(clock))
+    , m_maxLegs(maxLegs)
 {
 }
 
@@ -94,6 +95,10 @@
     const auto* rule = rules->match(call->request.path);
     if (!rule)
         return refuse(404, { ErrorKind::NotFound, "no rule matches the path " + call->request.path, "check the path, or ask the operators for a rule" });
+    const auto shards = m_tables.shards.read();
+    const auto* service = shards->findService(rule->service);
+    if (rule->kind == RequestKind::Search && service && service->shards.size() > m_maxLegs)
+        return refuse(503, { ErrorKind::Overloaded, "service " + rule->service.value() + " has more shards than one request may ask", "raise http.max_legs" });
     const auto deadline = deadlineIn(request, now);
     if (!deadline)
         return refuse(400, deadline.error());
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -24,7 +24,7 @@
 class CallerApi final : public HttpHandler {
 public:
     /// Precondition: everything outlives the server that calls this.
-    CallerApi(EntryDriver&, const SharedTables&, ClaimService&, RequestLog&, OperatorApi&, std::shared_ptr<const Clock>);
+    CallerApi(EntryDriver&, const SharedTables&, ClaimService&, RequestLog&, OperatorApi&, std::shared_ptr<const Clock>, std::uint32_t maxLegs);
 
     void handle(HttpRequest, std::shared_ptr<HttpExchange>) override;
 
@@ -44,6 +44,7 @@
     RequestLog& m_log;
     OperatorApi& m_operators;
     std::shared_ptr<const Clock> m_clock;
+    std::uint32_t m_maxLegs; ///< Of one request.
 };
 
 }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -64,7 +64,8 @@
     out.maxHeaderBytes = static_cast<std::uint32_t>(settings.maxHeader.value);
     out.maxBodyBytes = settings.maxBody.value;
     out.maxConnections = settings.maxConnections;
-    out.messageTimeout = settings.bodyTimeout;
+    out.headerTimeout = settings.headerTimeout;
+    out.messageTimeout = settings.headerTimeout + settings.bodyTimeout;
     out.idleTimeout = settings.idleTimeout;
     return out;
 }
@@ -80,6 +81,7 @@
 {
     FrameSessionLimits out;
     out.frame.maxFrameBytes = static_cast<std::uint32_t>(settings.maxFrame.value);
+    out.frame.maxListItems = std::max(out.frame.maxListItems, settings.maxLegs);
     return out;
 }
 
@@ -107,7 +109,7 @@
         , m_client(std::make_shared<PlatformClient>(m_io.get_executor(), clientSettings(settings)))
         , m_store(std::make_shared<HttpObjectStore>(m_client))
         , m_claims(makeClaims())
-        , m_api(m_entry, m_tables, *m_claims, m_log, m_operators, m_clock)
+        , m_api(m_entry, m_tables, *m_claims, m_log, m_operators, m_clock, settings.http.maxLegs)
         , m_http(m_io, m_api, m_clock, m_httpCounters, httpLimits(settings.http))
         , m_signals(m_io, SIGTERM, SIGINT)
     {
--- a/src/http/http_limits.h
+++ b/src/http/http_limits.h
@@ -14,6 +14,7 @@
     std::uint64_t maxBodyBytes = 1024 * 1024;
     std::size_t maxPipelinedBytes = 64 * 1024; ///< Read ahead while a request is handled.
     std::size_t maxConnections = 8192;
+    Duration headerTimeout = std::chrono::seconds(5); ///< From the first byte of a message to the end of its header.
     Duration messageTimeout = std::chrono::seconds(10); ///< From the first byte of a message to its last.
     Duration idleTimeout = std::chrono::seconds(75); ///< Between two requests of a connection.
     Duration writeTimeout = std::chrono::seconds(10);
--- a/src/http/http_request_reader.h
+++ b/src/http/http_request_reader.h
@@ -33,6 +33,7 @@
     /// The status to refuse with. Precondition: Refused.
     unsigned status() const { return m_status; }
     const std::string& reason() const { return m_reason; }
+    bool isHeaderDone() const { return m_parser.is_header_done(); }
     /// True once when the caller waits for permission to send its body.
     bool takeExpectation();
     /// Whether the caller wants to keep the connection. Precondition: Done.
--- a/src/http/http_server_session.cpp
+++ b/src/http/http_server_session.cpp
@@ -253,7 +253,8 @@
 bool HttpServerSession::isOverdue(TimePoint now) const
 {
     const auto& limits = m_context.limits;
-    const bool messageLate = m_messageStarted != never && now - m_messageStarted > limits.messageTimeout;
+    const auto messageLimit = m_reader->isHeaderDone() ? limits.messageTimeout : limits.headerTimeout;
+    const bool messageLate = m_messageStarted != never && now - m_messageStarted > messageLimit;
     const bool writeLate = m_writeStarted != never && now - m_writeStarted > limits.writeTimeout;
     if (m_lingerSince != never)
         return now - m_lingerSince > lingerTimeout;
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -223,6 +223,15 @@
         CHECK(counters->slow == 1);
         CHECK(handler.requests.size() == 1);
     }
+    SUBCASE("it sends its header too slowly: that is closed sooner")
+    {
+        caller.send("POST / HTTP/1.1\r\nContent-Le");
+        runUntil(io, [&] { return io.poll() == 0; });
+        clock->advance(6s);
+        runUntil(io, [&] { return caller.isClosed(); });
+        CHECK(counters->slow == 1);
+        CHECK(handler.requests.size() == 1);
+    }
     SUBCASE("it stays idle for too long: the connection is closed, which is nobody's fault")
     {
         caller.send(goodRequest);
