--- a/bench/dispatch/dispatch_bench.cpp
+++ b/bench/dispatch/dispatch_bench.cpp
@@ -289,7 +289,7 @@
 
 }
 
-/// Arguments name what to run: overload, trouble, views, crashing, cpu. Without any, all.
+/// Arguments name what to run: overload, trouble, views, crashing, cpu (cpu5, cpu50, cpu250 alone). Without any, all.
 int main(int argc, char** argv)
 {
     using namespace lycheefield::bench;
@@ -306,7 +306,7 @@
         crashing({ "all", {} });
     }
     for (const std::uint32_t servers : { 5U, 50U, 250U }) {
-        if (isAsked("cpu"))
+        if (isAsked("cpu") || (!names.empty() && isAsked(("cpu" + std::to_string(servers)).c_str())))
             processorTime(servers);
     }
 }
