--- a/src/daemon/peer_router.cpp
+++ b/src/daemon/peer_router.cpp
@@ -5,6 +5,15 @@
 
 namespace lycheefield {
 
+namespace {
+
+CrashNews newsOf(const AnnounceCrash& crash)
+{
+    return { crash.fingerprint, crash.crashes, crash.quarantine, crash.place.server };
+}
+
+}
+
 void PeerRouter::connect(EntryDriver& entry, RelayDriver& relay, PeerNetwork& network, OtherHandler other)
 {
     m_entry = &entry;
@@ -13,6 +22,12 @@
     m_other = std::move(other);
 }
 
+void PeerRouter::connectClaims(LinkLostHandler onLinkLost, UndeliveredClaimHandler onUndelivered)
+{
+    m_claimLinkLost = std::move(onLinkLost);
+    m_undeliveredClaim = std::move(onUndelivered);
+}
+
 void PeerRouter::sendWork(const InstanceName& relay, WorkOrder work)
 {
     if (relay == m_self)
@@ -49,6 +64,7 @@
 void PeerRouter::announceCrash(const AnnounceCrash& news)
 {
     m_relay->onCrashNews(news);
+    m_entry->onCrashNews(newsOf(news));
     m_network->broadcast(news);
 }
 
@@ -70,6 +86,7 @@
         }
     } else if (const auto* crash = std::get_if<AnnounceCrash>(&message)) {
         m_relay->onCrashNews(*crash);
+        m_entry->onCrashNews(newsOf(*crash));
     } else {
         m_other(from, std::move(message));
     }
@@ -78,10 +95,14 @@
 void PeerRouter::onLinkLost(const InstanceName& peer)
 {
     m_entry->onRelayLost(peer);
+    if (m_claimLinkLost)
+        m_claimLinkLost(peer);
 }
 
 void PeerRouter::onUndelivered(const InstanceName& to, PeerMessage message)
 {
+    if (const auto* call = std::get_if<ClaimCall>(&message); call && m_undeliveredClaim)
+        m_undeliveredClaim(*call);
     const auto* work = std::get_if<WorkOrder>(&message);
     if (!work)
         return;
