Refusals under overload say how long to wait

Cause: only a pause after a shed gave Retry-After; full queues and waits past the deadline gave none. Change: such refusals carry the expected wait. Conclusion: typed refusals tell callers when to come back.

--- a/src/dispatch/server_relay_results.cpp
+++ b/src/dispatch/server_relay_results.cpp
@@ -29,8 +29,9 @@
     m_shared.legs.erase(leg.key());
     auto result = resultFor(leg, outcome, std::move(detail));
     result.queueTime = now - leg.arrived;
-    if (outcome == LegOutcome::Refused && now < m_limit.backoffUntil())
-        result.retryAfter = m_limit.backoffUntil() - now;
+    const auto isOverload = outcome == LegOutcome::Refused || outcome == LegOutcome::Expired;
+    if (isOverload && !m_isDraining && m_role != RelayRole::None)
+        result.retryAfter = expectedWait(leg, now);
     actions.push_back(ReturnResult { leg.order->entry, std::move(result) });
 }
 
--- a/tests/dispatch/server_policies_test.cpp
+++ b/tests/dispatch/server_policies_test.cpp
@@ -187,6 +187,33 @@
     CHECK(relay.take<RunLeg>().size() == 1);
 }
 
+TEST_CASE("work that can't be done in time is refused before it costs anything" * doctest::test_suite("dispatch"))
+{
+    RelayFixture relay;
+    relay.addServer("s0");
+    relay.publish({ "self" });
+    relay.connectAll();
+    for (std::uint64_t i = 0; i < 10; ++i) {
+        relay.send(relay.order(i, "s0"));
+        relay.advance(20ms);
+        for (const auto& it : relay.take<RunLeg>())
+            relay.answer(it);
+    }
+    for (std::uint64_t i = 10; i < 20; ++i)
+        relay.send(relay.order(i, "s0"));
+    relay.take<ReturnResult>();
+    relay.send(relay.order(50, "s0", Priority::Batch, 60ms));
+    const auto refused = relay.take<ReturnResult>();
+    REQUIRE(refused.size() == 1);
+    CHECK(outcomeOf(refused[0]) == "expired");
+    CHECK(refused[0].result.retryAfter >= 60ms);
+    CHECK(relay.engine().counters().expired == 1);
+
+    // A van lookup of the same budget goes before the work that waits, and fits.
+    relay.send(relay.order(51, "s0", Priority::Van, 60ms));
+    CHECK(relay.take<ReturnResult>().empty());
+}
+
 TEST_CASE("the table of crashes" * doctest::test_suite("dispatch"))
 {
     const RelaySettings settings;
