Orders are taken again soon after an outage: calls pause for half a second at most

Cause: after refusals in a row the client of the platform paused all calls for up to platform.backoff_maximum, 5 s by default, and orders were refused meanwhile though the store was back. The longer pause was not measured.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -40,6 +40,8 @@
 
 /// Reads with which an instance that takes over a partition catches up on its segments.
 constexpr std::uint32_t claimReadsPerSecond = 200;
+/// After refusals in a row no call is made for this long at most: orders wait for the store to be back.
+constexpr Duration longestPause = std::chrono::milliseconds(500);
 
 /// The general budget, and what an instance may need that owns every partition of the claims.
 PlatformClientSettings clientSettings(const Settings& all)
@@ -54,7 +56,7 @@
     out.readsPerSecond = settings.callsPerSecond + claimReadsPerSecond;
     out.writesPerSecond = settings.callsPerSecond + claimWrites;
     out.backoffFirst = settings.backoffMinimum;
-    out.backoffMost = settings.backoffMaximum;
+    out.backoffMost = std::min<Duration>(settings.backoffMaximum, longestPause);
     return out;
 }
 
