--- a/bench/control_bench.cpp
+++ b/bench/control_bench.cpp
@@ -26,6 +26,7 @@
     std::size_t zones = 6;
     int seconds = 300;
     double lossPercent = 0;
+    int probePeriodMs = 500;
     std::uint64_t seed = 20261204;
 };
 
@@ -35,6 +36,8 @@
     double cpuShare = 0;
     double megabytes = 0;
     double slowestChange = 0; ///< Seconds until a rule change was in force everywhere.
+    double goneAfter = 0; ///< Seconds until a stopped instance was gone everywhere.
+    std::uint64_t suspicions = 0; ///< Of instances that ran, in the whole run.
 };
 
 double cpuSeconds()
@@ -76,12 +79,34 @@
     return std::chrono::duration<double>(cluster.now() - start).count();
 }
 
+/// Stops an instance and runs until nobody counts on it any more.
+double timeStop(MembershipCluster& cluster, const std::string& name)
+{
+    constexpr Duration step = 100ms;
+    constexpr Duration limit = 60s;
+    const auto start = cluster.now();
+    cluster.stop(name);
+    while (cluster.countSeeing(name, InstanceHealth::Gone) < cluster.running() && cluster.now() - start < limit)
+        cluster.runFor(step);
+    return std::chrono::duration<double>(cluster.now() - start).count();
+}
+
+std::uint64_t suspicionsIn(MembershipCluster& cluster)
+{
+    std::uint64_t n = 0;
+    for (const auto& [name, node] : cluster.nodes())
+        n += node.engine->counts().suspicions;
+    return n;
+}
+
 Cost measure(std::size_t n, const Options& options)
 {
     constexpr Duration settling = 20s;
     constexpr int secondsPerChange = 75; // 1,100 changes a day come every 78 s.
     const auto memoryBefore = residentMegabytes();
-    MembershipCluster cluster(options.seed, {});
+    MembershipSettings settings;
+    settings.probePeriod = std::chrono::milliseconds(options.probePeriodMs);
+    MembershipCluster cluster(options.seed, settings);
     cluster.setSizes([](const auto& message) { return encodeFrame(message, TimePoint()).size() + headerBytes; },
         [](const auto& delta) { return encodeFrame(delta, TimePoint()).size() + headerBytes; });
     cluster.startMany(n, options.zones);
@@ -95,8 +120,10 @@
     std::uint64_t revision = 0;
     for (int passed = 0; passed < options.seconds; passed += secondsPerChange) {
         cost.slowestChange = std::max(cost.slowestChange, timeChange(cluster, ++revision));
-        if (revision == 2)
-            cluster.stop("i1");
+        if (revision == 2) {
+            cost.suspicions = suspicionsIn(cluster);
+            cost.goneAfter = timeStop(cluster, "i1");
+        }
         if (revision == 3)
             cluster.start("i1", "zone-1");
         cluster.runFor(std::chrono::seconds(secondsPerChange));
@@ -126,13 +153,14 @@
     app.add_option("--zones", options.zones, "Availability zones")->capture_default_str();
     app.add_option("--seconds", options.seconds, "Virtual time of each run")->capture_default_str();
     app.add_option("--loss-percent", options.lossPercent, "Messages lost")->capture_default_str();
+    app.add_option("--probe-period-ms", options.probePeriodMs, "Between two probes of one instance")->capture_default_str();
     app.add_option("--seed", options.seed, "Seed of the network and the engines")->capture_default_str();
     CLI11_PARSE(app, argc, argv);
     std::cout << "seed=" << options.seed << " loss_percent=" << options.lossPercent << '\n';
     for (const auto n : options.sizes) {
         const auto cost = measure(n, options);
-        std::printf("instances=%zu bytes_per_s=%.0f most_bytes_per_s=%.0f cpu_share=%.5f mb=%.3f slowest_change_s=%.2f\n", n, cost.bytesPerSecond, cost.mostBytesPerSecond,
-            cost.cpuShare, cost.megabytes, cost.slowestChange);
+        std::printf("instances=%zu bytes_per_s=%.0f most_bytes_per_s=%.0f cpu_share=%.5f mb=%.3f slowest_change_s=%.2f gone_after_s=%.1f suspicions=%llu\n", n, cost.bytesPerSecond, cost.mostBytesPerSecond,
+            cost.cpuShare, cost.megabytes, cost.slowestChange, cost.goneAfter, static_cast<unsigned long long>(cost.suspicions));
         std::fflush(stdout);
     }
     return 0;
