--- a/src/daemon/peer_router.cpp
+++ b/src/daemon/peer_router.cpp
@@ -22,6 +22,12 @@
     m_other = std::move(other);
 }
 
+void PeerRouter::connectClaims(LinkLostHandler onLinkLost, UndeliveredClaimHandler onUndelivered)
+{
+    m_claimLinkLost = std::move(onLinkLost);
+    m_undeliveredClaim = std::move(onUndelivered);
+}
+
 void PeerRouter::sendWork(const InstanceName& relay, WorkOrder work)
 {
     if (relay == m_self)
@@ -74,8 +80,10 @@
         for (auto& it : results->results)
             m_entry->onLegResult(std::move(it));
     } else if (const auto* news = std::get_if<ServerNews>(&message)) {
-        for (const auto& it : news->servers)
+        for (const auto& it : news->servers) {
             m_entry->onServerState(it);
+            m_relay->onServerNews(it);
+        }
     } else if (const auto* crash = std::get_if<AnnounceCrash>(&message)) {
         m_relay->onCrashNews(*crash);
         m_entry->onCrashNews(newsOf(*crash));
@@ -87,10 +95,14 @@
 void PeerRouter::onLinkLost(const InstanceName& peer)
 {
     m_entry->onRelayLost(peer);
+    if (m_claimLinkLost)
+        m_claimLinkLost(peer);
 }
 
 void PeerRouter::onUndelivered(const InstanceName& to, PeerMessage message)
 {
+    if (const auto* call = std::get_if<ClaimCall>(&message); call && m_undeliveredClaim)
+        m_undeliveredClaim(*call);
     const auto* work = std::get_if<WorkOrder>(&message);
     if (!work)
         return;
