--- a/src/cli/fleet_status.cpp
+++ b/src/cli/fleet_status.cpp
@@ -45,8 +45,24 @@
     return instances;
 }
 
+/// The lines of an explanation, one below the other; any other body as it is.
+std::string inWords(const std::string& body)
+{
+    json::error_code ec;
+    const auto value = json::parse(body, ec);
+    const auto* lines = !ec && value.is_object() ? value.get_object().if_contains("lines") : nullptr;
+    if (!lines || !lines->is_array())
+        return body.ends_with('\n') ? body : body + "\n";
+    std::string text;
+    for (const auto& it : lines->get_array()) {
+        if (it.is_string())
+            text += std::string(it.get_string()) + "\n";
+    }
+    return text;
+}
+
 /// Sends a request about a request until an instance knows it.
-ExitCode askAboutRequest(const std::string& method, const std::string& text, OperatorAccess& access, Report& report)
+ExitCode askAboutRequest(const std::string& method, const std::string& text, const Error& notFound, OperatorAccess& access, Report& report)
 {
     const auto id = RequestId::parse(text);
     if (!id) {
@@ -63,11 +79,10 @@
         if (!reply || reply->status >= firstErrorStatus)
             continue;
         report.line(it.name.value() + ":");
-        report.text(reply->body.ends_with('\n') ? reply->body : reply->body + "\n");
+        report.text(inWords(reply->body));
         return ExitCode::Ok;
     }
-    report.error({ ErrorKind::NotFound, "no instance knows this request",
-        "the instance that took it may be gone, or the request too old; its outcome is in the answer that the caller got" });
+    report.error(notFound);
     return ExitCode::Failure;
 }
 
@@ -108,12 +123,15 @@
 
 ExitCode explainRequest(const std::string& id, OperatorAccess& access, Report& report)
 {
-    return askAboutRequest("GET", id, access, report);
+    const Error notFound { ErrorKind::NotFound, "no instance knows this request",
+        "the instance that took it may be gone, or the request too old; its outcome is in the answer that the caller got" };
+    return askAboutRequest("GET", id, notFound, access, report);
 }
 
 ExitCode cancelRequest(const std::string& id, OperatorAccess& access, Report& report)
 {
-    return askAboutRequest("DELETE", id, access, report);
+    const Error notFound { ErrorKind::NotFound, "no instance has this request in flight", "it may have ended; see 'lycheefield explain'" };
+    return askAboutRequest("DELETE", id, notFound, access, report);
 }
 
 }
--- a/tests/cli/operator_commands_test.cpp
+++ b/tests/cli/operator_commands_test.cpp
@@ -233,10 +233,14 @@
     {
         CHECK(explainRequest(id, fleet.access, fleet.report) == ExitCode::Ok);
         CHECK(fleet.access.calls == std::vector<std::string> { "i1 GET /v1/requests/" + id });
+        fleet.access.onCall = [](const Instance&, const HttpRequest&) { return HttpReply { 200, "application/json", R"({"lines":["arrived","answered"]})" }; };
+        CHECK(explainRequest(id, fleet.access, fleet.report) == ExitCode::Ok);
+        CHECK(fleet.hasSaid("i1:\narrived\nanswered\n"));
         CHECK(cancelRequest("12", fleet.access, fleet.report) == ExitCode::Usage);
         fleet.access.onCall = [](const Instance&, const HttpRequest&) { return HttpReply { 404, "text/plain", "" }; };
         CHECK(cancelRequest(id, fleet.access, fleet.report) == ExitCode::Failure);
-        CHECK(fleet.access.calls.size() == 4);
+        CHECK(fleet.hasSaid("has this request in flight"));
+        CHECK(fleet.access.calls.size() == 5);
     }
 }
 
