--- a/src/daemon/trace_tree.cpp
+++ b/src/daemon/trace_tree.cpp
@@ -59,7 +59,7 @@
         std::string text = indent + span.name;
         for (const auto& [key, value] : span.attributes) {
             if (!value.empty())
-                text += " " + key + "=" + value;
+                text.append(" ").append(key).append("=").append(value);
         }
         text.resize(std::max<std::size_t>(text.size(), nameColumns), ' ');
         const auto millis = [](Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); };
