Replica choice leaves lower priorities out of the load

Change: ServerState carries the queue by priority; ServerRecord counts own legs by priority; load, expected time and entry admission look at legs of the same or a higher priority only. Conclusion: right by construction and tested; it is not what holds van lookups back on real processes.

--- a/src/base/leg.h
+++ b/src/base/leg.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 #include "base/priority.h"
+#include "base/priority_counts.h"
 #include "base/request_id.h"
 #include "base/time.h"
 
@@ -102,6 +103,10 @@
     bool draining = false;
     bool ejected = false;
     Duration recentLatency {}; ///< Moving average of the time a leg spends at the server.
+    PriorityCounts queuedBy {}; ///< Of queued: how many at each priority.
+
+    /// Legs that a new one of this priority finds before it.
+    std::uint32_t ahead(Priority priority) const { return inFlight + queuedBy.upTo(priority); }
 
     friend bool operator==(const ServerState&, const ServerState&) = default;
 };
--- a/src/dispatch/leg_queue.cpp
+++ b/src/dispatch/leg_queue.cpp
@@ -138,4 +138,12 @@
     return next;
 }
 
+PriorityCounts LegQueue::counts() const
+{
+    PriorityCounts counts;
+    for (const auto priority : { Priority::Van, Priority::Desk, Priority::Batch })
+        counts.at(priority) = static_cast<std::uint32_t>(m_lines[indexOf(priority)].legs.size());
+    return counts;
+}
+
 }
--- a/src/dispatch/leg_queue.h
+++ b/src/dispatch/leg_queue.h
@@ -37,6 +37,8 @@
     /// How long one of this priority and deadline waits if its own priority gets turns as it did
     /// lately. It counts what comes later and goes first; zero when nothing has waited yet.
     Duration waitForTurn(Priority, TimePoint deadline) const;
+    /// Legs waiting at each priority.
+    PriorityCounts counts() const;
     std::size_t size() const { return m_size; }
     bool isEmpty() const { return m_size == 0; }
     /// `never` when nothing waits.
--- a/src/dispatch/server_relay.cpp
+++ b/src/dispatch/server_relay.cpp
@@ -154,6 +154,7 @@
     state.server = m_server.name;
     state.inFlight = static_cast<std::uint32_t>(m_running.size());
     state.queued = static_cast<std::uint32_t>(m_queue.size());
+    state.queuedBy = m_queue.counts();
     state.slots = m_server.slots;
     state.versions = m_versions;
     state.draining = m_isDraining;
--- a/src/query/replica_chooser.cpp
+++ b/src/query/replica_chooser.cpp
@@ -56,7 +56,7 @@
     return owners.owner.value().empty() ? nullptr : &owners.owner;
 }
 
-double ReplicaChooser::expectedMicros(const ReplicaChoice& choice, TimePoint now) const
+double ReplicaChooser::expectedMicros(const ReplicaChoice& choice, Priority priority, TimePoint now) const
 {
     const auto slots = choice.server->slots();
     const auto& record = *choice.server;
@@ -64,17 +64,17 @@
     const auto reported = record.state ? static_cast<double>(record.state->recentLatency.count()) : 0;
     const auto own = record.latencyMicros > 0 ? record.latencyMicros : reported + link;
     const auto serviceTime = reported > 0 ? reported : std::max(0.0, own - link);
-    const auto ahead = static_cast<double>(record.load(now)) + 1 - slots;
+    const auto ahead = static_cast<double>(record.load(priority, now)) + 1 - slots;
     return own + std::max(0.0, ahead) / slots * serviceTime;
 }
 
-Duration ReplicaChooser::soonest(const ReplicaChoice& choice, TimePoint now) const
+Duration ReplicaChooser::soonest(const ReplicaChoice& choice, Priority priority, TimePoint now) const
 {
     const auto& record = *choice.server;
     if (!record.state || now - record.stateAt > loadIsKnownFor)
         return {};
     const auto& state = *record.state;
-    const auto ahead = std::max(0.0, static_cast<double>(std::max(record.outstanding, state.inFlight + state.queued)) + 1 - record.slots());
+    const auto ahead = std::max(0.0, static_cast<double>(std::max(record.outstanding.upTo(priority), state.ahead(priority))) + 1 - record.slots());
     const auto micros = static_cast<double>(state.recentLatency.count()) * (1 + ahead / record.slots());
     return Duration(static_cast<std::int64_t>(micros)) + (*choice.zone == m_self ? Duration {} : 2 * m_settings.crossZoneCost);
 }
@@ -92,19 +92,19 @@
     const auto n = candidates.size();
     const auto first = n == 2 ? 0 : m_random.below(n);
     const auto second = n == 2 ? 1 : (first + 1 + m_random.below(n - 1)) % n;
-    return better(candidates[first], candidates[second], now);
+    return better(candidates[first], candidates[second], query.rule->priority, now);
 }
 
-const ReplicaChoice& ReplicaChooser::better(const ReplicaChoice& a, const ReplicaChoice& b, TimePoint now)
+const ReplicaChoice& ReplicaChooser::better(const ReplicaChoice& a, const ReplicaChoice& b, Priority priority, TimePoint now)
 {
-    const auto timeA = expectedMicros(a, now);
-    const auto timeB = expectedMicros(b, now);
+    const auto timeA = expectedMicros(a, priority, now);
+    const auto timeB = expectedMicros(b, priority, now);
     if (timeA * clearlyFaster < timeB)
         return a;
     if (timeB * clearlyFaster < timeA)
         return b;
-    if (a.server->load(now) != b.server->load(now))
-        return a.server->load(now) < b.server->load(now) ? a : b;
+    if (a.server->load(priority, now) != b.server->load(priority, now))
+        return a.server->load(priority, now) < b.server->load(priority, now) ? a : b;
     return m_random.below(2) == 0 ? a : b;
 }
 
--- a/src/query/replica_chooser.h
+++ b/src/query/replica_chooser.h
@@ -28,15 +28,15 @@
     /// version are left out, and those that were tried too, unless it may be tried again.
     ReplicaChoice choose(const Query&, const LegState&, bool again, TimePoint);
     /// How long a leg sent to that replica now would take, in microseconds, as far as is known.
-    double expectedMicros(const ReplicaChoice&, TimePoint) const;
+    double expectedMicros(const ReplicaChoice&, Priority, TimePoint) const;
     /// The earliest that a leg sent to that replica now may be answered; zero when its load is not known.
-    Duration soonest(const ReplicaChoice&, TimePoint) const;
+    Duration soonest(const ReplicaChoice&, Priority, TimePoint) const;
     /// Replicas that can take the next attempt; those to be avoided only when there is no other.
     std::vector<ReplicaChoice> candidatesOf(const Query&, const LegState&, bool again, TimePoint);
 
 private:
     const InstanceName* relayOf(const BlockOwners&, TimePoint) const;
-    const ReplicaChoice& better(const ReplicaChoice&, const ReplicaChoice&, TimePoint);
+    const ReplicaChoice& better(const ReplicaChoice&, const ReplicaChoice&, Priority, TimePoint);
 
     const QuerySettings& m_settings;
     const ZoneName m_self;
--- a/src/query/server_record.h
+++ b/src/query/server_record.h
@@ -18,10 +18,16 @@
     std::optional<ServerState> state;
     TimePoint stateAt {}; ///< When state was heard.
     double latencyMicros = 0; ///< Usual time from sending a leg to its answer; 0 when unknown.
-    std::uint32_t outstanding = 0; ///< Our own legs there whose result is awaited.
+    PriorityCounts outstanding; ///< Our own legs there whose result is awaited.
 
-    /// Legs there, as far as known: the relay counts all entries' legs, we count those it has not seen yet.
-    std::uint32_t load(TimePoint now) const { return state && now - stateAt < loadIsFreshFor ? std::max(outstanding, state->inFlight + state->queued) : outstanding; }
+    /// Legs there that one of this priority finds before it, as far as known: the relay counts all
+    /// entries' legs, we count those it has not seen yet. Lower priorities wait behind and don't count:
+    /// if they did, they would gather at one replica and drive the higher ones to the other.
+    std::uint32_t load(Priority priority, TimePoint now) const
+    {
+        const auto own = outstanding.upTo(priority);
+        return state && now - stateAt < loadIsFreshFor ? std::max(own, state->ahead(priority)) : own;
+    }
     std::uint32_t slots() const { return state && state->slots > 0 ? state->slots : 1; }
     /// Takes one leg's time. A single outlier moves the usual time by a quarter at most.
     void noteLatency(Duration);
--- a/src/query/standard_query_engine_attempts.cpp
+++ b/src/query/standard_query_engine_attempts.cpp
@@ -34,7 +34,7 @@
     attempt.sentAt = now;
     attempt.isHedge = isHedge;
     query.hedgeCheckAt = {};
-    ++choice.server->outstanding;
+    ++choice.server->outstanding.at(query.rule->priority);
     const LegNumber number(static_cast<std::uint32_t>(leg));
     batch.add(choice.relay, { number, attempt.number, state.shard->number, choice.server->name, isHedge });
     state.attempts.push_back(std::move(attempt));
@@ -63,7 +63,7 @@
 void StandardQueryEngine::endAttempt(Query& query, LegState& leg, Attempt& attempt, const LegResult& result, TimePoint now, QueryActions& actions)
 {
     attempt.isOpen = false;
-    --attempt.server->outstanding;
+    --attempt.server->outstanding.at(query.rule->priority);
     query.ran = query.ran || result.outcome == LegOutcome::Ok || result.outcome == LegOutcome::Failed;
     query.mayHaveRun = query.mayHaveRun || !provesNotRun(result.outcome);
     query.retryAfter = std::max(query.retryAfter, result.retryAfter);
@@ -170,7 +170,7 @@
         if (!it.isOpen)
             continue;
         it.isOpen = false;
-        --it.server->outstanding;
+        --it.server->outstanding.at(query.rule->priority);
         query.mayHaveRun = true;
         noteLoser(it, now);
         ++m_counters.cancels;
--- a/src/query/standard_query_engine_plan.cpp
+++ b/src/query/standard_query_engine_plan.cpp
@@ -145,7 +145,7 @@
     std::size_t late = 0;
     Duration longest {};
     for (const auto& it : choices) {
-        const auto lateness = it.server ? now + m_replicas.soonest(it, now) - query.deadline : Duration {};
+        const auto lateness = it.server ? now + m_replicas.soonest(it, query.rule->priority, now) - query.deadline : Duration {};
         if (lateness <= Duration {})
             continue;
         ++late;
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -82,6 +82,9 @@
     out.draining = state.draining;
     out.ejected = state.ejected;
     out.recentLatencyMicros = state.recentLatency.count();
+    out.__isset.queuedBy = true;
+    for (const auto it : { Priority::Van, Priority::Desk, Priority::Batch })
+        out.queuedBy.push_back(toSigned(state.queuedBy.at(it)));
     return out;
 }
 
--- a/src/wire/convert_from.cpp
+++ b/src/wire/convert_from.cpp
@@ -121,6 +121,11 @@
     out.draining = in.draining;
     out.ejected = in.ejected;
     out.recentLatency = reader.duration(in.recentLatencyMicros, "recentLatencyMicros");
+    for (const auto it : { Priority::Van, Priority::Desk, Priority::Batch }) {
+        const auto n = static_cast<std::size_t>(it);
+        if (n < in.queuedBy.size())
+            out.queuedBy.at(it) = reader.count(in.queuedBy[n], "queuedBy");
+    }
     return out;
 }
 
--- a/src/wire/inner.thrift
+++ b/src/wire/inner.thrift
@@ -42,6 +42,7 @@
     6: required bool draining
     7: required bool ejected
     8: required i64 recentLatencyMicros
+    9: optional list<i32> queuedBy // At each priority, the most urgent first.
 }
 
 struct LegResult {
--- a/tests/query/relay_loss_test.cpp
+++ b/tests/query/relay_loss_test.cpp
@@ -56,13 +56,14 @@
 TEST_CASE("work that can't be done in time is refused before it costs anything" * doctest::test_suite("query"))
 {
     QueryFixture fixture(4);
-    const auto setLoad = [&](std::uint32_t queued) {
+    const auto setLoad = [&](std::uint32_t queued, Priority priority = Priority::Van) {
         for (const auto& it : fixture.servers) {
             ServerState state;
             state.server = it.name;
             state.slots = 2;
             state.inFlight = 2;
             state.queued = queued;
+            state.queuedBy.at(priority) = queued;
             state.recentLatency = 10ms;
             state.versions = it.versions;
             fixture.engine->onServerState(state, fixture.now);
@@ -79,6 +80,12 @@
         CHECK((answers[0].runState == RunState::NotRun));
         CHECK(answers[0].retryAfter > Duration {});
     }
+    SUBCASE("the queues are long, but of work that goes after this")
+    {
+        setLoad(40, Priority::Batch);
+        fixture.start("/search");
+        CHECK_FALSE(fixture.takeWork().empty());
+    }
     SUBCASE("the queues are short enough")
     {
         setLoad(10);
