--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -155,8 +155,8 @@
         awaitSignal();
         std::vector<std::thread> threads;
         for (std::uint32_t i = 1; i < m_settings.instance.threads; ++i)
-            threads.emplace_back([this] { m_io.run(); });
-        m_io.run();
+            threads.emplace_back([this] { serve(); });
+        serve();
         for (auto& it : threads)
             it.join();
         return 0;
@@ -232,6 +232,20 @@
         m_metrics.gauge("lycheefield_membership_refutations_total", [this] { return static_cast<double>(m_membership->counts().refutations); });
     }
 
+    /// Runs handlers until the loop is stopped. One that throws ends its own request, no other.
+    void serve()
+    {
+        while (true) {
+            try {
+                m_io.run();
+                return;
+            } catch (const std::exception& ex) {
+                m_metrics.counter("lycheefield_handler_exceptions_total").add();
+                logChange(LogLevel::Error, "a handler threw; its request is lost", { { "why", ex.what() } });
+            }
+        }
+    }
+
     Readiness readiness() const
     {
         if (m_isDraining)
