--- a/bench/fan_out_bench.cpp
+++ b/bench/fan_out_bench.cpp
@@ -113,7 +113,7 @@
     app.add_option("--quantile", base.policies.hedgeQuantile.value, "quantile past which a leg is late");
     app.add_option("--outstanding", base.policies.hedgeWhenOutstanding.value, "share of legs outstanding at most for a hedge");
     app.add_option("--very-late", base.policies.veryLateFactor, "hedge delays after which a leg is hedged in any case");
-    app.add_option("--canary", base.policies.canary, "0 before every search, 1 for suspect content only");
+    app.add_option("--canary", base.policies.canaryBeforeSearch, "one leg ahead before every search");
     app.add_option("--admission", base.policies.admission, "refuse what can't be done in time");
     app.add_option("--refusing", base.refusing, "share of legs refused by servers");
     app.add_option("--failing", base.failing, "share of legs that run and fail");
--- a/src/query/query_settings.h
+++ b/src/query/query_settings.h
@@ -2,7 +2,6 @@
 
 #include "base/time.h"
 #include "base/units.h"
-#include "query/canary_mode.h"
 
 #include <cstdint>
 
@@ -20,7 +19,9 @@
     std::uint32_t maxAttempts = 3; ///< Of one leg, hedges included.
     Share hedgeQuantile { 0.95 }; ///< A leg slower than this quantile of its class may be hedged.
     Duration minimumHedgeDelay = 2ms;
-    CanaryMode canary = CanaryMode::SuspectOnly;
+    /// One leg of every search goes ahead of the others, so that content which crashes servers fells one.
+    /// Off: only that of content under suspicion.
+    bool canaryBeforeSearch = false;
     bool admission = true; ///< Refuse what can't be done in time before it costs anything.
     Duration crossZoneCost = 3ms; ///< What a replica in another zone must be better by.
 
--- a/src/query/standard_query_engine_plan.cpp
+++ b/src/query/standard_query_engine_plan.cpp
@@ -159,7 +159,7 @@
 {
     if (query.legs.size() < 2)
         return false;
-    return query.isSuspect || m_settings.canary == CanaryMode::Always;
+    return query.isSuspect || m_settings.canaryBeforeSearch;
 }
 
 bool StandardQueryEngine::sendCanary(Query& query, TimePoint now, QueryActions& actions)
--- a/tests/query/crash_test.cpp
+++ b/tests/query/crash_test.cpp
@@ -191,6 +191,37 @@
     }
 }
 
+TEST_CASE("a canary before every search fells one server, then one more" * doctest::test_suite("query"))
+{
+    QuerySettings settings;
+    settings.canaryBeforeSearch = true;
+    QueryFixture fixture(8, settings);
+
+    SUBCASE("its answer lets the others go at once")
+    {
+        fixture.start("/search", "", "innocent");
+        const auto canary = fixture.takeWork();
+        REQUIRE(fixture.legsIn(canary) == 1);
+        fixture.answer(canary[0], canary[0].work.legs[0]);
+        CHECK(fixture.legsIn(fixture.takeWork()) == 7);
+    }
+    SUBCASE("when it crashes its server, one probe at another shard follows, and then the quarantine")
+    {
+        fixture.start("/search", "", "poison");
+        std::set<ServerName> felled;
+        for (auto work = fixture.takeWork(); !work.empty(); work = fixture.takeWork()) {
+            REQUIRE(fixture.legsIn(work) == 1);
+            felled.insert(work[0].work.legs[0].server);
+            fixture.crash(work[0], work[0].work.legs[0]);
+        }
+        CHECK(felled.size() <= 2);
+        const auto answers = fixture.takeAnswers();
+        REQUIRE(answers.size() == 1);
+        CHECK((answers[0].refusal->kind == ErrorKind::Quarantined));
+        CHECK((answers[0].runState == RunState::Unknown));
+    }
+}
+
 TEST_CASE("crash evidence is bounded and keeps the quarantined" * doctest::test_suite("query"))
 {
     CrashEvidence evidence;
