--- /dev/null
+++ b/tests/membership/rule_watchers_test.cpp
@@ -0,0 +1,74 @@
+#include "membership/rule_watchers.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+
+namespace lycheefield {
+
+namespace {
+
+std::vector<Instance> thirtyInThreeZones()
+{
+    std::vector<Instance> instances;
+    for (int i = 0; i < 30; ++i) {
+        Instance instance;
+        instance.name = InstanceName("i" + std::to_string(i));
+        instance.zone = ZoneName("z" + std::to_string(i % 3));
+        instances.push_back(instance);
+    }
+    return instances;
+}
+
+std::set<InstanceName> watchersIn(const std::vector<Instance>& instances)
+{
+    std::set<InstanceName> watchers;
+    const MembershipView view(instances);
+    for (const auto& it : instances) {
+        if (watchesRules(view, it.name, 2))
+            watchers.insert(it.name);
+    }
+    return watchers;
+}
+
+}
+
+TEST_CASE("a few instances of each zone watch the rules" * doctest::test_suite("membership"))
+{
+    auto instances = thirtyInThreeZones();
+    const auto before = watchersIn(instances);
+    std::map<ZoneName, int> perZone;
+    for (const auto& it : instances)
+        perZone[it.zone] += static_cast<int>(before.count(it.name));
+    for (const auto& [zone, n] : perZone)
+        CHECK(n == 2);
+
+    SUBCASE("and when one of them is a suspect, one more takes over and the others stay")
+    {
+        for (auto& it : instances) {
+            if (it.name == *before.begin())
+                it.health = InstanceHealth::Suspect;
+        }
+        const auto after = watchersIn(instances);
+        CHECK(after.size() == before.size() + 1);
+        for (const auto& it : before)
+            CHECK(after.contains(it));
+    }
+    SUBCASE("and one that leaves gives way")
+    {
+        for (auto& it : instances) {
+            if (it.name == *before.begin())
+                it.health = InstanceHealth::Leaving;
+        }
+        const auto after = watchersIn(instances);
+        CHECK(after.size() == before.size());
+        CHECK_FALSE(after.contains(*before.begin()));
+    }
+    SUBCASE("and an instance that the view does not know does not")
+    {
+        CHECK_FALSE(watchesRules(MembershipView(instances), InstanceName("nobody"), 2));
+    }
+}
+
+}
