An idle peer connection sets no timer

Each FrameSession woke once a second to see whether its peer was late. The timer now runs only while a Hello, a frame or a write is awaited.

--- a/src/wire/frame_session.cpp
+++ b/src/wire/frame_session.cpp
@@ -93,8 +93,10 @@
     }
     m_counters->bytesIn += n;
     m_inUsed += n;
-    if (takeFrames())
-        readMore();
+    if (!takeFrames())
+        return;
+    watch();
+    readMore();
 }
 
 bool FrameSession::takeFrames()
@@ -164,6 +166,7 @@
         return;
     boost::asio::async_write(m_socket, boost::asio::buffer(m_out),
         [self = shared_from_this()](const boost::system::error_code& ec, std::size_t n) { self->onWritten(ec, n); });
+    watch();
 }
 
 void FrameSession::onWritten(const boost::system::error_code& ec, std::size_t n)
@@ -186,10 +189,17 @@
     return helloLate || frameLate || writeLate;
 }
 
+/// Looks whether the peer is late, for as long as something is awaited from it. An idle session has
+/// no timer: with a connection to and from each peer there are a thousand of them.
 void FrameSession::watch()
 {
+    const bool awaits = !m_peer || m_frameStarted != never || m_writeStarted != never;
+    if (m_isWatching || m_closed || !awaits)
+        return;
+    m_isWatching = true;
     m_watchdog.expires_after(m_limits.checkInterval);
     m_watchdog.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
+        self->m_isWatching = false;
         if (ec || self->m_closed)
             return;
         if (self->isOverdue(self->m_clock->now())) {
--- a/src/wire/frame_session.h
+++ b/src/wire/frame_session.h
@@ -108,6 +108,7 @@
     std::string m_out;
     TimePoint m_writeStarted = never;
     TimePoint m_started = never;
+    bool m_isWatching = false; ///< The watchdog's timer is set.
     bool m_closed = false;
 };
 
