--- a/src/query/rule_budget.h
+++ b/src/query/rule_budget.h
@@ -10,8 +10,13 @@
 /// nothing is answered, retries only add load. Not thread safe.
 class RuleBudget {
 public:
-    /// To be called for each first leg.
-    void earnLeg(const Rule& rule) { m_hedges.earn(rule.hedgeBudget, 1); }
+    /// To be called for each first leg of a query that has so many.
+    void earnLeg(const Rule& rule, std::size_t legsOfQuery)
+    {
+        const auto ofQuery = rule.hedgeBudget.value * static_cast<double>(legsOfQuery);
+        m_hedges.setCapacity(std::max(leastSaved, queriesSaved * ofQuery));
+        m_hedges.earn(Share { rule.hedgeBudget.value * shareEarned }, 1);
+    }
     /// To be called for each leg that got its answer.
     void earnAnswer(const Rule& rule) { m_extra.earn(std::max(rule.hedgeBudget, rule.retryBudget), 1); }
 
@@ -24,13 +29,18 @@
     bool spendRetry() { return m_extra.spend(); }
 
 private:
-    /// Enough for the late legs of one wide query, and little enough that a spell of stragglers after a
-    /// quiet time keeps to the share too.
-    static constexpr double maxSaved = 40;
+    /// Hedges saved in a quiet time: those of so many queries, or a least number for narrow ones. More
+    /// would let a spell of stragglers pass the share.
+    static constexpr double queriesSaved = 2;
+    static constexpr double leastSaved = 16;
+    /// Part of the share that is earned; the rest leaves room for what was saved.
+    static constexpr double shareEarned = 0.9;
+    /// Retries saved: enough for the legs that a few relays have of a wide query.
+    static constexpr double maxSaved = 200;
     /// A rule with single legs must not wait for its first retry.
     static constexpr double initialExtra = 10;
 
-    TokenBucket m_hedges { 0, maxSaved };
+    TokenBucket m_hedges { 0, leastSaved };
     TokenBucket m_extra { initialExtra, maxSaved };
 };
 
--- a/src/query/standard_query_engine_attempts.cpp
+++ b/src/query/standard_query_engine_attempts.cpp
@@ -46,7 +46,7 @@
     ++m_counters.firstLegs;
     // Legs of a second start are extra work themselves.
     if (query.starts == 1)
-        query.budget->earnLeg(*query.rule);
+        query.budget->earnLeg(*query.rule, query.legs.size());
 }
 
 LegOutcome StandardQueryEngine::checkedOutcome(const Query& query, const LegResult& result)
--- a/src/query/token_bucket.h
+++ b/src/query/token_bucket.h
@@ -16,6 +16,8 @@
     {
     }
 
+    /// What is saved above a smaller capacity is lost with the next earning.
+    void setCapacity(double capacity) { m_capacity = capacity; }
     void earn(Share share, double work) { m_tokens = std::min(m_capacity, m_tokens + share.value * work); }
     bool has() const { return m_tokens >= oneToken; }
     /// Takes one token; false when there is none.
