One function opens a listening socket; dead state out of the fault matrix

Cause: reading the change again: HttpServer and PeerServer opened their acceptors with the same fifteen lines; ControlWorld kept two members that nobody read; spreadMap only called spreadViews; allFaults warned as unused; a test named a folder of the machine. Change: listenOn in src/base, with the same errors; the dead members and the second name gone; the test asks for the temporary folder. No check, bound or expectation changed. Conclusion: behaviour is as it was.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,5 +1,6 @@
 #include "http/http_server.h"
 
+#include "base/listening_socket.h"
 #include "http/http_server_session.h"
 
 #include <boost/asio/post.hpp>
@@ -25,21 +26,10 @@
             if (const auto self = weak.lock())
                 self->remove(id);
         };
-        boost::system::error_code ec;
-        const auto address = boost::asio::ip::make_address(endpoint.address, ec);
-        if (ec)
-            return Error { ErrorKind::InvalidInput, "address " + endpoint.address + " is no IP number", "give an IP number" };
-        const boost::asio::ip::tcp::endpoint local(address, endpoint.port);
-        try {
-            m_acceptor.open(local.protocol());
-            m_acceptor.set_option(boost::asio::socket_base::reuse_address(true));
-            m_acceptor.bind(local);
-            m_acceptor.listen();
-        } catch (const boost::system::system_error& ex) {
-            return Error { ErrorKind::Unavailable, "can't listen on " + endpoint.toString() + ": " + ex.what(), "choose a free port, or 0" };
-        }
-        accept();
-        return Endpoint { endpoint.address, m_acceptor.local_endpoint().port() };
+        const auto local = listenOn(m_acceptor, endpoint, "address");
+        if (local)
+            accept();
+        return local;
     }
 
     void beginDrain()
--- a/src/wire/peer_server.cpp
+++ b/src/wire/peer_server.cpp
@@ -1,5 +1,7 @@
 #include "wire/peer_server.h"
 
+#include "base/listening_socket.h"
+
 #include <boost/asio/post.hpp>
 
 namespace lycheefield {
@@ -20,21 +22,10 @@
 
 Result<Endpoint> PeerServer::listen(const Endpoint& endpoint)
 {
-    boost::system::error_code ec;
-    const auto address = boost::asio::ip::make_address(endpoint.address, ec);
-    if (ec)
-        return Error { ErrorKind::InvalidInput, "inner address " + endpoint.address + " is no IP number", "give an IP number" };
-    const boost::asio::ip::tcp::endpoint local(address, endpoint.port);
-    try {
-        m_acceptor.open(local.protocol());
-        m_acceptor.set_option(boost::asio::socket_base::reuse_address(true));
-        m_acceptor.bind(local);
-        m_acceptor.listen();
-    } catch (const boost::system::system_error& ex) {
-        return Error { ErrorKind::Unavailable, "can't listen on " + endpoint.toString() + ": " + ex.what(), "choose a free port, or 0" };
-    }
-    accept();
-    return Endpoint { endpoint.address, m_acceptor.local_endpoint().port() };
+    const auto local = listenOn(m_acceptor, endpoint, "inner address");
+    if (local)
+        accept();
+    return local;
 }
 
 void PeerServer::accept()
--- a/tests/cli/operator_commands_test.cpp
+++ b/tests/cli/operator_commands_test.cpp
@@ -7,6 +7,7 @@
 #include <doctest/doctest.h>
 
 #include <cstdio>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <unistd.h>
@@ -22,7 +23,7 @@
 class TemporaryFile {
 public:
     explicit TemporaryFile(const std::string& content)
-        : m_path("/tmp/lycheefield_cli_test_" + std::to_string(getpid()) + "_" + std::to_string(systemSeed()))
+        : m_path(std::filesystem::temp_directory_path() / ("lycheefield_cli_test_" + std::to_string(getpid()) + "_" + std::to_string(systemSeed())))
     {
         std::ofstream(m_path) << content;
     }
--- a/tests/fault_matrix/control_cell.cpp
+++ b/tests/fault_matrix/control_cell.cpp
@@ -132,7 +132,6 @@
             if (other.get() != &it && other->accepted == it.accepted)
                 m_violations.push_back("two operators were both accepted at revision " + std::to_string(it.accepted->value()));
         }
-        m_acceptedAt = now();
     }
 
     /// The watchers of the rules see what the store holds, as soon as it answers.
@@ -148,7 +147,6 @@
         const auto rules = parseStoredRules(it->second.value);
         if (rules)
             m_cluster.storeRules(rules.value(), storeLatency + m_store.faults().delay);
-        m_watched = true;
     }
 
     void reached(Step step)
@@ -281,9 +279,7 @@
     std::vector<std::unique_ptr<Operator>> m_operators;
     std::vector<std::string> m_violations;
     std::uint64_t m_seenVersion = 0;
-    TimePoint m_acceptedAt = never;
     TimePoint m_healAt = never;
-    bool m_watched = false;
     bool m_isArmed = false;
     bool m_isBroughtAbout = false;
 };
--- a/tests/fault_matrix/fault.h
+++ b/tests/fault_matrix/fault.h
@@ -24,7 +24,7 @@
     ServerAtConnectionCap,
 };
 
-constexpr std::array allFaults {
+inline constexpr std::array allFaults {
     Fault::Straggler,
     Fault::ReplicaGone,
     Fault::Repartition,
--- a/tests/fault_matrix/request_world.cpp
+++ b/tests/fault_matrix/request_world.cpp
@@ -141,11 +141,6 @@
     }
 }
 
-void RequestWorld::spreadMap(Duration soonest, Duration latest)
-{
-    spreadViews(soonest, latest);
-}
-
 std::size_t RequestWorld::indexOf(const InstanceName& name) const
 {
     for (std::size_t i = 0; i < instances; ++i) {
--- a/tests/fault_matrix/request_world.h
+++ b/tests/fault_matrix/request_world.h
@@ -94,8 +94,8 @@
     std::shared_ptr<const ShardMap> currentMap() const;
     MembershipView trueView() const;
     void setView(std::size_t, const MembershipView&);
+    /// Every instance gets the true view, map and rules, each at a time of its own.
     void spreadViews(Duration soonest, Duration latest);
-    void spreadMap(Duration soonest, Duration latest);
     void onNode(std::size_t, std::uint64_t epoch, std::function<void(Node&)>);
     void send(std::size_t from, std::size_t to, std::function<void(Node&)>);
     std::size_t indexOf(const InstanceName&) const;
--- a/tests/fault_matrix/request_world_faults.cpp
+++ b/tests/fault_matrix/request_world_faults.cpp
@@ -126,7 +126,7 @@
             m_timeline.after(20ms * (s * replicas + r), [this, s, r, batches, epoch = m_epoch] { server(s, r).setIndex({ IndexVersion(1) }, { epoch }, batches); });
         }
     }
-    spreadMap(50ms, 400ms);
+    spreadViews(50ms, 400ms);
 }
 
 void RequestWorld::stopServer(std::uint32_t shard, std::uint32_t replica, Duration downFor)
@@ -146,7 +146,7 @@
         return;
     m_timeline.after(3s, [this, name] {
         m_leaving.insert(name);
-        spreadMap(50ms, 400ms);
+        spreadViews(50ms, 400ms);
     });
 }
 
