One function reads the arguments of every program

Change: addProgramOptions and parseArguments in src/cli serve lycheefield, lycheefieldd, lycheefield-load and all stand-ins; the stand-ins log through the one logger; a settings file's mistakes are reported by one function, as JSON too.

--- a/programs/lycheefield_load.cpp
+++ b/programs/lycheefield_load.cpp
@@ -1,10 +1,10 @@
 #include "base/clock.h"
+#include "cli/program_options.h"
+#include "cli/report.h"
 #include "load/load_plan.h"
 #include "load/load_report.h"
 #include "load/load_runner.h"
 
-#include <CLI/CLI.hpp>
-
 #include <fstream>
 #include <iostream>
 
@@ -12,9 +12,6 @@
 
 namespace {
 
-constexpr int exitFailure = 1;
-constexpr int exitUsage = 2;
-
 struct Options {
     std::vector<std::string> targets;
     std::vector<std::string> baseline;
@@ -22,6 +19,7 @@
     double seconds = 5;
     double warmUpSeconds = 1;
     double timeoutSeconds = 10;
+    std::optional<LogFormat> logFormat;
     LoadPlan plan;
 };
 
@@ -32,6 +30,7 @@
 
 void addOptions(CLI::App& app, Options& options)
 {
+    addProgramOptions(app, options.logFormat);
     app.add_option("--target", options.targets, "address:port of an instance under test; repeat it")->required();
     app.add_option("--baseline", options.baseline, "address:port of a baseline instance; rounds then alternate between both sides");
     app.add_option("--class", options.classes, "name:path:search|record|order:weight:deadline-ms; repeat it")->capture_default_str();
@@ -45,13 +44,13 @@
     app.add_option("--csv", options.plan.csvPath, "File for one line an observation");
 }
 
-bool addSide(LoadPlan& plan, const std::string& name, const std::vector<std::string>& targets)
+bool addSide(LoadPlan& plan, const std::string& name, const std::vector<std::string>& targets, Report& report)
 {
     LoadSide side { name, {} };
     for (const auto& it : targets) {
         const auto endpoint = parseEndpoint(it);
         if (!endpoint) {
-            std::cerr << endpoint.error() << '\n';
+            report.error(endpoint.error());
             return false;
         }
         side.targets.push_back(endpoint.value());
@@ -60,7 +59,7 @@
     return true;
 }
 
-bool complete(Options& options)
+bool complete(Options& options, Report& report)
 {
     auto& plan = options.plan;
     plan.roundLength = fromSeconds(options.seconds);
@@ -69,12 +68,12 @@
     for (const auto& it : options.classes) {
         const auto requestClass = parseRequestClass(it);
         if (!requestClass) {
-            std::cerr << requestClass.error() << '\n';
+            report.error(requestClass.error());
             return false;
         }
         plan.classes.push_back(requestClass.value());
     }
-    return addSide(plan, "candidate", options.targets) && (options.baseline.empty() || addSide(plan, "baseline", options.baseline));
+    return addSide(plan, "candidate", options.targets, report) && (options.baseline.empty() || addSide(plan, "baseline", options.baseline, report));
 }
 
 }
@@ -82,16 +81,13 @@
 int main(int argc, char** argv)
 {
     CLI::App app("Open-loop load on lycheefield instances; latency counts from the intended send time");
-    app.set_version_flag("--version", LYCHEEFIELD_VERSION);
     Options options;
     addOptions(app, options);
-    try {
-        app.parse(argc, argv);
-    } catch (const CLI::ParseError& e) {
-        return app.exit(e) == 0 ? 0 : exitUsage;
-    }
-    if (!complete(options))
-        return exitUsage;
+    if (const auto code = parseArguments(app, argc, argv, std::cout, std::cerr))
+        return static_cast<int>(*code);
+    Report report(std::cout, std::cerr, options.logFormat == LogFormat::Json);
+    if (!complete(options, report))
+        return static_cast<int>(ExitCode::Usage);
     const SteadyClock clock;
     const auto observations = LoadRunner(options.plan, clock).run();
     writeReport(std::cout, options.plan, observations);
@@ -100,8 +96,8 @@
     std::ofstream csv(options.plan.csvPath);
     writeCsv(csv, options.plan, observations);
     if (!csv.flush()) {
-        std::cerr << "can't write " << options.plan.csvPath << "; choose another file with --csv\n";
-        return exitFailure;
+        report.error({ ErrorKind::Unavailable, "can't write " + options.plan.csvPath, "choose another file with --csv" });
+        return static_cast<int>(ExitCode::Failure);
     }
     return 0;
 }
--- a/src/cli/operator_cli.cpp
+++ b/src/cli/operator_cli.cpp
@@ -3,6 +3,7 @@
 #include "base/random_source.h"
 #include "cli/fleet_status.h"
 #include "cli/network_access.h"
+#include "cli/program_options.h"
 #include "cli/rule_commands.h"
 #include "settings/setting_key.h"
 
@@ -23,7 +24,7 @@
 struct Options {
     std::string platform;
     std::string settingsFile;
-    std::string format = "text";
+    std::optional<LogFormat> format;
     std::string argument;
     std::optional<std::uint64_t> revision;
     ApplyOptions apply;
@@ -44,12 +45,11 @@
 
 Commands addCommands(CLI::App& app, Options& options)
 {
-    app.set_version_flag("--version", LYCHEEFIELD_VERSION);
+    addProgramOptions(app, options.format);
     app.require_subcommand(1);
     app.fallthrough();
     app.add_option("--platform", options.platform, "IP:PORT of the platform's service");
     app.add_option("--settings", options.settingsFile, "Settings file of an instance, to take the platform's address from");
-    app.add_option("--log-format", options.format, "text or json")->check(CLI::IsMember({ "text", "json" }))->capture_default_str();
     Commands commands;
     commands.check = app.add_subcommand("check", "Check a rule file; with --platform also against the catalog");
     commands.diff = app.add_subcommand("diff", "Show how a rule file differs from the accepted rules");
@@ -86,11 +86,7 @@
     const auto parsed = loadSettings(path);
     if (const auto* settings = std::get_if<Settings>(&parsed))
         return settings->platform.endpoint;
-    for (const auto& it : std::get<std::vector<SettingError>>(parsed)) {
-        std::ostringstream line;
-        line << it;
-        report.mistake(line.str());
-    }
+    reportSettingErrors(std::get<std::vector<SettingError>>(parsed), report);
     return std::nullopt;
 }
 
@@ -176,12 +172,9 @@
     CLI::App app("The operators' tool of lycheefield.", "lycheefield");
     Options options;
     const auto commands = addCommands(app, options);
-    try {
-        app.parse(argc, argv);
-    } catch (const CLI::ParseError& ex) {
-        return app.exit(ex, out, err) == 0 ? static_cast<int>(ExitCode::Ok) : static_cast<int>(ExitCode::Usage);
-    }
-    Report report(out, err, options.format == "json");
+    if (const auto code = parseArguments(app, argc, argv, out, err))
+        return static_cast<int>(*code);
+    Report report(out, err, options.format == LogFormat::Json);
     return static_cast<int>(runCommand(commands, options, report));
 }
 
--- a/src/cli/report.cpp
+++ b/src/cli/report.cpp
@@ -59,4 +59,13 @@
         m_err << text << '\n';
 }
 
+void reportSettingErrors(const std::vector<SettingError>& errors, Report& report)
+{
+    for (const auto& it : errors) {
+        std::ostringstream line;
+        line << it;
+        report.mistake(line.str());
+    }
+}
+
 }
--- a/src/cli/report.h
+++ b/src/cli/report.h
@@ -1,20 +1,16 @@
 #pragma once
 
 #include "base/error.h"
+#include "cli/exit_code.h"
+#include "settings/settings.h"
 
 #include <ostream>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace lycheefield {
 
-/// Exit codes of the operators' commands.
-enum class ExitCode : int {
-    Ok = 0,
-    Failure = 1,
-    Usage = 2, ///< Wrong arguments or bad settings.
-};
-
 /// Writes what a command has to say, as text or as one JSON object a line. Not thread safe.
 class Report {
 public:
@@ -35,4 +31,7 @@
     bool m_isJson;
 };
 
+/// One line for each mistake in a settings file.
+void reportSettingErrors(const std::vector<SettingError>&, Report&);
+
 }
--- a/tests/standin/backend_main.cpp
+++ b/tests/standin/backend_main.cpp
@@ -1,11 +1,11 @@
+#include "cli/program_options.h"
 #include "observe/log.h"
 #include "standin/backend_fleet.h"
 
-#include <CLI/CLI.hpp>
-
 #include <boost/asio/signal_set.hpp>
 
 #include <fstream>
+#include <iostream>
 
 using namespace lycheefield;
 using namespace lycheefield::standin;
@@ -22,10 +22,12 @@
     std::int64_t versionEveryMillis = 0;
     std::int64_t restartMillis = 2000;
     std::string portFile;
+    std::optional<LogFormat> logFormat;
 };
 
 void addOptions(CLI::App& app, Options& options)
 {
+    addProgramOptions(app, options.logFormat);
     app.add_option("--platform-address", options.platformAddress, "IP number of the platform")->capture_default_str();
     app.add_option("--platform-port", options.platformPort, "Port of the platform")->required();
     app.add_option("--service", options.plan.service, "Name of the service")->capture_default_str();
@@ -61,15 +63,11 @@
 int main(int argc, char** argv)
 {
     CLI::App app("Stand-in for the backend servers of one service");
-    app.set_version_flag("--version", LYCHEEFIELD_VERSION);
     Options options;
     addOptions(app, options);
-    try {
-        app.parse(argc, argv);
-    } catch (const CLI::ParseError& e) {
-        return app.exit(e) == 0 ? 0 : 2;
-    }
-    setUpLogging(LogFormat::Text);
+    if (const auto code = parseArguments(app, argc, argv, std::cout, std::cerr))
+        return static_cast<int>(*code);
+    setUpLogging(options.logFormat.value_or(LogFormat::Text));
     boost::asio::io_context io;
     boost::asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&](boost::system::error_code, int) { io.stop(); });
@@ -79,7 +77,7 @@
         fleet.start();
     } catch (const std::exception& e) {
         logChange(LogLevel::Error, "the fleet did not start", { { "why", e.what() } });
-        return 1;
+        return static_cast<int>(ExitCode::Failure);
     }
     if (!options.portFile.empty())
         std::ofstream(options.portFile) << fleet.controlPort() << '\n';
--- a/tests/standin/link_main.cpp
+++ b/tests/standin/link_main.cpp
@@ -1,10 +1,11 @@
+#include "cli/program_options.h"
+#include "observe/log.h"
 #include "standin/link_server.h"
 
-#include <CLI/CLI.hpp>
-
 #include <boost/asio/signal_set.hpp>
 
 #include <fstream>
+#include <iostream>
 
 using namespace lycheefield;
 using namespace lycheefield::standin;
@@ -12,22 +13,21 @@
 int main(int argc, char** argv)
 {
     CLI::App app("Stand-in for the link between availability zones: HTTP CONNECT with a delay");
-    app.set_version_flag("--version", LYCHEEFIELD_VERSION);
     std::int64_t delayMicros = 3000;
     std::int64_t retransmitMicros = 200000;
     std::uint64_t seed = 1;
     std::string portFile;
     LinkBehaviour behaviour;
+    std::optional<LogFormat> logFormat;
+    addProgramOptions(app, logFormat);
     app.add_option("--delay-us", delayMicros, "One way, microseconds")->capture_default_str();
     app.add_option("--retransmit", behaviour.retransmitProbability, "Share of messages delayed by a retransmission")->capture_default_str()->check(CLI::Range(0.0, 1.0));
     app.add_option("--retransmit-us", retransmitMicros, "Delay of a retransmission, microseconds")->capture_default_str();
     app.add_option("--seed", seed, "Seed of the losses")->capture_default_str();
     app.add_option("--port-file", portFile, "File that gets the chosen port")->required();
-    try {
-        app.parse(argc, argv);
-    } catch (const CLI::ParseError& e) {
-        return app.exit(e) == 0 ? 0 : 2;
-    }
+    if (const auto code = parseArguments(app, argc, argv, std::cout, std::cerr))
+        return static_cast<int>(*code);
+    setUpLogging(logFormat.value_or(LogFormat::Text));
     behaviour.delay = Duration(delayMicros);
     behaviour.retransmitTime = Duration(retransmitMicros);
     boost::asio::io_context io;
@@ -35,8 +35,14 @@
     signals.async_wait([&](boost::system::error_code, int) { io.stop(); });
     const SteadyClock clock;
     const auto link = std::make_shared<LinkServer>(io, behaviour, seed, clock);
-    link->listen("127.0.0.1");
+    try {
+        link->listen("127.0.0.1");
+    } catch (const std::exception& e) {
+        logChange(LogLevel::Error, "the link did not start", { { "why", e.what() } });
+        return static_cast<int>(ExitCode::Failure);
+    }
     std::ofstream(portFile) << link->port() << '\n';
+    logChange(LogLevel::Info, "link started", { { "port", std::to_string(link->port()) } });
     io.run();
     return 0;
 }
--- a/tests/standin/platform_claims_main.cpp
+++ b/tests/standin/platform_claims_main.cpp
@@ -1,12 +1,11 @@
 #include "claims/claim_engine.h"
+#include "cli/program_options.h"
 #include "daemon/claim_driver.h"
 #include "platform/http_object_store.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <CLI/CLI.hpp>
-
 #include <algorithm>
 #include <cmath>
 #include <iostream>
@@ -30,6 +29,7 @@
     std::int64_t windowUs = ClaimSettings().batchWindow.count();
     std::uint32_t threads = 2;
     ClaimSettings claims;
+    std::optional<LogFormat> logFormat;
 };
 
 struct Figures {
@@ -191,6 +191,7 @@
 {
     CLI::App app("Claims idempotency keys at a fixed rate through several claim engines over HTTP, and measures the cost.");
     Options options;
+    addProgramOptions(app, options.logFormat);
     app.add_option("--platform-port", options.port, "Port of standin-platform on 127.0.0.1")->required();
     app.add_option("--instances", options.instances)->capture_default_str();
     app.add_option("--rate", options.rate, "Requests a second over all instances")->capture_default_str();
@@ -204,8 +205,10 @@
     app.add_option("--partitions", options.claims.partitions)->capture_default_str();
     app.add_option("--max-claims-per-head", options.claims.maxClaimsPerHead)->capture_default_str();
     app.add_option("--threads", options.threads)->capture_default_str();
-    CLI11_PARSE(app, argc, argv);
+    if (const auto code = parseArguments(app, argc, argv, std::cout, std::cerr))
+        return static_cast<int>(*code);
     options.claims.batchWindow = Duration(options.windowUs);
+    setUpLogging(options.logFormat.value_or(LogFormat::Text));
     Load load(options);
     load.run();
     load.report();
--- a/tests/standin/platform_main.cpp
+++ b/tests/standin/platform_main.cpp
@@ -1,20 +1,24 @@
+#include "cli/program_options.h"
+#include "observe/log.h"
 #include "standin/platform_server.h"
 
 #include <boost/asio/signal_set.hpp>
 
-#include <CLI/CLI.hpp>
-
 #include <csignal>
 #include <fstream>
 #include <iostream>
 
+using namespace lycheefield;
+using namespace lycheefield::standin;
+
 namespace {
 
 struct Options {
     std::string address = "127.0.0.1";
     std::uint16_t port = 0;
     std::string portFile;
-    lycheefield::standin::PlatformFaults faults;
+    std::optional<LogFormat> logFormat;
+    PlatformFaults faults;
     std::int64_t delayUs = 0;
     std::int64_t instanceLagUs = 0;
     std::int64_t lateByUs = 100000;
@@ -22,7 +26,7 @@
 
 void addOptions(CLI::App& app, Options& options)
 {
-    app.set_version_flag("--version", LYCHEEFIELD_VERSION);
+    addProgramOptions(app, options.logFormat);
     app.add_option("--address", options.address, "IP number to listen on")->capture_default_str();
     app.add_option("--port", options.port, "Port to listen on; 0: the kernel chooses")->capture_default_str();
     app.add_option("--port-file", options.portFile, "File to write the port to once it listens");
@@ -52,26 +56,28 @@
     CLI::App app("Stand-in for the platform: object API and instance list over HTTP, with faults under /standin/.");
     Options options;
     addOptions(app, options);
-    CLI11_PARSE(app, argc, argv);
-    options.faults.delay = lycheefield::Duration(options.delayUs);
-    options.faults.instanceLag = lycheefield::Duration(options.instanceLagUs);
-    options.faults.lateBy = lycheefield::Duration(options.lateByUs);
+    if (const auto code = parseArguments(app, argc, argv, std::cout, std::cerr))
+        return static_cast<int>(*code);
+    options.faults.delay = Duration(options.delayUs);
+    options.faults.instanceLag = Duration(options.instanceLagUs);
+    options.faults.lateBy = Duration(options.lateByUs);
 
+    setUpLogging(options.logFormat.value_or(LogFormat::Text));
     try {
         boost::asio::io_context context(1);
-        lycheefield::standin::PlatformServer server(context, options.faults);
+        PlatformServer server(context, options.faults);
         const auto port = server.listen(options.address, options.port);
         if (!options.portFile.empty() && !writePortFile(options.portFile, port)) {
-            std::cerr << "standin-platform: cannot write " << options.portFile << '\n';
-            return 1;
+            logChange(LogLevel::Error, "the port file can't be written; choose another with --port-file", { { "file", options.portFile } });
+            return static_cast<int>(ExitCode::Failure);
         }
-        std::cout << "listening on " << options.address << ':' << port << std::endl;
+        logChange(LogLevel::Info, "platform started", { { "address", options.address }, { "port", std::to_string(port) } });
         boost::asio::signal_set signals(context, SIGINT, SIGTERM);
         signals.async_wait([&](const boost::system::error_code&, int) { context.stop(); });
         context.run();
     } catch (const std::exception& e) {
-        std::cerr << "standin-platform: " << e.what() << '\n';
-        return 1;
+        logChange(LogLevel::Error, "the platform did not start", { { "why", e.what() } });
+        return static_cast<int>(ExitCode::Failure);
     }
     return 0;
 }
