lycheefield settings: no column runs into the next; platform.burst is gone

Cause: columns had fixed widths, so listen.cross_zone_gateway_address ran into its type, and long allowed texts into the purpose. platform.burst was listed and read, and nothing used it: the client's bursts are half a second of its budget. Change: each column is as wide as its longest text; the key without effect is removed (a settings file that has it is now refused with its line). The test asks two blanks behind each key and each allowed text.

--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -47,7 +47,6 @@
     Duration requestTimeout = 500ms;
     Duration watchTimeout = 30s;
     std::uint32_t callsPerSecond = 50; ///< Every call counts, a waiting watch as one.
-    std::uint32_t burst = 100; ///< Calls that may come at once after a quiet time.
     Duration backoffMinimum = 100ms; ///< Before the first retry; doubled with jitter up to the maximum.
     Duration backoffMaximum = 5s;
     Duration listPeriod = 5s; ///< Between two reads of the instance list.
--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -7,7 +7,6 @@
 #include <charconv>
 #include <limits>
 #include <optional>
-#include <sstream>
 #include <type_traits>
 #include <utility>
 
@@ -197,11 +196,24 @@
     return std::visit([&](auto* member) { return visitor(member); }, key.field(settings));
 }
 
-std::string padded(std::string text, std::size_t width)
+using SettingRow = std::array<std::string, 6>;
+
+/// Each column as wide as its longest text and two blanks; the last one ends where its text does.
+std::string aligned(const std::vector<SettingRow>& rows)
 {
-    if (text.size() < width)
-        text.resize(width, ' ');
-    return text;
+    constexpr std::size_t gap = 2;
+    std::array<std::size_t, std::tuple_size_v<SettingRow>> widths {};
+    for (const auto& row : rows) {
+        for (std::size_t i = 0; i + 1 < row.size(); ++i)
+            widths[i] = std::max(widths[i], row[i].size() + gap);
+    }
+    std::string out;
+    for (const auto& row : rows) {
+        for (std::size_t i = 0; i < row.size(); ++i)
+            out.append(row[i]).append(widths[i] ? widths[i] - row[i].size() : 0, ' ');
+        out += '\n';
+    }
+    return out;
 }
 
 }
@@ -249,20 +261,10 @@
 
 std::string describeSettings()
 {
-    constexpr std::size_t keyWidth = 32;
-    constexpr std::size_t typeWidth = 14;
-    constexpr std::size_t unitWidth = 19;
-    constexpr std::size_t defaultWidth = 12;
-    constexpr std::size_t allowedWidth = 40;
-    std::ostringstream out;
-    const auto row = [&](const auto& key, const auto& type, const auto& unit, const auto& initial, const auto& allowed, const auto& doc) {
-        out << padded(key, keyWidth) << padded(type, typeWidth) << padded(unit, unitWidth) << padded(initial, defaultWidth)
-            << padded(allowed, allowedWidth) << ' ' << doc << '\n';
-    };
-    row("KEY", "TYPE", "UNIT", "DEFAULT", "ALLOWED", "PURPOSE");
+    std::vector<SettingRow> rows { { "KEY", "TYPE", "UNIT", "DEFAULT", "ALLOWED", "PURPOSE" } };
     for (const auto& it : settingKeys())
-        row(it.fullName(), it.type(), it.unit(), it.defaultText(), it.allowed(), it.doc);
-    return out.str();
+        rows.push_back({ it.fullName(), std::string(it.type()), std::string(it.unit()), it.defaultText(), it.allowed(), std::string(it.doc) });
+    return aligned(rows);
 }
 
 }
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -67,7 +67,6 @@
                                 { "platform", "request_timeout", fieldOf<section, &PlatformSettings::requestTimeout>, { "10ms", "60s" }, "Wait for the answer to one call." },
                                 { "platform", "watch_timeout", fieldOf<section, &PlatformSettings::watchTimeout>, { "100ms", "10m" }, "Length of one watch." },
                                 { "platform", "calls_per_second", fieldOf<section, &PlatformSettings::callsPerSecond>, { "1", "10000" }, "Budget of calls; a waiting watch counts as one." },
-                                { "platform", "burst", fieldOf<section, &PlatformSettings::burst>, { "1", "10000" }, "Calls that may come at once after a quiet time." },
                                 { "platform", "backoff_minimum", fieldOf<section, &PlatformSettings::backoffMinimum>, { "1ms", "60s" }, "Wait before the first retry; doubled, with jitter, for each further one." },
                                 { "platform", "backoff_maximum", fieldOf<section, &PlatformSettings::backoffMaximum>, { "1ms", "10m" }, "Longest wait between two retries." },
                                 { "platform", "list_period", fieldOf<section, &PlatformSettings::listPeriod>, { "100ms", "10m" }, "Between two reads of the instance list." },
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -118,7 +118,9 @@
         CHECK_FALSE(it.doc.empty());
         if (!it.required && !it.defaultText().empty())
             CHECK(it.assign(settings, it.defaultText()));
-        CHECK(describeSettings().find(it.fullName()) != std::string::npos);
+        // No column runs into the next, however long its text.
+        CHECK(describeSettings().find("\n" + it.fullName() + "  ") != std::string::npos);
+        CHECK(describeSettings().find("  " + it.allowed() + "  ") != std::string::npos);
     }
     CHECK(settings == Settings());
 }
