The logger's own line builder holds the format of log lines

Cause: logChange read a format out of a global of ours that the set-up had written; text values with line breaks broke a log line in two; the header said standard error, the library writes to standard output. Change: logChange hands easylogging++ one record; LogLines, an immutable builder that the set-up installs in the logger, lays it out as text or JSON. Text values with blanks, quotes or line breaks are quoted. The test captures standard output in both formats.

--- a/src/observe/log.h
+++ b/src/observe/log.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "observe/log_format.h"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -8,11 +10,6 @@
 
 namespace lycheefield {
 
-enum class LogFormat : std::uint8_t {
-    Text,
-    Json,
-};
-
 enum class LogLevel : std::uint8_t {
     Info,
     Warning,
@@ -22,7 +19,7 @@
 /// A named value that goes along with a log line.
 using LogField = std::pair<std::string_view, std::string>;
 
-/// Sends log lines to standard error in the given format. Call it once, before any thread logs.
+/// Sends log lines to standard output in the given format. Call it once, before any thread logs.
 void setUpLogging(LogFormat);
 
 /// Writes one line about a change of state, for example ("server drains", {{"server", "q3"}}).
--- a/tests/observe/observe_test.cpp
+++ b/tests/observe/observe_test.cpp
@@ -1,13 +1,65 @@
+#include "observe/log.h"
 #include "observe/metrics.h"
 #include "observe/span.h"
 #include "observe/trace_store.h"
 
+#include <boost/json.hpp>
+
 #include <doctest/doctest.h>
 
+#include <iostream>
+#include <sstream>
+
 namespace lycheefield {
 
 using namespace std::chrono_literals;
 
+namespace {
+
+/// What is logged while it lives.
+class CapturedOutput {
+public:
+    CapturedOutput()
+        : m_before(std::cout.rdbuf(m_text.rdbuf()))
+    {
+    }
+    ~CapturedOutput() { std::cout.rdbuf(m_before); }
+    CapturedOutput(const CapturedOutput&) = delete;
+    CapturedOutput& operator=(const CapturedOutput&) = delete;
+    std::string text() const { return m_text.str(); }
+
+private:
+    std::ostringstream m_text;
+    std::streambuf* m_before;
+};
+
+}
+
+TEST_CASE("log lines have the format that was set up" * doctest::test_suite("observe"))
+{
+    const CapturedOutput output;
+    const std::vector<LogField> fields { { "server", "q3" }, { "why", "two\nlines \"quoted\"" } };
+    SUBCASE("as JSON, one object a line")
+    {
+        setUpLogging(LogFormat::Json);
+        logChange(LogLevel::Warning, "server drains", fields);
+        const auto line = boost::json::parse(output.text()).as_object();
+        CHECK(line.at("time_ms").as_int64() > 0);
+        CHECK(line.at("level") == "warning");
+        CHECK(line.at("event") == "server drains");
+        CHECK(line.at("server") == "q3");
+        CHECK(line.at("why") == "two\nlines \"quoted\"");
+    }
+    SUBCASE("as text, the values quoted that would run into others")
+    {
+        setUpLogging(LogFormat::Text);
+        logChange(LogLevel::Error, "server drains", fields);
+        const auto line = output.text();
+        CHECK(line.find(" error server drains server=q3 why=\"two\\nlines \\\"quoted\\\"\"\n") != std::string::npos);
+        CHECK(line.find('\n') == line.size() - 1);
+    }
+}
+
 TEST_CASE("metrics are rendered as Prometheus text" * doctest::test_suite("observe"))
 {
     Metrics metrics;
