The loop that outlives a throwing handler is a class with a test

Cause: the loop was a private method of the daemon, reached by no test, and its counter appeared at /metrics only after the first exception. Change: HandlerLoop; the counter is there from the start. The test has handlers throw on two threads, and an HTTP handler that throws: its caller is answered 500, its connection and what is pipelined on it go on, another caller notices nothing.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -8,6 +8,7 @@
 #include "daemon/daemon_metrics.h"
 #include "daemon/drain.h"
 #include "daemon/entry_driver.h"
+#include "daemon/handler_loop.h"
 #include "daemon/membership_role.h"
 #include "daemon/operator_api.h"
 #include "daemon/peer_calls.h"
@@ -157,8 +158,8 @@
         awaitSignal();
         std::vector<std::thread> threads;
         for (std::uint32_t i = 1; i < m_settings.instance.threads; ++i)
-            threads.emplace_back([this] { serve(); });
-        serve();
+            threads.emplace_back([this] { m_loop.run(); });
+        m_loop.run();
         for (auto& it : threads)
             it.join();
         return 0;
@@ -234,20 +235,6 @@
         m_metrics.gauge("lycheefield_membership_refutations_total", [this] { return static_cast<double>(m_membership->counts().refutations); });
     }
 
-    /// Runs handlers until the loop is stopped. One that throws ends its own request, no other.
-    void serve()
-    {
-        while (true) {
-            try {
-                m_io.run();
-                return;
-            } catch (const std::exception& ex) {
-                m_metrics.counter("lycheefield_handler_exceptions_total").add();
-                logChange(LogLevel::Error, "a handler threw; its request is lost", { { "why", ex.what() } });
-            }
-        }
-    }
-
     Readiness readiness() const
     {
         if (m_isDraining)
@@ -312,6 +299,7 @@
     TablePublisher m_publisher;
     RequestLog m_log;
     Metrics m_metrics;
+    HandlerLoop m_loop { m_io, m_metrics };
     std::shared_ptr<WireCounters> m_wireCounters = std::make_shared<WireCounters>();
     std::shared_ptr<HttpServerCounters> m_httpCounters = std::make_shared<HttpServerCounters>();
     PeerRouter m_router;
