traceparent is tested end to end; http.max_legs is refused with Retry-After

Cause: no test followed a caller's trace to the backend servers, and the refusal of a search with more legs than http.max_legs had no Retry-After. Change: the stand-in server echoes the traceparent it was sent, SmallSystem can send headers and adjust settings. Tests: the trace id of the caller in the answer, in every span of the trace and at each of 20 servers, the parent there the server span of its leg; a damaged header counts as none; 503, run told as 'not run', Retry-After, no leg sent.

--- a/src/daemon/answer_json.cpp
+++ b/src/daemon/answer_json.cpp
@@ -165,12 +165,13 @@
     return reply;
 }
 
-HttpReply refusalReply(unsigned status, const RequestId& id, const Error& error)
+HttpReply refusalReply(unsigned status, const RequestId& id, const Error& error, Duration retryAfter)
 {
     Answer answer;
     answer.request = id;
     answer.runState = RunState::NotRun;
     answer.refusal = error;
+    answer.retryAfter = retryAfter;
     auto reply = replyFor(answer);
     reply.status = status;
     return reply;
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::size_t maxKeyBytes = 256;
 constexpr Duration longestDeadline = std::chrono::minutes(10);
+/// For operators to raise a limit, or for a service to be split.
+constexpr Duration retryAfterTooManyLegs = std::chrono::seconds(30);
 
 /// The caller's own deadline; an error when the header is no positive whole number.
 Result<TimePoint> deadlineIn(const HttpRequest& request, TimePoint now)
@@ -87,7 +89,7 @@
     if (caller.traceId.empty())
         caller = { id.toString(), SpanId() };
     call->traceparent = TraceParent { caller.traceId, entrySpanOf(id) }.toString();
-    const auto refuse = [&](unsigned status, const Error& error) { respond(*call, refusalReply(status, id, error)); };
+    const auto refuse = [&](unsigned status, const Error& error, Duration retryAfter = {}) { respond(*call, refusalReply(status, id, error, retryAfter)); };
 
     if (request.method != "POST" && request.method != "GET")
         return refuse(405, { ErrorKind::InvalidInput, "method " + request.method + " is not supported here", "use POST or GET" });
@@ -98,7 +100,7 @@
     const auto shards = m_tables.shards.read();
     const auto* service = shards->findService(rule->service);
     if (rule->kind == RequestKind::Search && service && service->shards.size() > m_maxLegs)
-        return refuse(503, { ErrorKind::Overloaded, "service " + rule->service.value() + " has more shards than one request may ask", "raise http.max_legs" });
+        return refuse(503, { ErrorKind::Overloaded, "service " + rule->service.value() + " has more shards than one request may ask", "raise http.max_legs" }, retryAfterTooManyLegs);
     const auto deadline = deadlineIn(request, now);
     if (!deadline)
         return refuse(400, deadline.error());
--- a/tests/daemon/whole_path_test.cpp
+++ b/tests/daemon/whole_path_test.cpp
@@ -1,10 +1,14 @@
 #include "support/small_system.h"
 
+#include "observe/span.h"
+
 #include <boost/json.hpp>
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <csignal>
+#include <map>
 #include <set>
 
 using namespace lycheefield;
@@ -92,6 +96,69 @@
     CHECK(system.stop() == std::vector<int> { 0, 0, 0 });
 }
 
+TEST_CASE("the caller's trace goes on through every hop to the backend servers")
+{
+    SmallSystem system(planOf(1ms), rules, 3);
+    const std::string traceId = "0af7651916cd43dd8448eb211c80319c";
+    const std::string callerSpan = "b7ad6b7169203331";
+    const auto reply = system.call(1, "POST", "/search/x", "{}", { { "traceparent", "00-" + traceId + "-" + callerSpan + "-01" } });
+    REQUIRE(reply.status == 200);
+    const auto answer = parsed(reply);
+    const auto trace = parsed(system.call(2, "GET", "/traces/" + textOf(answer.at("request"))));
+
+    std::string entrySpan;
+    std::map<std::string, std::string> parents; // by span
+    std::set<std::string> serverSpans;
+    for (const auto& it : trace.at("resourceSpans").at(0).at("scopeSpans").at(0).at("spans").as_array()) {
+        CHECK(textOf(it.at("traceId")) == traceId);
+        const auto span = textOf(it.at("spanId"));
+        const auto* parent = it.as_object().if_contains("parentSpanId");
+        parents[span] = parent ? textOf(*parent) : std::string();
+        if (it.at("name") == "entry")
+            entrySpan = span;
+        if (it.at("name") == "server")
+            serverSpans.insert(span);
+    }
+    CHECK(parents[entrySpan] == callerSpan);
+    CHECK(reply.headers.at("traceparent") == "00-" + traceId + "-" + entrySpan + "-01");
+
+    // Each server was told the caller's trace and, as its parent, the span of its own leg.
+    std::set<std::string> toldSpans;
+    for (const auto& it : answer.at("results").as_array()) {
+        const auto told = TraceParent::parse(textOf(it.at("result").at("traceparent")));
+        CHECK(told.traceId == traceId);
+        toldSpans.insert(told.toString().substr(36, 16));
+    }
+    CHECK(toldSpans.size() == 20);
+    CHECK(std::includes(serverSpans.begin(), serverSpans.end(), toldSpans.begin(), toldSpans.end()));
+    for (const auto& it : toldSpans)
+        CHECK(parents[parents[it]] == entrySpan);
+
+    // Without a caller's trace the request id becomes the trace id; a damaged header counts as none.
+    for (const auto* header : { "", "00-nonsense-01" }) {
+        const auto own = system.call(0, "POST", "/search/x", "{}", { { "traceparent", header } });
+        REQUIRE(own.status == 200);
+        CHECK(own.headers.at("traceparent").find("00-" + textOf(parsed(own).at("request")) + "-") == 0);
+    }
+    CHECK(system.stop() == std::vector<int> { 0, 0, 0 });
+}
+
+TEST_CASE("a search of more legs than the limit is refused before it runs, and told when to come again")
+{
+    SmallSystem system(planOf(1ms), rules, 1, [](Settings& settings) { settings.http.maxLegs = 19; });
+    const auto reply = system.call(0, "POST", "/search/x", "{}");
+    CHECK(reply.status == 503);
+    CHECK(std::stoul(reply.headers.at("Retry-After")) > 0);
+    const auto answer = parsed(reply);
+    CHECK(textOf(answer.at("run")) == "not run");
+    CHECK(textOf(answer.at("error").at("kind")) == "overloaded");
+    CHECK(textOf(answer.at("error").at("remedy")).find("http.max_legs") != std::string::npos);
+    CHECK(system.call(0, "GET", "/metrics").body.find("lycheefield_query_first_legs_total 0\n") != std::string::npos);
+    // A single record of the same service is one leg.
+    CHECK(system.call(0, "GET", "/record/1").status == 200);
+    CHECK(system.stop() == std::vector<int> { 0 });
+}
+
 TEST_CASE("SIGTERM under load cuts nothing off, however often it comes")
 {
     SmallSystem system(planOf(300ms), rules, 3);
--- a/tests/standin/backend_server.cpp
+++ b/tests/standin/backend_server.cpp
@@ -64,6 +64,7 @@
     reply.reason = std::move(reason);
     reply.version = request.version;
     reply.epoch = request.epoch;
+    reply.traceparent = request.traceparent;
     reply.versions.assign(m_versions.begin(), m_versions.end());
     reply.draining = m_behaviour.draining && m_behaviour.marksDrain;
     return reply;
--- a/tests/standin/backend_server.h
+++ b/tests/standin/backend_server.h
@@ -43,6 +43,7 @@
     PartitionEpoch epoch;
     TimePoint deadline = never;
     std::string body;
+    std::string traceparent = {};
 };
 
 struct BackendReply {
@@ -53,6 +54,7 @@
     IndexVersion version;
     PartitionEpoch epoch;
     std::vector<BatchId> batches;
+    std::string traceparent; ///< As it came with the request.
     std::string body;
     std::vector<IndexVersion> versions;
     bool draining = false;
--- a/tests/standin/backend_session.cpp
+++ b/tests/standin/backend_session.cpp
@@ -54,10 +54,11 @@
     return text;
 }
 
-/// Echoes what the caller sent, so that a load tool can tell a foreign answer.
+/// Echoes what the caller sent, so that a load tool can tell a foreign answer, and a test the trace
+/// that the server was told.
 std::string resultOf(const BackendReply& reply, const std::string& server)
 {
-    return json::serialize(json::object { { "server", server }, { "version", reply.version.value() }, { "echo", reply.body } });
+    return json::serialize(json::object { { "server", server }, { "version", reply.version.value() }, { "echo", reply.body }, { "traceparent", reply.traceparent } });
 }
 
 std::string healthOf(BackendServer& server)
@@ -137,6 +138,7 @@
     const auto now = m_listener->now();
     if (request.count("X-Deadline-Us"))
         run.deadline = now + Duration(numberIn(request, "X-Deadline-Us"));
+    run.traceparent = std::string(request["traceparent"]);
     run.body = request.body();
     std::vector<BackendReply> replies;
     m_listener->server().receive(run, now, replies);
--- a/tests/standin/http_call.cpp
+++ b/tests/standin/http_call.cpp
@@ -10,7 +10,7 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-std::optional<HttpReply> httpCall(const Endpoint& endpoint, const std::string& method, const std::string& target, const std::string& body)
+std::optional<HttpReply> httpCall(const Endpoint& endpoint, const std::string& method, const std::string& target, const std::string& body, const std::map<std::string, std::string>& headers)
 {
     try {
         asio::io_context io;
@@ -18,6 +18,8 @@
         stream.connect(asio::ip::tcp::endpoint(asio::ip::make_address(endpoint.address), endpoint.port));
         http::request<http::string_body> request(http::string_to_verb(method), target, 11);
         request.set(http::field::host, endpoint.toString());
+        for (const auto& [name, value] : headers)
+            request.set(name, value);
         request.body() = body;
         request.prepare_payload();
         request.keep_alive(false);
@@ -26,7 +28,10 @@
         http::response_parser<http::string_body> parser;
         parser.body_limit(std::uint64_t(64) << 20);
         http::read(stream, buffer, parser);
-        return HttpReply { parser.get().result_int(), parser.get().body() };
+        HttpReply reply { parser.get().result_int(), parser.get().body(), {} };
+        for (const auto& it : parser.get())
+            reply.headers.emplace(it.name_string(), it.value());
+        return reply;
     } catch (const boost::system::system_error&) {
         return std::nullopt;
     }
--- a/tests/standin/http_call.h
+++ b/tests/standin/http_call.h
@@ -2,6 +2,7 @@
 
 #include "base/endpoint.h"
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -10,10 +11,11 @@
 struct HttpReply {
     unsigned status = 0;
     std::string body;
+    std::map<std::string, std::string> headers;
 };
 
 /// One blocking HTTP call on a connection of its own; empty when the peer can't be reached or
 /// does not answer. For stand-ins and tools, never on a request's path.
-std::optional<HttpReply> httpCall(const Endpoint&, const std::string& method, const std::string& target, const std::string& body = {});
+std::optional<HttpReply> httpCall(const Endpoint&, const std::string& method, const std::string& target, const std::string& body = {}, const std::map<std::string, std::string>& headers = {});
 
 }
--- a/tests/support/small_system.cpp
+++ b/tests/support/small_system.cpp
@@ -22,7 +22,8 @@
 
 }
 
-SmallSystem::SmallSystem(const standin::FleetPlan& plan, const std::string& rules, std::size_t instances)
+SmallSystem::SmallSystem(const standin::FleetPlan& plan, const std::string& rules, std::size_t instances, std::function<void(Settings&)> adjust)
+    : m_adjust(std::move(adjust))
 {
     m_platform = { "127.0.0.1", m_platformServer.listen("127.0.0.1", 0) };
     m_threads.emplace_back([this] { m_platformIo.run(); });
@@ -51,6 +52,8 @@
     settings.platform.endpoint = m_platform;
     settings.platform.listPeriod = 200ms;
     settings.drain.balancerLag = 200ms;
+    if (m_adjust)
+        m_adjust(settings);
     auto running = std::make_unique<Running>();
     running->daemon = std::make_unique<Daemon>(settings);
     if (!running->daemon->start())
@@ -73,9 +76,9 @@
     }
 }
 
-standin::HttpReply SmallSystem::call(std::size_t instance, const std::string& method, const std::string& target, const std::string& body) const
+standin::HttpReply SmallSystem::call(std::size_t instance, const std::string& method, const std::string& target, const std::string& body, const std::map<std::string, std::string>& headers) const
 {
-    const auto reply = standin::httpCall(m_instances[instance]->http, method, target, body);
+    const auto reply = standin::httpCall(m_instances[instance]->http, method, target, body, headers);
     return reply ? *reply : standin::HttpReply();
 }
 
--- a/tests/support/small_system.h
+++ b/tests/support/small_system.h
@@ -9,6 +9,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -21,13 +22,14 @@
 class SmallSystem {
 public:
     /// Starts everything and waits until each instance is ready and sees all others.
-    SmallSystem(const standin::FleetPlan&, const std::string& rules, std::size_t instances);
+    /// `adjust` may change the settings of each.
+    SmallSystem(const standin::FleetPlan&, const std::string& rules, std::size_t instances, std::function<void(Settings&)> adjust = {});
     /// Precondition: stop() was called.
     ~SmallSystem();
     SmallSystem(const SmallSystem&) = delete;
     SmallSystem& operator=(const SmallSystem&) = delete;
 
-    standin::HttpReply call(std::size_t instance, const std::string& method, const std::string& target, const std::string& body = {}) const;
+    standin::HttpReply call(std::size_t instance, const std::string& method, const std::string& target, const std::string& body = {}, const std::map<std::string, std::string>& headers = {}) const;
     /// Sends SIGTERM to this process, to which every instance listens, and gives their exit codes.
     std::vector<int> stop();
 
@@ -42,6 +44,7 @@
     void startInstance(std::size_t number);
     void awaitReady() const;
 
+    std::function<void(Settings&)> m_adjust;
     using Guard = boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
     boost::asio::io_context m_platformIo;
     boost::asio::io_context m_fleetIo;
