The fuzz target of callers' requests drives a whole session

Cause: it drove the reader alone, so limits of the session, pipelining, refusals, the end of a connection and the effect on other callers were not fuzzed. Change: each input goes, split in two, into an HttpServerSession over a socket pair while another caller is half way through its request. Checked: refusals are counted once each, no 5xx, the bystander is answered, both sessions end when their callers go.

--- a/tests/fuzz/fuzz_request.cpp
+++ b/tests/fuzz/fuzz_request.cpp
@@ -1,15 +1,21 @@
-// Requests of callers: whatever bytes come, and in whatever pieces, reading them ends in requests
-// within the limits or in a refusal. The first byte chooses where the bytes are split.
+// Requests of callers: whatever bytes come, and in whatever pieces, a session of our HTTP server
+// answers them within its limits or turns them away and counts that, ends when its caller goes, and
+// holds up nobody else. The first byte chooses where the bytes are split. Sessions run over socket
+// pairs on one thread.
 
 #include "base/request_id.h"
-#include "http/http_request_reader.h"
+#include "http/http_server_session.h"
 #include "observe/span.h"
 
-#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
 
+#include <array>
 #include <cstdint>
 #include <cstdlib>
-#include <optional>
+#include <string_view>
+#include <sys/socket.h>
+#include <unistd.h>
 
 using namespace lycheefield;
 
@@ -20,6 +26,8 @@
     HttpLimits limits;
     limits.maxHeaderBytes = 512;
     limits.maxBodyBytes = 256;
+    limits.maxPipelinedBytes = 1024;
+    limits.checkInterval = std::chrono::hours(1); // No input takes so long.
     return limits;
 }
 
@@ -29,20 +37,70 @@
         std::abort();
 }
 
-void look(const HttpRequest& request)
-{
-    check(request.body.size() <= limits().maxBodyBytes);
-    check(request.path().size() <= request.target.size());
-    TraceParent::parse(std::string(request.headers.find("traceparent")));
-    const auto path = request.path();
-    if (const auto id = RequestId::parse(path.substr(path.rfind('/') + 1)))
-        check(RequestId::parse(id->toString()) == id);
-}
+/// Answers at once, and reads what the caller API would read of a request.
+class ReadingHandler final : public HttpHandler {
+public:
+    void handle(HttpRequest request, std::shared_ptr<HttpExchange> exchange) override
+    {
+        check(request.body.size() <= limits().maxBodyBytes);
+        check(request.path().size() <= request.target.size());
+        TraceParent::parse(std::string(request.headers.find("traceparent")));
+        const auto path = request.path();
+        if (const auto id = RequestId::parse(path.substr(path.rfind('/') + 1)))
+            check(RequestId::parse(id->toString()) == id);
+        exchange->respond({ 200, "text/plain", "handled " + request.target });
+    }
+};
 
-void append(boost::beast::flat_buffer& buffer, const std::uint8_t* data, std::size_t size)
-{
-    buffer.commit(boost::asio::buffer_copy(buffer.prepare(size), boost::asio::buffer(data, size)));
-}
+/// What all sessions share.
+struct Server {
+    boost::asio::io_context io;
+    ReadingHandler handler;
+    std::shared_ptr<HttpServerCounters> counters = std::make_shared<HttpServerCounters>();
+    int ended = 0;
+
+    HttpServerContext context()
+    {
+        return { handler, std::make_shared<SteadyClock>(), counters, limits(), std::make_shared<std::atomic<bool>>(false), [this](std::uint64_t) { ++ended; } };
+    }
+    void settle()
+    {
+        io.restart();
+        while (io.poll() > 0) { }
+    }
+    std::uint64_t turnedAway() const { return counters->malformed + counters->oversized; }
+};
+
+/// A caller and its session.
+class Caller {
+public:
+    explicit Caller(Server& server)
+    {
+        std::array<int, 2> ends {};
+        check(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, ends.data()) == 0);
+        m_end = ends[0];
+        boost::asio::ip::tcp::socket socket(boost::asio::make_strand(server.io));
+        socket.assign(boost::asio::ip::tcp::v4(), ends[1]);
+        std::make_shared<HttpServerSession>(0, std::move(socket), server.context())->start();
+    }
+    ~Caller() { ::close(m_end); }
+    Caller(const Caller&) = delete;
+    Caller& operator=(const Caller&) = delete;
+
+    void send(std::string_view bytes) { [[maybe_unused]] const auto sent = ::send(m_end, bytes.data(), bytes.size(), MSG_NOSIGNAL); }
+    void goAway() { ::shutdown(m_end, SHUT_WR); }
+    std::string received()
+    {
+        std::array<char, 4096> part {};
+        for (auto n = ::recv(m_end, part.data(), part.size(), 0); n > 0; n = ::recv(m_end, part.data(), part.size(), 0))
+            m_received.append(part.data(), static_cast<std::size_t>(n));
+        return m_received;
+    }
+
+private:
+    int m_end = -1;
+    std::string m_received;
+};
 
 }
 
@@ -50,24 +108,27 @@
 {
     if (size < 2)
         return 0;
-    const std::size_t split = data[0] % (size - 1);
-    boost::beast::flat_buffer buffer;
-    std::optional<HttpRequestReader> reader(limits());
-    append(buffer, data + 1, split);
-    auto state = reader->take(buffer);
-    reader->takeExpectation();
-    append(buffer, data + 1 + split, size - 1 - split);
-    while (true) {
-        if (state == HttpRequestReader::State::NeedsMore && buffer.size() > 0)
-            state = reader->take(buffer);
-        if (state == HttpRequestReader::State::Refused)
-            check(reader->status() >= 400 && reader->status() < 500);
-        if (state != HttpRequestReader::State::Done)
-            return 0;
-        look(reader->release());
-        if (buffer.size() == 0)
-            return 0;
-        reader.emplace(limits());
-        state = HttpRequestReader::State::NeedsMore;
-    }
+    const std::string_view bytes(reinterpret_cast<const char*>(data) + 1, size - 1);
+    const std::size_t split = data[0] % bytes.size();
+    Server server;
+    Caller bystander(server);
+    Caller caller(server);
+    bystander.send("GET /bystander HTTP/1.1\r\n");
+    caller.send(bytes.substr(0, split));
+    server.settle();
+    caller.send(bytes.substr(split));
+    server.settle();
+    bystander.send("Host: a\r\n\r\n");
+    server.settle();
+    check(bystander.received().find("handled /bystander") != std::string::npos);
+
+    const auto received = caller.received();
+    check(received.empty() || received.starts_with("HTTP/1.1 "));
+    check((received.find("HTTP/1.1 4") != std::string::npos) == (server.turnedAway() == 1));
+    check(received.find("HTTP/1.1 5") == std::string::npos);
+    caller.goAway();
+    bystander.goAway();
+    server.settle();
+    check(server.ended == 2);
+    return 0;
 }
