An empty rule file is a good file for check, diff and apply

Cause: reading nothing set the stream's failure bit, and the file was told to be unreadable; the parser and its test hold an empty file for good. Change: emptiness is told from a folder or a read error; both are tested.

--- a/src/cli/rule_file.cpp
+++ b/src/cli/rule_file.cpp
@@ -44,8 +44,12 @@
 Result<RuleFile> readRuleFile(const std::string& path)
 {
     std::ifstream in(path, std::ios::binary);
+    // An empty file ends here, which is no failure; a folder opens and can't be read.
+    in.peek();
+    if (!in.is_open() || in.bad())
+        return fileError("can't read", path);
     std::ostringstream content;
-    if (!in || !(content << in.rdbuf()))
+    if (!in.eof() && !(content << in.rdbuf()))
         return fileError("can't read", path);
     return parseRuleFile(content.str());
 }
--- a/tests/cli/operator_commands_test.cpp
+++ b/tests/cli/operator_commands_test.cpp
@@ -106,9 +106,16 @@
         CHECK(checkRuleFile(file.path(), &fleet.access, fleet.report) == ExitCode::Failure);
         CHECK(fleet.hasSaid(file.path() + ":3:1: the catalog has no service 'nobody'"));
     }
-    SUBCASE("a file that is not there, a store that is down")
+    SUBCASE("an empty one is good, and has no rules")
+    {
+        const TemporaryFile file("");
+        CHECK(checkRuleFile(file.path(), &fleet.access, fleet.report) == ExitCode::Ok);
+        CHECK(fleet.hasSaid("0 rules are good"));
+    }
+    SUBCASE("a file that is not there, a folder, a store that is down")
     {
         CHECK(checkRuleFile("/nonexistent", nullptr, fleet.report) == ExitCode::Failure);
+        CHECK(checkRuleFile("/", nullptr, fleet.report) == ExitCode::Failure);
         const TemporaryFile file(goodRules);
         standin::PlatformFaults faults;
         faults.outage = true;
