store_rules has rules accepted by lycheefield apply

Cause: it built the stored object by hand with sed and wrote it past the command line. Checked with one fleet and one instance: revision 1 in force, a search answered.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -157,12 +157,8 @@
     sort -g | awk '{ a[NR] = $1 } END { print (NR % 2) ? a[(NR + 1) / 2] : (a[NR / 2] + a[NR / 2 + 1]) / 2 }'
 }
 
-# Writes a rule file as the next revision, straight to the stand-in platform.
+# Has a platform's first rule file accepted, before any instance runs. The fleets of its services have started.
 store_rules()
 {
-    local text version
-    text=$(sed -e 's/\\/\\\\/g' -e 's/"/\\"/g' "$1" | sed ':a;N;$!ba;s/\n/\\n/g')
-    version=$(http GET "$platform_port" /v1/objects/rules/current | grep -oE '"version":[0-9]+' | grep -oE '[0-9]+' || echo 0)
-    http PUT "$platform_port" "/v1/objects/rules/current?if-version=$version" \
-        "{\"revision\":$((version + 1)),\"applyId\":\"scripts\",\"who\":\"scripts\",\"when\":\"\",\"text\":\"$text\"}" >/dev/null
+    "$build/lycheefield" --platform "127.0.0.1:$platform_port" apply "$1" --who scripts --base 0 --wait 0 >/dev/null
 }
