The history checker judges real processes; a released token is never granted

Cause: SIGKILL, SIGSTOP, store faults and two operators were judged on real processes by scripts/measure restart only, and by another checker than the fault matrix's. Found: after SIGSTOP of the owner of a claim partition for 5 s and SIGCONT, 27 of 350 orders stayed unknown for good, and none had run: the owner read calls late whose release was in the log already, and claimed for them. Ruled out: a lost release (the store held them, before the claims). Mended: a claim whose token the log says was released is refused, not run. Test in claims_role_test.

--- a/programs/lycheefield_load.cpp
+++ b/programs/lycheefield_load.cpp
@@ -18,6 +18,7 @@
 struct Options {
     std::vector<std::string> targets;
     std::vector<std::string> baseline;
+    std::vector<std::string> resendTargets;
     std::vector<std::string> classes { "search:/search/quotes:search:1:1000" };
     double seconds = 5;
     double warmUpSeconds = 1;
@@ -42,20 +43,30 @@
     app.add_option("--timeout", options.timeoutSeconds, "A later answer counts as none, seconds")->capture_default_str();
     app.add_option("--connections", options.plan.maxConnections, "Connections in all; requests past them are not sent")->capture_default_str();
     app.add_option("--seed", options.plan.seed, "Seed of arrivals and of the mix")->capture_default_str();
+    app.add_option("--resend", options.plan.resends, "An order that was not told to have run is sent again this often with the same key, to another target")->capture_default_str();
+    app.add_option("--resend-target", options.resendTargets, "address:port of an instance that takes what is sent again; repeat it; default: the targets");
+    app.add_option("--history", options.plan.historyPath, "File for each call and its whole answer, one JSON object a line");
     app.add_option("--csv", options.plan.csvPath, "File for one line an observation");
 }
 
-bool addSide(LoadPlan& plan, const std::string& name, const std::vector<std::string>& targets)
+bool parseEndpoints(const std::vector<std::string>& texts, std::vector<Endpoint>& into)
 {
-    LoadSide side { name, {} };
-    for (const auto& it : targets) {
+    for (const auto& it : texts) {
         const auto endpoint = parseEndpoint(it);
         if (!endpoint) {
             std::cerr << endpoint.error() << '\n';
             return false;
         }
-        side.targets.push_back(endpoint.value());
+        into.push_back(endpoint.value());
     }
+    return true;
+}
+
+bool addSide(LoadPlan& plan, const std::string& name, const std::vector<std::string>& targets, const std::vector<std::string>& resendTargets)
+{
+    LoadSide side { name, {}, {} };
+    if (!parseEndpoints(targets, side.targets) || !parseEndpoints(resendTargets, side.resendTargets))
+        return false;
     plan.sides.push_back(std::move(side));
     return true;
 }
@@ -74,7 +85,7 @@
         }
         plan.classes.push_back(requestClass.value());
     }
-    return addSide(plan, "candidate", options.targets) && (options.baseline.empty() || addSide(plan, "baseline", options.baseline));
+    return addSide(plan, "candidate", options.targets, options.resendTargets) && (options.baseline.empty() || addSide(plan, "baseline", options.baseline, options.resendTargets));
 }
 
 }
@@ -93,8 +104,13 @@
     if (!complete(options))
         return exitUsage;
     const SteadyClock clock;
-    const auto observations = LoadRunner(options.plan, clock).run();
+    LoadRunner runner(options.plan, clock);
+    const auto observations = runner.run();
     writeReport(std::cout, options.plan, observations);
+    if (!runner.isHistoryWritten()) {
+        std::cerr << "can't write " << options.plan.historyPath << "; choose another file with --history\n";
+        return exitFailure;
+    }
     if (options.plan.csvPath.empty())
         return 0;
     std::ofstream csv(options.plan.csvPath);
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -5,6 +5,8 @@
 #   start_fleet NAME [ARG…] starts standin-backend; its control port is asked for with fleet_port NAME
 #   start_link [ARG…]       starts standin-link; its port is $link_port
 #   start_instance NAME ZONE [SECTION.KEY=VALUE…]   starts lycheefieldd; ports with http_port NAME
+#   start_nine PREFIX [SECTION.KEY=VALUE…]   starts PREFIX0 to PREFIX8 over three zones, waits until they are ready and
+#                           sets targets to their address:port
 #   http METHOD PORT TARGET [BODY [HEADER]]         prints the body of the answer
 #   stop NAME [SIGNAL]      signals one process; wait_gone NAME waits for its end and gives its exit code
 
@@ -145,6 +147,27 @@
     return 1
 }
 
+# Zone of the Nth of nine instances.
+zone_of()
+{
+    local zones=(ikeja-a lekki-b ibadan-c)
+    echo "${zones[$(($1 % 3))]}"
+}
+
+start_nine()
+{
+    local prefix=$1 i
+    shift
+    for i in {0..8}; do
+        start_instance "$prefix$i" "$(zone_of "$i")" "$@"
+    done
+    targets=()
+    for i in {0..8}; do
+        wait_ready "$prefix$i"
+        targets+=("127.0.0.1:$(http_port "$prefix$i")")
+    done
+}
+
 # User and system time of a process in milliseconds.
 cpu_ms()
 {
--- a/src/claims/claim_partition.h
+++ b/src/claims/claim_partition.h
@@ -128,7 +128,11 @@
     void writeNext(TimePoint, ClaimActions&);
     Batch gather(TimePoint, ClaimActions&);
     Standing judge(WaitingList::iterator, const Batch&, ClaimActions&);
-    std::optional<KeyState> stateOf(const Waiting&, const Batch&) const;
+    /// The key's records in the order of the log, those of the batch last.
+    std::vector<const ClaimRecord*> recordsOf(const Waiting&, const Batch&) const;
+    static std::optional<KeyState> stateOf(const std::vector<const ClaimRecord*>&);
+    /// A release is final: whoever asked for the token gave it up, maybe before its claim arrived here.
+    static bool isReleased(const RequestId& token, const std::vector<const ClaimRecord*>&);
     bool fetchSegments(Waiting&, ClaimActions&);
     bool isHeadFull() const;
     bool sealedStartsHead() const;
--- a/src/claims/claim_partition_write.cpp
+++ b/src/claims/claim_partition_write.cpp
@@ -63,7 +63,12 @@
 {
     if (fetchSegments(*it, actions))
         return Standing::NeedsSegments;
-    const auto state = stateOf(*it, batch);
+    const auto records = recordsOf(*it, batch);
+    if (isReleased(it->request.request, records)) {
+        decide(it, ClaimVerdict::StoreUnavailable, nullptr, actions);
+        return Standing::Decided;
+    }
+    const auto state = stateOf(records);
     if (!state)
         return Standing::Grantable;
     auto verdict = ClaimVerdict::InProgress;
@@ -83,27 +88,40 @@
     return Standing::Decided;
 }
 
-std::optional<KeyState> ClaimPartition::stateOf(const Waiting& waiting, const Batch& batch) const
+std::vector<const ClaimRecord*> ClaimPartition::recordsOf(const Waiting& waiting, const Batch& batch) const
 {
     const auto& key = waiting.request.key;
-    std::optional<KeyState> state;
+    std::vector<const ClaimRecord*> all;
     for (const auto& [number, records] : waiting.fetched) {
         if (number < m_head->segments().first)
             continue;
         for (const auto& record : records)
-            state = afterRecord(std::move(state), record);
+            all.push_back(&record);
     }
     if (const auto* records = m_head->find(key)) {
         for (const auto& record : *records)
-            state = afterRecord(std::move(state), record);
+            all.push_back(&record);
     }
     for (const auto& record : batch.records) {
         if (record.key == key)
-            state = afterRecord(std::move(state), record);
+            all.push_back(&record);
     }
+    return all;
+}
+
+std::optional<KeyState> ClaimPartition::stateOf(const std::vector<const ClaimRecord*>& records)
+{
+    std::optional<KeyState> state;
+    for (const auto* it : records)
+        state = afterRecord(std::move(state), *it);
     return state;
 }
 
+bool ClaimPartition::isReleased(const RequestId& token, const std::vector<const ClaimRecord*>& records)
+{
+    return std::any_of(records.begin(), records.end(), [&](const auto* it) { return it->kind == ClaimRecordKind::Release && it->token == token; });
+}
+
 /// True when the claim has to wait for a segment.
 bool ClaimPartition::fetchSegments(Waiting& waiting, ClaimActions& actions)
 {
--- a/src/load/caller_connection.cpp
+++ b/src/load/caller_connection.cpp
@@ -86,7 +86,8 @@
     {
         const auto& response = m_parser->get();
         m_isUsable = response.keep_alive();
-        deliver({ true, response.result_int(), response.body() });
+        const auto id = response["X-Request-Id"];
+        deliver({ true, response.result_int(), response.body(), { id.data(), id.size() } });
     }
 
     void fail()
--- a/src/load/caller_connection.h
+++ b/src/load/caller_connection.h
@@ -24,6 +24,7 @@
         bool arrived = false; ///< False when the connection broke or the time ran out.
         unsigned status = 0;
         std::string body;
+        std::string requestId; ///< X-Request-Id of the answer.
     };
     using Handler = std::function<void(const Reply&)>;
     using Headers = std::vector<std::pair<std::string, std::string>>;
--- a/src/load/load_plan.h
+++ b/src/load/load_plan.h
@@ -33,6 +33,7 @@
 struct LoadSide {
     std::string name;
     std::vector<Endpoint> targets;
+    std::vector<Endpoint> resendTargets {}; ///< Where orders are sent again; empty: to the targets.
 
     friend bool operator==(const LoadSide&, const LoadSide&) = default;
 };
@@ -49,6 +50,8 @@
     Duration timeout { 10000000 }; ///< An answer later than this is counted as none.
     std::size_t maxConnections = 2000; ///< Requests past it are counted as not sent.
     std::string csvPath; ///< Empty: no CSV.
+    std::uint32_t resends = 0; ///< An order that did not run for sure is sent again this often, with the same key.
+    std::string historyPath; ///< One JSON line for each call and its answer; empty: none.
 
     friend bool operator==(const LoadPlan&, const LoadPlan&) = default;
 };
--- a/src/load/load_runner.cpp
+++ b/src/load/load_runner.cpp
@@ -1,6 +1,7 @@
 #include "load/load_runner.h"
 
 #include "load/answer_check.h"
+#include "load/call_history.h"
 #include "load/caller_connection.h"
 
 #include <boost/asio/io_context.hpp>
@@ -14,6 +15,13 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// From an answer that settles nothing until the order is sent again.
+constexpr Duration resendPause { 200000 };
+
+}
+
 class LoadRunner::Impl {
 public:
     Impl(LoadPlan plan, const Clock& clock)
@@ -22,6 +30,7 @@
         , m_random(m_plan.seed)
         , m_timer(m_io)
         , m_idle(m_plan.sides.size())
+        , m_history(m_plan.historyPath)
     {
         for (std::size_t i = 0; i < m_plan.sides.size(); ++i)
             m_idle[i].resize(m_plan.sides[i].targets.size());
@@ -35,9 +44,12 @@
         m_next = m_start;
         scheduleNext();
         m_io.run();
+        m_isHistoryWritten = m_history.close();
         return std::move(m_observations);
     }
 
+    bool isHistoryWritten() const { return m_isHistoryWritten; }
+
 private:
     using Connection = std::shared_ptr<CallerConnection>;
 
@@ -100,11 +112,51 @@
         const std::string body = "{\"nonce\":\"" + nonce + "\"}";
         if (requestClass.kind == RequestKind::Order)
             observation.body = nonce;
-        connection->post(requestClass.path, headersFor(requestClass, nonce), body, [this, observation, intended, connection, body](const CallerConnection::Reply& reply) {
-            finish(observation, intended, connection, body, reply);
+        auto call = callFor(requestClass, m_plan.sides[observation.side].targets[observation.target], nonce, body);
+        connection->post(requestClass.path, headersFor(requestClass, nonce), body, [this, observation, intended, connection, call](const CallerConnection::Reply& reply) {
+            finish(observation, intended, connection, call.body, reply);
+            settle(call, reply, observation.requestClass, observation.side, m_plan.resends);
+        });
+    }
+
+    CallSeen callFor(const RequestClass& requestClass, const Endpoint& target, const std::string& nonce, const std::string& body) const
+    {
+        const auto now = m_clock.now();
+        const auto deadline = requestClass.deadline.count() ? now + requestClass.deadline : never;
+        return { target, requestClass.kind, requestClass.kind == RequestKind::Order ? nonce : std::string(), body, now, deadline, never, {} };
+    }
+
+    /// Notes the call, and sends an order again elsewhere unless it was told that it ran.
+    void settle(CallSeen call, const CallerConnection::Reply& reply, std::uint32_t requestClass, std::uint32_t side, std::uint32_t resendsLeft)
+    {
+        call.answered = m_clock.now();
+        call.reply = reply;
+        m_history.add(call);
+        const bool isSettled = reply.arrived && checkAnswer(reply.status, reply.body, call.body).outcome == LoadOutcome::Complete;
+        if (call.kind != RequestKind::Order || isSettled || !resendsLeft)
+            return;
+        const auto timer = std::make_shared<asio::steady_timer>(m_io, resendPause);
+        timer->async_wait([this, timer, call, requestClass, side, resendsLeft](boost::system::error_code) { resend(call, requestClass, side, resendsLeft - 1); });
+    }
+
+    void resend(const CallSeen& last, std::uint32_t classNumber, std::uint32_t side, std::uint32_t resendsLeft)
+    {
+        const auto& requestClass = m_plan.classes[classNumber];
+        const auto call = callFor(requestClass, otherTarget(side, last.target), last.key, last.body);
+        const auto connection = CallerConnection::create(m_io, call.target, m_plan.timeout);
+        connection->post(requestClass.path, headersFor(requestClass, call.key), call.body, [this, connection, call, classNumber, side, resendsLeft](const CallerConnection::Reply& reply) {
+            settle(call, reply, classNumber, side, resendsLeft);
         });
     }
 
+    Endpoint otherTarget(std::uint32_t side, const Endpoint& last)
+    {
+        const auto& own = m_plan.sides[side];
+        const auto& targets = own.resendTargets.empty() ? own.targets : own.resendTargets;
+        const auto& first = targets[++m_resent % targets.size()];
+        return first == last ? targets[++m_resent % targets.size()] : first;
+    }
+
     CallerConnection::Headers headersFor(const RequestClass& requestClass, const std::string& nonce) const
     {
         CallerConnection::Headers headers;
@@ -168,6 +220,9 @@
     TimePoint m_next;
     std::uint64_t m_sent = 0;
     std::size_t m_connections = 0;
+    CallHistory m_history;
+    std::size_t m_resent = 0;
+    bool m_isHistoryWritten = false;
 };
 
 LoadRunner::LoadRunner(LoadPlan plan, const Clock& clock)
@@ -182,4 +237,9 @@
     return m_impl->run();
 }
 
+bool LoadRunner::isHistoryWritten() const
+{
+    return m_impl->isHistoryWritten();
+}
+
 }
--- a/src/load/load_runner.h
+++ b/src/load/load_runner.h
@@ -20,8 +20,11 @@
     LoadRunner(const LoadRunner&) = delete;
     LoadRunner& operator=(const LoadRunner&) = delete;
 
-    /// Runs the whole plan on the calling thread and returns what was seen, warm-ups left out.
+    /// Runs the whole plan on the calling thread and returns what was seen, warm-ups left out. An order that
+    /// is sent again is observed once, by its first attempt; the history holds every attempt.
     std::vector<Observation> run();
+    /// False when the history could not be written. Precondition: run() has returned.
+    bool isHistoryWritten() const;
 
 private:
     class Impl;
--- a/tests/daemon/claims_role_test.cpp
+++ b/tests/daemon/claims_role_test.cpp
@@ -222,6 +222,18 @@
     }
 }
 
+TEST_CASE("A claim reaches its owner after the entry gave it up: an owner that stood still reads it late")
+{
+    Fleet fleet({ "a", "b" });
+    const ClaimRequest late { { ProcessLife(7), 1 }, IdempotencyKey("order-1"), Fingerprint(1), fleet.clock->now() + std::chrono::hours(1) };
+    fleet.roles[fleet.entry]->onCall(fleet.owner, ClaimCall { late, RunState::NotRun, {} });
+    fleet.settleAll();
+    fleet.roles[fleet.owner]->onCall(fleet.entry, ClaimCall { late, std::nullopt, {} });
+    fleet.settleAll();
+    CHECK(fleet.roles[fleet.owner]->counters().granted == 0);
+    CHECK(fleet.claim(fleet.owner, "order-1").verdict == ClaimVerdict::Granted);
+}
+
 TEST_CASE("The owner can't be reached: the claim is made here")
 {
     Fleet fleet({ "a", "b" });
--- a/tests/fault_matrix/request_world.h
+++ b/tests/fault_matrix/request_world.h
@@ -2,9 +2,9 @@
 
 #include "claims/claim_engine.h"
 #include "dispatch/relay_engine.h"
-#include "fault_matrix/history.h"
 #include "fault_matrix/step.h"
 #include "fault_matrix/timeline.h"
+#include "history/history.h"
 #include "membership/view.h"
 #include "query/query_engine.h"
 #include "standin/backend_server.h"
@@ -19,6 +19,10 @@
 
 namespace lycheefield::fault_matrix {
 
+using history::CallRecord;
+using history::History;
+using history::RunRecord;
+
 /// A protection that is taken out, to show that the checker sees what it protects from.
 enum class Mutation : std::uint8_t {
     None,
--- a/tests/fault_matrix/request_world_entry.cpp
+++ b/tests/fault_matrix/request_world_entry.cpp
@@ -28,7 +28,7 @@
     request.deadline = now + requestDeadline;
     if (m_listener && !m_watched)
         m_watched = request.id;
-    CallRecord record { request.id, kind, key, body, shards, now, request.deadline, {}, never, false, false };
+    CallRecord record { request.id, kind, key, body, shards, now, request.deadline, {}, never, false, false, true };
     record.isExcused = !node.isUp || node.isPaused;
     m_history.calls.emplace(request.id, record);
     reached(request.id, Step::Before);
--- a/tests/fault_matrix/history.cpp
+++ b/tests/history/history.cpp
@@ -1,15 +1,13 @@
-#include "fault_matrix/history.h"
+#include "history/history.h"
 
 #include <algorithm>
 
-namespace lycheefield::fault_matrix {
+namespace lycheefield::history {
 
 using namespace std::chrono_literals;
 
 namespace {
 
-/// An answer may come this long after the deadline, for messages on their way.
-constexpr Duration answerGrace = 100ms;
 constexpr Duration drainNotice = 2s;
 /// Servers that one content may fell when it is sent again, whoever sends it.
 constexpr std::uint32_t mostFurtherCrashes = 2;
@@ -28,6 +26,10 @@
     checkOrders(out);
     checkServers(out);
     checkCrashes(out);
+    checkStore(out);
+    checkOperators(out);
+    checkRevisions(out);
+    out.insert(out.end(), malformed.begin(), malformed.end());
     for (const auto& it : cutByDrain)
         out.push_back("a graceful shutdown cut off " + it);
     return out;
@@ -84,6 +86,8 @@
         out.push_back(nameOf(call) + " was told not run, and it ran");
     if (answer.runState == RunState::Ran && !hasRun && !call.isReplay)
         out.push_back(nameOf(call) + " was told ran, and it did not");
+    if (answer.runState == RunState::Unknown && call.kind == RequestKind::Order && !call.mayBeUnknown)
+        out.push_back(nameOf(call) + " was told unknown, and no fault excuses it");
 }
 
 void History::checkOrders(std::vector<std::string>& out) const
@@ -132,4 +136,53 @@
     }
 }
 
+void History::checkStore(std::vector<std::string>& out) const
+{
+    if (!storeRecords)
+        return;
+    const auto ranWith = [this](const RequestId& token) {
+        return std::any_of(runs.begin(), runs.end(), [&](const auto& it) { return it.kind == RequestKind::Order && it.key.request == token; });
+    };
+    std::set<RequestId> claimed;
+    for (const auto& it : *storeRecords) {
+        if (it.kind == ClaimRecordKind::Claim)
+            claimed.insert(it.token);
+        if (it.kind == ClaimRecordKind::Release && ranWith(it.token))
+            out.push_back("the store released key " + it.key + ", and its order ran");
+        if (it.kind == ClaimRecordKind::Outcome && it.state == RunState::Ran && !ranWith(it.token))
+            out.push_back("the store says that key " + it.key + " ran, and it did not");
+    }
+    for (const auto& it : runs) {
+        if (it.kind == RequestKind::Order && !claimed.contains(it.key.request))
+            out.push_back("order " + it.body + " ran, and the store holds no claim of its request");
+    }
+}
+
+void History::checkOperators(std::vector<std::string>& out) const
+{
+    std::map<RuleRevision, std::string> acceptedBy;
+    for (const auto& it : operators) {
+        const auto stored = std::find_if(storedRules.begin(), storedRules.end(), [&](const auto& rules) { return rules.second == it.who; });
+        const bool isStored = stored != storedRules.end();
+        if (it.verdict == ApplyVerdict::Accepted && (!isStored || stored->first != it.revision))
+            out.push_back(it.who + " was told accepted, and the store does not hold these rules at that revision");
+        if (it.verdict == ApplyVerdict::Refused && isStored)
+            out.push_back(it.who + " was told that nothing was changed, and the rules were taken");
+        if (it.verdict == ApplyVerdict::None)
+            out.push_back(it.who + " was told nothing");
+        if (it.verdict == ApplyVerdict::Unknown && !it.mayBeUnknown)
+            out.push_back(it.who + " was told unknown, and no fault excuses it");
+        if (it.verdict == ApplyVerdict::Accepted && !acceptedBy.emplace(it.revision, it.who).second)
+            out.push_back("two operators were both accepted at revision " + std::to_string(it.revision.value()));
+    }
+}
+
+void History::checkRevisions(std::vector<std::string>& out) const
+{
+    for (const auto& [instance, revisions] : revisionsSeen) {
+        if (!std::is_sorted(revisions.begin(), revisions.end()))
+            out.push_back(instance + " went back to a lower revision");
+    }
+}
+
 }
--- a/tests/fault_matrix/history.h
+++ b/tests/history/history.h
@@ -1,15 +1,17 @@
 #pragma once
 
 #include "base/leg.h"
+#include "claims/claim_record.h"
 #include "query/answer.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
-namespace lycheefield::fault_matrix {
+namespace lycheefield::history {
 
 /// A request as its caller sees it.
 struct CallRecord {
@@ -24,6 +26,7 @@
     TimePoint answered = never;
     bool isExcused = false; ///< Its entry was stopped hard or stood still: no answer is owed.
     bool isReplay = false; ///< Answered from the recorded outcome of the same key.
+    bool mayBeUnknown = true; ///< A fault excuses an outcome that is not known.
 };
 
 /// A leg that got a slot at a server.
@@ -53,6 +56,29 @@
     RequestId request;
 };
 
+/// A record of a claim, as the store holds it in the end.
+struct StoreRecord {
+    std::string key;
+    RequestId token;
+    ClaimRecordKind kind = ClaimRecordKind::Claim;
+    RunState state = RunState::Unknown; ///< Of an outcome.
+};
+
+/// What `apply` told one operator.
+enum class ApplyVerdict : std::uint8_t {
+    Accepted,
+    Refused, ///< A conflict, or another error that says that nothing was changed.
+    Unknown,
+    None, ///< No verdict came.
+};
+
+struct OperatorRecord {
+    std::string who; ///< Unique in a history.
+    ApplyVerdict verdict = ApplyVerdict::None;
+    RuleRevision revision; ///< Of what was accepted.
+    bool mayBeUnknown = false; ///< A fault excuses a verdict that is not known.
+};
+
 /// Everything that happened in one world, judged against what must always hold.
 class History {
 public:
@@ -65,6 +91,14 @@
     std::map<ServerName, std::uint32_t> connectionCaps;
     std::vector<CrashRecord> crashes; ///< In the order they came.
     std::vector<std::string> cutByDrain; ///< Requests that a graceful shutdown cut off.
+    /// What the store holds of claims, each key's records in order; empty when it was not read.
+    std::optional<std::vector<StoreRecord>> storeRecords;
+    std::vector<OperatorRecord> operators;
+    std::map<RuleRevision, std::string> storedRules; ///< Whose rules each revision in the store is.
+    std::map<std::string, std::vector<RuleRevision>> revisionsSeen; ///< Of each process life, in the order they were seen.
+    std::vector<std::string> malformed; ///< Answers that contradict themselves.
+    /// An answer may come this long after the deadline, for messages on their way.
+    Duration answerGrace = std::chrono::milliseconds(100);
 
     /// Every violation found, in words; empty when all holds.
     std::vector<std::string> violations(TimePoint end) const;
@@ -76,6 +110,9 @@
     void checkOrders(std::vector<std::string>&) const;
     void checkServers(std::vector<std::string>&) const;
     void checkCrashes(std::vector<std::string>&) const;
+    void checkStore(std::vector<std::string>&) const;
+    void checkOperators(std::vector<std::string>&) const;
+    void checkRevisions(std::vector<std::string>&) const;
 };
 
 }
--- a/tests/standin/backend_fleet.cpp
+++ b/tests/standin/backend_fleet.cpp
@@ -57,6 +57,8 @@
 void BackendFleet::start()
 {
     startControl();
+    if (!m_plan.historyPath.empty())
+        m_history = std::make_unique<RunHistory>(m_plan.historyPath);
     const auto n = m_plan.shards * m_plan.replicas;
     for (std::uint32_t i = 0; i < n; ++i) {
         const ServerName name(m_plan.service + "-" + std::to_string(i / m_plan.replicas) + "-" + std::to_string(i % m_plan.replicas));
@@ -64,6 +66,8 @@
         const auto listener = std::make_shared<BackendListener>(m_io, server, m_plan.limits, m_clock);
         listener->listen(m_plan.address);
         server->start(m_clock.now());
+        if (m_history)
+            m_history->follow(*server);
         m_servers.push_back(server);
         m_listeners.push_back(listener);
         m_versions.push_back({ m_newest });
@@ -228,8 +232,11 @@
     for (std::size_t i = 0; i < m_servers.size(); ++i) {
         if (server != "all" && m_servers[i]->name().value() != server)
             continue;
+        const bool wasDraining = m_servers[i]->behaviour().draining;
         for (const auto it : view.params())
             applySetting(m_servers[i]->behaviour(), it.key, it.value);
+        if (m_history && !wasDraining && m_servers[i]->behaviour().draining)
+            m_history->addDrain(m_servers[i]->name(), m_clock.now());
     }
 }
 
--- a/tests/standin/backend_fleet.h
+++ b/tests/standin/backend_fleet.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "catalog/catalog_json.h"
 #include "standin/backend_listener.h"
+#include "standin/run_history.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -28,6 +29,7 @@
     Duration versionKept { 2000000 }; ///< The old version is served this long after the last has the new.
     BackendBehaviour behaviour;
     BackendListener::Limits limits;
+    std::string historyPath; ///< Gets all that the servers run; empty: nothing is written.
 };
 
 /// Servers of one service, their index versions and their catalog entry on the platform.
@@ -61,6 +63,7 @@
     Endpoint m_platform;
     const Clock& m_clock;
     CatalogEntry m_catalog;
+    std::unique_ptr<RunHistory> m_history;
     std::shared_ptr<BackendListener> m_control;
     std::vector<std::shared_ptr<BackendListener>> m_listeners;
     std::vector<std::shared_ptr<BackendServer>> m_servers;
--- a/tests/standin/backend_main.cpp
+++ b/tests/standin/backend_main.cpp
@@ -42,6 +42,7 @@
     app.add_option("--version-every-ms", options.versionEveryMillis, "A new index version this often, milliseconds; 0: never")->capture_default_str();
     app.add_option("--restart-ms", options.restartMillis, "From a crash to the restart, milliseconds")->capture_default_str();
     app.add_option("--port-file", options.portFile, "File that gets the port of the control calls under /standin/");
+    app.add_option("--history", options.plan.historyPath, "File for all that the servers run and give, one JSON object a line");
     app.add_option("--seed", options.plan.seed, "Seed of the service times")->capture_default_str();
 }
 
--- a/tests/standin/backend_server.cpp
+++ b/tests/standin/backend_server.cpp
@@ -88,8 +88,11 @@
 void BackendServer::receive(const BackendRequest& request, TimePoint now, std::vector<BackendReply>& out)
 {
     ++m_counters.received;
-    if (m_behaviour.draining)
+    if (m_behaviour.draining) {
         ++m_counters.receivedWhileDraining;
+        if (m_onReceivedWhileDraining)
+            m_onReceivedWhileDraining(now);
+    }
     const auto refusal = refusalOf(request, now);
     if (refusal.empty()) {
         m_queue.push_back(request);
@@ -165,6 +168,8 @@
     if (batches != m_batches.end())
         answer.batches = batches->second;
     answer.body = running.request.body;
+    if (m_onOutput)
+        m_onOutput(answer, running.request.shard);
     out.push_back(std::move(answer));
 }
 
--- a/tests/standin/backend_server.h
+++ b/tests/standin/backend_server.h
@@ -91,6 +91,10 @@
     void stopHard(TimePoint, Duration downFor);
     /// Called whenever a request gets a slot.
     void onBegin(std::function<void(const BackendRequest&, TimePoint)> listener) { m_onBegin = std::move(listener); }
+    /// Called whenever a result is given, whether or not its connection is still there.
+    void onOutput(std::function<void(const BackendReply&, ShardNumber)> listener) { m_onOutput = std::move(listener); }
+    /// Called for each request that comes while the server drains.
+    void onReceivedWhileDraining(std::function<void(TimePoint)> listener) { m_onReceivedWhileDraining = std::move(listener); }
     void receive(const BackendRequest&, TimePoint, std::vector<BackendReply>&);
     void cancel(const LegKey&, TimePoint, std::vector<BackendReply>&);
     /// The connection closed: what it had is stopped and not answered.
@@ -135,6 +139,8 @@
     BackendCounters m_counters;
     std::map<std::string, std::uint32_t> m_ordersRun;
     std::function<void(const BackendRequest&, TimePoint)> m_onBegin;
+    std::function<void(const BackendReply&, ShardNumber)> m_onOutput;
+    std::function<void(TimePoint)> m_onReceivedWhileDraining;
 };
 
 }
