--- a/programs/lycheefield_load.cpp
+++ b/programs/lycheefield_load.cpp
@@ -15,6 +15,7 @@
 struct Options {
     std::vector<std::string> targets;
     std::vector<std::string> baseline;
+    std::vector<std::string> resendTargets;
     std::vector<std::string> classes { "search:/search/quotes:search:1:1000" };
     double seconds = 5;
     double warmUpSeconds = 1;
@@ -41,21 +42,31 @@
     app.add_option("--timeout", options.timeoutSeconds, "A later answer counts as none, seconds")->capture_default_str();
     app.add_option("--connections", options.plan.maxConnections, "Connections in all; requests past them are not sent")->capture_default_str();
     app.add_option("--seed", options.plan.seed, "Seed of arrivals and of the mix")->capture_default_str();
+    app.add_option("--resend", options.plan.resends, "An order that was not told to have run is sent again this often with the same key, to another target")->capture_default_str();
+    app.add_option("--resend-target", options.resendTargets, "address:port of an instance that takes what is sent again; repeat it; default: the targets");
+    app.add_option("--history", options.plan.historyPath, "File for each call and its whole answer, one JSON object a line");
     app.add_option("--csv", options.plan.csvPath, "File for one line an observation");
 }
 
-bool addSide(LoadPlan& plan, const std::string& name, const std::vector<std::string>& targets, Report& report)
+bool parseEndpoints(const std::vector<std::string>& texts, std::vector<Endpoint>& into, Report& report)
 {
-    LoadSide side { name, {} };
-    for (const auto& it : targets) {
+    for (const auto& it : texts) {
         const auto endpoint = parseEndpoint(it);
         if (!endpoint) {
             report.error(endpoint.error());
             return false;
         }
-        side.targets.push_back(endpoint.value());
+        into.push_back(endpoint.value());
     }
-    plan.sides.push_back(std::move(side));
+    return true;
+}
+
+bool addSide(Options& options, const std::string& name, const std::vector<std::string>& targets, Report& report)
+{
+    LoadSide side { name, {}, {} };
+    if (!parseEndpoints(targets, side.targets, report) || !parseEndpoints(options.resendTargets, side.resendTargets, report))
+        return false;
+    options.plan.sides.push_back(std::move(side));
     return true;
 }
 
@@ -73,7 +84,7 @@
         }
         plan.classes.push_back(requestClass.value());
     }
-    return addSide(plan, "candidate", options.targets, report) && (options.baseline.empty() || addSide(plan, "baseline", options.baseline, report));
+    return addSide(options, "candidate", options.targets, report) && (options.baseline.empty() || addSide(options, "baseline", options.baseline, report));
 }
 
 }
@@ -89,8 +100,13 @@
     if (!complete(options, report))
         return static_cast<int>(ExitCode::Usage);
     const SteadyClock clock;
-    const auto observations = LoadRunner(options.plan, clock).run();
+    LoadRunner runner(options.plan, clock);
+    const auto observations = runner.run();
     writeReport(std::cout, options.plan, observations);
+    if (!runner.isHistoryWritten()) {
+        report.error({ ErrorKind::Unavailable, "can't write " + options.plan.historyPath, "choose another file with --history" });
+        return static_cast<int>(ExitCode::Failure);
+    }
     if (options.plan.csvPath.empty())
         return 0;
     std::ofstream csv(options.plan.csvPath);
