--- a/src/claims/claim_engine.cpp
+++ b/src/claims/claim_engine.cpp
@@ -51,8 +51,6 @@
 
     void onStoreReply(const StoreReply& reply, TimePoint now, ClaimActions& actions) override
     {
-        if (reply.object.answeredAt != 0)
-            m_context.storeClock.note(reply.object.answeredAt, now);
         const auto firstNew = actions.size();
         const auto number = reply.call.value() % m_context.settings.partitions;
         m_partitions[number]->onStoreReply(reply, now, actions);
--- a/src/claims/claim_partition_replies.cpp
+++ b/src/claims/claim_partition_replies.cpp
@@ -9,6 +9,8 @@
 {
     if (m_headCall && m_headCall->id == reply.call) {
         const auto call = *std::exchange(m_headCall, std::nullopt);
+        if (reply.object.answeredAt != 0)
+            m_context.storeClock.note(reply.object.answeredAt, call.issued, now);
         // A claim whose deadline passed before the answer came is not granted any more.
         if (call.kind == HeadCallKind::WriteHead)
             expire(now, actions);
--- a/src/claims/claim_partition_write.cpp
+++ b/src/claims/claim_partition_write.cpp
@@ -45,7 +45,7 @@
         batch.add(it.record);
         ++batch.unwritten;
     }
-    const auto storeSeconds = m_context.storeClock.secondsAt(now);
+    const auto storeSeconds = m_context.storeClock.latestAt(now);
     for (auto it = m_waiting.begin(); it != m_waiting.end() && batch.lines.size() < mostBytes;) {
         const auto current = it++;
         // A second claim of a key waits until the first one is settled.
@@ -143,7 +143,7 @@
 
 std::uint64_t ClaimPartition::firstUnexpired(TimePoint now) const
 {
-    const auto storeSeconds = m_context.storeClock.secondsAt(now);
+    const auto storeSeconds = m_context.storeClock.earliestAt(now);
     const auto lifetime = std::chrono::duration_cast<std::chrono::seconds>(m_context.settings.keyLifetime).count();
     auto first = m_head->segments().first;
     const auto last = std::min(m_head->segments().next, first + maxExpiredPerWrite);
--- a/src/daemon/claims_role.cpp
+++ b/src/daemon/claims_role.cpp
@@ -9,6 +9,13 @@
 
 namespace lycheefield {
 
+namespace {
+
+/// Claims remembered for their late grants; the oldest gives way.
+constexpr std::size_t maxReleased = 10000;
+
+}
+
 InstanceName claimOwner(std::uint32_t partition, const MembershipView& view)
 {
     InstanceName owner;
@@ -110,6 +117,33 @@
     m_driver->settle(call.request, *call.settledAs, call.answer);
 }
 
+void ClaimsRole::releaseHere(const ClaimRequest& request)
+{
+    settleHere({ request, RunState::NotRun, {} });
+}
+
+void ClaimsRole::rememberReleased(Asked asked)
+{
+    const auto id = asked.request.request;
+    m_releasedInOrder.push_back(id);
+    m_released[id] = std::move(asked);
+}
+
+void ClaimsRole::forgetReleased(TimePoint now)
+{
+    while (!m_releasedInOrder.empty()) {
+        const auto it = m_released.find(m_releasedInOrder.front());
+        if (it != m_released.end()) {
+            if (it->second.until > now && m_released.size() <= maxReleased)
+                return;
+            // The owner may have claimed it late and its grant been lost.
+            releaseHere(it->second.request);
+            m_released.erase(it);
+        }
+        m_releasedInOrder.pop_front();
+    }
+}
+
 void ClaimsRole::onCall(const InstanceName& from, ClaimCall call)
 {
     const auto answer = [self = shared_from_this(), from](ClaimReply reply) { self->m_context.network.reply(from, std::move(reply)); };
@@ -131,27 +165,46 @@
                 self->m_unsettled.erase(it);
             return self->update();
         }
-        const auto it = self->m_asked.find(decided.request);
-        if (it == self->m_asked.end() || it->second.owner != from)
-            return;
-        const auto asked = std::move(it->second);
-        self->m_asked.erase(it);
-        if (decided.verdict == ClaimVerdict::Granted) {
-            self->m_granted[decided.request] = { asked.request, from };
-            if (!asked.handler) {
-                {
-                    const std::lock_guard lock(self->m_countersMutex);
-                    ++self->m_counters.lateGrants;
-                }
-                self->settle(decided.request, RunState::NotRun, {});
-            }
-        }
+        self->onDecided(from, decided);
         self->update();
-        if (asked.handler)
-            asked.handler(decided);
     });
 }
 
+void ClaimsRole::onDecided(const InstanceName& owner, const ClaimDecided& decided)
+{
+    const bool isGranted = decided.verdict == ClaimVerdict::Granted;
+    const auto released = m_released.find(decided.request);
+    if (released != m_released.end() && released->second.owner == owner) {
+        const auto request = released->second.request;
+        m_released.erase(released);
+        if (isGranted)
+            giveBack(request, owner);
+        return;
+    }
+    const auto it = m_asked.find(decided.request);
+    if (it == m_asked.end() || it->second.owner != owner)
+        return;
+    const auto asked = std::move(it->second);
+    m_asked.erase(it);
+    if (isGranted && !asked.handler)
+        return giveBack(asked.request, owner);
+    if (isGranted)
+        m_granted[decided.request] = { asked.request, owner };
+    if (asked.handler)
+        asked.handler(decided);
+}
+
+/// A claim that was refused here is granted after all.
+void ClaimsRole::giveBack(const ClaimRequest& request, const InstanceName& owner)
+{
+    {
+        const std::lock_guard lock(m_countersMutex);
+        ++m_counters.lateGrants;
+    }
+    m_granted[request.request] = { request, owner };
+    settle(request.request, RunState::NotRun, {});
+}
+
 void ClaimsRole::onLinkLost(const InstanceName& peer)
 {
     boost::asio::post(m_strand, [self = shared_from_this(), peer] {
@@ -201,9 +254,12 @@
             ++it;
             continue;
         }
-        settleHere({ asked.request, RunState::NotRun, {} });
+        releaseHere(asked.request);
+        asked.until = now + m_times.lateGrantMemory;
+        rememberReleased(std::move(asked));
         it = m_asked.erase(it);
     }
+    forgetReleased(now);
     std::erase_if(m_unsettled, [&](const auto& it) {
         if (it.second.until > now)
             return false;
@@ -221,6 +277,8 @@
         next = std::min(next, asked.until);
     for (const auto& [id, unsettled] : m_unsettled)
         next = std::min(next, unsettled.until);
+    if (const auto it = m_releasedInOrder.empty() ? m_released.end() : m_released.find(m_releasedInOrder.front()); it != m_released.end())
+        next = std::min(next, it->second.until);
     m_timer.arm(next, [self = shared_from_this()] { self->checkTimes(); });
 }
 
--- a/src/daemon/claims_role.h
+++ b/src/daemon/claims_role.h
@@ -6,6 +6,7 @@
 #include "wire/claim_message.h"
 #include "wire/peer_network.h"
 
+#include <deque>
 #include <map>
 #include <unordered_map>
 
@@ -26,6 +27,8 @@
 struct ForwardTimes {
     /// An owner decides a claim by its deadline, which it learns with the call: a crossing later.
     Duration decisionMargin = std::chrono::seconds(2);
+    /// A paused owner may read the call long after that; its grant is still given back for so long.
+    Duration lateGrantMemory = std::chrono::minutes(10);
     /// An outcome that its owner did not confirm for this long is written here.
     Duration settleTimeout = std::chrono::seconds(1);
 };
@@ -42,7 +45,8 @@
 ///
 /// Who owns a partition is only a matter of speed. A claim whose call to the owner may have arrived is
 /// never claimed by another way: it is refused, not run, and once its owner must have decided, its key
-/// is released. Thread safe.
+/// is released. An owner that was paused may still claim it after that: the claim is remembered for a
+/// time, a late grant given back at once, and the key released a second time. Thread safe.
 class ClaimsRole final : public ClaimService, public std::enable_shared_from_this<ClaimsRole> {
 public:
     ClaimsRole(const ClaimsContext&, const ClaimSettings&, InstanceName self, std::shared_ptr<ClaimDriver>, const ForwardTimes& = {});
@@ -87,6 +91,11 @@
     void refuse(Asked&);
     void settle(const RequestId&, RunState, const std::string& answer);
     void settleHere(const ClaimCall&);
+    void releaseHere(const ClaimRequest&);
+    void onDecided(const InstanceName& owner, const ClaimDecided&);
+    void giveBack(const ClaimRequest&, const InstanceName& owner);
+    void rememberReleased(Asked);
+    void forgetReleased(TimePoint);
     void checkTimes();
     void update();
 
@@ -98,6 +107,8 @@
     Strand m_strand;
     EngineTimer m_timer;
     std::unordered_map<RequestId, Asked> m_asked;
+    std::unordered_map<RequestId, Asked> m_released; ///< Refused and released; their owners may still claim them.
+    std::deque<RequestId> m_releasedInOrder; ///< Those of m_released, and some that left it.
     std::unordered_map<RequestId, Granted> m_granted;
     std::unordered_map<RequestId, Unsettled> m_unsettled;
     std::atomic<std::size_t> m_pending { 0 };
--- a/tests/daemon/claims_role_test.cpp
+++ b/tests/daemon/claims_role_test.cpp
@@ -40,6 +40,7 @@
     Up,
     Undeliverable, ///< Messages come back unsent.
     AnswersLost, ///< Calls arrive, answers don't.
+    CallsHeld, ///< Calls wait unread at a paused instance.
 };
 
 struct Fleet;
@@ -130,6 +131,7 @@
     InstanceName entry; ///< One that is not the owner.
     Link link = Link::Up;
     std::vector<std::function<void()>> heldReplies;
+    std::vector<std::function<void()>> heldCalls;
     std::uint64_t requests = 0;
 };
 
@@ -139,7 +141,15 @@
         const auto& call = std::get<ClaimCall>(message);
         if (m_fleet.link == Link::Undeliverable)
             return m_fleet.roles[m_self]->onUndelivered(call);
-        m_fleet.roles[to]->onCall(m_self, call);
+        // On the wire a deadline is the time left.
+        auto deliver = [this, to, call = ClaimCall(call), left = call.request.deadline - m_fleet.clock->now()]() mutable {
+            call.request.deadline = m_fleet.clock->now() + left;
+            m_fleet.roles[to]->onCall(m_self, call);
+        };
+        if (m_fleet.link == Link::CallsHeld)
+            m_fleet.heldCalls.emplace_back(std::move(deliver));
+        else
+            deliver();
     });
 }
 
@@ -234,7 +244,7 @@
 
 TEST_CASE("The link breaks while the owner decides: refused, not run, and never granted by another way")
 {
-    const ForwardTimes times { std::chrono::milliseconds(1), std::chrono::milliseconds(1) };
+    const ForwardTimes times { std::chrono::milliseconds(1), std::chrono::milliseconds(50), std::chrono::milliseconds(1) };
     Fleet fleet({ "a", "b" }, times);
     fleet.link = Link::AnswersLost;
     const auto decided = fleet.begin(fleet.entry, "order-1", std::chrono::milliseconds(50));
@@ -260,9 +270,37 @@
     }
 }
 
+TEST_CASE("The owner reads the call only after the claim was refused and its key released")
+{
+    ForwardTimes times { std::chrono::milliseconds(1), std::chrono::hours(1), std::chrono::milliseconds(1) };
+    SUBCASE("its late grant is given back at once") { }
+    SUBCASE("its late grant is lost too, and the key released once more when the claim is forgotten")
+    {
+        times.lateGrantMemory = std::chrono::milliseconds(100);
+    }
+    Fleet fleet({ "a", "b" }, times);
+    fleet.link = Link::CallsHeld;
+    const auto decided = fleet.begin(fleet.entry, "order-1", std::chrono::milliseconds(20));
+    fleet.runUntil([&] { return decided->has_value(); });
+    CHECK(decided->value().verdict == ClaimVerdict::StoreUnavailable);
+    fleet.settleAll();
+    const bool isGrantLost = times.lateGrantMemory < std::chrono::hours(1);
+    fleet.link = isGrantLost ? Link::AnswersLost : Link::Up;
+    fleet.heldCalls.front()();
+    if (isGrantLost) {
+        const auto end = fleet.clock->now() + 2 * times.lateGrantMemory;
+        fleet.runUntil([&] { return !fleet.heldReplies.empty() && fleet.clock->now() >= end; });
+    } else {
+        fleet.runUntil([&] { return fleet.roles[fleet.entry]->forwardCounters().lateGrants == 1; });
+    }
+    fleet.link = Link::Up;
+    fleet.settleAll();
+    CHECK(fleet.claim(fleet.owner, "order-1").verdict == ClaimVerdict::Granted);
+}
+
 TEST_CASE("The owner's answer does not come: refused at the deadline")
 {
-    const ForwardTimes times { std::chrono::milliseconds(1), std::chrono::milliseconds(1) };
+    const ForwardTimes times { std::chrono::milliseconds(1), std::chrono::milliseconds(50), std::chrono::milliseconds(1) };
     Fleet fleet({ "a", "b" }, times);
     fleet.link = Link::AnswersLost;
     const auto decided = fleet.begin(fleet.entry, "order-1", std::chrono::milliseconds(20));
