One budget per rule for all engines of an instance

Change: RuleBudgets, owned by EntryDriver and handed to every engine; RuleBudget and TokenBucket are atomics, a mutex is taken only the first time that an engine sees a rule. A hedge that finds the extra budget empty gives its hedge token back.

--- a/bench/fan_out_bench.cpp
+++ b/bench/fan_out_bench.cpp
@@ -102,11 +102,15 @@
     base.rule = searchRule();
     std::int64_t retransmissionMillis = 200;
     std::int64_t deadlineMillis = 2000;
+    std::int64_t serviceMicros = base.service.count();
     CLI::App app("Fan-out in virtual time: tail, extra legs and processor time, each policy on and off.");
     app.add_option("legs", fanOuts, "shards of the service");
     app.add_option("--policy", onlyPolicy, "run this policy beside the baseline");
     app.add_option("--scenario", onlyScenario, "run only this scenario");
     app.add_option("--rate", base.queriesPerSecond, "queries a second over all instances");
+    app.add_option("--engines", base.enginesPerInstance, "engines of an instance, which share the budgets");
+    app.add_option("--service-us", serviceMicros, "median time of a leg at a good server");
+    app.add_flag("--half-exponential", base.isHalfExponential, "time at a server half fixed, half exponential, as the stand-ins have it");
     app.add_option("--queries", base.queries, "queries in a run");
     app.add_option("--seed", base.seed, "seed of the fleet and of the engines");
     app.add_option("--retransmission-ms", retransmissionMillis, "delay of a message that is sent again");
@@ -124,6 +128,7 @@
     app.add_option("--attempts", base.policies.maxAttempts, "attempts of a leg at most");
     CLI11_PARSE(app, argc, argv);
     base.rule.deadline = std::chrono::milliseconds(deadlineMillis);
+    base.service = Duration(serviceMicros);
     base.retransmission = std::chrono::milliseconds(retransmissionMillis);
     std::printf("scenario,policy,legs,rate,p50_ms,p99_ms,p999_ms,extra_legs,hedges,complete,answered,backend_load,wasted,cpu_us_per_leg,felled,shards_felled,innocents_hit\n");
     std::string last = "seed=" + std::to_string(base.seed);
--- a/bench/fleet_shape.h
+++ b/bench/fleet_shape.h
@@ -13,12 +13,14 @@
     std::uint32_t shards = 20;
     std::uint32_t zones = 3;
     std::uint32_t instancesPerZone = 3;
+    std::uint32_t enginesPerInstance = 1; ///< They share the budgets and nothing else, as in a daemon.
     std::uint32_t slots = 2;
     std::uint32_t queries = 2000;
     std::uint32_t warmUp = 200; ///< Queries at the start that are not counted.
     double queriesPerSecond = 30;
     Duration service = 4ms; ///< Median time of a leg at a good server.
     double serviceSpread = 0.3; ///< Sigma of its lognormal distribution.
+    bool isHalfExponential = false; ///< Instead: half of it fixed, half exponential, as the stand-in servers have it.
     Duration nearLink = 250us; ///< One way within a zone.
     Duration farLink = 3ms; ///< One way between zones.
     double slowReplicas = 0; ///< Share of servers that are always slow, at most one of a shard.
--- a/bench/virtual_fleet.cpp
+++ b/bench/virtual_fleet.cpp
@@ -1,6 +1,7 @@
 #include "bench/virtual_fleet.h"
 
 #include "base/fingerprint.h"
+#include "query/rule_budgets.h"
 
 #include <algorithm>
 #include <chrono>
@@ -44,7 +45,7 @@
         instance.zone = zoneOf(i % m_shape.zones);
         instances.push_back(instance);
         m_zones.emplace(instance.name, instance.zone);
-        m_entries.push_back({ instance.name, instance.zone, makeQueryEngine(m_shape.policies, instance.name, instance.zone, std::make_unique<SeededRandom>(m_random.next())), ProcessLife(i + 1) });
+        addEntry(instance);
     }
     Service service { m_shape.rule.service, PartitionEpoch(1), {} };
     std::vector<Server> servers;
@@ -77,17 +78,30 @@
     m_tables.ownership = std::make_shared<Ownership>(MembershipView(instances), map);
 }
 
+void VirtualFleet::addEntry(const Instance& instance)
+{
+    Entry entry { instance.name, instance.zone, {}, ProcessLife(m_entries.size() + 1), 0, std::vector<TimePoint>(m_shape.enginesPerInstance, never) };
+    const auto budgets = std::make_shared<RuleBudgets>();
+    for (std::uint32_t i = 0; i < m_shape.enginesPerInstance; ++i) {
+        auto random = std::make_unique<SeededRandom>(m_random.next());
+        entry.engines.push_back(makeQueryEngine(m_shape.policies, instance.name, instance.zone, std::move(random), nullptr, budgets));
+    }
+    m_entries.push_back(std::move(entry));
+}
+
 FleetFigures VirtualFleet::run()
 {
     arrive(0);
     while (m_counted + m_shape.warmUp < m_shape.queries && m_events.step()) { }
     FleetFigures figures;
     QueryCounters sum;
-    for (const auto& it : m_entries) {
-        const auto counters = it.engine->counters();
-        sum.firstLegs += counters.firstLegs;
-        sum.hedges += counters.hedges;
-        sum.retries += counters.retries;
+    for (const auto& entry : m_entries) {
+        for (const auto& engine : entry.engines) {
+            const auto counters = engine->counters();
+            sum.firstLegs += counters.firstLegs;
+            sum.hedges += counters.hedges;
+            sum.retries += counters.retries;
+        }
     }
     const auto legs = std::max(1.0, static_cast<double>(sum.firstLegs));
     const auto counted = std::max(1.0, static_cast<double>(m_counted));
@@ -118,33 +132,33 @@
     const bool poison = m_random.unit() < m_shape.poison;
     request.body = std::make_shared<const std::string>(poison ? poisonBody : "query " + std::to_string(index));
     m_startedAt.emplace(request.id, std::make_pair(m_events.now(), index));
-    callEngine(entry, [&](QueryActions& actions) { entry.engine->start(request, m_tables, m_events.now(), actions); });
+    callEngine(entry, entry.engineOf(request.id), [&](QueryEngine& engine, QueryActions& actions) { engine.start(request, m_tables, m_events.now(), actions); });
     const auto gap = -std::log(1 - m_random.unit()) / m_shape.queriesPerSecond;
     m_events.after(Duration(static_cast<std::int64_t>(gap * 1e6)), [this, index] { arrive(index + 1); });
 }
 
 template <typename Call>
-void VirtualFleet::callEngine(Entry& entry, Call call)
+void VirtualFleet::callEngine(Entry& entry, std::size_t engine, Call call)
 {
     QueryActions actions;
     const auto begin = std::chrono::steady_clock::now();
-    call(actions);
+    call(*entry.engines[engine], actions);
     m_cpuNanos += std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::steady_clock::now() - begin).count();
     perform(entry, actions);
-    arm(entry);
+    arm(entry, engine);
 }
 
-void VirtualFleet::arm(Entry& entry)
+void VirtualFleet::arm(Entry& entry, std::size_t engine)
 {
-    const auto due = entry.engine->nextWake();
-    if (due >= entry.wakeAt)
+    const auto due = entry.engines[engine]->nextWake();
+    if (due >= entry.wakeAt[engine])
         return;
-    entry.wakeAt = due;
-    m_events.at(due, [this, &entry, due] {
-        if (entry.wakeAt != due)
+    entry.wakeAt[engine] = due;
+    m_events.at(due, [this, &entry, engine, due] {
+        if (entry.wakeAt[engine] != due)
             return;
-        entry.wakeAt = never;
-        callEngine(entry, [&](QueryActions& actions) { entry.engine->onTimer(m_events.now(), actions); });
+        entry.wakeAt[engine] = never;
+        callEngine(entry, engine, [&](QueryEngine& it, QueryActions& actions) { it.onTimer(m_events.now(), actions); });
     });
 }
 
@@ -198,10 +212,17 @@
     return delay;
 }
 
-Duration VirtualFleet::serviceTime(const FakeServer& server)
+double VirtualFleet::spread()
 {
+    if (m_shape.isHalfExponential)
+        return 0.5 - 0.5 * std::log(1 - m_random.unit());
     const double normal = std::sqrt(-2 * std::log(1 - m_random.unit())) * std::cos(2 * M_PI * m_random.unit());
-    double micros = static_cast<double>(m_shape.service.count()) * std::exp(m_shape.serviceSpread * normal) * server.factor;
+    return std::exp(m_shape.serviceSpread * normal);
+}
+
+Duration VirtualFleet::serviceTime(const FakeServer& server)
+{
+    double micros = static_cast<double>(m_shape.service.count()) * spread() * server.factor;
     if (m_shape.slowLegs > 0 && m_random.unit() < m_shape.slowLegs)
         micros *= m_shape.slowLegFactor;
     return Duration(static_cast<std::int64_t>(micros));
@@ -284,7 +305,8 @@
     const CrashNews news { fingerprintOf(m_shape.rule.service, poisonBody), wasProbe ? 2U : 1U, wasProbe ? Duration(5min) : Duration {}, server.name };
     for (auto& entry : m_entries) {
         m_events.after(linkDelay(server.zone, entry.zone), [this, &entry, news] {
-            callEngine(entry, [&](QueryActions& actions) { entry.engine->onCrashNews(news, m_events.now(), actions); });
+            for (std::size_t i = 0; i < entry.engines.size(); ++i)
+                callEngine(entry, i, [&](QueryEngine& engine, QueryActions& actions) { engine.onCrashNews(news, m_events.now(), actions); });
         });
     }
 }
@@ -329,7 +351,7 @@
     const auto delay = linkDelay(server.zone, entry->zone) + m_shape.nearLink;
     m_events.after(delay, [this, &entry = *entry, result] {
         m_placeOf.erase(result.key);
-        callEngine(entry, [&](QueryActions& actions) { entry.engine->onLegResult(result, m_events.now(), actions); });
+        callEngine(entry, entry.engineOf(result.key.request), [&](QueryEngine& engine, QueryActions& actions) { engine.onLegResult(result, m_events.now(), actions); });
     });
 }
 
--- a/bench/virtual_fleet.h
+++ b/bench/virtual_fleet.h
@@ -25,10 +25,12 @@
     struct Entry {
         InstanceName name;
         ZoneName zone;
-        std::unique_ptr<QueryEngine> engine;
+        std::vector<std::unique_ptr<QueryEngine>> engines; ///< The request's counter chooses one.
         ProcessLife life;
         std::uint64_t requests = 0;
-        TimePoint wakeAt = never;
+        std::vector<TimePoint> wakeAt; ///< Of each engine.
+
+        std::size_t engineOf(const RequestId& id) const { return id.counter % engines.size(); }
     };
     struct Leg {
         WorkOrder work; ///< Without legs.
@@ -50,12 +52,13 @@
 
     void buildTables();
     void arrive(std::uint32_t index);
+    void addEntry(const Instance&);
     void perform(Entry&, QueryActions&);
     void performWork(Entry&, SendWork&);
     void delivered(const Answer&);
-    void arm(Entry&);
+    void arm(Entry&, std::size_t engine);
     template <typename Call>
-    void callEngine(Entry&, Call);
+    void callEngine(Entry&, std::size_t engine, Call);
 
     Duration linkDelay(const ZoneName&, const ZoneName&);
     void take(FakeServer&, std::shared_ptr<Leg>);
@@ -65,6 +68,7 @@
     void announceCrash(const FakeServer&);
     void cancelAt(const ServerName&, const LegKey&);
     void reply(const FakeServer&, const Leg&, LegOutcome, bool crashed = false);
+    double spread();
     Duration serviceTime(const FakeServer&);
     bool isPoison(const Leg&) const;
 
--- a/src/daemon/entry_driver.cpp
+++ b/src/daemon/entry_driver.cpp
@@ -1,5 +1,7 @@
 #include "daemon/entry_driver.h"
 
+#include "query/rule_budgets.h"
+
 namespace lycheefield {
 
 namespace {
@@ -23,8 +25,9 @@
     const EntryContext& context, const QuerySettings& settings, const InstanceName& self, const ZoneName& zone, ProcessLife life, std::size_t engines)
     : m_life(life)
 {
+    const auto budgets = std::make_shared<RuleBudgets>();
     for (std::size_t i = 0; i < engines; ++i) {
-        auto engine = makeQueryEngine(settings, self, zone, std::make_unique<SeededRandom>(systemSeed()), std::make_shared<NewestTables>(context.tables));
+        auto engine = makeQueryEngine(settings, self, zone, std::make_unique<SeededRandom>(systemSeed()), std::make_shared<NewestTables>(context.tables), budgets);
         m_shards.push_back(std::make_shared<EntryShard>(context, std::move(engine)));
     }
 }
--- a/src/query/query_engine.h
+++ b/src/query/query_engine.h
@@ -15,6 +15,8 @@
 
 namespace lycheefield {
 
+class RuleBudgets;
+
 /// A request as it came from a caller, already matched to a rule.
 struct CallerRequest {
     RequestId id;
@@ -76,8 +78,10 @@
 };
 
 /// Builds the engine that the settings ask for: all policies, or the plain baseline. Without a
-/// source of newer tables a query that has to start again uses those that it started with.
+/// source of newer tables a query that has to start again uses those that it started with. Without
+/// budgets the engine has its own; the engines of one instance should share theirs.
 std::unique_ptr<QueryEngine> makeQueryEngine(
-    const QuerySettings&, const InstanceName& self, const ZoneName&, std::unique_ptr<RandomSource>, std::shared_ptr<const TableSource> = nullptr);
+    const QuerySettings&, const InstanceName& self, const ZoneName&, std::unique_ptr<RandomSource>, std::shared_ptr<const TableSource> = nullptr,
+    std::shared_ptr<RuleBudgets> = nullptr);
 
 }
--- a/src/query/rule_budget.h
+++ b/src/query/rule_budget.h
@@ -7,7 +7,8 @@
 
 /// What the queries of one rule may still spend on extra legs. Hedges keep to their own share of the
 /// first legs. Hedges and retries together keep to a share of the legs that were answered: when
-/// nothing is answered, retries only add load. Not thread safe.
+/// nothing is answered, retries only add load. Thread safe: the engines of an instance share it, so that
+/// what one of them saves another can spend.
 class RuleBudget {
 public:
     /// To be called for each first leg of a query that has so many.
@@ -25,7 +26,16 @@
     void noteRefusal() { m_hedges.drain(1); }
 
     bool hasHedge() const { return m_hedges.has() && m_extra.has(); }
-    bool spendHedge() { return hasHedge() && m_hedges.spend() && m_extra.spend(); }
+    /// Takes what one hedge costs; false when there is not enough.
+    bool spendHedge()
+    {
+        if (!m_hedges.spend())
+            return false;
+        if (m_extra.spend())
+            return true;
+        m_hedges.giveBack();
+        return false;
+    }
     bool spendRetry() { return m_extra.spend(); }
 
 private:
--- a/src/query/standard_query_engine.cpp
+++ b/src/query/standard_query_engine.cpp
@@ -8,13 +8,14 @@
 namespace lycheefield {
 
 StandardQueryEngine::StandardQueryEngine(
-    const QuerySettings& settings, InstanceName self, const ZoneName& zone, std::unique_ptr<RandomSource> random, std::shared_ptr<const TableSource> source)
+    const QuerySettings& settings, InstanceName self, const ZoneName& zone, std::unique_ptr<RandomSource> random, std::shared_ptr<const TableSource> source, std::shared_ptr<RuleBudgets> budgets)
     : m_settings(settings)
     , m_self(std::move(self))
     , m_random(std::move(random))
     , m_source(std::move(source))
     , m_replicas(m_settings, zone, m_servers, m_lostRelays, m_evidence, *m_random)
     , m_hedges(m_settings, zone)
+    , m_sharedBudgets(budgets ? std::move(budgets) : std::make_shared<RuleBudgets>())
 {
 }
 
@@ -38,7 +39,7 @@
     if (standing == ContentStanding::Quarantined)
         return deliver(query, quarantineRefusal(), now, actions);
     query.isSuspect = standing == ContentStanding::Suspect;
-    query.budget = &m_budgets[query.rule->name];
+    query.budget = &budgetOf(*query.rule);
     query.mayHedge = query.rule->kind != RequestKind::Order && !query.isSuspect;
     plan(query, now, actions);
 }
@@ -199,9 +200,10 @@
 }
 
 std::unique_ptr<QueryEngine> makeQueryEngine(
-    const QuerySettings& settings, const InstanceName& self, const ZoneName& zone, std::unique_ptr<RandomSource> random, std::shared_ptr<const TableSource> source)
+    const QuerySettings& settings, const InstanceName& self, const ZoneName& zone, std::unique_ptr<RandomSource> random, std::shared_ptr<const TableSource> source,
+    std::shared_ptr<RuleBudgets> budgets)
 {
-    return std::make_unique<StandardQueryEngine>(settings, self, zone, std::move(random), std::move(source));
+    return std::make_unique<StandardQueryEngine>(settings, self, zone, std::move(random), std::move(source), std::move(budgets));
 }
 
 }
--- a/src/query/standard_query_engine.h
+++ b/src/query/standard_query_engine.h
@@ -6,6 +6,7 @@
 #include "query/query.h"
 #include "query/query_engine.h"
 #include "query/replica_chooser.h"
+#include "query/rule_budgets.h"
 #include "query/server_table.h"
 #include "query/work_batch.h"
 
@@ -19,7 +20,7 @@
 /// The engine behind makeQueryEngine.
 class StandardQueryEngine final : public QueryEngine {
 public:
-    StandardQueryEngine(const QuerySettings&, InstanceName self, const ZoneName&, std::unique_ptr<RandomSource>, std::shared_ptr<const TableSource>);
+    StandardQueryEngine(const QuerySettings&, InstanceName self, const ZoneName&, std::unique_ptr<RandomSource>, std::shared_ptr<const TableSource>, std::shared_ptr<RuleBudgets>);
 
     void start(const CallerRequest&, const QueryTables&, TimePoint, QueryActions&) override;
     void onLegResult(const LegResult&, TimePoint, QueryActions&) override;
@@ -53,6 +54,7 @@
     void noteCrash(Query&, LegState&, const Attempt&, TimePoint, QueryActions&);
 
     // Attempts.
+    RuleBudget& budgetOf(const Rule&);
     void sendAttempt(Query&, std::size_t leg, const ReplicaChoice&, bool isHedge, TimePoint, WorkBatch&);
     void sendFirstAttempt(Query&, std::size_t leg, const ReplicaChoice&, TimePoint, WorkBatch&);
     void endAttempt(Query&, LegState&, Attempt&, const LegResult&, TimePoint, QueryActions&);
@@ -82,7 +84,8 @@
     CrashEvidence m_evidence;
     ReplicaChooser m_replicas;
     HedgePlanner m_hedges;
-    std::map<std::string, RuleBudget> m_budgets; ///< By the rule's name, so that a new revision inherits them.
+    std::shared_ptr<RuleBudgets> m_sharedBudgets;
+    std::map<std::string, std::shared_ptr<RuleBudget>> m_budgets; ///< Those of the rules seen so far, by name.
     std::unordered_map<RequestId, std::unique_ptr<Query>> m_queries;
     std::set<std::pair<TimePoint, RequestId>> m_due;
     QueryCounters m_counters;
--- a/src/query/standard_query_engine_attempts.cpp
+++ b/src/query/standard_query_engine_attempts.cpp
@@ -23,6 +23,14 @@
 
 }
 
+RuleBudget& StandardQueryEngine::budgetOf(const Rule& rule)
+{
+    auto& budget = m_budgets[rule.name];
+    if (!budget)
+        budget = m_sharedBudgets->of(rule.name);
+    return *budget;
+}
+
 void StandardQueryEngine::sendAttempt(Query& query, std::size_t leg, const ReplicaChoice& choice, bool isHedge, TimePoint now, WorkBatch& batch)
 {
     auto& state = query.legs[leg];
@@ -138,8 +146,12 @@
         const auto choice = m_replicas.choose(query, state, state.attempts.size() > 1, now);
         if (!choice.server)
             continue;
+        // Another engine of the instance may have taken the last token meanwhile.
+        if (!query.budget->spendHedge()) {
+            wantsTokens = true;
+            break;
+        }
         sendAttempt(query, leg, choice, true, now, batch);
-        query.budget->spendHedge();
         ++m_counters.hedges;
         note(query, "leg " + std::to_string(leg) + " is late, hedged at " + choice.server->name.value(), actions);
     }
--- a/tests/query/hedging_test.cpp
+++ b/tests/query/hedging_test.cpp
@@ -1,4 +1,5 @@
 #include "query/latency_histogram.h"
+#include "query/rule_budgets.h"
 #include "query/token_bucket.h"
 #include "query_fixture.h"
 
@@ -125,6 +126,24 @@
     }
 }
 
+TEST_CASE("what one engine of an instance saved, another spends" * doctest::test_suite("query"))
+{
+    const auto budgets = std::make_shared<RuleBudgets>();
+    QueryFixture first(20, {}, 1, budgets);
+    QueryFixture second(20, {}, 2, budgets);
+    warmUp(second, 40, 5ms);
+    while (budgets->of("search")->spendHedge()) { }
+    second.start("/search");
+    second.advance(5ms);
+    answerAllBut(second, 1);
+    second.advance(10ms);
+    // One query earned less than a hedge.
+    CHECK(second.takeWork().empty());
+    warmUp(first, 4, 5ms);
+    second.advance(25ms);
+    CHECK_FALSE(second.takeWork().empty());
+}
+
 TEST_CASE("when nothing is answered, retries end with what was saved" * doctest::test_suite("query"))
 {
     const std::uint64_t seed = 12;
--- a/tests/query/query_fixture.cpp
+++ b/tests/query/query_fixture.cpp
@@ -33,8 +33,8 @@
 
 }
 
-QueryFixture::QueryFixture(std::uint32_t shards, const QuerySettings& settings, std::uint64_t seed)
-    : engine(makeQueryEngine(settings, InstanceName("ra"), ZoneName("a"), std::make_unique<SeededRandom>(seed), std::shared_ptr<const TableSource>(std::shared_ptr<void>(), this)))
+QueryFixture::QueryFixture(std::uint32_t shards, const QuerySettings& settings, std::uint64_t seed, std::shared_ptr<RuleBudgets> budgets)
+    : engine(makeQueryEngine(settings, InstanceName("ra"), ZoneName("a"), std::make_unique<SeededRandom>(seed), std::shared_ptr<const TableSource>(std::shared_ptr<void>(), this), std::move(budgets)))
 {
     Service service;
     service.name = ServiceName("quotedesk");
--- a/tests/query/query_fixture.h
+++ b/tests/query/query_fixture.h
@@ -12,7 +12,7 @@
 /// "ra" and "sNb" in zone b owned by relay "rb". Time moves only by calls.
 class QueryFixture : public TableSource {
 public:
-    explicit QueryFixture(std::uint32_t shards, const QuerySettings& = {}, std::uint64_t seed = 7);
+    explicit QueryFixture(std::uint32_t shards, const QuerySettings& = {}, std::uint64_t seed = 7, std::shared_ptr<RuleBudgets> = nullptr);
 
     /// Rules of the fixture: /search, /tail, /record and /order.
     std::vector<Rule> rules;
--- a/tests/query/rule_budget_test.cpp
+++ b/tests/query/rule_budget_test.cpp
@@ -1,7 +1,13 @@
 #include "query/rule_budget.h"
 
+#include "query/rule_budgets.h"
+
 #include <doctest/doctest.h>
 
+#include <atomic>
+#include <thread>
+#include <vector>
+
 namespace lycheefield {
 
 namespace {
@@ -69,4 +75,43 @@
     }
 }
 
+TEST_CASE("the engines of an instance share the budget of a rule" * doctest::test_suite("query"))
+{
+    RuleBudgets budgets;
+    const auto rule = ruleWithFivePercent();
+    const auto budget = budgets.of("search");
+    CHECK(budgets.of("search") == budget);
+    CHECK(budgets.of("lookup") != budget);
+
+    SUBCASE("threads that earn and spend at one time keep to 5 % together")
+    {
+        constexpr int threadCount = 4;
+        constexpr int legs = 20000;
+        std::atomic<int> spent = 0;
+        std::vector<std::thread> threads;
+        for (int i = 0; i < threadCount; ++i) {
+            threads.emplace_back([&] {
+                for (int n = 0; n < legs; ++n) {
+                    sendAndAnswer(*budget, rule, 1, 20);
+                    spent += spendAll(*budget);
+                }
+            });
+        }
+        for (auto& it : threads)
+            it.join();
+        CHECK(spent <= 0.05 * threadCount * legs);
+        CHECK(spent >= 0.04 * threadCount * legs);
+    }
+    SUBCASE("a hedge that finds no extra token gives its hedge token back")
+    {
+        for (int i = 0; i < 10000; ++i)
+            budget->earnLeg(rule, 20);
+        while (budget->spendRetry()) { }
+        CHECK_FALSE(budget->spendHedge());
+        for (int i = 0; i < 1000; ++i)
+            budget->earnAnswer(rule);
+        CHECK(spendAll(*budget) == 16);
+    }
+}
+
 }
