Direct routing takes its share of a server's connections by the instances there are

Change: Ownership says how many instances may hold connections to a server: four in relay routing, as before; in direct routing all that the view does not know to be gone. The limit of the relay's pool divides by it. Tests: ownership, the limit for 1 to 29 holders, and the engine's own connections with 9 instances and with 1.

--- a/src/daemon/shared_tables.cpp
+++ b/src/daemon/shared_tables.cpp
@@ -44,8 +44,8 @@
     const auto shards = m_tables.shards.read();
     if (!m_ownsAll) {
         m_tables.ownership.publish(Ownership(*view, *shards));
-    } else if (const auto* self = view->find(m_self)) {
-        m_tables.ownership.publish(Ownership(MembershipView({ *self }), *shards));
+    } else if (view->find(m_self)) {
+        m_tables.ownership.publish(Ownership::ofEverything(m_self, *view, *shards));
     }
     for (const auto& it : m_listeners)
         it();
--- a/src/dispatch/connection_pool.cpp
+++ b/src/dispatch/connection_pool.cpp
@@ -8,19 +8,17 @@
 
 constexpr auto firstRetryDelay = 20ms;
 constexpr std::uint32_t maxRetryDoublings = 6;
-/// Holders of a server while an old and a new view are both in force: two owners, two standbys.
-constexpr std::uint32_t holdersInTwoViews = 4;
 constexpr std::uint32_t controlConnections = 1;
 
 }
 
-std::uint32_t workConnectionLimit(std::uint32_t connectionCap, const RelaySettings& settings)
+std::uint32_t workConnectionLimit(std::uint32_t connectionCap, std::uint32_t holders, const RelaySettings& settings)
 {
     if (connectionCap <= settings.reservedConnections)
         return 0;
     const auto shared = connectionCap - settings.reservedConnections;
     const auto byShare = static_cast<std::uint32_t>(settings.ownerShareOfCap.value * shared);
-    const auto held = std::min(byShare, shared / holdersInTwoViews);
+    const auto held = std::min(byShare, shared / holders);
     return held > controlConnections ? held - controlConnections : 0;
 }
 
--- a/src/dispatch/connection_pool.h
+++ b/src/dispatch/connection_pool.h
@@ -13,9 +13,9 @@
 namespace lycheefield {
 
 /// Connections that one relay may hold at a server: its share of the cap, one of which is the
-/// control connection, which the pool does not open. Zero when the cap is too small for two views
-/// of owner and standby.
-std::uint32_t workConnectionLimit(std::uint32_t connectionCap, const RelaySettings&);
+/// control connection, which the pool does not open. `holders` is Ownership::holdersOfServer(). Zero
+/// when the cap is too small for so many.
+std::uint32_t workConnectionLimit(std::uint32_t connectionCap, std::uint32_t holders, const RelaySettings&);
 
 /// Connection ids and counts over all pools of one engine.
 struct ConnectionCounters {
--- a/src/dispatch/relay_engine.cpp
+++ b/src/dispatch/relay_engine.cpp
@@ -137,6 +137,7 @@
 {
     m_map = std::move(map);
     m_ownership = std::move(ownership);
+    m_shared.holdersOfServer = m_ownership->holdersOfServer();
     for (const auto& [name, server] : m_map->servers()) {
         if (!m_servers.contains(name) && roleAt(name) != RelayRole::None)
             hold(server, now, actions);
--- a/src/dispatch/relay_shared.h
+++ b/src/dispatch/relay_shared.h
@@ -26,6 +26,7 @@
     }
 
     RelaySettings settings;
+    std::uint32_t holdersOfServer = 1; ///< As the tables in force say.
     RelayCounters counters;
     ConnectionCounters connections;
     CrashTable crashes;
--- a/src/dispatch/server_relay.cpp
+++ b/src/dispatch/server_relay.cpp
@@ -12,7 +12,7 @@
     , m_pool(server.name, shared.connections)
     , m_limit(server.slots)
 {
-    m_pool.setLimit(workConnectionLimit(server.connectionCap, shared.settings));
+    m_pool.setLimit(workConnectionLimit(server.connectionCap, shared.holdersOfServer, shared.settings));
     m_drainSigns.setLeaving(server.leaving);
     m_isDraining = server.leaving;
     setVersions(server.versions);
@@ -34,7 +34,7 @@
         setVersions(server.versions);
     m_server = server;
     m_role = role;
-    m_pool.setLimit(workConnectionLimit(server.connectionCap, m_shared.settings));
+    m_pool.setLimit(workConnectionLimit(server.connectionCap, m_shared.holdersOfServer, m_shared.settings));
     m_limit.setSlots(server.slots);
     m_drainSigns.setLeaving(server.leaving);
     afterDrainSign(now, actions);
--- a/src/membership/ownership.cpp
+++ b/src/membership/ownership.cpp
@@ -65,6 +65,16 @@
     }
 }
 
+Ownership Ownership::ofEverything(const InstanceName& name, const MembershipView& view, const ShardMap& map)
+{
+    const auto* self = view.find(name);
+    Ownership all(self ? MembershipView({ *self }) : MembershipView(), map);
+    const auto& instances = view.instances();
+    const auto holders = std::count_if(instances.begin(), instances.end(), [](const auto& it) { return it.second.health != InstanceHealth::Gone; });
+    all.m_holdersOfServer = std::max(1U, static_cast<std::uint32_t>(holders));
+    return all;
+}
+
 const BlockOwners* Ownership::ownersOf(const ServerName& name) const
 {
     const auto block = m_blocks.find(name);
--- a/src/membership/ownership.h
+++ b/src/membership/ownership.h
@@ -39,16 +39,25 @@
 public:
     Ownership() = default;
     Ownership(const MembershipView&, const ShardMap&);
+    /// Routing "direct": the instance owns every server, and so does each other one that the view does
+    /// not know to be gone. Owns nothing while the view doesn't have the instance.
+    static Ownership ofEverything(const InstanceName&, const MembershipView&, const ShardMap&);
 
     /// Null when the server is unknown or no instance can own it.
     const BlockOwners* ownersOf(const ServerName&) const;
     const std::map<ServerName, Block>& blocks() const { return m_blocks; }
     /// True when the instance owns the server or stands by for it.
     bool holds(const InstanceName&, const ServerName&) const;
+    /// Instances that may have connections to one server at a time, by which its cap is divided.
+    std::uint32_t holdersOfServer() const { return m_holdersOfServer; }
 
 private:
+    /// While an old and a new view are both in force: two owners, two standbys.
+    static constexpr std::uint32_t holdersInTwoViews = 4;
+
     std::map<ServerName, Block> m_blocks;
     std::map<Block, BlockOwners> m_owners;
+    std::uint32_t m_holdersOfServer = holdersInTwoViews;
 };
 
 }
--- a/tests/dispatch/relay_fixture.cpp
+++ b/tests/dispatch/relay_fixture.cpp
@@ -32,7 +32,7 @@
     m_shards = std::max(m_shards, shard + 1);
 }
 
-void RelayFixture::publish(const std::vector<std::string>& instances)
+void RelayFixture::publish(const std::vector<std::string>& instances, bool isDirect)
 {
     Service service;
     service.name = ServiceName("quotedesk");
@@ -52,7 +52,9 @@
         members.push_back(instance);
     }
     const auto map = std::make_shared<const ShardMap>(std::vector<Service> { service }, m_servers);
-    m_engine->onTables(map, std::make_shared<const Ownership>(MembershipView(members), *map), m_now, m_actions);
+    const MembershipView view(members);
+    const auto ownership = isDirect ? Ownership::ofEverything(InstanceName("self"), view, *map) : Ownership(view, *map);
+    m_engine->onTables(map, std::make_shared<const Ownership>(ownership), m_now, m_actions);
 }
 
 WorkOrder RelayFixture::order(std::uint64_t request, const std::string& server, Priority priority, Duration budget) const
--- a/tests/dispatch/relay_fixture.h
+++ b/tests/dispatch/relay_fixture.h
@@ -31,7 +31,8 @@
 
     /// Adds a server of one shard to the tables; publish() hands them to the engine.
     void addServer(const std::string& name, std::uint32_t shard = 0, bool leaving = false);
-    void publish(const std::vector<std::string>& instances = { "self", "other" });
+    /// isDirect: "self" owns every server, as every other instance believes of itself.
+    void publish(const std::vector<std::string>& instances = { "self", "other" }, bool isDirect = false);
 
     WorkOrder order(std::uint64_t request, const std::string& server, Priority = Priority::Desk, Duration budget = 1s) const;
     void send(const WorkOrder& order) { m_engine->onWork(order, m_now, m_actions); }
--- a/tests/dispatch/server_policies_test.cpp
+++ b/tests/dispatch/server_policies_test.cpp
@@ -24,14 +24,28 @@
     SUBCASE("four holders and the reserve fit under every cap")
     {
         const RelaySettings settings;
+        const auto twoViews = Ownership().holdersOfServer();
+        CHECK(twoViews == 4);
         for (std::uint32_t cap = 0; cap < 300; ++cap) {
             CAPTURE(cap);
-            const auto work = workConnectionLimit(cap, settings);
+            const auto work = workConnectionLimit(cap, twoViews, settings);
             const auto held = work > 0 ? work + 1 : 0;
             CHECK((work == 0 || 4 * held + settings.reservedConnections <= cap));
         }
-        CHECK(workConnectionLimit(25, settings) == 4);
-        CHECK(workConnectionLimit(110, settings) == 26);
+        CHECK(workConnectionLimit(25, twoViews, settings) == 4);
+        CHECK(workConnectionLimit(110, twoViews, settings) == 26);
+    }
+    SUBCASE("with direct routing every instance's share and the reserve fit")
+    {
+        const RelaySettings settings;
+        for (std::uint32_t holders = 1; holders < 30; ++holders) {
+            CAPTURE(holders);
+            const auto work = workConnectionLimit(25, holders, settings);
+            const auto held = work > 0 ? work + 1 : 0;
+            CHECK(holders * held + settings.reservedConnections <= 25);
+        }
+        CHECK(workConnectionLimit(25, 1, settings) == 4);
+        CHECK(workConnectionLimit(25, 9, settings) == 1);
     }
     SUBCASE("are opened again after longer and longer waits when they are refused")
     {
@@ -54,6 +68,28 @@
     }
 }
 
+TEST_CASE("a direct instance takes its share of a server's connections by the instances that are alive" * doctest::test_suite("dispatch"))
+{
+    RelayFixture relay;
+    relay.addServer("s0");
+    std::vector<std::string> instances { "self" };
+    for (int i = 1; i < 9; ++i)
+        instances.push_back("i" + std::to_string(i));
+    relay.publish(instances, true);
+    const auto sendTen = [&](std::uint64_t firstId) {
+        for (std::uint64_t i = 0; i < 10; ++i)
+            relay.send(relay.order(firstId + i, "s0"));
+    };
+    sendTen(0);
+    CHECK(relay.take<OpenConnection>().size() == 1);
+    SUBCASE("and more when the others have gone")
+    {
+        relay.publish({ "self" }, true);
+        sendTen(10);
+        CHECK_FALSE(relay.take<OpenConnection>().empty());
+    }
+}
+
 TEST_CASE("a server that drains gets no new work" * doctest::test_suite("dispatch"))
 {
     RelayFixture relay;
--- a/tests/membership/ownership_test.cpp
+++ b/tests/membership/ownership_test.cpp
@@ -68,6 +68,18 @@
         REQUIRE(owners);
         CHECK_FALSE(owners->standby.value().empty());
     }
+    SUBCASE("with direct routing each instance owns all and counts who shares a server with it")
+    {
+        auto members = all;
+        const auto direct = Ownership::ofEverything(InstanceName("i3"), MembershipView(members), map);
+        for (const auto& [name, server] : map.servers())
+            CHECK(direct.ownersOf(name)->owner == InstanceName("i3"));
+        CHECK(direct.holdersOfServer() == 4);
+        members[0].health = InstanceHealth::Suspect;
+        members[1].health = InstanceHealth::Gone;
+        CHECK(Ownership::ofEverything(InstanceName("i3"), MembershipView(members), map).holdersOfServer() == 3);
+        CHECK_FALSE(Ownership::ofEverything(InstanceName("i9"), MembershipView(members), map).ownersOf(ServerName("s0")));
+    }
 }
 
 }
