A search that can't cover enough any more ends at once; searches in dispatch-bench

Cause: once two of 20 legs were lost, a search with 95 % coverage waited for its others up to the deadline: they took slots for an answer that nobody gets.

Change: such a search ends when it is known. While nothing has run it awaits its legs for 10 ms more, since all may prove that nothing ran (not run stays true); it neither hedges nor retries meanwhile.

--- a/bench/dispatch/dispatch_bench.cpp
+++ b/bench/dispatch/dispatch_bench.cpp
@@ -1,4 +1,5 @@
 #include "bench/dispatch/relay_load.h"
+#include "bench/dispatch/search_load.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -224,6 +225,70 @@
     std::printf("crashing,%s,felled=%.1f,lost_both_replicas=%.2f\n", policy.name, felled, shards);
 }
 
+/// Figures of one run of searches.
+struct SearchRun {
+    double vanAnswered = 0;
+    double vanPartial = 0;
+    double vanNotRun = 0;
+    double deskAnswered = 0;
+    double wasted = 0;
+    double hedges = 0;
+    double retries = 0;
+};
+
+SearchRun runSearches(const SearchShape& shape, double vanShare, double total)
+{
+    constexpr double searchCapacity = 200;
+    constexpr auto time = 20s;
+    SearchLoad load(shape);
+    load.start("/van", searchCapacity * 0.5, load.now() + 3s);
+    load.runUntil(load.now() + 4s);
+    const auto before = load.of("/van");
+    const auto busyBefore = load.world().busyTime;
+    const auto deadBefore = load.world().deadTime;
+    const auto end = load.now() + time;
+    load.start("/van", searchCapacity * vanShare, end);
+    load.start("/desk", searchCapacity * (total - vanShare), end);
+    load.runUntil(end + 1s);
+    const auto& van = load.of("/van");
+    const auto n = static_cast<double>(van.sent - before.sent);
+    const auto counters = load.counters();
+    SearchRun run;
+    run.vanAnswered = (van.complete + van.partial - before.complete - before.partial) / n;
+    run.vanPartial = (van.partial - before.partial) / n;
+    run.vanNotRun = (van.notAdmitted - before.notAdmitted) / n;
+    run.deskAnswered = load.of("/desk").answered();
+    run.wasted = static_cast<double>((load.world().deadTime - deadBefore).count()) / static_cast<double>((load.world().busyTime - busyBefore).count());
+    run.hedges = static_cast<double>(counters.hedges) / static_cast<double>(counters.firstLegs);
+    run.retries = static_cast<double>(counters.retries) / static_cast<double>(counters.firstLegs);
+    return run;
+}
+
+/// Searches of 20 legs, entries and relays together: van lookups at a share of the capacity of 200 a second, desk
+/// searches for the rest of the load. Means of the seeds, and the fewest van lookups answered with one of them.
+void searches(const char* policy, const SearchShape& base, double vanShare, double total = 2)
+{
+    SearchRun mean;
+    double worst = 1;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        auto shape = base;
+        shape.seed = seed;
+        const auto run = runSearches(shape, vanShare, total);
+        for (const auto part : { &SearchRun::vanAnswered, &SearchRun::vanPartial, &SearchRun::vanNotRun, &SearchRun::deskAnswered, &SearchRun::wasted, &SearchRun::hedges, &SearchRun::retries })
+            mean.*part += run.*part / seeds;
+        worst = std::min(worst, run.vanAnswered);
+    }
+    std::printf("searches,%s,load=%.2f,van_share=%.2f,van_answered=%.4f,worst=%.4f,van_partial=%.4f,van_not_run=%.4f,desk_answered=%.4f,wasted=%.4f,hedges=%.4f,retries=%.4f\n", policy, total,
+        vanShare, mean.vanAnswered, worst, mean.vanPartial, mean.vanNotRun, mean.deskAnswered, mean.wasted, mean.hedges, mean.retries);
+    std::fflush(stdout);
+}
+
+void runSearchOverloads(const std::vector<double>& vanShares)
+{
+    for (const double it : vanShares)
+        searches("all", {}, it);
+}
+
 /// Processor time of the engine alone for a leg: order in, sent, answered, result out.
 void processorTime(std::uint32_t servers)
 {
@@ -289,7 +354,7 @@
 
 }
 
-/// Arguments name what to run: overload, trouble, views, crashing, cpu (cpu5, cpu50, cpu250 alone). Without any, all.
+/// Arguments name what to run: overload, trouble, views, crashing, searches (searches100 alone), cpu (cpu5, cpu50, cpu250 alone). Without any, all.
 int main(int argc, char** argv)
 {
     using namespace lycheefield::bench;
@@ -305,6 +370,10 @@
         crashing({ "quarantine_off", without(&lycheefield::RelaySettings::quarantine) });
         crashing({ "all", {} });
     }
+    if (isAsked("searches"))
+        runSearchOverloads({ 0.5, 0.9, 1.0 });
+    if (!names.empty() && isAsked("searches100"))
+        runSearchOverloads({ 1.0 });
     for (const std::uint32_t servers : { 5U, 50U, 250U }) {
         if (isAsked("cpu") || (!names.empty() && isAsked(("cpu" + std::to_string(servers)).c_str())))
             processorTime(servers);
--- a/src/query/query.h
+++ b/src/query/query.h
@@ -35,6 +35,7 @@
     std::optional<InstanceName> canaryRelay; ///< Only this relay probes suspect content.
     std::uint32_t canaryTries = 0;
     TimePoint releaseAt = never; ///< When the held legs go out.
+    TimePoint giveUpAt = never; ///< It can't cover enough any more: when it ends without proof that nothing ran.
     TimePoint startedAt {};
     TimePoint replanAt = never; ///< It waits for newer tables until then, and looks again.
     std::vector<IndexVersion> goneVersions;
@@ -46,6 +47,11 @@
     bool mayHaveRun = false; ///< An attempt ended without proof that it did not run.
 
     double coverage() const { return legs.empty() ? 0 : static_cast<double>(covered) / static_cast<double>(legs.size()); }
+    /// False once too many legs have ended without an answer, whatever the others bring.
+    bool canCoverEnough() const
+    {
+        return legs.empty() || static_cast<double>(covered + openLegs) / static_cast<double>(legs.size()) >= rule->minimumCoverage.value;
+    }
     bool coversEnough() const { return covered > 0 && coverage() >= rule->minimumCoverage.value; }
 };
 
--- a/src/query/standard_query_engine.cpp
+++ b/src/query/standard_query_engine.cpp
@@ -7,6 +7,13 @@
 
 namespace lycheefield {
 
+namespace {
+
+/// How long a dead search of which nothing has run awaits its other legs: all may prove that nothing ran.
+constexpr Duration waitForProof = 10ms;
+
+}
+
 StandardQueryEngine::StandardQueryEngine(
     const QuerySettings& settings, InstanceName self, const ZoneName& zone, std::unique_ptr<RandomSource> random, std::shared_ptr<const TableSource> source)
     : m_settings(settings)
@@ -151,12 +158,23 @@
     const bool allEnded = query.openLegs == 0 && !query.legs.empty();
     if (enough && (allEnded || deadlinePassed || now >= query.softDeadline))
         return deliver(query, std::nullopt, now, actions);
-    if (allEnded || deadlinePassed)
+    if (allEnded || deadlinePassed || mustGiveUp(query, now))
         return deliver(query, refusalOf(query, deadlinePassed), now, actions);
-    hedgeLateLegs(query, now, actions);
+    if (query.giveUpAt == never)
+        hedgeLateLegs(query, now, actions);
     schedule(query, now);
 }
 
+bool StandardQueryEngine::mustGiveUp(Query& query, TimePoint now) const
+{
+    if (query.rule->kind != RequestKind::Search || query.canCoverEnough())
+        return false;
+    if (query.ran || query.mayHaveRun)
+        return true;
+    query.giveUpAt = std::min(query.giveUpAt, now + waitForProof);
+    return now >= query.giveUpAt;
+}
+
 void StandardQueryEngine::deliver(Query& query, std::optional<Error> refusal, TimePoint now, QueryActions& actions)
 {
     auto answer = buildAnswer(query, std::move(refusal));
@@ -185,7 +203,7 @@
 void StandardQueryEngine::schedule(Query& query, TimePoint now)
 {
     auto due = now < query.softDeadline ? std::min(query.deadline, query.softDeadline) : query.deadline;
-    due = std::min({ due, query.hedgeCheckAt, query.releaseAt, query.replanAt });
+    due = std::min({ due, query.hedgeCheckAt, query.releaseAt, query.replanAt, query.giveUpAt });
     if (due == query.due)
         return;
     m_due.erase({ query.due, query.request.id });
--- a/src/query/standard_query_engine.h
+++ b/src/query/standard_query_engine.h
@@ -68,6 +68,9 @@
 
     /// Delivers the answer when it is time to; the query is gone then.
     void settle(Query&, TimePoint, QueryActions&);
+    /// True when the search can't cover enough any more, and nothing is gained by awaiting its other legs:
+    /// what they bring, nobody gets.
+    bool mustGiveUp(Query&, TimePoint) const;
     void deliver(Query&, std::optional<Error> refusal, TimePoint, QueryActions&);
     void forget(Query&, TimePoint, QueryActions&);
     void schedule(Query&, TimePoint);
--- a/src/query/standard_query_engine_attempts.cpp
+++ b/src/query/standard_query_engine_attempts.cpp
@@ -110,7 +110,8 @@
 
 bool StandardQueryEngine::mayRetry(Query& query, LegOutcome outcome, TimePoint now)
 {
-    if (!m_settings.retryRefusals || query.isSuspect || now >= query.deadline || outcome == LegOutcome::Quarantined)
+    const bool isOver = now >= query.deadline || query.giveUpAt != never;
+    if (!m_settings.retryRefusals || query.isSuspect || isOver || outcome == LegOutcome::Quarantined)
         return false;
     if (query.rule->kind == RequestKind::Order && (query.ran || query.mayHaveRun))
         return false;
--- a/src/query/standard_query_engine_plan.cpp
+++ b/src/query/standard_query_engine_plan.cpp
@@ -74,6 +74,7 @@
     query.legs.clear();
     query.openLegs = 0;
     query.covered = 0;
+    query.giveUpAt = never;
     query.replanAt = now + replanInterval;
 }
 
--- a/tests/dispatch/relay_world.cpp
+++ b/tests/dispatch/relay_world.cpp
@@ -140,10 +140,15 @@
     order.deadline = m_now + budget;
     order.fingerprint = Fingerprint(fingerprint);
     order.legs.push_back({ LegNumber(0), AttemptNumber(0), ShardNumber(m_servers.at(server).model.shard), ServerName(server) });
-    const LegKey key { order.request, LegNumber(0), AttemptNumber(0) };
-    m_sent.try_emplace(key, Sent { relay });
+    sendWork(relay, order);
+    return { order.request, LegNumber(0), AttemptNumber(0) };
+}
+
+void RelayWorld::sendWork(const std::string& relay, const WorkOrder& order)
+{
+    for (const auto& it : order.legs)
+        m_sent.try_emplace({ order.request, it.leg, it.attempt }, Sent { relay });
     call(relay, [&](auto& engine, auto& actions) { engine.onWork(order, m_now, actions); });
-    return key;
 }
 
 void RelayWorld::cancel(const std::string& relay, const LegKey& key)
--- a/tests/dispatch/relay_world.h
+++ b/tests/dispatch/relay_world.h
@@ -51,6 +51,8 @@
     WorldServer& server(const std::string& name) { return m_servers.at(name).model; }
     RelayEngine& relay(const std::string& name) { return *m_relays.at(name).engine; }
     std::string ownerOf(const std::string& server) const;
+    /// The catalog of the servers added so far.
+    std::shared_ptr<const ShardMap> shardMap() const;
     SeededRandom& random() { return m_random; }
     TimePoint now() const { return m_now; }
 
@@ -58,6 +60,8 @@
     void runUntil(TimePoint);
     /// Sends one leg to a relay; returns its key.
     LegKey send(const std::string& relay, const std::string& server, std::uint64_t fingerprint, Priority = Priority::Desk, Duration budget = 200ms, std::uint64_t request = 0);
+    /// Sends the legs of one order to a relay. Precondition: no leg's key was sent before.
+    void sendWork(const std::string& relay, const WorkOrder&);
     void cancel(const std::string& relay, const LegKey&);
     void loseEntry(const std::string& relay);
     void crash(const std::string& server);
@@ -131,7 +135,6 @@
     void answer(const std::string& server, const Leg&, LegOutcome, Duration retryAfter = {});
     void checkServer(const std::string& server);
     Duration drawServiceTime(const ServerWorld&);
-    std::shared_ptr<const ShardMap> shardMap() const;
 
     SeededRandom m_random;
     TimePoint m_now { Duration(1) };
--- a/tests/query/query_engine_test.cpp
+++ b/tests/query/query_engine_test.cpp
@@ -171,6 +171,44 @@
         CHECK((answers[0].refusal->kind == ErrorKind::Overloaded));
         CHECK((answers[0].runState == RunState::NotRun));
     }
+    SUBCASE("too few can answer any more, after one did: it ends at once, and the others are cancelled")
+    {
+        fixture.start("/search");
+        const auto work = fixture.takeWork();
+        fixture.answer(work[0], work[0].work.legs[0]);
+        fixture.end(work[0], work[0].work.legs[1], LegOutcome::Expired);
+        fixture.end(work[0], work[0].work.legs[2], LegOutcome::Expired);
+        CHECK(fixture.takeAnswers().empty());
+        fixture.end(work[0], work[0].work.legs[3], LegOutcome::Expired);
+        const auto answers = fixture.takeAnswers();
+        REQUIRE(answers.size() == 1);
+        CHECK((answers[0].refusal->kind == ErrorKind::IncompleteCoverage));
+        CHECK((answers[0].runState == RunState::Ran));
+        CHECK(fixture.takeCancels().size() == 4);
+    }
+    SUBCASE("too few can answer any more, and nothing has run: the others have a moment to prove that it did not")
+    {
+        fixture.start("/search");
+        const auto work = fixture.takeWork();
+        for (std::size_t i = 0; i < 3; ++i)
+            fixture.end(work[0], work[0].work.legs[i], LegOutcome::Expired);
+        CHECK(fixture.takeAnswers().empty());
+        SUBCASE("they do not: unknown, and they are cancelled")
+        {
+            fixture.advance(10ms);
+            const auto answers = fixture.takeAnswers();
+            REQUIRE(answers.size() == 1);
+            CHECK((answers[0].runState == RunState::Unknown));
+            CHECK(fixture.takeCancels().size() == 5);
+        }
+        SUBCASE("one answers: it has run, and ends at once")
+        {
+            fixture.answer(work[0], work[0].work.legs[3]);
+            const auto answers = fixture.takeAnswers();
+            REQUIRE(answers.size() == 1);
+            CHECK((answers[0].runState == RunState::Ran));
+        }
+    }
     SUBCASE("the caller is gone: everything is cancelled and nothing is delivered")
     {
         const auto id = fixture.start("/search");
