--- a/programs/lycheefield_load.cpp
+++ b/programs/lycheefield_load.cpp
@@ -1,4 +1,5 @@
 #include "base/clock.h"
+#include "base/endpoint_text.h"
 #include "cli/program_options.h"
 #include "cli/report.h"
 #include "load/load_plan.h"
--- /dev/null
+++ b/src/base/endpoint_text.cpp
@@ -0,0 +1,41 @@
+#include "base/endpoint_text.h"
+
+#include <charconv>
+#include <cstdint>
+#include <string>
+
+namespace lycheefield {
+
+bool isIpNumber(std::string_view text)
+{
+    constexpr int bytesOfAddress = 4;
+    for (int i = 0; i < bytesOfAddress; ++i) {
+        std::uint8_t byte = 0;
+        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), byte);
+        if (ec != std::errc())
+            return false;
+        text.remove_prefix(end - text.data());
+        if (i + 1 < bytesOfAddress) {
+            if (!text.starts_with('.'))
+                return false;
+            text.remove_prefix(1);
+        }
+    }
+    return text.empty();
+}
+
+Result<Endpoint> parseEndpoint(std::string_view text)
+{
+    const Error error { ErrorKind::InvalidInput, "'" + std::string(text) + "' is no endpoint", "write an IP number and a port, as in 127.0.0.1:8080" };
+    const auto colon = text.find(':');
+    if (colon == std::string_view::npos || !isIpNumber(text.substr(0, colon)))
+        return error;
+    const auto digits = text.substr(colon + 1);
+    Endpoint endpoint { std::string(text.substr(0, colon)), 0 };
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), endpoint.port);
+    if (ec != std::errc() || end != digits.data() + digits.size() || endpoint.port == 0)
+        return error;
+    return endpoint;
+}
+
+}
--- a/src/cli/operator_cli.cpp
+++ b/src/cli/operator_cli.cpp
@@ -1,5 +1,6 @@
 #include "cli/operator_cli.h"
 
+#include "base/endpoint_text.h"
 #include "base/random_source.h"
 #include "cli/fleet_status.h"
 #include "cli/network_access.h"
@@ -70,17 +71,6 @@
     return commands;
 }
 
-std::optional<Endpoint> parseEndpoint(const std::string& text)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos)
-        return std::nullopt;
-    Settings settings;
-    if (!findSettingKey("platform", "address")->assign(settings, text.substr(0, colon)) || !findSettingKey("platform", "port")->assign(settings, text.substr(colon + 1)))
-        return std::nullopt;
-    return settings.platform.endpoint;
-}
-
 std::optional<Endpoint> endpointFromSettings(const std::string& path, Report& report)
 {
     const auto parsed = loadSettings(path);
@@ -95,10 +85,16 @@
 {
     if (options.platform.empty() && !options.settingsFile.empty())
         return endpointFromSettings(options.settingsFile, report);
-    const auto endpoint = parseEndpoint(options.platform);
-    if (!endpoint)
+    if (options.platform.empty()) {
         report.error({ ErrorKind::InvalidInput, "no address of the platform is known", "give --platform IP:PORT or --settings FILE" });
-    return endpoint;
+        return std::nullopt;
+    }
+    const auto endpoint = parseEndpoint(options.platform);
+    if (!endpoint) {
+        report.error(endpoint.error());
+        return std::nullopt;
+    }
+    return endpoint.value();
 }
 
 std::string wallClock()
--- a/src/load/load_plan.cpp
+++ b/src/load/load_plan.cpp
@@ -57,14 +57,4 @@
     return result;
 }
 
-Result<Endpoint> parseEndpoint(std::string_view text)
-{
-    const auto parts = split(text, ':');
-    Endpoint endpoint;
-    if (parts.size() != 2 || !parseNumber(parts[1], endpoint.port))
-        return Error { ErrorKind::InvalidInput, "'" + std::string(text) + "' is no endpoint", "write an IP number and a port, as in 127.0.0.1:8080" };
-    endpoint.address = parts[0];
-    return endpoint;
-}
-
 }
--- a/src/load/load_plan.h
+++ b/src/load/load_plan.h
@@ -26,9 +26,6 @@
 /// Parses "name:path:kind:weight:deadline-ms", for example "van:/search/van:search:0.5:80".
 Result<RequestClass> parseRequestClass(std::string_view);
 
-/// Parses "address:port".
-Result<Endpoint> parseEndpoint(std::string_view);
-
 /// One side of an experiment: the instances that get its share of the load.
 struct LoadSide {
     std::string name;
--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -1,5 +1,6 @@
 #include "settings/setting_key.h"
 
+#include "base/endpoint_text.h"
 #include "base/quantity_text.h"
 
 #include <algorithm>
@@ -45,24 +46,6 @@
     return !text.empty() && text.size() <= maxNameBytes && std::all_of(text.begin(), text.end(), allowed);
 }
 
-bool isIpNumber(std::string_view text)
-{
-    constexpr int bytesOfAddress = 4;
-    for (int i = 0; i < bytesOfAddress; ++i) {
-        std::uint8_t byte = 0;
-        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), byte);
-        if (ec != std::errc())
-            return false;
-        text.remove_prefix(end - text.data());
-        if (i + 1 < bytesOfAddress) {
-            if (!text.starts_with('.'))
-                return false;
-            text.remove_prefix(1);
-        }
-    }
-    return text.empty();
-}
-
 /// How one type of value is named, parsed and formatted.
 template <typename T>
 struct ValueType;
