Claims: every setting has its key; the catalog revision is out of gossip

Cause: max_head, max_key, max_answer, max_waiting, max_unsettled, outcome_delay, retry_first and retry_most had no key in the settings file. They have now, sizes with units; retry_first above retry_most is an error.

setCatalogRevision had no caller and its field of gossip no reader: the catalog is watched by each instance itself.

--- a/src/claims/claim_engine.cpp
+++ b/src/claims/claim_engine.cpp
@@ -37,7 +37,7 @@
         ClaimRecord record;
         record.kind = ClaimRecordKind::Outcome;
         record.state = state;
-        if (answer.size() <= m_context.settings.maxAnswerBytes)
+        if (answer.size() <= m_context.settings.maxAnswer.value)
             record.answer = answer;
         settle(request, std::move(record), now, actions);
     }
--- a/src/claims/claim_partition.cpp
+++ b/src/claims/claim_partition.cpp
@@ -24,7 +24,7 @@
     const auto it = m_waiting.insert(m_waiting.end(), Waiting { request, now, false, false, {}, {} });
     const bool isDown = m_isStoreDown && now < m_retryAt;
     const bool isFull = m_waiting.size() > settings.maxWaitingPerPartition || m_unwritten.size() >= settings.maxUnsettledPerPartition;
-    if (isDown || isFull || request.key.value().size() > settings.maxKeyBytes)
+    if (isDown || isFull || request.key.value().size() > settings.maxKey.value)
         return decide(it, ClaimVerdict::StoreUnavailable, nullptr, actions);
     pump(now, actions);
 }
--- a/src/claims/claim_partition_write.cpp
+++ b/src/claims/claim_partition_write.cpp
@@ -37,7 +37,7 @@
 /// Releases and outcomes go first: a claim is judged by them and must follow them in the log.
 ClaimPartition::Batch ClaimPartition::gather(TimePoint now, ClaimActions& actions)
 {
-    const std::size_t mostBytes = m_context.settings.maxHeadBytes;
+    const std::size_t mostBytes = m_context.settings.maxHead.value;
     Batch batch;
     for (const auto& it : m_unwritten) {
         if (batch.lines.size() >= mostBytes)
@@ -121,7 +121,7 @@
 
 bool ClaimPartition::isHeadFull() const
 {
-    return m_head->claims() >= m_context.settings.maxClaimsPerHead || m_head->body().size() >= m_context.settings.maxHeadBytes;
+    return m_head->claims() >= m_context.settings.maxClaimsPerHead || m_head->body().size() >= m_context.settings.maxHead.value;
 }
 
 /// A segment that holds something else than the start of the head's body belongs to a newer head.
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::size_t maxKeyBytes = 256;
 constexpr Duration longestDeadline = std::chrono::minutes(10);
 
 /// The caller's own deadline; an error when the header is no positive whole number.
@@ -57,7 +56,7 @@
     bool isClaimed = false;
 };
 
-CallerApi::CallerApi(EntryDriver& entry, const SharedTables& tables, ClaimService& claims, RequestLog& log, OperatorApi& operators, std::shared_ptr<const Clock> clock, std::uint32_t maxLegs)
+CallerApi::CallerApi(EntryDriver& entry, const SharedTables& tables, ClaimService& claims, RequestLog& log, OperatorApi& operators, std::shared_ptr<const Clock> clock, std::uint32_t maxLegs, ByteCount maxKey)
     : m_entry(entry)
     , m_tables(tables)
     , m_claims(claims)
@@ -65,6 +64,7 @@
     , m_operators(operators)
     , m_clock(std::move(clock))
     , m_maxLegs(maxLegs)
+    , m_maxKey(maxKey)
 {
 }
 
@@ -103,8 +103,8 @@
     if (!deadline)
         return refuse(400, deadline.error());
     const std::string key(request.headers.find("Idempotency-Key"));
-    if (rule->kind == RequestKind::Order && (key.empty() || key.size() > maxKeyBytes))
-        return refuse(400, { ErrorKind::InvalidInput, "Idempotency-Key is missing or longer than 256 bytes", "give each order a key of its own, and the same key when it is sent again" });
+    if (rule->kind == RequestKind::Order && (key.empty() || key.size() > m_maxKey.value))
+        return refuse(400, { ErrorKind::InvalidInput, "Idempotency-Key is missing or longer than " + std::to_string(m_maxKey.value) + " bytes", "give each order a key of its own, and the same key when it is sent again" });
 
     call->request.deadline = std::min(deadline.value(), now + rule->deadline);
     call->request.record = std::string(request.headers.find("X-Record-Key"));
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -24,7 +24,7 @@
 class CallerApi final : public HttpHandler {
 public:
     /// Precondition: everything outlives the server that calls this.
-    CallerApi(EntryDriver&, const SharedTables&, ClaimService&, RequestLog&, OperatorApi&, std::shared_ptr<const Clock>, std::uint32_t maxLegs);
+    CallerApi(EntryDriver&, const SharedTables&, ClaimService&, RequestLog&, OperatorApi&, std::shared_ptr<const Clock>, std::uint32_t maxLegs, ByteCount maxKey);
 
     void handle(HttpRequest, std::shared_ptr<HttpExchange>) override;
 
@@ -45,6 +45,7 @@
     OperatorApi& m_operators;
     std::shared_ptr<const Clock> m_clock;
     std::uint32_t m_maxLegs; ///< Of one request.
+    ByteCount m_maxKey; ///< Longest idempotency key.
 };
 
 }
--- a/src/daemon/claims_role.cpp
+++ b/src/daemon/claims_role.cpp
@@ -104,7 +104,7 @@
     if (!found)
         return;
     const auto& granted = found.mapped();
-    ClaimCall call { granted.request, state, answer.size() <= m_settings.maxAnswerBytes ? answer : std::string {} };
+    ClaimCall call { granted.request, state, answer.size() <= m_settings.maxAnswer.value ? answer : std::string {} };
     if (granted.owner == m_self)
         return settleHere(call);
     m_unsettled[request] = { call, granted.owner, m_context.clock->now() + m_times.settleTimeout };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -111,7 +111,7 @@
         , m_client(std::make_shared<PlatformClient>(m_io.get_executor(), clientSettings(settings)))
         , m_store(std::make_shared<HttpObjectStore>(m_client))
         , m_claims(makeClaims())
-        , m_api(m_entry, m_tables, *m_claims, m_log, m_operators, m_clock, settings.http.maxLegs)
+        , m_api(m_entry, m_tables, *m_claims, m_log, m_operators, m_clock, settings.http.maxLegs, settings.claims.maxKey)
         , m_http(m_io, m_api, m_clock, m_httpCounters, httpLimits(settings.http))
         , m_signals(m_io, SIGTERM, SIGINT)
     {
--- a/src/membership/member_digest.h
+++ b/src/membership/member_digest.h
@@ -37,7 +37,6 @@
     bool isAnswer = false;
     std::vector<MemberDigest> digests;
     RuleRevision ruleRevision; ///< In force at the sender.
-    std::uint64_t catalogRevision = 0; ///< Revision of the store up to which the sender knows the catalog.
     std::optional<InstanceName> probeTarget; ///< Ask the receiver to probe this instance for the sender.
 
     friend bool operator==(const GossipMessage&, const GossipMessage&) = default;
--- a/src/membership/membership_engine.cpp
+++ b/src/membership/membership_engine.cpp
@@ -263,7 +263,6 @@
     message.sequence = sequence;
     message.isAnswer = isAnswer;
     message.ruleRevision = m_ruleRevision;
-    message.catalogRevision = m_catalogRevision;
     return message;
 }
 
@@ -313,14 +312,6 @@
     announce(actions);
 }
 
-void MembershipEngine::setCatalogRevision(std::uint64_t revision, MembershipActions& actions)
-{
-    if (revision <= m_catalogRevision)
-        return;
-    m_catalogRevision = revision;
-    announce(actions);
-}
-
 void MembershipEngine::leave(MembershipActions& actions)
 {
     if (!m_self.canOwn())
--- a/src/membership/membership_engine.h
+++ b/src/membership/membership_engine.h
@@ -48,7 +48,6 @@
     void onBytes(ByteCount, TimePoint);
     /// Rules of this revision are in force here; a new one is told to some peers at once.
     void setRuleRevision(RuleRevision, MembershipActions&);
-    void setCatalogRevision(std::uint64_t, MembershipActions&);
     /// This instance takes no new blocks from now on.
     void leave(MembershipActions&);
     /// This instance is about to end.
@@ -117,7 +116,6 @@
     TimePoint m_bucketTime;
     double m_bucketBytes = 0; ///< May be negative: then only the needed digests are sent.
     RuleRevision m_ruleRevision;
-    std::uint64_t m_catalogRevision = 0;
     bool m_wasListed = false;
     bool m_isSuperseded = false;
     MembershipCounts m_counts;
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -141,6 +141,14 @@
                                 { "claims", "batch_window", fieldOf<section, &ClaimSettings::batchWindow>, { "0ms", "1s" }, "Claims that come within it share one write." },
                                 { "claims", "key_lifetime", fieldOf<section, &ClaimSettings::keyLifetime>, { "1m", "720h" }, "After this an idempotency key is forgotten." },
                                 { "claims", "max_claims_per_head", fieldOf<section, &ClaimSettings::maxClaimsPerHead>, { "1", "10000" }, "A fuller head is sealed into a segment." },
+                                { "claims", "max_head", fieldOf<section, &ClaimSettings::maxHead>, { "4KiB", "448KiB" }, "A larger head is sealed, however few claims it holds; a head takes up to twice this in the store." },
+                                { "claims", "max_key", fieldOf<section, &ClaimSettings::maxKey>, { "16B", "4KiB" }, "A longer idempotency key is refused." },
+                                { "claims", "max_answer", fieldOf<section, &ClaimSettings::maxAnswer>, { "0B", "64KiB" }, "Of a longer answer only whether it ran is recorded." },
+                                { "claims", "max_waiting", fieldOf<section, &ClaimSettings::maxWaitingPerPartition>, { "1", "1000000" }, "Claims of one partition that wait for the store at most." },
+                                { "claims", "max_unsettled", fieldOf<section, &ClaimSettings::maxUnsettledPerPartition>, { "1", "1000000" }, "With more outcomes and releases of a partition unwritten, claims are refused." },
+                                { "claims", "outcome_delay", fieldOf<section, &ClaimSettings::outcomeDelay>, { "0ms", "10s" }, "An outcome waits this long for claims to share a write with." },
+                                { "claims", "retry_first", fieldOf<section, &ClaimSettings::retryFirst>, { "1ms", "10s" }, "Pause after a failed call to the store; doubled for each further one." },
+                                { "claims", "retry_most", fieldOf<section, &ClaimSettings::retryMost>, { "1ms", "1m" }, "Longest such pause." },
                             });
 }
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -110,6 +110,8 @@
             report("membership.probe_timeout", "it is not below membership.probe_period", "a shorter time");
         if (m_settings.platform.backoffMinimum > m_settings.platform.backoffMaximum)
             report("platform.backoff_minimum", "it is above platform.backoff_maximum", "a shorter time");
+        if (m_settings.claims.retryFirst > m_settings.claims.retryMost)
+            report("claims.retry_first", "it is above claims.retry_most", "a shorter time");
         if (m_settings.drain.balancerLag > m_settings.drain.limit)
             report("drain.balancer_lag", "it is above drain.limit", "a shorter time");
         if (m_settings.listen.address == "0.0.0.0" && m_settings.listen.advertisedAddress.empty())
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -75,20 +75,17 @@
     out.ruleRevision = static_cast<std::int64_t>(message.ruleRevision.value());
     if (message.probeTarget)
         out.__set_probeTarget(message.probeTarget->value());
-    if (message.catalogRevision)
-        out.__set_catalogRevision(static_cast<std::int64_t>(message.catalogRevision));
     return out;
 }
 
 Result<GossipMessage> fromWire(const wire::Gossip& in)
 {
-    if (in.sequence < 0 || in.ruleRevision < 0 || in.catalogRevision < 0 || in.digests.size() > maxDigestsRead)
+    if (in.sequence < 0 || in.ruleRevision < 0 || in.digests.size() > maxDigestsRead)
         return outOfRange("gossip message");
     GossipMessage message;
     message.sequence = static_cast<std::uint64_t>(in.sequence);
     message.isAnswer = in.isAnswer;
     message.ruleRevision = RuleRevision(static_cast<std::uint64_t>(in.ruleRevision));
-    message.catalogRevision = static_cast<std::uint64_t>(in.catalogRevision);
     if (in.__isset.probeTarget)
         message.probeTarget = InstanceName(in.probeTarget);
     for (const auto& it : in.digests) {
--- a/src/wire/inner.thrift
+++ b/src/wire/inner.thrift
@@ -97,7 +97,6 @@
     3: required list<InstanceDigest> digests
     4: required i64 ruleRevision
     5: optional string probeTarget // Ask the receiver to probe this instance for the sender.
-    6: optional i64 catalogRevision
 }
 
 struct RuleRequest {
--- a/tests/claims/claim_engine_test.cpp
+++ b/tests/claims/claim_engine_test.cpp
@@ -192,7 +192,7 @@
 TEST_CASE("Keys too long and queues too full are refused, not run")
 {
     auto settings = onePartition();
-    settings.maxKeyBytes = 8;
+    settings.maxKey = ByteCount { 8 };
     settings.maxWaitingPerPartition = 2;
     ClaimWorld world(1, settings);
     const auto longKey = world.claim(0, "more than eight");
--- a/tests/claims/claim_segment_test.cpp
+++ b/tests/claims/claim_segment_test.cpp
@@ -228,7 +228,7 @@
     std::size_t largest = 0;
     for (int i = 0; i < 4000; ++i) {
         // Each byte of this key takes four in the log.
-        world.claim(0, std::string(settings.maxKeyBytes - 8, '\n') + std::to_string(i), 1, 10s);
+        world.claim(0, std::string(settings.maxKey.value - 8, '\n') + std::to_string(i), 1, 10s);
         world.run(1ms);
         if (auto it = world.store().objects().find("claims/0/head"); it != world.store().objects().end())
             largest = std::max(largest, it->second.value.size());
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -50,6 +50,20 @@
         CHECK(settings.listen.httpPort == 8080);
         CHECK(settings.claims.batchWindow == std::chrono::microseconds(500));
     }
+    SUBCASE("of the claims")
+    {
+        const auto claims = settingsOf(required
+            + "[claims]\nmax_head = 64KiB\nmax_key = 100B\nmax_answer = 0B\nmax_waiting = 5\nmax_unsettled = 6\noutcome_delay = 0ms\nretry_first = 1ms\nretry_most = 2s")
+                                .claims;
+        CHECK(claims.maxHead == kibibytes(64));
+        CHECK(claims.maxKey == ByteCount { 100 });
+        CHECK(claims.maxAnswer == ByteCount());
+        CHECK(claims.maxWaitingPerPartition == 5);
+        CHECK(claims.maxUnsettledPerPartition == 6);
+        CHECK(claims.outcomeDelay == Duration());
+        CHECK(claims.retryFirst == std::chrono::milliseconds(1));
+        CHECK(claims.retryMost == std::chrono::seconds(2));
+    }
     SUBCASE("and the examples are good")
     {
         for (const auto* it : { "kobowire", "sac-ngoi" }) {
@@ -95,6 +109,7 @@
     SUBCASE("settings that do not fit each other")
     {
         CHECK(errorsOf(required + "[membership]\nprobe_timeout = 2s\nprobe_period = 1s").front().key == "membership.probe_timeout");
+        CHECK(errorsOf(required + "[claims]\nretry_first = 2s\nretry_most = 1s").front().key == "claims.retry_first");
         CHECK(errorsOf(required + "[listen]\naddress = 0.0.0.0").front().key == "listen.advertised_address");
     }
     SUBCASE("a file that is not there")
--- a/tests/wire/gossip_codec_test.cpp
+++ b/tests/wire/gossip_codec_test.cpp
@@ -16,7 +16,6 @@
     message.sequence = 7;
     message.isAnswer = true;
     message.ruleRevision = RuleRevision(12);
-    message.catalogRevision = 99;
     message.probeTarget = InstanceName("ikeja-a-3");
     MemberDigest known { InstanceName("ikeja-a-1"), ProcessLife(std::numeric_limits<std::uint64_t>::max()), 3, InstanceHealth::Suspect, {} };
     MemberDigest joined { InstanceName("ikeja-a-2"), ProcessLife(5), 1, InstanceHealth::Alive,
