An order refused because the store can't be asked is told unknown

Cause: a claim that was refused (store down, deadline, owner out of reach) told its caller 'not run'. True of the attempt, not of the request: an earlier attempt with the same key may have run, and a caller who takes the word for leave to use a new key runs the order twice. Only the store knows, so the word is 'unknown' (502, error kind unavailable, the message says that this attempt was not dispatched), also for a first attempt. Weighed and left out: a word for the attempt beside the one for the request, since callers act on one of them. 'not run' stays where the claim was granted and the request then refused, and where the key holds other content.

Still said without the key being looked at: 400, 404, 405 tell 'not run'.

--- a/models/claims.pml
+++ b/models/claims.pml
@@ -66,7 +66,7 @@
 
 byte keyOf[TOKENS];
 byte runs[NK];
-bit toldNotRun[TOKENS];
+bit isRefused[TOKENS];
 byte faults, restarts, finished;
 bit lostMemory; /* a restart may have forgotten a release */
 
@@ -194,9 +194,17 @@
 	clearHead(next)
 }
 
-/* ClaimPartition::giveUp: the caller is told "not run"; what may land is released. */
+/* The caller is told "not run": of the request, whichever attempt carried its key. */
+inline tellNotRun(ofKey) {
+	assert(runs[ofKey] == 0)
+}
+
+/* ClaimPartition::giveUp: the caller is told "unknown"; what may land is released. */
 inline giveUp(mayLand) {
-	toldNotRun[token] = 1;
+	isRefused[token] = 1;
+#ifdef MUT_REFUSED_TOLD_NOT_RUN
+	tellNotRun(key);
+#endif
 	if
 	:: mayLand -> append(unwritten, REC(token, RELEASE))
 	:: else
@@ -208,12 +216,13 @@
 
 /* Granted: the entry dispatches, or its backend server refuses before it runs. */
 inline grant() {
-	assert(!toldNotRun[token]);
+	assert(!isRefused[token]);
 	if
 	:: runs[keyOf[token]]++;
 		assert(runs[keyOf[token]] <= 1);
 		append(unwritten, REC(token, OUTCOME))
-	:: append(unwritten, REC(token, RELEASE))
+	:: tellNotRun(key);
+		append(unwritten, REC(token, RELEASE))
 	fi;
 	token = 0;
 	key = 0;
@@ -403,7 +412,7 @@
 	:: atomic { token != 0 -> giveUp(1) }
 #endif
 #else
-	:: atomic { token != 0 -> toldNotRun[token] = 1 }
+	:: atomic { token != 0 -> isRefused[token] = 1 }
 #endif
 	:: atomic { restarts < RESTARTS -> goto restart }
 	fi;
@@ -444,7 +453,7 @@
 #else
 #ifdef MUT_SKIP_READ_BACK
 			/* Taken for a write that did not land. */
-			toldNotRun[token] = 1; token = 0; goto idle
+			isRefused[token] = 1; token = 0; goto idle
 #else
 #ifndef MUT_NO_RELEASE_AFTER_LOST
 			landed = 1
--- a/models/forwarding.pml
+++ b/models/forwarding.pml
@@ -50,7 +50,7 @@
 /* What the asker knows of its claim. */
 #define UNASKED 0
 #define ASKED 1
-#define REFUSED 2    /* told "not run"; the owner may still decide */
+#define REFUSED 2    /* the owner may still decide */
 #define RELEASED 3   /* released here; a late grant is still recognised */
 #define FORGOTTEN 4
 
@@ -83,18 +83,19 @@
 bit callOut, grantOut, refusalOut, releaseOut, outcomeOut, confirmOut;
 
 byte runs[NK];
-bit toldNotRun[LAST + 1];
+bit isRefused[LAST + 1];
 byte faults, dups, restarts;
 bit forgot;              /* a record was lost with an owner's memory, or a call was repeated: a key may stay held */
 
 /* CallerApi::onClaimDecided, settleClaim: the backend server runs the request, or refuses it before it runs. */
 inline runAt(t, e) {
-	assert(!toldNotRun[t]);
+	assert(!isRefused[t]);
 	if
 	:: runs[KEY(t)]++;
 		assert(runs[KEY(t)] <= 1);
 		outcomes[e] = outcomes[e] | BIT(t)
-	:: releases[e] = releases[e] | BIT(t)
+	:: assert(runs[KEY(t)] == 0); /* told "not run" */
+		releases[e] = releases[e] | BIT(t)
 	fi
 }
 
@@ -114,7 +115,7 @@
 	inFlight[e] = inFlight[e] & ~BIT(t);
 	if
 	:: FORWARDED(t, e) -> refusalOut = 1
-	:: else -> toldNotRun[t] = 1
+	:: else -> isRefused[t] = 1
 	fi
 }
 
@@ -368,7 +369,7 @@
 }
 
 inline dispatchForwarded() {
-	assert(!toldNotRun[1]);
+	assert(!isRefused[1]);
 	if
 	:: runs[0]++; assert(runs[0] <= 1); settleAtOwner(OUTCOME)
 	:: settleAtOwner(RELEASE)
@@ -420,7 +421,7 @@
 			asked = FORGOTTEN; waiting[ASKER] = waiting[ASKER] | BIT(1)
 #else
 			asked = REFUSED;
-			toldNotRun[1] = 1
+			isRefused[1] = 1
 #endif
 		:: else
 		fi }
@@ -465,7 +466,7 @@
 	:: atomic { grantOut -> arrive(grantOut); onGrant() }
 	:: atomic { refusalOut -> arrive(refusalOut);
 		if
-		:: asked == ASKED -> asked = FORGOTTEN; toldNotRun[1] = 1
+		:: asked == ASKED -> asked = FORGOTTEN; isRefused[1] = 1
 		:: asked == REFUSED || asked == RELEASED -> asked = FORGOTTEN
 		:: else
 		fi }
--- a/src/claims/claim_action.h
+++ b/src/claims/claim_action.h
@@ -41,7 +41,7 @@
     AlreadyDone, ///< The key ran before; its recorded outcome is with the decision.
     InProgress, ///< Another attempt holds the key and recorded no outcome: unknown.
     DifferentContent, ///< The key was used for other content.
-    StoreUnavailable, ///< Nothing was dispatched and nothing will be: not run.
+    StoreUnavailable, ///< This attempt is not dispatched and never will be; what became of earlier ones is not known.
 };
 
 struct ClaimDecided {
@@ -53,6 +53,23 @@
     friend bool operator==(const ClaimDecided&, const ClaimDecided&) = default;
 };
 
+/// What is true of a request that was not granted, with all attempts that carried its key: a store that
+/// did not answer can't say whether an earlier attempt ran. Precondition: not granted.
+inline RunState runStateOf(const ClaimDecided& decided)
+{
+    switch (decided.verdict) {
+    case ClaimVerdict::AlreadyDone:
+        return decided.recordedState;
+    case ClaimVerdict::DifferentContent:
+        return RunState::NotRun;
+    case ClaimVerdict::InProgress:
+    case ClaimVerdict::StoreUnavailable:
+    case ClaimVerdict::Granted:
+        break;
+    }
+    return RunState::Unknown;
+}
+
 using ClaimAction = std::variant<ReadObject, WriteObject, ClaimDecided>;
 using ClaimActions = std::vector<ClaimAction>;
 
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -38,12 +38,8 @@
     case ClaimVerdict::Granted:
         break;
     }
-    return { ErrorKind::Unavailable, "the store that keeps idempotency keys did not answer", "send it again with the same key" };
-}
-
-RunState runStateOf(const ClaimDecided& decided)
-{
-    return decided.verdict == ClaimVerdict::InProgress ? RunState::Unknown : RunState::NotRun;
+    return { ErrorKind::Unavailable, "the store that keeps idempotency keys did not answer: this attempt was not dispatched, an earlier one may have run",
+        "send it again with the same key" };
 }
 
 }
@@ -148,7 +144,7 @@
         respond(*call, std::move(reply));
         return;
     }
-    answer.runState = decided.verdict == ClaimVerdict::AlreadyDone ? decided.recordedState : runStateOf(decided);
+    answer.runState = runStateOf(decided);
     answer.refusal = decided.verdict == ClaimVerdict::AlreadyDone
         ? Error { ErrorKind::Conflict, "the idempotency key ran before and its answer was not kept", "don't send it again" }
         : answerOf(decided);
--- a/src/daemon/claims_role.h
+++ b/src/daemon/claims_role.h
@@ -36,7 +36,7 @@
 struct ForwardCounters {
     std::uint64_t asked = 0; ///< Claims sent to another instance.
     std::uint64_t undelivered = 0; ///< No byte of them left; claimed here instead.
-    std::uint64_t unanswered = 0; ///< Refused, not run: the link broke or the deadline passed.
+    std::uint64_t unanswered = 0; ///< Refused: the link broke or the deadline passed.
     std::uint64_t lateGrants = 0; ///< Granted after they were refused, and released.
 };
 
@@ -44,7 +44,7 @@
 /// asking the partition's owner, whose engine batches them.
 ///
 /// Who owns a partition is only a matter of speed. A claim whose call to the owner may have arrived is
-/// never claimed by another way: it is refused, not run, and once its owner must have decided, its key
+/// never claimed by another way: it is refused, and once its owner must have decided, its key
 /// is released. An owner that was paused may still claim it after that: the claim is remembered for a
 /// time, a late grant given back at once, and the key released a second time. Thread safe.
 class ClaimsRole final : public ClaimService, public std::enable_shared_from_this<ClaimsRole> {
--- a/tests/fault_matrix/history.cpp
+++ b/tests/fault_matrix/history.cpp
@@ -80,12 +80,20 @@
 void History::checkRunState(const CallRecord& call, const Answer& answer, std::vector<std::string>& out) const
 {
     const bool hasRun = std::any_of(runs.begin(), runs.end(), [&](const auto& it) { return it.key.request == call.id; });
-    if (answer.runState == RunState::NotRun && hasRun)
+    if (answer.runState == RunState::NotRun && (hasRun || hadRunBefore(call)))
         out.push_back(nameOf(call) + " was told not run, and it ran");
     if (answer.runState == RunState::Ran && !hasRun && !call.isReplay)
         out.push_back(nameOf(call) + " was told ran, and it did not");
 }
 
+/// An order is the same request whichever attempt carries its key.
+bool History::hadRunBefore(const CallRecord& call) const
+{
+    return std::any_of(runs.begin(), runs.end(), [&](const auto& it) {
+        return it.kind == RequestKind::Order && call.kind == RequestKind::Order && it.body == call.body && it.begun < call.answered;
+    });
+}
+
 void History::checkOrders(std::vector<std::string>& out) const
 {
     std::map<std::string, std::uint32_t> times;
--- a/tests/fault_matrix/history.h
+++ b/tests/fault_matrix/history.h
@@ -73,6 +73,7 @@
     void checkAnswers(std::vector<std::string>&, TimePoint end) const;
     void checkCoverage(const CallRecord&, const Answer&, std::vector<std::string>&) const;
     void checkRunState(const CallRecord&, const Answer&, std::vector<std::string>&) const;
+    bool hadRunBefore(const CallRecord&) const;
     void checkOrders(std::vector<std::string>&) const;
     void checkServers(std::vector<std::string>&) const;
     void checkCrashes(std::vector<std::string>&) const;
--- a/tests/fault_matrix/request_world.h
+++ b/tests/fault_matrix/request_world.h
@@ -29,6 +29,8 @@
     DrainLeavesAtOnce,
     DrainNewsLost,
     NoQuarantine,
+    RefusedClaimToldNotRun,
+    CapNotShared, ///< Each holder of a server takes its whole cap.
 };
 
 struct WorldOptions {
--- a/tests/fault_matrix/request_world_entry.cpp
+++ b/tests/fault_matrix/request_world_entry.cpp
@@ -107,10 +107,8 @@
     Answer answer;
     answer.request = request.id;
     answer.refusal = Error { ErrorKind::Conflict, "the claim was not granted", "ask again" };
-    answer.runState = RunState::Unknown;
-    if (decided.verdict == ClaimVerdict::AlreadyDone)
-        answer.runState = decided.recordedState;
-    if (decided.verdict == ClaimVerdict::StoreUnavailable || decided.verdict == ClaimVerdict::DifferentContent)
+    answer.runState = runStateOf(decided);
+    if (decided.verdict == ClaimVerdict::StoreUnavailable && m_options.mutation == Mutation::RefusedClaimToldNotRun)
         answer.runState = RunState::NotRun;
     m_history.calls.at(request.id).isReplay = decided.verdict == ClaimVerdict::AlreadyDone;
     deliver(node, answer);
