Fault matrix: mutations of the connection cap and of 'not run'; server faults at apply and join

Cause: no mutation of the connection cap turned a cell red, and faults of servers and requests were left out of apply and join.

CapNotShared (each holder of a server takes its whole cap) turns cells of a stopped or paused instance or a stale list red; RefusedClaimToldNotRun turns an order's cells red with the store down. Pairs of both kinds of fault run in both worlds.

--- a/tests/fault_matrix/cell.cpp
+++ b/tests/fault_matrix/cell.cpp
@@ -15,7 +15,7 @@
     return operation == Operation::Apply || operation == Operation::Join;
 }
 
-/// True for faults of backend servers and of requests, which rules and joins never meet.
+/// True for faults of backend servers and of requests: rules and joins meet them only where requests run.
 bool isForRequestsOnly(Fault fault)
 {
     switch (fault) {
@@ -31,11 +31,6 @@
     }
 }
 
-bool touches(Fault fault, Operation operation)
-{
-    return !isControl(operation) || !isForRequestsOnly(fault);
-}
-
 }
 
 std::string Cell::name() const
@@ -48,7 +43,19 @@
 
 std::vector<std::string> run(const Cell& cell)
 {
-    return isControl(cell.operation) ? runControlCell(cell) : runRequestCell(cell);
+    if (!isControl(cell.operation))
+        return runRequestCell(cell);
+    // The faults of the platform and of instances in the control world, and all of them beside requests.
+    auto control = cell;
+    std::erase_if(control.faults, isForRequestsOnly);
+    std::vector<std::string> violations;
+    if (!control.faults.empty())
+        violations = runControlCell(control);
+    if (control.faults.size() < cell.faults.size()) {
+        const auto others = runRequestCell(cell);
+        violations.insert(violations.end(), others.begin(), others.end());
+    }
+    return violations;
 }
 
 std::vector<Cell> allCells(std::uint64_t seed)
@@ -56,10 +63,8 @@
     std::vector<Cell> cells;
     for (const auto operation : allOperations) {
         for (const auto step : stepsOf(operation)) {
-            for (const auto fault : allFaults) {
-                if (touches(fault, operation))
-                    cells.push_back({ operation, step, { fault }, seed, Mutation::None });
-            }
+            for (const auto fault : allFaults)
+                cells.push_back({ operation, step, { fault }, seed, Mutation::None });
         }
     }
     return cells;
@@ -75,7 +80,7 @@
         const auto step = steps[random.below(steps.size())];
         const auto first = allFaults[random.below(allFaults.size())];
         const auto second = allFaults[random.below(allFaults.size())];
-        if (first != second && touches(first, operation) && touches(second, operation))
+        if (first != second)
             cells.push_back({ operation, step, { first, second }, seed + cells.size(), Mutation::None });
     }
     return cells;
--- a/tests/fault_matrix/fault_matrix_test.cpp
+++ b/tests/fault_matrix/fault_matrix_test.cpp
@@ -83,6 +83,14 @@
     {
         CHECK(redCells(Mutation::DrainNewsLost, Operation::Search, { { Fault::ServerDraining } }) > 0);
     }
+    SUBCASE("an order refused while the store is down is not run only if no earlier attempt ran")
+    {
+        CHECK(redCells(Mutation::RefusedClaimToldNotRun, Operation::Order, { { Fault::StoreDown } }) > 0);
+    }
+    SUBCASE("relays that don't share a server's cap break it when ownership moves")
+    {
+        CHECK(redCells(Mutation::CapNotShared, Operation::Search, { { Fault::InstanceStoppedHard }, { Fault::LeaseHolderPaused }, { Fault::InstanceListStale } }) > 0);
+    }
     SUBCASE("without quarantine a content that crashes servers fells them all")
     {
         CHECK(redCells(Mutation::NoQuarantine, Operation::Search, { { Fault::CrashRequest } }) > 0);
--- a/tests/fault_matrix/request_cell.cpp
+++ b/tests/fault_matrix/request_cell.cpp
@@ -95,6 +95,22 @@
     }
 }
 
+/// Rules change, or an instance that was away joins, under the requests of addTraffic.
+void startControl(RequestWorld& world, const Cell& cell, const std::function<void()>& strike)
+{
+    auto& timeline = world.timeline();
+    if (cell.operation == Operation::Apply)
+        world.changeRules();
+    for (const auto step : stepsOf(cell.operation)) {
+        if (step != cell.step || step == Step::Before)
+            continue;
+        // The rules arrive, and the new instance is seen, 50 ms to 1 s after they are there.
+        timeline.after(step == Step::Late ? 700ms : step == Step::FirstInForce || step == Step::Listed ? 250ms
+                                                                                                       : 2ms,
+            strike);
+    }
+}
+
 void startOperation(RequestWorld& world, const Cell& cell)
 {
     auto& timeline = world.timeline();
@@ -120,6 +136,11 @@
     RequestWorld world({ cell.seed, cell.mutation });
     auto& timeline = world.timeline();
     timeline.runUntil(timeline.now() + settleTime);
+    constexpr Duration absence = 6s;
+    if (cell.operation == Operation::Join) {
+        world.stopInstance(relayOf(world), absence);
+        timeline.runUntil(timeline.now() + absence - settleTime);
+    }
     addTraffic(world);
     timeline.runUntil(timeline.now() + settleTime);
     bool isBroughtAbout = false;
@@ -136,11 +157,16 @@
     });
     if (cell.step == Step::Before)
         strike();
-    if (cell.step == Step::Started)
-        timeline.after(2ms, strike);
-    if (cell.step == Step::Late)
-        timeline.after(700ms, strike);
-    startOperation(world, cell);
+    const bool isControl = cell.operation == Operation::Apply || cell.operation == Operation::Join;
+    if (isControl) {
+        startControl(world, cell, strike);
+    } else {
+        if (cell.step == Step::Started)
+            timeline.after(2ms, strike);
+        if (cell.step == Step::Late)
+            timeline.after(700ms, strike);
+        startOperation(world, cell);
+    }
     timeline.runUntil(timeline.now() + 15s);
     auto violations = world.history().violations(timeline.now());
     if (!isBroughtAbout)
--- a/tests/fault_matrix/request_world.cpp
+++ b/tests/fault_matrix/request_world.cpp
@@ -15,6 +15,8 @@
                            "match /order service desk kind order priority desk deadline 2s hedge 0% retry 0%  # asked by the fault matrix: at most once\n";
 constexpr std::uint32_t connectionCap = 10;
 constexpr std::uint32_t slots = 6;
+/// Owners and standbys of an old and a new view, which share the cap.
+constexpr std::uint32_t holdersInTwoViews = 4;
 constexpr Duration sameZoneDelay = 1ms;
 constexpr Duration otherZoneDelay = 3ms;
 constexpr Duration healthPeriod = 500ms;
@@ -101,7 +103,8 @@
         for (std::uint32_t r = 0; r < replicas; ++r) {
             const auto name = serverName(s, r);
             shard.replicas.push_back(name);
-            servers.push_back({ name, { "127.0.0.1", 1 }, m_serverZones.at(name), service.name, slots, connectionCap, m_leaving.contains(name), { IndexVersion(1) } });
+            const auto cap = m_options.mutation == Mutation::CapNotShared ? holdersInTwoViews * connectionCap : connectionCap;
+            servers.push_back({ name, { "127.0.0.1", 1 }, m_serverZones.at(name), service.name, slots, cap, m_leaving.contains(name), { IndexVersion(1) } });
         }
         service.shards.push_back(std::move(shard));
     }
