--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::size_t maxKeyBytes = 256;
 constexpr Duration longestDeadline = std::chrono::minutes(10);
 /// For operators to raise a limit, or for a service to be split.
 constexpr Duration retryAfterTooManyLegs = std::chrono::seconds(30);
@@ -41,12 +40,8 @@
     case ClaimVerdict::Granted:
         break;
     }
-    return { ErrorKind::Unavailable, "the store that keeps idempotency keys did not answer", "send it again with the same key" };
-}
-
-RunState runStateOf(const ClaimDecided& decided)
-{
-    return decided.verdict == ClaimVerdict::InProgress ? RunState::Unknown : RunState::NotRun;
+    return { ErrorKind::Unavailable, "the store that keeps idempotency keys did not answer: this attempt was not dispatched, an earlier one may have run",
+        "send it again with the same key" };
 }
 
 }
@@ -59,7 +54,7 @@
     bool isClaimed = false;
 };
 
-CallerApi::CallerApi(EntryDriver& entry, const SharedTables& tables, ClaimService& claims, RequestLog& log, OperatorApi& operators, std::shared_ptr<const Clock> clock, std::uint32_t maxLegs)
+CallerApi::CallerApi(EntryDriver& entry, const SharedTables& tables, ClaimService& claims, RequestLog& log, OperatorApi& operators, std::shared_ptr<const Clock> clock, std::uint32_t maxLegs, ByteCount maxKey)
     : m_entry(entry)
     , m_tables(tables)
     , m_claims(claims)
@@ -67,6 +62,7 @@
     , m_operators(operators)
     , m_clock(std::move(clock))
     , m_maxLegs(maxLegs)
+    , m_maxKey(maxKey)
 {
 }
 
@@ -105,8 +101,8 @@
     if (!deadline)
         return refuse(400, deadline.error());
     const std::string key(request.headers.find("Idempotency-Key"));
-    if (rule->kind == RequestKind::Order && (key.empty() || key.size() > maxKeyBytes))
-        return refuse(400, { ErrorKind::InvalidInput, "Idempotency-Key is missing or longer than 256 bytes", "give each order a key of its own, and the same key when it is sent again" });
+    if (rule->kind == RequestKind::Order && (key.empty() || key.size() > m_maxKey.value))
+        return refuse(400, { ErrorKind::InvalidInput, "Idempotency-Key is missing or longer than " + std::to_string(m_maxKey.value) + " bytes", "give each order a key of its own, and the same key when it is sent again" });
 
     call->request.deadline = std::min(deadline.value(), now + rule->deadline);
     call->request.record = std::string(request.headers.find("X-Record-Key"));
@@ -150,7 +146,7 @@
         respond(*call, std::move(reply));
         return;
     }
-    answer.runState = decided.verdict == ClaimVerdict::AlreadyDone ? decided.recordedState : runStateOf(decided);
+    answer.runState = runStateOf(decided);
     answer.refusal = decided.verdict == ClaimVerdict::AlreadyDone
         ? Error { ErrorKind::Conflict, "the idempotency key ran before and its answer was not kept", "don't send it again" }
         : answerOf(decided);
