Hedge at 1.25 times the 95th percentile; ten hedges saved by an instance

Cause: with 2 % slow legs the 97th percentile lies beside them. A class of an engine has few samples, so it jumped among the slow ones and back: legs were hedged after 100 ms, with tokens left. Ten hold 5 % over any 2,000 first legs of an instance; the bound is stated at the constant. Test: the number saved changed from 16 to 10, checked exactly as before.

--- a/bench/fan_out_bench.cpp
+++ b/bench/fan_out_bench.cpp
@@ -115,6 +115,7 @@
     app.add_option("--seed", base.seed, "seed of the fleet and of the engines");
     app.add_option("--retransmission-ms", retransmissionMillis, "delay of a message that is sent again");
     app.add_option("--quantile", base.policies.hedgeQuantile.value, "quantile past which a leg is late");
+    app.add_option("--delay-factor", base.policies.hedgeDelayFactor, "times that quantile after which a leg is late");
     app.add_option("--outstanding", base.policies.hedgeWhenOutstanding.value, "share of legs outstanding at most for a hedge");
     app.add_option("--very-late", base.policies.veryLateFactor, "hedge delays after which a leg is hedged in any case");
     app.add_option("--canary", base.policies.canaryBeforeSearch, "one leg ahead before every search");
--- a/src/query/hedge_planner.cpp
+++ b/src/query/hedge_planner.cpp
@@ -33,7 +33,8 @@
         return;
     }
     legClass.samplesUntilUpdate = samplesPerUpdate;
-    legClass.hedgeDelay = std::max(m_settings.minimumHedgeDelay, legClass.latencies.quantile(m_settings.hedgeQuantile));
+    const auto quantile = static_cast<double>(legClass.latencies.quantile(m_settings.hedgeQuantile).count());
+    legClass.hedgeDelay = std::max(m_settings.minimumHedgeDelay, Duration(static_cast<std::int64_t>(quantile * m_settings.hedgeDelayFactor)));
 }
 
 Duration HedgePlanner::delayOf(const LegClass& legClass) const
--- a/src/query/query_settings.h
+++ b/src/query/query_settings.h
@@ -17,7 +17,10 @@
     Share hedgeWhenOutstanding { 0.25 }; ///< Legs are hedged once a query waits for this share of them at most.
     double veryLateFactor = 2; ///< A leg later than this many hedge delays is hedged however many are outstanding.
     std::uint32_t maxAttempts = 3; ///< Of one leg, hedges included.
-    Share hedgeQuantile { 0.97 }; ///< A leg slower than this quantile of its class may be hedged.
+    Share hedgeQuantile { 0.95 }; ///< A leg is late that takes hedgeDelayFactor times this quantile of its class.
+    /// Keeps the quantile away from the few slow legs that it is to find: one close to their share jumps
+    /// among them and back, as few samples have it.
+    double hedgeDelayFactor = 1.25;
     Duration minimumHedgeDelay = 2ms;
     /// One leg of every search goes ahead of the others, so that content which crashes servers fells one.
     /// Off: only that of content under suspicion.
--- a/src/query/rule_budget.h
+++ b/src/query/rule_budget.h
@@ -39,10 +39,11 @@
     bool spendRetry() { return m_extra.spend(); }
 
 private:
-    /// Hedges saved in a quiet time: those of so many queries, or a least number for narrow ones. More
-    /// would let a spell of stragglers pass the share.
+    /// Hedges saved in a quiet time: those of so many queries, or a least number for narrow ones. With S
+    /// saved, an instance hedges at most 0.9 B L + S of L first legs, for a share B: no more than B L over any
+    /// span of S / (0.1 B) legs or more. At 5 % and 20 legs a query that is 2000 legs, or 100 queries.
     static constexpr double queriesSaved = 2;
-    static constexpr double leastSaved = 16;
+    static constexpr double leastSaved = 10;
     /// Part of the share that is earned; the rest leaves room for what was saved.
     static constexpr double shareEarned = 0.9;
     /// Retries saved: enough for the legs that a few relays have of a wide query.
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -109,7 +109,7 @@
                                 { "query", "canary_before_search", fieldOf<section, &QuerySettings::canaryBeforeSearch>, {}, "Sends one leg of every search ahead of the others; off: only of suspect content." },
                                 { "query", "hedge_when_outstanding", fieldOf<section, &QuerySettings::hedgeWhenOutstanding>, { "0%", "100%" }, "Legs are hedged once a query waits for this share of them at most." },
                                 { "query", "max_attempts", fieldOf<section, &QuerySettings::maxAttempts>, { "1", "10" }, "Attempts of one leg, hedges included." },
-                                { "query", "hedge_quantile", fieldOf<section, &QuerySettings::hedgeQuantile>, { "50%", "99.99%" }, "A leg slower than this quantile of its class may be hedged." },
+                                { "query", "hedge_quantile", fieldOf<section, &QuerySettings::hedgeQuantile>, { "50%", "99.99%" }, "A leg is late after 1.25 times this quantile of its class." },
                                 { "query", "minimum_hedge_delay", fieldOf<section, &QuerySettings::minimumHedgeDelay>, { "0ms", "10s" }, "No hedge before this time." },
                                 { "query", "cross_zone_cost", fieldOf<section, &QuerySettings::crossZoneCost>, { "0ms", "1s" }, "What a replica in another zone must be better by." },
                             });
--- a/tests/query/rule_budget_test.cpp
+++ b/tests/query/rule_budget_test.cpp
@@ -46,7 +46,7 @@
     SUBCASE("a long quiet time saves a bounded number")
     {
         sendAndAnswer(budget, rule, 10000, 20);
-        CHECK(spendAll(budget) == 16);
+        CHECK(spendAll(budget) == 10);
     }
     SUBCASE("a wide query has what it earned for its own late legs")
     {
@@ -110,7 +110,7 @@
         CHECK_FALSE(budget->spendHedge());
         for (int i = 0; i < 1000; ++i)
             budget->earnAnswer(rule);
-        CHECK(spendAll(*budget) == 16);
+        CHECK(spendAll(*budget) == 10);
     }
 }
 
