--- a/tests/query/hedging_test.cpp
+++ b/tests/query/hedging_test.cpp
@@ -90,6 +90,12 @@
             CHECK(fixture.takeAnswers().size() == 1);
         }
     }
+    SUBCASE("one that takes only a little longer than usual is not late")
+    {
+        answerAllBut(fixture, 1);
+        fixture.advance(800us);
+        CHECK(fixture.takeWork().empty());
+    }
     SUBCASE("while many are outstanding a leg that is only just late is not")
     {
         answerAllBut(fixture, 15);
