Under overload a search leaves out the legs it can spare; lower priorities give way at the entry

Cause: at van lookups equal to the capacity all 20 queues grow together, and legs were shed one by one at the relays when it was too late: two of one search at a time. Hedges and desk legs took slots from van lookups.

Change: Pressure, the mean share of the time to spare that the legs would wait.

--- a/src/query/query.h
+++ b/src/query/query.h
@@ -52,6 +52,14 @@
     {
         return legs.empty() || static_cast<double>(covered + openLegs) / static_cast<double>(legs.size()) >= rule->minimumCoverage.value;
     }
+    /// Legs that may still end without an answer.
+    std::size_t spareLegs() const
+    {
+        constexpr double rounding = 1e-9;
+        const auto mayLack = static_cast<std::size_t>(static_cast<double>(legs.size()) * (1 - rule->minimumCoverage.value) + rounding);
+        const auto lacking = legs.size() - covered - openLegs;
+        return mayLack > lacking ? mayLack - lacking : 0;
+    }
     bool coversEnough() const { return covered > 0 && coverage() >= rule->minimumCoverage.value; }
 };
 
--- a/src/query/query_engine.h
+++ b/src/query/query_engine.h
@@ -41,6 +41,7 @@
     std::uint64_t crashes = 0; ///< Legs that died with their server.
     std::uint64_t quarantined = 0; ///< Requests refused for their content.
     std::uint64_t notAdmitted = 0; ///< Requests refused because they could not be done in time.
+    std::uint64_t shedLegs = 0; ///< Legs left out of searches under overload.
     std::uint64_t mixedVersions = 0; ///< Answers of another version or epoch than asked for, not used.
 
     friend bool operator==(const QueryCounters&, const QueryCounters&) = default;
--- a/src/query/replica_chooser.cpp
+++ b/src/query/replica_chooser.cpp
@@ -68,17 +68,52 @@
     return own + std::max(0.0, ahead) / slots * serviceTime;
 }
 
+const ServerState* ReplicaChooser::knownState(const ServerRecord& record, TimePoint now) const
+{
+    return record.state && now - record.stateAt <= loadIsKnownFor ? &*record.state : nullptr;
+}
+
+double ReplicaChooser::turnsAhead(const ServerRecord& record, const ServerState& state, Priority priority)
+{
+    const auto ahead = static_cast<double>(std::max(record.outstanding.upTo(priority), state.ahead(priority))) + 1 - record.slots();
+    return std::max(0.0, ahead) / record.slots();
+}
+
 Duration ReplicaChooser::soonest(const ReplicaChoice& choice, Priority priority, TimePoint now) const
 {
-    const auto& record = *choice.server;
-    if (!record.state || now - record.stateAt > loadIsKnownFor)
+    const auto* state = knownState(*choice.server, now);
+    if (!state)
         return {};
-    const auto& state = *record.state;
-    const auto ahead = std::max(0.0, static_cast<double>(std::max(record.outstanding.upTo(priority), state.ahead(priority))) + 1 - record.slots());
-    const auto micros = static_cast<double>(state.recentLatency.count()) * (1 + ahead / record.slots());
+    const auto micros = static_cast<double>(state->recentLatency.count()) * (1 + turnsAhead(*choice.server, *state, priority));
     return Duration(static_cast<std::int64_t>(micros)) + (*choice.zone == m_self ? Duration {} : 2 * m_settings.crossZoneCost);
 }
 
+double ReplicaChooser::waitShare(const ReplicaChoice& choice, Priority priority, TimePoint deadline, TimePoint now) const
+{
+    const auto* state = knownState(*choice.server, now);
+    return state ? shareOfSpareTime(choice, *state, turnsAhead(*choice.server, *state, priority), deadline, now) : 0;
+}
+
+double ReplicaChooser::higherWaitShare(const ReplicaChoice& choice, Priority priority, TimePoint deadline, TimePoint now) const
+{
+    const auto* state = knownState(*choice.server, now);
+    if (!state || priority == Priority::Van)
+        return 0;
+    const auto higher = static_cast<Priority>(static_cast<int>(priority) - 1);
+    const auto turns = static_cast<double>(state->queuedBy.upTo(higher)) / choice.server->slots();
+    return shareOfSpareTime(choice, *state, turns, deadline, now);
+}
+
+double ReplicaChooser::shareOfSpareTime(const ReplicaChoice& choice, const ServerState& state, double turns, TimePoint deadline, TimePoint now) const
+{
+    if (turns <= 0)
+        return 0;
+    const auto link = *choice.zone == m_self ? Duration {} : 2 * m_settings.crossZoneCost;
+    const auto spare = static_cast<double>((deadline - now - link - state.recentLatency).count());
+    const auto wait = turns * static_cast<double>(state.recentLatency.count());
+    return spare > 0 ? wait / spare : 1;
+}
+
 ReplicaChoice ReplicaChooser::choose(const Query& query, const LegState& leg, bool again, TimePoint now)
 {
     const auto candidates = candidatesOf(query, leg, again, now);
--- a/src/query/standard_query_engine.h
+++ b/src/query/standard_query_engine.h
@@ -44,6 +44,10 @@
     /// By how much the legs would miss the deadline; zero when enough of them can keep it.
     Duration latenessOf(const Query&, const std::vector<ReplicaChoice>&, TimePoint) const;
 
+    /// Under overload gives up legs that the rule can spare, those with the longest wait. False when the query,
+    /// of a lower priority, was refused instead. Choices without a server are legs not to be sent.
+    bool shedLegs(Query&, const std::vector<ReplicaChoice>&, TimePoint, QueryActions&);
+
     // Canary: one leg ahead of the others.
     bool needsCanary(const Query&) const;
     bool sendCanary(Query&, TimePoint, QueryActions&);
--- a/src/query/standard_query_engine_plan.cpp
+++ b/src/query/standard_query_engine_plan.cpp
@@ -1,5 +1,6 @@
 #include "base/fingerprint.h"
 #include "query/answer_builder.h"
+#include "query/pressure.h"
 #include "query/snapshot_chooser.h"
 #include "query/standard_query_engine.h"
 
@@ -19,6 +20,8 @@
 constexpr Duration releaseDelay = 20ms;
 /// By then the relays have agreed on who probes suspect content.
 constexpr Duration suspectRetryAfter = 1s;
+/// Overload that refuses lower priorities comes and goes within about this time.
+constexpr Duration overloadRetryAfter = 1s;
 
 }
 
@@ -124,6 +127,8 @@
         deliver(query, Error { ErrorKind::Overloaded, "it can't be done before its deadline", "send it again after the time given" }, now, actions);
         return false;
     }
+    if (m_settings.shedding && query.rule->kind == RequestKind::Search && !shedLegs(query, choices, now, actions))
+        return false;
     WorkBatch batch;
     for (std::size_t i = 0; i < query.legs.size(); ++i) {
         auto& leg = query.legs[i];
@@ -139,6 +144,37 @@
     return true;
 }
 
+bool StandardQueryEngine::shedLegs(Query& query, const std::vector<ReplicaChoice>& choices, TimePoint now, QueryActions& actions)
+{
+    std::vector<double> waits;
+    std::vector<double> higherWaits;
+    std::vector<std::pair<double, std::size_t>> byWait;
+    for (std::size_t i = 0; i < choices.size(); ++i) {
+        if (!choices[i].server)
+            continue;
+        waits.push_back(m_replicas.waitShare(choices[i], query.rule->priority, query.deadline, now));
+        higherWaits.push_back(m_replicas.higherWaitShare(choices[i], query.rule->priority, query.deadline, now));
+        byWait.emplace_back(waits.back(), i);
+    }
+    const Pressure pressure(waits);
+    if (Pressure(higherWaits).value() > m_settings.lowerPrioritiesUpTo.value) {
+        query.retryAfter = std::max(query.retryAfter, overloadRetryAfter);
+        ++m_counters.notAdmitted;
+        deliver(query, Error { ErrorKind::Overloaded, "its servers are busy with what has a higher priority", "send it again after the time given" }, now, actions);
+        return false;
+    }
+    query.mayHedge = query.mayHedge && pressure.value() <= m_settings.hedgeUpTo.value;
+    if (query.rule->preference != AnswerPreference::Tail)
+        return true;
+    const auto count = pressure.legsToGiveUp(query.spareLegs(), m_settings);
+    std::sort(byWait.rbegin(), byWait.rend());
+    for (std::size_t i = 0; i < count && i < byWait.size(); ++i) {
+        closeLeg(query, query.legs[byWait[i].second], "left out under overload");
+        ++m_counters.shedLegs;
+    }
+    return true;
+}
+
 Duration StandardQueryEngine::latenessOf(const Query& query, const std::vector<ReplicaChoice>& choices, TimePoint now) const
 {
     if (!m_settings.admission)
