A search that gives up is not woken for ever by a time to hedge or reroute

A search that can't cover enough any more stops hedging, but kept the time at which it would look for late legs, and the time at which a leg that no relay held is sent again. Once that time passed, it was due at once after every wake: the engine's timer loop never ended, and its thread served nobody any more. Change: a search that gives up forgets both times. Before: the new test does not end (stopped after 20 s). After: at most 3 wakes, one answer; query 225,601 assertions pass, ctest 18 of 18. Ruled out: giveUpAt itself, which is forgotten when a search starts again.

--- a/src/query/standard_query_engine.cpp
+++ b/src/query/standard_query_engine.cpp
@@ -163,8 +163,13 @@
         return deliver(query, std::nullopt, now, actions);
     if (allEnded || deadlinePassed || mustGiveUp(query, now))
         return deliver(query, refusalOf(query, deadlinePassed), now, actions);
-    if (query.giveUpAt == never)
+    if (query.giveUpAt == never) {
         hedgeLateLegs(query, now, actions);
+    } else {
+        // It sends nothing more: a time to hedge or to send again that passed would wake it for ever.
+        query.hedgeCheckAt = never;
+        query.rerouteAt = never;
+    }
     schedule(query, now);
 }
 
--- a/tests/query/reroute_test.cpp
+++ b/tests/query/reroute_test.cpp
@@ -127,6 +127,38 @@
     }
 }
 
+TEST_CASE("a search that is about to end for lack of coverage is woken once for it, not for ever" * doctest::test_suite("query"))
+{
+    QueryFixture fixture(8);
+    fixture.start("/search");
+    const auto work = fixture.takeWork();
+    const auto endLeg = [&](std::size_t number, LegOutcome outcome) {
+        for (const auto& sent : work) {
+            for (const auto& leg : sent.work.legs) {
+                if (leg.leg == LegNumber(static_cast<std::uint32_t>(number)))
+                    fixture.end(sent, leg, outcome);
+            }
+        }
+    };
+    // One leg waits for a relay that holds its server; then more are lost than the rule can spare.
+    endLeg(0, LegOutcome::NotHeld);
+    refuseAll(fixture);
+    fixture.advance(5ms);
+    for (const std::size_t number : { 1, 2, 3 })
+        endLeg(number, LegOutcome::Quarantined);
+    CHECK(fixture.takeAnswers().empty());
+    std::size_t wakes = 0;
+    const auto end = fixture.now + 10ms;
+    for (; fixture.engine->nextWake() <= end && wakes < 100; ++wakes) {
+        const auto at = std::max(fixture.now, fixture.engine->nextWake());
+        fixture.now = at;
+        fixture.engine->onTimer(at, fixture.actions);
+        CHECK(fixture.engine->nextWake() > at);
+    }
+    CHECK(wakes <= 3);
+    CHECK(fixture.takeAnswers().size() == 1);
+}
+
 TEST_CASE("the coverage of a refused search names every shard" * doctest::test_suite("query"))
 {
     QueryFixture fixture(4);
