--- /dev/null
+++ b/models/claims.pml
@@ -0,0 +1,511 @@
+/*
+ * Claims of idempotency keys in one partition of the store.
+ *
+ * The store holds a head (version, number of the next segment, log of records) and one create-only
+ * segment. Instances claim keys by conditional writes of the head. Calls may be refused, their answers
+ * lost, and writes may land at any later time; instances give up at deadlines, restart without memory
+ * and pause anywhere (no step has a time). docs/DESIGN-claims.md names the function behind each step.
+ *
+ * Bounds (set with -D): NI instances, NK keys, ATT attempts of each instance, FAULTS refused, lost and
+ * delayed calls in all, RESTARTS in all, SLOTS delayed writes at a time. SEAL: heads may be sealed.
+ * A MUT_ define takes one rule of the protocol away; Spin must then find an error.
+ */
+#ifndef NI
+#define NI 2
+#endif
+#ifndef NK
+#define NK 1
+#endif
+#ifndef ATT
+#define ATT 1
+#endif
+#ifndef FAULTS
+#define FAULTS 2
+#endif
+#ifndef RESTARTS
+#define RESTARTS 1
+#endif
+#ifndef SLOTS
+#define SLOTS 2
+#endif
+
+#define TOKENS (NI * ATT + 1)  /* token 0: none */
+#define RECORDS ((2 * NI + FAULTS) * ATT) /* of each attempt a claim and an outcome or a release; a lost write repeats the latter */
+
+#define CLAIM 0
+#define OUTCOME 1
+#define RELEASE 2
+#define REC(token, kind) ((token) * 4 + (kind))
+#define TOKEN(rec) ((rec) / 4)
+#define KIND(rec) ((rec) % 4)
+
+#define OK 1
+#define CONFLICT 2
+#define LOST 3
+#define UNAVAILABLE 4
+
+typedef Log {
+	byte size;
+	byte rec[RECORDS]
+};
+typedef Head {
+	byte version;
+	byte next; /* 1: the segment belongs to the log */
+	Log log
+};
+typedef Delayed {
+	bit used;
+	byte condition;
+	Head head
+};
+
+Head store;
+Log segment;
+bit segmentExists;
+Delayed net[SLOTS];
+
+byte keyOf[TOKENS];
+byte runs[NK];
+bit toldNotRun[TOKENS];
+byte faults, restarts, finished;
+bit lostMemory; /* a restart may have forgotten a release */
+
+inline copyLog(to, from) {
+	to.size = from.size;
+	i = 0;
+	do
+	:: i < RECORDS -> to.rec[i] = from.rec[i]; i++
+	:: else -> break
+	od
+}
+
+inline copyHead(to, from) {
+	to.version = from.version;
+	to.next = from.next;
+	copyLog(to.log, from.log)
+}
+
+inline clearLog(list) {
+	list.size = 0;
+	i = 0;
+	do
+	:: i < RECORDS -> list.rec[i] = 0; i++
+	:: else -> break
+	od;
+	i = 0
+}
+
+inline clearHead(whole) {
+	whole.version = 0;
+	whole.next = 0;
+	clearLog(whole.log)
+}
+
+inline append(list, record) {
+	assert(list.size < RECORDS);
+	list.rec[list.size] = record;
+	list.size++
+}
+
+/* afterRecord: what one record makes of the key's holder. */
+inline apply(record) {
+	if
+	:: keyOf[TOKEN(record)] == key && record != 0 ->
+		if
+		:: KIND(record) == CLAIM && holder == 0 -> holder = TOKEN(record); done = 0
+#ifdef MUT_RELEASE_WITHOUT_CONDITION
+		:: KIND(record) == RELEASE -> holder = 0; done = 0
+#else
+		:: KIND(record) == RELEASE && holder == TOKEN(record) -> holder = 0; done = 0
+#endif
+		:: KIND(record) == OUTCOME && holder == TOKEN(record) -> done = 1
+		:: else
+		fi
+	:: else
+	fi
+}
+
+inline foldLog(list) {
+	i = 0;
+	do
+	:: i < list.size -> apply(list.rec[i]); i++
+	:: else -> break
+	od
+}
+
+/* ClaimPartition::stateOf: the key's holder by a head, its segment and the records that go before. */
+inline fold(whole) {
+	holder = 0;
+	done = 0;
+#ifndef MUT_FORGET_SEGMENT
+	if
+	:: whole.next == 1 -> foldLog(segment)
+	:: else
+	fi;
+#endif
+	foldLog(whole.log)
+}
+
+/* A conditional write as the store performs it. */
+inline storeWrite(expected, written) {
+	if
+	:: store.version == expected ->
+		copyHead(store, written);
+		store.version = expected + 1;
+		reply = OK
+	:: else -> reply = CONFLICT
+	fi
+}
+
+proctype Network() {
+	byte i, reply;
+	byte s;
+end:	do
+	:: atomic { net[0].used -> s = 0; goto land }
+#if SLOTS > 1
+	:: atomic { net[1].used -> s = 1; goto land }
+#endif
+	:: finished == NI -> break
+	od;
+	goto drain;
+land:	skip;
+	d_step {
+		storeWrite(net[s].condition, net[s].head);
+		net[s].used = 0;
+		net[s].condition = 0;
+		clearHead(net[s].head);
+		reply = 0; s = 0
+	};
+	goto end;
+drain:	/* What is still under way lands now or never. */
+	if
+	:: net[0].used -> s = 0; goto land
+#if SLOTS > 1
+	:: net[1].used -> s = 1; goto land
+#endif
+	:: else
+	fi;
+	finished++
+}
+
+inline forgetHead() {
+	isKnown = 0;
+	clearHead(known);
+	clearHead(next)
+}
+
+/* ClaimPartition::giveUp: the caller is told "not run"; what may land is released. */
+inline giveUp(mayLand) {
+	toldNotRun[token] = 1;
+	if
+	:: mayLand -> append(unwritten, REC(token, RELEASE))
+	:: else
+	fi;
+	token = 0;
+	key = 0;
+	landed = 0
+}
+
+/* Granted: the entry dispatches, or its backend server refuses before it runs. */
+inline grant() {
+	assert(!toldNotRun[token]);
+	if
+	:: runs[keyOf[token]]++;
+		assert(runs[keyOf[token]] <= 1);
+		append(unwritten, REC(token, OUTCOME))
+	:: append(unwritten, REC(token, RELEASE))
+	fi;
+	token = 0;
+	key = 0;
+	landed = 0
+}
+
+proctype Instance(byte id) {
+	Head known;
+	Head next;
+	Log unwritten;
+	bit isKnown, landed, done, sealing;
+#ifdef MUT_TRUST_LEASE
+	bit hasLease;
+#endif
+	byte token, key, holder, reply, attempts, inLife, i, sent, cut;
+
+idle:	if
+	:: atomic { attempts < ATT ->
+		attempts++;
+		inLife++;
+#ifdef MUT_TOKEN_WITHOUT_LIFE
+		token = id * ATT + inLife;
+#else
+		token = id * ATT + attempts;
+#endif
+		if
+		:: key = 0
+#if NK > 1
+		:: key = 1
+#endif
+		fi;
+		keyOf[token] = key }
+	:: unwritten.size > 0
+	:: atomic { attempts == ATT && unwritten.size == 0 -> finished++; goto stop }
+	:: atomic { restarts < RESTARTS && attempts > 0 -> goto restart }
+	fi;
+
+again:	if
+	:: !isKnown -> goto read
+	:: isKnown -> goto judge
+	fi;
+
+read:	/* ClaimPartition::readHead, onHeadRead. A lost answer is only asked for again. */
+	if
+	:: d_step { true -> copyHead(known, store); isKnown = 1; i = 0 }
+	:: d_step { faults < FAULTS -> faults++ }; /* refused */
+		if
+		:: atomic { token != 0 -> giveUp(landed) }
+		:: else
+		fi;
+		goto idle
+	:: atomic { token != 0 -> giveUp(landed); goto idle } /* deadline */
+	:: atomic { restarts < RESTARTS -> goto restart }
+	fi;
+
+judge:	skip; /* ClaimPartition::gather, judge. */
+	d_step {
+		holder = 0; done = 0;
+		if
+		:: token != 0 -> fold(known); foldLog(unwritten)
+		:: else
+		fi;
+		i = 0
+	};
+	if
+	:: atomic { token != 0 && holder == token -> done = 0; holder = 0; grant(); goto idle }
+	:: atomic { token != 0 && holder != 0 && holder != token ->
+		/* AlreadyDone or InProgress. */
+		assert(!done || runs[key] == 1);
+		done = 0; holder = 0; token = 0; key = 0; landed = 0; goto idle }
+	:: atomic { token == 0 || holder == 0 -> holder = 0; done = 0 }
+	fi;
+
+#ifdef SEAL
+	/* ClaimPartition::createSegment, sealedStartsHead. */
+	if
+	:: known.next == 0 && known.log.size > 0 ->
+		d_step {
+#ifdef MUT_SEGMENT_OVERWRITTEN
+			copyLog(segment, known.log); segmentExists = 1;
+#else
+			if
+			:: !segmentExists -> copyLog(segment, known.log); segmentExists = 1
+			:: else
+			fi;
+#endif
+			/* The segment must start the head's log; it is another head's otherwise. */
+			sealing = (segment.size <= known.log.size);
+			i = 0;
+			do
+			:: i < segment.size && sealing ->
+				sealing = (segment.rec[i] == known.log.rec[i]);
+				i++
+			:: else -> break
+			od;
+			cut = (sealing -> segment.size : 0);
+			i = 0
+		};
+		if
+		:: atomic { !sealing -> forgetHead(); goto again }
+		:: else
+		fi
+	:: true
+	fi;
+#endif
+
+	/* ClaimPartition::writeHead. */
+	d_step {
+		next.version = known.version;
+		next.next = known.next;
+		if
+		:: sealing ->
+			next.next = 1;
+#ifdef MUT_SEAL_WHOLE
+			cut = known.log.size
+#endif
+		:: else
+		fi;
+		next.log.size = known.log.size - cut;
+		i = 0;
+		do
+		:: i < RECORDS ->
+			if
+			:: i < next.log.size -> next.log.rec[i] = known.log.rec[i + cut]
+			:: else -> next.log.rec[i] = 0
+			fi;
+			i++
+		:: else -> break
+		od;
+		sealing = 0;
+		cut = 0;
+		sent = unwritten.size;
+#ifdef MUT_RELEASE_LEFT_OUT
+		if
+		:: token != 0 -> sent = 0
+		:: else
+		fi;
+#endif
+		i = 0;
+		do
+		:: i < sent -> append(next.log, unwritten.rec[i]); i++
+		:: else -> break
+		od;
+		if
+		:: token != 0 -> append(next.log, REC(token, CLAIM))
+		:: else
+		fi;
+		i = 0
+	};
+#ifdef MUT_TRUST_LEASE
+	/* The lease was taken at some time; it may have lapsed since. */
+	if
+	:: hasLease = 1
+	:: hasLease = 0
+	fi;
+#endif
+	if
+	:: d_step { true ->
+#ifdef MUT_UNCONDITIONAL_WRITE
+		next.version = store.version;
+#endif
+#ifdef MUT_TRUST_LEASE
+		next.version = (hasLease -> store.version : next.version);
+#endif
+		storeWrite(next.version, next); i = 0 }
+	:: d_step { faults < FAULTS -> faults++; storeWrite(next.version, next); reply = LOST; i = 0 }
+	:: d_step { faults < FAULTS && !net[0].used ->
+		faults++;
+		net[0].used = 1; net[0].condition = next.version; copyHead(net[0].head, next);
+		reply = LOST; i = 0 }
+#if SLOTS > 1
+	:: d_step { faults < FAULTS && net[0].used && !net[1].used ->
+		faults++;
+		net[1].used = 1; net[1].condition = next.version; copyHead(net[1].head, next);
+		reply = LOST; i = 0 }
+#endif
+	:: d_step { faults < FAULTS -> faults++; reply = UNAVAILABLE }
+	fi;
+
+	/* Deadlines and restarts come while the answer is under way. */
+	if
+	:: true
+#ifndef MUT_GRANT_AFTER_DEADLINE
+#ifdef MUT_NO_RELEASE_IN_FLIGHT
+	:: atomic { token != 0 -> giveUp(landed) }
+#else
+	:: atomic { token != 0 -> giveUp(1) }
+#endif
+#else
+	:: atomic { token != 0 -> toldNotRun[token] = 1 }
+#endif
+	:: atomic { restarts < RESTARTS -> goto restart }
+	fi;
+
+	/* ClaimPartition::onHeadWriteEnded. */
+	if
+	:: atomic { reply == OK ->
+		copyHead(known, next);
+		known.version++;
+		clearHead(next);
+		/* Records added since the write went out stay. */
+		i = 0;
+		do
+		:: i < RECORDS ->
+			if
+			:: i + sent < RECORDS -> unwritten.rec[i] = unwritten.rec[i + sent]
+			:: else -> unwritten.rec[i] = 0
+			fi;
+			i++
+		:: else -> break
+		od;
+		unwritten.size = unwritten.size - sent;
+		sent = 0;
+		reply = 0;
+		i = 0;
+		if
+		:: token != 0 -> grant()
+		:: else
+		fi;
+		goto idle }
+	:: d_step { reply == CONFLICT -> reply = 0; sent = 0; forgetHead() }
+	:: atomic { reply == LOST ->
+		reply = 0; sent = 0; forgetHead();
+		if
+		:: token != 0 ->
+#ifdef MUT_DISPATCH_WHILE_UNSURE
+			grant(); goto idle
+#else
+#ifdef MUT_SKIP_READ_BACK
+			/* Taken for a write that did not land. */
+			toldNotRun[token] = 1; token = 0; goto idle
+#else
+#ifndef MUT_NO_RELEASE_AFTER_LOST
+			landed = 1
+#else
+			skip
+#endif
+#endif
+#endif
+		:: else
+		fi }
+	:: atomic { reply == UNAVAILABLE ->
+		reply = 0; sent = 0; forgetHead();
+		if
+		:: token != 0 -> giveUp(landed)
+		:: else
+		fi;
+		goto idle }
+	fi;
+	if
+	:: token != 0 || unwritten.size > 0 -> goto again
+	:: else -> goto idle
+	fi;
+
+restart:
+	atomic {
+		restarts++;
+		lostMemory = 1;
+		landed = 0; done = 0; sealing = 0; token = 0; holder = 0; reply = 0; inLife = 0; sent = 0;
+		clearLog(unwritten);
+		forgetHead();
+		key = 0;
+		i = 0;
+		goto idle
+	};
+stop:	skip
+}
+
+init {
+	byte i, key, holder;
+	bit done;
+	atomic {
+		i = 0;
+		do
+		:: i < NI -> run Instance(i); i++
+		:: else -> break
+		od;
+		run Network()
+	};
+	finished == NI + 1;
+#ifndef ONLY_RUNS
+	/* All is settled: no refused request holds a key, unless a restart forgot its release. */
+	d_step {
+		key = 0;
+		do
+		:: key < NK ->
+			fold(store);
+			assert(lostMemory || runs[key] == 1 || holder == 0);
+			assert(lostMemory || runs[key] == 0 || (holder != 0 && done));
+			key++
+		:: else -> break
+		od
+	}
+#endif
+}
