--- a/bench/dispatch/search_load.cpp
+++ b/bench/dispatch/search_load.cpp
@@ -137,16 +137,8 @@
 QueryCounters SearchLoad::counters() const
 {
     QueryCounters sum;
-    for (const auto& it : m_entries) {
-        const auto part = it.engine->counters();
-        sum.requests += part.requests;
-        sum.firstLegs += part.firstLegs;
-        sum.hedges += part.hedges;
-        sum.retries += part.retries;
-        sum.cancels += part.cancels;
-        sum.notAdmitted += part.notAdmitted;
-        sum.refusals += part.refusals;
-    }
+    for (const auto& it : m_entries)
+        sum += it.engine->counters();
     return sum;
 }
 
--- a/bench/virtual_fleet.cpp
+++ b/bench/virtual_fleet.cpp
@@ -96,12 +96,8 @@
     FleetFigures figures;
     QueryCounters sum;
     for (const auto& entry : m_entries) {
-        for (const auto& engine : entry.engines) {
-            const auto counters = engine->counters();
-            sum.firstLegs += counters.firstLegs;
-            sum.hedges += counters.hedges;
-            sum.retries += counters.retries;
-        }
+        for (const auto& engine : entry.engines)
+            sum += engine->counters();
     }
     const auto legs = std::max(1.0, static_cast<double>(sum.firstLegs));
     const auto counted = std::max(1.0, static_cast<double>(m_counted));
--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -1,5 +1,7 @@
 #include "base/clock.h"
 
+#include <ctime>
+
 namespace lycheefield {
 
 TimePoint SteadyClock::now() const
@@ -8,4 +10,11 @@
     return TimePoint(std::chrono::duration_cast<Duration>(sinceOrigin));
 }
 
+TimePoint BootClock::now() const
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+}
+
 }
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -18,4 +18,10 @@
     TimePoint now() const override;
 };
 
+/// A monotonic clock that goes on while the machine is suspended, so that deadlines pass meanwhile.
+class BootClock final : public Clock {
+public:
+    TimePoint now() const override;
+};
+
 }
--- a/src/base/leg.cpp
+++ b/src/base/leg.cpp
@@ -1,5 +1,7 @@
 #include "base/leg.h"
 
+#include <utility>
+
 namespace lycheefield {
 
 std::string_view toString(LegOutcome outcome)
@@ -29,4 +31,15 @@
     return "lost";
 }
 
+LegResult notHeldResult(const WorkOrder& order, const LegOrder& leg, std::string detail)
+{
+    LegResult result;
+    result.key = { order.request, leg.leg, leg.attempt };
+    result.shard = leg.shard;
+    result.outcome = LegOutcome::NotHeld;
+    result.state.server = leg.server;
+    result.detail = std::move(detail);
+    return result;
+}
+
 }
--- a/src/base/leg.h
+++ b/src/base/leg.h
@@ -132,4 +132,7 @@
     friend bool operator==(const LegResult&, const LegResult&) = default;
 };
 
+/// The end of a leg whose relay is the wrong one or could not be reached: no server was asked.
+LegResult notHeldResult(const WorkOrder&, const LegOrder&, std::string detail);
+
 }
--- a/src/base/quantity_text.cpp
+++ b/src/base/quantity_text.cpp
@@ -1,6 +1,7 @@
 #include "base/quantity_text.h"
 
 #include <boost/spirit/home/x3.hpp>
+#include <charconv>
 
 #include <array>
 #include <cmath>
@@ -79,8 +80,25 @@
     return formatScaled(static_cast<std::uint64_t>(duration.count()), durationUnits);
 }
 
+namespace {
+
+/// A share written as a fraction of one, as "0.25".
+std::optional<Share> parseFraction(std::string_view text)
+{
+    double value = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
+    const bool isFraction = text.starts_with("0.") || text.starts_with("1.");
+    if (!isFraction || ec != std::errc() || end != text.data() + text.size() || value < 0 || value > 1)
+        return std::nullopt;
+    return Share { value };
+}
+
+}
+
 std::optional<Share> parseShare(std::string_view text)
 {
+    if (!text.ends_with('%'))
+        return parseFraction(text);
     std::uint64_t whole = 0;
     std::string places;
     const auto setWhole = [&](const auto& context) { whole = x3::_attr(context); };
--- a/src/base/stored_object.h
+++ b/src/base/stored_object.h
@@ -26,6 +26,7 @@
     NotFound,
     Conflict, ///< The condition did not hold; nothing was written.
     Unavailable, ///< The call was refused or never left; nothing was written.
+    HistoryGone, ///< The changes since that revision are not kept any more; list again.
     Lost, ///< No answer: a write may have taken effect, or may yet.
 };
 
--- a/src/claims/claim_partition_replies.cpp
+++ b/src/claims/claim_partition_replies.cpp
@@ -100,6 +100,7 @@
         actions.emplace_back(ReadObject { m_headCall->id, segmentKey(m_number, number) });
         return;
     case StoreStatus::NotFound:
+    case StoreStatus::HistoryGone:
     case StoreStatus::Unavailable:
         return onFailure(StoreStatus::Unavailable, now, actions);
     }
--- a/src/daemon/engine_timer.h
+++ b/src/daemon/engine_timer.h
@@ -5,8 +5,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
-#include <functional>
 #include <memory>
+#include <utility>
 
 namespace lycheefield {
 
@@ -21,13 +21,14 @@
 
     /// Calls the function at the time, or a little later. A timer that is set for an earlier time
     /// stays: waking an engine too early does no harm.
-    void arm(TimePoint wake, const std::function<void()>& function)
+    template <typename Function>
+    void arm(TimePoint wake, Function function)
     {
         if (wake >= m_armedFor)
             return;
         m_armedFor = wake;
         m_timer.expires_after(wake - m_clock->now());
-        m_timer.async_wait([this, function](const boost::system::error_code& ec) {
+        m_timer.async_wait([this, function = std::move(function)](const boost::system::error_code& ec) {
             if (ec)
                 return;
             m_armedFor = never;
--- a/src/daemon/entry_driver.cpp
+++ b/src/daemon/entry_driver.cpp
@@ -82,21 +82,8 @@
 QueryCounters EntryDriver::counters() const
 {
     QueryCounters sum;
-    for (const auto& it : m_shards) {
-        const auto part = it->counters();
-        sum.requests += part.requests;
-        sum.firstLegs += part.firstLegs;
-        sum.hedges += part.hedges;
-        sum.retries += part.retries;
-        sum.cancels += part.cancels;
-        sum.strayResults += part.strayResults;
-        sum.reroutes += part.reroutes;
-        sum.shedLegs += part.shedLegs;
-        sum.restarts += part.restarts;
-        sum.completeAnswers += part.completeAnswers;
-        sum.partialAnswers += part.partialAnswers;
-        sum.refusals += part.refusals;
-    }
+    for (const auto& it : m_shards)
+        sum += it->counters();
     return sum;
 }
 
--- a/src/daemon/peer_router.cpp
+++ b/src/daemon/peer_router.cpp
@@ -106,15 +106,8 @@
     const auto* work = std::get_if<WorkOrder>(&message);
     if (!work)
         return;
-    for (const auto& it : work->legs) {
-        LegResult result;
-        result.key = { work->request, it.leg, it.attempt };
-        result.shard = it.shard;
-        result.outcome = LegOutcome::NotHeld;
-        result.state.server = it.server;
-        result.detail = "no connection to relay " + to.value();
-        m_entry->onLegResult(std::move(result));
-    }
+    for (const auto& it : work->legs)
+        m_entry->onLegResult(notHeldResult(*work, it, "no connection to relay " + to.value()));
 }
 
 void PeerRouter::onPeerGone(const InstanceName& peer)
--- a/src/daemon/relay_driver.cpp
+++ b/src/daemon/relay_driver.cpp
@@ -106,20 +106,8 @@
 RelayCounters RelayDriver::counters() const
 {
     RelayCounters sum;
-    for (const auto& it : m_shards) {
-        const auto part = it->counters();
-        sum.legs += part.legs;
-        sum.sent += part.sent;
-        sum.refused += part.refused;
-        sum.expired += part.expired;
-        sum.cancelledInQueue += part.cancelledInQueue;
-        sum.cancelledAtServer += part.cancelledAtServer;
-        sum.crashes += part.crashes;
-        sum.quarantined += part.quarantined;
-        sum.ejections += part.ejections;
-        sum.wasted += part.wasted;
-        sum.connectionsOpened += part.connectionsOpened;
-    }
+    for (const auto& it : m_shards)
+        sum += it->counters();
     return sum;
 }
 
--- a/src/daemon/rules_role.cpp
+++ b/src/daemon/rules_role.cpp
@@ -132,7 +132,7 @@
         self.m_listener.onStoreAnswer();
         for (const auto& it : batch.changed)
             self.onStored(StoreStatus::Ok, it.value, actions);
-        if (batch.changed.empty())
+        if (batch.isWhole && batch.changed.empty())
             self.onStored(StoreStatus::NotFound, {}, actions);
     });
 }
--- a/src/dispatch/relay_engine.cpp
+++ b/src/dispatch/relay_engine.cpp
@@ -176,13 +176,7 @@
 void BlockRelayEngine::refuse(const WorkOrder& order, const LegOrder& leg, const std::string& detail, RelayActions& actions)
 {
     ++m_shared.counters.refused;
-    LegResult result;
-    result.key = { order.request, leg.leg, leg.attempt };
-    result.shard = leg.shard;
-    result.outcome = LegOutcome::NotHeld;
-    result.state.server = leg.server;
-    result.detail = detail;
-    actions.push_back(ReturnResult { order.entry, std::move(result) });
+    actions.push_back(ReturnResult { order.entry, notHeldResult(order, leg, detail) });
 }
 
 void BlockRelayEngine::onWork(const WorkOrder& order, TimePoint now, RelayActions& actions)
--- a/src/dispatch/relay_engine.h
+++ b/src/dispatch/relay_engine.h
@@ -49,6 +49,22 @@
     std::uint64_t wasted = 0; ///< Answers of servers that nobody waited for any more.
     std::uint64_t connectionsOpened = 0;
 
+    /// Adds each counter: those of an instance are the sums over its engines.
+    RelayCounters& operator+=(const RelayCounters& other)
+    {
+        legs += other.legs;
+        sent += other.sent;
+        refused += other.refused;
+        expired += other.expired;
+        cancelledInQueue += other.cancelledInQueue;
+        cancelledAtServer += other.cancelledAtServer;
+        crashes += other.crashes;
+        quarantined += other.quarantined;
+        ejections += other.ejections;
+        wasted += other.wasted;
+        connectionsOpened += other.connectionsOpened;
+        return *this;
+    }
     friend bool operator==(const RelayCounters&, const RelayCounters&) = default;
 };
 
--- /dev/null
+++ b/src/forward/extra_budget.cpp
@@ -0,0 +1,52 @@
+#include "forward/extra_budget.h"
+
+#include <algorithm>
+
+namespace lycheefield {
+
+namespace {
+
+/// Part of the allowed share that is spent: instances don't see the same window at the same moment.
+constexpr double shareSpent = 0.85;
+
+}
+
+void ExtraBudget::advance(TimePoint now, Duration window)
+{
+    const auto sliceLength = std::max<Duration::rep>(1, window.count() / static_cast<Duration::rep>(slices));
+    const auto slice = now.time_since_epoch().count() / sliceLength;
+    const auto count = static_cast<std::int64_t>(m_firsts.size());
+    const auto first = std::max(m_slice + 1, slice - count + 1);
+    for (auto i = first; i <= slice; ++i) {
+        const auto at = static_cast<std::size_t>(i % count);
+        m_firstSum -= m_firsts[at];
+        m_extraSum -= m_extras[at];
+        m_firsts[at] = 0;
+        m_extras[at] = 0;
+    }
+    m_slice = std::max(m_slice, slice);
+}
+
+void ExtraBudget::noteFirst(TimePoint now, Duration window)
+{
+    advance(now, window);
+    ++m_firsts[static_cast<std::size_t>(m_slice) % m_firsts.size()];
+    ++m_firstSum;
+}
+
+bool ExtraBudget::hasExtra(TimePoint now, const ExtraBudgetLimits& limits)
+{
+    advance(now, limits.window);
+    return m_extraSum + 1 <= shareSpent * limits.ratio.value * m_firstSum + limits.slack;
+}
+
+bool ExtraBudget::takeExtra(TimePoint now, const ExtraBudgetLimits& limits)
+{
+    if (!hasExtra(now, limits))
+        return false;
+    ++m_extras[static_cast<std::size_t>(m_slice) % m_extras.size()];
+    ++m_extraSum;
+    return true;
+}
+
+}
--- /dev/null
+++ b/src/forward/forward_action.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "forward/forward_request.h"
+#include "forward/server_entry.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lycheefield {
+
+/// Hand a request to a server. It ends in exactly one onReply or onLost of the engine, unless it is closed.
+struct SendToServer {
+    SendId id;
+    ServerEntry server;
+    std::shared_ptr<const HttpRequest> message;
+    std::string attemptId;
+    TimePoint deadline = never;
+    bool isRepeatable = false;
+};
+
+/// Give up a send: close its connection, so that the server stops work on it. Nothing is reported afterwards.
+struct CloseSend {
+    SendId id;
+};
+
+/// Give the caller its answer.
+struct DeliverForwardAnswer {
+    ForwardAnswer answer;
+};
+
+/// How much a decision explains: when lines are limited, the least telling ones give way first.
+enum class DecisionWeight : std::uint8_t {
+    Plain, ///< A success.
+    Extra, ///< A second send.
+    Failure, ///< A refusal, a failure or a partial answer.
+};
+
+/// One decision about a request, for the log.
+struct NoteForwardDecision {
+    DecisionWeight weight = DecisionWeight::Plain;
+    std::string attemptId;
+    std::string event;
+    std::string detail; ///< The inputs that decided it, as "key=value" pairs.
+};
+
+using ForwardAction = std::variant<SendToServer, CloseSend, DeliverForwardAnswer, NoteForwardDecision>;
+using ForwardActions = std::vector<ForwardAction>;
+
+}
--- /dev/null
+++ b/src/forward/forward_engine.cpp
@@ -0,0 +1,262 @@
+#include "forward/forward_engine.h"
+
+#include <algorithm>
+
+namespace lycheefield {
+
+namespace {
+
+/// A send that nobody waits for any more is closed after this part of its route's target latency,
+/// so that a server that hangs does not hold a connection.
+constexpr int abandonedAfterTargets = 2;
+constexpr Duration abandonedAtLeast = 500ms;
+/// A request that must not be cut is left at its server for this long after its deadline.
+constexpr Duration leftAfterDeadline = 2s;
+/// Part of the fleet's slack that the instances spend in all: those that restart begin anew.
+constexpr double slackSpent = 0.45;
+
+}
+
+ForwardEngine::ForwardEngine(ForwardSettings settings, std::unique_ptr<RandomSource> random)
+    : m_settings(std::move(settings))
+    , m_random(std::move(random))
+    , m_pool(m_settings, *m_random)
+{
+}
+
+ForwardEngine::Request* ForwardEngine::find(RequestNumber number)
+{
+    const auto it = m_requests.find(number);
+    return it == m_requests.end() ? nullptr : &it->second;
+}
+
+ExtraBudgetLimits ForwardEngine::budgetLimits() const
+{
+    return { m_settings.retryRatio, slackSpent * m_settings.retrySlack / m_pool.instances(), m_settings.retryWindow };
+}
+
+void ForwardEngine::start(ForwardRequest request, TimePoint now, ForwardActions& actions)
+{
+    ++m_counters.requests;
+    const auto number = request.number;
+    auto& it = m_requests[number];
+    it.request = std::move(request);
+    it.startedAt = now;
+    const auto& route = it.route();
+    it.deadline = std::min(it.request.deadline, now + route.timeout);
+    if (route.isSearch()) {
+        it.answerBy = now + std::max(Duration {}, route.targetLatency - m_settings.answerMargin);
+        for (const auto& shard : route.shards)
+            it.legs.emplace_back().service = shard;
+    } else {
+        it.legs.emplace_back().service = m_splits.pick(route);
+    }
+    const auto served = std::count_if(it.legs.begin(), it.legs.end(), [&](const Leg& leg) { return m_pool.hasServers(leg.service); });
+    if (static_cast<std::size_t>(served) < it.needed())
+        return finish(it, now, actions);
+    for (std::size_t i = 0; i < it.legs.size(); ++i)
+        reviewLeg(it, i, now, actions);
+    review(it, now, actions);
+}
+
+void ForwardEngine::onReply(SendId id, const ServerReply& reply, TimePoint now, ForwardActions& actions)
+{
+    const auto it = m_sends.find(id);
+    if (it == m_sends.end())
+        return;
+    const auto send = it->second;
+    if (reply.load)
+        ServerPool::noteLoad(*send.server, *reply.load, now);
+    const auto took = now - send.sentAt;
+    if (reply.kind == ServerReplyKind::Served) {
+        auto& times = m_times[send.routeName];
+        ServerPool::noteAnswer(*send.server, took, times.usual({}), now);
+        times.add(took, now);
+    } else if (reply.kind == ServerReplyKind::WrongServer) {
+        ServerPool::noteReplaced(*send.server);
+    } else {
+        ServerPool::noteFailure(*send.server, now);
+    }
+    forgetSend(id, now);
+    auto* request = find(send.request);
+    if (!request)
+        return;
+    auto& leg = request->legs[send.leg];
+    std::erase(leg.open, id);
+    if (reply.kind != ServerReplyKind::NotRun && reply.kind != ServerReplyKind::WrongServer)
+        request->mayHaveRun = true;
+    else
+        --leg.mayHaveRun;
+    if (leg.stage == LegStage::Done || leg.stage == LegStage::Missing)
+        return;
+    if (reply.kind == ServerReplyKind::Served) {
+        acceptPart(*request, leg, reply);
+    } else {
+        if (reply.kind == ServerReplyKind::Failed)
+            leg.ownAnswer = reply.message;
+        onLegFailed(*request, send.leg, now, actions);
+    }
+    review(*request, now, actions);
+}
+
+void ForwardEngine::onLost(SendId id, bool bytesHanded, TimePoint now, ForwardActions& actions)
+{
+    const auto it = m_sends.find(id);
+    if (it == m_sends.end())
+        return;
+    const auto send = it->second;
+    ServerPool::noteFailure(*send.server, now);
+    forgetSend(id, now);
+    auto* request = find(send.request);
+    if (!request)
+        return;
+    auto& leg = request->legs[send.leg];
+    std::erase(leg.open, id);
+    if (bytesHanded)
+        request->mayHaveRun = true;
+    else
+        --leg.mayHaveRun;
+    actions.emplace_back(NoteForwardDecision { DecisionWeight::Extra, request->request.attemptId, "send lost",
+        "server=" + send.server->entry.name.value() + " bytes_handed=" + (bytesHanded ? "yes" : "no") });
+    if (leg.stage == LegStage::Done || leg.stage == LegStage::Missing)
+        return;
+    onLegFailed(*request, send.leg, now, actions);
+    review(*request, now, actions);
+}
+
+void ForwardEngine::cancel(RequestNumber number, TimePoint now, ForwardActions& actions)
+{
+    auto* request = find(number);
+    if (!request)
+        return;
+    ++m_counters.gone;
+    actions.emplace_back(NoteForwardDecision { DecisionWeight::Extra, request->request.attemptId, "caller left", "route=" + request->route().name });
+    abandonSends(*request, true, now, actions);
+    m_due.erase({ request->due, number });
+    m_requests.erase(number);
+}
+
+void ForwardEngine::finishAll(TimePoint now, ForwardActions& actions)
+{
+    std::vector<RequestNumber> numbers;
+    for (const auto& [number, request] : m_requests)
+        numbers.push_back(number);
+    for (const auto& number : numbers) {
+        if (auto* request = find(number))
+            finish(*request, now, actions);
+    }
+}
+
+void ForwardEngine::onServers(const std::map<ServerName, ServerEntry>& servers, TimePoint now)
+{
+    m_pool.update(servers, now);
+}
+
+void ForwardEngine::onRoutes(const RouteTable& table)
+{
+    m_splits.keepOnly(table.routes);
+    std::erase_if(m_times, [&](const auto& entry) {
+        return std::none_of(table.routes.begin(), table.routes.end(), [&](const Route& route) { return route.name == entry.first; });
+    });
+    std::erase_if(m_budgets, [&](const auto& entry) { return !table.services.contains(entry.first); });
+}
+
+void ForwardEngine::onTimer(TimePoint now, ForwardActions& actions)
+{
+    while (!m_closings.empty() && m_closings.begin()->first <= now)
+        closeSend(m_closings.begin()->second, now, actions);
+    while (!m_due.empty() && m_due.begin()->first <= now) {
+        const auto number = m_due.begin()->second;
+        m_due.erase(m_due.begin());
+        if (auto* request = find(number)) {
+            request->due = never;
+            review(*request, now, actions);
+        }
+    }
+}
+
+TimePoint ForwardEngine::nextWake() const
+{
+    const auto due = m_due.empty() ? never : m_due.begin()->first;
+    const auto closing = m_closings.empty() ? never : m_closings.begin()->first;
+    return std::min(due, closing);
+}
+
+void ForwardEngine::forgetSend(SendId id, TimePoint now)
+{
+    const auto it = m_sends.find(id);
+    ServerPool::noteOver(*it->second.server, now);
+    if (it->second.closeAt != never)
+        m_closings.erase({ it->second.closeAt, id });
+    m_sends.erase(it);
+}
+
+void ForwardEngine::closeSend(SendId id, TimePoint now, ForwardActions& actions)
+{
+    const auto it = m_sends.find(id);
+    if (it == m_sends.end())
+        return;
+    auto& server = *it->second.server;
+    const bool isSilent = server.owesSince != never && now - server.owesSince >= abandonedAtLeast;
+    if (isSilent)
+        ServerPool::noteFailure(server, now);
+    forgetSend(id, now);
+    actions.emplace_back(CloseSend { id });
+}
+
+void ForwardEngine::abandonSends(Request& request, bool closeNow, TimePoint now, ForwardActions& actions)
+{
+    for (auto& leg : request.legs) {
+        for (const auto& id : std::exchange(leg.open, {})) {
+            auto& send = m_sends.at(id);
+            if (closeNow && send.isRepeatable) {
+                closeSend(id, now, actions);
+                continue;
+            }
+            const auto patience = std::max(abandonedAtLeast, abandonedAfterTargets * request.route().targetLatency);
+            send.closeAt = send.isRepeatable ? std::max(now, send.sentAt + patience) : std::max(now, request.deadline) + leftAfterDeadline;
+            m_closings.emplace(send.closeAt, id);
+        }
+    }
+}
+
+void ForwardEngine::finish(Request& request, TimePoint now, ForwardActions& actions)
+{
+    auto answer = answerOf(request, now);
+    countAnswer(request, answer, now);
+    const bool isPlain = answer.missingShards == 0 && (answer.kind == ForwardAnswerKind::Search || answer.kind == ForwardAnswerKind::PassThrough);
+    const auto micros = (now - request.startedAt).count();
+    actions.emplace_back(NoteForwardDecision { isPlain ? DecisionWeight::Plain : DecisionWeight::Failure, request.request.attemptId, "answered",
+        "route=" + request.route().name + " version=" + std::to_string(request.request.table->version) + " outcome=" + answer.reason
+            + " shards=" + std::to_string(request.done) + "/" + std::to_string(request.legs.size()) + " took_us=" + std::to_string(micros) });
+    actions.emplace_back(DeliverForwardAnswer { std::move(answer) });
+    abandonSends(request, false, now, actions);
+    const auto number = request.request.number;
+    m_due.erase({ request.due, number });
+    m_requests.erase(number);
+}
+
+void ForwardEngine::countAnswer(const Request& request, const ForwardAnswer& answer, TimePoint now)
+{
+    switch (answer.kind) {
+    case ForwardAnswerKind::Search:
+        ++(answer.missingShards == 0 ? m_counters.complete : m_counters.partial);
+        break;
+    case ForwardAnswerKind::PassThrough:
+        ++m_counters.passedThrough;
+        break;
+    case ForwardAnswerKind::NotRun:
+        ++m_counters.refused;
+        return;
+    case ForwardAnswerKind::Failed:
+        ++m_counters.failed;
+        return;
+    case ForwardAnswerKind::TimedOut:
+        ++m_counters.timedOut;
+        return;
+    }
+    if (now - request.startedAt > request.route().targetLatency)
+        ++m_counters.late;
+}
+
+}
--- /dev/null
+++ b/src/forward/forward_engine.h
@@ -0,0 +1,158 @@
+#pragma once
+
+#include "base/random_source.h"
+#include "forward/extra_budget.h"
+#include "forward/forward_action.h"
+#include "forward/forward_request.h"
+#include "forward/forward_settings.h"
+#include "forward/route_times.h"
+#include "forward/server_pool.h"
+#include "routing/split_picker.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace lycheefield {
+
+/// Counters that only grow.
+struct ForwardCounters {
+    std::uint64_t requests = 0;
+    std::uint64_t firstSends = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t extrasDenied = 0; ///< Sends that the budget had no room for.
+    std::uint64_t complete = 0;
+    std::uint64_t partial = 0;
+    std::uint64_t passedThrough = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t timedOut = 0;
+    std::uint64_t gone = 0; ///< Callers that left before their answer.
+    std::uint64_t late = 0; ///< Answers after the route's target latency.
+
+    friend bool operator==(const ForwardCounters&, const ForwardCounters&) = default;
+};
+
+/// Decides for requests that an instance sends straight to backend servers: which server, when a
+/// second one, when the answer is good enough, and what the caller is told.
+///
+/// A search is answered when all parts are in, or just before its target latency with those that
+/// are in, if they cover enough. A send that is late goes to a second server, within the budget. A
+/// request that must not run twice is sent again only after a proof that it did not run.
+/// It does no I/O: every call takes the time and appends actions for the caller to carry out. Not thread safe.
+class ForwardEngine {
+public:
+    ForwardEngine(ForwardSettings, std::unique_ptr<RandomSource>);
+
+    /// Precondition: the number was never used before, and the route points into the table.
+    void start(ForwardRequest, TimePoint, ForwardActions&);
+    void onReply(SendId, const ServerReply&, TimePoint, ForwardActions&);
+    /// The send ended without a reply. bytesHanded: some of it was handed to the connection.
+    void onLost(SendId, bool bytesHanded, TimePoint, ForwardActions&);
+    /// The caller has left: nothing more is sent, and repeatable work is ended at the servers.
+    void cancel(RequestNumber, TimePoint, ForwardActions&);
+    /// The process is about to end: every request gets what there is for it.
+    void finishAll(TimePoint, ForwardActions&);
+
+    /// The servers that may get work.
+    void onServers(const std::map<ServerName, ServerEntry>&, TimePoint);
+    /// The routes in force, so that what is kept for others can go.
+    void onRoutes(const RouteTable&);
+    void setInstances(std::uint32_t n) { m_pool.setInstances(n); }
+
+    /// Runs what has come due. Call it no later than nextWake().
+    void onTimer(TimePoint, ForwardActions&);
+    /// When onTimer must run next; `never` when nothing waits.
+    TimePoint nextWake() const;
+
+    std::size_t inFlight() const { return m_requests.size(); }
+    const ForwardCounters& counters() const { return m_counters; }
+
+private:
+    /// One send to one server, kept until it is over, even when its request was answered before.
+    struct Send {
+        ServerStatePtr server;
+        TimePoint sentAt {};
+        TimePoint closeAt = never; ///< When it is given up, once nobody waits for it.
+        RequestNumber request;
+        std::size_t leg = 0;
+        std::string routeName;
+        bool isRepeatable = false;
+    };
+    enum class LegStage : std::uint8_t {
+        Unsent, ///< It waits for a server that has room.
+        Sent,
+        Done,
+        Missing, ///< It ended without an answer.
+    };
+    struct Leg {
+        ServiceName service;
+        LegStage stage = LegStage::Unsent;
+        std::vector<ServerStatePtr> tried;
+        std::vector<SendId> open;
+        std::uint32_t mayHaveRun = 0; ///< Servers that it may have run on.
+        TimePoint hedgeAt = never;
+        std::string signature;
+        std::string body;
+        std::optional<HttpReply> ownAnswer; ///< What a server answered to a single request, success or failure.
+    };
+    struct Request {
+        ForwardRequest request;
+        std::vector<Leg> legs;
+        TimePoint startedAt {};
+        TimePoint deadline = never; ///< The sooner of the caller's and the route's.
+        TimePoint answerBy = never; ///< A search is answered from here on once it covers enough.
+        TimePoint due = never;
+        std::size_t done = 0;
+        std::size_t missing = 0;
+        bool mayHaveRun = false;
+
+        const Route& route() const { return *request.route; }
+        std::size_t pending() const { return legs.size() - done - missing; }
+        std::size_t needed() const { return route().isSearch() ? route().minimumShards() : 1; }
+        bool coversEnough() const { return done >= needed(); }
+        bool canCoverEnough() const { return done + pending() >= needed(); }
+    };
+
+    Request* find(RequestNumber);
+    void review(Request&, TimePoint, ForwardActions&);
+    void reviewLeg(Request&, std::size_t leg, TimePoint, ForwardActions&);
+    bool trySend(Request&, std::size_t leg, bool isHedge, TimePoint, ForwardActions&);
+    bool takeBudget(Leg&, TimePoint);
+    void onLegFailed(Request&, std::size_t leg, TimePoint, ForwardActions&);
+    void endLeg(Request&, Leg&);
+    void acceptPart(Request&, Leg&, const ServerReply&);
+    bool mayRunAgain(const Request&, const Leg&) const;
+    Duration hedgeDelay(const Route&);
+    PickContext contextFor(const Route&, const Leg&, TimePoint);
+    void schedule(Request&, TimePoint);
+    void forgetSend(SendId, TimePoint);
+    void closeSend(SendId, TimePoint, ForwardActions&);
+    void abandonSends(Request&, bool closeNow, TimePoint, ForwardActions&);
+
+    void finish(Request&, TimePoint, ForwardActions&);
+    ForwardAnswer answerOf(Request&, TimePoint);
+    ForwardAnswer searchAnswer(Request&) const;
+    void countAnswer(const Request&, const ForwardAnswer&, TimePoint);
+    ExtraBudgetLimits budgetLimits() const;
+
+    ForwardSettings m_settings;
+    std::unique_ptr<RandomSource> m_random;
+    ServerPool m_pool;
+    SplitPicker m_splits;
+    std::unordered_map<RequestNumber, Request> m_requests;
+    std::unordered_map<SendId, Send> m_sends;
+    std::set<std::pair<TimePoint, RequestNumber>> m_due;
+    std::set<std::pair<TimePoint, SendId>> m_closings;
+    std::unordered_map<ServiceName, ExtraBudget> m_budgets;
+    std::map<std::string, RouteTimes> m_times;
+    std::uint64_t m_lastSend = 0;
+    ForwardCounters m_counters;
+};
+
+}
--- /dev/null
+++ b/src/forward/forward_engine_legs.cpp
@@ -0,0 +1,220 @@
+#include "forward/forward_engine.h"
+#include "forward/record_merge.h"
+
+#include <algorithm>
+
+namespace lycheefield {
+
+namespace {
+
+/// A leg that found no server with room, or no budget, looks again after this time.
+constexpr Duration retryPeriod = 15ms;
+/// A hedge is due so many times the time that 19 of 20 legs stay below.
+constexpr double hedgeAfterLateTimes = 1.2;
+/// Without samples a leg is taken to need this part of the target latency.
+constexpr double usualPartOfTarget = 0.2;
+/// A caller whose request found no usable server comes back after this time at least.
+constexpr Duration leastRetryAfter = 100ms;
+
+Duration part(Duration whole, double share)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(whole.count()) * share));
+}
+
+}
+
+PickContext ForwardEngine::contextFor(const Route& route, const Leg& leg, TimePoint now)
+{
+    const auto byDefault = part(route.targetLatency, usualPartOfTarget);
+    const auto it = m_times.find(route.name);
+    return { it == m_times.end() ? byDefault : it->second.usual(byDefault), now, &leg.tried };
+}
+
+Duration ForwardEngine::hedgeDelay(const Route& route)
+{
+    const auto most = part(route.targetLatency, m_settings.mostHedgeDelay.value);
+    const auto it = m_times.find(route.name);
+    if (it == m_times.end())
+        return most;
+    return std::clamp(part(it->second.late(most), hedgeAfterLateTimes), part(route.targetLatency, m_settings.leastHedgeDelay.value), most);
+}
+
+bool ForwardEngine::mayRunAgain(const Request& request, const Leg& leg) const
+{
+    if (!request.route().isRepeatable)
+        return leg.mayHaveRun == 0;
+    return leg.mayHaveRun < request.route().maxRuns;
+}
+
+bool ForwardEngine::takeBudget(Leg& leg, TimePoint now)
+{
+    auto& budget = m_budgets[leg.service];
+    if (leg.tried.empty()) {
+        budget.noteFirst(now, m_settings.retryWindow);
+        ++m_counters.firstSends;
+        return true;
+    }
+    if (budget.takeExtra(now, budgetLimits()))
+        return true;
+    ++m_counters.extrasDenied;
+    return false;
+}
+
+bool ForwardEngine::trySend(Request& request, std::size_t index, bool isHedge, TimePoint now, ForwardActions& actions)
+{
+    auto& leg = request.legs[index];
+    const auto& table = *request.request.table;
+    const auto policy = table.services.find(leg.service);
+    const auto context = contextFor(request.route(), leg, now);
+    const auto server = m_pool.pick(leg.service, policy == table.services.end() ? ServicePolicy {} : policy->second, context);
+    if (!server || (isHedge && m_pool.expected(*server, context) >= ServerPool::unusableCost))
+        return false;
+    if (!takeBudget(leg, now))
+        return false;
+    if (!leg.tried.empty())
+        ++(isHedge ? m_counters.hedges : m_counters.retries);
+    const SendId id { ++m_lastSend };
+    ServerPool::noteSent(*server, now);
+    m_sends.emplace(id, Send { server, now, never, request.request.number, index, request.route().name, request.route().isRepeatable });
+    leg.tried.push_back(server);
+    leg.open.push_back(id);
+    ++leg.mayHaveRun;
+    leg.stage = LegStage::Sent;
+    leg.hedgeAt = request.route().isRepeatable ? now + hedgeDelay(request.route()) : never;
+    actions.emplace_back(SendToServer { id, server->entry, request.request.message, request.request.attemptId, request.deadline, request.route().isRepeatable });
+    return true;
+}
+
+void ForwardEngine::endLeg(Request& request, Leg& leg)
+{
+    leg.stage = LegStage::Missing;
+    ++request.missing;
+}
+
+void ForwardEngine::acceptPart(Request& request, Leg& leg, const ServerReply& reply)
+{
+    leg.stage = LegStage::Done;
+    ++request.done;
+    leg.signature = reply.signature;
+    if (request.route().isSearch())
+        leg.body = reply.message.body;
+    else
+        leg.ownAnswer = reply.message;
+}
+
+void ForwardEngine::onLegFailed(Request& request, std::size_t index, TimePoint now, ForwardActions& actions)
+{
+    auto& leg = request.legs[index];
+    if (mayRunAgain(request, leg) && trySend(request, index, false, now, actions))
+        return;
+    if (!leg.open.empty())
+        return;
+    // Without room in the budget, or without another server, the leg has no way left.
+    endLeg(request, leg);
+}
+
+void ForwardEngine::reviewLeg(Request& request, std::size_t index, TimePoint now, ForwardActions& actions)
+{
+    auto& leg = request.legs[index];
+    if (leg.stage == LegStage::Unsent && !trySend(request, index, false, now, actions)) {
+        if (!m_pool.hasServers(leg.service))
+            endLeg(request, leg);
+        else
+            leg.hedgeAt = now + retryPeriod;
+        return;
+    }
+    if (leg.stage != LegStage::Sent || now < leg.hedgeAt)
+        return;
+    if (!mayRunAgain(request, leg)) {
+        leg.hedgeAt = never;
+        return;
+    }
+    if (trySend(request, index, true, now, actions))
+        actions.emplace_back(NoteForwardDecision { DecisionWeight::Extra, request.request.attemptId, "sent to a second server",
+            "service=" + leg.service.value() + " first=" + leg.tried.front()->entry.name.value() + " second=" + leg.tried.back()->entry.name.value() });
+    else
+        leg.hedgeAt = now + retryPeriod;
+}
+
+void ForwardEngine::review(Request& request, TimePoint now, ForwardActions& actions)
+{
+    const bool isLate = now >= request.answerBy;
+    const bool isOver = request.pending() == 0 || !request.canCoverEnough() || now >= request.deadline;
+    if (isOver || (isLate && request.coversEnough()))
+        return finish(request, now, actions);
+    for (std::size_t i = 0; i < request.legs.size(); ++i) {
+        const auto& leg = request.legs[i];
+        const bool isWaiting = leg.stage == LegStage::Unsent || leg.stage == LegStage::Sent;
+        if (isWaiting && now >= leg.hedgeAt)
+            reviewLeg(request, i, now, actions);
+    }
+    if (request.pending() == 0 || !request.canCoverEnough())
+        return finish(request, now, actions);
+    schedule(request, now);
+}
+
+void ForwardEngine::schedule(Request& request, TimePoint now)
+{
+    auto due = request.deadline;
+    if (now < request.answerBy)
+        due = std::min(due, request.answerBy);
+    for (const auto& leg : request.legs) {
+        if (leg.stage == LegStage::Unsent || leg.stage == LegStage::Sent)
+            due = std::min(due, leg.hedgeAt);
+    }
+    if (due == request.due)
+        return;
+    m_due.erase({ request.due, request.request.number });
+    request.due = due;
+    m_due.emplace(due, request.request.number);
+}
+
+ForwardAnswer ForwardEngine::searchAnswer(Request& request) const
+{
+    ForwardAnswer answer;
+    answer.request = request.request.number;
+    answer.kind = ForwardAnswerKind::Search;
+    answer.missingShards = request.legs.size() - request.done;
+    answer.reason = answer.missingShards == 0 ? "complete" : "partial";
+    std::vector<std::string_view> parts;
+    for (auto& leg : request.legs) {
+        if (leg.stage != LegStage::Done)
+            continue;
+        parts.push_back(leg.body);
+        answer.signatures.push_back(std::move(leg.signature));
+    }
+    answer.message.status = 200;
+    answer.message.body = greatestRecords(parts, request.route().topRecords);
+    return answer;
+}
+
+ForwardAnswer ForwardEngine::answerOf(Request& request, TimePoint now)
+{
+    if (request.route().isSearch() && request.coversEnough())
+        return searchAnswer(request);
+    ForwardAnswer answer;
+    answer.request = request.request.number;
+    auto& only = request.legs.front();
+    if (!request.route().isSearch() && only.ownAnswer) {
+        answer.kind = ForwardAnswerKind::PassThrough;
+        answer.message = std::move(*only.ownAnswer);
+        answer.reason = "status " + std::to_string(answer.message.status);
+        return answer;
+    }
+    const bool isOpen = std::any_of(request.legs.begin(), request.legs.end(), [](const Leg& leg) { return !leg.open.empty(); });
+    if (!request.mayHaveRun && !isOpen) {
+        answer.kind = ForwardAnswerKind::NotRun;
+        answer.reason = "not run";
+        answer.retryAfter = leastRetryAfter;
+        for (const auto& leg : request.legs) {
+            if (leg.stage != LegStage::Done)
+                answer.retryAfter = std::max(answer.retryAfter, m_pool.untilUsable(leg.service, now));
+        }
+        return answer;
+    }
+    answer.kind = now >= request.deadline ? ForwardAnswerKind::TimedOut : ForwardAnswerKind::Failed;
+    answer.reason = answer.kind == ForwardAnswerKind::TimedOut ? "timed out" : "failed";
+    return answer;
+}
+
+}
--- /dev/null
+++ b/src/forward/forward_request.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "http/http_message.h"
+#include "routing/route_table.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lycheefield {
+
+/// Counts the requests that this process has read.
+using RequestNumber = StrongId<struct RequestNumberTag, std::uint64_t>;
+/// One send of one leg to one server, unique within this process.
+using SendId = StrongId<struct SendIdTag, std::uint64_t>;
+
+/// A caller's request, matched to its route.
+struct ForwardRequest {
+    RequestNumber number;
+    std::shared_ptr<const RouteTable> table; ///< Pinned: all legs come from this version.
+    const Route* route = nullptr; ///< Points into the table.
+    std::shared_ptr<const HttpRequest> message;
+    std::string attemptId; ///< The caller's own id of this attempt.
+    TimePoint deadline = never; ///< The caller's own; the route's timeout applies when it is sooner.
+};
+
+/// What a server told about its own load.
+struct ServerLoad {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+
+    friend bool operator==(const ServerLoad&, const ServerLoad&) = default;
+};
+
+enum class ServerReplyKind : std::uint8_t {
+    Served, ///< A success with its signature and its whole body.
+    NotRun, ///< The server proved that it did not run the request.
+    WrongServer, ///< Another server has the address; it did not run the request.
+    Failed, ///< The server ran it and reported a failure.
+    Unusable, ///< No answer to this request; it may have run.
+};
+
+/// A server's reply, decoded.
+struct ServerReply {
+    ServerReplyKind kind = ServerReplyKind::Unusable;
+    std::string signature; ///< Proves who made the answer; empty when there is none.
+    std::optional<ServerLoad> load;
+    HttpReply message;
+
+    friend bool operator==(const ServerReply&, const ServerReply&) = default;
+};
+
+enum class ForwardAnswerKind : std::uint8_t {
+    Search, ///< The merged records of the parts that are named.
+    PassThrough, ///< One server's own answer, unchanged.
+    NotRun, ///< Nothing of it ran or will run; the caller may come again.
+    Failed, ///< It may have run.
+    TimedOut, ///< It may have run, or runs still.
+};
+
+/// What the caller is told. Each request gets exactly one, unless its caller has left.
+struct ForwardAnswer {
+    RequestNumber request;
+    ForwardAnswerKind kind = ForwardAnswerKind::Failed;
+    std::vector<std::string> signatures; ///< Of the parts that are in.
+    std::size_t missingShards = 0;
+    HttpReply message; ///< The records of a search, or the server's own answer.
+    Duration retryAfter {}; ///< With NotRun: when it may succeed.
+    std::string reason; ///< In words, for logs.
+
+    friend bool operator==(const ForwardAnswer&, const ForwardAnswer&) = default;
+};
+
+}
--- /dev/null
+++ b/src/forward/server_pool.cpp
@@ -0,0 +1,195 @@
+#include "forward/server_pool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lycheefield {
+
+namespace {
+
+/// A server that owes an answer is silent after so many usual times, and never sooner than the least.
+constexpr int silentAfterUsualTimes = 3;
+constexpr Duration silentAtLeast = 60ms;
+/// One sample counts at most this much, so that a short pause does not look like a slow server.
+constexpr double mostSlownessOfSample = 5;
+constexpr double newSampleWeight = 0.3;
+constexpr double slowSample = 3;
+/// Slowness fades by this time constant, longer after each slow answer in a row.
+constexpr Duration slownessFades = 500ms;
+constexpr std::uint32_t mostSlowStreak = 7;
+/// A load report counts fully when it comes and not at all after this time.
+constexpr Duration loadIsOldAfter = 400ms;
+constexpr Duration firstAvoidance = 250ms;
+constexpr std::uint32_t mostAvoidanceDoublings = 4;
+/// A server that has just started is slower by this factor until it is warm.
+constexpr double coldFactor = 1.6;
+/// Part of a server's connections that all instances together use.
+constexpr double connectionsUsed = 0.9;
+/// Servers that are about as good get work at random, so that instances don't all pick the same one.
+constexpr double randomSpread = 0.1;
+
+double asDouble(Duration duration)
+{
+    return static_cast<double>(duration.count());
+}
+
+double currentSlowness(const ServerState& server, TimePoint now)
+{
+    const auto fades = asDouble(slownessFades) * (1 + std::min(server.slowStreak, mostSlowStreak));
+    return 1 + (server.slowness - 1) * std::exp(-asDouble(now - server.slownessAt) / fades);
+}
+
+double othersAhead(const ServerState& server, TimePoint now)
+{
+    const auto age = asDouble(now - server.loadAt) / asDouble(loadIsOldAfter);
+    const double reported = server.load.running + server.load.waiting;
+    return std::max<double>(server.inFlight, reported * std::max(0.0, 1 - age));
+}
+
+}
+
+ServerPool::ServerPool(const ForwardSettings& settings, RandomSource& random)
+    : m_settings(settings)
+    , m_random(random)
+{
+}
+
+void ServerPool::update(const std::map<ServerName, ServerEntry>& entries, TimePoint now)
+{
+    std::map<ServerName, ServerStatePtr> servers;
+    m_byService.clear();
+    for (const auto& [name, entry] : entries) {
+        const auto it = m_servers.find(name);
+        const bool isSameLife = it != m_servers.end() && it->second->entry.startedAt == entry.startedAt && it->second->entry.endpoint == entry.endpoint;
+        auto state = isSameLife ? it->second : std::make_shared<ServerState>();
+        if (!isSameLife || state->entry != entry)
+            state->listedAt = now;
+        state->entry = entry;
+        servers.emplace(name, state);
+        m_byService[entry.service].push_back(std::move(state));
+    }
+    for (const auto& [name, state] : m_servers) {
+        const auto it = servers.find(name);
+        if (it == servers.end() || it->second != state)
+            state->isListed = false;
+    }
+    m_servers = std::move(servers);
+}
+
+std::uint32_t ServerPool::connectionShare(const ServicePolicy& policy) const
+{
+    const auto share = connectionsUsed * policy.maxConnections / m_instances;
+    return std::max(1U, static_cast<std::uint32_t>(share));
+}
+
+bool ServerPool::isSilent(const ServerState& server, const PickContext& context) const
+{
+    if (server.owesSince == never)
+        return false;
+    return context.now - server.owesSince > std::max(silentAtLeast, silentAfterUsualTimes * context.usualTime);
+}
+
+Duration ServerPool::expected(const ServerState& server, const PickContext& context) const
+{
+    const double slots = std::max(1U, server.entry.slots);
+    const auto turns = std::max(0.0, othersAhead(server, context.now) + 1 - slots) / slots;
+    double micros = asDouble(context.usualTime) * currentSlowness(server, context.now) * (1 + turns);
+    if (context.now < server.listedAt + server.entry.warmupLeft)
+        micros *= coldFactor;
+    if (server.entry.zone != m_settings.zone)
+        micros += asDouble(m_settings.crossZoneCost);
+    if (isSilent(server, context))
+        micros += asDouble(unusableCost);
+    if (context.now < server.avoidUntil)
+        micros += 2 * asDouble(unusableCost);
+    return Duration(static_cast<Duration::rep>(micros));
+}
+
+ServerStatePtr ServerPool::pick(const ServiceName& service, const ServicePolicy& policy, const PickContext& context) const
+{
+    const auto it = m_byService.find(service);
+    if (it == m_byService.end())
+        return nullptr;
+    const auto most = connectionShare(policy);
+    ServerStatePtr best;
+    double bestMicros = 0;
+    for (const auto& server : it->second) {
+        const bool isTried = context.tried && std::find(context.tried->begin(), context.tried->end(), server) != context.tried->end();
+        if (!server->isListed || server->entry.isDraining || isTried || server->inFlight >= most)
+            continue;
+        const auto micros = asDouble(expected(*server, context)) * (1 + randomSpread * m_random.unit());
+        if (best && micros >= bestMicros)
+            continue;
+        best = server;
+        bestMicros = micros;
+    }
+    return best;
+}
+
+bool ServerPool::hasServers(const ServiceName& service) const
+{
+    const auto it = m_byService.find(service);
+    if (it == m_byService.end())
+        return false;
+    return std::any_of(it->second.begin(), it->second.end(), [](const auto& server) { return server->isListed && !server->entry.isDraining; });
+}
+
+Duration ServerPool::untilUsable(const ServiceName& service, TimePoint now) const
+{
+    const auto it = m_byService.find(service);
+    if (it == m_byService.end())
+        return unusableCost;
+    TimePoint soonest = never;
+    for (const auto& server : it->second) {
+        if (server->isListed && !server->entry.isDraining)
+            soonest = std::min(soonest, server->avoidUntil);
+    }
+    if (soonest == never)
+        return unusableCost;
+    return std::max(Duration {}, soonest - now);
+}
+
+void ServerPool::noteSent(ServerState& server, TimePoint now)
+{
+    if (server.inFlight++ == 0)
+        server.owesSince = now;
+}
+
+void ServerPool::noteOver(ServerState& server, TimePoint)
+{
+    if (--server.inFlight == 0)
+        server.owesSince = never;
+}
+
+void ServerPool::noteAnswer(ServerState& server, Duration took, Duration usual, TimePoint now)
+{
+    server.failuresInRow = 0;
+    server.avoidUntil = {};
+    server.owesSince = server.inFlight > 0 ? now : never;
+    if (usual <= Duration {})
+        return;
+    const auto sample = std::min(mostSlownessOfSample, asDouble(took) / asDouble(usual));
+    server.slowness = (1 - newSampleWeight) * currentSlowness(server, now) + newSampleWeight * sample;
+    server.slowStreak = sample >= slowSample ? server.slowStreak + 1 : 0;
+    server.slownessAt = now;
+}
+
+void ServerPool::noteFailure(ServerState& server, TimePoint now)
+{
+    const auto doublings = std::min(server.failuresInRow, mostAvoidanceDoublings);
+    server.avoidUntil = now + firstAvoidance * (1 << doublings);
+    ++server.failuresInRow;
+}
+
+void ServerPool::noteLoad(ServerState& server, const ServerLoad& load, TimePoint now)
+{
+    server.load = load;
+    server.loadAt = now;
+}
+
+void ServerPool::noteReplaced(ServerState& server)
+{
+    server.isListed = false;
+}
+
+}
--- /dev/null
+++ b/src/forward/server_pool.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "base/random_source.h"
+#include "forward/forward_request.h"
+#include "forward/forward_settings.h"
+#include "forward/server_entry.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace lycheefield {
+
+/// One backend server as the traffic of this instance shows it.
+struct ServerState {
+    ServerEntry entry;
+    bool isListed = true; ///< False once its entry is gone: it gets no new work.
+    TimePoint listedAt {};
+    std::uint32_t inFlight = 0; ///< Sends of this instance that are not over.
+    TimePoint owesSince = never; ///< Since when it owes an answer and gave none; `never` while it owes none.
+    double slowness = 1; ///< Its recent times as a multiple of the usual.
+    std::uint32_t slowStreak = 0; ///< Slow answers in a row.
+    TimePoint slownessAt {};
+    ServerLoad load;
+    TimePoint loadAt {};
+    std::uint32_t failuresInRow = 0;
+    TimePoint avoidUntil {};
+};
+
+using ServerStatePtr = std::shared_ptr<ServerState>;
+
+/// What a server is picked for.
+struct PickContext {
+    Duration usualTime {}; ///< Of such a request at a healthy server.
+    TimePoint now {};
+    const std::vector<ServerStatePtr>* tried = nullptr; ///< Left out; null: none.
+};
+
+/// Picks servers by what their answers show: silence, failures, recent times, load and zone.
+///
+/// Health endpoints are not asked: they lag, mislead and take a slot. It does no I/O and is not
+/// thread safe.
+class ServerPool {
+public:
+    ServerPool(const ForwardSettings&, RandomSource&);
+
+    /// The servers that may get work. States of those that stay are kept.
+    void update(const std::map<ServerName, ServerEntry>&, TimePoint);
+    /// Instances that share the servers' connections; at least 1.
+    void setInstances(std::uint32_t n) { m_instances = std::max(1U, n); }
+    std::uint32_t instances() const { return m_instances; }
+
+    /// The server that is expected to answer first, null when none may get work now.
+    ServerStatePtr pick(const ServiceName&, const ServicePolicy&, const PickContext&) const;
+    /// How long a request sent to it now is expected to take, with penalties for silence, failures and distance.
+    Duration expected(const ServerState&, const PickContext&) const;
+    /// False when the service has no listed server.
+    bool hasServers(const ServiceName&) const;
+    /// When a server of the service is tried again after failures; zero when one may be used now.
+    Duration untilUsable(const ServiceName&, TimePoint) const;
+
+    static void noteSent(ServerState&, TimePoint);
+    /// A send is over, whether it was answered or not.
+    static void noteOver(ServerState&, TimePoint);
+    static void noteAnswer(ServerState&, Duration took, Duration usual, TimePoint);
+    static void noteFailure(ServerState&, TimePoint);
+    static void noteLoad(ServerState&, const ServerLoad&, TimePoint);
+    /// Its address belongs to another server now.
+    static void noteReplaced(ServerState&);
+
+    /// Costs from here on say that the server is silent or failing: an extra send to it is no use.
+    static constexpr Duration unusableCost = 1s;
+
+private:
+    std::uint32_t connectionShare(const ServicePolicy&) const;
+    bool isSilent(const ServerState&, const PickContext&) const;
+
+    const ForwardSettings& m_settings;
+    RandomSource& m_random;
+    std::uint32_t m_instances = 1;
+    std::map<ServerName, ServerStatePtr> m_servers;
+    std::unordered_map<ServiceName, std::vector<ServerStatePtr>> m_byService;
+};
+
+}
--- /dev/null
+++ b/src/forward/server_registry.cpp
@@ -0,0 +1,108 @@
+#include "forward/server_registry.h"
+
+#include <algorithm>
+#include <set>
+
+namespace lycheefield {
+
+bool ServerRegistry::replaceAll(const std::vector<ServerEntry>& entries, TimePoint now)
+{
+    std::set<ServerName> listed;
+    bool changed = false;
+    for (const auto& it : entries) {
+        listed.insert(it.name);
+        changed = put(it, now) || changed;
+    }
+    std::vector<ServerName> vanished;
+    for (const auto& [name, entry] : m_servers) {
+        if (!listed.contains(name) && !m_missing.contains(name))
+            vanished.push_back(name);
+    }
+    for (const auto& name : vanished)
+        changed = remove(name, now) || changed;
+    return changed;
+}
+
+bool ServerRegistry::put(const ServerEntry& entry, TimePoint)
+{
+    if (const auto gone = m_gone.find(entry.name); gone != m_gone.end()) {
+        if (!entry.isNewerThan(gone->second))
+            return false;
+        m_gone.erase(gone);
+    }
+    m_missing.erase(entry.name);
+    if (const auto known = m_servers.find(entry.name); known != m_servers.end() && known->second.isNewerThan(entry))
+        return false;
+    const auto [it, isNew] = m_servers.try_emplace(entry.name, entry);
+    if (!isNew && it->second == entry)
+        return false;
+    it->second = entry;
+    return true;
+}
+
+bool ServerRegistry::remove(const ServerName& name, TimePoint now)
+{
+    const auto it = m_servers.find(name);
+    if (it == m_servers.end())
+        return false;
+    // A server that was leaving anyway is not expected back.
+    if (isStoreSettled(now) || it->second.isDraining) {
+        rememberGone(it->second);
+        m_servers.erase(it);
+        m_missing.erase(name);
+        return true;
+    }
+    m_missing.emplace(name, m_isStoreLost ? never : m_graceUntil);
+    return false;
+}
+
+void ServerRegistry::rememberGone(const ServerEntry& entry)
+{
+    if (m_gone.size() >= mostGone)
+        m_gone.erase(m_gone.begin());
+    m_gone.insert_or_assign(entry.name, entry);
+}
+
+void ServerRegistry::noteStoreLost()
+{
+    m_isStoreLost = true;
+    for (auto& [name, until] : m_missing)
+        until = never;
+}
+
+void ServerRegistry::noteStoreBack(TimePoint now)
+{
+    if (!m_isStoreLost)
+        return;
+    m_isStoreLost = false;
+    m_graceUntil = now + returnGrace;
+    for (auto& [name, until] : m_missing)
+        until = m_graceUntil;
+}
+
+bool ServerRegistry::expire(TimePoint now)
+{
+    bool changed = false;
+    for (auto it = m_missing.begin(); it != m_missing.end();) {
+        if (it->second > now) {
+            ++it;
+            continue;
+        }
+        const auto server = m_servers.find(it->first);
+        rememberGone(server->second);
+        m_servers.erase(server);
+        it = m_missing.erase(it);
+        changed = true;
+    }
+    return changed;
+}
+
+TimePoint ServerRegistry::nextExpiry() const
+{
+    TimePoint next = never;
+    for (const auto& [name, until] : m_missing)
+        next = std::min(next, until);
+    return next;
+}
+
+}
--- /dev/null
+++ b/src/gateway/forward_driver.cpp
@@ -0,0 +1,159 @@
+#include "gateway/forward_driver.h"
+
+#include <boost/asio/post.hpp>
+
+namespace lycheefield {
+
+namespace {
+
+/// A caller that came before the configuration did may come back after this time.
+constexpr Duration retryAfterStart = std::chrono::milliseconds(300);
+constexpr unsigned badRequest = 400;
+constexpr unsigned notFound = 404;
+constexpr unsigned unavailable = 503;
+
+LineWeight weightOf(DecisionWeight weight)
+{
+    switch (weight) {
+    case DecisionWeight::Plain:
+        return LineWeight::Plain;
+    case DecisionWeight::Extra:
+        return LineWeight::Extra;
+    case DecisionWeight::Failure:
+        break;
+    }
+    return LineWeight::Failure;
+}
+
+}
+
+ForwardDriver::ForwardDriver(ForwardDriverParts parts, ForwardSettings settings)
+    : m_parts(parts)
+    , m_timer(m_parts.strand)
+    , m_engine(std::move(settings), std::make_unique<SeededRandom>(systemSeed()))
+    , m_connections(m_parts.strand, m_parts.clock, m_parts.servers, *this, m_parts.metrics)
+    , m_noRoute(m_parts.metrics.counter("lycheefield_requests_without_route_total"))
+    , m_answerTimes(m_parts.metrics.histogram("lycheefield_answer_seconds"))
+{
+}
+
+void ForwardDriver::handle(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
+{
+    boost::asio::dispatch(m_parts.strand, [this, request = std::move(request), exchange = std::move(exchange)]() mutable { begin(std::move(request), std::move(exchange)); });
+}
+
+void ForwardDriver::begin(HttpRequest&& message, std::shared_ptr<HttpExchange> exchange)
+{
+    const auto fields = m_parts.callers.read(message);
+    if (!m_routes)
+        return refuse(exchange, fields.attemptId, { unavailable, retryAfterStart, "no configuration yet" });
+    if (fields.attemptId.empty())
+        return refuse(exchange, fields.attemptId, { badRequest, {}, "no attempt id" });
+    const auto now = m_parts.clock.now();
+    const auto* route = m_routes->find(message.headers.find("Host"), message.path());
+    if (!route) {
+        m_noRoute.add();
+        return refuse(exchange, fields.attemptId, { notFound, {}, "no route in version " + std::to_string(m_routes->version) });
+    }
+    const RequestNumber number { ++m_lastRequest };
+    const auto deadline = fields.timeLeft ? now + *fields.timeLeft : never;
+    m_waiting.emplace(number, Waiting { exchange, now });
+    exchange->onGone([this, number] {
+        boost::asio::post(m_parts.strand, [this, number] {
+            m_waiting.erase(number);
+            ForwardActions actions;
+            m_engine.cancel(number, m_parts.clock.now(), actions);
+            carryOut(actions);
+        });
+    });
+    ForwardActions actions;
+    m_engine.start({ number, m_routes, route, std::make_shared<const HttpRequest>(std::move(message)), fields.attemptId, deadline }, now, actions);
+    carryOut(actions);
+}
+
+void ForwardDriver::refuse(const std::shared_ptr<HttpExchange>& exchange, const std::string& attemptId, const EarlyRefusal& refusal)
+{
+    const auto status = std::to_string(refusal.status);
+    m_parts.log.write(LineWeight::Failure, m_parts.clock.now(), "refused", { { "request", attemptId }, { "status", status }, { "reason", refusal.reason } });
+    exchange->respond(m_parts.callers.write(refusal));
+}
+
+void ForwardDriver::onReply(SendId id, const ServerReply& reply)
+{
+    ForwardActions actions;
+    m_engine.onReply(id, reply, m_parts.clock.now(), actions);
+    carryOut(actions);
+}
+
+void ForwardDriver::onLost(SendId id, bool bytesHanded)
+{
+    ForwardActions actions;
+    m_engine.onLost(id, bytesHanded, m_parts.clock.now(), actions);
+    carryOut(actions);
+}
+
+void ForwardDriver::setRoutes(std::shared_ptr<const RouteTable> routes)
+{
+    m_routes = std::move(routes);
+    m_engine.onRoutes(*m_routes);
+}
+
+void ForwardDriver::setServers(const std::map<ServerName, ServerEntry>& servers)
+{
+    m_engine.onServers(servers, m_parts.clock.now());
+}
+
+void ForwardDriver::finishAll()
+{
+    ForwardActions actions;
+    m_engine.finishAll(m_parts.clock.now(), actions);
+    carryOut(actions);
+}
+
+void ForwardDriver::carryOut(const ForwardActions& actions)
+{
+    for (const auto& action : actions) {
+        if (const auto* send = std::get_if<SendToServer>(&action))
+            m_connections.send(*send);
+        else if (const auto* close = std::get_if<CloseSend>(&action))
+            m_connections.close(close->id);
+        else if (const auto* answer = std::get_if<DeliverForwardAnswer>(&action))
+            deliver(answer->answer);
+        else if (const auto* note = std::get_if<NoteForwardDecision>(&action))
+            m_parts.log.write(weightOf(note->weight), m_parts.clock.now(), note->event, { { "request", note->attemptId }, { "detail", note->detail } });
+    }
+    setTimer();
+}
+
+void ForwardDriver::deliver(const ForwardAnswer& answer)
+{
+    const auto it = m_waiting.find(answer.request);
+    if (it == m_waiting.end())
+        return;
+    m_answerTimes.add(m_parts.clock.now() - it->second.readAt);
+    it->second.exchange->respond(m_parts.callers.write(answer));
+    m_waiting.erase(it);
+}
+
+void ForwardDriver::setTimer()
+{
+    const auto wake = m_engine.nextWake();
+    if (wake == m_timerAt)
+        return;
+    m_timerAt = wake;
+    if (wake == never) {
+        m_timer.cancel();
+        return;
+    }
+    m_timer.expires_after(std::max(Duration {}, wake - m_parts.clock.now()));
+    m_timer.async_wait([this](const boost::system::error_code& ec) {
+        if (ec)
+            return;
+        m_timerAt = never;
+        ForwardActions actions;
+        m_engine.onTimer(m_parts.clock.now(), actions);
+        carryOut(actions);
+    });
+}
+
+}
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,314 @@
+#include "gateway/gateway.h"
+
+#include "gateway/forward_driver.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+
+namespace lycheefield {
+
+namespace {
+
+/// The balancer stops sending callers this long after readiness fails.
+constexpr Duration balancerLag = std::chrono::milliseconds(3200);
+/// What is still under way so long before the stop limit is answered with what there is.
+constexpr Duration finishBeforeLimit = std::chrono::milliseconds(900);
+/// Time for the last answers to leave.
+constexpr Duration lastAnswersLeave = std::chrono::milliseconds(300);
+constexpr Duration houseKeepingPeriod = std::chrono::seconds(1);
+constexpr Duration drainCheckPeriod = std::chrono::milliseconds(100);
+constexpr unsigned ok = 200;
+constexpr unsigned unavailable = 503;
+
+/// Answers every request with what a function gives.
+class SimpleHandler final : public HttpHandler {
+public:
+    using Answer = std::function<HttpReply()>;
+
+    explicit SimpleHandler(Answer answer)
+        : m_answer(std::move(answer))
+    {
+    }
+    void handle(HttpRequest, std::shared_ptr<HttpExchange> exchange) override { exchange->respond(m_answer()); }
+
+private:
+    Answer m_answer;
+};
+
+}
+
+class Gateway::Impl {
+public:
+    Impl(const Settings& settings, GatewayProtocols protocols)
+        : m_settings(settings)
+        , m_strand(boost::asio::make_strand(m_io))
+        , m_log(settings.gateway.logLinesPerSecond)
+        , m_driver({ m_strand, *m_clock, protocols.callers, protocols.servers, m_metrics, m_log }, forwardSettings(settings))
+        , m_readiness([this] { return HttpReply { isReady() ? ok : unavailable, "text/plain", isReady() ? "ready\n" : "not ready\n" }; })
+        , m_metricsPage([this] { return HttpReply { ok, "text/plain; version=0.0.4", m_metrics.render() }; })
+        , m_callerServer(m_io, m_driver, m_clock, m_callerCounters)
+        , m_readinessServer(m_io, m_readiness, m_clock, m_probeCounters)
+        , m_metricsServer(m_io, m_metricsPage, m_clock, m_probeCounters)
+        , m_signals(m_strand, SIGTERM, SIGINT, SIGHUP)
+        , m_housekeeping(m_strand)
+        , m_drainTimer(m_strand)
+    {
+        describeMetrics();
+    }
+
+    boost::asio::any_io_executor executor() { return m_strand; }
+
+    void onRoutes(RouteTable&& table)
+    {
+        const auto current = m_driver.routes();
+        if (current && table.version <= current->version)
+            return;
+        const auto version = std::to_string(table.version);
+        const auto before = current ? std::to_string(current->version) : std::string("none");
+        const auto routes = std::to_string(table.routes.size());
+        m_callerServer.setLimits(table.callerLimits);
+        m_driver.setRoutes(std::make_shared<const RouteTable>(std::move(table)));
+        note("configuration in force", { { "version", version }, { "before", before }, { "routes", routes } });
+        noteReadiness();
+    }
+
+    void onServers(const ServerChanges& changes)
+    {
+        const auto now = m_clock->now();
+        bool changed = false;
+        if (changes.isWhole)
+            changed = m_registry.replaceAll(changes.listed, now);
+        for (const auto& it : changes.listed)
+            changed = m_registry.put(it, now) || changed;
+        for (const auto& it : changes.removed)
+            changed = m_registry.remove(it, now) || changed;
+        m_hasServers = true;
+        for (const auto& it : changes.removed)
+            note("server gone", { { "server", it.value() } });
+        for (const auto& it : changes.listed) {
+            if (it.isDraining)
+                note("server drains", { { "server", it.name.value() }, { "service", it.service.value() } });
+        }
+        if (changed)
+            publishServers();
+        noteReadiness();
+    }
+
+    void onStoreReachable(bool isReachable)
+    {
+        if (isReachable == m_isStoreReachable)
+            return;
+        m_isStoreReachable = isReachable;
+        note(isReachable ? "store reachable" : "store lost", {});
+        if (isReachable)
+            m_registry.noteStoreBack(m_clock->now());
+        else
+            m_registry.noteStoreLost();
+    }
+
+    void onInstances(std::uint32_t n) { m_driver.setInstances(n); }
+
+    Result<void> listen()
+    {
+        auto done = m_callerServer.listen(m_settings.gateway.callers);
+        if (done)
+            done = m_readinessServer.listen(m_settings.gateway.readiness);
+        if (done && m_settings.gateway.metricsPort != 0)
+            done = m_metricsServer.listen({ m_settings.gateway.callers.address, m_settings.gateway.metricsPort });
+        if (!done)
+            return done.error();
+        note("started", { { "instance", m_settings.instance.name.value() }, { "zone", m_settings.instance.zone.value() }, { "callers", m_settings.gateway.callers.toString() } });
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+
+    void run()
+    {
+        waitForSignal();
+        keepHouse();
+        m_io.run();
+    }
+
+private:
+    static ForwardSettings forwardSettings(const Settings& settings)
+    {
+        auto forward = settings.forward;
+        forward.zone = settings.instance.zone;
+        return forward;
+    }
+
+    bool isReady() const { return m_isReady.load(std::memory_order_relaxed); }
+
+    void note(std::string_view event, std::initializer_list<LineField> fields) { m_log.write(LineWeight::State, m_clock->now(), event, fields); }
+
+    void noteReadiness()
+    {
+        const bool isReady = m_driver.routes() && m_hasServers && !m_isStopping;
+        if (m_isReady.exchange(isReady) != isReady)
+            note(isReady ? "ready" : "not ready", {});
+    }
+
+    void publishServers()
+    {
+        m_driver.setServers(m_registry.servers());
+        note("servers in use", { { "count", std::to_string(m_registry.servers().size()) } });
+    }
+
+    void keepHouse()
+    {
+        m_driver.closeStaleConnections();
+        if (m_registry.expire(m_clock->now()))
+            publishServers();
+        const auto untilExpiry = m_registry.nextExpiry() == never ? houseKeepingPeriod : Duration(m_registry.nextExpiry() - m_clock->now());
+        m_housekeeping.expires_after(std::clamp(untilExpiry, Duration(1), houseKeepingPeriod));
+        m_housekeeping.async_wait([this](const boost::system::error_code& ec) {
+            if (!ec)
+                keepHouse();
+        });
+    }
+
+    void waitForSignal()
+    {
+        m_signals.async_wait([this](const boost::system::error_code& ec, int signal) {
+            if (ec)
+                return;
+            if (signal == SIGHUP)
+                note("settings file changed; its values are taken at the next start", {});
+            else if (!m_isStopping)
+                beginStop();
+            waitForSignal();
+        });
+    }
+
+    void beginStop()
+    {
+        m_isStopping = true;
+        m_stopBegan = m_clock->now();
+        note("stopping", { { "in_flight", std::to_string(m_driver.inFlight()) } });
+        noteReadiness();
+        m_callerServer.closeAfterReplies();
+        checkStop();
+    }
+
+    /// Goes on serving until the balancer has turned away, then ends once nothing is under way.
+    void checkStop()
+    {
+        const auto since = m_clock->now() - m_stopBegan;
+        const bool isLast = since >= m_settings.gateway.stopLimit - finishBeforeLimit;
+        if (isLast)
+            m_driver.finishAll();
+        if (isLast || (since >= balancerLag && m_driver.inFlight() == 0)) {
+            m_callerServer.beginDrain();
+            m_drainTimer.expires_after(lastAnswersLeave);
+            m_drainTimer.async_wait([this](const boost::system::error_code&) { stop(); });
+            return;
+        }
+        m_drainTimer.expires_after(drainCheckPeriod);
+        m_drainTimer.async_wait([this](const boost::system::error_code& ec) {
+            if (!ec)
+                checkStop();
+        });
+    }
+
+    void stop()
+    {
+        note("stopped", { { "in_flight", std::to_string(m_driver.inFlight()) } });
+        m_io.stop();
+    }
+
+    void describeMetrics()
+    {
+        const auto& forward = m_driver.counters();
+        const auto count = [this](const std::string& name, const std::uint64_t& value) {
+            m_metrics.count("lycheefield_" + name, [&value] { return value; });
+        };
+        count("requests_total", forward.requests);
+        count("sends_total{kind=\"first\"}", forward.firstSends);
+        count("sends_total{kind=\"hedge\"}", forward.hedges);
+        count("sends_total{kind=\"retry\"}", forward.retries);
+        count("sends_denied_total", forward.extrasDenied);
+        count("answers_total{outcome=\"complete\"}", forward.complete);
+        count("answers_total{outcome=\"partial\"}", forward.partial);
+        count("answers_total{outcome=\"passed_through\"}", forward.passedThrough);
+        count("answers_total{outcome=\"not_run\"}", forward.refused);
+        count("answers_total{outcome=\"failed\"}", forward.failed);
+        count("answers_total{outcome=\"timed_out\"}", forward.timedOut);
+        count("answers_late_total", forward.late);
+        count("callers_gone_total", forward.gone);
+        m_metrics.gauge("lycheefield_ready", [this] { return isReady() ? 1 : 0; });
+        m_metrics.gauge("lycheefield_store_reachable", [this] { return m_isStoreReachable ? 1 : 0; });
+        m_metrics.gauge("lycheefield_configuration_version", [this] { return m_driver.routes() ? static_cast<double>(m_driver.routes()->version) : 0; });
+        m_metrics.gauge("lycheefield_servers", [this] { return static_cast<double>(m_registry.servers().size()); });
+        m_metrics.gauge("lycheefield_server_connections", [this] { return static_cast<double>(m_driver.serverConnections()); });
+        m_metrics.gauge("lycheefield_requests_in_flight", [this] { return static_cast<double>(m_driver.inFlight()); });
+        m_metrics.count("lycheefield_log_lines_left_out_total", [this] { return m_log.leftOut(); });
+    }
+
+    const Settings m_settings;
+    boost::asio::io_context m_io { 1 };
+    boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
+    std::shared_ptr<const Clock> m_clock = std::make_shared<BootClock>();
+    Metrics m_metrics;
+    DecisionLog m_log;
+    ForwardDriver m_driver;
+    ServerRegistry m_registry;
+    SimpleHandler m_readiness;
+    SimpleHandler m_metricsPage;
+    std::shared_ptr<HttpServerCounters> m_callerCounters = std::make_shared<HttpServerCounters>();
+    std::shared_ptr<HttpServerCounters> m_probeCounters = std::make_shared<HttpServerCounters>();
+    HttpServer m_callerServer;
+    HttpServer m_readinessServer;
+    HttpServer m_metricsServer;
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_housekeeping;
+    boost::asio::steady_timer m_drainTimer;
+    std::atomic<bool> m_isReady { false };
+    bool m_hasServers = false;
+    bool m_isStoreReachable = false;
+    bool m_isStopping = false;
+    TimePoint m_stopBegan {};
+};
+
+Gateway::Gateway(const Settings& settings, GatewayProtocols protocols)
+    : m_impl(std::make_shared<Impl>(settings, protocols))
+{
+}
+
+Gateway::~Gateway() = default;
+
+boost::asio::any_io_executor Gateway::executor() const
+{
+    return m_impl->executor();
+}
+
+void Gateway::onRoutes(RouteTable table)
+{
+    m_impl->onRoutes(std::move(table));
+}
+
+void Gateway::onServers(const ServerChanges& changes)
+{
+    m_impl->onServers(changes);
+}
+
+void Gateway::onStoreReachable(bool isReachable)
+{
+    m_impl->onStoreReachable(isReachable);
+}
+
+void Gateway::onInstances(std::uint32_t n)
+{
+    m_impl->onInstances(n);
+}
+
+Result<void> Gateway::listen()
+{
+    return m_impl->listen();
+}
+
+void Gateway::run()
+{
+    m_impl->run();
+}
+
+}
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "base/error.h"
+#include "forward/server_entry.h"
+#include "gateway/caller_protocol.h"
+#include "gateway/server_protocol.h"
+#include "routing/route_table.h"
+#include "settings/settings.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace lycheefield {
+
+/// How callers and servers are spoken to. Both outlive the gateway.
+struct GatewayProtocols {
+    const CallerProtocol& callers;
+    const ServerProtocol& servers;
+};
+
+/// What changed in the list of servers.
+struct ServerChanges {
+    bool isWhole = false; ///< `listed` is the whole list.
+    std::vector<ServerEntry> listed;
+    std::vector<ServerName> removed;
+
+    friend bool operator==(const ServerChanges&, const ServerChanges&) = default;
+};
+
+/// One process that takes callers' requests and forwards them straight to backend servers.
+///
+/// It is ready once it has a configuration and a list of servers. After SIGTERM it stops being
+/// ready, goes on serving while the balancer still sends callers, and is gone by the stop limit.
+/// The feed of tables is told from outside, on executor().
+class Gateway {
+public:
+    Gateway(const Settings&, GatewayProtocols);
+    ~Gateway();
+    Gateway(const Gateway&) = delete;
+    Gateway& operator=(const Gateway&) = delete;
+
+    /// Where all calls below must be made; a strand.
+    boost::asio::any_io_executor executor() const;
+    /// A new version of the configuration. One that is not newer than the one in force is dropped.
+    void onRoutes(RouteTable);
+    void onServers(const ServerChanges&);
+    /// Whether the last call to the platform's store succeeded.
+    void onStoreReachable(bool isReachable);
+    /// How many instances share the servers' connections and the retry budget.
+    void onInstances(std::uint32_t);
+
+    /// Opens the listening sockets. Call it before run().
+    Result<void> listen();
+    /// Serves until the process is told to stop.
+    void run();
+
+    class Impl;
+
+private:
+    std::shared_ptr<Impl> m_impl;
+};
+
+}
--- a/src/http/http_client_connection.cpp
+++ b/src/http/http_client_connection.cpp
@@ -17,13 +17,15 @@
 
 namespace {
 
-constexpr std::size_t readBytes = 16 * 1024;
+constexpr std::size_t readBytes = 4 * 1024;
 
 std::string formatRequest(const HttpRequest& request, const std::string& host)
 {
     std::string out;
     out.reserve(request.body.size() + 512);
-    out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n");
+    out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    if (request.headers.find("Host").empty())
+        out.append("Host: ").append(host).append("\r\n");
     for (const auto& [name, value] : request.headers.fields())
         out.append(name).append(": ").append(value).append("\r\n");
     if (!request.body.empty() || request.method != "GET")
@@ -73,8 +75,10 @@
             return; // onLost follows at once.
         m_inFlight = true;
         m_out = formatRequest(request, m_host);
+        m_writing = true;
         resetParser();
         boost::asio::async_write(m_socket, boost::asio::buffer(m_out), [self = shared_from_this()](const boost::system::error_code& ec, std::size_t) {
+            self->m_writing = false;
             if (ec)
                 self->lose(ec.message());
         });
@@ -176,7 +180,8 @@
         for (const auto& field : message)
             reply.headers.add({ field.name_string().data(), field.name_string().size() }, { field.value().data(), field.value().size() });
         reply.body = std::move(message.body());
-        m_ending = m_hasSurplus || !message.keep_alive();
+        // A reply that came before the whole request was sent leaves the rest of it without a reader.
+        m_ending = m_hasSurplus || m_writing || !message.keep_alive();
         if (const auto events = m_events.lock())
             events->onReply(std::move(reply));
         if (m_ending)
@@ -204,6 +209,7 @@
     std::optional<http::response_parser<http::string_body>> m_parser;
     std::string m_out;
     bool m_inFlight = false;
+    bool m_writing = false; ///< The request under way is not handed over whole.
     bool m_hasSurplus = false;
     bool m_ending = false; ///< The server has said that it closes after this reply.
     bool m_closed = false;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -15,7 +15,7 @@
 public:
     Impl(boost::asio::io_context& io, HttpHandler& handler, std::shared_ptr<const Clock> clock, std::shared_ptr<HttpServerCounters> counters, HttpLimits limits)
         : m_io(io)
-        , m_context { handler, std::move(clock), std::move(counters), limits, std::make_shared<std::atomic<bool>>(false), {} }
+        , m_context { handler, std::move(clock), std::move(counters), std::make_shared<Snapshot<HttpLimits>>(limits), std::make_shared<std::atomic<bool>>(false), {} }
         , m_acceptor(boost::asio::make_strand(io))
     {
     }
@@ -32,9 +32,12 @@
         return local;
     }
 
+    void setLimits(const HttpLimits& limits) { m_context.limits->publish(limits); }
+    void closeAfterReplies() { m_context.draining->store(true); }
+
     void beginDrain()
     {
-        m_context.draining->store(true);
+        closeAfterReplies();
         const std::lock_guard lock(m_mutex);
         for (const auto& [id, session] : m_sessions)
             session->closeIfIdle();
@@ -70,7 +73,7 @@
     void add(boost::asio::ip::tcp::socket socket)
     {
         const std::lock_guard lock(m_mutex);
-        if (m_sessions.size() >= m_context.limits.maxConnections) {
+        if (m_sessions.size() >= m_context.limits->read()->maxConnections) {
             ++m_context.counters->overLimit;
             return;
         }
@@ -108,6 +111,16 @@
     return m_impl->listen(endpoint);
 }
 
+void HttpServer::setLimits(const HttpLimits& limits)
+{
+    m_impl->setLimits(limits);
+}
+
+void HttpServer::closeAfterReplies()
+{
+    m_impl->closeAfterReplies();
+}
+
 void HttpServer::beginDrain()
 {
     m_impl->beginDrain();
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -44,6 +44,10 @@
 
     /// Listens on the endpoint; port 0 lets the kernel choose. Call it once.
     Result<Endpoint> listen(const Endpoint&);
+    /// The limits of messages and connections that start from now on.
+    void setLimits(const HttpLimits&);
+    /// From now on each reply closes its connection. Idle connections stay, for requests on their way.
+    void closeAfterReplies();
     /// From now on each reply closes its connection, and idle connections are closed.
     void beginDrain();
     /// Stops accepting and closes every connection.
--- a/src/http/http_server_session.cpp
+++ b/src/http/http_server_session.cpp
@@ -76,8 +76,15 @@
     , m_socket(std::move(socket))
     , m_context(std::move(context))
     , m_watchdog(m_socket.get_executor())
-    , m_buffer(m_context.limits.maxHeaderBytes + m_context.limits.maxPipelinedBytes + m_context.limits.maxBodyBytes + 2 * sizeof(m_chunk))
 {
+    startMessage();
+}
+
+void HttpServerSession::startMessage()
+{
+    m_limits = m_context.limits->read();
+    m_buffer.max_size(m_limits->maxHeaderBytes + m_limits->maxPipelinedBytes + m_limits->maxBodyBytes + 2 * sizeof(m_chunk) + m_buffer.size());
+    m_reader.emplace(*m_limits);
 }
 
 void HttpServerSession::start()
@@ -86,7 +93,6 @@
         boost::system::error_code ec;
         self->m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
         self->m_idleSince = self->m_context.clock->now();
-        self->m_reader.emplace(self->m_context.limits);
         self->readMore();
         self->watch();
     });
@@ -107,7 +113,7 @@
 
 void HttpServerSession::readMore()
 {
-    const bool isFull = m_handling && m_buffer.size() >= m_context.limits.maxPipelinedBytes;
+    const bool isFull = m_handling && m_buffer.size() >= m_limits->maxPipelinedBytes;
     if (m_reading || m_closed || isFull)
         return;
     m_reading = true;
@@ -230,7 +236,7 @@
         return;
     }
     m_idleSince = m_context.clock->now();
-    m_reader.emplace(m_context.limits);
+    startMessage();
     parseMore();
     if (!m_closed)
         readMore();
@@ -252,7 +258,7 @@
 
 bool HttpServerSession::isOverdue(TimePoint now) const
 {
-    const auto& limits = m_context.limits;
+    const auto& limits = *m_limits;
     const auto messageLimit = m_reader->isHeaderDone() ? limits.messageTimeout : limits.headerTimeout;
     const bool messageLate = m_messageStarted != never && now - m_messageStarted > messageLimit;
     const bool writeLate = m_writeStarted != never && now - m_writeStarted > limits.writeTimeout;
@@ -264,7 +270,7 @@
 
 void HttpServerSession::watch()
 {
-    m_watchdog.expires_after(m_context.limits.checkInterval);
+    m_watchdog.expires_after(m_limits->checkInterval);
     m_watchdog.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
         if (ec || self->m_closed)
             return;
--- a/src/http/http_server_session.h
+++ b/src/http/http_server_session.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/snapshot.h"
 #include "http/http_limits.h"
 #include "http/http_message.h"
 #include "http/http_request_reader.h"
@@ -25,7 +26,7 @@
     HttpHandler& handler;
     std::shared_ptr<const Clock> clock;
     std::shared_ptr<HttpServerCounters> counters;
-    HttpLimits limits;
+    std::shared_ptr<Snapshot<HttpLimits>> limits; ///< Read anew for each message.
     std::shared_ptr<std::atomic<bool>> draining;
     /// Runs once when a session ends.
     std::function<void(std::uint64_t)> onEnd;
@@ -49,6 +50,8 @@
     void setGoneHandler(std::uint64_t requestNumber, std::function<void()>);
 
 private:
+    /// Makes ready for the next message, within the limits in force now.
+    void startMessage();
     void readMore();
     void onRead(const boost::system::error_code&, std::size_t);
     void parseMore();
@@ -68,7 +71,8 @@
     boost::asio::ip::tcp::socket m_socket;
     HttpServerContext m_context;
     boost::asio::steady_timer m_watchdog;
-    std::array<char, 8 * 1024> m_chunk {}; ///< Where the read under way puts its bytes.
+    std::array<char, 4 * 1024> m_chunk {}; ///< Where the read under way puts its bytes.
+    std::shared_ptr<const HttpLimits> m_limits; ///< Of the message being read.
     boost::beast::flat_buffer m_buffer;
     std::optional<HttpRequestReader> m_reader;
     std::function<void()> m_goneHandler;
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -56,6 +56,15 @@
     return *it;
 }
 
+BucketHistogram& Metrics::histogram(const std::string& name)
+{
+    const std::lock_guard lock(m_mutex);
+    auto& it = m_histograms[name];
+    if (!it)
+        it = std::make_unique<BucketHistogram>();
+    return *it;
+}
+
 void Metrics::gauge(const std::string& name, std::function<double()> read)
 {
     const std::lock_guard lock(m_mutex);
@@ -89,6 +98,10 @@
         writeType(out, last, name, "summary");
         writeSummary(out, name, latency->values());
     }
+    for (const auto& [name, histogram] : m_histograms) {
+        writeType(out, last, name, "histogram");
+        histogram->write(out, name);
+    }
     return out.str();
 }
 
--- a/src/observe/metrics.h
+++ b/src/observe/metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "observe/bucket_histogram.h"
 #include "observe/latency_summary.h"
 
 #include <atomic>
@@ -30,6 +31,7 @@
 public:
     Counter& counter(const std::string& name);
     LatencySummary& latency(const std::string& name);
+    BucketHistogram& histogram(const std::string& name);
     /// Registers a value that is read when the metrics are rendered. The function must be thread safe.
     void gauge(const std::string& name, std::function<double()>);
 
@@ -43,6 +45,7 @@
     mutable std::mutex m_mutex;
     std::map<std::string, std::unique_ptr<Counter>> m_counters;
     std::map<std::string, std::unique_ptr<LatencySummary>> m_latencies;
+    std::map<std::string, std::unique_ptr<BucketHistogram>> m_histograms;
     std::map<std::string, std::function<double()>> m_gauges;
     std::map<std::string, std::function<std::uint64_t()>> m_counts;
 };
--- a/src/platform/http_object_store.cpp
+++ b/src/platform/http_object_store.cpp
@@ -123,9 +123,9 @@
     m_client->call(std::move(call), [handler = std::move(handler)](const PlatformReply& reply) { handler(readBatch(reply)); });
 }
 
-void HttpObjectStore::watch(const std::string& prefix, std::uint64_t afterRevision, ListHandler handler)
+void HttpObjectStore::watch(const std::string& prefix, std::uint64_t afterRevision, Duration mostWait, ListHandler handler)
 {
-    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(m_client->settings().watchTimeout);
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(std::min(mostWait, m_client->settings().watchTimeout));
     const auto target = "/v1/watch?prefix=" + percentEncode(prefix) + "&after=" + std::to_string(afterRevision)
         + "&timeout-ms=" + std::to_string(wait.count());
     PlatformCall call { PlatformCallKind::Watch, target, {}, wait + watchMargin };
--- a/src/platform/object_store.h
+++ b/src/platform/object_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/stored_object.h"
+#include "base/time.h"
 
 #include <functional>
 #include <string>
@@ -8,11 +9,14 @@
 
 namespace lycheefield {
 
-/// What a watch saw: the objects that changed after the given revision, and the revision reached.
+/// What a list or a watch saw, and the revision reached. A list holds all objects, a watch those that
+/// changed after the given revision.
 struct WatchBatch {
     StoreStatus status = StoreStatus::Unavailable;
     std::uint64_t revision = 0;
-    std::vector<StoredObject> changed;
+    std::vector<StoredObject> changed {};
+    std::vector<std::string> removed {}; ///< Keys of objects that are gone; in a watch only.
+    bool isWhole = false; ///< It is a list: what it does not hold is gone. Set by StoreWatcher.
 };
 
 /// The platform's object API. Calls return at once; each handler runs exactly once, on the
@@ -28,8 +32,9 @@
     virtual void write(const std::string& key, ObjectVersion expected, const std::string& value, ObjectHandler) = 0;
     /// All objects below the prefix.
     virtual void list(const std::string& prefix, ListHandler) = 0;
-    /// Waits until an object below the prefix changes after the revision, or the platform's limit passes.
-    virtual void watch(const std::string& prefix, std::uint64_t afterRevision, ListHandler) = 0;
+    /// Waits until an object below the prefix changes after the revision, for mostWait or the settings'
+    /// limit, whichever is shorter.
+    virtual void watch(const std::string& prefix, std::uint64_t afterRevision, Duration mostWait, ListHandler) = 0;
 };
 
 }
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -29,6 +29,7 @@
     Ok = 200,
     NotFound = 404,
     Conflict = 409,
+    Gone = 410,
     FirstServerError = 500,
     ServiceUnavailable = 503,
 };
@@ -45,6 +46,8 @@
         return StoreStatus::NotFound;
     case HttpStatus::Conflict:
         return StoreStatus::Conflict;
+    case HttpStatus::Gone:
+        return StoreStatus::HistoryGone;
     case HttpStatus::ServiceUnavailable:
         return StoreStatus::Unavailable;
     default:
--- a/src/platform/store_watcher.cpp
+++ b/src/platform/store_watcher.cpp
@@ -9,6 +9,13 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// After an error the first watch ends at once, so that the return of the store is noticed without a change.
+constexpr Duration shortWait = std::chrono::milliseconds(1);
+
+}
+
 StoreWatcher::StoreWatcher(const asio::any_io_executor& executor, std::shared_ptr<ObjectStore> store, std::string prefix, Handler handler, Backoff backoff)
     : m_strand(asio::make_strand(executor))
     , m_timer(m_strand)
@@ -40,7 +47,7 @@
         asio::post(self->m_strand, [self, batch] { self->onBatch(batch); });
     };
     if (m_isListed)
-        m_store->watch(m_prefix, m_revision, std::move(onReply));
+        m_store->watch(m_prefix, m_revision, m_backoff.failures() > 0 ? shortWait : Duration::max(), std::move(onReply));
     else
         m_store->list(m_prefix, std::move(onReply));
 }
@@ -49,6 +56,11 @@
 {
     if (m_isStopped)
         return;
+    if (batch.status == StoreStatus::HistoryGone) {
+        m_isListed = false;
+        ask();
+        return;
+    }
     if (batch.status != StoreStatus::Ok) {
         m_timer.expires_after(m_backoff.onFailure());
         m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
@@ -61,8 +73,9 @@
     m_backoff.onSuccess();
     const bool isFirst = !std::exchange(m_isListed, true);
     m_revision = std::max(m_revision, batch.revision);
-    if (isFirst || !batch.changed.empty())
-        m_handler(batch);
+    auto seen = batch;
+    seen.isWhole = isFirst;
+    m_handler(seen);
     ask();
 }
 
--- a/src/platform/store_watcher.h
+++ b/src/platform/store_watcher.h
@@ -16,11 +16,11 @@
 /// Follows all objects below a prefix: lists them once, then watches from the revision it reached.
 ///
 /// After an error it goes on from the same revision, so no change is skipped, however long the outage
-/// was. Keeps itself alive until stop. Thread safe.
+/// was. When the store has dropped its history it lists again. Keeps itself alive until stop. Thread safe.
 class StoreWatcher : public std::enable_shared_from_this<StoreWatcher> {
 public:
-    /// Runs on the executor, one call at a time: with the first list, even when it is empty, then with
-    /// what changed, and after an error with its status.
+    /// Runs on the executor, one call at a time: with each list, even when it is empty, with the end of
+    /// each watch, whether anything changed or not, and after an error with its status.
     using Handler = std::function<void(const WatchBatch&)>;
 
     StoreWatcher(const boost::asio::any_io_executor&, std::shared_ptr<ObjectStore>, std::string prefix, Handler, Backoff);
--- a/src/query/query.h
+++ b/src/query/query.h
@@ -49,6 +49,8 @@
 
     double coverage() const { return legs.empty() ? 0 : static_cast<double>(covered) / static_cast<double>(legs.size()); }
     /// False once too many legs have ended without an answer, whatever the others bring.
+    /// True once sending it again could make it run twice.
+    bool mustNotRunAgain() const { return rule->kind == RequestKind::Order && (ran || mayHaveRun); }
     bool canCoverEnough() const
     {
         return legs.empty() || static_cast<double>(covered + openLegs) / static_cast<double>(legs.size()) >= rule->minimumCoverage.value;
--- a/src/query/query_engine.h
+++ b/src/query/query_engine.h
@@ -47,6 +47,28 @@
     std::uint64_t shedLegs = 0; ///< Legs left out of searches under overload.
     std::uint64_t mixedVersions = 0; ///< Answers of another version or epoch than asked for, not used.
 
+    /// Adds each counter: those of an instance are the sums over its engines.
+    QueryCounters& operator+=(const QueryCounters& other)
+    {
+        requests += other.requests;
+        firstLegs += other.firstLegs;
+        hedges += other.hedges;
+        retries += other.retries;
+        cancels += other.cancels;
+        strayResults += other.strayResults;
+        reroutes += other.reroutes;
+        restarts += other.restarts;
+        completeAnswers += other.completeAnswers;
+        partialAnswers += other.partialAnswers;
+        refusals += other.refusals;
+        canaries += other.canaries;
+        crashes += other.crashes;
+        quarantined += other.quarantined;
+        notAdmitted += other.notAdmitted;
+        shedLegs += other.shedLegs;
+        mixedVersions += other.mixedVersions;
+        return *this;
+    }
     friend bool operator==(const QueryCounters&, const QueryCounters&) = default;
 };
 
--- a/src/query/standard_query_engine_attempts.cpp
+++ b/src/query/standard_query_engine_attempts.cpp
@@ -131,7 +131,7 @@
     const bool isOver = now >= query.deadline || query.giveUpAt != never;
     if (!m_settings.retryRefusals || query.isSuspect || isOver || outcome == LegOutcome::Quarantined)
         return false;
-    if (query.rule->kind == RequestKind::Order && (query.ran || query.mayHaveRun))
+    if (query.mustNotRunAgain())
         return false;
     // A server that lost the version did no work, and each replica is asked once: no budget is needed.
     // A relay that does not hold the server has not asked it at all.
@@ -145,7 +145,7 @@
     // A try that asked a server is a retry, and has its budget.
     if (leg.lastOutcome != LegOutcome::NotHeld || leg.timesNotHeld() > maxReroutes || query.isSuspect || !m_settings.retryRefusals)
         return false;
-    if (query.rule->kind == RequestKind::Order && (query.ran || query.mayHaveRun))
+    if (query.mustNotRunAgain())
         return false;
     return now + leg.reroutePause() < query.deadline;
 }
--- a/src/query/standard_query_engine_plan.cpp
+++ b/src/query/standard_query_engine_plan.cpp
@@ -85,7 +85,7 @@
 {
     if (query.starts >= maxStarts || query.isSuspect || now >= query.softDeadline)
         return false;
-    if (query.rule->kind == RequestKind::Order && (query.ran || query.mayHaveRun))
+    if (query.mustNotRunAgain())
         return false;
     // The new start needs at least the time that the first took to find out.
     return query.deadline - now >= now - query.startedAt;
@@ -168,6 +168,8 @@
     if (query.rule->preference != AnswerPreference::Tail)
         return true;
     const auto count = pressure.legsToGiveUp(query.spareLegs(), m_settings);
+    if (count == 0)
+        return true;
     std::sort(byWait.rbegin(), byWait.rend());
     for (std::size_t i = 0; i < count && i < byWait.size(); ++i) {
         closeLeg(query, query.legs[byWait[i].second], "left out under overload");
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -82,6 +82,17 @@
     friend bool operator==(const ObserveSettings&, const ObserveSettings&) = default;
 };
 
+/// The gateway: an instance that forwards callers' requests straight to backend servers.
+struct GatewaySettings {
+    Endpoint callers; ///< Where callers connect; port 0: not a gateway.
+    Endpoint readiness; ///< Where the balancer asks whether this instance is ready.
+    std::uint16_t metricsPort = 0; ///< On the callers' address; 0: no metrics.
+    std::uint32_t logLinesPerSecond = 50; ///< Lines about single requests at most; changes of state come besides.
+    Duration stopLimit = 6s; ///< After SIGTERM the process is gone by then.
+
+    friend bool operator==(const GatewaySettings&, const GatewaySettings&) = default;
+};
+
 /// Faults that tests inject into a real process; none by default.
 struct FaultSettings {
     Share peerMessageLoss { 0 }; ///< Share of membership and rule messages that are dropped instead of sent.
--- a/src/settings/setting_key.h
+++ b/src/settings/setting_key.h
@@ -11,7 +11,7 @@
 namespace lycheefield {
 
 /// Points at the member of Settings that a key sets.
-using SettingField = std::variant<bool*, std::uint16_t*, std::uint32_t*, Duration*, Share*, ByteCount*, std::string*,
+using SettingField = std::variant<bool*, std::uint16_t*, std::uint32_t*, Duration*, Share*, ByteCount*, std::string*, Endpoint*,
     InstanceName*, ZoneName*, Routing*, LogFormat*>;
 
 /// Least and greatest value of a number, duration, share or size, as they are written in the file.
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -23,6 +23,11 @@
     return &settings.platform.endpoint.port;
 }
 
+SettingField platformEndpoint(Settings& settings)
+{
+    return &settings.platform.endpoint;
+}
+
 SettingField gatewayAddress(Settings& settings)
 {
     return &settings.listen.crossZoneGateway.address;
@@ -63,7 +68,8 @@
     constexpr auto section = &Settings::platform;
     keys.insert(keys.end(), {
                                 { "platform", "address", platformAddress, {}, "IP number of the platform's service." },
-                                { "platform", "port", platformPort, { "1", "65535" }, "Port of the platform's service.", true },
+                                { "platform", "port", platformPort, { "1", "65535" }, "Port of the platform's service; required." },
+                                { "platform", "endpoint", platformEndpoint, {}, "Both in one, in place of address and port." },
                                 { "platform", "request_timeout", fieldOf<section, &PlatformSettings::requestTimeout>, { "10ms", "60s" }, "Wait for the answer to one call." },
                                 { "platform", "watch_timeout", fieldOf<section, &PlatformSettings::watchTimeout>, { "100ms", "10m" }, "Length of one watch." },
                                 { "platform", "calls_per_second", fieldOf<section, &PlatformSettings::callsPerSecond>, { "1", "10000" }, "Budget of calls; a waiting watch counts as one." },
@@ -168,6 +174,32 @@
                             });
 }
 
+void addGateway(std::vector<SettingKey>& keys)
+{
+    constexpr auto section = &Settings::gateway;
+    keys.insert(keys.end(), {
+                                { "gateway", "callers", fieldOf<section, &GatewaySettings::callers>, {}, "Where a gateway listens for callers." },
+                                { "gateway", "readiness", fieldOf<section, &GatewaySettings::readiness>, {}, "Where the balancer asks whether a gateway is ready." },
+                                { "gateway", "metrics_port", fieldOf<section, &GatewaySettings::metricsPort>, { "0", "65535" }, "Port of a gateway's metrics, on the callers' address; 0: none." },
+                                { "gateway", "log_lines_per_second", fieldOf<section, &GatewaySettings::logLinesPerSecond>, { "1", "100000" }, "Lines about single requests at most." },
+                                { "gateway", "stop_limit", fieldOf<section, &GatewaySettings::stopLimit>, { "1s", "1h" }, "After SIGTERM a gateway is gone by then." },
+                            });
+}
+
+void addForward(std::vector<SettingKey>& keys)
+{
+    constexpr auto section = &Settings::forward;
+    keys.insert(keys.end(), {
+                                { "forward", "retry_ratio", fieldOf<section, &ForwardSettings::retryRatio>, { "0%", "100%" }, "Share of first sends to a service that the fleet may send again." },
+                                { "forward", "retry_slack", fieldOf<section, &ForwardSettings::retrySlack>, { "0", "1000000" }, "Sends again in a window besides, of the whole fleet." },
+                                { "forward", "retry_window", fieldOf<section, &ForwardSettings::retryWindow>, { "1s", "10m" }, "Length of that window." },
+                                { "forward", "answer_margin", fieldOf<section, &ForwardSettings::answerMargin>, { "0ms", "10s" }, "A search is answered so long before its target latency." },
+                                { "forward", "least_hedge_delay", fieldOf<section, &ForwardSettings::leastHedgeDelay>, { "0%", "100%" }, "No second send before this part of the target latency." },
+                                { "forward", "most_hedge_delay", fieldOf<section, &ForwardSettings::mostHedgeDelay>, { "0%", "100%" }, "Second send at this part of the target latency at the latest." },
+                                { "forward", "cross_zone_cost", fieldOf<section, &ForwardSettings::crossZoneCost>, { "0ms", "1s" }, "What a server in another zone must be better by." },
+                            });
+}
+
 void addRest(std::vector<SettingKey>& keys)
 {
     keys.insert(keys.end(), {
@@ -188,6 +220,8 @@
     addRelay(keys);
     addClaims(keys);
     addMembership(keys);
+    addGateway(keys);
+    addForward(keys);
     addRest(keys);
     return keys;
 }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -112,6 +112,8 @@
             report("platform.backoff_minimum", "it is above platform.backoff_maximum", "a shorter time");
         if (m_settings.claims.retryFirst > m_settings.claims.retryMost)
             report("claims.retry_first", "it is above claims.retry_most", "a shorter time");
+        if (m_settings.platform.endpoint.port == 0)
+            report("platform.port", "the key is missing", findSettingKey("platform", "port")->allowed());
         if (m_settings.drain.balancerLag > m_settings.drain.limit)
             report("drain.balancer_lag", "it is above drain.limit", "a shorter time");
         if (m_settings.listen.address == "0.0.0.0" && m_settings.listen.advertisedAddress.empty())
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -2,6 +2,7 @@
 
 #include "claims/claim_settings.h"
 #include "dispatch/relay_settings.h"
+#include "forward/forward_settings.h"
 #include "membership/membership_settings.h"
 #include "query/query_settings.h"
 #include "settings/daemon_settings.h"
@@ -28,6 +29,8 @@
     RelaySettings relay;
     ClaimSettings claims;
     MembershipSettings membership;
+    GatewaySettings gateway;
+    ForwardSettings forward;
 
     /// The address that peers and the platform are told.
     const std::string& reachableAddress() const { return listen.advertisedAddress.empty() ? listen.address : listen.advertisedAddress; }
--- a/tests/platform/http_object_store_test.cpp
+++ b/tests/platform/http_object_store_test.cpp
@@ -71,7 +71,7 @@
         CHECK(platform.write("k", 0, "v").status == StoreStatus::Lost);
         CHECK(platform.read("k").status == StoreStatus::NotFound);
         std::optional<WatchBatch> batch;
-        platform.store->watch("k", 0, [&](WatchBatch it) { batch = std::move(it); });
+        platform.store->watch("k", 0, Duration::max(), [&](WatchBatch it) { batch = std::move(it); });
         CHECK(platform.await(batch).changed.at(0).value == "v");
     }
     SUBCASE("because it took longer than the timeout")
