Instances count each other; a stop answers what it read last

Cause: each instance took the whole fleet's retry slack (BUDGET), and a process that had nothing under way still accepted requests for 0.3 s and then ended with them (LOST). A stop closes the listening socket first and ends only after nothing was under way for 0.2 s.

--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -79,7 +79,10 @@
 
     const ForwardSettings& m_settings;
     RandomSource& m_random;
-    std::uint32_t m_instances = 1;
+    /// Until the instances are counted, each takes little of what they share.
+    static constexpr std::uint32_t instancesUntilCounted = 32;
+
+    std::uint32_t m_instances = instancesUntilCounted;
     std::map<ServerName, ServerStatePtr> m_servers;
     std::unordered_map<ServiceName, std::vector<ServerStatePtr>> m_byService;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,9 +13,9 @@
 /// The balancer stops sending callers this long after readiness fails.
 constexpr Duration balancerLag = std::chrono::milliseconds(3200);
 /// What is still under way so long before the stop limit is answered with what there is.
-constexpr Duration finishBeforeLimit = std::chrono::milliseconds(900);
+constexpr Duration finishBeforeLimit = std::chrono::milliseconds(1000);
 /// Time for the last answers to leave.
-constexpr Duration lastAnswersLeave = std::chrono::milliseconds(300);
+constexpr Duration lastAnswersLeave = std::chrono::milliseconds(200);
 constexpr Duration houseKeepingPeriod = std::chrono::seconds(1);
 constexpr Duration drainCheckPeriod = std::chrono::milliseconds(100);
 constexpr unsigned ok = 200;
@@ -193,16 +193,20 @@
     /// Goes on serving until the balancer has turned away, then ends once nothing is under way.
     void checkStop()
     {
-        const auto since = m_clock->now() - m_stopBegan;
+        const auto now = m_clock->now();
+        const auto since = now - m_stopBegan;
         const bool isLast = since >= m_settings.gateway.stopLimit - finishBeforeLimit;
         if (isLast)
             m_driver.finishAll();
-        if (isLast || (since >= balancerLag && m_driver.inFlight() == 0)) {
-            m_callerServer.beginDrain();
-            m_drainTimer.expires_after(lastAnswersLeave);
-            m_drainTimer.async_wait([this](const boost::system::error_code&) { stop(); });
-            return;
-        }
+        if (m_driver.inFlight() > 0)
+            m_quietSince = never;
+        else if (m_quietSince == never)
+            m_quietSince = now;
+        const bool isQuiet = m_quietSince != never && now - m_quietSince >= lastAnswersLeave;
+        if (m_isClosing && isQuiet)
+            return stop();
+        if (!m_isClosing && (isLast || (since >= balancerLag && isQuiet)))
+            closeToCallers();
         m_drainTimer.expires_after(drainCheckPeriod);
         m_drainTimer.async_wait([this](const boost::system::error_code& ec) {
             if (!ec)
@@ -210,6 +214,15 @@
         });
     }
 
+    /// Ends idle connections and takes no new ones. What was read by then is still answered.
+    void closeToCallers()
+    {
+        m_isClosing = true;
+        m_quietSince = never;
+        m_callerServer.stopListening();
+        m_callerServer.beginDrain();
+    }
+
     void stop()
     {
         note("stopped", { { "in_flight", std::to_string(m_driver.inFlight()) } });
@@ -266,7 +279,9 @@
     bool m_hasServers = false;
     bool m_isStoreReachable = false;
     bool m_isStopping = false;
+    bool m_isClosing = false; ///< Callers are turned away by closed connections.
     TimePoint m_stopBegan {};
+    TimePoint m_quietSince = never; ///< Since when nothing is under way, while it stops.
 };
 
 Gateway::Gateway(const Settings& settings, GatewayProtocols protocols)
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -43,12 +43,17 @@
             session->closeIfIdle();
     }
 
-    void close()
+    void stopListening()
     {
         boost::asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
             boost::system::error_code ec;
             self->m_acceptor.close(ec);
         });
+    }
+
+    void close()
+    {
+        stopListening();
         const std::lock_guard lock(m_mutex);
         for (const auto& [id, session] : m_sessions)
             session->close();
@@ -126,6 +131,11 @@
     m_impl->beginDrain();
 }
 
+void HttpServer::stopListening()
+{
+    m_impl->stopListening();
+}
+
 void HttpServer::close()
 {
     m_impl->close();
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -50,6 +50,8 @@
     void closeAfterReplies();
     /// From now on each reply closes its connection, and idle connections are closed.
     void beginDrain();
+    /// Accepts no more connections; those that are open go on.
+    void stopListening();
     /// Stops accepting and closes every connection.
     void close();
 
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -22,7 +22,14 @@
 
 bool isWrite(PlatformCallKind kind)
 {
-    return kind == PlatformCallKind::Write || kind == PlatformCallKind::Report;
+    return kind == PlatformCallKind::Write || kind == PlatformCallKind::Create || kind == PlatformCallKind::Report;
+}
+
+PlatformMethod methodOf(PlatformCallKind kind)
+{
+    if (kind == PlatformCallKind::Create)
+        return PlatformMethod::Post;
+    return isWrite(kind) ? PlatformMethod::Put : PlatformMethod::Get;
 }
 
 enum HttpStatus : unsigned int {
@@ -179,6 +186,7 @@
             ++counters.reads;
             return;
         case PlatformCallKind::Write:
+        case PlatformCallKind::Create:
             ++counters.writes;
             return;
         case PlatformCallKind::List:
@@ -246,7 +254,7 @@
 {
     m_busy.insert(connection);
     countCall(pending->call.kind);
-    const HttpExchange exchange { isWrite(pending->call.kind), pending->call.target, pending->call.body };
+    const HttpExchange exchange { methodOf(pending->call.kind), pending->call.target, pending->call.body };
     connection->exchange(exchange, timeLeft(*pending), [self = shared_from_this(), pending, connection, isReused](HttpExchangeResult result) {
         self->onResult(pending, connection, isReused, std::move(result));
     });
--- a/src/platform/platform_client.h
+++ b/src/platform/platform_client.h
@@ -17,6 +17,7 @@
 enum class PlatformCallKind : std::uint8_t {
     Read,
     Write,
+    Create, ///< A write by POST, of an object that does not exist.
     List,
     Watch,
     Instances,
--- a/src/platform/platform_connection.cpp
+++ b/src/platform/platform_connection.cpp
@@ -21,6 +21,19 @@
 /// A list may hold many objects of 1 MB.
 constexpr std::uint64_t responseLimit = 64ULL * 1024 * 1024;
 
+http::verb verbOf(PlatformMethod method)
+{
+    switch (method) {
+    case PlatformMethod::Get:
+        return http::verb::get;
+    case PlatformMethod::Put:
+        return http::verb::put;
+    case PlatformMethod::Post:
+        break;
+    }
+    return http::verb::post;
+}
+
 class BeastConnection final : public PlatformConnection, public std::enable_shared_from_this<BeastConnection> {
 public:
     explicit BeastConnection(const asio::any_io_executor& executor)
@@ -51,7 +64,7 @@
         m_result = {};
         m_request = {};
         m_request.version(httpVersion);
-        m_request.method(exchange.isPut ? http::verb::put : http::verb::get);
+        m_request.method(verbOf(exchange.method));
         m_request.target(exchange.target);
         m_request.set(http::field::host, m_host);
         m_request.body() = exchange.body;
--- a/src/platform/platform_connection.h
+++ b/src/platform/platform_connection.h
@@ -13,9 +13,15 @@
 
 struct Endpoint;
 
+enum class PlatformMethod : std::uint8_t {
+    Get,
+    Put,
+    Post,
+};
+
 /// An HTTP request on its way to the platform.
 struct HttpExchange {
-    bool isPut = false;
+    PlatformMethod method = PlatformMethod::Get;
     std::string target;
     std::string body;
 };
--- a/tests/daemon/claims_role_test.cpp
+++ b/tests/daemon/claims_role_test.cpp
@@ -26,7 +26,7 @@
         reply(m_state.write(key, expected, value, TimePoint {}), std::move(handler));
     }
     void list(const std::string&, ListHandler) override { }
-    void watch(const std::string&, std::uint64_t, ListHandler) override { }
+    void watch(const std::string&, std::uint64_t, Duration, ListHandler) override { }
 
 private:
     void reply(const standin::PlatformAnswer& answer, ObjectHandler handler)
