Changes in the store share watches; a paused server is told from a slow one

Cause: every change of a warming server's entry ended a watch, each a priced call; after each short pause a server was left for a second or more. Change: 250 ms between a watch that saw changes and the next one; only slow answers to requests sent after the last slow one count fully.

--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -67,11 +67,10 @@
     const auto send = it->second;
     if (reply.load)
         ServerPool::noteLoad(*send.server, *reply.load, now);
-    const auto took = now - send.sentAt;
     if (reply.kind == ServerReplyKind::Served) {
         auto& times = m_times[send.routeName];
-        ServerPool::noteAnswer(*send.server, took, times.usual({}), now);
-        times.add(took, now);
+        ServerPool::noteAnswer(*send.server, send.sentAt, times.usual({}), now);
+        times.add(now - send.sentAt, now);
     } else if (reply.kind == ServerReplyKind::WrongServer) {
         ServerPool::noteReplaced(*send.server);
     } else {
--- a/src/forward/server_pool.cpp
+++ b/src/forward/server_pool.cpp
@@ -10,9 +10,11 @@
 /// A server that owes an answer is silent after so many usual times, and never sooner than the least.
 constexpr int silentAfterUsualTimes = 3;
 constexpr Duration silentAtLeast = 60ms;
-/// One sample counts at most this much, so that a short pause does not look like a slow server.
-constexpr double mostSlownessOfSample = 5;
+constexpr double mostSlownessOfSample = 12;
+/// A usual answer counts by this weight. So does a slow one, but not the first: a server that only
+/// paused is slow for the requests that it had, and then as fast as before.
 constexpr double newSampleWeight = 0.3;
+constexpr double firstSlowWeight = 0.08;
 constexpr double slowSample = 3;
 /// Slowness fades by this time constant, longer after each slow answer in a row.
 constexpr Duration slownessFades = 500ms;
@@ -161,17 +163,25 @@
         server.owesSince = never;
 }
 
-void ServerPool::noteAnswer(ServerState& server, Duration took, Duration usual, TimePoint now)
+void ServerPool::noteAnswer(ServerState& server, TimePoint sentAt, Duration usual, TimePoint now)
 {
     server.failuresInRow = 0;
     server.avoidUntil = {};
     server.owesSince = server.inFlight > 0 ? now : never;
     if (usual <= Duration {})
         return;
-    const auto sample = std::min(mostSlownessOfSample, asDouble(took) / asDouble(usual));
-    server.slowness = (1 - newSampleWeight) * currentSlowness(server, now) + newSampleWeight * sample;
-    server.slowStreak = sample >= slowSample ? server.slowStreak + 1 : 0;
+    const auto sample = std::min(mostSlownessOfSample, asDouble(now - sentAt) / asDouble(usual));
+    const bool isSlow = sample >= slowSample;
+    const bool isAgain = isSlow && server.slowStreak > 0 && sentAt > server.slowAt;
+    const auto weight = isSlow && !isAgain ? firstSlowWeight : newSampleWeight;
+    server.slowness = (1 - weight) * currentSlowness(server, now) + weight * sample;
     server.slownessAt = now;
+    if (!isSlow)
+        server.slowStreak = 0;
+    else if (isAgain || server.slowStreak == 0)
+        ++server.slowStreak;
+    if (isSlow)
+        server.slowAt = now;
 }
 
 void ServerPool::noteFailure(ServerState& server, TimePoint now)
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -21,8 +21,9 @@
     std::uint32_t inFlight = 0; ///< Sends of this instance that are not over.
     TimePoint owesSince = never; ///< Since when it owes an answer and gave none; `never` while it owes none.
     double slowness = 1; ///< Its recent times as a multiple of the usual.
-    std::uint32_t slowStreak = 0; ///< Slow answers in a row.
+    std::uint32_t slowStreak = 0; ///< Slow answers in a row, each sent after the one before came.
     TimePoint slownessAt {};
+    TimePoint slowAt {}; ///< When its last slow answer came.
     ServerLoad load;
     TimePoint loadAt {};
     std::uint32_t failuresInRow = 0;
@@ -64,7 +65,7 @@
     static void noteSent(ServerState&, TimePoint);
     /// A send is over, whether it was answered or not.
     static void noteOver(ServerState&, TimePoint);
-    static void noteAnswer(ServerState&, Duration took, Duration usual, TimePoint);
+    static void noteAnswer(ServerState&, TimePoint sentAt, Duration usual, TimePoint);
     static void noteFailure(ServerState&, TimePoint);
     static void noteLoad(ServerState&, const ServerLoad&, TimePoint);
     /// Its address belongs to another server now.
--- a/src/platform/store_watcher.cpp
+++ b/src/platform/store_watcher.cpp
@@ -13,6 +13,8 @@
 
 /// After an error the first watch ends at once, so that the return of the store is noticed without a change.
 constexpr Duration shortWait = std::chrono::milliseconds(1);
+/// Changes that follow each other closely share one watch, as each call is counted.
+constexpr Duration settleTime = std::chrono::milliseconds(250);
 
 }
 
@@ -62,13 +64,8 @@
         return;
     }
     if (batch.status != StoreStatus::Ok) {
-        m_timer.expires_after(m_backoff.onFailure());
-        m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
-            if (!ec)
-                self->ask();
-        });
         m_handler(batch);
-        return;
+        return askAfter(m_backoff.onFailure());
     }
     m_backoff.onSuccess();
     const bool isFirst = !std::exchange(m_isListed, true);
@@ -76,7 +73,20 @@
     auto seen = batch;
     seen.isWhole = isFirst;
     m_handler(seen);
-    ask();
+    const bool hasChanges = !batch.changed.empty() || !batch.removed.empty();
+    if (hasChanges && !isFirst)
+        askAfter(settleTime);
+    else
+        ask();
+}
+
+void StoreWatcher::askAfter(Duration pause)
+{
+    m_timer.expires_after(pause);
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
+        if (!ec)
+            self->ask();
+    });
 }
 
 }
--- a/src/platform/store_watcher.h
+++ b/src/platform/store_watcher.h
@@ -31,6 +31,7 @@
 
 private:
     void ask();
+    void askAfter(Duration);
     void onBatch(const WatchBatch&);
 
     boost::asio::strand<boost::asio::any_io_executor> m_strand;
