Legs that would come too late are left out when the search can spare them

Cause: with slow servers in several shards the other replicas' queues grow until every search misses its target latency. Change: before a search sends, the legs whose best server is expected to take 1.5 times the time left are left out, the latest first, as many as the minimum coverage spares; a second send is not made when it is expected too late. Silence and a server without room do not count: both may pass in a moment. Settings: a gateway names the store's endpoint itself.

--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -54,6 +54,8 @@
     const auto served = std::count_if(it.legs.begin(), it.legs.end(), [&](const Leg& leg) { return m_pool.hasServers(leg.service); });
     if (static_cast<std::size_t>(served) < it.needed())
         return finish(it, now, actions);
+    if (route.isSearch())
+        shedLegs(it, now);
     for (std::size_t i = 0; i < it.legs.size(); ++i)
         reviewLeg(it, i, now, actions);
     review(it, now, actions);
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -25,6 +25,7 @@
     std::uint64_t firstSends = 0;
     std::uint64_t hedges = 0;
     std::uint64_t retries = 0;
+    std::uint64_t shedLegs = 0; ///< Legs of searches left out because they would have come too late.
     std::uint64_t extrasDenied = 0; ///< Sends that the budget had no room for.
     std::uint64_t complete = 0;
     std::uint64_t partial = 0;
@@ -117,11 +118,15 @@
         std::size_t needed() const { return route().isSearch() ? route().minimumShards() : 1; }
         bool coversEnough() const { return done >= needed(); }
         bool canCoverEnough() const { return done + pending() >= needed(); }
+        /// Legs that may still end without an answer.
+        std::size_t spareLegs() const { return canCoverEnough() ? done + pending() - needed() : 0; }
     };
 
     Request* find(RequestNumber);
     void review(Request&, TimePoint, ForwardActions&);
     void reviewLeg(Request&, std::size_t leg, TimePoint, ForwardActions&);
+    /// Leaves out the legs that are expected too late, as far as the search can spare them.
+    void shedLegs(Request&, TimePoint);
     bool trySend(Request&, std::size_t leg, bool isHedge, TimePoint, ForwardActions&);
     bool takeBudget(Leg&, TimePoint);
     void onLegFailed(Request&, std::size_t leg, TimePoint, ForwardActions&);
@@ -129,6 +134,9 @@
     void acceptPart(Request&, Leg&, const ServerReply&);
     bool mayRunAgain(const Request&, const Leg&) const;
     Duration hedgeDelay(const Route&);
+    ServerStatePtr pickServer(const Request&, const Leg&, const PickContext&) const;
+    /// A second send that is expected to take longer helps nobody.
+    Duration hedgeMustEndWithin(const Request&, TimePoint) const;
     PickContext contextFor(const Route&, const Leg&, TimePoint);
     void schedule(Request&, TimePoint);
     void forgetSend(SendId, TimePoint);
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -13,6 +13,8 @@
 constexpr double hedgeAfterLateTimes = 1.2;
 /// Without samples a leg is taken to need this part of the target latency.
 constexpr double usualPartOfTarget = 0.2;
+/// A leg is left out when it is expected to need so many times the time before the answer.
+constexpr double shedBeyond = 1.5;
 /// A caller whose request found no usable server comes back after this time at least.
 constexpr Duration leastRetryAfter = 100ms;
 
@@ -39,6 +41,20 @@
     return std::clamp(part(it->second.late(most), hedgeAfterLateTimes), part(route.targetLatency, m_settings.leastHedgeDelay.value), most);
 }
 
+ServerStatePtr ForwardEngine::pickServer(const Request& request, const Leg& leg, const PickContext& context) const
+{
+    const auto& services = request.request.table->services;
+    const auto policy = services.find(leg.service);
+    return m_pool.pick(leg.service, policy == services.end() ? ServicePolicy {} : policy->second, context);
+}
+
+Duration ForwardEngine::hedgeMustEndWithin(const Request& request, TimePoint now) const
+{
+    const bool isInTime = now < request.answerBy;
+    const auto end = request.route().isSearch() && isInTime ? request.answerBy : request.deadline;
+    return std::min(ServerPool::unusableCost, Duration(end - now));
+}
+
 bool ForwardEngine::mayRunAgain(const Request& request, const Leg& leg) const
 {
     if (!request.route().isRepeatable)
@@ -63,11 +79,9 @@
 bool ForwardEngine::trySend(Request& request, std::size_t index, bool isHedge, TimePoint now, ForwardActions& actions)
 {
     auto& leg = request.legs[index];
-    const auto& table = *request.request.table;
-    const auto policy = table.services.find(leg.service);
     const auto context = contextFor(request.route(), leg, now);
-    const auto server = m_pool.pick(leg.service, policy == table.services.end() ? ServicePolicy {} : policy->second, context);
-    if (!server || (isHedge && m_pool.expected(*server, context) >= ServerPool::unusableCost))
+    const auto server = pickServer(request, leg, context);
+    if (!server || (isHedge && m_pool.expected(*server, context) > hedgeMustEndWithin(request, now)))
         return false;
     if (!takeBudget(leg, now))
         return false;
@@ -85,6 +99,27 @@
     return true;
 }
 
+void ForwardEngine::shedLegs(Request& request, TimePoint now)
+{
+    const auto timeLeft = part(request.answerBy - now, shedBeyond);
+    std::vector<std::pair<Duration, std::size_t>> late;
+    for (std::size_t i = 0; i < request.legs.size(); ++i) {
+        const auto& leg = request.legs[i];
+        const auto context = contextFor(request.route(), leg, now);
+        const auto server = pickServer(request, leg, context);
+        // Without a server that has room now, one may have it in a moment.
+        const auto expected = server ? m_pool.expectedIfAwake(*server, context) : Duration {};
+        if (expected > timeLeft || !m_pool.hasServers(leg.service))
+            late.emplace_back(expected, i);
+    }
+    std::sort(late.rbegin(), late.rend());
+    late.resize(std::min(late.size(), request.spareLegs()));
+    for (const auto& [expected, index] : late) {
+        endLeg(request, request.legs[index]);
+        ++m_counters.shedLegs;
+    }
+}
+
 void ForwardEngine::endLeg(Request& request, Leg& leg)
 {
     leg.stage = LegStage::Missing;
--- a/src/forward/server_pool.cpp
+++ b/src/forward/server_pool.cpp
@@ -92,6 +92,11 @@
 }
 
 Duration ServerPool::expected(const ServerState& server, const PickContext& context) const
+{
+    return expectedIfAwake(server, context) + (isSilent(server, context) ? unusableCost : Duration {});
+}
+
+Duration ServerPool::expectedIfAwake(const ServerState& server, const PickContext& context) const
 {
     const double slots = std::max(1U, server.entry.slots);
     const auto turns = std::max(0.0, othersAhead(server, context.now) + 1 - slots) / slots;
@@ -100,8 +105,6 @@
         micros *= coldFactor;
     if (server.entry.zone != m_settings.zone)
         micros += asDouble(m_settings.crossZoneCost);
-    if (isSilent(server, context))
-        micros += asDouble(unusableCost);
     if (context.now < server.avoidUntil)
         micros += 2 * asDouble(unusableCost);
     return Duration(static_cast<Duration::rep>(micros));
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -57,6 +57,8 @@
     ServerStatePtr pick(const ServiceName&, const ServicePolicy&, const PickContext&) const;
     /// How long a request sent to it now is expected to take, with penalties for silence, failures and distance.
     Duration expected(const ServerState&, const PickContext&) const;
+    /// The same without the penalty for silence, which may be a short pause.
+    Duration expectedIfAwake(const ServerState&, const PickContext&) const;
     /// False when the service has no listed server.
     bool hasServers(const ServiceName&) const;
     /// When a server of the service is tried again after failures; zero when one may be used now.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -239,6 +239,7 @@
         count("sends_total{kind=\"first\"}", forward.firstSends);
         count("sends_total{kind=\"hedge\"}", forward.hedges);
         count("sends_total{kind=\"retry\"}", forward.retries);
+        count("legs_shed_total", forward.shedLegs);
         count("sends_denied_total", forward.extrasDenied);
         count("answers_total{outcome=\"complete\"}", forward.complete);
         count("answers_total{outcome=\"partial\"}", forward.partial);
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -84,7 +84,8 @@
 
 /// The gateway: an instance that forwards callers' requests straight to backend servers.
 struct GatewaySettings {
-    Endpoint callers; ///< Where callers connect; port 0: not a gateway.
+    Endpoint callers; ///< Where callers connect; port 0: this instance is no gateway.
+    Endpoint store; ///< The platform's store; for a gateway in place of [platform] address and port.
     Endpoint readiness; ///< Where the balancer asks whether this instance is ready.
     std::uint16_t metricsPort = 0; ///< On the callers' address; 0: no metrics.
     std::uint32_t logLinesPerSecond = 50; ///< Lines about single requests at most; changes of state come besides.
--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -147,7 +147,7 @@
     static constexpr auto name = "endpoint";
     static constexpr auto unit = "-";
     static constexpr auto choices = "an IPv4 number and a port, such as 10.0.3.7:8080";
-    static std::string format(const Endpoint& value) { return value.port == 0 ? "none" : value.toString(); }
+    static std::string format(const Endpoint& value) { return value.port == 0 ? "" : value.toString(); }
     static std::optional<Endpoint> parse(std::string_view text)
     {
         const auto endpoint = parseEndpoint(text);
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -23,11 +23,6 @@
     return &settings.platform.endpoint.port;
 }
 
-SettingField platformEndpoint(Settings& settings)
-{
-    return &settings.platform.endpoint;
-}
-
 SettingField gatewayAddress(Settings& settings)
 {
     return &settings.listen.crossZoneGateway.address;
@@ -68,8 +63,7 @@
     constexpr auto section = &Settings::platform;
     keys.insert(keys.end(), {
                                 { "platform", "address", platformAddress, {}, "IP number of the platform's service." },
-                                { "platform", "port", platformPort, { "1", "65535" }, "Port of the platform's service; required." },
-                                { "platform", "endpoint", platformEndpoint, {}, "Both in one, in place of address and port." },
+                                { "platform", "port", platformPort, { "1", "65535" }, "Port of the platform's service.", true },
                                 { "platform", "request_timeout", fieldOf<section, &PlatformSettings::requestTimeout>, { "10ms", "60s" }, "Wait for the answer to one call." },
                                 { "platform", "watch_timeout", fieldOf<section, &PlatformSettings::watchTimeout>, { "100ms", "10m" }, "Length of one watch." },
                                 { "platform", "calls_per_second", fieldOf<section, &PlatformSettings::callsPerSecond>, { "1", "10000" }, "Budget of calls; a waiting watch counts as one." },
@@ -179,6 +173,7 @@
     constexpr auto section = &Settings::gateway;
     keys.insert(keys.end(), {
                                 { "gateway", "callers", fieldOf<section, &GatewaySettings::callers>, {}, "Where a gateway listens for callers." },
+                                { "gateway", "store", fieldOf<section, &GatewaySettings::store>, {}, "The platform's store; for a gateway in place of [platform] address and port." },
                                 { "gateway", "readiness", fieldOf<section, &GatewaySettings::readiness>, {}, "Where the balancer asks whether a gateway is ready." },
                                 { "gateway", "metrics_port", fieldOf<section, &GatewaySettings::metricsPort>, { "0", "65535" }, "Port of a gateway's metrics, on the callers' address; 0: none." },
                                 { "gateway", "log_lines_per_second", fieldOf<section, &GatewaySettings::logLinesPerSecond>, { "1", "100000" }, "Lines about single requests at most." },
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -96,10 +96,17 @@
     void requireKeys()
     {
         m_line = 0;
+        const bool isGateway = m_seen.contains("gateway.callers");
         for (const auto& it : settingKeys()) {
-            if (it.required && !m_seen.contains(it.fullName()))
+            const bool isReplaced = isGateway && it.section == "platform";
+            if (it.required && !isReplaced && !m_seen.contains(it.fullName()))
                 report(it.fullName(), "the key is missing", it.allowed());
         }
+        for (const auto* name : { "store", "readiness" }) {
+            const auto* key = findSettingKey("gateway", name);
+            if (isGateway && !m_seen.contains(key->fullName()))
+                report(key->fullName(), "the key is missing", key->allowed());
+        }
     }
 
     /// Checks settings that must fit each other.
@@ -112,8 +119,6 @@
             report("platform.backoff_minimum", "it is above platform.backoff_maximum", "a shorter time");
         if (m_settings.claims.retryFirst > m_settings.claims.retryMost)
             report("claims.retry_first", "it is above claims.retry_most", "a shorter time");
-        if (m_settings.platform.endpoint.port == 0)
-            report("platform.port", "the key is missing", findSettingKey("platform", "port")->allowed());
         if (m_settings.drain.balancerLag > m_settings.drain.limit)
             report("drain.balancer_lag", "it is above drain.limit", "a shorter time");
         if (m_settings.listen.address == "0.0.0.0" && m_settings.listen.advertisedAddress.empty())
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -112,6 +112,21 @@
         CHECK(errorsOf(required + "[claims]\nretry_first = 2s\nretry_most = 1s").front().key == "claims.retry_first");
         CHECK(errorsOf(required + "[listen]\naddress = 0.0.0.0").front().key == "listen.advertised_address");
     }
+    SUBCASE("a gateway needs the store's endpoint and where it is asked for readiness, and no platform port")
+    {
+        const std::string gateway = "[instance]\nname = a\nzone = z\n[gateway]\ncallers = 127.0.0.1:8104\n";
+        const auto errors = errorsOf(gateway);
+        REQUIRE(errors.size() == 2);
+        CHECK(errors[0].key == "gateway.store");
+        CHECK(errors[1].key == "gateway.readiness");
+        const auto complete = gateway + "store = 10.0.0.7:8102\nreadiness = 127.0.0.1:8108\n[forward]\nretry_ratio = 0.25\n";
+        const auto parsed = parseSettings(complete, "gateway.ini");
+        REQUIRE(std::holds_alternative<Settings>(parsed));
+        CHECK(std::get<Settings>(parsed).gateway.store == Endpoint { "10.0.0.7", 8102 });
+        CHECK(std::get<Settings>(parsed).forward.retryRatio == Share { 0.25 });
+        for (const auto* it : { "[gateway]\nstore = 10.0.0.7", "[gateway]\nstore = host:80", "[forward]\nretry_ratio = 1.5", "[forward]\nretry_ratio = 2" })
+            CHECK_FALSE(errorsOf(gateway + it).empty());
+    }
     SUBCASE("a file that is not there")
     {
         const auto parsed = loadSettings("/nonexistent/settings.ini");
