--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -75,6 +75,8 @@
         times.add(now - send.sentAt, now);
     } else if (reply.kind == ServerReplyKind::WrongServer) {
         ServerPool::noteReplaced(*send.server);
+    } else if (reply.kind == ServerReplyKind::NotRun) {
+        ServerPool::noteRefusal(*send.server, reply.load, now);
     } else {
         ServerPool::noteFailure(*send.server, now);
     }
--- a/src/forward/server_pool.cpp
+++ b/src/forward/server_pool.cpp
@@ -194,6 +194,15 @@
     ++server.failuresInRow;
 }
 
+void ServerPool::noteRefusal(ServerState& server, const std::optional<ServerLoad>& load, TimePoint now)
+{
+    const bool isFull = load && load->waiting > 0;
+    if (isFull)
+        server.owesSince = server.inFlight > 0 ? now : never;
+    else
+        noteFailure(server, now);
+}
+
 void ServerPool::noteLoad(ServerState& server, const ServerLoad& load, TimePoint now)
 {
     server.load = load;
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -69,6 +69,8 @@
     static void noteOver(ServerState&, TimePoint);
     static void noteAnswer(ServerState&, TimePoint sentAt, Duration usual, TimePoint);
     static void noteFailure(ServerState&, TimePoint);
+    /// It turned a request away unrun. With requests waiting it is full, which its load tells; without, it fails.
+    static void noteRefusal(ServerState&, const std::optional<ServerLoad>&, TimePoint);
     static void noteLoad(ServerState&, const ServerLoad&, TimePoint);
     /// Its address belongs to another server now.
     static void noteReplaced(ServerState&);
