Legs wait in line by rank; a connection that is turned away is no failure

Legs without room looked again each 15 ms in no order. Change: nothing is handed over a new connection for one round trip after it opened, so that being turned away proves not run and limits the room of that server; legs without room queue by rank and age, and are sent when a send ends; instances are counted at once at the start.

--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -83,48 +83,56 @@
     forgetSend(id, now);
     auto* request = find(send.request);
     if (!request)
-        return;
+        return sendNext(send.server->entry.service, now, actions);
     auto& leg = request->legs[send.leg];
     std::erase(leg.open, id);
     if (reply.kind != ServerReplyKind::NotRun && reply.kind != ServerReplyKind::WrongServer)
         request->mayHaveRun = true;
     else
         --leg.mayHaveRun;
-    if (leg.stage == LegStage::Done || leg.stage == LegStage::Missing)
-        return;
-    if (reply.kind == ServerReplyKind::Served) {
-        acceptPart(*request, leg, reply);
-    } else {
+    if (leg.stage != LegStage::Done && leg.stage != LegStage::Missing) {
         if (reply.kind == ServerReplyKind::Failed)
             leg.ownAnswer = reply.message;
-        onLegFailed(*request, send.leg, now, actions);
+        if (reply.kind == ServerReplyKind::Served)
+            acceptPart(*request, leg, reply);
+        else
+            onLegFailed(*request, send.leg, now, actions);
+        review(*request, now, actions);
     }
-    review(*request, now, actions);
+    sendNext(send.server->entry.service, now, actions);
 }
 
-void ForwardEngine::onLost(SendId id, bool bytesHanded, TimePoint now, ForwardActions& actions)
+void ForwardEngine::onLost(SendId id, SendLoss loss, TimePoint now, ForwardActions& actions)
 {
     const auto it = m_sends.find(id);
     if (it == m_sends.end())
         return;
     const auto send = it->second;
-    ServerPool::noteFailure(*send.server, now);
     forgetSend(id, now);
+    if (loss == SendLoss::TurnedAway)
+        ServerPool::noteNoRoom(*send.server, now);
+    else
+        ServerPool::noteFailure(*send.server, now);
     auto* request = find(send.request);
     if (!request)
-        return;
+        return sendNext(send.server->entry.service, now, actions);
     auto& leg = request->legs[send.leg];
     std::erase(leg.open, id);
-    if (bytesHanded)
+    if (loss == SendLoss::Broken) {
         request->mayHaveRun = true;
-    else
+    } else {
         --leg.mayHaveRun;
+        --leg.arrivals;
+    }
+    if (loss == SendLoss::TurnedAway)
+        std::erase(leg.tried, send.server);
     actions.emplace_back(NoteForwardDecision { DecisionWeight::Extra, request->request.attemptId, "send lost",
-        "server=" + send.server->entry.name.value() + " bytes_handed=" + (bytesHanded ? "yes" : "no") });
-    if (leg.stage == LegStage::Done || leg.stage == LegStage::Missing)
-        return;
-    onLegFailed(*request, send.leg, now, actions);
-    review(*request, now, actions);
+        "server=" + send.server->entry.name.value() + " how=" + std::string(toString(loss)) });
+    if (leg.stage != LegStage::Done && leg.stage != LegStage::Missing) {
+        onLegFailed(*request, send.leg, now, actions);
+        review(*request, now, actions);
+    }
+    sendNext(send.server->entry.service, now, actions);
 }
 
 void ForwardEngine::cancel(RequestNumber number, TimePoint now, ForwardActions& actions)
@@ -135,6 +143,8 @@
     ++m_counters.gone;
     actions.emplace_back(NoteForwardDecision { DecisionWeight::Extra, request->request.attemptId, "caller left", "route=" + request->route().name });
     abandonSends(*request, true, now, actions);
+    for (std::size_t i = 0; i < request->legs.size(); ++i)
+        leaveQueue(*request, i);
     m_due.erase({ request->due, number });
     m_requests.erase(number);
 }
@@ -234,6 +244,8 @@
             + " shards=" + std::to_string(request.done) + "/" + std::to_string(request.legs.size()) + " took_us=" + std::to_string(micros) });
     actions.emplace_back(DeliverForwardAnswer { std::move(answer) });
     abandonSends(request, false, now, actions);
+    for (std::size_t i = 0; i < request.legs.size(); ++i)
+        leaveQueue(request, i);
     const auto number = request.request.number;
     m_due.erase({ request.due, number });
     m_requests.erase(number);
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -53,8 +53,8 @@
     /// Precondition: the number was never used before, and the route points into the table.
     void start(ForwardRequest, TimePoint, ForwardActions&);
     void onReply(SendId, const ServerReply&, TimePoint, ForwardActions&);
-    /// The send ended without a reply. bytesHanded: some of it was handed to the connection.
-    void onLost(SendId, bool bytesHanded, TimePoint, ForwardActions&);
+    /// The send ended without a reply.
+    void onLost(SendId, SendLoss, TimePoint, ForwardActions&);
     /// The caller has left: nothing more is sent, and repeatable work is ended at the servers.
     void cancel(RequestNumber, TimePoint, ForwardActions&);
     /// The process is about to end: every request gets what there is for it.
@@ -97,6 +97,8 @@
         std::vector<ServerStatePtr> tried;
         std::vector<SendId> open;
         std::uint32_t mayHaveRun = 0; ///< Servers that it may have run on.
+        std::uint32_t arrivals = 0; ///< Sends that may have reached a server.
+        bool isCounted = false; ///< Its first send has earned its part of the budget.
         TimePoint hedgeAt = never;
         std::string signature;
         std::string body;
@@ -127,6 +129,12 @@
     void reviewLeg(Request&, std::size_t leg, TimePoint, ForwardActions&);
     /// Leaves out the legs that are expected too late, as far as the search can spare them.
     void shedLegs(Request&, TimePoint);
+    /// Puts a leg in line for a server of its service.
+    void enqueue(Request&, std::size_t leg);
+    /// A server of that service has room: the leg that is most urgent and waits longest is sent.
+    void sendNext(const ServiceName&, TimePoint, ForwardActions&);
+    /// How long a leg in line now waits for room.
+    Duration expectedWait(const Leg&, const PickContext&) const;
     bool trySend(Request&, std::size_t leg, bool isHedge, TimePoint, ForwardActions&);
     bool takeBudget(Leg&, TimePoint);
     void onLegFailed(Request&, std::size_t leg, TimePoint, ForwardActions&);
@@ -139,6 +147,7 @@
     Duration hedgeMustEndWithin(const Request&, TimePoint) const;
     PickContext contextFor(const Route&, const Leg&, TimePoint);
     void schedule(Request&, TimePoint);
+    void leaveQueue(const Request&, std::size_t leg);
     void forgetSend(SendId, TimePoint);
     void closeSend(SendId, TimePoint, ForwardActions&);
     void abandonSends(Request&, bool closeNow, TimePoint, ForwardActions&);
@@ -157,6 +166,14 @@
     std::unordered_map<SendId, Send> m_sends;
     std::set<std::pair<TimePoint, RequestNumber>> m_due;
     std::set<std::pair<TimePoint, SendId>> m_closings;
+    /// A leg that waits for a server with room: by rank, then by age.
+    struct QueuedLeg {
+        std::uint32_t rank = 0;
+        RequestNumber request;
+        std::size_t leg = 0;
+        friend auto operator<=>(const QueuedLeg&, const QueuedLeg&) = default;
+    };
+    std::unordered_map<ServiceName, std::set<QueuedLeg>> m_queues;
     std::unordered_map<ServiceName, ExtraBudget> m_budgets;
     std::map<std::string, RouteTimes> m_times;
     std::uint64_t m_lastSend = 0;
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -2,6 +2,7 @@
 #include "forward/record_merge.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lycheefield {
 
@@ -65,11 +66,12 @@
 bool ForwardEngine::takeBudget(Leg& leg, TimePoint now)
 {
     auto& budget = m_budgets[leg.service];
-    if (leg.tried.empty()) {
+    if (!std::exchange(leg.isCounted, true)) {
         budget.noteFirst(now, m_settings.retryWindow);
         ++m_counters.firstSends;
-        return true;
     }
+    if (leg.arrivals == 0)
+        return true;
     if (budget.takeExtra(now, budgetLimits()))
         return true;
     ++m_counters.extrasDenied;
@@ -85,7 +87,7 @@
         return false;
     if (!takeBudget(leg, now))
         return false;
-    if (!leg.tried.empty())
+    if (leg.arrivals > 0)
         ++(isHedge ? m_counters.hedges : m_counters.retries);
     const SendId id { ++m_lastSend };
     ServerPool::noteSent(*server, now);
@@ -93,6 +95,8 @@
     leg.tried.push_back(server);
     leg.open.push_back(id);
     ++leg.mayHaveRun;
+    ++leg.arrivals;
+    leaveQueue(request, index);
     leg.stage = LegStage::Sent;
     leg.hedgeAt = request.route().isRepeatable ? now + hedgeDelay(request.route()) : never;
     actions.emplace_back(SendToServer { id, server->entry, request.request.message, request.request.attemptId, request.deadline, request.route().isRepeatable });
@@ -107,8 +111,7 @@
         const auto& leg = request.legs[i];
         const auto context = contextFor(request.route(), leg, now);
         const auto server = pickServer(request, leg, context);
-        // Without a server that has room now, one may have it in a moment.
-        const auto expected = server ? m_pool.expectedIfAwake(*server, context) : Duration {};
+        const auto expected = server ? m_pool.expectedIfAwake(*server, context) : expectedWait(leg, context);
         if (expected > timeLeft || !m_pool.hasServers(leg.service))
             late.emplace_back(expected, i);
     }
@@ -120,10 +123,48 @@
     }
 }
 
+void ForwardEngine::enqueue(Request& request, std::size_t index)
+{
+    auto& leg = request.legs[index];
+    leg.stage = LegStage::Unsent;
+    m_queues[leg.service].insert({ request.route().rank, request.request.number, index });
+}
+
+void ForwardEngine::leaveQueue(const Request& request, std::size_t index)
+{
+    const auto it = m_queues.find(request.legs[index].service);
+    if (it == m_queues.end())
+        return;
+    it->second.erase({ request.route().rank, request.request.number, index });
+    if (it->second.empty())
+        m_queues.erase(it);
+}
+
+void ForwardEngine::sendNext(const ServiceName& service, TimePoint now, ForwardActions& actions)
+{
+    const auto it = m_queues.find(service);
+    if (it == m_queues.end())
+        return;
+    const auto next = *it->second.begin();
+    auto* request = find(next.request);
+    if (!request)
+        return;
+    if (trySend(*request, next.leg, false, now, actions))
+        schedule(*request, now);
+}
+
+Duration ForwardEngine::expectedWait(const Leg& leg, const PickContext& context) const
+{
+    const auto it = m_queues.find(leg.service);
+    const auto ahead = it == m_queues.end() ? 0 : it->second.size();
+    return context.usualTime * static_cast<Duration::rep>(1 + ahead);
+}
+
 void ForwardEngine::endLeg(Request& request, Leg& leg)
 {
     leg.stage = LegStage::Missing;
     ++request.missing;
+    leaveQueue(request, static_cast<std::size_t>(&leg - request.legs.data()));
 }
 
 void ForwardEngine::acceptPart(Request& request, Leg& leg, const ServerReply& reply)
@@ -144,6 +185,8 @@
         return;
     if (!leg.open.empty())
         return;
+    if (leg.arrivals == 0 && m_pool.hasServers(leg.service))
+        return enqueue(request, index);
     // Without room in the budget, or without another server, the leg has no way left.
     endLeg(request, leg);
 }
@@ -155,7 +198,8 @@
         if (!m_pool.hasServers(leg.service))
             endLeg(request, leg);
         else
-            leg.hedgeAt = now + retryPeriod;
+            enqueue(request, index);
+        leg.hedgeAt = now + retryPeriod;
         return;
     }
     if (leg.stage != LegStage::Sent || now < leg.hedgeAt)
--- a/src/forward/forward_request.h
+++ b/src/forward/forward_request.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lycheefield {
@@ -45,6 +46,15 @@
     Unusable, ///< No answer to this request; it may have run.
 };
 
+/// How a send ended that got no reply.
+enum class SendLoss : std::uint8_t {
+    NotConnected, ///< No connection could be opened. Nothing ran.
+    TurnedAway, ///< The server ended a new connection before anything was handed over: it has no room for more. Nothing ran.
+    Broken, ///< Some of the request was handed over; it may have run.
+};
+
+std::string_view toString(SendLoss);
+
 /// A server's reply, decoded.
 struct ServerReply {
     ServerReplyKind kind = ServerReplyKind::Unusable;
--- a/src/forward/server_pool.cpp
+++ b/src/forward/server_pool.cpp
@@ -21,6 +21,10 @@
 constexpr std::uint32_t mostSlowStreak = 7;
 /// A load report counts fully when it comes and not at all after this time.
 constexpr Duration loadIsOldAfter = 400ms;
+/// After it turned a connection away a server is not asked for another one for this long.
+constexpr Duration noRoomLasts = 1s;
+/// The same when this instance has no connection to it at all.
+constexpr Duration noRoomAtAllLasts = 100ms;
 constexpr Duration firstAvoidance = 250ms;
 constexpr std::uint32_t mostAvoidanceDoublings = 4;
 /// A server that has just started is slower by this factor until it is warm.
@@ -120,7 +124,8 @@
     double bestMicros = 0;
     for (const auto& server : it->second) {
         const bool isTried = context.tried && std::find(context.tried->begin(), context.tried->end(), server) != context.tried->end();
-        if (!server->isListed || server->entry.isDraining || isTried || server->inFlight >= most)
+        const auto room = context.now < server->roomUntil ? std::min(most, server->roomFor) : most;
+        if (!server->isListed || server->entry.isDraining || isTried || server->inFlight >= room)
             continue;
         const auto micros = asDouble(expected(*server, context)) * (1 + randomSpread * m_random.unit());
         if (best && micros >= bestMicros)
@@ -187,6 +192,12 @@
         server.slowAt = now;
 }
 
+void ServerPool::noteNoRoom(ServerState& server, TimePoint now)
+{
+    server.roomFor = server.inFlight;
+    server.roomUntil = now + (server.inFlight > 0 ? noRoomLasts : noRoomAtAllLasts);
+}
+
 void ServerPool::noteFailure(ServerState& server, TimePoint now)
 {
     const auto doublings = std::min(server.failuresInRow, mostAvoidanceDoublings);
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -26,6 +26,8 @@
     TimePoint slowAt {}; ///< When its last slow answer came.
     ServerLoad load;
     TimePoint loadAt {};
+    std::uint32_t roomFor = 0; ///< Sends of this instance that it has room for, until roomUntil.
+    TimePoint roomUntil {};
     std::uint32_t failuresInRow = 0;
     TimePoint avoidUntil {};
 };
@@ -68,6 +70,8 @@
     /// A send is over, whether it was answered or not.
     static void noteOver(ServerState&, TimePoint);
     static void noteAnswer(ServerState&, TimePoint sentAt, Duration usual, TimePoint);
+    /// It turned a new connection away: it has room for what is in flight and not for more, for a while.
+    static void noteNoRoom(ServerState&, TimePoint);
     static void noteFailure(ServerState&, TimePoint);
     /// It turned a request away unrun. With requests waiting it is full, which its load tells; without, it fails.
     static void noteRefusal(ServerState&, const std::optional<ServerLoad>&, TimePoint);
--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// A caller that came before the configuration did may come back after this time.
-constexpr Duration retryAfterStart = std::chrono::milliseconds(300);
+constexpr Duration retryAfterStart = std::chrono::milliseconds(100);
 constexpr unsigned badRequest = 400;
 constexpr unsigned notFound = 404;
 constexpr unsigned unavailable = 503;
@@ -85,10 +85,10 @@
     carryOut(actions);
 }
 
-void ForwardDriver::onLost(SendId id, bool bytesHanded)
+void ForwardDriver::onLost(SendId id, SendLoss loss)
 {
     ForwardActions actions;
-    m_engine.onLost(id, bytesHanded, m_parts.clock.now(), actions);
+    m_engine.onLost(id, loss, m_parts.clock.now(), actions);
     carryOut(actions);
 }
 
--- a/src/gateway/forward_driver.h
+++ b/src/gateway/forward_driver.h
@@ -37,7 +37,7 @@
 
     void handle(HttpRequest, std::shared_ptr<HttpExchange>) override;
     void onReply(SendId, const ServerReply&) override;
-    void onLost(SendId, bool bytesHanded) override;
+    void onLost(SendId, SendLoss) override;
 
     /// From now on requests are matched with this table. Precondition: its version is not older than the last one's.
     void setRoutes(std::shared_ptr<const RouteTable>);
--- a/src/gateway/server_connections.cpp
+++ b/src/gateway/server_connections.cpp
@@ -3,6 +3,7 @@
 #include "http/http_client_connection.h"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <map>
@@ -19,6 +20,8 @@
 constexpr Duration defaultIdleAllowance = std::chrono::seconds(4);
 /// A request that must not be sent twice uses a connection only while it was idle for less than this part of what is allowed.
 constexpr int freshPart = 3;
+/// Added to the time that connecting took, which is about one round trip.
+constexpr Duration settleMargin = std::chrono::microseconds(300);
 constexpr std::uint64_t largestReply = 8ULL * 1024 * 1024;
 constexpr std::uint32_t largestReplyHeader = 32 * 1024;
 /// The least that a server is told to have left: zero would mean that it need not begin.
@@ -81,9 +84,11 @@
 /// One connection and the send that it carries, if any.
 class ServerConnections::Impl::Link final : public HttpClientEvents, public std::enable_shared_from_this<Link> {
 public:
-    Link(std::weak_ptr<Impl> owner, ServerKey key)
+    Link(std::weak_ptr<Impl> owner, ServerKey key, const boost::asio::any_io_executor& executor, TimePoint now)
         : m_owner(std::move(owner))
         , m_key(std::move(key))
+        , m_settleTimer(executor)
+        , m_openedAt(now)
     {
     }
 
@@ -95,13 +100,15 @@
     void carry(const SendToServer& send)
     {
         m_send = send;
-        if (m_isConnected)
+        if (m_isSettled)
             handOver();
     }
 
     void end()
     {
         m_send.reset();
+        m_isOver = true;
+        m_settleTimer.cancel();
         m_connection->close();
     }
 
@@ -109,11 +116,22 @@
     bool isFresh(TimePoint now) const { return now < m_freshUntil; }
     const ServerKey& key() const { return m_key; }
 
+    /// A server at its limit ends a connection as soon as it has accepted it. That is heard one round
+    /// trip later; until then nothing is handed over, so that it is certain that nothing ran.
     void onConnected() override
     {
+        const auto owner = m_owner.lock();
+        if (!owner)
+            return;
         m_isConnected = true;
-        if (m_send)
-            handOver();
+        m_settleTimer.expires_after(owner->m_clock.now() - m_openedAt + settleMargin);
+        m_settleTimer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
+            if (ec || self->m_isOver)
+                return;
+            self->m_isSettled = true;
+            if (self->m_send)
+                self->handOver();
+        });
     }
 
     void onReply(HttpReply message) override
@@ -142,6 +160,8 @@
 
     void onLost(bool bytesHanded, const std::string&) override
     {
+        m_isOver = true;
+        m_settleTimer.cancel();
         const auto owner = m_owner.lock();
         if (!owner)
             return;
@@ -150,7 +170,7 @@
             return;
         const auto id = std::exchange(m_send, std::nullopt)->id;
         owner->forget(id);
-        owner->m_events.onLost(id, bytesHanded);
+        owner->m_events.onLost(id, bytesHanded ? SendLoss::Broken : (m_isConnected ? SendLoss::TurnedAway : SendLoss::NotConnected));
     }
 
 private:
@@ -169,7 +189,11 @@
     std::optional<SendToServer> m_send;
     TimePoint m_usableUntil = never;
     TimePoint m_freshUntil = never;
+    boost::asio::steady_timer m_settleTimer;
+    TimePoint m_openedAt;
     bool m_isConnected = false;
+    bool m_isSettled = false; ///< Requests may be handed over.
+    bool m_isOver = false;
 };
 
 ServerConnections::Impl::LinkPtr ServerConnections::Impl::takeIdle(const ServerKey& key, bool mustBeFresh)
@@ -197,7 +221,7 @@
     }
     m_opened.add();
     ++m_count;
-    const auto link = std::make_shared<Link>(weak_from_this(), key);
+    const auto link = std::make_shared<Link>(weak_from_this(), key, m_executor, m_clock.now());
     m_busy.emplace(send.id, link);
     link->carry(send);
     link->open(m_executor);
--- a/src/gateway/server_connections.h
+++ b/src/gateway/server_connections.h
@@ -17,7 +17,7 @@
 public:
     virtual ~ServerSendEvents() = default;
     virtual void onReply(SendId, const ServerReply&) = 0;
-    virtual void onLost(SendId, bool bytesHanded) = 0;
+    virtual void onLost(SendId, SendLoss) = 0;
 };
 
 /// The connections to all backend servers, one request at a time on each, kept for later requests.
