Legs that full servers refused wait for room; legs left out are sent when needed

Change: a refusal by a full server limits what this instance sends there and the leg waits; a leg that was left out is sent when the search can't cover enough without it.

--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -67,32 +67,24 @@
     if (it == m_sends.end())
         return;
     const auto send = it->second;
-    if (reply.load)
-        ServerPool::noteLoad(*send.server, *reply.load, now);
-    if (reply.kind == ServerReplyKind::Served) {
-        auto& times = m_times[send.routeName];
-        ServerPool::noteAnswer(*send.server, send.sentAt, times.usual({}), now);
-        times.add(now - send.sentAt, now);
-    } else if (reply.kind == ServerReplyKind::WrongServer) {
-        ServerPool::noteReplaced(*send.server);
-    } else if (reply.kind == ServerReplyKind::NotRun) {
-        ServerPool::noteRefusal(*send.server, reply.load, now);
-    } else {
-        ServerPool::noteFailure(*send.server, now);
-    }
     forgetSend(id, now);
+    judgeServer(send, reply, now);
     auto* request = find(send.request);
     if (!request)
         return sendNext(send.server->entry.service, now, actions);
     auto& leg = request->legs[send.leg];
     std::erase(leg.open, id);
-    if (reply.kind != ServerReplyKind::NotRun && reply.kind != ServerReplyKind::WrongServer)
-        request->mayHaveRun = true;
-    else
+    const bool isRefused = reply.kind == ServerReplyKind::NotRun || reply.kind == ServerReplyKind::WrongServer;
+    if (isRefused)
         --leg.mayHaveRun;
-    if (leg.stage != LegStage::Done && leg.stage != LegStage::Missing) {
+    else
+        request->mayHaveRun = true;
+    if (isWaiting(leg)) {
         if (reply.kind == ServerReplyKind::Failed)
             leg.ownAnswer = reply.message;
+        // A server that is full now has room later.
+        if (reply.kind == ServerReplyKind::NotRun && ServerPool::isFull(reply.load))
+            std::erase(leg.tried, send.server);
         if (reply.kind == ServerReplyKind::Served)
             acceptPart(*request, leg, reply);
         else
@@ -102,6 +94,31 @@
     sendNext(send.server->entry.service, now, actions);
 }
 
+void ForwardEngine::judgeServer(const Send& send, const ServerReply& reply, TimePoint now)
+{
+    auto& server = *send.server;
+    if (reply.load)
+        ServerPool::noteLoad(server, *reply.load, now);
+    switch (reply.kind) {
+    case ServerReplyKind::Served: {
+        auto& times = m_times[send.routeName];
+        ServerPool::noteAnswer(server, send.sentAt, times.usual({}), now);
+        times.add(now - send.sentAt, now);
+        return;
+    }
+    case ServerReplyKind::WrongServer:
+        return ServerPool::noteReplaced(server);
+    case ServerReplyKind::NotRun:
+        if (ServerPool::isFull(reply.load))
+            return ServerPool::noteNoRoom(server, now);
+        break;
+    case ServerReplyKind::Failed:
+    case ServerReplyKind::Unusable:
+        break;
+    }
+    ServerPool::noteFailure(server, now);
+}
+
 void ForwardEngine::onLost(SendId id, SendLoss loss, TimePoint now, ForwardActions& actions)
 {
     const auto it = m_sends.find(id);
@@ -128,7 +145,7 @@
         std::erase(leg.tried, send.server);
     actions.emplace_back(NoteForwardDecision { DecisionWeight::Extra, request->request.attemptId, "send lost",
         "server=" + send.server->entry.name.value() + " how=" + std::string(toString(loss)) });
-    if (leg.stage != LegStage::Done && leg.stage != LegStage::Missing) {
+    if (isWaiting(leg)) {
         onLegFailed(*request, send.leg, now, actions);
         review(*request, now, actions);
     }
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -90,6 +90,7 @@
         Sent,
         Done,
         Missing, ///< It ended without an answer.
+        Shed, ///< It was left out; it is sent after all when the search can't spare it any more.
     };
     struct Leg {
         ServiceName service;
@@ -104,6 +105,7 @@
         std::string body;
         std::optional<HttpReply> ownAnswer; ///< What a server answered to a single request, success or failure.
     };
+    static bool isWaiting(const Leg& leg) { return leg.stage == LegStage::Unsent || leg.stage == LegStage::Sent; }
     struct Request {
         ForwardRequest request;
         std::vector<Leg> legs;
@@ -125,10 +127,14 @@
     };
 
     Request* find(RequestNumber);
+    /// What a reply shows of the server that gave it.
+    void judgeServer(const Send&, const ServerReply&, TimePoint);
     void review(Request&, TimePoint, ForwardActions&);
     void reviewLeg(Request&, std::size_t leg, TimePoint, ForwardActions&);
     /// Leaves out the legs that are expected too late, as far as the search can spare them.
     void shedLegs(Request&, TimePoint);
+    /// Sends legs that were left out, while the search can't cover enough without them.
+    void reviveLegs(Request&, TimePoint, ForwardActions&);
     /// Puts a leg in line for a server of its service.
     void enqueue(Request&, std::size_t leg);
     /// A server of that service has room: the leg that is most urgent and waits longest is sent.
@@ -138,7 +144,7 @@
     bool trySend(Request&, std::size_t leg, bool isHedge, TimePoint, ForwardActions&);
     bool takeBudget(Leg&, TimePoint);
     void onLegFailed(Request&, std::size_t leg, TimePoint, ForwardActions&);
-    void endLeg(Request&, Leg&);
+    void endLeg(Request&, Leg&, LegStage);
     void acceptPart(Request&, Leg&, const ServerReply&);
     bool mayRunAgain(const Request&, const Leg&) const;
     Duration hedgeDelay(const Route&);
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -118,7 +118,7 @@
     std::sort(late.rbegin(), late.rend());
     late.resize(std::min(late.size(), request.spareLegs()));
     for (const auto& [expected, index] : late) {
-        endLeg(request, request.legs[index]);
+        endLeg(request, request.legs[index], LegStage::Shed);
         ++m_counters.shedLegs;
     }
 }
@@ -160,9 +160,20 @@
     return context.usualTime * static_cast<Duration::rep>(1 + ahead);
 }
 
-void ForwardEngine::endLeg(Request& request, Leg& leg)
+void ForwardEngine::reviveLegs(Request& request, TimePoint now, ForwardActions& actions)
 {
-    leg.stage = LegStage::Missing;
+    for (std::size_t i = 0; i < request.legs.size() && !request.canCoverEnough(); ++i) {
+        if (request.legs[i].stage != LegStage::Shed)
+            continue;
+        request.legs[i].stage = LegStage::Unsent;
+        --request.missing;
+        reviewLeg(request, i, now, actions);
+    }
+}
+
+void ForwardEngine::endLeg(Request& request, Leg& leg, LegStage stage)
+{
+    leg.stage = stage;
     ++request.missing;
     leaveQueue(request, static_cast<std::size_t>(&leg - request.legs.data()));
 }
@@ -185,10 +196,12 @@
         return;
     if (!leg.open.empty())
         return;
-    if (leg.arrivals == 0 && m_pool.hasServers(leg.service))
+    // A server that was only full is not among those tried: the leg waits for room.
+    const bool mayWait = mayRunAgain(request, leg) && m_pool.hasOthers(leg.service, leg.tried);
+    if (mayWait)
         return enqueue(request, index);
     // Without room in the budget, or without another server, the leg has no way left.
-    endLeg(request, leg);
+    endLeg(request, leg, LegStage::Missing);
 }
 
 void ForwardEngine::reviewLeg(Request& request, std::size_t index, TimePoint now, ForwardActions& actions)
@@ -196,7 +209,7 @@
     auto& leg = request.legs[index];
     if (leg.stage == LegStage::Unsent && !trySend(request, index, false, now, actions)) {
         if (!m_pool.hasServers(leg.service))
-            endLeg(request, leg);
+            endLeg(request, leg, LegStage::Missing);
         else
             enqueue(request, index);
         leg.hedgeAt = now + retryPeriod;
@@ -217,14 +230,14 @@
 
 void ForwardEngine::review(Request& request, TimePoint now, ForwardActions& actions)
 {
+    reviveLegs(request, now, actions);
     const bool isLate = now >= request.answerBy;
     const bool isOver = request.pending() == 0 || !request.canCoverEnough() || now >= request.deadline;
     if (isOver || (isLate && request.coversEnough()))
         return finish(request, now, actions);
     for (std::size_t i = 0; i < request.legs.size(); ++i) {
         const auto& leg = request.legs[i];
-        const bool isWaiting = leg.stage == LegStage::Unsent || leg.stage == LegStage::Sent;
-        if (isWaiting && now >= leg.hedgeAt)
+        if (isWaiting(leg) && now >= leg.hedgeAt)
             reviewLeg(request, i, now, actions);
     }
     if (request.pending() == 0 || !request.canCoverEnough())
@@ -238,7 +251,7 @@
     if (now < request.answerBy)
         due = std::min(due, request.answerBy);
     for (const auto& leg : request.legs) {
-        if (leg.stage == LegStage::Unsent || leg.stage == LegStage::Sent)
+        if (isWaiting(leg))
             due = std::min(due, leg.hedgeAt);
     }
     if (due == request.due)
--- a/src/forward/server_pool.cpp
+++ b/src/forward/server_pool.cpp
@@ -144,6 +144,16 @@
     return std::any_of(it->second.begin(), it->second.end(), [](const auto& server) { return server->isListed && !server->entry.isDraining; });
 }
 
+bool ServerPool::hasOthers(const ServiceName& service, const std::vector<ServerStatePtr>& tried) const
+{
+    const auto it = m_byService.find(service);
+    if (it == m_byService.end())
+        return false;
+    return std::any_of(it->second.begin(), it->second.end(), [&](const auto& server) {
+        return server->isListed && !server->entry.isDraining && std::find(tried.begin(), tried.end(), server) == tried.end();
+    });
+}
+
 Duration ServerPool::untilUsable(const ServiceName& service, TimePoint now) const
 {
     const auto it = m_byService.find(service);
@@ -205,15 +215,6 @@
     ++server.failuresInRow;
 }
 
-void ServerPool::noteRefusal(ServerState& server, const std::optional<ServerLoad>& load, TimePoint now)
-{
-    const bool isFull = load && load->waiting > 0;
-    if (isFull)
-        server.owesSince = server.inFlight > 0 ? now : never;
-    else
-        noteFailure(server, now);
-}
-
 void ServerPool::noteLoad(ServerState& server, const ServerLoad& load, TimePoint now)
 {
     server.load = load;
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -63,6 +63,8 @@
     Duration expectedIfAwake(const ServerState&, const PickContext&) const;
     /// False when the service has no listed server.
     bool hasServers(const ServiceName&) const;
+    /// Whether the service has a listed server that is not among those.
+    bool hasOthers(const ServiceName&, const std::vector<ServerStatePtr>& tried) const;
     /// When a server of the service is tried again after failures; zero when one may be used now.
     Duration untilUsable(const ServiceName&, TimePoint) const;
 
@@ -70,11 +72,11 @@
     /// A send is over, whether it was answered or not.
     static void noteOver(ServerState&, TimePoint);
     static void noteAnswer(ServerState&, TimePoint sentAt, Duration usual, TimePoint);
-    /// It turned a new connection away: it has room for what is in flight and not for more, for a while.
+    /// It turned a new connection or a request away: it has room for what is in flight and not for more, for a while.
     static void noteNoRoom(ServerState&, TimePoint);
     static void noteFailure(ServerState&, TimePoint);
-    /// It turned a request away unrun. With requests waiting it is full, which its load tells; without, it fails.
-    static void noteRefusal(ServerState&, const std::optional<ServerLoad>&, TimePoint);
+    /// Whether a refusal with that load says that the server is full. Without requests waiting, it fails.
+    static bool isFull(const std::optional<ServerLoad>& load) { return load && load->waiting > 0; }
     static void noteLoad(ServerState&, const ServerLoad&, TimePoint);
     /// Its address belongs to another server now.
     static void noteReplaced(ServerState&);
