--- /dev/null
+++ b/tests/forward/forward_world.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "forward/forward_engine.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lycheefield {
+
+/// How one backend server of the world behaves.
+struct ServerModel {
+    Duration work = std::chrono::milliseconds(20); ///< Of one request.
+    std::uint32_t slots = 2;
+    std::uint32_t queue = 12; ///< More are refused unrun.
+    bool isSilent = false; ///< Takes requests and never answers.
+    bool tellsLoad = true;
+};
+
+/// Backend servers and callers around one engine, in virtual time.
+class ForwardWorld {
+public:
+    explicit ForwardWorld(ForwardSettings);
+
+    /// Adds a server that is listed at once.
+    void addServer(const std::string& service, const std::string& name, const std::string& zone, ServerModel = {});
+    void removeServer(const std::string& name);
+    ServerModel& model(const std::string& name) { return m_servers.at(ServerName(name)).model; }
+    void publish();
+
+    /// A route that asks each of the services.
+    Route searchRoute(const std::vector<std::string>& services) const;
+    Route singleRoute(const std::string& service, bool isRepeatable) const;
+
+    RequestNumber start(const Route&, Duration patience = std::chrono::seconds(3));
+    void leave(RequestNumber);
+    /// Runs servers and timers for that long.
+    void run(Duration);
+
+    /// The first server's send of a request under way at it, ended by hand.
+    void reply(SendId, ServerReplyKind);
+    void lose(SendId, SendLoss);
+    /// Sends that are at servers now, by their order.
+    std::vector<SendToServer> sends() const;
+
+    struct Outcome {
+        ForwardAnswer answer;
+        Duration took {};
+    };
+    const std::map<RequestNumber, Outcome>& outcomes() const { return m_outcomes; }
+    const ForwardAnswer* answerTo(RequestNumber) const;
+    TimePoint now() const { return m_now; }
+    ForwardEngine& engine() { return m_engine; }
+    std::size_t arrivals(const std::string& name) const { return m_servers.at(ServerName(name)).arrivals; }
+    std::size_t closedSends() const { return m_closed; }
+
+private:
+    struct Server {
+        ServerEntry entry;
+        ServerModel model;
+        std::vector<std::pair<TimePoint, SendToServer>> running;
+        std::deque<SendToServer> waiting;
+        std::size_t arrivals = 0;
+    };
+
+    void carryOut(const ForwardActions&);
+    void arrive(const SendToServer&);
+    void startWaiting(Server&);
+    void forget(SendId);
+    ServerReply replyOf(const Server&, ServerReplyKind) const;
+    TimePoint nextEnd() const;
+    void endDue();
+
+    TimePoint m_now { std::chrono::seconds(100) };
+    std::map<ServerName, Server> m_servers;
+    std::map<RequestNumber, TimePoint> m_started;
+    std::map<RequestNumber, Outcome> m_outcomes;
+    std::uint64_t m_lastRequest = 0;
+    std::size_t m_closed = 0;
+    std::shared_ptr<RouteTable> m_table;
+    std::vector<std::shared_ptr<RouteTable>> m_tables; ///< Requests point into them.
+    ForwardEngine m_engine;
+};
+
+}
--- /dev/null
+++ b/tests/routing/route_table_test.cpp
@@ -0,0 +1,54 @@
+#include "routing/route_table.h"
+
+#include <doctest/doctest.h>
+
+namespace lycheefield {
+
+namespace {
+
+Route routeTo(std::string host, std::string prefix)
+{
+    Route route;
+    route.name = prefix;
+    route.host = std::move(host);
+    route.prefix = std::move(prefix);
+    return route;
+}
+
+}
+
+TEST_CASE("a request finds its route" * doctest::test_suite("routing"))
+{
+    RouteTable table;
+    table.routes = { routeTo("a.example", "/parts/"), routeTo("a.example", "/parts/van/"), routeTo("b.example", "/parts/") };
+
+    SUBCASE("the longest prefix of the path wins")
+    {
+        CHECK(table.find("a.example", "/parts/van/1") == &table.routes[1]);
+        CHECK(table.find("a.example", "/parts/vans") == &table.routes[0]);
+    }
+    SUBCASE("the host may carry a port and any case")
+    {
+        CHECK(table.find("B.Example:8104", "/parts/1") == &table.routes[2]);
+    }
+    SUBCASE("another host, or a path that only begins like a prefix, has no route")
+    {
+        CHECK(table.find("c.example", "/parts/1") == nullptr);
+        CHECK(table.find("a.example", "/parts") == nullptr);
+        CHECK(table.find("a.example", "/other/parts/") == nullptr);
+    }
+}
+
+TEST_CASE("the shards that an answer must cover are rounded up" * doctest::test_suite("routing"))
+{
+    Route route;
+    route.shards.assign(20, ServiceName("s"));
+    route.minimumCoverage = Share { 0.89 };
+    CHECK(route.minimumShards() == 18);
+    route.minimumCoverage = Share { 0.75 };
+    CHECK(route.minimumShards() == 15);
+    route.minimumCoverage = Share { 0 };
+    CHECK(route.minimumShards() == 1);
+}
+
+}
