--- /dev/null
+++ b/tests/adapter/decode_test.cpp
@@ -0,0 +1,85 @@
+#include "decode.h"
+
+#include <doctest/doctest.h>
+
+namespace lycheefield {
+
+namespace {
+
+const std::string server = R"({"service":"quotes","address":"10.0.0.9:8080","zone":"a","version":"v1","slots":2,"state":"ready","warmupLeftMs":1500,"sequence":4,"born":1700000000000})";
+
+std::string replaced(std::string text, const std::string& what, const std::string& by)
+{
+    return text.replace(text.find(what), what.size(), by);
+}
+
+}
+
+TEST_CASE("a server's entry is decoded" * doctest::test_suite("adapter"))
+{
+    const ServerName name("i-1");
+    const auto entry = decodeServer(name, server);
+    REQUIRE(entry);
+    CHECK(entry->name == name);
+    CHECK(entry->service == ServiceName("quotes"));
+    CHECK(entry->endpoint == Endpoint { "10.0.0.9", 8080 });
+    CHECK(entry->zone == ZoneName("a"));
+    CHECK(entry->slots == 2);
+    CHECK_FALSE(entry->isDraining);
+    CHECK(entry->warmupLeft == Duration(std::chrono::milliseconds(1500)));
+    CHECK(entry->startedAt == 1700000000000);
+    CHECK(entry->sequence == 4);
+
+    SUBCASE("one that drains")
+    {
+        CHECK(decodeServer(name, replaced(server, "\"ready\"", "\"draining\""))->isDraining);
+    }
+    SUBCASE("one of another writer names no server")
+    {
+        for (const auto& text : { replaced(server, "\"slots\":2", "\"slots\":\"2\""), replaced(server, "\"service\":\"quotes\",", ""),
+                 replaced(server, "\"ready\"", "\"resting\""), replaced(server, "10.0.0.9:8080", "host:8080"), replaced(server, "\"sequence\":4", "\"sequence\":-4"),
+                 replaced(server, "1700000000000", "17.5"), std::string("\"text\""), std::string("{"), std::string(), std::string("\xff\xfe") }) {
+            CAPTURE(text);
+            CHECK_FALSE(decodeServer(name, text));
+        }
+    }
+}
+
+TEST_CASE("a configuration is decoded" * doctest::test_suite("adapter"))
+{
+    const std::string text = R"({"version":7,"routes":[
+        {"name":"r1","host":"a.example","pathPrefix":"/s/","routeType":"idempotent","timeoutMs":3000,"targetLatencyMs":200,"priority":1,"gather":["x","y"],"attempts":2,"topK":50,"minShardRatio":0.5},
+        {"name":"r2","host":"a.example","pathPrefix":"/o/","routeType":"non_idempotent","timeoutMs":8000,"targetLatencyMs":500.5,"priority":2,"service":"z","attempts":1},
+        {"name":"r3","host":"a.example","pathPrefix":"/w/","routeType":"idempotent","timeoutMs":8000,"priority":2,"trafficSplit":[{"service":"x","weight":3},{"service":"z","weight":0}]}],
+        "services":[{"name":"x","healthPath":"/health","maxConns":26}],
+        "limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"unknown":[1]})";
+    const auto decoded = decodeConfiguration(text);
+    REQUIRE(decoded);
+    const auto& table = decoded.value();
+    CHECK(table.version == 7);
+    REQUIRE(table.routes.size() == 3);
+    CHECK(table.routes[0].isSearch());
+    CHECK(table.routes[0].isRepeatable);
+    CHECK(table.routes[0].topRecords == 50);
+    CHECK(table.routes[0].minimumShards() == 1);
+    CHECK(table.routes[0].maxRuns == 2);
+    CHECK_FALSE(table.routes[1].isRepeatable);
+    CHECK(table.routes[1].targetLatency == Duration(500500));
+    CHECK(table.routes[1].targets == std::vector<WeightedService> { { ServiceName("z"), 1 } });
+    CHECK(table.routes[2].targets == std::vector<WeightedService> { { ServiceName("x"), 3 } });
+    CHECK(table.routes[2].targetLatency == table.routes[2].timeout);
+    CHECK(table.services.at(ServiceName("x")).maxConnections == 26);
+    CHECK(table.callerLimits.maxBodyBytes == 262144);
+    CHECK(table.callerLimits.idleTimeout == Duration(std::chrono::seconds(15)));
+
+    SUBCASE("one that can't be read is an error with a remedy, and never half of it")
+    {
+        for (const auto& bad : { std::string("[]"), std::string("{\"version\":1}"), replaced(text, "\"pathPrefix\":\"/o/\",", ""), replaced(text, "[\"x\",\"y\"]", "[]") }) {
+            const auto result = decodeConfiguration(bad);
+            REQUIRE_FALSE(result);
+            CHECK_FALSE(result.error().remedy.empty());
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/tests/adapter/published_store_test.cpp
@@ -0,0 +1,133 @@
+#include "published_store.h"
+
+#include "platform/store_watcher.h"
+#include "standin/published_store.h"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+
+namespace lycheefield {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// The stand-in store and a client of it on one io_context that only the test's thread runs.
+struct StoreFixture {
+    StoreFixture()
+        : server(io)
+    {
+        PlatformClientSettings settings;
+        settings.endpoint = server.listen().value();
+        settings.backoffFirst = 1ms;
+        settings.backoffMost = 2ms;
+        settings.callTimeout = 200ms;
+        settings.watchTimeout = 20ms;
+        store = std::make_shared<PublishedStore>(std::make_shared<PlatformClient>(io.get_executor(), settings));
+    }
+
+    template <typename Reached>
+    void runUntil(Reached isReached)
+    {
+        io.restart();
+        while (!isReached() && io.run_one() > 0) { }
+    }
+
+    boost::asio::io_context io { 1 };
+    standin::PublishedStoreServer server;
+    std::shared_ptr<PublishedStore> store;
+};
+
+std::vector<std::string> keysOf(const WatchBatch& batch)
+{
+    std::vector<std::string> keys;
+    for (const auto& it : batch.changed)
+        keys.push_back(it.key);
+    return keys;
+}
+
+}
+
+TEST_CASE("objects are listed over all pages" * doctest::test_suite("adapter"))
+{
+    StoreFixture fixture;
+    for (const auto* it : { "a", "b", "c", "d", "e" })
+        fixture.server.put("servers", it, "{\"n\":1}");
+    std::optional<WatchBatch> batch;
+    fixture.store->list("servers/", [&](WatchBatch it) { batch = std::move(it); });
+    fixture.runUntil([&] { return batch.has_value(); });
+    CHECK(batch->status == StoreStatus::Ok);
+    CHECK(keysOf(*batch) == std::vector<std::string> { "servers/a", "servers/b", "servers/c", "servers/d", "servers/e" });
+    CHECK(batch->changed[0].value == "{\"n\":1}");
+}
+
+TEST_CASE("an object of our own is created, refreshed and guarded by its version" * doctest::test_suite("adapter"))
+{
+    StoreFixture fixture;
+    std::optional<StoreStatus> status;
+    ObjectVersion version;
+    const auto write = [&](ObjectVersion expected) {
+        status.reset();
+        fixture.store->write("gateways/g1", expected, "{\"refreshes\":1}", [&](StoreStatus it, const StoredObject& object) {
+            status = it;
+            version = object.version;
+        });
+        fixture.runUntil([&] { return status.has_value(); });
+        return *status;
+    };
+    CHECK(write({}) == StoreStatus::Ok);
+    const auto first = version;
+    CHECK(write(first) == StoreStatus::Ok);
+    const auto second = version;
+    CHECK(second > first);
+    CHECK(write(first) == StoreStatus::Conflict);
+    CHECK(version == second);
+    CHECK(write({}) == StoreStatus::Conflict);
+}
+
+TEST_CASE("a watcher of the published store" * doctest::test_suite("adapter"))
+{
+    StoreFixture fixture;
+    fixture.server.put("servers", "a", "{\"n\":1}");
+    std::vector<WatchBatch> batches;
+    auto watcher = std::make_shared<StoreWatcher>(
+        fixture.io.get_executor(), fixture.store, "servers/", [&](const WatchBatch& it) { batches.push_back(it); }, Backoff(1ms, 2ms, std::make_unique<SeededRandom>(7)));
+    watcher->start();
+    const auto reached = [&](auto matches) {
+        fixture.runUntil([&] { return !batches.empty() && matches(batches.back()); });
+        return batches.back();
+    };
+    CHECK(reached([](const auto& it) { return it.isWhole; }).changed.size() == 1);
+
+    SUBCASE("hears of changes and of removals")
+    {
+        fixture.server.put("servers", "b", "{\"n\":2}");
+        CHECK(keysOf(reached([](const auto& it) { return !it.changed.empty() && !it.isWhole; })) == std::vector<std::string> { "servers/b" });
+        fixture.server.remove("servers", "a");
+        CHECK(reached([](const auto& it) { return !it.removed.empty(); }).removed == std::vector<std::string> { "servers/a" });
+    }
+    SUBCASE("lists again when the history is gone")
+    {
+        batches.clear();
+        fixture.server.put("config", "main", "{}");
+        fixture.server.forgetHistory();
+        fixture.server.put("servers", "b", "{\"n\":2}");
+        CHECK(reached([](const auto& it) { return it.isWhole; }).changed.size() == 2);
+    }
+    SUBCASE("tells of an outage, and of its end without waiting for a change")
+    {
+        fixture.server.setFaults({ .isBusy = true });
+        CHECK(reached([](const auto& it) { return it.status != StoreStatus::Ok; }).status == StoreStatus::Unavailable);
+        fixture.server.setFaults({});
+        CHECK(reached([](const auto& it) { return it.status == StoreStatus::Ok; }).changed.empty());
+    }
+    SUBCASE("gives up a connection that went silent")
+    {
+        fixture.server.setFaults({ .isSilent = true });
+        CHECK(reached([](const auto& it) { return it.status != StoreStatus::Ok; }).status == StoreStatus::Lost);
+    }
+    watcher->stop();
+}
+
+}
--- /dev/null
+++ b/tests/adapter/wire_test.cpp
@@ -0,0 +1,120 @@
+#include "wire_callers.h"
+#include "wire_servers.h"
+
+#include <doctest/doctest.h>
+
+namespace lycheefield {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+HttpReply reply(unsigned status, HttpHeaders headers)
+{
+    return { status, "", "body", std::move(headers) };
+}
+
+}
+
+TEST_CASE("what a server's reply proves" * doctest::test_suite("adapter"))
+{
+    const WireServers servers;
+    const auto kind = [&](unsigned status, HttpHeaders headers) { return servers.read(reply(status, std::move(headers)), "id1").kind; };
+
+    SUBCASE("a success needs its signature")
+    {
+        CHECK(kind(200, { { "Lycheefield-Response-Stamp", "s" }, { "Lycheefield-Attempt-Id", "id1" } }) == ServerReplyKind::Served);
+        CHECK(kind(200, { { "Lycheefield-Attempt-Id", "id1" } }) == ServerReplyKind::Unusable);
+    }
+    SUBCASE("an answer to another request is none")
+    {
+        CHECK(kind(200, { { "Lycheefield-Response-Stamp", "s" }, { "Lycheefield-Attempt-Id", "id2" } }) == ServerReplyKind::Unusable);
+        CHECK(kind(503, { { "Lycheefield-Not-Executed", "1" }, { "Lycheefield-Attempt-Id", "id2" } }) == ServerReplyKind::Unusable);
+    }
+    SUBCASE("an encoded body is not the server's")
+    {
+        CHECK(kind(200, { { "Lycheefield-Response-Stamp", "s" }, { "Content-Encoding", "gzip" } }) == ServerReplyKind::Unusable);
+    }
+    SUBCASE("only the header, or 421, proves that nothing ran")
+    {
+        CHECK(kind(503, { { "Lycheefield-Not-Executed", "1" } }) == ServerReplyKind::NotRun);
+        CHECK(kind(400, { { "Lycheefield-Not-Executed", "1" } }) == ServerReplyKind::NotRun);
+        CHECK(kind(421, {}) == ServerReplyKind::WrongServer);
+        for (const unsigned status : { 408U, 429U, 503U })
+            CHECK(kind(status, { { "Lycheefield-Response-Stamp", "s" } }) == ServerReplyKind::Unusable);
+        CHECK(kind(500, { { "Lycheefield-Response-Stamp", "s" } }) == ServerReplyKind::Failed);
+    }
+    SUBCASE("its load, when it is whole")
+    {
+        CHECK(servers.read(reply(200, { { "Lycheefield-Server-Load", "3, 1,8" } }), "id1").load == ServerLoad { 3, 1, 8 });
+        CHECK_FALSE(servers.read(reply(200, { { "Lycheefield-Server-Load", "3,x,8" } }), "id1").load);
+    }
+    SUBCASE("its connection is left before it closes")
+    {
+        CHECK(servers.idleAllowance(reply(200, { { "Keep-Alive", "timeout=5, max=9" } })) == 4500ms);
+        CHECK(servers.idleAllowance(reply(200, {})) == Duration {});
+    }
+}
+
+TEST_CASE("what a server is sent" * doctest::test_suite("adapter"))
+{
+    const WireServers servers;
+    const HttpRequest callers { "POST", "/o/1?x=1",
+        { { "Host", "a.example" }, { "Lycheefield-Attempt-Id", "id1" }, { "Lycheefield-Deadline-Ms", "9000" }, { "Connection", "keep-alive, X-Private" },
+            { "X-Private", "1" }, { "Transfer-Encoding", "chunked" }, { "X-Other", "2" } },
+        "order" };
+    const auto sent = servers.write(callers, { ServerName("i-7"), 1234567us });
+    CHECK(sent.method == "POST");
+    CHECK(sent.target == "/o/1?x=1");
+    CHECK(sent.body == "order");
+    CHECK(sent.headers
+        == HttpHeaders { { "Host", "a.example" }, { "Lycheefield-Attempt-Id", "id1" }, { "X-Other", "2" }, { "Lycheefield-Deadline-Ms", "1234" },
+            { "Lycheefield-Target-Instance", "i-7" } });
+}
+
+TEST_CASE("what a caller is told" * doctest::test_suite("adapter"))
+{
+    const WireCallers callers;
+    ForwardAnswer answer;
+
+    SUBCASE("a search names its parts and those that are missing")
+    {
+        answer.kind = ForwardAnswerKind::Search;
+        answer.signatures = { "s1", "s2" };
+        answer.missingShards = 1;
+        answer.message.body = "records";
+        const auto written = callers.write(answer);
+        CHECK(written.status == 200);
+        CHECK(written.body == "records");
+        CHECK(written.headers.find("Lycheefield-Part-Stamps") == "s1, s2");
+        CHECK(written.headers.find("Lycheefield-Missing-Parts") == "1");
+    }
+    SUBCASE("one server's answer goes through, without what concerns its connection")
+    {
+        answer.kind = ForwardAnswerKind::PassThrough;
+        answer.message = reply(418, { { "Lycheefield-Response-Stamp", "s" }, { "Content-Length", "4" }, { "Keep-Alive", "timeout=5" }, { "X-Other", "2" } });
+        const auto written = callers.write(answer);
+        CHECK(written.status == 418);
+        CHECK(written.contentType.empty());
+        CHECK(written.headers == HttpHeaders { { "Lycheefield-Response-Stamp", "s" }, { "X-Other", "2" } });
+    }
+    SUBCASE("not run is 503 with a time to come back; what may have run is never so")
+    {
+        answer.kind = ForwardAnswerKind::NotRun;
+        answer.retryAfter = 250ms;
+        CHECK(callers.write(answer).status == 503);
+        CHECK(callers.write(answer).headers.find("Retry-After") == "0.250");
+        answer.kind = ForwardAnswerKind::Failed;
+        CHECK(callers.write(answer).status == 502);
+        answer.kind = ForwardAnswerKind::TimedOut;
+        CHECK(callers.write(answer).status == 504);
+    }
+    SUBCASE("its own fields are read")
+    {
+        const HttpRequest request { "GET", "/", { { "Lycheefield-Attempt-Id", "id1" }, { "Lycheefield-Deadline-Ms", "1200" } }, "" };
+        CHECK(callers.read(request) == CallerFields { "id1", Duration(1200ms) });
+        CHECK(callers.read({ "GET", "/", { { "Lycheefield-Deadline-Ms", "soon" } }, "" }) == CallerFields { "", std::nullopt });
+    }
+}
+
+}
