--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,16 +2,16 @@
 
 #include "gateway/forward_driver.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
+#include <utility>
 
 namespace lycheefield {
 
 namespace {
 
-/// The balancer stops sending callers this long after readiness fails.
-constexpr Duration balancerLag = std::chrono::milliseconds(3200);
 /// What is still under way so long before the stop limit is answered with what there is.
 constexpr Duration finishBeforeLimit = std::chrono::milliseconds(1000);
 /// Time for the last answers to leave.
@@ -109,17 +109,21 @@
 
     void onInstances(std::uint32_t n) { m_driver.setInstances(n); }
 
-    Result<void> listen()
+    Result<GatewayEndpoints> listen()
     {
-        auto done = m_callerServer.listen(m_settings.gateway.callers);
-        if (done)
-            done = m_readinessServer.listen(m_settings.gateway.readiness);
-        if (done && m_settings.gateway.metricsPort != 0)
-            done = m_metricsServer.listen({ m_settings.gateway.callers.address, m_settings.gateway.metricsPort });
-        if (!done)
-            return done.error();
+        const auto callers = m_callerServer.listen(m_settings.gateway.callers);
+        if (!callers)
+            return callers.error();
+        const auto readiness = m_readinessServer.listen(m_settings.gateway.readiness);
+        if (!readiness)
+            return readiness.error();
+        if (m_settings.gateway.metricsPort != 0) {
+            const auto metrics = m_metricsServer.listen({ m_settings.gateway.callers.address, m_settings.gateway.metricsPort });
+            if (!metrics)
+                return metrics.error();
+        }
         note("started", { { "instance", m_settings.instance.name.value() }, { "zone", m_settings.instance.zone.value() }, { "callers", m_settings.gateway.callers.toString() } });
-        return BOOST_OUTCOME_V2_NAMESPACE::success();
+        return GatewayEndpoints { callers.value(), readiness.value() };
     }
 
     void run()
@@ -129,6 +133,17 @@
         m_io.run();
     }
 
+    void beginStop()
+    {
+        if (std::exchange(m_isStopping, true))
+            return;
+        m_stopBegan = m_clock->now();
+        note("stopping", { { "in_flight", std::to_string(m_driver.inFlight()) } });
+        noteReadiness();
+        m_callerServer.closeAfterReplies();
+        checkStop();
+    }
+
 private:
     static ForwardSettings forwardSettings(const Settings& settings)
     {
@@ -174,22 +189,12 @@
                 return;
             if (signal == SIGHUP)
                 note("settings file changed; its values are taken at the next start", {});
-            else if (!m_isStopping)
+            else
                 beginStop();
             waitForSignal();
         });
     }
 
-    void beginStop()
-    {
-        m_isStopping = true;
-        m_stopBegan = m_clock->now();
-        note("stopping", { { "in_flight", std::to_string(m_driver.inFlight()) } });
-        noteReadiness();
-        m_callerServer.closeAfterReplies();
-        checkStop();
-    }
-
     /// Goes on serving until the balancer has turned away, then ends once nothing is under way.
     void checkStop()
     {
@@ -205,7 +210,7 @@
         const bool isQuiet = m_quietSince != never && now - m_quietSince >= lastAnswersLeave;
         if (m_isClosing && isQuiet)
             return stop();
-        if (!m_isClosing && (isLast || (since >= balancerLag && isQuiet)))
+        if (!m_isClosing && (isLast || (since >= m_settings.drain.balancerLag && isQuiet)))
             closeToCallers();
         m_drainTimer.expires_after(drainCheckPeriod);
         m_drainTimer.async_wait([this](const boost::system::error_code& ec) {
@@ -317,7 +322,7 @@
     m_impl->onInstances(n);
 }
 
-Result<void> Gateway::listen()
+Result<GatewayEndpoints> Gateway::listen()
 {
     return m_impl->listen();
 }
@@ -327,4 +332,9 @@
     m_impl->run();
 }
 
+void Gateway::stop()
+{
+    boost::asio::post(m_impl->executor(), [impl = m_impl] { impl->beginStop(); });
+}
+
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -29,6 +29,14 @@
     friend bool operator==(const ServerChanges&, const ServerChanges&) = default;
 };
 
+/// Where a gateway listens.
+struct GatewayEndpoints {
+    Endpoint callers;
+    Endpoint readiness;
+
+    friend bool operator==(const GatewayEndpoints&, const GatewayEndpoints&) = default;
+};
+
 /// One process that takes callers' requests and forwards them straight to backend servers.
 ///
 /// It is ready once it has a configuration and a list of servers. After SIGTERM it stops being
@@ -51,10 +59,12 @@
     /// How many instances share the servers' connections and the retry budget.
     void onInstances(std::uint32_t);
 
-    /// Opens the listening sockets. Call it before run().
-    Result<void> listen();
-    /// Serves until the process is told to stop.
+    /// Opens the listening sockets and tells where they are, as the kernel chooses port 0. Call it before run().
+    Result<GatewayEndpoints> listen();
+    /// Serves until it is told to stop, by SIGTERM or by stop().
     void run();
+    /// Begins to stop, as SIGTERM does. Thread safe.
+    void stop();
 
     class Impl;
 
