Shards without a server in the zone are asked for through an instance next to them

Change: RelayChooser picks an instance in a zone that serves the most of those shards; it asks for them as a search of its own, merges the records and sends one answer (Thrift: SearchCall, SearchNote, SearchReply over the product's peer links).

--- a/src/forward/forward_action.h
+++ b/src/forward/forward_action.h
@@ -24,6 +24,20 @@
     SendId id;
 };
 
+/// Ask another instance for some shards of a search. It ends in one onRelayed or onRelayFailed of the
+/// engine, unless it is ended by EndRelay.
+struct AskRelay {
+    InstanceName instance;
+    ForwardRequest request;
+    std::vector<ServiceName> shards;
+    TimePoint answerBy = never; ///< When the parts should be here.
+};
+
+/// The search doesn't wait for another instance any more.
+struct EndRelay {
+    RequestNumber request;
+};
+
 /// Give the caller its answer.
 struct DeliverForwardAnswer {
     ForwardAnswer answer;
@@ -44,7 +58,7 @@
     std::string detail; ///< The inputs that decided it, as "key=value" pairs.
 };
 
-using ForwardAction = std::variant<SendToServer, CloseSend, DeliverForwardAnswer, NoteForwardDecision>;
+using ForwardAction = std::variant<SendToServer, CloseSend, AskRelay, EndRelay, DeliverForwardAnswer, NoteForwardDecision>;
 using ForwardActions = std::vector<ForwardAction>;
 
 }
--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -41,12 +41,12 @@
     const auto number = request.number;
     auto& it = m_requests[number];
     it.request = std::move(request);
-    it.startedAt = now;
+    it.startedAt = it.request.readAt;
     const auto& route = it.route();
-    it.deadline = std::min(it.request.deadline, now + route.timeout);
+    it.deadline = std::min(it.request.deadline, it.startedAt + route.timeout);
     if (route.isSearch()) {
-        it.answerBy = now + std::max(Duration {}, route.targetLatency - m_settings.answerMargin);
-        for (const auto& shard : route.shards)
+        it.answerBy = std::min(it.request.answerBy, it.startedAt + std::max(Duration {}, route.targetLatency - m_settings.answerMargin));
+        for (const auto& shard : it.request.isPart() ? it.request.onlyShards : route.shards)
             it.legs.emplace_back().service = shard;
     } else {
         it.legs.emplace_back().service = m_splits.pick(route);
@@ -54,8 +54,10 @@
     const auto served = std::count_if(it.legs.begin(), it.legs.end(), [&](const Leg& leg) { return m_pool.hasServers(leg.service); });
     if (static_cast<std::size_t>(served) < it.needed())
         return finish(it, now, actions);
-    if (route.isSearch())
+    if (route.isSearch()) {
+        giveLegs(it, now, actions);
         shedLegs(it, now);
+    }
     for (std::size_t i = 0; i < it.legs.size(); ++i)
         reviewLeg(it, i, now, actions);
     review(it, now, actions);
@@ -159,6 +161,7 @@
         return;
     ++m_counters.gone;
     actions.emplace_back(NoteForwardDecision { DecisionWeight::Extra, request->request.attemptId, "caller left", "route=" + request->route().name });
+    endRelay(*request, actions);
     abandonSends(*request, true, now, actions);
     for (std::size_t i = 0; i < request->legs.size(); ++i)
         leaveQueue(*request, i);
@@ -260,6 +263,7 @@
         "route=" + request.route().name + " version=" + std::to_string(request.request.table->version) + " outcome=" + answer.reason
             + " shards=" + std::to_string(request.done) + "/" + std::to_string(request.legs.size()) + " took_us=" + std::to_string(micros) });
     actions.emplace_back(DeliverForwardAnswer { std::move(answer) });
+    endRelay(request, actions);
     abandonSends(request, false, now, actions);
     for (std::size_t i = 0; i < request.legs.size(); ++i)
         leaveQueue(request, i);
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -5,6 +5,7 @@
 #include "forward/forward_action.h"
 #include "forward/forward_request.h"
 #include "forward/forward_settings.h"
+#include "forward/relay_chooser.h"
 #include "forward/route_times.h"
 #include "forward/server_pool.h"
 #include "routing/split_picker.h"
@@ -25,6 +26,7 @@
     std::uint64_t firstSends = 0;
     std::uint64_t hedges = 0;
     std::uint64_t retries = 0;
+    std::uint64_t relayedLegs = 0; ///< Legs that other instances were asked for.
     std::uint64_t shedLegs = 0; ///< Legs of searches left out because they would have come too late.
     std::uint64_t extrasDenied = 0; ///< Sends that the budget had no room for.
     std::uint64_t complete = 0;
@@ -60,6 +62,12 @@
     /// The process is about to end: every request gets what there is for it.
     void finishAll(TimePoint, ForwardActions&);
 
+    /// The parts that another instance got. The covered shards are positions in what it was asked for.
+    void onRelayed(RequestNumber, const ForwardAnswer&, TimePoint, ForwardActions&);
+    /// The other instance will not answer. mayHaveRun: it may have sent the request to servers.
+    void onRelayFailed(RequestNumber, bool mayHaveRun, TimePoint, ForwardActions&);
+    /// Other instances may be asked from now on. Precondition: the chooser outlives the engine's use.
+    void setRelays(RelayChooser& relays) { m_relays = &relays; }
     /// The servers that may get work.
     void onServers(const std::map<ServerName, ServerEntry>&, TimePoint);
     /// The routes in force, so that what is kept for others can go.
@@ -77,7 +85,7 @@
 private:
     /// One send to one server, kept until it is over, even when its request was answered before.
     struct Send {
-        ServerStatePtr server;
+        TrackedServerPtr server;
         TimePoint sentAt {};
         TimePoint closeAt = never; ///< When it is given up, once nobody waits for it.
         RequestNumber request;
@@ -90,12 +98,13 @@
         Sent,
         Done,
         Missing, ///< It ended without an answer.
+        Relayed, ///< Another instance asks for it.
         Shed, ///< It was left out; it is sent after all when the search can't spare it any more.
     };
     struct Leg {
         ServiceName service;
         LegStage stage = LegStage::Unsent;
-        std::vector<ServerStatePtr> tried;
+        std::vector<TrackedServerPtr> tried;
         std::vector<SendId> open;
         std::uint32_t mayHaveRun = 0; ///< Servers that it may have run on.
         std::uint32_t arrivals = 0; ///< Sends that may have reached a server.
@@ -116,10 +125,11 @@
         std::size_t done = 0;
         std::size_t missing = 0;
         bool mayHaveRun = false;
+        std::vector<std::size_t> relayed; ///< Legs that another instance was asked for, in the order of the call.
 
         const Route& route() const { return *request.route; }
         std::size_t pending() const { return legs.size() - done - missing; }
-        std::size_t needed() const { return route().isSearch() ? route().minimumShards() : 1; }
+        std::size_t needed() const { return route().isSearch() && !request.isPart() ? route().minimumShards() : 1; }
         bool coversEnough() const { return done >= needed(); }
         bool canCoverEnough() const { return done + pending() >= needed(); }
         /// Legs that may still end without an answer.
@@ -131,6 +141,9 @@
     void judgeServer(const Send&, const ServerReply&, TimePoint);
     void review(Request&, TimePoint, ForwardActions&);
     void reviewLeg(Request&, std::size_t leg, TimePoint, ForwardActions&);
+    /// Asks another instance for the legs that have no server in this zone.
+    void giveLegs(Request&, TimePoint, ForwardActions&);
+    void endRelay(Request&, ForwardActions&);
     /// Leaves out the legs that are expected too late, as far as the search can spare them.
     void shedLegs(Request&, TimePoint);
     /// Sends legs that were left out, while the search can't cover enough without them.
@@ -148,7 +161,7 @@
     void acceptPart(Request&, Leg&, const ServerReply&);
     bool mayRunAgain(const Request&, const Leg&) const;
     Duration hedgeDelay(const Route&);
-    ServerStatePtr pickServer(const Request&, const Leg&, const PickContext&) const;
+    TrackedServerPtr pickServer(const Request&, const Leg&, const PickContext&) const;
     /// A second send that is expected to take longer helps nobody.
     Duration hedgeMustEndWithin(const Request&, TimePoint) const;
     PickContext contextFor(const Route&, const Leg&, TimePoint);
@@ -167,6 +180,7 @@
     ForwardSettings m_settings;
     std::unique_ptr<RandomSource> m_random;
     ServerPool m_pool;
+    RelayChooser* m_relays = nullptr;
     SplitPicker m_splits;
     std::unordered_map<RequestNumber, Request> m_requests;
     std::unordered_map<SendId, Send> m_sends;
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -42,7 +42,7 @@
     return std::clamp(part(it->second.late(most), hedgeAfterLateTimes), part(route.targetLatency, m_settings.leastHedgeDelay.value), most);
 }
 
-ServerStatePtr ForwardEngine::pickServer(const Request& request, const Leg& leg, const PickContext& context) const
+TrackedServerPtr ForwardEngine::pickServer(const Request& request, const Leg& leg, const PickContext& context) const
 {
     const auto& services = request.request.table->services;
     const auto policy = services.find(leg.service);
@@ -109,6 +109,8 @@
     std::vector<std::pair<Duration, std::size_t>> late;
     for (std::size_t i = 0; i < request.legs.size(); ++i) {
         const auto& leg = request.legs[i];
+        if (leg.stage != LegStage::Unsent)
+            continue;
         const auto context = contextFor(request.route(), leg, now);
         const auto server = pickServer(request, leg, context);
         const auto expected = server ? m_pool.expectedIfAwake(*server, context) : expectedWait(leg, context);
@@ -269,11 +271,13 @@
     answer.missingShards = request.legs.size() - request.done;
     answer.reason = answer.missingShards == 0 ? "complete" : "partial";
     std::vector<std::string_view> parts;
-    for (auto& leg : request.legs) {
+    for (std::size_t i = 0; i < request.legs.size(); ++i) {
+        auto& leg = request.legs[i];
         if (leg.stage != LegStage::Done)
             continue;
         parts.push_back(leg.body);
         answer.signatures.push_back(std::move(leg.signature));
+        answer.coveredShards.push_back(static_cast<std::uint32_t>(i));
     }
     answer.message.status = 200;
     answer.message.body = greatestRecords(parts, request.route().topRecords);
@@ -293,7 +297,7 @@
         answer.reason = "status " + std::to_string(answer.message.status);
         return answer;
     }
-    const bool isOpen = std::any_of(request.legs.begin(), request.legs.end(), [](const Leg& leg) { return !leg.open.empty(); });
+    const bool isOpen = std::any_of(request.legs.begin(), request.legs.end(), [](const Leg& leg) { return !leg.open.empty() || leg.stage == LegStage::Relayed; });
     if (!request.mayHaveRun && !isOpen) {
         answer.kind = ForwardAnswerKind::NotRun;
         answer.reason = "not run";
--- a/src/forward/forward_request.h
+++ b/src/forward/forward_request.h
@@ -27,6 +27,11 @@
     std::shared_ptr<const HttpRequest> message;
     std::string attemptId; ///< The caller's own id of this attempt.
     TimePoint deadline = never; ///< The caller's own; the route's timeout applies when it is sooner.
+    TimePoint readAt {}; ///< When it was read from its caller.
+    TimePoint answerBy = never; ///< When a search should be answered; `never`: as its route says.
+    std::vector<ServiceName> onlyShards; ///< Of a search: a part of it for another instance, which wants what is in by answerBy. Empty: all shards.
+
+    bool isPart() const { return !onlyShards.empty(); }
 };
 
 /// What a server told about its own load.
@@ -78,6 +83,7 @@
     RequestNumber request;
     ForwardAnswerKind kind = ForwardAnswerKind::Failed;
     std::vector<std::string> signatures; ///< Of the parts that are in.
+    std::vector<std::uint32_t> coveredShards; ///< The shard of each signature, by its position in the request.
     std::size_t missingShards = 0;
     HttpReply message; ///< The records of a search, or the server's own answer.
     Duration retryAfter {}; ///< With NotRun: when it may succeed.
--- a/src/forward/server_pool.cpp
+++ b/src/forward/server_pool.cpp
@@ -39,13 +39,13 @@
     return static_cast<double>(duration.count());
 }
 
-double currentSlowness(const ServerState& server, TimePoint now)
+double currentSlowness(const TrackedServer& server, TimePoint now)
 {
     const auto fades = asDouble(slownessFades) * (1 + std::min(server.slowStreak, mostSlowStreak));
     return 1 + (server.slowness - 1) * std::exp(-asDouble(now - server.slownessAt) / fades);
 }
 
-double othersAhead(const ServerState& server, TimePoint now)
+double othersAhead(const TrackedServer& server, TimePoint now)
 {
     const auto age = asDouble(now - server.loadAt) / asDouble(loadIsOldAfter);
     const double reported = server.load.running + server.load.waiting;
@@ -62,12 +62,12 @@
 
 void ServerPool::update(const std::map<ServerName, ServerEntry>& entries, TimePoint now)
 {
-    std::map<ServerName, ServerStatePtr> servers;
+    std::map<ServerName, TrackedServerPtr> servers;
     m_byService.clear();
     for (const auto& [name, entry] : entries) {
         const auto it = m_servers.find(name);
         const bool isSameLife = it != m_servers.end() && it->second->entry.startedAt == entry.startedAt && it->second->entry.endpoint == entry.endpoint;
-        auto state = isSameLife ? it->second : std::make_shared<ServerState>();
+        auto state = isSameLife ? it->second : std::make_shared<TrackedServer>();
         if (!isSameLife || state->entry != entry)
             state->listedAt = now;
         state->entry = entry;
@@ -88,19 +88,19 @@
     return std::max(1U, static_cast<std::uint32_t>(share));
 }
 
-bool ServerPool::isSilent(const ServerState& server, const PickContext& context) const
+bool ServerPool::isSilent(const TrackedServer& server, const PickContext& context) const
 {
     if (server.owesSince == never)
         return false;
     return context.now - server.owesSince > std::max(silentAtLeast, silentAfterUsualTimes * context.usualTime);
 }
 
-Duration ServerPool::expected(const ServerState& server, const PickContext& context) const
+Duration ServerPool::expected(const TrackedServer& server, const PickContext& context) const
 {
     return expectedIfAwake(server, context) + (isSilent(server, context) ? unusableCost : Duration {});
 }
 
-Duration ServerPool::expectedIfAwake(const ServerState& server, const PickContext& context) const
+Duration ServerPool::expectedIfAwake(const TrackedServer& server, const PickContext& context) const
 {
     const double slots = std::max(1U, server.entry.slots);
     const auto turns = std::max(0.0, othersAhead(server, context.now) + 1 - slots) / slots;
@@ -114,13 +114,13 @@
     return Duration(static_cast<Duration::rep>(micros));
 }
 
-ServerStatePtr ServerPool::pick(const ServiceName& service, const ServicePolicy& policy, const PickContext& context) const
+TrackedServerPtr ServerPool::pick(const ServiceName& service, const ServicePolicy& policy, const PickContext& context) const
 {
     const auto it = m_byService.find(service);
     if (it == m_byService.end())
         return nullptr;
     const auto most = connectionShare(policy);
-    ServerStatePtr best;
+    TrackedServerPtr best;
     double bestMicros = 0;
     for (const auto& server : it->second) {
         const bool isTried = context.tried && std::find(context.tried->begin(), context.tried->end(), server) != context.tried->end();
@@ -144,7 +144,15 @@
     return std::any_of(it->second.begin(), it->second.end(), [](const auto& server) { return server->isListed && !server->entry.isDraining; });
 }
 
-bool ServerPool::hasOthers(const ServiceName& service, const std::vector<ServerStatePtr>& tried) const
+bool ServerPool::hasServersIn(const ServiceName& service, const ZoneName& zone) const
+{
+    const auto it = m_byService.find(service);
+    if (it == m_byService.end())
+        return false;
+    return std::any_of(it->second.begin(), it->second.end(), [&](const auto& server) { return server->isListed && !server->entry.isDraining && server->entry.zone == zone; });
+}
+
+bool ServerPool::hasOthers(const ServiceName& service, const std::vector<TrackedServerPtr>& tried) const
 {
     const auto it = m_byService.find(service);
     if (it == m_byService.end())
@@ -169,19 +177,19 @@
     return std::max(Duration {}, soonest - now);
 }
 
-void ServerPool::noteSent(ServerState& server, TimePoint now)
+void ServerPool::noteSent(TrackedServer& server, TimePoint now)
 {
     if (server.inFlight++ == 0)
         server.owesSince = now;
 }
 
-void ServerPool::noteOver(ServerState& server, TimePoint)
+void ServerPool::noteOver(TrackedServer& server, TimePoint)
 {
     if (--server.inFlight == 0)
         server.owesSince = never;
 }
 
-void ServerPool::noteAnswer(ServerState& server, TimePoint sentAt, Duration usual, TimePoint now)
+void ServerPool::noteAnswer(TrackedServer& server, TimePoint sentAt, Duration usual, TimePoint now)
 {
     server.failuresInRow = 0;
     server.avoidUntil = {};
@@ -202,26 +210,26 @@
         server.slowAt = now;
 }
 
-void ServerPool::noteNoRoom(ServerState& server, TimePoint now)
+void ServerPool::noteNoRoom(TrackedServer& server, TimePoint now)
 {
     server.roomFor = server.inFlight;
     server.roomUntil = now + (server.inFlight > 0 ? noRoomLasts : noRoomAtAllLasts);
 }
 
-void ServerPool::noteFailure(ServerState& server, TimePoint now)
+void ServerPool::noteFailure(TrackedServer& server, TimePoint now)
 {
     const auto doublings = std::min(server.failuresInRow, mostAvoidanceDoublings);
     server.avoidUntil = now + firstAvoidance * (1 << doublings);
     ++server.failuresInRow;
 }
 
-void ServerPool::noteLoad(ServerState& server, const ServerLoad& load, TimePoint now)
+void ServerPool::noteLoad(TrackedServer& server, const ServerLoad& load, TimePoint now)
 {
     server.load = load;
     server.loadAt = now;
 }
 
-void ServerPool::noteReplaced(ServerState& server)
+void ServerPool::noteReplaced(TrackedServer& server)
 {
     server.isListed = false;
 }
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -14,7 +14,7 @@
 namespace lycheefield {
 
 /// One backend server as the traffic of this instance shows it.
-struct ServerState {
+struct TrackedServer {
     ServerEntry entry;
     bool isListed = true; ///< False once its entry is gone: it gets no new work.
     TimePoint listedAt {};
@@ -32,13 +32,13 @@
     TimePoint avoidUntil {};
 };
 
-using ServerStatePtr = std::shared_ptr<ServerState>;
+using TrackedServerPtr = std::shared_ptr<TrackedServer>;
 
 /// What a server is picked for.
 struct PickContext {
     Duration usualTime {}; ///< Of such a request at a healthy server.
     TimePoint now {};
-    const std::vector<ServerStatePtr>* tried = nullptr; ///< Left out; null: none.
+    const std::vector<TrackedServerPtr>* tried = nullptr; ///< Left out; null: none.
 };
 
 /// Picks servers by what their answers show: silence, failures, recent times, load and zone.
@@ -56,37 +56,39 @@
     std::uint32_t instances() const { return m_instances; }
 
     /// The server that is expected to answer first, null when none may get work now.
-    ServerStatePtr pick(const ServiceName&, const ServicePolicy&, const PickContext&) const;
+    TrackedServerPtr pick(const ServiceName&, const ServicePolicy&, const PickContext&) const;
     /// How long a request sent to it now is expected to take, with penalties for silence, failures and distance.
-    Duration expected(const ServerState&, const PickContext&) const;
+    Duration expected(const TrackedServer&, const PickContext&) const;
     /// The same without the penalty for silence, which may be a short pause.
-    Duration expectedIfAwake(const ServerState&, const PickContext&) const;
+    Duration expectedIfAwake(const TrackedServer&, const PickContext&) const;
     /// False when the service has no listed server.
     bool hasServers(const ServiceName&) const;
+    /// The same for servers of one zone.
+    bool hasServersIn(const ServiceName&, const ZoneName&) const;
     /// Whether the service has a listed server that is not among those.
-    bool hasOthers(const ServiceName&, const std::vector<ServerStatePtr>& tried) const;
+    bool hasOthers(const ServiceName&, const std::vector<TrackedServerPtr>& tried) const;
     /// When a server of the service is tried again after failures; zero when one may be used now.
     Duration untilUsable(const ServiceName&, TimePoint) const;
 
-    static void noteSent(ServerState&, TimePoint);
+    static void noteSent(TrackedServer&, TimePoint);
     /// A send is over, whether it was answered or not.
-    static void noteOver(ServerState&, TimePoint);
-    static void noteAnswer(ServerState&, TimePoint sentAt, Duration usual, TimePoint);
+    static void noteOver(TrackedServer&, TimePoint);
+    static void noteAnswer(TrackedServer&, TimePoint sentAt, Duration usual, TimePoint);
     /// It turned a new connection or a request away: it has room for what is in flight and not for more, for a while.
-    static void noteNoRoom(ServerState&, TimePoint);
-    static void noteFailure(ServerState&, TimePoint);
+    static void noteNoRoom(TrackedServer&, TimePoint);
+    static void noteFailure(TrackedServer&, TimePoint);
     /// Whether a refusal with that load says that the server is full. Without requests waiting, it fails.
     static bool isFull(const std::optional<ServerLoad>& load) { return load && load->waiting > 0; }
-    static void noteLoad(ServerState&, const ServerLoad&, TimePoint);
+    static void noteLoad(TrackedServer&, const ServerLoad&, TimePoint);
     /// Its address belongs to another server now.
-    static void noteReplaced(ServerState&);
+    static void noteReplaced(TrackedServer&);
 
     /// Costs from here on say that the server is silent or failing: an extra send to it is no use.
     static constexpr Duration unusableCost = 1s;
 
 private:
     std::uint32_t connectionShare(const ServicePolicy&) const;
-    bool isSilent(const ServerState&, const PickContext&) const;
+    bool isSilent(const TrackedServer&, const PickContext&) const;
 
     const ForwardSettings& m_settings;
     RandomSource& m_random;
@@ -94,8 +96,8 @@
     static constexpr std::uint32_t instancesUntilCounted = 32;
 
     std::uint32_t m_instances = instancesUntilCounted;
-    std::map<ServerName, ServerStatePtr> m_servers;
-    std::unordered_map<ServiceName, std::vector<ServerStatePtr>> m_byService;
+    std::map<ServerName, TrackedServerPtr> m_servers;
+    std::unordered_map<ServiceName, std::vector<TrackedServerPtr>> m_byService;
 };
 
 }
--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+
 namespace lycheefield {
 
 namespace {
@@ -57,20 +59,74 @@
     }
     const RequestNumber number { ++m_lastRequest };
     const auto deadline = fields.timeLeft ? now + *fields.timeLeft : never;
-    m_waiting.emplace(number, Waiting { exchange, now });
+    m_waiting.emplace(number, Waiting { exchange, now, {}, 0 });
     exchange->onGone([this, number] {
-        boost::asio::post(m_parts.strand, [this, number] {
-            m_waiting.erase(number);
-            ForwardActions actions;
-            m_engine.cancel(number, m_parts.clock.now(), actions);
-            carryOut(actions);
-        });
+        boost::asio::post(m_parts.strand, [this, number] { cancelHere(number); });
     });
+    startHere({ number, m_routes, route, std::make_shared<const HttpRequest>(std::move(message)), fields.attemptId, deadline, now, never, {} });
+}
+
+void ForwardDriver::startHere(ForwardRequest request)
+{
+    ForwardActions actions;
+    m_engine.start(std::move(request), m_parts.clock.now(), actions);
+    carryOut(actions);
+}
+
+void ForwardDriver::cancelHere(RequestNumber number)
+{
+    m_waiting.erase(number);
+    ForwardActions actions;
+    m_engine.cancel(number, m_parts.clock.now(), actions);
+    carryOut(actions);
+}
+
+void ForwardDriver::onRelayed(const ForwardAnswer& answer)
+{
     ForwardActions actions;
-    m_engine.start({ number, m_routes, route, std::make_shared<const HttpRequest>(std::move(message)), fields.attemptId, deadline }, now, actions);
+    m_engine.onRelayed(answer.request, answer, m_parts.clock.now(), actions);
     carryOut(actions);
 }
 
+void ForwardDriver::onRelayFailed(RequestNumber number, bool mayHaveRun)
+{
+    ForwardActions actions;
+    m_engine.onRelayFailed(number, mayHaveRun, m_parts.clock.now(), actions);
+    carryOut(actions);
+}
+
+bool ForwardDriver::runFor(const InstanceName& caller, const SearchCall& call)
+{
+    if (m_declinesOthers || call.shards.empty() || !m_routes || m_routes->version != call.tableVersion)
+        return false;
+    const auto it = std::find_if(m_routes->routes.begin(), m_routes->routes.end(), [&](const Route& route) { return route.name == call.route && route.isSearch(); });
+    if (it == m_routes->routes.end())
+        return false;
+    const auto now = m_parts.clock.now();
+    const RequestNumber number { ++m_lastRequest };
+    m_waiting.emplace(number, Waiting { nullptr, now, caller, call.sequence });
+    startHere({ number, m_routes, &*it, std::make_shared<const HttpRequest>(call.message), call.attemptId, call.deadline, now, call.answerBy, call.shards });
+    return true;
+}
+
+void ForwardDriver::cancelFor(const InstanceName& caller, std::uint64_t sequence)
+{
+    const auto it = std::find_if(m_waiting.begin(), m_waiting.end(), [&](const auto& entry) { return entry.second.instance == caller && entry.second.sequence == sequence; });
+    if (it != m_waiting.end())
+        cancelHere(it->first);
+}
+
+void ForwardDriver::cancelAllFor(const InstanceName& caller)
+{
+    std::vector<RequestNumber> numbers;
+    for (const auto& [number, waiting] : m_waiting) {
+        if (waiting.instance == caller)
+            numbers.push_back(number);
+    }
+    for (const auto& it : numbers)
+        cancelHere(it);
+}
+
 void ForwardDriver::refuse(const std::shared_ptr<HttpExchange>& exchange, const std::string& attemptId, const EarlyRefusal& refusal)
 {
     const auto status = std::to_string(refusal.status);
@@ -117,6 +173,10 @@
             m_connections.send(*send);
         else if (const auto* close = std::get_if<CloseSend>(&action))
             m_connections.close(close->id);
+        else if (const auto* ask = std::get_if<AskRelay>(&action))
+            m_relay->ask(*ask);
+        else if (const auto* end = std::get_if<EndRelay>(&action))
+            m_relay->end(end->request);
         else if (const auto* answer = std::get_if<DeliverForwardAnswer>(&action))
             deliver(answer->answer);
         else if (const auto* note = std::get_if<NoteForwardDecision>(&action))
@@ -130,9 +190,13 @@
     const auto it = m_waiting.find(answer.request);
     if (it == m_waiting.end())
         return;
-    m_answerTimes.add(m_parts.clock.now() - it->second.readAt);
-    it->second.exchange->respond(m_parts.callers.write(answer));
+    const auto waiting = std::move(it->second);
     m_waiting.erase(it);
+    m_answerTimes.add(m_parts.clock.now() - waiting.readAt);
+    if (waiting.exchange)
+        waiting.exchange->respond(m_parts.callers.write(answer));
+    else
+        m_relay->reply(waiting.instance, waiting.sequence, answer);
 }
 
 void ForwardDriver::setTimer()
--- a/src/gateway/forward_driver.h
+++ b/src/gateway/forward_driver.h
@@ -4,6 +4,7 @@
 #include "forward/forward_engine.h"
 #include "forward/server_registry.h"
 #include "gateway/caller_protocol.h"
+#include "gateway/search_relay.h"
 #include "gateway/server_connections.h"
 #include "http/http_server.h"
 #include "observe/decision_log.h"
@@ -31,13 +32,27 @@
 
 /// Runs a ForwardEngine: takes callers' requests, carries the engine's actions out and tells it what
 /// came of them. handle() is thread safe; all else is called on the strand.
-class ForwardDriver final : public HttpHandler, public ServerSendEvents {
+class ForwardDriver final : public HttpHandler, public ServerSendEvents, public SearchRelayEvents {
 public:
     ForwardDriver(ForwardDriverParts, ForwardSettings);
 
     void handle(HttpRequest, std::shared_ptr<HttpExchange>) override;
     void onReply(SendId, const ServerReply&) override;
     void onLost(SendId, SendLoss) override;
+    void onRelayed(const ForwardAnswer&) override;
+    void onRelayFailed(RequestNumber, bool mayHaveRun) override;
+    bool runFor(const InstanceName& caller, const SearchCall&) override;
+    void cancelFor(const InstanceName& caller, std::uint64_t sequence) override;
+    void cancelAllFor(const InstanceName& caller) override;
+
+    /// From now on other instances may be asked for parts of searches. Precondition: both outlive the driver's use.
+    void setRelay(SearchRelay& relay, RelayChooser& chooser)
+    {
+        m_relay = &relay;
+        m_engine.setRelays(chooser);
+    }
+    /// From now on nothing is run for other instances.
+    void declineOthers() { m_declinesOthers = true; }
 
     /// From now on requests are matched with this table. Precondition: its version is not older than the last one's.
     void setRoutes(std::shared_ptr<const RouteTable>);
@@ -47,16 +62,21 @@
     /// Answers everything that is under way with what there is.
     void finishAll();
     void closeStaleConnections() { m_connections.closeStale(); }
-    std::size_t inFlight() const { return m_engine.inFlight(); }
+    std::size_t inFlight() const { return m_waiting.size(); }
     const ForwardCounters& counters() const { return m_engine.counters(); }
     std::size_t serverConnections() const { return m_connections.count(); }
 
 private:
+    /// Who waits for the answer to a request: a caller of this instance, or another instance.
     struct Waiting {
-        std::shared_ptr<HttpExchange> exchange;
+        std::shared_ptr<HttpExchange> exchange; ///< Null: another instance.
         TimePoint readAt {};
+        InstanceName instance;
+        std::uint64_t sequence = 0; ///< Of the other instance's call.
     };
 
+    void startHere(ForwardRequest);
+    void cancelHere(RequestNumber);
     void begin(HttpRequest&&, std::shared_ptr<HttpExchange>);
     void refuse(const std::shared_ptr<HttpExchange>&, const std::string& attemptId, const EarlyRefusal&);
     void carryOut(const ForwardActions&);
@@ -64,6 +84,8 @@
     void setTimer();
 
     ForwardDriverParts m_parts;
+    SearchRelay* m_relay = nullptr;
+    bool m_declinesOthers = false;
     boost::asio::steady_timer m_timer;
     TimePoint m_timerAt = never;
     ForwardEngine m_engine;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -45,6 +45,8 @@
         , m_strand(boost::asio::make_strand(m_io))
         , m_log(settings.gateway.logLinesPerSecond)
         , m_driver({ m_strand, *m_clock, protocols.callers, protocols.servers, m_metrics, m_log }, forwardSettings(settings))
+        , m_relays(settings.instance.name)
+        , m_relay({ m_io, m_strand, m_clock, m_driver, m_metrics, m_log }, m_relays, settings.instance.name, settings.instance.zone)
         , m_readiness([this] { return HttpReply { isReady() ? ok : unavailable, "text/plain", isReady() ? "ready\n" : "not ready\n" }; })
         , m_metricsPage([this] { return HttpReply { ok, "text/plain; version=0.0.4", m_metrics.render() }; })
         , m_callerServer(m_io, m_driver, m_clock, m_callerCounters)
@@ -54,6 +56,7 @@
         , m_housekeeping(m_strand)
         , m_drainTimer(m_strand)
     {
+        m_driver.setRelay(m_relay, m_relays);
         describeMetrics();
     }
 
@@ -107,10 +110,20 @@
             m_registry.noteStoreLost();
     }
 
-    void onInstances(std::uint32_t n) { m_driver.setInstances(n); }
+    void onInstances(const std::vector<Instance>& instances)
+    {
+        m_driver.setInstances(static_cast<std::uint32_t>(instances.size()));
+        m_relay.onPeers(instances);
+    }
+
+    Instance self() const { return { m_settings.instance.name, m_relay.life(), m_inner, m_settings.gateway.callers, m_settings.instance.zone }; }
 
     Result<GatewayEndpoints> listen()
     {
+        const auto inner = m_relay.listen({ m_settings.gateway.callers.address, m_settings.listen.innerPort });
+        if (!inner)
+            return inner.error();
+        m_inner = inner.value();
         const auto callers = m_callerServer.listen(m_settings.gateway.callers);
         if (!callers)
             return callers.error();
@@ -123,7 +136,7 @@
                 return metrics.error();
         }
         note("started", { { "instance", m_settings.instance.name.value() }, { "zone", m_settings.instance.zone.value() }, { "callers", m_settings.gateway.callers.toString() } });
-        return GatewayEndpoints { callers.value(), readiness.value() };
+        return GatewayEndpoints { callers.value(), readiness.value(), m_inner };
     }
 
     void run()
@@ -140,6 +153,7 @@
         m_stopBegan = m_clock->now();
         note("stopping", { { "in_flight", std::to_string(m_driver.inFlight()) } });
         noteReadiness();
+        m_driver.declineOthers();
         m_callerServer.closeAfterReplies();
         checkStop();
     }
@@ -244,6 +258,7 @@
         count("sends_total{kind=\"first\"}", forward.firstSends);
         count("sends_total{kind=\"hedge\"}", forward.hedges);
         count("sends_total{kind=\"retry\"}", forward.retries);
+        count("legs_relayed_total", forward.relayedLegs);
         count("legs_shed_total", forward.shedLegs);
         count("sends_denied_total", forward.extrasDenied);
         count("answers_total{outcome=\"complete\"}", forward.complete);
@@ -270,6 +285,9 @@
     Metrics m_metrics;
     DecisionLog m_log;
     ForwardDriver m_driver;
+    RelayChooser m_relays;
+    SearchRelay m_relay;
+    Endpoint m_inner;
     ServerRegistry m_registry;
     SimpleHandler m_readiness;
     SimpleHandler m_metricsPage;
@@ -317,9 +335,9 @@
     m_impl->onStoreReachable(isReachable);
 }
 
-void Gateway::onInstances(std::uint32_t n)
+void Gateway::onInstances(const std::vector<Instance>& instances)
 {
-    m_impl->onInstances(n);
+    m_impl->onInstances(instances);
 }
 
 Result<GatewayEndpoints> Gateway::listen()
@@ -332,6 +350,11 @@
     m_impl->run();
 }
 
+Instance Gateway::self() const
+{
+    return m_impl->self();
+}
+
 void Gateway::stop()
 {
     boost::asio::post(m_impl->executor(), [impl = m_impl] { impl->beginStop(); });
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include "forward/server_entry.h"
 #include "gateway/caller_protocol.h"
 #include "gateway/server_protocol.h"
+#include "membership/view.h"
 #include "routing/route_table.h"
 #include "settings/settings.h"
 
@@ -33,6 +34,7 @@
 struct GatewayEndpoints {
     Endpoint callers;
     Endpoint readiness;
+    Endpoint inner; ///< For other instances.
 
     friend bool operator==(const GatewayEndpoints&, const GatewayEndpoints&) = default;
 };
@@ -56,8 +58,10 @@
     void onServers(const ServerChanges&);
     /// Whether the last call to the platform's store succeeded.
     void onStoreReachable(bool isReachable);
-    /// How many instances share the servers' connections and the retry budget.
-    void onInstances(std::uint32_t);
+    /// The instances of the fleet: they share the servers' connections and the retry budget, and run searches for each other.
+    void onInstances(const std::vector<Instance>&);
+    /// What other instances need to reach this one. Call it after listen().
+    Instance self() const;
 
     /// Opens the listening sockets and tells where they are, as the kernel chooses port 0. Call it before run().
     Result<GatewayEndpoints> listen();
--- a/src/gateway/instance_census.h
+++ b/src/gateway/instance_census.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 #include "base/stored_object.h"
 #include "base/time.h"
+#include "membership/view.h"
 
 #include <cstdint>
 #include <map>
@@ -12,7 +13,7 @@
 
 /// One instance's object in the store, as a list had it.
 struct InstanceSighting {
-    InstanceName name;
+    Instance instance;
     ObjectVersion version; ///< Changes with each refresh by its instance.
 
     friend bool operator==(const InstanceSighting&, const InstanceSighting&) = default;
@@ -30,8 +31,8 @@
 
     /// A list of all instances' objects.
     void onList(const std::vector<InstanceSighting>&, TimePoint);
-    /// Instances that live as far as is known; at least 1.
-    std::uint32_t count() const;
+    /// Instances that live as far as is known.
+    std::vector<Instance> alive() const;
 
 private:
     /// An object that did not change for so many refresh periods belongs to no instance any more.
@@ -41,6 +42,7 @@
         ObjectVersion version;
         TimePoint changedAt {};
         bool isAlive = true;
+        Instance instance;
     };
 
     std::map<InstanceName, Seen> m_seen;
--- /dev/null
+++ b/src/gateway/search_relay.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/snapshot.h"
+#include "forward/forward_action.h"
+#include "forward/relay_chooser.h"
+#include "observe/decision_log.h"
+#include "observe/metrics.h"
+#include "wire/asio_peer_network.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace lycheefield {
+
+/// Where the parts that other instances were asked for come to, and where theirs are got.
+/// Calls come on the relay's strand.
+class SearchRelayEvents {
+public:
+    virtual ~SearchRelayEvents() = default;
+    /// Another instance has answered; the answer's number is that of our request.
+    virtual void onRelayed(const ForwardAnswer&) = 0;
+    /// It will not answer. mayHaveRun: it may have sent the request to servers.
+    virtual void onRelayFailed(RequestNumber, bool mayHaveRun) = 0;
+    /// Another instance asks for parts. False: it is declined, and nothing was begun.
+    virtual bool runFor(const InstanceName& caller, const SearchCall&) = 0;
+    /// The other instance does not wait for them any more, or has gone itself.
+    virtual void cancelFor(const InstanceName& caller, std::uint64_t sequence) = 0;
+    virtual void cancelAllFor(const InstanceName& caller) = 0;
+};
+
+/// What a SearchRelay needs from outside. All of it outlives the relay.
+struct SearchRelayParts {
+    boost::asio::io_context& io;
+    boost::asio::strand<boost::asio::io_context::executor_type>& strand;
+    std::shared_ptr<const Clock> clock;
+    SearchRelayEvents& events;
+    Metrics& metrics;
+    DecisionLog& log;
+};
+
+/// Asks other instances for parts of searches, and takes their calls. A call that is not confirmed at
+/// once fails, and so does one that is confirmed and not answered in time. Called on the strand, but
+/// for the PeerHandler's calls, which come on any thread.
+class SearchRelay final : public PeerHandler {
+public:
+    SearchRelay(SearchRelayParts, RelayChooser&, InstanceName self, ZoneName);
+
+    /// Opens the port for other instances.
+    Result<Endpoint> listen(const Endpoint&);
+    ProcessLife life() const { return m_life; }
+    /// All instances, this one among them or not.
+    void onPeers(const std::vector<Instance>&);
+
+    void ask(const AskRelay&);
+    /// Nobody waits for the parts any more.
+    void end(RequestNumber);
+    /// Sends the answer to a call that was taken from another instance.
+    void reply(const InstanceName& caller, std::uint64_t sequence, ForwardAnswer);
+
+    void onPeerMessage(const Hello& from, PeerMessage) override;
+    void onLinkLost(const InstanceName&) override;
+    void onUndelivered(const InstanceName& to, PeerMessage) override;
+    void onPeerGone(const InstanceName&) override;
+
+private:
+    /// A call that another instance has.
+    struct Asked {
+        InstanceName peer;
+        std::string attemptId;
+        TimePoint askedAt {};
+        TimePoint answerBy = never;
+        bool isTaken = false;
+        std::unique_ptr<boost::asio::steady_timer> timer;
+    };
+
+    void receive(const InstanceName& from, PeerMessage&);
+    void onNote(const InstanceName& from, const SearchNote&);
+    void onReply(const InstanceName& from, SearchReply&);
+    void onCall(const InstanceName& from, const SearchCall&);
+    void waitFor(RequestNumber, Duration);
+    void onOverdue(RequestNumber);
+    void fail(RequestNumber, std::string_view why);
+    void failAll(const InstanceName& peer, std::string_view why);
+
+    SearchRelayParts m_parts;
+    ProcessLife m_life;
+    RelayChooser& m_chooser;
+    Snapshot<MembershipView> m_view;
+    AsioPeerNetwork m_network;
+    std::unordered_map<RequestNumber, Asked> m_asked;
+    Counter& m_askedCount;
+    Counter& m_failedCount;
+    Counter& m_takenCount;
+};
+
+}
--- a/src/wire/asio_peer_network.cpp
+++ b/src/wire/asio_peer_network.cpp
@@ -67,6 +67,16 @@
     }
 }
 
+void AsioPeerNetwork::drop(const InstanceName& peer)
+{
+    const std::unique_lock lock(m_mutex);
+    const auto it = m_links.find(peer);
+    if (it == m_links.end())
+        return;
+    it->second->close();
+    m_links.erase(it);
+}
+
 void AsioPeerNetwork::dropGone()
 {
     const auto view = m_view.read();
--- a/src/wire/asio_peer_network.h
+++ b/src/wire/asio_peer_network.h
@@ -24,6 +24,8 @@
     void send(const InstanceName& to, PeerMessage) override;
     void reply(const InstanceName& to, PeerMessage) override;
     void broadcast(const PeerMessage&) override;
+    /// Closes the link to a peer that does not answer; the next message opens another.
+    void drop(const InstanceName&);
     /// Closes the links to instances that have left the view. Call it when the view changes.
     void dropGone();
     void close();
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -203,6 +203,49 @@
             body.__set_isSettled(true);
         out.__set_claimReply(body);
     }
+    void operator()(const lycheefield::SearchCall& call) const
+    {
+        SearchCall body;
+        body.sequence = toSigned(call.sequence);
+        body.tableVersion = toSigned(call.tableVersion);
+        body.route = call.route;
+        body.attemptId = call.attemptId;
+        body.method = call.message.method;
+        body.target = call.message.target;
+        for (const auto& [name, value] : call.message.headers.fields()) {
+            HeaderField field;
+            field.name = name;
+            field.value = value;
+            body.headers.push_back(std::move(field));
+        }
+        body.body = call.message.body;
+        for (const auto& it : call.shards)
+            body.shards.push_back(it.value());
+        body.budgetMicros = timeLeft(call.deadline, now);
+        body.answerMicros = timeLeft(call.answerBy, now);
+        out.__set_searchCall(body);
+    }
+    void operator()(const lycheefield::SearchNote& note) const
+    {
+        SearchNote body;
+        body.sequence = toSigned(note.sequence);
+        body.kind = static_cast<std::int32_t>(note.kind);
+        out.__set_searchNote(body);
+    }
+    void operator()(const lycheefield::SearchReply& reply) const
+    {
+        SearchReply body;
+        body.sequence = toSigned(reply.answer.request.value());
+        body.kind = static_cast<std::int32_t>(reply.answer.kind);
+        body.signatures = reply.answer.signatures;
+        for (const auto it : reply.answer.coveredShards)
+            body.coveredShards.push_back(toSigned(it));
+        body.missingShards = static_cast<std::int32_t>(reply.answer.missingShards);
+        body.body = reply.answer.message.body;
+        body.__set_retryAfterMicros(reply.answer.retryAfter.count());
+        body.__set_reason(reply.answer.reason);
+        out.__set_searchReply(body);
+    }
 };
 
 }
--- a/src/wire/convert_from.cpp
+++ b/src/wire/convert_from.cpp
@@ -189,6 +189,42 @@
     return out;
 }
 
+lycheefield::SearchCall fromWire(SearchCall& in, Reader& reader)
+{
+    lycheefield::SearchCall out;
+    out.sequence = Reader::number(in.sequence);
+    out.tableVersion = Reader::number(in.tableVersion);
+    out.route = reader.name(in.route, "route");
+    out.attemptId = reader.name(in.attemptId, "attemptId");
+    out.message.method = reader.name(in.method, "method");
+    out.message.target = reader.name(in.target, "target");
+    for (auto& it : in.shards)
+        out.shards.emplace_back(reader.name(it, "shards"));
+    for (auto& it : in.headers)
+        out.message.headers.add(std::move(it.name), std::move(it.value));
+    out.message.body = std::move(in.body);
+    out.deadline = reader.deadline(in.budgetMicros, "budgetMicros");
+    out.answerBy = reader.deadline(in.answerMicros, "answerMicros");
+    return out;
+}
+
+lycheefield::SearchReply fromWire(SearchReply& in, Reader& reader)
+{
+    lycheefield::SearchReply out;
+    out.answer.request = RequestNumber(Reader::number(in.sequence));
+    out.answer.kind = reader.choice(in.kind, ForwardAnswerKind::TimedOut, "kind");
+    out.answer.signatures = std::move(in.signatures);
+    for (const auto it : in.coveredShards)
+        out.answer.coveredShards.push_back(reader.count(it, "coveredShards"));
+    if (out.answer.coveredShards.size() != out.answer.signatures.size())
+        reader.reject("coveredShards");
+    out.answer.missingShards = reader.count(in.missingShards, "missingShards");
+    out.answer.message.body = std::move(in.body);
+    out.answer.retryAfter = reader.duration(in.retryAfterMicros, "retryAfterMicros");
+    out.answer.reason = std::move(in.reason);
+    return out;
+}
+
 LegResults fromWire(std::vector<LegResult>& in, Reader& reader)
 {
     LegResults out;
@@ -210,7 +246,8 @@
 int bodiesIn(const Envelope& in)
 {
     const auto& set = in.__isset;
-    return set.hello + set.work + set.cancel + set.results + set.servers + set.crash + set.gossip + set.ruleRequest + set.ruleDelta + set.control + set.claimCall + set.claimReply;
+    return set.hello + set.work + set.cancel + set.results + set.servers + set.crash + set.gossip + set.ruleRequest + set.ruleDelta + set.control + set.claimCall + set.claimReply
+        + set.searchCall + set.searchNote + set.searchReply;
 }
 
 /// Precondition: exactly one body field is set.
@@ -246,6 +283,12 @@
         return fromWire(in.claimCall, reader);
     if (set.claimReply)
         return fromWire(in.claimReply, reader);
+    if (set.searchCall)
+        return fromWire(in.searchCall, reader);
+    if (set.searchNote)
+        return lycheefield::SearchNote { Reader::number(in.searchNote.sequence), reader.choice(in.searchNote.kind, SearchNoteKind::Cancelled, "kind") };
+    if (set.searchReply)
+        return fromWire(in.searchReply, reader);
     return fromWire(in.control);
 }
 
--- a/src/wire/inner.thrift
+++ b/src/wire/inner.thrift
@@ -143,6 +143,44 @@
     6: optional bool isSettled = false
 }
 
+struct HeaderField {
+    1: required string name
+    2: required string value
+}
+
+// Asks another instance to ask some shards of a search next to their servers and to merge the parts.
+struct SearchCall {
+    1: required i64 sequence
+    2: required i64 tableVersion // Of the configuration that the caller was matched with.
+    3: required string route
+    4: required string attemptId
+    5: required string method
+    6: required string target
+    7: required list<HeaderField> headers
+    8: required binary body
+    9: required i64 budgetMicros // Time left until the deadline when the message was sent.
+    10: required i64 answerMicros // Time left until the answer should leave, likewise.
+    11: required list<string> shards
+}
+
+// Taken, declined or cancelled: see SearchNoteKind.
+struct SearchNote {
+    1: required i64 sequence
+    2: required i32 kind
+}
+
+// The end of a search that was taken.
+struct SearchReply {
+    1: required i64 sequence
+    2: required i32 kind
+    3: required list<string> signatures
+    4: required i32 missingShards
+    5: required binary body
+    6: optional i64 retryAfterMicros = 0
+    7: optional string reason
+    8: required list<i32> coveredShards // Positions in the call's shards, one for each signature.
+}
+
 // The one message of a frame. Exactly one body field is set; a receiver skips fields it does not know.
 struct Envelope {
     1: required i32 protocolVersion
@@ -158,4 +196,7 @@
     11: optional Control control
     12: optional ClaimCall claimCall
     13: optional ClaimReply claimReply
+    14: optional SearchCall searchCall
+    15: optional SearchNote searchNote
+    16: optional SearchReply searchReply
 }
--- a/src/wire/peer_message.h
+++ b/src/wire/peer_message.h
@@ -7,6 +7,7 @@
 #include "membership/member_digest.h"
 #include "rules/rule_delta.h"
 #include "wire/claim_message.h"
+#include "wire/search_message.h"
 
 #include <cstdint>
 #include <string>
@@ -64,6 +65,7 @@
 };
 
 /// The one message of a frame.
-using PeerMessage = std::variant<Hello, WorkOrder, CancelLeg, LegResults, ServerNews, AnnounceCrash, GossipMessage, RuleRequest, RuleDelta, Control, ClaimCall, ClaimReply>;
+using PeerMessage = std::variant<Hello, WorkOrder, CancelLeg, LegResults, ServerNews, AnnounceCrash, GossipMessage, RuleRequest, RuleDelta, Control, ClaimCall, ClaimReply, SearchCall,
+    SearchNote, SearchReply>;
 
 }
--- a/tests/forward/forward_world.cpp
+++ b/tests/forward/forward_world.cpp
@@ -86,7 +86,7 @@
     const RequestNumber number { ++m_lastRequest };
     m_started[number] = m_now;
     ForwardActions actions;
-    m_engine.start({ number, table, &table->routes.front(), std::make_shared<const HttpRequest>(), "attempt-" + std::to_string(m_lastRequest), m_now + patience }, m_now, actions);
+    m_engine.start({ number, table, &table->routes.front(), std::make_shared<const HttpRequest>(), "attempt-" + std::to_string(m_lastRequest), m_now + patience, m_now }, m_now, actions);
     carryOut(actions);
     return number;
 }
--- a/tests/gateway/instance_census_test.cpp
+++ b/tests/gateway/instance_census_test.cpp
@@ -10,28 +10,32 @@
 {
     InstanceCensus census;
     const TimePoint start { 1s };
-    const auto sighting = [](const char* name, std::uint64_t version) { return InstanceSighting { InstanceName(name), ObjectVersion { version } }; };
-    CHECK(census.count() == 1);
+    const auto sighting = [](const char* name, std::uint64_t version) {
+        Instance instance;
+        instance.name = InstanceName(name);
+        return InstanceSighting { instance, ObjectVersion { version } };
+    };
+    CHECK(census.alive().empty());
     census.onList({ sighting("a", 1), sighting("b", 2), sighting("c", 3) }, start);
-    CHECK(census.count() == 3);
+    CHECK(census.alive().size() == 3);
 
     SUBCASE("one that is not refreshed for three periods counts no more")
     {
         census.onList({ sighting("a", 10), sighting("b", 11), sighting("c", 3) }, start + InstanceCensus::refreshPeriod);
-        CHECK(census.count() == 3);
+        CHECK(census.alive().size() == 3);
         census.onList({ sighting("a", 20), sighting("b", 21), sighting("c", 3) }, start + 3 * InstanceCensus::refreshPeriod);
-        CHECK(census.count() == 2);
+        CHECK(census.alive().size() == 2);
 
         SUBCASE("and counts again when it is")
         {
             census.onList({ sighting("a", 20), sighting("b", 21), sighting("c", 30) }, start + 3 * InstanceCensus::refreshPeriod + 1s);
-            CHECK(census.count() == 3);
+            CHECK(census.alive().size() == 3);
         }
     }
     SUBCASE("one whose object was deleted is forgotten")
     {
         census.onList({ sighting("a", 1) }, start + 1s);
-        CHECK(census.count() == 1);
+        CHECK(census.alive().size() == 1);
     }
 }
 
