--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -129,6 +129,7 @@
 
         const Route& route() const { return *request.route; }
         std::size_t pending() const { return legs.size() - done - missing; }
+        /// Legs that an answer must cover; of a part, whatever is in serves.
         std::size_t needed() const { return route().isSearch() && !request.isPart() ? route().minimumShards() : 1; }
         bool coversEnough() const { return done >= needed(); }
         bool canCoverEnough() const { return done + pending() >= needed(); }
@@ -155,7 +156,7 @@
     /// How long a leg in line now waits for room.
     Duration expectedWait(const Leg&, const PickContext&) const;
     bool trySend(Request&, std::size_t leg, bool isHedge, TimePoint, ForwardActions&);
-    bool takeBudget(Leg&, TimePoint);
+    bool takeBudget(const Request&, Leg&, TimePoint);
     void onLegFailed(Request&, std::size_t leg, TimePoint, ForwardActions&);
     void endLeg(Request&, Leg&, LegStage);
     void acceptPart(Request&, Leg&, const ServerReply&);
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -63,11 +63,12 @@
     return leg.mayHaveRun < request.route().maxRuns;
 }
 
-bool ForwardEngine::takeBudget(Leg& leg, TimePoint now)
+bool ForwardEngine::takeBudget(const Request& request, Leg& leg, TimePoint now)
 {
     auto& budget = m_budgets[leg.service];
     if (!std::exchange(leg.isCounted, true)) {
-        budget.noteFirst(now, m_settings.retryWindow);
+        if (request.request.earnsBudget)
+            budget.noteFirst(now, m_settings.retryWindow);
         ++m_counters.firstSends;
     }
     if (leg.arrivals == 0)
@@ -85,7 +86,7 @@
     const auto server = pickServer(request, leg, context);
     if (!server || (isHedge && m_pool.expected(*server, context) > hedgeMustEndWithin(request, now)))
         return false;
-    if (!takeBudget(leg, now))
+    if (!takeBudget(request, leg, now))
         return false;
     if (leg.arrivals > 0)
         ++(isHedge ? m_counters.hedges : m_counters.retries);
--- a/src/forward/forward_engine_relay.cpp
+++ b/src/forward/forward_engine_relay.cpp
@@ -4,6 +4,18 @@
 
 namespace lycheefield {
 
+namespace {
+
+/// The first sends of one in so many calls earn the budget of the instance that asks, for the legs that come back to it.
+constexpr std::uint64_t askerEarnsOneOf = 3;
+
+}
+
+bool relayEarnsBudget(RequestNumber number)
+{
+    return number.value() % askerEarnsOneOf != 0;
+}
+
 void ForwardEngine::giveLegs(Request& request, TimePoint now, ForwardActions& actions)
 {
     if (!m_relays || request.request.isPart())
@@ -30,6 +42,10 @@
         if (!m_pool.hasServersIn(request.legs[it].service, choice->zone))
             continue;
         request.legs[it].stage = LegStage::Relayed;
+        if (!relayEarnsBudget(request.request.number)) {
+            m_budgets[request.legs[it].service].noteFirst(now, m_settings.retryWindow);
+            request.legs[it].isCounted = true;
+        }
         request.relayed.push_back(it);
         ask.shards.push_back(request.legs[it].service);
     }
--- a/src/forward/forward_request.h
+++ b/src/forward/forward_request.h
@@ -31,6 +31,8 @@
     TimePoint answerBy = never; ///< When a search should be answered; `never`: as its route says.
     std::vector<ServiceName> onlyShards; ///< Of a search: a part of it for another instance, which wants what is in by answerBy. Empty: all shards.
 
+    bool earnsBudget = true; ///< Its first sends earn this instance's budget for extra ones; false when they earn another's.
+
     bool isPart() const { return !onlyShards.empty(); }
 };
 
@@ -60,6 +62,10 @@
 
 std::string_view toString(SendLoss);
 
+/// Whether the first sends of a call with that number earn the budget of the instance that runs it, or
+/// of the one that asks: each is earned once in the fleet.
+bool relayEarnsBudget(RequestNumber);
+
 /// A server's reply, decoded.
 struct ServerReply {
     ServerReplyKind kind = ServerReplyKind::Unusable;
--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -63,7 +63,7 @@
     exchange->onGone([this, number] {
         boost::asio::post(m_parts.strand, [this, number] { cancelHere(number); });
     });
-    startHere({ number, m_routes, route, std::make_shared<const HttpRequest>(std::move(message)), fields.attemptId, deadline, now, never, {} });
+    startHere({ number, m_routes, route, std::make_shared<const HttpRequest>(std::move(message)), fields.attemptId, deadline, now, never, {}, true });
 }
 
 void ForwardDriver::startHere(ForwardRequest request)
@@ -105,7 +105,7 @@
     const auto now = m_parts.clock.now();
     const RequestNumber number { ++m_lastRequest };
     m_waiting.emplace(number, Waiting { nullptr, now, caller, call.sequence });
-    startHere({ number, m_routes, &*it, std::make_shared<const HttpRequest>(call.message), call.attemptId, call.deadline, now, call.answerBy, call.shards });
+    startHere({ number, m_routes, &*it, std::make_shared<const HttpRequest>(call.message), call.attemptId, call.deadline, now, call.answerBy, call.shards, relayEarnsBudget(RequestNumber(call.sequence)) });
     return true;
 }
 
