--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -12,6 +12,8 @@
 constexpr Duration abandonedAtLeast = 500ms;
 /// A request that must not be cut is left at its server for this long after its deadline.
 constexpr Duration leftAfterDeadline = 2s;
+/// The last answer leaves so long before the deadline, so that it is there before the caller gives up.
+constexpr Duration finalAnswerMargin = 15ms;
 /// Part of the fleet's slack that the instances spend in all: those that restart begin anew.
 constexpr double slackSpent = 0.45;
 
@@ -43,7 +45,7 @@
     it.request = std::move(request);
     it.startedAt = it.request.readAt;
     const auto& route = it.route();
-    it.deadline = std::min(it.request.deadline, it.startedAt + route.timeout);
+    it.deadline = std::min(it.request.deadline, it.startedAt + route.timeout) - finalAnswerMargin;
     if (route.isSearch()) {
         it.answerBy = std::min(it.request.answerBy, it.startedAt + std::max(Duration {}, route.targetLatency - m_settings.answerMargin));
         for (const auto& shard : it.request.isPart() ? it.request.onlyShards : route.shards)
--- a/tests/forward/forward_world.h
+++ b/tests/forward/forward_world.h
@@ -37,7 +37,13 @@
     Route singleRoute(const std::string& service, bool isRepeatable) const;
 
     RequestNumber start(const Route&, Duration patience = std::chrono::seconds(3));
+    void startAs(const ForwardRequest&);
     void leave(RequestNumber);
+    /// Another instance's answer, or its failure.
+    void relayed(RequestNumber, ForwardAnswer);
+    void relayFailed(RequestNumber, bool mayHaveRun);
+    const std::vector<AskRelay>& asked() const { return m_asked; }
+    std::size_t endedRelays() const { return m_endedRelays; }
     /// Runs servers and timers for that long.
     void run(Duration);
 
@@ -81,6 +87,8 @@
     std::map<RequestNumber, Outcome> m_outcomes;
     std::uint64_t m_lastRequest = 0;
     std::size_t m_closed = 0;
+    std::vector<AskRelay> m_asked;
+    std::size_t m_endedRelays = 0;
     std::shared_ptr<RouteTable> m_table;
     std::vector<std::shared_ptr<RouteTable>> m_tables; ///< Requests point into them.
     ForwardEngine m_engine;
