--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -258,6 +258,10 @@
 void ForwardEngine::finish(Request& request, TimePoint now, ForwardActions& actions)
 {
     auto answer = answerOf(request, now);
+    if (request.request.isPart()) {
+        for (const auto& leg : request.legs)
+            answer.runs.push_back(leg.mayHaveRun);
+    }
     countAnswer(request, answer, now);
     const bool isPlain = answer.missingShards == 0 && (answer.kind == ForwardAnswerKind::Search || answer.kind == ForwardAnswerKind::PassThrough);
     const auto micros = (now - request.startedAt).count();
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -144,6 +144,8 @@
     void reviewLeg(Request&, std::size_t leg, TimePoint, ForwardActions&);
     /// Asks another instance for the legs that have no server in this zone.
     void giveLegs(Request&, TimePoint, ForwardActions&);
+    /// A leg that the other instance did not get: it goes on from here, unless it ran on as many servers as it may.
+    void returnLeg(Request&, std::size_t leg, std::uint32_t runs, TimePoint, ForwardActions&);
     void endRelay(Request&, ForwardActions&);
     /// Leaves out the legs that are expected too late, as far as the search can spare them.
     void shedLegs(Request&, TimePoint);
--- a/src/forward/forward_engine_relay.cpp
+++ b/src/forward/forward_engine_relay.cpp
@@ -77,8 +77,9 @@
             part.message.body = answer.message.body;
         acceptPart(*request, request->legs[relayed[position]], part);
     }
-    request->relayed = relayed;
-    onRelayFailed(number, answer.kind != ForwardAnswerKind::NotRun, now, actions);
+    for (std::size_t i = 0; i < relayed.size(); ++i)
+        returnLeg(*request, relayed[i], i < answer.runs.size() ? answer.runs[i] : request->route().maxRuns, now, actions);
+    review(*request, now, actions);
 }
 
 void ForwardEngine::onRelayFailed(RequestNumber number, bool mayHaveRun, TimePoint now, ForwardActions& actions)
@@ -87,20 +88,26 @@
     if (!request)
         return;
     request->mayHaveRun = request->mayHaveRun || mayHaveRun;
-    for (const auto index : std::exchange(request->relayed, {})) {
-        auto& leg = request->legs[index];
-        if (leg.stage != LegStage::Relayed)
-            continue;
-        leg.stage = LegStage::Unsent;
-        if (mayHaveRun) {
-            // One server may have it: what is sent from here is an extra send.
-            leg.isCounted = true;
-            leg.arrivals = 1;
-            leg.mayHaveRun = 1;
-        }
-        reviewLeg(*request, index, now, actions);
-    }
+    for (const auto index : std::exchange(request->relayed, {}))
+        returnLeg(*request, index, mayHaveRun ? request->route().maxRuns : 0, now, actions);
     review(*request, now, actions);
 }
 
+void ForwardEngine::returnLeg(Request& request, std::size_t index, std::uint32_t runs, TimePoint now, ForwardActions& actions)
+{
+    auto& leg = request.legs[index];
+    if (leg.stage != LegStage::Relayed)
+        return;
+    if (runs > 0) {
+        // Servers may have it: what is sent from here is an extra send.
+        leg.isCounted = true;
+        leg.arrivals = runs;
+        leg.mayHaveRun = runs;
+    }
+    if (!mayRunAgain(request, leg))
+        return endLeg(request, leg, LegStage::Missing);
+    leg.stage = LegStage::Unsent;
+    reviewLeg(request, index, now, actions);
+}
+
 }
--- a/src/forward/forward_request.h
+++ b/src/forward/forward_request.h
@@ -90,6 +90,7 @@
     ForwardAnswerKind kind = ForwardAnswerKind::Failed;
     std::vector<std::string> signatures; ///< Of the parts that are in.
     std::vector<std::uint32_t> coveredShards; ///< The shard of each signature, by its position in the request.
+    std::vector<std::uint32_t> runs; ///< Of a part: servers that each of its shards may have run on.
     std::size_t missingShards = 0;
     HttpReply message; ///< The records of a search, or the server's own answer.
     Duration retryAfter {}; ///< With NotRun: when it may succeed.
--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -41,10 +41,10 @@
 
 void ForwardDriver::handle(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
 {
-    boost::asio::dispatch(m_parts.strand, [this, request = std::move(request), exchange = std::move(exchange)]() mutable { begin(std::move(request), std::move(exchange)); });
+    boost::asio::dispatch(m_parts.strand, [this, request = std::move(request), exchange = std::move(exchange)]() mutable { begin(std::move(request), exchange); });
 }
 
-void ForwardDriver::begin(HttpRequest&& message, std::shared_ptr<HttpExchange> exchange)
+void ForwardDriver::begin(HttpRequest&& message, const std::shared_ptr<HttpExchange>& exchange)
 {
     const auto fields = m_parts.callers.read(message);
     if (!m_routes)
--- a/src/gateway/forward_driver.h
+++ b/src/gateway/forward_driver.h
@@ -77,7 +77,7 @@
 
     void startHere(ForwardRequest);
     void cancelHere(RequestNumber);
-    void begin(HttpRequest&&, std::shared_ptr<HttpExchange>);
+    void begin(HttpRequest&&, const std::shared_ptr<HttpExchange>&);
     void refuse(const std::shared_ptr<HttpExchange>&, const std::string& attemptId, const EarlyRefusal&);
     void carryOut(const ForwardActions&);
     void deliver(const ForwardAnswer&);
--- a/src/gateway/search_relay.cpp
+++ b/src/gateway/search_relay.cpp
@@ -16,7 +16,7 @@
 
 }
 
-SearchRelay::SearchRelay(SearchRelayParts parts, RelayChooser& chooser, InstanceName self, ZoneName zone)
+SearchRelay::SearchRelay(SearchRelayParts parts, RelayChooser& chooser, const InstanceName& self, const ZoneName& zone)
     : m_parts(std::move(parts))
     , m_life(newLife())
     , m_chooser(chooser)
--- a/src/gateway/search_relay.h
+++ b/src/gateway/search_relay.h
@@ -50,7 +50,7 @@
 /// for the PeerHandler's calls, which come on any thread.
 class SearchRelay final : public PeerHandler {
 public:
-    SearchRelay(SearchRelayParts, RelayChooser&, InstanceName self, ZoneName);
+    SearchRelay(SearchRelayParts, RelayChooser&, const InstanceName& self, const ZoneName&);
 
     /// Opens the port for other instances.
     Result<Endpoint> listen(const Endpoint&);
--- a/src/gateway/server_connections.cpp
+++ b/src/gateway/server_connections.cpp
@@ -69,6 +69,9 @@
     void drop(const ServerKey&, const Link*);
     void forget(SendId id) { m_busy.erase(id); }
 
+private:
+    friend class Link;
+
     boost::asio::any_io_executor m_executor;
     const Clock& m_clock;
     const ServerProtocol& m_protocol;
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -240,6 +240,8 @@
         body.signatures = reply.answer.signatures;
         for (const auto it : reply.answer.coveredShards)
             body.coveredShards.push_back(toSigned(it));
+        for (const auto it : reply.answer.runs)
+            body.runs.push_back(toSigned(it));
         body.missingShards = static_cast<std::int32_t>(reply.answer.missingShards);
         body.body = reply.answer.message.body;
         body.__set_retryAfterMicros(reply.answer.retryAfter.count());
--- a/src/wire/convert_from.cpp
+++ b/src/wire/convert_from.cpp
@@ -216,6 +216,8 @@
     out.answer.signatures = std::move(in.signatures);
     for (const auto it : in.coveredShards)
         out.answer.coveredShards.push_back(reader.count(it, "coveredShards"));
+    for (const auto it : in.runs)
+        out.answer.runs.push_back(reader.count(it, "runs"));
     if (out.answer.coveredShards.size() != out.answer.signatures.size())
         reader.reject("coveredShards");
     out.answer.missingShards = reader.count(in.missingShards, "missingShards");
--- a/src/wire/inner.thrift
+++ b/src/wire/inner.thrift
@@ -179,6 +179,7 @@
     6: optional i64 retryAfterMicros = 0
     7: optional string reason
     8: required list<i32> coveredShards // Positions in the call's shards, one for each signature.
+    9: required list<i32> runs // Servers that each of the call's shards may have run on.
 }
 
 // The one message of a frame. Exactly one body field is set; a receiver skips fields it does not know.
--- a/tests/forward/relayed_search_test.cpp
+++ b/tests/forward/relayed_search_test.cpp
@@ -43,6 +43,7 @@
             answer.coveredShards.push_back(i);
         }
         answer.message.body = std::string(16, 'z');
+        answer.runs = { 1, 1, 1, 1 };
         return answer;
     }
 
@@ -86,6 +87,22 @@
         CHECK(world.answerTo(number)->missingShards == 0);
         CHECK(world.engine().counters().retries == 1);
     }
+    SUBCASE("but not when it ran on as many servers there as it may")
+    {
+        world.run(50ms);
+        auto twice = search.parts(3);
+        twice.runs[3] = 2;
+        world.relayed(number, twice);
+        CHECK(world.sends().empty());
+    }
+    SUBCASE("a call that was taken and never answered may have run everywhere: nothing of it is sent again")
+    {
+        world.run(50ms);
+        world.relayFailed(number, true);
+        CHECK(world.sends().empty());
+        REQUIRE(world.answerTo(number));
+        CHECK(world.answerTo(number)->kind == ForwardAnswerKind::Failed);
+    }
     SUBCASE("when it did not take the call, everything is asked for from here, as a first send")
     {
         world.relayFailed(number, false);
