--- a/tests/adapter/whole_path_test.cpp
+++ b/tests/adapter/whole_path_test.cpp
@@ -119,6 +119,8 @@
         PlatformClientSettings client;
         client.endpoint = settings.gateway.store;
         client.watchTimeout = 50ms;
+        client.connectTimeout = 5s;
+        client.callTimeout = 5s;
         feed = std::make_unique<TableFeed>(*gateway, std::make_shared<PublishedStore>(std::make_shared<PlatformClient>(gateway->executor(), client)));
         endpoints = gateway->listen().value();
         feed->start();
