A leg that waits for room looks again by itself

Cause: found while reading: an order whose only server turned its connection away waited until its deadline when no other send of this gateway ended there, as only that woke the line. The test failed first (no answer after 1 s).

--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -151,8 +151,8 @@
     void shedLegs(Request&, TimePoint);
     /// Sends legs that were left out, while the search can't cover enough without them.
     void reviveLegs(Request&, TimePoint, ForwardActions&);
-    /// Puts a leg in line for a server of its service.
-    void enqueue(Request&, std::size_t leg);
+    /// Puts a leg in line for a server of its service. It looks again by itself too, as no send of ours may end there.
+    void enqueue(Request&, std::size_t leg, TimePoint);
     /// A server of that service has room: the leg that is most urgent and waits longest is sent.
     void sendNext(const ServiceName&, TimePoint, ForwardActions&);
     /// How long a leg in line now waits for room.
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -126,10 +126,11 @@
     }
 }
 
-void ForwardEngine::enqueue(Request& request, std::size_t index)
+void ForwardEngine::enqueue(Request& request, std::size_t index, TimePoint now)
 {
     auto& leg = request.legs[index];
     leg.stage = LegStage::Unsent;
+    leg.hedgeAt = now + retryPeriod;
     m_queues[leg.service].insert({ request.route().rank, request.request.number, index });
 }
 
@@ -202,7 +203,7 @@
     // A server that was only full is not among those tried: the leg waits for room.
     const bool mayWait = mayRunAgain(request, leg) && m_pool.hasOthers(leg.service, leg.tried);
     if (mayWait)
-        return enqueue(request, index);
+        return enqueue(request, index, now);
     // Without room in the budget, or without another server, the leg has no way left.
     endLeg(request, leg, LegStage::Missing);
 }
@@ -214,8 +215,7 @@
         if (!m_pool.hasServers(leg.service))
             endLeg(request, leg, LegStage::Missing);
         else
-            enqueue(request, index);
-        leg.hedgeAt = now + retryPeriod;
+            enqueue(request, index, now);
         return;
     }
     if (leg.stage != LegStage::Sent || now < leg.hedgeAt)
--- a/tests/forward/forward_engine_test.cpp
+++ b/tests/forward/forward_engine_test.cpp
@@ -164,6 +164,17 @@
         REQUIRE(world.sends().size() == 1);
         CHECK(world.sends().front().server.name != first.server.name);
     }
+    SUBCASE("waits for its only server when that has no room for a moment")
+    {
+        ForwardWorld other(settings());
+        other.addServer("ledger", "s1", "a");
+        const auto again = other.start(other.singleRoute("ledger", false));
+        other.lose(other.sends().front().id, SendLoss::TurnedAway);
+        CHECK(other.sends().empty());
+        other.run(1s);
+        REQUIRE(other.answerTo(again));
+        CHECK(other.answerTo(again)->kind == ForwardAnswerKind::PassThrough);
+    }
     SUBCASE("is called not run only when every server proved it")
     {
         for (int i = 0; i < 3; ++i)
