--- a/tests/fuzz/fuzz_request.cpp
+++ b/tests/fuzz/fuzz_request.cpp
@@ -61,7 +61,7 @@
 
     HttpServerContext context()
     {
-        return { handler, std::make_shared<SteadyClock>(), counters, limits(), std::make_shared<std::atomic<bool>>(false), [this](std::uint64_t) { ++ended; } };
+        return { handler, std::make_shared<SteadyClock>(), counters, std::make_shared<Snapshot<HttpLimits>>(limits()), std::make_shared<std::atomic<bool>>(false), [this](std::uint64_t) { ++ended; } };
     }
     void settle()
     {
