One end for a request, one question whether a server takes new work

Cause: cancel and finish ended a request with the same six lines each, and five places asked for a listed server that does not drain. Change: ForwardEngine::forget and TrackedServer::takesNewWork; behaviour as before. Checked: forward_test 2055 and adapter_test 130 assertions, format.

--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -163,12 +163,7 @@
         return;
     ++m_counters.gone;
     actions.emplace_back(NoteForwardDecision { DecisionWeight::Extra, request->request.attemptId, "caller left", "route=" + request->route().name });
-    endRelay(*request, actions);
-    abandonSends(*request, true, now, actions);
-    for (std::size_t i = 0; i < request->legs.size(); ++i)
-        leaveQueue(*request, i);
-    m_due.erase({ request->due, number });
-    m_requests.erase(number);
+    forget(*request, true, now, actions);
 }
 
 void ForwardEngine::finishAll(TimePoint now, ForwardActions& actions)
@@ -269,8 +264,13 @@
         "route=" + request.route().name + " version=" + std::to_string(request.request.table->version) + " outcome=" + answer.reason
             + " shards=" + std::to_string(request.done) + "/" + std::to_string(request.legs.size()) + " took_us=" + std::to_string(micros) });
     actions.emplace_back(DeliverForwardAnswer { std::move(answer) });
+    forget(request, false, now, actions);
+}
+
+void ForwardEngine::forget(Request& request, bool closeSends, TimePoint now, ForwardActions& actions)
+{
     endRelay(request, actions);
-    abandonSends(request, false, now, actions);
+    abandonSends(request, closeSends, now, actions);
     for (std::size_t i = 0; i < request.legs.size(); ++i)
         leaveQueue(request, i);
     const auto number = request.request.number;
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -175,6 +175,8 @@
     void abandonSends(Request&, bool closeNow, TimePoint, ForwardActions&);
 
     void finish(Request&, TimePoint, ForwardActions&);
+    /// Ends everything that is kept for the request, and the request itself.
+    void forget(Request&, bool closeSends, TimePoint, ForwardActions&);
     ForwardAnswer answerOf(Request&, TimePoint);
     ForwardAnswer searchAnswer(Request&) const;
     void countAnswer(const Request&, const ForwardAnswer&, TimePoint);
--- a/src/forward/server_pool.cpp
+++ b/src/forward/server_pool.cpp
@@ -125,7 +125,7 @@
     for (const auto& server : it->second) {
         const bool isTried = context.tried && std::find(context.tried->begin(), context.tried->end(), server) != context.tried->end();
         const auto room = context.now < server->roomUntil ? std::min(most, server->roomFor) : most;
-        if (!server->isListed || server->entry.isDraining || isTried || server->inFlight >= room)
+        if (!server->takesNewWork() || isTried || server->inFlight >= room)
             continue;
         const auto micros = asDouble(expected(*server, context)) * (1 + randomSpread * m_random.unit());
         if (best && micros >= bestMicros)
@@ -141,7 +141,7 @@
     const auto it = m_byService.find(service);
     if (it == m_byService.end())
         return false;
-    return std::any_of(it->second.begin(), it->second.end(), [](const auto& server) { return server->isListed && !server->entry.isDraining; });
+    return std::any_of(it->second.begin(), it->second.end(), [](const auto& server) { return server->takesNewWork(); });
 }
 
 bool ServerPool::hasServersIn(const ServiceName& service, const ZoneName& zone) const
@@ -149,7 +149,7 @@
     const auto it = m_byService.find(service);
     if (it == m_byService.end())
         return false;
-    return std::any_of(it->second.begin(), it->second.end(), [&](const auto& server) { return server->isListed && !server->entry.isDraining && server->entry.zone == zone; });
+    return std::any_of(it->second.begin(), it->second.end(), [&](const auto& server) { return server->takesNewWork() && server->entry.zone == zone; });
 }
 
 bool ServerPool::hasOthers(const ServiceName& service, const std::vector<TrackedServerPtr>& tried) const
@@ -158,7 +158,7 @@
     if (it == m_byService.end())
         return false;
     return std::any_of(it->second.begin(), it->second.end(), [&](const auto& server) {
-        return server->isListed && !server->entry.isDraining && std::find(tried.begin(), tried.end(), server) == tried.end();
+        return server->takesNewWork() && std::find(tried.begin(), tried.end(), server) == tried.end();
     });
 }
 
@@ -169,7 +169,7 @@
         return unusableCost;
     TimePoint soonest = never;
     for (const auto& server : it->second) {
-        if (server->isListed && !server->entry.isDraining)
+        if (server->takesNewWork())
             soonest = std::min(soonest, server->avoidUntil);
     }
     if (soonest == never)
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -30,6 +30,8 @@
     TimePoint roomUntil {};
     std::uint32_t failuresInRow = 0;
     TimePoint avoidUntil {};
+
+    bool takesNewWork() const { return isListed && !entry.isDraining; }
 };
 
 using TrackedServerPtr = std::shared_ptr<TrackedServer>;
