A part's second sends need the asker's leave; big searches are cut into groups for instances of the zone

On machines with 0.12 cores the asker itself was busy for 60 ms with 68 sends before it read the confirmation.

Changed: an unconfirmed call counts as run once; the instance that runs a part asks before it uses a second server, and the asker takes legs back only as long as it has not allowed that; one that is silent past the hedge time loses its legs to a hedge from here; an answer that is not what was asked for is refused whole (its records got lost before). A search of more legs than an instance can send in 8 % of the target latency is cut into groups, each with a few instances of the zone (weighted rendezvous hashing by processor). Sends of a search go out in turns, so that replies are read between.

--- a/src/base/quantity_text.cpp
+++ b/src/base/quantity_text.cpp
@@ -87,7 +87,7 @@
 {
     double value = 0;
     const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
-    const bool isFraction = text.starts_with("0.") || text.starts_with("1.");
+    const bool isFraction = text == "0" || text == "1" || text.starts_with("0.") || text.starts_with("1.");
     if (!isFraction || ec != std::errc() || end != text.data() + text.size() || value < 0 || value > 1)
         return std::nullopt;
     return Share { value };
--- a/src/forward/forward_action.h
+++ b/src/forward/forward_action.h
@@ -27,15 +27,29 @@
 /// Ask another instance for some shards of a search. It ends in one onRelayed or onRelayFailed of the
 /// engine, unless it is ended by EndRelay.
 struct AskRelay {
+    AskId id;
     InstanceName instance;
     ForwardRequest request;
     std::vector<ServiceName> shards;
     TimePoint answerBy = never; ///< When the parts should be here.
+    TimePoint silentAt = never; ///< By then it has answered or wants second sends; else it has failed.
 };
 
 /// The search doesn't wait for another instance any more.
 struct EndRelay {
+    AskId id;
+};
+
+/// Tell the other instance that it may send the legs which it named to a second server.
+struct GrantSecondSends {
+    AskId id;
+};
+
+/// A part runs for another instance, and these of its legs are late: ask whether they may be sent to a
+/// second server. Until that is granted the other instance may take them back.
+struct WantSecondSends {
     RequestNumber request;
+    std::vector<std::uint32_t> positions; ///< In what the other instance asked for.
 };
 
 /// Give the caller its answer.
@@ -58,7 +72,7 @@
     std::string detail; ///< The inputs that decided it, as "key=value" pairs.
 };
 
-using ForwardAction = std::variant<SendToServer, CloseSend, AskRelay, EndRelay, DeliverForwardAnswer, NoteForwardDecision>;
+using ForwardAction = std::variant<SendToServer, CloseSend, AskRelay, EndRelay, GrantSecondSends, WantSecondSends, DeliverForwardAnswer, NoteForwardDecision>;
 using ForwardActions = std::vector<ForwardAction>;
 
 }
--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -56,12 +56,16 @@
     const auto served = std::count_if(it.legs.begin(), it.legs.end(), [&](const Leg& leg) { return m_pool.hasServers(leg.service); });
     if (static_cast<std::size_t>(served) < it.needed())
         return finish(it, now, actions);
+    if (it.request.isPart() && route.maxRuns > 1) {
+        it.hasSecondSends = false;
+        it.wantAt = now + hedgeDelay(route);
+    }
     if (route.isSearch()) {
         giveLegs(it, now, actions);
         shedLegs(it, now);
     }
-    for (std::size_t i = 0; i < it.legs.size(); ++i)
-        reviewLeg(it, i, now, actions);
+    for (auto& leg : it.legs)
+        leg.hedgeAt = now;
     review(it, now, actions);
 }
 
@@ -195,10 +199,13 @@
 {
     while (!m_closings.empty() && m_closings.begin()->first <= now)
         closeSend(m_closings.begin()->second, now, actions);
-    while (!m_due.empty() && m_due.begin()->first <= now) {
-        const auto number = m_due.begin()->second;
-        m_due.erase(m_due.begin());
+    // Each once: a request with more to send has its next turn after what came in meanwhile.
+    std::vector<RequestNumber> due;
+    for (auto it = m_due.begin(); it != m_due.end() && it->first <= now; ++it)
+        due.push_back(it->second);
+    for (const auto& number : due) {
         if (auto* request = find(number)) {
+            m_due.erase({ request->due, number });
             request->due = never;
             review(*request, now, actions);
         }
@@ -269,7 +276,7 @@
 
 void ForwardEngine::forget(Request& request, bool closeSends, TimePoint now, ForwardActions& actions)
 {
-    endRelay(request, actions);
+    endRelays(request, actions);
     abandonSends(request, closeSends, now, actions);
     for (std::size_t i = 0; i < request.legs.size(); ++i)
         leaveQueue(request, i);
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -63,9 +63,13 @@
     void finishAll(TimePoint, ForwardActions&);
 
     /// The parts that another instance got. The covered shards are positions in what it was asked for.
-    void onRelayed(RequestNumber, const ForwardAnswer&, TimePoint, ForwardActions&);
+    void onRelayed(AskId, const ForwardAnswer&, TimePoint, ForwardActions&);
     /// The other instance will not answer. mayHaveRun: it may have sent the request to servers.
-    void onRelayFailed(RequestNumber, bool mayHaveRun, TimePoint, ForwardActions&);
+    void onRelayFailed(AskId, bool mayHaveRun, TimePoint, ForwardActions&);
+    /// The other instance wants to send these legs to a second server. It may, as long as we wait for it.
+    void onSecondSendsWanted(AskId, const std::vector<std::uint32_t>& positions, ForwardActions&);
+    /// The instance that asked for this part leaves second sends to us.
+    void onSecondSendsGranted(RequestNumber, TimePoint, ForwardActions&);
     /// Other instances may be asked from now on. Precondition: the chooser outlives the engine's use.
     void setRelays(RelayChooser& relays) { m_relays = &relays; }
     /// The servers that may get work.
@@ -108,6 +112,7 @@
         std::vector<SendId> open;
         std::uint32_t mayHaveRun = 0; ///< Servers that it may have run on.
         std::uint32_t arrivals = 0; ///< Sends that may have reached a server.
+        std::uint32_t relayRuns = 0; ///< While another instance has it: servers that it may run on there.
         bool isCounted = false; ///< Its first send has earned its part of the budget.
         TimePoint hedgeAt = never;
         std::string signature;
@@ -125,7 +130,9 @@
         std::size_t done = 0;
         std::size_t missing = 0;
         bool mayHaveRun = false;
-        std::vector<std::size_t> relayed; ///< Legs that another instance was asked for, in the order of the call.
+        std::map<AskId, std::vector<std::size_t>> asks; ///< Legs that other instances were asked for, in the order of each call.
+        TimePoint wantAt = never; ///< Of a part: when second sends are asked for.
+        bool hasSecondSends = true; ///< False while another instance may take the legs back.
 
         const Route& route() const { return *request.route; }
         std::size_t pending() const { return legs.size() - done - missing; }
@@ -142,11 +149,25 @@
     void judgeServer(const Send&, const ServerReply&, TimePoint);
     void review(Request&, TimePoint, ForwardActions&);
     void reviewLeg(Request&, std::size_t leg, TimePoint, ForwardActions&);
-    /// Asks another instance for the legs that have no server in this zone.
+    /// Asks other instances for the legs that have no server in this zone, and for those of this zone
+    /// when they are too many for this instance.
     void giveLegs(Request&, TimePoint, ForwardActions&);
+    void giveFarLegs(Request&, std::vector<std::size_t> legs, TimePoint, ForwardActions&);
+    /// Cuts the legs into groups and asks an instance of the zone for each.
+    void askInGroups(Request&, const ZoneName&, const std::vector<std::size_t>& legs, TimePoint, ForwardActions&);
+    /// Legs that this instance can send and read within a small part of the target latency.
+    std::size_t mostLegsHere(const Route&) const;
+    void ask(Request&, const InstanceName&, std::vector<std::size_t> legs, TimePoint, ForwardActions&);
+    /// Ends the call; empty when it is unknown.
+    std::vector<std::size_t> takeAsk(Request&, AskId);
+    Request* findAsker(AskId);
+    /// Whether the answer names legs of the call, each once.
+    static bool isSound(const ForwardAnswer&, std::size_t asked);
     /// A leg that the other instance did not get: it goes on from here, unless it ran on as many servers as it may.
     void returnLeg(Request&, std::size_t leg, std::uint32_t runs, TimePoint, ForwardActions&);
-    void endRelay(Request&, ForwardActions&);
+    void endRelays(Request&, ForwardActions&);
+    /// Of a part: asks for second sends once its legs are late.
+    void wantSecondSends(Request&, TimePoint, ForwardActions&);
     /// Leaves out the legs that are expected too late, as far as the search can spare them.
     void shedLegs(Request&, TimePoint);
     /// Sends legs that were left out, while the search can't cover enough without them.
@@ -164,6 +185,7 @@
     void acceptPart(Request&, Leg&, const ServerReply&);
     bool mayRunAgain(const Request&, const Leg&) const;
     Duration hedgeDelay(const Route&);
+    Duration mostHedgeDelay(const Route&) const;
     TrackedServerPtr pickServer(const Request&, const Leg&, const PickContext&) const;
     /// A second send that is expected to take longer helps nobody.
     Duration hedgeMustEndWithin(const Request&, TimePoint) const;
@@ -202,6 +224,8 @@
     std::unordered_map<ServiceName, ExtraBudget> m_budgets;
     std::map<std::string, RouteTimes> m_times;
     std::uint64_t m_lastSend = 0;
+    std::uint64_t m_lastAsk = 0;
+    std::unordered_map<AskId, RequestNumber> m_asks;
     ForwardCounters m_counters;
 };
 
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -10,6 +10,8 @@
 
 /// A leg that found no server with room, or no budget, looks again after this time.
 constexpr Duration retryPeriod = 15ms;
+/// Sends of one request before others have their turn, so that a slow processor goes on reading.
+constexpr std::uint64_t sendsPerTurn = 12;
 /// A hedge is due so many times the time that 19 of 20 legs stay below.
 constexpr double hedgeAfterLateTimes = 1.2;
 /// Without samples a leg is taken to need this part of the target latency.
@@ -33,9 +35,14 @@
     return { it == m_times.end() ? byDefault : it->second.usual(byDefault), now, &leg.tried };
 }
 
+Duration ForwardEngine::mostHedgeDelay(const Route& route) const
+{
+    return part(route.targetLatency, m_settings.mostHedgeDelay.value);
+}
+
 Duration ForwardEngine::hedgeDelay(const Route& route)
 {
-    const auto most = part(route.targetLatency, m_settings.mostHedgeDelay.value);
+    const auto most = mostHedgeDelay(route);
     const auto it = m_times.find(route.name);
     if (it == m_times.end())
         return most;
@@ -60,7 +67,7 @@
 {
     if (!request.route().isRepeatable)
         return leg.mayHaveRun == 0;
-    return leg.mayHaveRun < request.route().maxRuns;
+    return leg.mayHaveRun < (request.hasSecondSends ? request.route().maxRuns : 1);
 }
 
 bool ForwardEngine::takeBudget(const Request& request, Leg& leg, TimePoint now)
@@ -238,7 +245,9 @@
     const bool isOver = request.pending() == 0 || !request.canCoverEnough() || now >= request.deadline;
     if (isOver || (isLate && request.coversEnough()))
         return finish(request, now, actions);
-    for (std::size_t i = 0; i < request.legs.size(); ++i) {
+    wantSecondSends(request, now, actions);
+    const auto most = m_lastSend + sendsPerTurn;
+    for (std::size_t i = 0; i < request.legs.size() && m_lastSend < most; ++i) {
         const auto& leg = request.legs[i];
         if (isWaiting(leg) && now >= leg.hedgeAt)
             reviewLeg(request, i, now, actions);
@@ -250,7 +259,7 @@
 
 void ForwardEngine::schedule(Request& request, TimePoint now)
 {
-    auto due = request.deadline;
+    auto due = std::min(request.deadline, request.wantAt);
     if (now < request.answerBy)
         due = std::min(due, request.answerBy);
     for (const auto& leg : request.legs) {
--- a/src/forward/forward_engine_relay.cpp
+++ b/src/forward/forward_engine_relay.cpp
@@ -1,5 +1,6 @@
 #include "forward/forward_engine.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lycheefield {
@@ -8,88 +9,208 @@
 
 /// The first sends of one in so many calls earn the budget of the instance that asks, for the legs that come back to it.
 constexpr std::uint64_t askerEarnsOneOf = 3;
+/// Another instance that neither answered nor wants second sends so long after it should have is silent.
+constexpr Duration silenceMargin = 25ms;
+/// Processor time of a whole core that one leg takes, sent and read.
+constexpr Duration legProcessorTime = 90us;
+/// Part of the target latency that an instance may spend on the legs of one search.
+constexpr double processorPartOfTarget = 0.08;
+/// Legs that one instance is asked for at once, when a search is cut into groups.
+constexpr std::size_t legsPerGroup = 12;
+/// For fewer legs a message to another instance saves too little.
+constexpr std::size_t leastGroup = 3;
 
 }
 
-bool relayEarnsBudget(RequestNumber number)
+bool relayEarnsBudget(AskId id)
 {
-    return number.value() % askerEarnsOneOf != 0;
+    return id.value() % askerEarnsOneOf != 0;
 }
 
 void ForwardEngine::giveLegs(Request& request, TimePoint now, ForwardActions& actions)
 {
     if (!m_relays || request.request.isPart())
         return;
+    std::vector<std::size_t> near;
     std::vector<std::size_t> far;
     for (std::size_t i = 0; i < request.legs.size(); ++i) {
         const auto& service = request.legs[i].service;
-        if (m_pool.hasServers(service) && !m_pool.hasServersIn(service, m_settings.zone))
+        if (m_pool.hasServersIn(service, m_settings.zone))
+            near.push_back(i);
+        else if (m_pool.hasServers(service))
             far.push_back(i);
     }
-    std::vector<ZoneCoverage> coverage;
-    for (const auto& zone : m_relays->zones()) {
-        ZoneCoverage covered { zone, 0 };
-        for (const auto it : far)
-            covered.shards += m_pool.hasServersIn(request.legs[it].service, zone) ? 1 : 0;
-        coverage.push_back(std::move(covered));
+    giveFarLegs(request, std::move(far), now, actions);
+    if (near.size() > mostLegsHere(request.route()))
+        askInGroups(request, m_settings.zone, near, now, actions);
+}
+
+std::size_t ForwardEngine::mostLegsHere(const Route& route) const
+{
+    const auto micros = static_cast<double>(route.targetLatency.count()) * processorPartOfTarget * m_settings.cores.value;
+    return static_cast<std::size_t>(micros / static_cast<double>(legProcessorTime.count()));
+}
+
+void ForwardEngine::giveFarLegs(Request& request, std::vector<std::size_t> legs, TimePoint now, ForwardActions& actions)
+{
+    while (!legs.empty()) {
+        std::vector<ZoneCoverage> coverage;
+        for (const auto& zone : m_relays->zones()) {
+            ZoneCoverage covered { zone, 0 };
+            for (const auto it : legs)
+                covered.shards += m_pool.hasServersIn(request.legs[it].service, zone) ? 1 : 0;
+            coverage.push_back(std::move(covered));
+        }
+        const auto choice = m_relays->choose(coverage, now);
+        if (!choice)
+            return;
+        const auto isThere = [&](std::size_t it) { return m_pool.hasServersIn(request.legs[it].service, choice->zone); };
+        std::vector<std::size_t> there;
+        std::copy_if(legs.begin(), legs.end(), std::back_inserter(there), isThere);
+        std::erase_if(legs, isThere);
+        if (there.size() > legsPerGroup)
+            askInGroups(request, choice->zone, there, now, actions);
+        else
+            ask(request, choice->instance, std::move(there), now, actions);
     }
-    const auto choice = m_relays->choose(coverage, now);
-    if (!choice)
-        return;
-    AskRelay ask { choice->instance, request.request, {}, request.answerBy };
-    ask.request.deadline = request.deadline;
-    for (const auto it : far) {
-        if (!m_pool.hasServersIn(request.legs[it].service, choice->zone))
+}
+
+void ForwardEngine::askInGroups(Request& request, const ZoneName& zone, const std::vector<std::size_t>& legs, TimePoint now, ForwardActions& actions)
+{
+    const auto count = (legs.size() + legsPerGroup - 1) / legsPerGroup;
+    std::vector<std::vector<std::size_t>> groups(count);
+    for (const auto it : legs)
+        groups[it * count / request.legs.size()].push_back(it);
+    for (std::size_t i = 0; i < count; ++i) {
+        if (groups[i].size() < leastGroup)
             continue;
-        request.legs[it].stage = LegStage::Relayed;
-        if (!relayEarnsBudget(request.request.number)) {
-            m_budgets[request.legs[it].service].noteFirst(now, m_settings.retryWindow);
-            request.legs[it].isCounted = true;
+        const auto instance = m_relays->instanceFor(zone, { i, count }, now);
+        if (instance && *instance != m_relays->self())
+            ask(request, *instance, std::move(groups[i]), now, actions);
+    }
+}
+
+void ForwardEngine::ask(Request& request, const InstanceName& instance, std::vector<std::size_t> legs, TimePoint now, ForwardActions& actions)
+{
+    const AskId id { ++m_lastAsk };
+    AskRelay ask { id, instance, request.request, {}, request.answerBy, now + mostHedgeDelay(request.route()) + silenceMargin };
+    ask.request.deadline = request.deadline;
+    for (const auto it : legs) {
+        auto& leg = request.legs[it];
+        leg.stage = LegStage::Relayed;
+        leg.relayRuns = 1;
+        if (!relayEarnsBudget(id)) {
+            m_budgets[leg.service].noteFirst(now, m_settings.retryWindow);
+            leg.isCounted = true;
         }
-        request.relayed.push_back(it);
-        ask.shards.push_back(request.legs[it].service);
+        ask.shards.push_back(leg.service);
     }
-    m_counters.relayedLegs += ask.shards.size();
+    m_counters.relayedLegs += legs.size();
+    m_asks.emplace(id, request.request.number);
+    request.asks.emplace(id, std::move(legs));
     actions.emplace_back(std::move(ask));
 }
 
-void ForwardEngine::endRelay(Request& request, ForwardActions& actions)
+std::vector<std::size_t> ForwardEngine::takeAsk(Request& request, AskId id)
 {
-    if (!std::exchange(request.relayed, {}).empty())
-        actions.emplace_back(EndRelay { request.request.number });
+    m_asks.erase(id);
+    auto node = request.asks.extract(id);
+    return node ? std::move(node.mapped()) : std::vector<std::size_t> {};
 }
 
-void ForwardEngine::onRelayed(RequestNumber number, const ForwardAnswer& answer, TimePoint now, ForwardActions& actions)
+ForwardEngine::Request* ForwardEngine::findAsker(AskId id)
 {
-    auto* request = find(number);
+    const auto it = m_asks.find(id);
+    return it == m_asks.end() ? nullptr : find(it->second);
+}
+
+void ForwardEngine::endRelays(Request& request, ForwardActions& actions)
+{
+    for (const auto& [id, legs] : std::exchange(request.asks, {})) {
+        m_asks.erase(id);
+        actions.emplace_back(EndRelay { id });
+    }
+}
+
+bool ForwardEngine::isSound(const ForwardAnswer& answer, std::size_t asked)
+{
+    auto positions = answer.coveredShards;
+    std::sort(positions.begin(), positions.end());
+    const bool isUnique = std::adjacent_find(positions.begin(), positions.end()) == positions.end();
+    return isUnique && (positions.empty() || positions.back() < asked) && answer.runs.size() == asked;
+}
+
+void ForwardEngine::onRelayed(AskId id, const ForwardAnswer& answer, TimePoint now, ForwardActions& actions)
+{
+    auto* request = findAsker(id);
     if (!request)
         return;
-    const auto relayed = std::exchange(request->relayed, {});
+    if (!isSound(answer, request->asks.at(id).size())) {
+        actions.emplace_back(NoteForwardDecision { DecisionWeight::Failure, request->request.attemptId, "parts of another instance refused", "why=they are not what it was asked for" });
+        return onRelayFailed(id, true, now, actions);
+    }
+    const auto legs = takeAsk(*request, id);
     request->mayHaveRun = true;
     for (std::size_t i = 0; i < answer.coveredShards.size(); ++i) {
-        const auto position = answer.coveredShards[i];
-        if (position >= relayed.size() || request->legs[relayed[position]].stage != LegStage::Relayed)
-            continue;
         ServerReply part;
         part.signature = answer.signatures[i];
         // The records of all these parts are merged already: they come with the first.
         if (i == 0)
             part.message.body = answer.message.body;
-        acceptPart(*request, request->legs[relayed[position]], part);
+        acceptPart(*request, request->legs[legs[answer.coveredShards[i]]], part);
     }
-    for (std::size_t i = 0; i < relayed.size(); ++i)
-        returnLeg(*request, relayed[i], i < answer.runs.size() ? answer.runs[i] : request->route().maxRuns, now, actions);
+    for (std::size_t i = 0; i < legs.size(); ++i)
+        returnLeg(*request, legs[i], answer.runs[i], now, actions);
     review(*request, now, actions);
 }
 
-void ForwardEngine::onRelayFailed(RequestNumber number, bool mayHaveRun, TimePoint now, ForwardActions& actions)
+void ForwardEngine::onRelayFailed(AskId id, bool mayHaveRun, TimePoint now, ForwardActions& actions)
 {
-    auto* request = find(number);
+    auto* request = findAsker(id);
     if (!request)
         return;
     request->mayHaveRun = request->mayHaveRun || mayHaveRun;
-    for (const auto index : std::exchange(request->relayed, {}))
-        returnLeg(*request, index, mayHaveRun ? request->route().maxRuns : 0, now, actions);
+    for (const auto index : takeAsk(*request, id))
+        returnLeg(*request, index, mayHaveRun ? request->legs[index].relayRuns : 0, now, actions);
+    review(*request, now, actions);
+}
+
+void ForwardEngine::onSecondSendsWanted(AskId id, const std::vector<std::uint32_t>& positions, ForwardActions& actions)
+{
+    auto* request = findAsker(id);
+    if (!request)
+        return;
+    const auto& legs = request->asks.at(id);
+    for (const auto it : positions) {
+        if (it < legs.size())
+            request->legs[legs[it]].relayRuns = request->route().maxRuns;
+    }
+    actions.emplace_back(GrantSecondSends { id });
+}
+
+void ForwardEngine::wantSecondSends(Request& request, TimePoint now, ForwardActions& actions)
+{
+    if (now < request.wantAt)
+        return;
+    request.wantAt = never;
+    WantSecondSends want { request.request.number, {} };
+    for (std::size_t i = 0; i < request.legs.size(); ++i) {
+        if (isWaiting(request.legs[i]))
+            want.positions.push_back(static_cast<std::uint32_t>(i));
+    }
+    actions.emplace_back(std::move(want));
+}
+
+void ForwardEngine::onSecondSendsGranted(RequestNumber number, TimePoint now, ForwardActions& actions)
+{
+    auto* request = find(number);
+    if (!request)
+        return;
+    request->hasSecondSends = true;
+    for (auto& leg : request->legs) {
+        if (leg.stage == LegStage::Sent)
+            leg.hedgeAt = now;
+    }
     review(*request, now, actions);
 }
 
--- a/src/forward/forward_request.h
+++ b/src/forward/forward_request.h
@@ -18,6 +18,8 @@
 using RequestNumber = StrongId<struct RequestNumberTag, std::uint64_t>;
 /// One send of one leg to one server, unique within this process.
 using SendId = StrongId<struct SendIdTag, std::uint64_t>;
+/// One call to another instance for some legs of a search, unique within this process.
+using AskId = StrongId<struct AskIdTag, std::uint64_t>;
 
 /// A caller's request, matched to its route.
 struct ForwardRequest {
@@ -62,9 +64,9 @@
 
 std::string_view toString(SendLoss);
 
-/// Whether the first sends of a call with that number earn the budget of the instance that runs it, or
-/// of the one that asks: each is earned once in the fleet.
-bool relayEarnsBudget(RequestNumber);
+/// Whether the first sends of that call earn the budget of the instance that runs it, or of the one
+/// that asks: each is earned once in the fleet.
+bool relayEarnsBudget(AskId);
 
 /// A server's reply, decoded.
 struct ServerReply {
--- a/src/forward/forward_settings.h
+++ b/src/forward/forward_settings.h
@@ -21,6 +21,7 @@
     Share leastHedgeDelay { 0.15 }; ///< Of the target latency.
     Share mostHedgeDelay { 0.40 }; ///< Of the target latency; also while the usual time is not known.
     Duration crossZoneCost = 12ms; ///< What a server in another zone must be better by.
+    Share cores { 1 }; ///< Of one core, what this instance may use.
 
     friend bool operator==(const ForwardSettings&, const ForwardSettings&) = default;
 };
--- a/src/forward/relay_chooser.cpp
+++ b/src/forward/relay_chooser.cpp
@@ -1,6 +1,9 @@
 #include "forward/relay_chooser.h"
 
+#include "base/fingerprint.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace lycheefield {
 
@@ -19,11 +22,23 @@
 constexpr std::uint32_t mostDoublings = 4;
 constexpr Duration declinedAvoidance = 1s;
 constexpr int newRoundTripPart = 8; ///< One part in so many of the average is the newest.
+/// Instances that share the calls for one group, so that the loss of one is borne.
+constexpr std::size_t leastInstancesOfGroup = 2;
+constexpr std::size_t mostGroups = 1024;
 
+/// Weighted rendezvous hashing: the greatest score of all is an instance's as often as its weight says.
+double rendezvousScore(std::uint64_t hash, double weight)
+{
+    constexpr double hashes = 18446744073709551616.0;
+    const auto uniform = (static_cast<double>(hash) + 1) / (hashes + 2);
+    return -weight / std::log(uniform);
 }
 
-RelayChooser::RelayChooser(InstanceName self)
+}
+
+RelayChooser::RelayChooser(InstanceName self, ZoneName zone)
     : m_self(std::move(self))
+    , m_zone(std::move(zone))
 {
 }
 
@@ -31,13 +46,16 @@
 {
     std::map<InstanceName, Peer> peers;
     for (const auto& it : instances) {
-        if (it.name == m_self)
+        if (it.name == m_self) {
+            m_ownCores = it.cores;
             continue;
+        }
         const auto known = m_peers.find(it.name);
         const bool isSameLife = known != m_peers.end() && known->second.life == it.life;
-        peers[it.name] = isSameLife ? known->second : Peer { it.zone, it.life, {}, {}, 0 };
+        peers[it.name] = isSameLife ? known->second : Peer { it.zone, it.life, it.cores, {}, {}, 0 };
     }
     m_peers = std::move(peers);
+    m_ranked.clear();
 }
 
 std::vector<ZoneName> RelayChooser::zones() const
@@ -67,6 +85,48 @@
     return candidates[m_turn++ % candidates.size()];
 }
 
+const std::vector<InstanceName>& RelayChooser::rankedFor(const ZoneName& zone, const LegGroup& group)
+{
+    const auto [it, isNew] = m_ranked.try_emplace({ zone, group });
+    if (!isNew)
+        return it->second;
+    const auto seed = stableHash(zone.value(), group.index * mostGroups + group.count);
+    std::vector<std::pair<double, InstanceName>> scored;
+    const auto add = [&](const InstanceName& name, double cores) { scored.emplace_back(rendezvousScore(stableHash(name.value(), seed), cores * cores), name); };
+    for (const auto& [name, peer] : m_peers) {
+        if (peer.zone == zone)
+            add(name, peer.cores);
+    }
+    if (zone == m_zone)
+        add(m_self, m_ownCores);
+    std::sort(scored.rbegin(), scored.rend());
+    for (auto& [score, name] : scored)
+        it->second.push_back(std::move(name));
+    return it->second;
+}
+
+bool RelayChooser::canBeAsked(const InstanceName& name, TimePoint now) const
+{
+    if (name == m_self)
+        return true;
+    const auto it = m_peers.find(name);
+    return it != m_peers.end() && now >= it->second.avoidUntil;
+}
+
+std::optional<InstanceName> RelayChooser::instanceFor(const ZoneName& zone, const LegGroup& group, TimePoint now)
+{
+    const auto& ranked = rankedFor(zone, group);
+    const auto few = std::min(ranked.size(), std::max<std::size_t>(leastInstancesOfGroup, (ranked.size() + group.count - 1) / group.count));
+    const auto turn = m_turn++;
+    for (std::size_t i = 0; i < few; ++i) {
+        const auto& name = ranked[(turn + i) % few];
+        if (canBeAsked(name, now))
+            return name;
+    }
+    const auto it = std::find_if(ranked.begin(), ranked.end(), [&](const auto& name) { return canBeAsked(name, now); });
+    return it == ranked.end() ? std::nullopt : std::optional(*it);
+}
+
 void RelayChooser::noteReceipt(const InstanceName& name, Duration roundTrip)
 {
     const auto it = m_peers.find(name);
--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -81,39 +81,76 @@
     carryOut(actions);
 }
 
-void ForwardDriver::onRelayed(const ForwardAnswer& answer)
+void ForwardDriver::onRelayed(AskId id, const ForwardAnswer& answer)
 {
     ForwardActions actions;
-    m_engine.onRelayed(answer.request, answer, m_parts.clock.now(), actions);
+    m_engine.onRelayed(id, answer, m_parts.clock.now(), actions);
     carryOut(actions);
 }
 
-void ForwardDriver::onRelayFailed(RequestNumber number, bool mayHaveRun)
+void ForwardDriver::onRelayFailed(AskId id, bool mayHaveRun)
 {
     ForwardActions actions;
-    m_engine.onRelayFailed(number, mayHaveRun, m_parts.clock.now(), actions);
+    m_engine.onRelayFailed(id, mayHaveRun, m_parts.clock.now(), actions);
     carryOut(actions);
 }
 
-bool ForwardDriver::runFor(const InstanceName& caller, const SearchCall& call)
+void ForwardDriver::onSecondSendsWanted(AskId id, const std::vector<std::uint32_t>& positions)
 {
-    if (m_declinesOthers || call.shards.empty() || !m_routes || m_routes->version != call.tableVersion)
-        return false;
+    ForwardActions actions;
+    m_engine.onSecondSendsWanted(id, positions, actions);
+    carryOut(actions);
+}
+
+const Route* ForwardDriver::searchOf(const SearchCall& call) const
+{
+    if (!m_routes || m_routes->version != call.tableVersion)
+        return nullptr;
     const auto it = std::find_if(m_routes->routes.begin(), m_routes->routes.end(), [&](const Route& route) { return route.name == call.route && route.isSearch(); });
-    if (it == m_routes->routes.end())
-        return false;
+    return it == m_routes->routes.end() ? nullptr : &*it;
+}
+
+bool ForwardDriver::canRun(const SearchCall& call) const
+{
+    return !m_declinesOthers && !call.shards.empty() && searchOf(call) != nullptr;
+}
+
+void ForwardDriver::runFor(const InstanceName& caller, const SearchCall& call)
+{
     const auto now = m_parts.clock.now();
     const RequestNumber number { ++m_lastRequest };
     m_waiting.emplace(number, Waiting { nullptr, now, caller, call.sequence });
-    startHere({ number, m_routes, &*it, std::make_shared<const HttpRequest>(call.message), call.attemptId, call.deadline, now, call.answerBy, call.shards, relayEarnsBudget(RequestNumber(call.sequence)) });
-    return true;
+    startHere({ number, m_routes, searchOf(call), std::make_shared<const HttpRequest>(call.message), call.attemptId, call.deadline, now, call.answerBy, call.shards,
+        relayEarnsBudget(AskId(call.sequence)) });
 }
 
-void ForwardDriver::cancelFor(const InstanceName& caller, std::uint64_t sequence)
+std::optional<RequestNumber> ForwardDriver::partOf(const InstanceName& caller, std::uint64_t sequence) const
 {
     const auto it = std::find_if(m_waiting.begin(), m_waiting.end(), [&](const auto& entry) { return entry.second.instance == caller && entry.second.sequence == sequence; });
+    return it == m_waiting.end() ? std::nullopt : std::optional(it->first);
+}
+
+void ForwardDriver::grantFor(const InstanceName& caller, std::uint64_t sequence)
+{
+    const auto number = partOf(caller, sequence);
+    if (!number)
+        return;
+    ForwardActions actions;
+    m_engine.onSecondSendsGranted(*number, m_parts.clock.now(), actions);
+    carryOut(actions);
+}
+
+void ForwardDriver::cancelFor(const InstanceName& caller, std::uint64_t sequence)
+{
+    if (const auto number = partOf(caller, sequence))
+        cancelHere(*number);
+}
+
+void ForwardDriver::want(const WantSecondSends& want)
+{
+    const auto it = m_waiting.find(want.request);
     if (it != m_waiting.end())
-        cancelHere(it->first);
+        m_relay->want(it->second.instance, it->second.sequence, want.positions);
 }
 
 void ForwardDriver::cancelAllFor(const InstanceName& caller)
@@ -176,7 +213,11 @@
         else if (const auto* ask = std::get_if<AskRelay>(&action))
             m_relay->ask(*ask);
         else if (const auto* end = std::get_if<EndRelay>(&action))
-            m_relay->end(end->request);
+            m_relay->end(end->id);
+        else if (const auto* grant = std::get_if<GrantSecondSends>(&action))
+            m_relay->grant(grant->id);
+        else if (const auto* wanted = std::get_if<WantSecondSends>(&action))
+            want(*wanted);
         else if (const auto* answer = std::get_if<DeliverForwardAnswer>(&action))
             deliver(answer->answer);
         else if (const auto* note = std::get_if<NoteForwardDecision>(&action))
--- a/src/gateway/forward_driver.h
+++ b/src/gateway/forward_driver.h
@@ -16,6 +16,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace lycheefield {
@@ -39,9 +40,12 @@
     void handle(HttpRequest, std::shared_ptr<HttpExchange>) override;
     void onReply(SendId, const ServerReply&) override;
     void onLost(SendId, SendLoss) override;
-    void onRelayed(const ForwardAnswer&) override;
-    void onRelayFailed(RequestNumber, bool mayHaveRun) override;
-    bool runFor(const InstanceName& caller, const SearchCall&) override;
+    void onRelayed(AskId, const ForwardAnswer&) override;
+    void onRelayFailed(AskId, bool mayHaveRun) override;
+    void onSecondSendsWanted(AskId, const std::vector<std::uint32_t>& positions) override;
+    bool canRun(const SearchCall&) const override;
+    void runFor(const InstanceName& caller, const SearchCall&) override;
+    void grantFor(const InstanceName& caller, std::uint64_t sequence) override;
     void cancelFor(const InstanceName& caller, std::uint64_t sequence) override;
     void cancelAllFor(const InstanceName& caller) override;
 
@@ -76,6 +80,10 @@
     };
 
     void startHere(ForwardRequest);
+    const Route* searchOf(const SearchCall&) const;
+    /// The part that runs for that call of another instance; empty when it is over.
+    std::optional<RequestNumber> partOf(const InstanceName& caller, std::uint64_t sequence) const;
+    void want(const WantSecondSends&);
     void cancelHere(RequestNumber);
     void begin(HttpRequest&&, const std::shared_ptr<HttpExchange>&);
     void refuse(const std::shared_ptr<HttpExchange>&, const std::string& attemptId, const EarlyRefusal&);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -45,7 +45,7 @@
         , m_strand(boost::asio::make_strand(m_io))
         , m_log(settings.gateway.logLinesPerSecond)
         , m_driver({ m_strand, *m_clock, protocols.callers, protocols.servers, m_metrics, m_log }, forwardSettings(settings))
-        , m_relays(settings.instance.name)
+        , m_relays(settings.instance.name, settings.instance.zone)
         , m_relay({ m_io, m_strand, m_clock, m_driver, m_metrics, m_log }, m_relays, settings.instance.name, settings.instance.zone)
         , m_readiness([this] { return HttpReply { isReady() ? ok : unavailable, "text/plain", isReady() ? "ready\n" : "not ready\n" }; })
         , m_metricsPage([this] { return HttpReply { ok, "text/plain; version=0.0.4", m_metrics.render() }; })
@@ -116,7 +116,7 @@
         m_relay.onPeers(instances);
     }
 
-    Instance self() const { return { m_settings.instance.name, m_relay.life(), m_inner, m_settings.gateway.callers, m_settings.instance.zone }; }
+    Instance self() const { return { m_settings.instance.name, m_relay.life(), m_inner, m_settings.gateway.callers, m_settings.instance.zone, InstanceHealth::Alive, m_settings.gateway.cores.value }; }
 
     Result<GatewayEndpoints> listen()
     {
@@ -163,6 +163,7 @@
     {
         auto forward = settings.forward;
         forward.zone = settings.instance.zone;
+        forward.cores = settings.gateway.cores;
         return forward;
     }
 
--- a/src/membership/view.h
+++ b/src/membership/view.h
@@ -24,6 +24,7 @@
     Endpoint http; ///< Where callers and operators reach it.
     ZoneName zone;
     InstanceHealth health = InstanceHealth::Alive;
+    double cores = 1; ///< Processor that it may use, in cores.
 
     /// True when blocks may be assigned to it.
     bool canOwn() const { return health == InstanceHealth::Alive || health == InstanceHealth::Suspect; }
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -90,6 +90,7 @@
     std::uint16_t metricsPort = 0; ///< On the callers' address; 0: no metrics.
     std::uint32_t logLinesPerSecond = 50; ///< Lines about single requests at most; changes of state come besides.
     Duration stopLimit = 6s; ///< After SIGTERM the process is gone by then.
+    Share cores { 1 }; ///< Of one core, what this process may use.
 
     friend bool operator==(const GatewaySettings&, const GatewaySettings&) = default;
 };
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -230,12 +230,17 @@
         SearchNote body;
         body.sequence = toSigned(note.sequence);
         body.kind = static_cast<std::int32_t>(note.kind);
+        std::vector<std::int32_t> positions;
+        for (const auto it : note.positions)
+            positions.push_back(toSigned(it));
+        if (!positions.empty())
+            body.__set_positions(positions);
         out.__set_searchNote(body);
     }
     void operator()(const lycheefield::SearchReply& reply) const
     {
         SearchReply body;
-        body.sequence = toSigned(reply.answer.request.value());
+        body.sequence = toSigned(reply.sequence);
         body.kind = static_cast<std::int32_t>(reply.answer.kind);
         body.signatures = reply.answer.signatures;
         for (const auto it : reply.answer.coveredShards)
--- a/src/wire/convert_from.cpp
+++ b/src/wire/convert_from.cpp
@@ -208,10 +208,20 @@
     return out;
 }
 
+lycheefield::SearchNote fromWire(SearchNote& in, Reader& reader)
+{
+    lycheefield::SearchNote out;
+    out.sequence = Reader::number(in.sequence);
+    out.kind = reader.choice(in.kind, SearchNoteKind::SecondSendsGranted, "kind");
+    for (const auto it : in.positions)
+        out.positions.push_back(reader.count(it, "positions"));
+    return out;
+}
+
 lycheefield::SearchReply fromWire(SearchReply& in, Reader& reader)
 {
     lycheefield::SearchReply out;
-    out.answer.request = RequestNumber(Reader::number(in.sequence));
+    out.sequence = Reader::number(in.sequence);
     out.answer.kind = reader.choice(in.kind, ForwardAnswerKind::TimedOut, "kind");
     out.answer.signatures = std::move(in.signatures);
     for (const auto it : in.coveredShards)
@@ -288,7 +298,7 @@
     if (set.searchCall)
         return fromWire(in.searchCall, reader);
     if (set.searchNote)
-        return lycheefield::SearchNote { Reader::number(in.searchNote.sequence), reader.choice(in.searchNote.kind, SearchNoteKind::Cancelled, "kind") };
+        return fromWire(in.searchNote, reader);
     if (set.searchReply)
         return fromWire(in.searchReply, reader);
     return fromWire(in.control);
--- a/src/wire/inner.thrift
+++ b/src/wire/inner.thrift
@@ -167,6 +167,7 @@
 struct SearchNote {
     1: required i64 sequence
     2: required i32 kind
+    3: optional list<i32> positions // In the call's shards.
 }
 
 // The end of a search that was taken.
--- a/src/wire/search_message.h
+++ b/src/wire/search_message.h
@@ -30,17 +30,21 @@
     Taken, ///< The search runs: wait for its reply.
     Declined, ///< It was not begun.
     Cancelled, ///< Its caller has left.
+    SecondSendsWanted, ///< Some shards are late: may they be sent to a second server?
+    SecondSendsGranted, ///< They may: the caller has not taken them back and will not.
 };
 
 struct SearchNote {
     std::uint64_t sequence = 0;
     SearchNoteKind kind = SearchNoteKind::Taken;
+    std::vector<std::uint32_t> positions {}; ///< In the call's shards; with SecondSendsWanted.
 
     friend bool operator==(const SearchNote&, const SearchNote&) = default;
 };
 
-/// The end of a search that was taken. The answer's request number is the sequence of the call.
+/// The end of a search that was taken.
 struct SearchReply {
+    std::uint64_t sequence = 0; ///< Of the call.
     ForwardAnswer answer;
 
     friend bool operator==(const SearchReply&, const SearchReply&) = default;
