--- a/src/forward/forward_action.h
+++ b/src/forward/forward_action.h
@@ -32,7 +32,7 @@
     ForwardRequest request;
     std::vector<ServiceName> shards;
     TimePoint answerBy = never; ///< When the parts should be here.
-    TimePoint silentAt = never; ///< By then it has answered or wants second sends; else it has failed.
+    Duration speaksWithin {}; ///< From its confirmation on: then it has answered or wants second sends, or it is silent.
 };
 
 /// The search doesn't wait for another instance any more.
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -66,6 +66,9 @@
     void onRelayed(AskId, const ForwardAnswer&, TimePoint, ForwardActions&);
     /// The other instance will not answer. mayHaveRun: it may have sent the request to servers.
     void onRelayFailed(AskId, bool mayHaveRun, TimePoint, ForwardActions&);
+    /// The other instance confirmed and then said nothing for longer than it should. True: its legs go
+    /// on from here, and it must be told so; false: it is waited for.
+    bool onRelaySilent(AskId, TimePoint, ForwardActions&);
     /// The other instance wants to send these legs to a second server. It may, as long as we wait for it.
     void onSecondSendsWanted(AskId, const std::vector<std::uint32_t>& positions, ForwardActions&);
     /// The instance that asked for this part leaves second sends to us.
--- a/src/forward/forward_engine_relay.cpp
+++ b/src/forward/forward_engine_relay.cpp
@@ -93,7 +93,7 @@
 void ForwardEngine::ask(Request& request, const InstanceName& instance, std::vector<std::size_t> legs, TimePoint now, ForwardActions& actions)
 {
     const AskId id { ++m_lastAsk };
-    AskRelay ask { id, instance, request.request, {}, request.answerBy, now + mostHedgeDelay(request.route()) + silenceMargin };
+    AskRelay ask { id, instance, request.request, {}, request.answerBy, mostHedgeDelay(request.route()) + silenceMargin };
     ask.request.deadline = request.deadline;
     for (const auto it : legs) {
         auto& leg = request.legs[it];
@@ -164,6 +164,20 @@
     review(*request, now, actions);
 }
 
+bool ForwardEngine::onRelaySilent(AskId id, TimePoint now, ForwardActions& actions)
+{
+    auto* request = findAsker(id);
+    if (!request)
+        return true;
+    // Its answer may still come. The legs are taken back only if second sends are allowed now.
+    const auto& legs = request->asks.at(id);
+    const bool maySend = std::all_of(legs.begin(), legs.end(), [&](std::size_t it) { return m_budgets[request->legs[it].service].hasExtra(now, budgetLimits()); });
+    if (!maySend)
+        return false;
+    onRelayFailed(id, true, now, actions);
+    return true;
+}
+
 void ForwardEngine::onRelayFailed(AskId id, bool mayHaveRun, TimePoint now, ForwardActions& actions)
 {
     auto* request = findAsker(id);
--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -95,6 +95,14 @@
     carryOut(actions);
 }
 
+bool ForwardDriver::onRelaySilent(AskId id)
+{
+    ForwardActions actions;
+    const bool isTakenBack = m_engine.onRelaySilent(id, m_parts.clock.now(), actions);
+    carryOut(actions);
+    return isTakenBack;
+}
+
 void ForwardDriver::onSecondSendsWanted(AskId id, const std::vector<std::uint32_t>& positions)
 {
     ForwardActions actions;
--- a/src/gateway/forward_driver.h
+++ b/src/gateway/forward_driver.h
@@ -42,6 +42,7 @@
     void onLost(SendId, SendLoss) override;
     void onRelayed(AskId, const ForwardAnswer&) override;
     void onRelayFailed(AskId, bool mayHaveRun) override;
+    bool onRelaySilent(AskId) override;
     void onSecondSendsWanted(AskId, const std::vector<std::uint32_t>& positions) override;
     bool canRun(const SearchCall&) const override;
     void runFor(const InstanceName& caller, const SearchCall&) override;
--- a/src/gateway/search_relay.cpp
+++ b/src/gateway/search_relay.cpp
@@ -8,6 +8,7 @@
 
 /// Parts that are later than they should be by this much are not waited for any more.
 constexpr Duration answerOverdue = std::chrono::milliseconds(40);
+constexpr Duration silenceCheckPeriod = std::chrono::milliseconds(25);
 /// A timer that is late by this much tells that the process was held up; then there is so much more time.
 constexpr Duration heldUpAtLeast = std::chrono::milliseconds(4);
 constexpr Duration timeToRead = std::chrono::milliseconds(12);
@@ -61,7 +62,7 @@
     asked.attemptId = request.attemptId;
     asked.askedAt = m_parts.clock->now();
     asked.answerBy = ask.answerBy;
-    asked.silentAt = ask.silentAt;
+    asked.speaksWithin = ask.speaksWithin;
     asked.timer = std::make_unique<boost::asio::steady_timer>(m_parts.strand);
     m_askedCount.add();
     m_network.send(ask.instance, std::move(call));
@@ -86,7 +87,7 @@
     if (it == m_asked.end())
         return;
     if (it->second.isTaken)
-        return fail(id, "silent", true);
+        return onSilent(id);
     const auto now = m_parts.clock->now();
     // This process was held up: the confirmation may be here, not yet read.
     if (now > it->second.confirmedBy + heldUpAtLeast) {
@@ -103,6 +104,21 @@
     });
 }
 
+void SearchRelay::onSilent(AskId id)
+{
+    // Asked again later, while its answer may still come.
+    waitFor(id, silenceCheckPeriod);
+    const auto asked = m_asked.find(id);
+    const auto peer = asked->second.peer;
+    const auto attemptId = asked->second.attemptId;
+    if (!m_parts.events.onRelaySilent(id))
+        return;
+    m_asked.erase(id);
+    m_failedCount.add();
+    m_network.send(peer, SearchNote { id.value(), SearchNoteKind::Cancelled });
+    m_parts.log.write(LineWeight::Extra, m_parts.clock->now(), "relay silent", { { "request", attemptId }, { "instance", peer.value() } });
+}
+
 void SearchRelay::fail(AskId id, std::string_view why, bool mayHaveRun)
 {
     const auto it = m_asked.find(id);
@@ -201,7 +217,7 @@
     }
     it->second.isTaken = true;
     m_chooser.noteReceipt(from, now - it->second.askedAt);
-    waitFor(id, std::max(Duration {}, std::min(it->second.silentAt, it->second.answerBy + answerOverdue) - now));
+    waitFor(id, it->second.speaksWithin);
 }
 
 void SearchRelay::onReply(const InstanceName& from, SearchReply& reply)
--- a/src/gateway/search_relay.h
+++ b/src/gateway/search_relay.h
@@ -28,6 +28,8 @@
     virtual void onRelayed(AskId, const ForwardAnswer&) = 0;
     /// It will not answer. mayHaveRun: it may have sent the request to servers.
     virtual void onRelayFailed(AskId, bool mayHaveRun) = 0;
+    /// It confirmed and is silent. True: it is not waited for any more.
+    virtual bool onRelaySilent(AskId) = 0;
     /// It wants to send these of its legs to a second server.
     virtual void onSecondSendsWanted(AskId, const std::vector<std::uint32_t>& positions) = 0;
     /// Whether a part that another instance asks for can be run here.
@@ -86,7 +88,7 @@
         std::string attemptId;
         TimePoint askedAt {};
         TimePoint answerBy = never;
-        TimePoint silentAt = never; ///< A call that was taken fails then, unless it is granted second sends.
+        Duration speaksWithin {}; ///< After its confirmation.
         TimePoint confirmedBy = never;
         bool isTaken = false;
         std::unique_ptr<boost::asio::steady_timer> timer;
@@ -98,6 +100,7 @@
     void onCall(const InstanceName& from, const SearchCall&);
     void waitFor(AskId, Duration);
     void onOverdue(AskId);
+    void onSilent(AskId);
     /// mayHaveRun: the other instance may have begun.
     void fail(AskId, std::string_view why, bool mayHaveRun);
     void failAll(const InstanceName& peer, std::string_view why);
--- a/tests/forward/forward_world.cpp
+++ b/tests/forward/forward_world.cpp
@@ -115,6 +115,14 @@
     carryOut(actions);
 }
 
+bool ForwardWorld::relaySilent(AskId id)
+{
+    ForwardActions actions;
+    const bool isTakenBack = m_engine.onRelaySilent(id, m_now, actions);
+    carryOut(actions);
+    return isTakenBack;
+}
+
 void ForwardWorld::secondSendsWanted(AskId id, const std::vector<std::uint32_t>& positions)
 {
     ForwardActions actions;
--- a/tests/forward/forward_world.h
+++ b/tests/forward/forward_world.h
@@ -42,6 +42,8 @@
     /// Another instance's answer, its failure, or its wish for second sends.
     void relayed(AskId, const ForwardAnswer&);
     void relayFailed(AskId, bool mayHaveRun);
+    /// True when its legs were taken back.
+    bool relaySilent(AskId);
     void secondSendsWanted(AskId, const std::vector<std::uint32_t>& positions);
     /// The instance that asked for a part grants second sends.
     void secondSendsGranted(RequestNumber);
--- a/tests/forward/relayed_search_test.cpp
+++ b/tests/forward/relayed_search_test.cpp
@@ -9,8 +9,8 @@
 /// Six shards with servers in this instance's zone, and four with servers only in zone b, where an
 /// instance can be asked.
 struct RelayedSearch {
-    RelayedSearch()
-        : world(settings())
+    explicit RelayedSearch(const ForwardSettings& used = settings())
+        : world(used)
         , chooser(InstanceName("a1"), ZoneName("a"))
     {
         for (int i = 0; i < 10; ++i) {
@@ -115,6 +115,12 @@
         REQUIRE(world.answerTo(number));
         CHECK(world.answerTo(number)->kind == ForwardAnswerKind::Failed);
     }
+    SUBCASE("when it confirmed and is silent, its legs are taken back if second sends are allowed")
+    {
+        world.run(100ms);
+        CHECK(world.relaySilent(ask.id));
+        CHECK(world.sends().size() == 4);
+    }
     SUBCASE("and once they are taken back nothing is granted any more")
     {
         world.run(50ms);
@@ -151,6 +157,22 @@
     }
 }
 
+TEST_CASE("an instance that confirmed and is silent is waited for while no second send is allowed" * doctest::test_suite("forward"))
+{
+    auto settings = RelayedSearch::settings();
+    settings.retrySlack = 0;
+    RelayedSearch search(settings);
+    auto& world = search.world;
+    const auto number = world.start(world.searchRoute(search.names));
+    const auto ask = world.asked().at(0);
+    world.run(100ms);
+    CHECK_FALSE(world.relaySilent(ask.id));
+    CHECK(world.sends().empty());
+    world.relayed(ask.id, search.parts(4));
+    REQUIRE(world.answerTo(number));
+    CHECK(world.answerTo(number)->missingShards == 0);
+}
+
 TEST_CASE("a part of a search is run for another instance" * doctest::test_suite("forward"))
 {
     RelayedSearch search;
