One instance watches the platform's store and tells the others

Cause: every instance watched the configuration and the servers itself, 1.2 calls a second each. Ruled out: longer watches (a connection that falls silent would be noticed later than a change must be in force).

Now the fleet is ranked alike by all (processor, then hash). The first one watches and tells its zone and one instance of each other zone, which passes it on. News carry the revisions between which they lie and the time at which they were complete; without continuity they are left out. Who hears nothing for half of the limit asks the store, one after the other, and tells its zone. Lists of the instances may be some seconds old after the first three.

Tried first: the first instance told all others itself.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -46,7 +46,7 @@
         , m_log(settings.gateway.logLinesPerSecond)
         , m_driver({ m_strand, *m_clock, protocols.callers, protocols.servers, m_metrics, m_log }, forwardSettings(settings))
         , m_relays(settings.instance.name, settings.instance.zone)
-        , m_relay({ m_io, m_strand, m_clock, m_driver, m_metrics, m_log }, m_relays, settings.instance.name, settings.instance.zone)
+        , m_relay({ m_io, m_strand, m_clock, m_driver, m_metrics, m_log, [this](const StoreNews& news) { hear(news); } }, m_relays, settings.instance.name, settings.instance.zone)
         , m_readiness([this] { return HttpReply { isReady() ? ok : unavailable, "text/plain", isReady() ? "ready\n" : "not ready\n" }; })
         , m_metricsPage([this] { return HttpReply { ok, "text/plain; version=0.0.4", m_metrics.render() }; })
         , m_callerServer(m_io, m_driver, m_clock, m_callerCounters)
@@ -114,8 +114,14 @@
     {
         m_driver.setInstances(static_cast<std::uint32_t>(instances.size()));
         m_relay.onPeers(instances);
+        if (m_follower)
+            m_follower->onRank(m_relay.newsRank());
     }
 
+    void setFollower(StoreFollower& follower) { m_follower = &follower; }
+
+    void share(const StoreNews& news) { m_relay.share(news); }
+
     Instance self() const { return { m_settings.instance.name, m_relay.life(), m_inner, m_settings.gateway.callers, m_settings.instance.zone, InstanceHealth::Alive, m_settings.gateway.cores.value }; }
 
     Result<GatewayEndpoints> listen()
@@ -159,6 +165,12 @@
     }
 
 private:
+    void hear(const StoreNews& news)
+    {
+        if (m_follower)
+            m_follower->onNews(news);
+    }
+
     static ForwardSettings forwardSettings(const Settings& settings)
     {
         auto forward = settings.forward;
@@ -288,6 +300,7 @@
     ForwardDriver m_driver;
     RelayChooser m_relays;
     SearchRelay m_relay;
+    StoreFollower* m_follower = nullptr;
     Endpoint m_inner;
     ServerRegistry m_registry;
     SimpleHandler m_readiness;
@@ -341,6 +354,16 @@
     m_impl->onInstances(instances);
 }
 
+void Gateway::setFollower(StoreFollower& follower)
+{
+    m_impl->setFollower(follower);
+}
+
+void Gateway::share(const StoreNews& news)
+{
+    m_impl->share(news);
+}
+
 Result<GatewayEndpoints> Gateway::listen()
 {
     return m_impl->listen();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "membership/view.h"
 #include "routing/route_table.h"
 #include "settings/settings.h"
+#include "wire/store_news.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -30,6 +31,16 @@
     friend bool operator==(const ServerChanges&, const ServerChanges&) = default;
 };
 
+/// Follows the platform's store for a gateway. Called on the gateway's executor.
+class StoreFollower {
+public:
+    virtual ~StoreFollower() = default;
+    /// What another instance saw there.
+    virtual void onNews(const StoreNews&) = 0;
+    /// 0: this instance watches the store. Else its place among those that ask it when they hear nothing.
+    virtual void onRank(std::uint32_t) = 0;
+};
+
 /// Where a gateway listens.
 struct GatewayEndpoints {
     Endpoint callers;
@@ -58,6 +69,10 @@
     void onServers(const ServerChanges&);
     /// Whether the last call to the platform's store succeeded.
     void onStoreReachable(bool isReachable);
+    /// Who hears of other instances' news. Precondition: it outlives the gateway's run; set before run().
+    void setFollower(StoreFollower&);
+    /// Tells other instances what this one saw in the store.
+    void share(const StoreNews&);
     /// The instances of the fleet: they share the servers' connections and the retry budget, and run searches for each other.
     void onInstances(const std::vector<Instance>&);
     /// What other instances need to reach this one. Call it after listen().
--- a/src/gateway/search_relay.cpp
+++ b/src/gateway/search_relay.cpp
@@ -26,6 +26,7 @@
     : m_parts(std::move(parts))
     , m_life(newLife())
     , m_chooser(chooser)
+    , m_newsPaths(self, zone)
     , m_network({ m_parts.io, Hello { self, m_life, zone }, m_parts.clock, std::make_shared<WireCounters>(), {}, std::nullopt }, m_view, *this)
     , m_askedCount(m_parts.metrics.counter("lycheefield_relay_calls_total"))
     , m_failedCount(m_parts.metrics.counter("lycheefield_relay_calls_failed_total"))
@@ -42,9 +43,23 @@
 {
     m_view.publish(MembershipView(instances));
     m_chooser.onPeers(instances);
+    m_newsPaths.onPeers(instances);
     m_network.dropGone();
 }
 
+void SearchRelay::share(const StoreNews& news)
+{
+    for (const auto& it : m_newsPaths.toTell())
+        m_network.send(it, news);
+}
+
+void SearchRelay::onNews(const InstanceName& from, const StoreNews& news)
+{
+    for (const auto& it : m_newsPaths.toTellFrom(from))
+        m_network.send(it, news);
+    m_parts.onNews(news);
+}
+
 void SearchRelay::ask(const AskRelay& ask)
 {
     const auto& request = ask.request;
@@ -186,6 +201,8 @@
         onNote(from, *note);
     else if (auto* reply = std::get_if<SearchReply>(&message))
         onReply(from, *reply);
+    else if (const auto* news = std::get_if<StoreNews>(&message))
+        onNews(from, *news);
 }
 
 void SearchRelay::onCall(const InstanceName& from, const SearchCall& call)
--- a/src/gateway/search_relay.h
+++ b/src/gateway/search_relay.h
@@ -4,6 +4,7 @@
 #include "base/snapshot.h"
 #include "forward/forward_action.h"
 #include "forward/relay_chooser.h"
+#include "gateway/news_paths.h"
 #include "observe/decision_log.h"
 #include "observe/metrics.h"
 #include "wire/asio_peer_network.h"
@@ -51,11 +52,13 @@
     SearchRelayEvents& events;
     Metrics& metrics;
     DecisionLog& log;
+    std::function<void(const StoreNews&)> onNews; ///< What another instance saw in the store.
 };
 
-/// Asks other instances for parts of searches, and takes their calls. A call that is not confirmed at
-/// once fails, and so does one that is confirmed and then silent. Called on the strand, but
-/// for the PeerHandler's calls, which come on any thread.
+/// Speaks to the other instances: asks them for parts of searches, takes their calls, and passes on
+/// what is new in the store. A call that is not confirmed at once fails; one that is confirmed and then
+/// silent is taken back when that helps. Called on the strand, but for the PeerHandler's calls, which
+/// come on any thread.
 class SearchRelay final : public PeerHandler {
 public:
     SearchRelay(SearchRelayParts, RelayChooser&, const InstanceName& self, const ZoneName&);
@@ -66,6 +69,9 @@
     /// All instances, this one among them or not.
     void onPeers(const std::vector<Instance>&);
 
+    /// Tells other instances what this one saw in the store.
+    void share(const StoreNews&);
+    std::uint32_t newsRank() const { return m_newsPaths.rank(); }
     void ask(const AskRelay&);
     /// Nobody waits for the parts any more.
     void end(AskId);
@@ -94,6 +100,7 @@
         std::unique_ptr<boost::asio::steady_timer> timer;
     };
 
+    void onNews(const InstanceName& from, const StoreNews&);
     void receive(const InstanceName& from, PeerMessage&);
     void onNote(const InstanceName& from, const SearchNote&);
     void onReply(const InstanceName& from, SearchReply&);
@@ -108,6 +115,7 @@
     SearchRelayParts m_parts;
     ProcessLife m_life;
     RelayChooser& m_chooser;
+    NewsPaths m_newsPaths;
     Snapshot<MembershipView> m_view;
     AsioPeerNetwork m_network;
     std::unordered_map<AskId, Asked> m_asked;
--- a/src/platform/object_store.h
+++ b/src/platform/object_store.h
@@ -32,6 +32,8 @@
     virtual void write(const std::string& key, ObjectVersion expected, const std::string& value, ObjectHandler) = 0;
     /// All objects below the prefix.
     virtual void list(const std::string& prefix, ListHandler) = 0;
+    /// The same as it was some seconds ago at most, which costs the store less where it tells them apart.
+    virtual void listRecent(const std::string& prefix, ListHandler handler) { list(prefix, std::move(handler)); }
     /// Waits until an object below the prefix changes after the revision, for mostWait or the settings'
     /// limit, whichever is shorter.
     virtual void watch(const std::string& prefix, std::uint64_t afterRevision, Duration mostWait, ListHandler) = 0;
--- a/src/platform/store_watcher.cpp
+++ b/src/platform/store_watcher.cpp
@@ -15,6 +15,12 @@
 constexpr Duration shortWait = std::chrono::milliseconds(1);
 /// Changes that follow each other closely share one watch, as each call is counted.
 constexpr Duration settleTime = std::chrono::milliseconds(250);
+/// A change is on its way from the store for this long at most, but for one that is slow.
+constexpr Duration mostReplyDelay = std::chrono::milliseconds(300);
+/// An instance that should watch and fails tries again after so many times its patience, whatever it hears.
+constexpr int failingTries = 4;
+/// The store may end a watch sooner than one asks for; of such a short one it is known how long it waited.
+constexpr Duration longestKnownWait = std::chrono::seconds(5);
 
 }
 
@@ -41,21 +47,77 @@
     });
 }
 
+void StoreWatcher::setTurn(const WatchTurn& turn)
+{
+    asio::post(m_strand, [self = shared_from_this(), turn] {
+        const bool isSooner = turn.patience < self->m_turn.patience;
+        self->m_turn = turn;
+        if (isSooner && !self->m_isAsking)
+            self->askAfter(Duration {});
+    });
+}
+
+void StoreWatcher::offer(const WatchBatch& batch, std::uint64_t fromRevision, TimePoint provenAt)
+{
+    asio::post(m_strand, [self = shared_from_this(), batch, fromRevision, provenAt] { self->onOffer(batch, fromRevision, provenAt); });
+}
+
+void StoreWatcher::onOffer(const WatchBatch& batch, std::uint64_t fromRevision, TimePoint provenAt)
+{
+    if (m_isStopped || !m_isListed || fromRevision > m_revision)
+        return;
+    m_provenAt = std::max(m_provenAt, provenAt);
+    auto seen = batch;
+    if (batch.revision <= m_revision) {
+        seen.changed.clear();
+        seen.removed.clear();
+    }
+    m_revision = std::max(m_revision, batch.revision);
+    m_handler(seen);
+}
+
+TimePoint StoreWatcher::askAt() const
+{
+    if (!m_isListed)
+        return {};
+    const bool isFailing = m_backoff.failures() > 0;
+    const auto patience = isFailing ? std::max(m_turn.patience, m_turn.failingPatience) : m_turn.patience;
+    const auto heard = m_provenAt + patience;
+    return m_turn.patience == Duration {} ? std::min(heard, m_askedAt + failingTries * patience) : heard;
+}
+
 void StoreWatcher::ask()
 {
-    if (m_isStopped)
+    if (m_isStopped || m_isAsking)
         return;
+    const auto now = m_clock.now();
+    if (const auto at = askAt(); at > now)
+        return askAfter(at - now);
     auto onReply = [self = shared_from_this()](const WatchBatch& batch) {
         asio::post(self->m_strand, [self, batch] { self->onBatch(batch); });
     };
+    m_isAsking = true;
+    m_askedAt = now;
+    const bool isShort = m_backoff.failures() > 0 || m_turn.patience > Duration {};
+    m_askedWait = isShort ? shortWait : m_turn.wait;
     if (m_isListed)
-        m_store->watch(m_prefix, m_revision, m_backoff.failures() > 0 ? shortWait : Duration::max(), std::move(onReply));
+        m_store->watch(m_prefix, m_revision, m_askedWait, std::move(onReply));
     else
         m_store->list(m_prefix, std::move(onReply));
 }
 
+TimePoint StoreWatcher::provenBy(const WatchBatch& batch, TimePoint now) const
+{
+    const bool hasChanges = !batch.changed.empty() || !batch.removed.empty();
+    // A watch that waited to its end saw nothing until then.
+    const auto waited = m_isListed && !hasChanges && m_askedWait < longestKnownWait ? m_askedWait : Duration {};
+    const auto byEvent = m_isListed && hasChanges ? now - mostReplyDelay : TimePoint {};
+    return std::min(now, std::max(m_askedAt + waited, byEvent));
+}
+
 void StoreWatcher::onBatch(const WatchBatch& batch)
 {
+    m_isAsking = false;
     if (m_isStopped)
         return;
     if (batch.status == StoreStatus::HistoryGone) {
@@ -68,11 +130,21 @@
         return askAfter(m_backoff.onFailure());
     }
     m_backoff.onSuccess();
+    m_provenAt = std::max(m_provenAt, provenBy(batch, m_clock.now()));
     const bool isFirst = !std::exchange(m_isListed, true);
+    const auto fromRevision = m_revision;
+    // Another instance may have told more meanwhile.
+    const bool isNews = isFirst || batch.revision >= m_revision;
     m_revision = std::max(m_revision, batch.revision);
     auto seen = batch;
     seen.isWhole = isFirst;
+    if (!isNews) {
+        seen.changed.clear();
+        seen.removed.clear();
+    }
     m_handler(seen);
+    if (m_onSeen && !isFirst && isNews)
+        m_onSeen(seen, fromRevision, m_provenAt);
     const bool hasChanges = !batch.changed.empty() || !batch.removed.empty();
     if (hasChanges && !isFirst)
         askAfter(settleTime);
--- /dev/null
+++ b/src/platform/watch_turn.cpp
@@ -0,0 +1,27 @@
+#include "platform/watch_turn.h"
+
+#include <algorithm>
+
+namespace lycheefield {
+
+namespace {
+
+constexpr int watchesWithinLimit = 4;
+constexpr int patienceDivisor = 2;
+/// Between the turns of two instances, time to ask the store and to tell the others.
+constexpr Duration stepBetweenRanks = std::chrono::milliseconds(60);
+constexpr std::uint32_t mostSteps = 5;
+
+}
+
+WatchTurn watchTurn(std::uint32_t rank, Duration limit)
+{
+    const auto wait = limit / watchesWithinLimit;
+    const auto patience = limit / patienceDivisor;
+    const auto failing = patience + stepBetweenRanks * mostSteps;
+    if (rank == 0)
+        return { Duration {}, wait, failing };
+    return { patience + stepBetweenRanks * std::min(rank - 1, mostSteps), wait, failing };
+}
+
+}
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -91,6 +91,8 @@
     std::uint32_t logLinesPerSecond = 50; ///< Lines about single requests at most; changes of state come besides.
     Duration stopLimit = 6s; ///< After SIGTERM the process is gone by then.
     Share cores { 1 }; ///< Of one core, what this process may use.
+    Duration configurationLimit = 3s; ///< A new configuration is in force by then.
+    Duration serversLimit = 3s; ///< A server that drains or is gone gets no new work by then.
 
     friend bool operator==(const GatewaySettings&, const GatewaySettings&) = default;
 };
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -178,6 +178,8 @@
                                 { "gateway", "metrics_port", fieldOf<section, &GatewaySettings::metricsPort>, { "0", "65535" }, "Port of a gateway's metrics, on the callers' address; 0: none." },
                                 { "gateway", "log_lines_per_second", fieldOf<section, &GatewaySettings::logLinesPerSecond>, { "1", "100000" }, "Lines about single requests at most." },
                                 { "gateway", "cores", fieldOf<section, &GatewaySettings::cores>, { "1%", "100%" }, "Part of a core that a gateway may use." },
+                                { "gateway", "configuration_limit", fieldOf<section, &GatewaySettings::configurationLimit>, { "500ms", "1h" }, "A new configuration is in force by then." },
+                                { "gateway", "servers_limit", fieldOf<section, &GatewaySettings::serversLimit>, { "500ms", "1h" }, "A server that drains gets no new work by then." },
                                 { "gateway", "stop_limit", fieldOf<section, &GatewaySettings::stopLimit>, { "1s", "1h" }, "After SIGTERM a gateway is gone by then." },
                             });
 }
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -237,6 +237,25 @@
             body.__set_positions(positions);
         out.__set_searchNote(body);
     }
+    void operator()(const lycheefield::StoreNews& news) const
+    {
+        StoreNews body;
+        body.prefix = news.prefix;
+        body.fromRevision = toSigned(news.fromRevision);
+        body.revision = toSigned(news.revision);
+        body.ageMicros = std::max<std::int64_t>(0, (now - news.provenAt).count());
+        std::vector<StoreObject> changed(news.changed.size());
+        for (std::size_t i = 0; i < changed.size(); ++i) {
+            changed[i].key = news.changed[i].key;
+            changed[i].version = toSigned(news.changed[i].version.value);
+            changed[i].value = news.changed[i].value;
+        }
+        if (!changed.empty())
+            body.__set_changed(changed);
+        if (!news.removed.empty())
+            body.__set_removed(news.removed);
+        out.__set_storeNews(body);
+    }
     void operator()(const lycheefield::SearchReply& reply) const
     {
         SearchReply body;
--- a/src/wire/convert_from.cpp
+++ b/src/wire/convert_from.cpp
@@ -39,6 +39,8 @@
 
     TimePoint deadline(std::int64_t micros, const char* field) { return m_now + duration(micros, field); }
 
+    TimePoint past(std::int64_t micros, const char* field) { return m_now - duration(micros, field); }
+
     template <typename Enum>
     Enum choice(std::int32_t value, Enum last, const char* field)
     {
@@ -218,6 +220,19 @@
     return out;
 }
 
+lycheefield::StoreNews fromWire(StoreNews& in, Reader& reader)
+{
+    lycheefield::StoreNews out;
+    out.prefix = reader.name(in.prefix, "prefix");
+    out.fromRevision = Reader::number(in.fromRevision);
+    out.revision = Reader::number(in.revision);
+    out.provenAt = reader.past(in.ageMicros, "ageMicros");
+    for (auto& it : in.changed)
+        out.changed.push_back({ reader.name(it.key, "key"), ObjectVersion { Reader::number(it.version) }, std::move(it.value) });
+    out.removed = std::move(in.removed);
+    return out;
+}
+
 lycheefield::SearchReply fromWire(SearchReply& in, Reader& reader)
 {
     lycheefield::SearchReply out;
@@ -259,7 +274,7 @@
 {
     const auto& set = in.__isset;
     return set.hello + set.work + set.cancel + set.results + set.servers + set.crash + set.gossip + set.ruleRequest + set.ruleDelta + set.control + set.claimCall + set.claimReply
-        + set.searchCall + set.searchNote + set.searchReply;
+        + set.searchCall + set.searchNote + set.searchReply + set.storeNews;
 }
 
 /// Precondition: exactly one body field is set.
@@ -301,6 +316,8 @@
         return fromWire(in.searchNote, reader);
     if (set.searchReply)
         return fromWire(in.searchReply, reader);
+    if (set.storeNews)
+        return fromWire(in.storeNews, reader);
     return fromWire(in.control);
 }
 
--- a/src/wire/inner.thrift
+++ b/src/wire/inner.thrift
@@ -183,6 +183,22 @@
     9: required list<i32> runs // Servers that each of the call's shards may have run on.
 }
 
+struct StoreObject {
+    1: required string key
+    2: required i64 version
+    3: required binary value
+}
+
+// Changes in the platform's store that the sender saw, for those that have seen all up to fromRevision.
+struct StoreNews {
+    1: required string prefix
+    2: required i64 fromRevision
+    3: required i64 revision
+    4: required i64 ageMicros // How long ago that was all there was.
+    5: optional list<StoreObject> changed
+    6: optional list<string> removed
+}
+
 // The one message of a frame. Exactly one body field is set; a receiver skips fields it does not know.
 struct Envelope {
     1: required i32 protocolVersion
@@ -201,4 +217,5 @@
     14: optional SearchCall searchCall
     15: optional SearchNote searchNote
     16: optional SearchReply searchReply
+    17: optional StoreNews storeNews
 }
--- a/src/wire/peer_message.h
+++ b/src/wire/peer_message.h
@@ -8,6 +8,7 @@
 #include "rules/rule_delta.h"
 #include "wire/claim_message.h"
 #include "wire/search_message.h"
+#include "wire/store_news.h"
 
 #include <cstdint>
 #include <string>
@@ -66,6 +67,6 @@
 
 /// The one message of a frame.
 using PeerMessage = std::variant<Hello, WorkOrder, CancelLeg, LegResults, ServerNews, AnnounceCrash, GossipMessage, RuleRequest, RuleDelta, Control, ClaimCall, ClaimReply, SearchCall,
-    SearchNote, SearchReply>;
+    SearchNote, SearchReply, StoreNews>;
 
 }
