A soak plays random faults against real gateways and checks what callers and servers see

Real programs as processes, the stand-in store, servers and callers by the published protocol, loopback proxies and signals; waves of faults with calm between; the checker has tests of its own.

--- /dev/null
+++ b/tests/soak/gateway_process.cpp
@@ -0,0 +1,83 @@
+#include "gateway_process.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <fstream>
+#include <stdexcept>
+#include <utility>
+
+namespace lycheefield::soak {
+
+namespace {
+
+/// A port that was free a moment ago, as the same one is needed at each start.
+Endpoint freeEndpoint()
+{
+    boost::asio::io_context io;
+    const boost::asio::ip::tcp::acceptor acceptor(io, { boost::asio::ip::address_v4::loopback(), 0 });
+    return { "127.0.0.1", acceptor.local_endpoint().port() };
+}
+
+}
+
+GatewayProcess::GatewayProcess(std::string program, std::string folder, std::string name, std::string zone, Endpoint store)
+    : m_program(std::move(program))
+    , m_folder(std::move(folder))
+    , m_name(std::move(name))
+    , m_zone(std::move(zone))
+    , m_store(std::move(store))
+    , m_callers(freeEndpoint())
+    , m_readiness(freeEndpoint())
+{
+    std::ofstream settings(m_folder + "/" + m_name + ".ini");
+    settings << "[instance]\nname = " << m_name << "\nzone = " << m_zone << "\nlog_format = json\n[platform]\nrequest_timeout = 800ms\nwatch_timeout = 2500ms\nbackoff_maximum = 500ms\n"
+             << "[gateway]\ncallers = " << m_callers.toString() << "\nstore = " << m_store.toString() << "\nreadiness = " << m_readiness.toString()
+             << "\nconfiguration_limit = 3000ms\nservers_limit = 3000ms\nlog_lines_per_second = 2000\nstop_limit = 6s\n[drain]\nbalancer_lag = 1s\n[forward]\nretry_ratio = 0.2\nretry_slack = 58\nretry_window = 10s\n";
+}
+
+GatewayProcess::~GatewayProcess()
+{
+    if (m_pid <= 0)
+        return;
+    kill(m_pid, SIGKILL);
+    waitpid(m_pid, nullptr, 0);
+}
+
+void GatewayProcess::start()
+{
+    const auto log = m_folder + "/" + m_name + ".log";
+    const auto settings = m_folder + "/" + m_name + ".ini";
+    m_pid = fork();
+    if (m_pid < 0)
+        throw std::runtime_error("no process could be started; fewer gateways may help");
+    if (m_pid > 0)
+        return;
+    const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    dup2(out, STDOUT_FILENO);
+    dup2(out, STDERR_FILENO);
+    execl(m_program.c_str(), m_program.c_str(), settings.c_str(), nullptr);
+    _exit(127);
+}
+
+void GatewayProcess::signal(int number)
+{
+    if (m_pid > 0)
+        kill(m_pid, number);
+}
+
+std::optional<int> GatewayProcess::takeEnd()
+{
+    int status = 0;
+    if (m_pid <= 0 || waitpid(m_pid, &status, WNOHANG) != m_pid)
+        return std::nullopt;
+    m_pid = 0;
+    return status;
+}
+
+}
--- /dev/null
+++ b/tests/soak/soak_backend.cpp
@@ -0,0 +1,72 @@
+#include "soak_backend.h"
+
+#include "base/clock.h"
+
+namespace lycheefield::soak {
+
+namespace {
+
+constexpr unsigned misdirected = 421;
+constexpr unsigned unavailable = 503;
+constexpr unsigned failed = 500;
+constexpr std::size_t recordsOfPart = 4;
+constexpr std::size_t recordBytes = 16;
+
+}
+
+SoakBackend::SoakBackend(boost::asio::io_context& io, std::string service, std::string name, std::string zone, Promises& promises, RandomSource& random)
+    : m_io(io)
+    , m_service(std::move(service))
+    , m_name(std::move(name))
+    , m_zone(std::move(zone))
+    , m_promises(promises)
+    , m_random(random)
+    , m_server(io, *this, std::make_shared<SteadyClock>(), std::make_shared<HttpServerCounters>())
+    , m_link(std::make_unique<FaultLink>(io, m_server.listen({ "127.0.0.1", 0 }).value()))
+{
+}
+
+std::string SoakBackend::entry(bool isDraining) const
+{
+    return R"({"service":")" + m_service + R"(","address":")" + m_link->endpoint().toString() + R"(","zone":")" + m_zone
+        + R"(","version":"v1","slots":4,"state":")" + (isDraining ? "draining" : "ready") + R"(","warmupLeftMs":0,"sequence":)" + std::to_string(++m_sequence) + "}";
+}
+
+HttpReply SoakBackend::run(const HttpRequest& request)
+{
+    const std::string id(request.headers.find("Lycheefield-Attempt-Id"));
+    Run run { m_service, m_name, m_name + "." + std::to_string(++m_runs), id, request.method, request.target, request.body, {}, 200 };
+    for (std::size_t i = 0; i < recordsOfPart * recordBytes; ++i)
+        run.body += static_cast<char>('a' + m_random.below(26));
+    if (m_random.unit() < m_faults.failing)
+        run.status = failed;
+    m_promises.onRun(run);
+    HttpReply reply { run.status, "application/octet-stream", run.body };
+    reply.headers.add("Lycheefield-Response-Stamp", run.signature);
+    reply.headers.add("Lycheefield-Attempt-Id", id);
+    return reply;
+}
+
+void SoakBackend::handle(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
+{
+    const bool isMine = request.headers.find("Lycheefield-Target-Instance") == m_name;
+    if (!isMine || m_random.unit() < m_faults.refusing) {
+        HttpReply reply { isMine ? unavailable : misdirected, "text/plain", "" };
+        reply.headers.add("Lycheefield-Not-Executed", "1");
+        return exchange->respond(std::move(reply));
+    }
+    lastRequestAt = SteadyClock().now();
+    if (lastRequestAt > closedAt)
+        m_promises.fail("a server that had been draining for long got a request");
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_io, m_faults.work);
+    const bool isLost = m_random.unit() < m_faults.losing;
+    // The exchange stays with the timer, so that a lost answer is silence and not an error.
+    timer->async_wait([timer, exchange, isLost, reply = run(request)](const boost::system::error_code&) mutable {
+        if (!isLost)
+            return exchange->respond(std::move(reply));
+        timer->expires_after(std::chrono::seconds(20));
+        timer->async_wait([timer, exchange](const boost::system::error_code&) {});
+    });
+}
+
+}
--- /dev/null
+++ b/tests/wire/search_codec_test.cpp
@@ -0,0 +1,103 @@
+#include "wire/frame_codec.h"
+
+#include <doctest/doctest.h>
+
+namespace lycheefield {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint sentAt { 5s };
+constexpr TimePoint receivedAt { 900s };
+
+Result<PeerMessage> roundTrip(const PeerMessage& message)
+{
+    const auto frame = encodeFrame(message, sentAt);
+    return decodeFrame(std::string_view(frame).substr(frameHeaderBytes), receivedAt);
+}
+
+SearchCall call()
+{
+    SearchCall call;
+    call.sequence = 7;
+    call.tableVersion = 12;
+    call.route = "quotes";
+    call.shards = { ServiceName("shard1"), ServiceName("shard2") };
+    call.attemptId = "abc";
+    call.message.method = "POST";
+    call.message.target = "/search/1?x=2";
+    call.message.headers.add("X-One", "1");
+    call.message.body = std::string("bo\0dy", 5);
+    call.deadline = sentAt + 800ms;
+    call.answerBy = sentAt + 90ms;
+    return call;
+}
+
+SearchReply reply()
+{
+    SearchReply reply;
+    reply.sequence = 7;
+    reply.answer.kind = ForwardAnswerKind::Search;
+    reply.answer.signatures = { "s1", "s2" };
+    reply.answer.coveredShards = { 0, 2 };
+    reply.answer.runs = { 1, 2, 1 };
+    reply.answer.missingShards = 1;
+    reply.answer.message.body = std::string(32, '\xff');
+    reply.answer.reason = "partial";
+    return reply;
+}
+
+}
+
+TEST_CASE("messages about searches come out of their frames as they went in" * doctest::test_suite("wire"))
+{
+    SUBCASE("a call, whose times are kept as what is left")
+    {
+        const auto decoded = roundTrip(call());
+        REQUIRE(decoded);
+        auto expected = call();
+        expected.deadline = receivedAt + 800ms;
+        expected.answerBy = receivedAt + 90ms;
+        const auto& got = std::get<SearchCall>(decoded.value());
+        CHECK(got.message.body == expected.message.body);
+        CHECK(got.message.headers.find("X-One") == "1");
+        CHECK(got == expected);
+    }
+    SUBCASE("notes, with the shards they are about")
+    {
+        for (const auto kind : { SearchNoteKind::Taken, SearchNoteKind::Declined, SearchNoteKind::Cancelled, SearchNoteKind::SecondSendsWanted, SearchNoteKind::SecondSendsGranted }) {
+            const SearchNote note { 9, kind, { 3, 5 } };
+            const auto decoded = roundTrip(note);
+            REQUIRE(decoded);
+            CHECK(std::get<SearchNote>(decoded.value()) == note);
+        }
+    }
+    SUBCASE("a reply")
+    {
+        const auto decoded = roundTrip(reply());
+        REQUIRE(decoded);
+        const auto& got = std::get<SearchReply>(decoded.value());
+        CHECK(got.sequence == 7);
+        CHECK(got.answer.signatures == reply().answer.signatures);
+        CHECK(got.answer.coveredShards == reply().answer.coveredShards);
+        CHECK(got.answer.runs == reply().answer.runs);
+        CHECK(got.answer.message.body == reply().answer.message.body);
+    }
+    SUBCASE("but not one that names more shards than signatures")
+    {
+        auto odd = reply();
+        odd.answer.coveredShards.push_back(1);
+        CHECK_FALSE(roundTrip(odd));
+    }
+    SUBCASE("news of the store, whose time is kept as an age")
+    {
+        StoreNews news { "servers/", 10, 14, { { "servers/a", ObjectVersion { 12 }, "{}" } }, { "servers/b" }, sentAt - 250ms };
+        const auto decoded = roundTrip(news);
+        REQUIRE(decoded);
+        news.provenAt = receivedAt - 250ms;
+        CHECK(std::get<StoreNews>(decoded.value()) == news);
+    }
+}
+
+}
