An answer of the store with changes need not hold all of them

Ruled out: late news (70 instances knew after 0.2 s).

Now only an answer without changes is a proof; after one with changes, and after a gap between two pieces of news, the store is asked again at once.

--- a/src/platform/store_watcher.cpp
+++ b/src/platform/store_watcher.cpp
@@ -15,8 +15,8 @@
 constexpr Duration shortWait = std::chrono::milliseconds(1);
 /// Changes that follow each other closely share one watch, as each call is counted.
 constexpr Duration settleTime = std::chrono::milliseconds(250);
-/// A change is on its way from the store for this long at most, but for one that is slow.
-constexpr Duration mostReplyDelay = std::chrono::milliseconds(300);
+/// After an answer with more changes than these the store is asked at once, as it may hold more.
+constexpr std::size_t fewChanges = 16;
 /// An instance that should watch and fails tries again after so many times its patience, whatever it hears.
 constexpr int failingTries = 4;
 /// The store may end a watch sooner than one asks for; of such a short one it is known how long it waited.
@@ -64,8 +64,13 @@
 
 void StoreWatcher::onOffer(const WatchBatch& batch, std::uint64_t fromRevision, TimePoint provenAt)
 {
-    if (m_isStopped || !m_isListed || fromRevision > m_revision)
+    if (m_isStopped || !m_isListed)
         return;
+    if (fromRevision > m_revision) {
+        if (!std::exchange(m_isBehind, true) && !m_isAsking)
+            askAfter(m_turn.gapPause);
+        return;
+    }
     m_provenAt = std::max(m_provenAt, provenAt);
     auto seen = batch;
     if (batch.revision <= m_revision) {
@@ -78,7 +83,7 @@
 
 TimePoint StoreWatcher::askAt() const
 {
-    if (!m_isListed)
+    if (!m_isListed || m_isBehind)
         return {};
     const bool isFailing = m_backoff.failures() > 0;
     const auto patience = isFailing ? std::max(m_turn.patience, m_turn.failingPatience) : m_turn.patience;
@@ -98,7 +103,8 @@
     };
     m_isAsking = true;
     m_askedAt = now;
-    const bool isShort = m_backoff.failures() > 0 || m_turn.patience > Duration {};
+    const bool wasBehind = std::exchange(m_isBehind, false);
+    const bool isShort = wasBehind || m_backoff.failures() > 0 || m_turn.patience > Duration {};
     m_askedWait = isShort ? shortWait : m_turn.wait;
     if (m_isListed)
         m_store->watch(m_prefix, m_revision, m_askedWait, std::move(onReply));
@@ -106,13 +112,11 @@
         m_store->list(m_prefix, std::move(onReply));
 }
 
-TimePoint StoreWatcher::provenBy(const WatchBatch& batch, TimePoint now) const
+TimePoint StoreWatcher::provenByNothing(TimePoint now) const
 {
-    const bool hasChanges = !batch.changed.empty() || !batch.removed.empty();
     // A watch that waited to its end saw nothing until then.
-    const auto waited = m_isListed && !hasChanges && m_askedWait < longestKnownWait ? m_askedWait : Duration {};
-    const auto byEvent = m_isListed && hasChanges ? now - mostReplyDelay : TimePoint {};
-    return std::min(now, std::max(m_askedAt + waited, byEvent));
+    const auto waited = m_isListed && m_askedWait < longestKnownWait ? m_askedWait : Duration {};
+    return std::min(now, m_askedAt + waited);
 }
 
 void StoreWatcher::onBatch(const WatchBatch& batch)
@@ -130,8 +134,12 @@
         return askAfter(m_backoff.onFailure());
     }
     m_backoff.onSuccess();
-    m_provenAt = std::max(m_provenAt, provenBy(batch, m_clock.now()));
-    const bool isFirst = !std::exchange(m_isListed, true);
+    const auto changes = batch.changed.size() + batch.removed.size();
+    const bool isFirst = !m_isListed;
+    if (isFirst || changes == 0)
+        m_provenAt = std::max(m_provenAt, provenByNothing(m_clock.now()));
+    m_isListed = true;
+    m_isBehind = m_isBehind || (!isFirst && changes > 0);
     const auto fromRevision = m_revision;
     // Another instance may have told more meanwhile.
     const bool isNews = isFirst || batch.revision >= m_revision;
@@ -145,8 +153,8 @@
     m_handler(seen);
     if (m_onSeen && !isFirst && isNews)
         m_onSeen(seen, fromRevision, m_provenAt);
-    const bool hasChanges = !batch.changed.empty() || !batch.removed.empty();
-    if (hasChanges && !isFirst)
+    const bool mayBeCut = changes > fewChanges;
+    if (changes > 0 && !isFirst && !mayBeCut)
         askAfter(settleTime);
     else
         ask();
--- a/src/platform/store_watcher.h
+++ b/src/platform/store_watcher.h
@@ -51,8 +51,8 @@
     void onOffer(const WatchBatch&, std::uint64_t fromRevision, TimePoint provenAt);
     /// When the store should be asked; in the past: now.
     TimePoint askAt() const;
-    /// From when on the answer that has just come was the newest there was.
-    TimePoint provenBy(const WatchBatch&, TimePoint now) const;
+    /// As of when an answer without changes proves that everything was seen.
+    TimePoint provenByNothing(TimePoint now) const;
 
     boost::asio::strand<boost::asio::any_io_executor> m_strand;
     boost::asio::steady_timer m_timer;
@@ -69,6 +69,7 @@
     TimePoint m_provenAt {};
     Duration m_askedWait {}; ///< Of the watch under way.
     bool m_isAsking = false;
+    bool m_isBehind = false; ///< There may be more than what was seen: an answer need not hold all changes, or news were missed.
     BootClock m_clock; ///< Nothing that was heard before a suspension proves anything.
 };
 
--- a/src/platform/watch_turn.cpp
+++ b/src/platform/watch_turn.cpp
@@ -20,8 +20,9 @@
     const auto patience = limit / patienceDivisor;
     const auto failing = patience + stepBetweenRanks * mostSteps;
     if (rank == 0)
-        return { Duration {}, wait, failing };
-    return { patience + stepBetweenRanks * std::min(rank - 1, mostSteps), wait, failing };
+        return { Duration {}, wait, failing, Duration {} };
+    const auto step = stepBetweenRanks * std::min(rank - 1, mostSteps);
+    return { patience + step, wait, failing, step };
 }
 
 }
--- a/src/platform/watch_turn.h
+++ b/src/platform/watch_turn.h
@@ -12,6 +12,8 @@
     Duration wait = Duration::max(); ///< Of one watch.
     Duration failingPatience {}; ///< The same as patience after a call has failed: the next in rank may reach the store.
 
+    Duration gapPause {}; ///< Before the store is asked for what was missed between two pieces of news.
+
     friend bool operator==(const WatchTurn&, const WatchTurn&) = default;
 };
 
--- a/tests/platform/store_watcher_test.cpp
+++ b/tests/platform/store_watcher_test.cpp
@@ -137,11 +137,29 @@
             settle();
             CHECK(seen.size() == 1);
         }
-        SUBCASE("news after a gap are left out, as what lies between is unknown")
+        SUBCASE("news after a gap are left out, and what lies between is asked for at once")
         {
             watcher->offer(change(20, "servers/y"), 15, clock.now());
             settle();
             CHECK(seen.size() == 1);
+            context.restart();
+            while (store->waits.empty() && context.run_one() > 0) { }
+            CHECK(store->afters.back() == 12);
+
+            SUBCASE("again and again while there are changes, as one answer need not hold them all")
+            {
+                store->waiting(change(14, "servers/x2"));
+                context.restart();
+                while (store->waits.size() < 2 && context.run_one() > 0) { }
+                CHECK(store->afters.back() == 14);
+                CHECK(store->waits.back() < 100ms);
+                WatchBatch nothing;
+                nothing.status = StoreStatus::Ok;
+                nothing.revision = 14;
+                store->waiting(nothing);
+                settle();
+                CHECK(store->waits.size() == 2);
+            }
         }
         SUBCASE("when its turn to watch comes it goes on from there")
         {
