--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -18,6 +19,8 @@
 constexpr Duration lastAnswersLeave = std::chrono::milliseconds(200);
 constexpr Duration houseKeepingPeriod = std::chrono::seconds(1);
 constexpr Duration drainCheckPeriod = std::chrono::milliseconds(100);
+/// Servers that are named in the log when many leave at once.
+constexpr std::size_t mostNamed = 8;
 constexpr unsigned ok = 200;
 constexpr unsigned unavailable = 503;
 
@@ -87,12 +90,7 @@
         for (const auto& it : changes.removed)
             changed = m_registry.remove(it, now) || changed;
         m_hasServers = true;
-        for (const auto& it : changes.removed)
-            note("server gone", { { "server", it.value() } });
-        for (const auto& it : changes.listed) {
-            if (it.isDraining)
-                note("server drains", { { "server", it.name.value() }, { "service", it.service.value() } });
-        }
+        noteLeaving(changes);
         if (changed)
             publishServers();
         noteReadiness();
@@ -179,6 +177,20 @@
         return forward;
     }
 
+    /// Names the servers that leave, the first ones of many; the counts tell of the rest.
+    void noteLeaving(const ServerChanges& changes)
+    {
+        std::size_t draining = 0;
+        for (const auto& it : changes.listed) {
+            if (it.isDraining && ++draining <= mostNamed)
+                note("server drains", { { "server", it.name.value() }, { "service", it.service.value() } });
+        }
+        for (std::size_t i = 0; i < std::min(mostNamed, changes.removed.size()); ++i)
+            note("server gone", { { "server", changes.removed[i].value() } });
+        if (draining > mostNamed || changes.removed.size() > mostNamed)
+            note("many servers leave", { { "draining", std::to_string(draining) }, { "gone", std::to_string(changes.removed.size()) } });
+    }
+
     bool isReady() const { return m_isReady.load(std::memory_order_relaxed); }
 
     void note(std::string_view event, std::initializer_list<LineField> fields) { m_log.write(LineWeight::State, m_clock->now(), event, fields); }
