A content that ended three servers is refused by all instances

Now an instance tells all others which server ended while it ran which content (host, path, body); once three servers are known and it was served nowhere between, it is refused for 30 s, told "not run" with the time that is left. Searches are left out: one search breaks at many servers when a machine fails.

--- a/src/forward/forward_action.h
+++ b/src/forward/forward_action.h
@@ -52,6 +52,12 @@
     std::vector<std::uint32_t> positions; ///< In what the other instance asked for.
 };
 
+/// Tell all other instances that a server ended while it ran that content.
+struct TellOfCrash {
+    Fingerprint content;
+    ServerName server;
+};
+
 /// Give the caller its answer.
 struct DeliverForwardAnswer {
     ForwardAnswer answer;
@@ -72,7 +78,7 @@
     std::string detail; ///< The inputs that decided it, as "key=value" pairs.
 };
 
-using ForwardAction = std::variant<SendToServer, CloseSend, AskRelay, EndRelay, GrantSecondSends, WantSecondSends, DeliverForwardAnswer, NoteForwardDecision>;
+using ForwardAction = std::variant<SendToServer, CloseSend, AskRelay, EndRelay, GrantSecondSends, WantSecondSends, TellOfCrash, DeliverForwardAnswer, NoteForwardDecision>;
 using ForwardActions = std::vector<ForwardAction>;
 
 }
--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -1,5 +1,7 @@
 #include "forward/forward_engine.h"
 
+#include "base/fingerprint.h"
+
 #include <algorithm>
 
 namespace lycheefield {
@@ -14,6 +16,12 @@
 constexpr Duration leftAfterDeadline = 2s;
 /// The last answer leaves so long before the deadline, so that it is there before the caller gives up.
 constexpr Duration finalAnswerMargin = 15ms;
+/// What makes two requests the same for the servers that they end.
+Fingerprint contentOf(const ForwardRequest& request)
+{
+    const auto& message = *request.message;
+    return Fingerprint(stableHash(message.body, stableHash(message.path(), stableHash(message.headers.find("Host")))));
+}
 /// Part of the fleet's slack that the instances spend in all: those that restart begin anew.
 constexpr double slackSpent = 0.45;
 
@@ -53,6 +61,8 @@
     } else {
         it.legs.emplace_back().service = m_splits.pick(route);
     }
+    if (quarantineLeft(it, now) > Duration {})
+        return finish(it, now, actions);
     const auto served = std::count_if(it.legs.begin(), it.legs.end(), [&](const Leg& leg) { return m_pool.hasServers(leg.service); });
     if (static_cast<std::size_t>(served) < it.needed())
         return finish(it, now, actions);
@@ -87,6 +97,8 @@
         --leg.mayHaveRun;
     else
         request->mayHaveRun = true;
+    if (!isRefused && reply.kind != ServerReplyKind::Unusable && !m_crashes.isEmpty())
+        m_crashes.noteServed(contentOf(request->request));
     if (isWaiting(leg)) {
         if (reply.kind == ServerReplyKind::Failed)
             leg.ownAnswer = reply.message;
@@ -145,6 +157,7 @@
     std::erase(leg.open, id);
     if (loss == SendLoss::Broken) {
         request->mayHaveRun = true;
+        noteCrash(*request, send.server->entry.name, now, actions);
     } else {
         --leg.mayHaveRun;
         --leg.arrivals;
@@ -160,6 +173,31 @@
     sendNext(send.server->entry.service, now, actions);
 }
 
+void ForwardEngine::noteCrash(const Request& request, const ServerName& server, TimePoint now, ForwardActions& actions)
+{
+    // A search ends many servers at once, and its parts are asked for by several instances.
+    if (request.route().isSearch())
+        return;
+    const auto content = contentOf(request.request);
+    if (!m_crashes.noteCrash(content, server, now))
+        return;
+    actions.emplace_back(TellOfCrash { content, server });
+    if (m_crashes.left(content, now) > Duration {})
+        actions.emplace_back(NoteForwardDecision { DecisionWeight::Failure, request.request.attemptId, "request quarantined", "why=three servers ended while they ran it" });
+}
+
+Duration ForwardEngine::quarantineLeft(const Request& request, TimePoint now) const
+{
+    if (m_crashes.isEmpty() || request.route().isSearch())
+        return {};
+    return m_crashes.left(contentOf(request.request), now);
+}
+
+void ForwardEngine::onCrashNews(Fingerprint content, const ServerName& server, TimePoint now)
+{
+    m_crashes.noteCrash(content, server, now);
+}
+
 void ForwardEngine::cancel(RequestNumber number, TimePoint now, ForwardActions& actions)
 {
     auto* request = find(number);
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/random_source.h"
+#include "forward/crash_quarantine.h"
 #include "forward/extra_budget.h"
 #include "forward/forward_action.h"
 #include "forward/forward_request.h"
@@ -75,6 +76,8 @@
     void onSecondSendsGranted(RequestNumber, TimePoint, ForwardActions&);
     /// Other instances may be asked from now on. Precondition: the chooser outlives the engine's use.
     void setRelays(RelayChooser& relays) { m_relays = &relays; }
+    /// Another instance saw a server end while it ran that content.
+    void onCrashNews(Fingerprint, const ServerName&, TimePoint);
     /// The servers that may get work.
     void onServers(const std::map<ServerName, ServerEntry>&, TimePoint);
     /// The routes in force, so that what is kept for others can go.
@@ -183,6 +186,10 @@
     Duration expectedWait(const Leg&, const PickContext&) const;
     bool trySend(Request&, std::size_t leg, bool isHedge, TimePoint, ForwardActions&);
     bool takeBudget(const Request&, Leg&, TimePoint);
+    /// A server ended the connection while it may have run the request.
+    void noteCrash(const Request&, const ServerName&, TimePoint, ForwardActions&);
+    /// Whether it ended too many servers; zero when it may run.
+    Duration quarantineLeft(const Request&, TimePoint) const;
     void onLegFailed(Request&, std::size_t leg, TimePoint, ForwardActions&);
     void endLeg(Request&, Leg&, LegStage);
     void acceptPart(Request&, Leg&, const ServerReply&);
@@ -226,6 +233,7 @@
     std::unordered_map<ServiceName, std::set<QueuedLeg>> m_queues;
     std::unordered_map<ServiceName, ExtraBudget> m_budgets;
     std::map<std::string, RouteTimes> m_times;
+    CrashQuarantine m_crashes;
     std::uint64_t m_lastSend = 0;
     std::uint64_t m_lastAsk = 0;
     std::unordered_map<AskId, RequestNumber> m_asks;
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -203,12 +203,13 @@
 void ForwardEngine::onLegFailed(Request& request, std::size_t index, TimePoint now, ForwardActions& actions)
 {
     auto& leg = request.legs[index];
-    if (mayRunAgain(request, leg) && trySend(request, index, false, now, actions))
+    const bool isQuarantined = quarantineLeft(request, now) > Duration {};
+    if (!isQuarantined && mayRunAgain(request, leg) && trySend(request, index, false, now, actions))
         return;
     if (!leg.open.empty())
         return;
     // A server that was only full is not among those tried: the leg waits for room.
-    const bool mayWait = mayRunAgain(request, leg) && m_pool.hasOthers(leg.service, leg.tried);
+    const bool mayWait = !isQuarantined && mayRunAgain(request, leg) && m_pool.hasOthers(leg.service, leg.tried);
     if (mayWait)
         return enqueue(request, index, now);
     // Without room in the budget, or without another server, the leg has no way left.
@@ -310,8 +311,9 @@
     const bool isOpen = std::any_of(request.legs.begin(), request.legs.end(), [](const Leg& leg) { return !leg.open.empty() || leg.stage == LegStage::Relayed; });
     if (!request.mayHaveRun && !isOpen) {
         answer.kind = ForwardAnswerKind::NotRun;
-        answer.reason = "not run";
-        answer.retryAfter = leastRetryAfter;
+        const auto quarantined = quarantineLeft(request, now);
+        answer.reason = quarantined > Duration {} ? "quarantined" : "not run";
+        answer.retryAfter = std::max(leastRetryAfter, quarantined);
         for (const auto& leg : request.legs) {
             if (leg.stage != LegStage::Done)
                 answer.retryAfter = std::max(answer.retryAfter, m_pool.untilUsable(leg.service, now));
--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -110,6 +110,11 @@
     carryOut(actions);
 }
 
+void ForwardDriver::onCrashNews(Fingerprint content, const ServerName& server)
+{
+    m_engine.onCrashNews(content, server, m_parts.clock.now());
+}
+
 const Route* ForwardDriver::searchOf(const SearchCall& call) const
 {
     if (!m_routes || m_routes->version != call.tableVersion)
@@ -226,6 +231,8 @@
             m_relay->grant(grant->id);
         else if (const auto* wanted = std::get_if<WantSecondSends>(&action))
             want(*wanted);
+        else if (const auto* crash = std::get_if<TellOfCrash>(&action))
+            m_relay->tell(*crash);
         else if (const auto* answer = std::get_if<DeliverForwardAnswer>(&action))
             deliver(answer->answer);
         else if (const auto* note = std::get_if<NoteForwardDecision>(&action))
--- a/src/gateway/forward_driver.h
+++ b/src/gateway/forward_driver.h
@@ -44,6 +44,7 @@
     void onRelayFailed(AskId, bool mayHaveRun) override;
     bool onRelaySilent(AskId) override;
     void onSecondSendsWanted(AskId, const std::vector<std::uint32_t>& positions) override;
+    void onCrashNews(Fingerprint, const ServerName&) override;
     bool canRun(const SearchCall&) const override;
     void runFor(const InstanceName& caller, const SearchCall&) override;
     void grantFor(const InstanceName& caller, std::uint64_t sequence) override;
--- a/src/gateway/search_relay.cpp
+++ b/src/gateway/search_relay.cpp
@@ -60,6 +60,15 @@
     m_parts.onNews(news);
 }
 
+void SearchRelay::tell(const TellOfCrash& crash)
+{
+    AnnounceCrash message;
+    message.fingerprint = crash.content;
+    message.crashes = 1;
+    message.place.server = crash.server;
+    m_network.broadcast(message);
+}
+
 void SearchRelay::ask(const AskRelay& ask)
 {
     const auto& request = ask.request;
@@ -203,6 +212,8 @@
         onReply(from, *reply);
     else if (const auto* news = std::get_if<StoreNews>(&message))
         onNews(from, *news);
+    else if (const auto* crash = std::get_if<AnnounceCrash>(&message))
+        m_parts.events.onCrashNews(crash->fingerprint, crash->place.server);
 }
 
 void SearchRelay::onCall(const InstanceName& from, const SearchCall& call)
--- a/src/gateway/search_relay.h
+++ b/src/gateway/search_relay.h
@@ -33,6 +33,8 @@
     virtual bool onRelaySilent(AskId) = 0;
     /// It wants to send these of its legs to a second server.
     virtual void onSecondSendsWanted(AskId, const std::vector<std::uint32_t>& positions) = 0;
+    /// Another instance saw a server end while it ran that content.
+    virtual void onCrashNews(Fingerprint, const ServerName&) = 0;
     /// Whether a part that another instance asks for can be run here.
     virtual bool canRun(const SearchCall&) const = 0;
     /// Another instance asks for parts. Precondition: canRun().
@@ -52,7 +54,7 @@
     SearchRelayEvents& events;
     Metrics& metrics;
     DecisionLog& log;
-    std::function<void(const StoreNews&)> onNews; ///< What another instance saw in the store.
+    std::function<void(const StoreNews&)> onNews {}; ///< What another instance saw in the store.
 };
 
 /// Speaks to the other instances: asks them for parts of searches, takes their calls, and passes on
@@ -72,6 +74,8 @@
     /// Tells other instances what this one saw in the store.
     void share(const StoreNews&);
     std::uint32_t newsRank() const { return m_newsPaths.rank(); }
+    /// Tells all instances that a server ended while it ran that content.
+    void tell(const TellOfCrash&);
     void ask(const AskRelay&);
     /// Nobody waits for the parts any more.
     void end(AskId);
--- a/tests/forward/forward_world.cpp
+++ b/tests/forward/forward_world.cpp
@@ -295,6 +295,8 @@
             m_granted.push_back(grant->id);
         } else if (const auto* want = std::get_if<WantSecondSends>(&action)) {
             m_wanted.push_back(*want);
+        } else if (const auto* crash = std::get_if<TellOfCrash>(&action)) {
+            m_toldCrashes.push_back(*crash);
         } else if (const auto* deliver = std::get_if<DeliverForwardAnswer>(&action)) {
             const auto number = deliver->answer.request;
             m_outcomes.emplace(number, Outcome { deliver->answer, m_now - m_started.at(number) });
--- a/tests/forward/forward_world.h
+++ b/tests/forward/forward_world.h
@@ -48,6 +48,7 @@
     /// The instance that asked for a part grants second sends.
     void secondSendsGranted(RequestNumber);
     const std::vector<AskId>& granted() const { return m_granted; }
+    const std::vector<TellOfCrash>& toldCrashes() const { return m_toldCrashes; }
     const std::vector<WantSecondSends>& wanted() const { return m_wanted; }
     const std::vector<AskRelay>& asked() const { return m_asked; }
     std::size_t endedRelays() const { return m_endedRelays; }
@@ -98,6 +99,7 @@
     std::size_t m_endedRelays = 0;
     std::vector<AskId> m_granted;
     std::vector<WantSecondSends> m_wanted;
+    std::vector<TellOfCrash> m_toldCrashes;
     std::shared_ptr<RouteTable> m_table;
     std::vector<std::shared_ptr<RouteTable>> m_tables; ///< Requests point into them.
     ForwardEngine m_engine;
