--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr unsigned firstError = 300;
+constexpr unsigned notFound = 404;
 
 bool saysNotRun(const HttpReply& reply)
 {
@@ -75,6 +76,8 @@
             expect(!known.end.isBroken || known.runs.empty(), "a stop cut off a request that had been passed on", known);
             continue;
         }
+        if (known.attempt.isRouted)
+            expect((known.end.reply.status != notFound) == *known.attempt.isRouted, "a gateway did not follow the configuration in time", known);
         if (known.end.reply.status < firstError)
             checkSuccess(known);
         if (saysNotRun(known.end.reply) && !known.attempt.isRepeatable)
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,7 +22,7 @@
     std::string body;
     bool isSearch = false;
     bool isRepeatable = true;
-    TimePoint sentAt {};
+    std::optional<bool> isRouted; ///< Whether the configuration in force has its route; empty: either may hold.
 
     friend bool operator==(const Attempt&, const Attempt&) = default;
 };
--- a/tests/soak/promises_test.cpp
+++ b/tests/soak/promises_test.cpp
@@ -91,6 +91,21 @@
         promises.checkAll();
         CHECK(promises.broken().size() == 2);
     }
+    SUBCASE("a route that is in force is not denied, one that was dropped is")
+    {
+        for (const bool isRouted : { true, false }) {
+            Promises each({ "a" }, 1, 2, 1);
+            auto probe = search();
+            probe.isRouted = isRouted;
+            each.onSent(probe);
+            AttemptEnd end;
+            end.isAnswered = true;
+            end.reply.status = isRouted ? 404 : 503;
+            each.onEnd("x1", end);
+            each.checkAll();
+            CHECK(each.broken().size() == 1);
+        }
+    }
     SUBCASE("nobody's request and a changed one are seen at once")
     {
         auto run = runOf("a", "a1", 'p');
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t leastShards = 7;
 constexpr Duration contact = 4s; ///< After a fault, until promises with a time bound hold again.
 constexpr Duration drainLimit = 3s;
+constexpr Duration applyLimit = 3s; ///< Until a configuration is in force.
 constexpr Duration recoveryTime = 12s;
 constexpr Duration waveLength = 8s;
 constexpr Duration calmLength = 9s;
@@ -144,7 +145,8 @@
     }
     m_store.put("config", "main",
         R"({"version":)" + std::to_string(m_version) + R"(,"routes":[{"name":"s","host":"a.example","pathPrefix":"/s/","routeType":"idempotent","timeoutMs":2500,"targetLatencyMs":200,"priority":0,"gather":[)"
-            + shards + R"(],"attempts":2,"topK":5,"minShardRatio":0.75},{"name":"o","host":"a.example","pathPrefix":"/o/","routeType":"non_idempotent","timeoutMs":2500,"targetLatencyMs":400,"priority":1,"service":"orders","attempts":2}],"services":[)"
+            + shards + R"(],"attempts":2,"topK":5,"minShardRatio":0.75},{"name":"o","host":"a.example","pathPrefix":"/o/","routeType":"non_idempotent","timeoutMs":2500,"targetLatencyMs":400,"priority":1,"service":"orders","attempts":2},{"name":"v","host":"a.example","pathPrefix":"/v)"
+            + std::to_string(m_version) + R"(/","routeType":"non_idempotent","timeoutMs":2500,"targetLatencyMs":400,"priority":1,"service":"orders","attempts":2}],"services":[)"
             + services + R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
 }
 
@@ -340,21 +342,30 @@
     after(someTime(100ms, 900ms), [this] { disturb(); });
 }
 
-void SoakWorld::send(Node& node)
+Attempt SoakWorld::newAttempt(const Node& node, bool isSearch, const std::string& prefix)
 {
-    std::erase_if(m_callers, [](const auto& it) { return it->isOver; });
     Attempt attempt;
     attempt.id = "x" + std::to_string(++m_lastAttempt);
     attempt.gateway = node.process->name();
-    attempt.isSearch = m_random.below(3) > 0;
-    attempt.isRepeatable = attempt.isSearch;
-    attempt.route = attempt.isSearch ? "s" : "o";
-    attempt.method = attempt.isSearch ? "GET" : "POST";
-    attempt.target = (attempt.isSearch ? "/s/" : "/o/") + attempt.id + "?q=1";
-    attempt.body = attempt.isSearch ? "" : "order " + attempt.id;
-    attempt.sentAt = m_clock.now();
+    attempt.isSearch = isSearch;
+    attempt.isRepeatable = isSearch;
+    attempt.method = isSearch ? "GET" : "POST";
+    attempt.target = prefix + attempt.id + "?q=1";
+    attempt.body = isSearch ? "" : "order " + attempt.id;
+    return attempt;
+}
+
+void SoakWorld::send(Node& node)
+{
+    const bool isSearch = m_random.below(3) > 0;
+    sendAs(node, newAttempt(node, isSearch, isSearch ? "/s/" : "/o/"));
+}
+
+void SoakWorld::sendAs(Node& node, const Attempt& attempt)
+{
+    std::erase_if(m_callers, [](const auto& it) { return it->isOver; });
     const auto it = std::find_if(m_callers.begin(), m_callers.end(), [&](const auto& caller) { return caller->isFree() && caller->isAt(node); });
-    auto caller = it == m_callers.end() ? std::make_shared<Caller>(*this, node) : *it;
+    const auto caller = it == m_callers.end() ? std::make_shared<Caller>(*this, node) : *it;
     m_promises.onSent(attempt);
     caller->send(attempt);
     if (it != m_callers.end())
@@ -363,6 +374,20 @@
     caller->open();
 }
 
+void SoakWorld::probeConfiguration(std::uint64_t added, std::uint64_t dropped)
+{
+    for (const auto& it : m_nodes) {
+        if (!isCalm(*it) || !it->isMeantToRun)
+            continue;
+        for (const auto version : { added, dropped }) {
+            auto attempt = newAttempt(*it, false, "/v" + std::to_string(version) + "/");
+            attempt.isRouted = version == added;
+            ++m_faults["probe of a changed configuration"];
+            sendAs(*it, attempt);
+        }
+    }
+}
+
 void SoakWorld::sendNext()
 {
     if (!m_isSending)
@@ -392,8 +417,10 @@
         m_isStorming = false;
         loop(calmLength / 2);
         drain(*m_backends[m_random.below(m_backends.size())]);
+        const auto before = m_version;
         m_version += 1 + m_random.below(5);
         publishConfiguration();
+        after(applyLimit, [this, added = m_version, before] { probeConfiguration(added, before); });
         loop(calmLength / 2);
     }
     loop(recoveryTime);
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -56,6 +56,10 @@
     void hold(Node&, Duration, const std::function<void()>& begin, const std::function<void()>& end);
     void sendNext();
     void send(Node&);
+    void sendAs(Node&, const Attempt&);
+    Attempt newAttempt(const Node&, bool isSearch, const std::string& prefix);
+    /// Asks every undisturbed gateway for a route that was just added and one that was just dropped.
+    void probeConfiguration(std::uint64_t added, std::uint64_t dropped);
     bool isCalm(const Node&) const;
     bool areAllCalm() const;
     std::size_t successesDuring(Duration);
