--- a/src/forward/forward_engine_relay.cpp
+++ b/src/forward/forward_engine_relay.cpp
@@ -11,6 +11,8 @@
 constexpr std::uint64_t askerEarnsOneOf = 3;
 /// Another instance that neither answered nor wants second sends so long after it should have is silent.
 constexpr Duration silenceMargin = 25ms;
+/// The parts of others should be here so long before the answer: both instances need time to merge them.
+constexpr Duration mergeMargin = 8ms;
 /// Processor time of a whole core that one leg takes, sent and read.
 constexpr Duration legProcessorTime = 90us;
 /// Part of the target latency that an instance may spend on the legs of one search.
@@ -93,7 +95,7 @@
 void ForwardEngine::ask(Request& request, const InstanceName& instance, std::vector<std::size_t> legs, TimePoint now, ForwardActions& actions)
 {
     const AskId id { ++m_lastAsk };
-    AskRelay ask { id, instance, request.request, {}, request.answerBy, mostHedgeDelay(request.route()) + silenceMargin };
+    AskRelay ask { id, instance, request.request, {}, request.answerBy - mergeMargin, mostHedgeDelay(request.route()) + silenceMargin };
     ask.request.deadline = request.deadline;
     for (const auto it : legs) {
         auto& leg = request.legs[it];
--- a/tests/forward/relayed_search_test.cpp
+++ b/tests/forward/relayed_search_test.cpp
@@ -77,6 +77,18 @@
         CHECK(answer->message.body.substr(0, 16) == std::string(16, 'z'));
         CHECK(world.endedRelays() == 0);
     }
+    SUBCASE("parts that come a little later than they should are still in an answer that can't wait longer")
+    {
+        world.model("shard0-x").isSilent = true;
+        world.model("shard0-y").isSilent = true;
+        world.run(ask.answerBy - world.now() + 5ms);
+        CHECK_FALSE(world.answerTo(number));
+        world.relayed(ask.id, search.parts(4));
+        world.run(20ms);
+        REQUIRE(world.answerTo(number));
+        CHECK(world.answerTo(number)->missingShards == 1);
+        CHECK(world.outcomes().at(number).took < 200ms);
+    }
     SUBCASE("what it did not get is asked for from here, as an extra send")
     {
         world.run(50ms);
