--- a/tests/soak/fault_link.cpp
+++ b/tests/soak/fault_link.cpp
@@ -124,12 +124,20 @@
             it->end();
     }
 
+    void silenceAll()
+    {
+        for (const auto& it : m_pairs)
+            it->isSilent = true;
+    }
+
+    Endpoint own;
+    LinkFaults faults;
+
+private:
     asio::io_context& m_io;
     Endpoint m_target;
     tcp::acceptor m_acceptor;
     std::set<std::shared_ptr<Pair>> m_pairs;
-    Endpoint own;
-    LinkFaults faults;
 };
 
 FaultLink::FaultLink(asio::io_context& io, Endpoint target)
@@ -160,8 +168,7 @@
 
 void FaultLink::silence()
 {
-    for (const auto& it : m_impl->m_pairs)
-        it->isSilent = true;
+    m_impl->silenceAll();
 }
 
 }
--- a/tests/standin/published_store.cpp
+++ b/tests/standin/published_store.cpp
@@ -149,6 +149,8 @@
         return exchange->respond({ 503, "application/json", "{}" });
     const std::string root = "/objects/";
     const std::string path(request.path());
+    if (!path.starts_with(root))
+        return exchange->respond({ 404, "application/json", "{}" });
     const auto rest = path.substr(root.size());
     const auto kind = rest.substr(0, rest.find('/'));
     if (request.method != "GET")
