The soak holds its ports, pauses gateways briefly and often, and its servers take longer

The log said "Address already in use": a port that was free while the gateway was down had become another process's outgoing port. The harness keeps the ports bound now; its own sockets are closed in its children.

--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -307,7 +307,7 @@
     const auto micros = (now - request.startedAt).count();
     actions.emplace_back(NoteForwardDecision { isPlain ? DecisionWeight::Plain : DecisionWeight::Failure, request.request.attemptId, "answered",
         "route=" + request.route().name + " version=" + std::to_string(request.request.table->version) + " outcome=" + answer.reason
-            + " shards=" + std::to_string(request.done) + "/" + std::to_string(request.legs.size()) + " took_us=" + std::to_string(micros) });
+            + (request.route().isRepeatable ? "" : " repeatable=no") + " shards=" + std::to_string(request.done) + "/" + std::to_string(request.legs.size()) + " took_us=" + std::to_string(micros) });
     actions.emplace_back(DeliverForwardAnswer { std::move(answer) });
     forget(request, false, now, actions);
 }
--- a/tests/soak/gateway_process.cpp
+++ b/tests/soak/gateway_process.cpp
@@ -1,8 +1,5 @@
 #include "gateway_process.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-
 #include <fcntl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -16,12 +13,20 @@
 
 namespace {
 
-/// A port that was free a moment ago, as the same one is needed at each start.
-Endpoint freeEndpoint()
+using boost::asio::ip::tcp;
+
+/// Takes a free port, as the same one is needed at each start.
+tcp::acceptor holdPort(boost::asio::io_context& io)
+{
+    tcp::acceptor holder(io, tcp::v4());
+    holder.set_option(tcp::acceptor::reuse_address(true));
+    holder.bind({ boost::asio::ip::address_v4::loopback(), 0 });
+    return holder;
+}
+
+Endpoint endpointOf(const tcp::acceptor& holder)
 {
-    boost::asio::io_context io;
-    const boost::asio::ip::tcp::acceptor acceptor(io, { boost::asio::ip::address_v4::loopback(), 0 });
-    return { "127.0.0.1", acceptor.local_endpoint().port() };
+    return { "127.0.0.1", holder.local_endpoint().port() };
 }
 
 }
@@ -32,8 +37,10 @@
     , m_name(std::move(name))
     , m_zone(std::move(zone))
     , m_store(std::move(store))
-    , m_callers(freeEndpoint())
-    , m_readiness(freeEndpoint())
+    , m_heldForCallers(holdPort(m_io))
+    , m_heldForReadiness(holdPort(m_io))
+    , m_callers(endpointOf(m_heldForCallers))
+    , m_readiness(endpointOf(m_heldForReadiness))
 {
     std::ofstream settings(m_folder + "/" + m_name + ".ini");
     settings << "[instance]\nname = " << m_name << "\nzone = " << m_zone << "\nlog_format = json\n[platform]\nrequest_timeout = 800ms\nwatch_timeout = 2500ms\nbackoff_maximum = 500ms\n"
@@ -61,6 +68,8 @@
     const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     dup2(out, STDOUT_FILENO);
     dup2(out, STDERR_FILENO);
+    // The harness's sockets are not the program's.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execl(m_program.c_str(), m_program.c_str(), settings.c_str(), nullptr);
     _exit(127);
 }
--- a/tests/soak/gateway_process.h
+++ b/tests/soak/gateway_process.h
@@ -3,6 +3,8 @@
 #include "base/endpoint.h"
 #include "base/time.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <sys/types.h>
 
 #include <optional>
@@ -37,6 +39,10 @@
     std::string m_name;
     std::string m_zone;
     Endpoint m_store;
+    boost::asio::io_context m_io;
+    /// Bound and never listening, so that nobody else gets the ports while the program is down.
+    boost::asio::ip::tcp::acceptor m_heldForCallers;
+    boost::asio::ip::tcp::acceptor m_heldForReadiness;
     Endpoint m_callers;
     Endpoint m_readiness;
     pid_t m_pid = 0;
--- a/tests/soak/soak_backend.cpp
+++ b/tests/soak/soak_backend.cpp
@@ -10,6 +10,7 @@
 constexpr unsigned unavailable = 503;
 constexpr unsigned failed = 500;
 constexpr std::size_t recordsOfPart = 4;
+constexpr Duration mostExtraWork = std::chrono::milliseconds(50);
 constexpr std::size_t recordBytes = 16;
 
 }
@@ -58,7 +59,7 @@
     lastRequestAt = SteadyClock().now();
     if (lastRequestAt > closedAt)
         m_promises.fail("a server that had been draining for long got a request");
-    auto timer = std::make_shared<boost::asio::steady_timer>(m_io, m_faults.work);
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_io, m_faults.work + Duration(static_cast<Duration::rep>(m_random.below(mostExtraWork.count()))));
     const bool isLost = m_random.unit() < m_faults.losing;
     // The exchange stays with the timer, so that a lost answer is silence and not an error.
     timer->async_wait([timer, exchange, isLost, reply = run(request)](const boost::system::error_code&) mutable {
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -221,7 +221,10 @@
     if (!node.process->isRunning() || !node.isMeantToRun)
         return;
     const auto time = someTime(200ms, 4s);
-    switch (m_random.below(8)) {
+    switch (m_random.below(10)) {
+    case 8:
+    case 9:
+        return hiccup(node, 1 + m_random.below(12));
     case 0:
         ++m_faults["kill"];
         return stopNode(node, SIGKILL);
@@ -254,6 +257,19 @@
     }
 }
 
+void SoakWorld::hiccup(Node& node, std::uint64_t times)
+{
+    if (times == 0 || !node.process->isRunning() || !node.isMeantToRun)
+        return;
+    ++m_faults["hiccup"];
+    hold(
+        node, someTime(20ms, 150ms), [&] { node.process->signal(SIGSTOP); },
+        [this, &node, times] {
+            node.process->signal(SIGCONT);
+            after(someTime(10ms, 120ms), [this, &node, times] { hiccup(node, times - 1); });
+        });
+}
+
 void SoakWorld::disturbStore()
 {
     const auto time = someTime(300ms, 5s);
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -48,6 +48,8 @@
     /// Starts a fault and plans its end.
     void disturb();
     void disturbNode(Node&);
+    /// Several short pauses, each about as long as another gateway waits for a confirmation.
+    void hiccup(Node&, std::uint64_t times);
     void disturbStore();
     void disturbBackend();
     void drain(SoakBackend&);
