One piece where two stood: token bucket, digits, scaled time, engine calls; servers of a list are put once

Behaviour stays as it is.

- DecisionLog refilled a bucket of its own beside CallBudget: both use TokenBucket (src/base, moved from src/platform), which may keep some back.
Its test moved with it.
- parseDigits in the adapter and parseNumber in backend_message were the same function: src/base/digits. parseWholeNumber of the settings is another one (twelve digits at most) and stays.
- Hop-by-hop headers and comma lists are HTTP, not the platform's words: platform/headers moved to src/http/header_values.
- A duration times a factor was written four times: scaled() in base/time.h.
- ForwardDriver asked the engine and carried out its actions in ten places, ForwardWorld in nine: decide().
ForwardWorld built a route twice.
- Gateway::onServers put each server of a whole list twice.
- "Too few shards for a message" stood as two constants; fail() and onSilent() of SearchRelay ended a call alike: giveUp().
- Fields of the soak that nothing read are gone, and its own record size.

--- a/src/base/time.h
+++ b/src/base/time.h
@@ -19,6 +19,12 @@
 
 using TimePoint = ProcessTime::time_point;
 
+/// That many times the duration, to the microsecond below.
+constexpr Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
+}
+
 /// Later than every event: "no timer set".
 constexpr TimePoint never = TimePoint::max();
 
--- a/src/platform/call_budget.cpp
+++ b/src/base/token_bucket.cpp
@@ -1,4 +1,4 @@
-#include "platform/call_budget.h"
+#include "base/token_bucket.h"
 
 #include <algorithm>
 
@@ -10,19 +10,19 @@
 
 }
 
-CallBudget::CallBudget(double callsPerSecond, double burst)
-    : m_callsPerSecond(callsPerSecond)
+TokenBucket::TokenBucket(double perSecond, double burst)
+    : m_perSecond(perSecond)
     , m_burst(burst)
     , m_tokens(burst)
 {
 }
 
-bool CallBudget::take(TimePoint now)
+bool TokenBucket::take(TimePoint now, double least)
 {
     const double elapsed = static_cast<double>((now - m_refilled).count()) / microsecondsPerSecond;
-    m_tokens = std::min(m_burst, m_tokens + elapsed * m_callsPerSecond);
+    m_tokens = std::min(m_burst, m_tokens + elapsed * m_perSecond);
     m_refilled = now;
-    if (m_tokens < 1)
+    if (m_tokens < least)
         return false;
     m_tokens -= 1;
     return true;
--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -16,14 +16,15 @@
 constexpr Duration leftAfterDeadline = 2s;
 /// The last answer leaves so long before the deadline, so that it is there before the caller gives up.
 constexpr Duration finalAnswerMargin = 15ms;
+/// Part of the fleet's slack that the instances spend in all: those that restart begin anew.
+constexpr double slackSpent = 0.45;
+
 /// What makes two requests the same for the servers that they end.
 Fingerprint contentOf(const ForwardRequest& request)
 {
     const auto& message = *request.message;
     return Fingerprint(stableHash(message.body, stableHash(message.path(), stableHash(message.headers.find("Host")))));
 }
-/// Part of the fleet's slack that the instances spend in all: those that restart begin anew.
-constexpr double slackSpent = 0.45;
 
 }
 
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -21,23 +21,18 @@
 /// A caller whose request found no usable server comes back after this time at least.
 constexpr Duration leastRetryAfter = 100ms;
 
-Duration part(Duration whole, double share)
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(whole.count()) * share));
-}
-
 }
 
 PickContext ForwardEngine::contextFor(const Route& route, const Leg& leg, TimePoint now)
 {
-    const auto byDefault = part(route.targetLatency, usualPartOfTarget);
+    const auto byDefault = scaled(route.targetLatency, usualPartOfTarget);
     const auto it = m_times.find(route.name);
     return { it == m_times.end() ? byDefault : it->second.usual(byDefault), now, &leg.tried };
 }
 
 Duration ForwardEngine::mostHedgeDelay(const Route& route) const
 {
-    return part(route.targetLatency, m_settings.mostHedgeDelay.value);
+    return scaled(route.targetLatency, m_settings.mostHedgeDelay.value);
 }
 
 Duration ForwardEngine::hedgeDelay(const Route& route)
@@ -46,7 +41,7 @@
     const auto it = m_times.find(route.name);
     if (it == m_times.end())
         return most;
-    return std::clamp(part(it->second.late(most), hedgeAfterLateTimes), part(route.targetLatency, m_settings.leastHedgeDelay.value), most);
+    return std::clamp(scaled(it->second.late(most), hedgeAfterLateTimes), scaled(route.targetLatency, m_settings.leastHedgeDelay.value), most);
 }
 
 TrackedServerPtr ForwardEngine::pickServer(const Request& request, const Leg& leg, const PickContext& context) const
@@ -113,7 +108,7 @@
 
 void ForwardEngine::shedLegs(Request& request, TimePoint now)
 {
-    const auto timeLeft = part(request.answerBy - now, shedBeyond);
+    const auto timeLeft = scaled(request.answerBy - now, shedBeyond);
     std::vector<std::pair<Duration, std::size_t>> late;
     for (std::size_t i = 0; i < request.legs.size(); ++i) {
         const auto& leg = request.legs[i];
--- a/src/forward/forward_engine_relay.cpp
+++ b/src/forward/forward_engine_relay.cpp
@@ -19,8 +19,6 @@
 constexpr double processorPartOfTarget = 0.08;
 /// Legs that one instance is asked for at once, when a search is cut into groups.
 constexpr std::size_t legsPerGroup = 12;
-/// For fewer legs a message to another instance saves too little.
-constexpr std::size_t leastGroup = 3;
 
 }
 
@@ -49,8 +47,7 @@
 
 std::size_t ForwardEngine::mostLegsHere(const Route& route) const
 {
-    const auto micros = static_cast<double>(route.targetLatency.count()) * processorPartOfTarget * m_settings.cores.value;
-    return static_cast<std::size_t>(micros / static_cast<double>(legProcessorTime.count()));
+    return static_cast<std::size_t>(scaled(route.targetLatency, processorPartOfTarget * m_settings.cores.value) / legProcessorTime);
 }
 
 void ForwardEngine::giveFarLegs(Request& request, std::vector<std::size_t> legs, TimePoint now, ForwardActions& actions)
@@ -84,7 +81,7 @@
     for (const auto it : legs)
         groups[it * count / request.legs.size()].push_back(it);
     for (std::size_t i = 0; i < count; ++i) {
-        if (groups[i].size() < leastGroup)
+        if (groups[i].size() < RelayChooser::leastShards)
             continue;
         const auto instance = m_relays->instanceFor(zone, { i, count }, now);
         if (instance && *instance != m_relays->self())
--- a/src/forward/relay_chooser.cpp
+++ b/src/forward/relay_chooser.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-/// For fewer shards the message to another instance saves too little.
-constexpr std::size_t leastShards = 3;
 /// A confirmation is late after so many usual round trips, within the bounds.
 constexpr int lateRoundTrips = 3;
 constexpr Duration leastReceiptTimeout = 25ms;
--- a/src/forward/relay_chooser.h
+++ b/src/forward/relay_chooser.h
@@ -46,6 +46,9 @@
 /// left for a while. It does no I/O. Not thread safe.
 class RelayChooser {
 public:
+    /// For fewer shards a message to another instance saves too little.
+    static constexpr std::size_t leastShards = 3;
+
     RelayChooser(InstanceName self, ZoneName zone);
 
     /// The instances that can be reached, this one among them or not.
--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -68,46 +68,35 @@
 
 void ForwardDriver::startHere(ForwardRequest request)
 {
-    ForwardActions actions;
-    m_engine.start(std::move(request), m_parts.clock.now(), actions);
-    carryOut(actions);
+    decide([&](TimePoint now, ForwardActions& actions) { m_engine.start(std::move(request), now, actions); });
 }
 
 void ForwardDriver::cancelHere(RequestNumber number)
 {
     m_waiting.erase(number);
-    ForwardActions actions;
-    m_engine.cancel(number, m_parts.clock.now(), actions);
-    carryOut(actions);
+    decide([&](TimePoint now, ForwardActions& actions) { m_engine.cancel(number, now, actions); });
 }
 
 void ForwardDriver::onRelayed(AskId id, const ForwardAnswer& answer)
 {
-    ForwardActions actions;
-    m_engine.onRelayed(id, answer, m_parts.clock.now(), actions);
-    carryOut(actions);
+    decide([&](TimePoint now, ForwardActions& actions) { m_engine.onRelayed(id, answer, now, actions); });
 }
 
 void ForwardDriver::onRelayFailed(AskId id, bool mayHaveRun)
 {
-    ForwardActions actions;
-    m_engine.onRelayFailed(id, mayHaveRun, m_parts.clock.now(), actions);
-    carryOut(actions);
+    decide([&](TimePoint now, ForwardActions& actions) { m_engine.onRelayFailed(id, mayHaveRun, now, actions); });
 }
 
 bool ForwardDriver::onRelaySilent(AskId id)
 {
-    ForwardActions actions;
-    const bool isTakenBack = m_engine.onRelaySilent(id, m_parts.clock.now(), actions);
-    carryOut(actions);
+    bool isTakenBack = false;
+    decide([&](TimePoint now, ForwardActions& actions) { isTakenBack = m_engine.onRelaySilent(id, now, actions); });
     return isTakenBack;
 }
 
 void ForwardDriver::onSecondSendsWanted(AskId id, const std::vector<std::uint32_t>& positions)
 {
-    ForwardActions actions;
-    m_engine.onSecondSendsWanted(id, positions, actions);
-    carryOut(actions);
+    decide([&](TimePoint, ForwardActions& actions) { m_engine.onSecondSendsWanted(id, positions, actions); });
 }
 
 void ForwardDriver::onCrashNews(Fingerprint content, const ServerName& server)
@@ -148,9 +137,7 @@
     const auto number = partOf(caller, sequence);
     if (!number)
         return;
-    ForwardActions actions;
-    m_engine.onSecondSendsGranted(*number, m_parts.clock.now(), actions);
-    carryOut(actions);
+    decide([&](TimePoint now, ForwardActions& actions) { m_engine.onSecondSendsGranted(*number, now, actions); });
 }
 
 void ForwardDriver::cancelFor(const InstanceName& caller, std::uint64_t sequence)
@@ -186,16 +173,12 @@
 
 void ForwardDriver::onReply(SendId id, const ServerReply& reply)
 {
-    ForwardActions actions;
-    m_engine.onReply(id, reply, m_parts.clock.now(), actions);
-    carryOut(actions);
+    decide([&](TimePoint now, ForwardActions& actions) { m_engine.onReply(id, reply, now, actions); });
 }
 
 void ForwardDriver::onLost(SendId id, SendLoss loss)
 {
-    ForwardActions actions;
-    m_engine.onLost(id, loss, m_parts.clock.now(), actions);
-    carryOut(actions);
+    decide([&](TimePoint now, ForwardActions& actions) { m_engine.onLost(id, loss, now, actions); });
 }
 
 void ForwardDriver::setRoutes(std::shared_ptr<const RouteTable> routes)
@@ -211,9 +194,7 @@
 
 void ForwardDriver::finishAll()
 {
-    ForwardActions actions;
-    m_engine.finishAll(m_parts.clock.now(), actions);
-    carryOut(actions);
+    decide([&](TimePoint now, ForwardActions& actions) { m_engine.finishAll(now, actions); });
 }
 
 void ForwardDriver::carryOut(const ForwardActions& actions)
@@ -270,9 +251,7 @@
         if (ec)
             return;
         m_timerAt = never;
-        ForwardActions actions;
-        m_engine.onTimer(m_parts.clock.now(), actions);
-        carryOut(actions);
+        decide([&](TimePoint now, ForwardActions& actions) { m_engine.onTimer(now, actions); });
     });
 }
 
--- a/src/gateway/forward_driver.h
+++ b/src/gateway/forward_driver.h
@@ -89,6 +89,14 @@
     void cancelHere(RequestNumber);
     void begin(HttpRequest&&, const std::shared_ptr<HttpExchange>&);
     void refuse(const std::shared_ptr<HttpExchange>&, const std::string& attemptId, const EarlyRefusal&);
+    /// Asks the engine and carries out what it decided.
+    template <typename Decide>
+    void decide(Decide askEngine)
+    {
+        ForwardActions actions;
+        askEngine(m_parts.clock.now(), actions);
+        carryOut(actions);
+    }
     void carryOut(const ForwardActions&);
     void deliver(const ForwardAnswer&);
     void setTimer();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -82,11 +82,7 @@
     void onServers(const ServerChanges& changes)
     {
         const auto now = m_clock->now();
-        bool changed = false;
-        if (changes.isWhole)
-            changed = m_registry.replaceAll(changes.listed, now);
-        for (const auto& it : changes.listed)
-            changed = m_registry.put(it, now) || changed;
+        bool changed = changes.isWhole ? m_registry.replaceAll(changes.listed, now) : putAll(changes.listed, now);
         for (const auto& it : changes.removed)
             changed = m_registry.remove(it, now) || changed;
         m_hasServers = true;
@@ -177,6 +173,14 @@
         return forward;
     }
 
+    bool putAll(const std::vector<ServerEntry>& entries, TimePoint now)
+    {
+        bool changed = false;
+        for (const auto& it : entries)
+            changed = m_registry.put(it, now) || changed;
+        return changed;
+    }
+
     /// Names the servers that leave, the first ones of many; the counts tell of the rest.
     void noteLeaving(const ServerChanges& changes)
     {
--- a/src/gateway/search_relay.cpp
+++ b/src/gateway/search_relay.cpp
@@ -132,27 +132,26 @@
 {
     // Asked again later, while its answer may still come.
     waitFor(id, silenceCheckPeriod);
-    const auto asked = m_asked.find(id);
-    const auto peer = asked->second.peer;
-    const auto attemptId = asked->second.attemptId;
-    if (!m_parts.events.onRelaySilent(id))
+    if (!m_parts.events.onRelaySilent(id) || !m_asked.contains(id))
         return;
-    m_asked.erase(id);
-    m_failedCount.add();
-    m_network.send(peer, SearchNote { id.value(), SearchNoteKind::Cancelled });
-    m_parts.log.write(LineWeight::Extra, m_parts.clock->now(), "relay silent", { { "request", attemptId }, { "instance", peer.value() } });
+    const auto asked = giveUp(id, true);
+    m_parts.log.write(LineWeight::Extra, m_parts.clock->now(), "relay silent", { { "request", asked.attemptId }, { "instance", asked.peer.value() } });
 }
 
-void SearchRelay::fail(AskId id, std::string_view why, bool mayHaveRun)
+SearchRelay::Asked SearchRelay::giveUp(AskId id, bool mayHaveRun)
 {
-    const auto it = m_asked.find(id);
-    if (it == m_asked.end())
-        return;
-    const auto asked = std::move(it->second);
-    m_asked.erase(it);
+    auto asked = std::move(m_asked.extract(id).mapped());
     m_failedCount.add();
     if (mayHaveRun)
         m_network.send(asked.peer, SearchNote { id.value(), SearchNoteKind::Cancelled });
+    return asked;
+}
+
+void SearchRelay::fail(AskId id, std::string_view why, bool mayHaveRun)
+{
+    if (!m_asked.contains(id))
+        return;
+    const auto asked = giveUp(id, mayHaveRun);
     m_parts.log.write(LineWeight::Extra, m_parts.clock->now(), "relay failed", { { "request", asked.attemptId }, { "instance", asked.peer.value() }, { "why", why } });
     m_parts.events.onRelayFailed(id, mayHaveRun);
 }
--- a/src/gateway/search_relay.h
+++ b/src/gateway/search_relay.h
@@ -112,6 +112,9 @@
     void waitFor(AskId, Duration);
     void onOverdue(AskId);
     void onSilent(AskId);
+    /// Waits for the call no more, and tells the other instance so if it may have begun.
+    /// Precondition: the call is under way. Returns what was known of it.
+    Asked giveUp(AskId, bool mayHaveRun);
     /// mayHaveRun: the other instance may have begun.
     void fail(AskId, std::string_view why, bool mayHaveRun);
     void failAll(const InstanceName& peer, std::string_view why);
--- a/src/http/backend_message.cpp
+++ b/src/http/backend_message.cpp
@@ -1,12 +1,12 @@
 #include "http/backend_message.h"
 
+#include "base/digits.h"
 #include "base/fingerprint.h"
 #include "base/priority.h"
 
 #include <boost/json.hpp>
 
 #include <algorithm>
-#include <charconv>
 
 namespace lycheefield {
 
@@ -27,15 +27,6 @@
     return "search";
 }
 
-std::optional<std::uint64_t> parseNumber(std::string_view text)
-{
-    std::uint64_t n = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
-    if (text.empty() || ec != std::errc() || end != text.data() + text.size())
-        return std::nullopt;
-    return n;
-}
-
 /// Calls the function with each item of a comma list, blanks trimmed.
 template <typename Function>
 void forEachItem(std::string_view list, Function function)
@@ -87,8 +78,8 @@
 /// Fills what only an answer that ran carries; turns the outcome to Failed when that is missing.
 void readResult(HttpReply& reply, ServerAnswer& answer)
 {
-    const auto version = parseNumber(reply.headers.find("X-Index-Version"));
-    const auto epoch = parseNumber(reply.headers.find("X-Partition-Epoch"));
+    const auto version = parseDigits(reply.headers.find("X-Index-Version"));
+    const auto epoch = parseDigits(reply.headers.find("X-Partition-Epoch"));
     if (!version || !epoch) {
         answer.outcome = LegOutcome::Failed;
         answer.detail = "answer without index version or partition epoch";
@@ -147,11 +138,11 @@
     answer.outcome = outcomeOf(reply.status, reason);
     answer.draining = reply.headers.find("X-Draining") == "1" || reason == "draining";
     forEachItem(reply.headers.find("X-Index-Versions"), [&](std::string_view item) {
-        if (const auto n = parseNumber(item))
+        if (const auto n = parseDigits(item))
             answer.versions.emplace_back(*n);
     });
     std::sort(answer.versions.begin(), answer.versions.end());
-    if (const auto millis = parseNumber(reply.headers.find("Retry-After-Ms")))
+    if (const auto millis = parseDigits(reply.headers.find("Retry-After-Ms")))
         answer.retryAfter = std::chrono::milliseconds(std::min<std::uint64_t>(*millis, 60000));
     if (answer.outcome != LegOutcome::Ok) {
         answer.detail = "status " + std::to_string(reply.status) + (reason.empty() ? "" : ", " + std::string(reason));
--- a/platform/headers.cpp
+++ b/src/http/header_values.cpp
@@ -1,10 +1,9 @@
-#include "headers.h"
+#include "http/header_values.h"
 
 #include <boost/beast/core/string.hpp>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace lycheefield {
 
@@ -35,15 +34,6 @@
     return std::any_of(tokens.begin(), tokens.end(), isName);
 }
 
-std::optional<std::uint64_t> parseDigits(std::string_view text)
-{
-    std::uint64_t value = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (ec != std::errc() || end != text.data() + text.size())
-        return std::nullopt;
-    return value;
-}
-
 std::vector<std::string_view> splitItems(std::string_view text)
 {
     std::vector<std::string_view> items;
--- a/platform/headers.h
+++ b/src/http/header_values.h
@@ -2,8 +2,6 @@
 
 #include "http/http_message.h"
 
-#include <cstdint>
-#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -13,9 +11,6 @@
 /// message's Connection header.
 bool isHopByHop(std::string_view name, const HttpHeaders&);
 
-/// A whole number without sign or blanks; empty when the text is anything else.
-std::optional<std::uint64_t> parseDigits(std::string_view);
-
 /// The comma-separated items of a header value, without blanks around them.
 std::vector<std::string_view> splitItems(std::string_view);
 
--- a/src/observe/decision_log.cpp
+++ b/src/observe/decision_log.cpp
@@ -41,8 +41,7 @@
 }
 
 DecisionLog::DecisionLog(std::uint32_t linesPerSecond)
-    : m_linesPerSecond(linesPerSecond)
-    , m_room(linesPerSecond)
+    : m_room(linesPerSecond, linesPerSecond)
 {
     const auto flags = fcntl(STDOUT_FILENO, F_GETFL);
     if (flags >= 0)
@@ -51,16 +50,7 @@
 
 bool DecisionLog::hasRoom(LineWeight weight, TimePoint now)
 {
-    const double most = m_linesPerSecond;
-    const auto seconds = std::chrono::duration<double>(now - m_refilledAt).count();
-    m_refilledAt = now;
-    m_room = std::min(most, m_room + std::max(0.0, seconds) * most);
-    if (weight == LineWeight::State)
-        return true;
-    if (m_room < leastRoom(weight, most))
-        return false;
-    m_room -= 1;
-    return true;
+    return weight == LineWeight::State || m_room.take(now, leastRoom(weight, m_room.burst()));
 }
 
 void DecisionLog::write(LineWeight weight, TimePoint now, std::string_view event, std::initializer_list<LineField> fields)
--- a/src/observe/decision_log.h
+++ b/src/observe/decision_log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "base/token_bucket.h"
 
 #include <cstdint>
 #include <string>
@@ -35,9 +36,7 @@
 private:
     bool hasRoom(LineWeight, TimePoint);
 
-    std::uint32_t m_linesPerSecond;
-    double m_room = 0;
-    TimePoint m_refilledAt {};
+    TokenBucket m_room;
     std::uint64_t m_leftOut = 0;
     std::string m_line; ///< Kept, so that a line allocates nothing.
 };
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -1,7 +1,7 @@
 #include "platform/platform_client.h"
 
+#include "base/token_bucket.h"
 #include "platform/backoff.h"
-#include "platform/call_budget.h"
 #include "platform/http_date.h"
 #include "platform/platform_connection.h"
 
@@ -64,7 +64,7 @@
 
 constexpr double burstSeconds = 0.5;
 
-CallBudget makeBudget(std::uint32_t callsPerSecond)
+TokenBucket makeBudget(std::uint32_t callsPerSecond)
 {
     const double rate = std::max(1U, callsPerSecond);
     return { rate, std::max(1.0, rate * burstSeconds) };
@@ -143,8 +143,8 @@
     asio::strand<asio::any_io_executor> m_strand;
     PlatformClientSettings m_settings;
     SteadyClock m_clock;
-    CallBudget m_reads;
-    CallBudget m_writes;
+    TokenBucket m_reads;
+    TokenBucket m_writes;
     Backoff m_backoff;
     TimePoint m_pausedUntil {};
     bool m_isStopped = false;
--- /dev/null
+++ b/tests/base/token_bucket_test.cpp
@@ -0,0 +1,28 @@
+#include "base/token_bucket.h"
+
+#include <doctest/doctest.h>
+
+namespace lycheefield {
+
+using namespace std::chrono_literals;
+
+TEST_CASE("a bucket refills at its rate" * doctest::test_suite("base"))
+{
+    TokenBucket bucket(10, 2);
+    const TimePoint start { 1s };
+    CHECK(bucket.take(start));
+    CHECK(bucket.take(start));
+    CHECK_FALSE(bucket.take(start));
+    CHECK_FALSE(bucket.take(start + 99ms));
+    CHECK(bucket.take(start + 100ms));
+    CHECK_FALSE(bucket.take(start + 100ms));
+
+    SUBCASE("and may be asked to keep some back")
+    {
+        CHECK_FALSE(bucket.take(start + 200ms, 1.5));
+        CHECK(bucket.take(start + 250ms, 1.5));
+        CHECK_FALSE(bucket.take(start + 250ms));
+    }
+}
+
+}
--- a/tests/forward/forward_world.cpp
+++ b/tests/forward/forward_world.cpp
@@ -9,6 +9,16 @@
 constexpr std::uint64_t seed = 11;
 constexpr std::uint32_t connectionsOfServer = 26;
 
+Route routeAt(const std::string& name)
+{
+    Route route;
+    route.name = name;
+    route.host = "a.example";
+    route.prefix = "/" + name + "/";
+    route.maxRuns = 2;
+    return route;
+}
+
 }
 
 ForwardWorld::ForwardWorld(ForwardSettings settings)
@@ -46,14 +56,10 @@
 
 Route ForwardWorld::searchRoute(const std::vector<std::string>& services) const
 {
-    Route route;
-    route.name = "search";
-    route.host = "a.example";
-    route.prefix = "/search/";
+    auto route = routeAt("search");
     route.isRepeatable = true;
     route.timeout = std::chrono::seconds(3);
     route.targetLatency = std::chrono::milliseconds(200);
-    route.maxRuns = 2;
     route.topRecords = 5;
     route.minimumCoverage = Share { 0.89 };
     for (const auto& it : services)
@@ -63,14 +69,10 @@
 
 Route ForwardWorld::singleRoute(const std::string& service, bool isRepeatable) const
 {
-    Route route;
-    route.name = "single";
-    route.host = "a.example";
-    route.prefix = "/single/";
+    auto route = routeAt("single");
     route.isRepeatable = isRepeatable;
     route.timeout = std::chrono::seconds(10);
     route.targetLatency = std::chrono::milliseconds(800);
-    route.maxRuns = 2;
     route.targets = { { ServiceName(service), 1 } };
     return route;
 }
@@ -85,9 +87,7 @@
     m_tables.push_back(table);
     const RequestNumber number { ++m_lastRequest };
     m_started[number] = m_now;
-    ForwardActions actions;
-    m_engine.start({ number, table, &table->routes.front(), std::make_shared<const HttpRequest>(), "attempt-" + std::to_string(m_lastRequest), m_now + patience, m_now, never, {}, true }, m_now, actions);
-    carryOut(actions);
+    decide([&](ForwardActions& actions) { m_engine.start({ number, table, &table->routes.front(), std::make_shared<const HttpRequest>(), "attempt-" + std::to_string(m_lastRequest), m_now + patience, m_now, never, {}, true }, m_now, actions); });
     run(Duration {}); // What is left for its next turn.
     return number;
 }
@@ -95,53 +95,40 @@
 void ForwardWorld::startAs(const ForwardRequest& request)
 {
     m_started[request.number] = m_now;
-    ForwardActions actions;
-    m_engine.start(request, m_now, actions);
-    carryOut(actions);
+    decide([&](ForwardActions& actions) { m_engine.start(request, m_now, actions); });
     run(Duration {});
 }
 
 void ForwardWorld::relayed(AskId id, const ForwardAnswer& answer)
 {
-    ForwardActions actions;
-    m_engine.onRelayed(id, answer, m_now, actions);
-    carryOut(actions);
+    decide([&](ForwardActions& actions) { m_engine.onRelayed(id, answer, m_now, actions); });
 }
 
 void ForwardWorld::relayFailed(AskId id, bool mayHaveRun)
 {
-    ForwardActions actions;
-    m_engine.onRelayFailed(id, mayHaveRun, m_now, actions);
-    carryOut(actions);
+    decide([&](ForwardActions& actions) { m_engine.onRelayFailed(id, mayHaveRun, m_now, actions); });
 }
 
 bool ForwardWorld::relaySilent(AskId id)
 {
-    ForwardActions actions;
-    const bool isTakenBack = m_engine.onRelaySilent(id, m_now, actions);
-    carryOut(actions);
+    bool isTakenBack = false;
+    decide([&](ForwardActions& actions) { isTakenBack = m_engine.onRelaySilent(id, m_now, actions); });
     return isTakenBack;
 }
 
 void ForwardWorld::secondSendsWanted(AskId id, const std::vector<std::uint32_t>& positions)
 {
-    ForwardActions actions;
-    m_engine.onSecondSendsWanted(id, positions, actions);
-    carryOut(actions);
+    decide([&](ForwardActions& actions) { m_engine.onSecondSendsWanted(id, positions, actions); });
 }
 
 void ForwardWorld::secondSendsGranted(RequestNumber number)
 {
-    ForwardActions actions;
-    m_engine.onSecondSendsGranted(number, m_now, actions);
-    carryOut(actions);
+    decide([&](ForwardActions& actions) { m_engine.onSecondSendsGranted(number, m_now, actions); });
 }
 
 void ForwardWorld::leave(RequestNumber number)
 {
-    ForwardActions actions;
-    m_engine.cancel(number, m_now, actions);
-    carryOut(actions);
+    decide([&](ForwardActions& actions) { m_engine.cancel(number, m_now, actions); });
 }
 
 TimePoint ForwardWorld::nextEnd() const
@@ -256,9 +243,7 @@
 void ForwardWorld::lose(SendId id, SendLoss loss)
 {
     forget(id);
-    ForwardActions actions;
-    m_engine.onLost(id, loss, m_now, actions);
-    carryOut(actions);
+    decide([&](ForwardActions& actions) { m_engine.onLost(id, loss, m_now, actions); });
 }
 
 std::vector<SendToServer> ForwardWorld::sends() const
--- a/tests/forward/forward_world.h
+++ b/tests/forward/forward_world.h
@@ -81,6 +81,14 @@
         std::size_t arrivals = 0;
     };
 
+    /// Asks the engine and carries out what it decided.
+    template <typename Decide>
+    void decide(Decide askEngine)
+    {
+        ForwardActions actions;
+        askEngine(actions);
+        carryOut(actions);
+    }
     void carryOut(const ForwardActions&);
     void arrive(const SendToServer&);
     void startWaiting(Server&);
--- a/tests/platform/store_watcher_test.cpp
+++ b/tests/platform/store_watcher_test.cpp
@@ -1,4 +1,3 @@
-#include "platform/call_budget.h"
 #include "platform/platform_fixture.h"
 #include "platform/store_watcher.h"
 
@@ -198,18 +197,6 @@
     settle();
 }
 
-TEST_CASE("A call budget refills at its rate")
-{
-    CallBudget budget(10, 2);
-    const TimePoint start { 1s };
-    CHECK(budget.take(start));
-    CHECK(budget.take(start));
-    CHECK_FALSE(budget.take(start));
-    CHECK_FALSE(budget.take(start + 99ms));
-    CHECK(budget.take(start + 100ms));
-    CHECK_FALSE(budget.take(start + 100ms));
-}
-
 TEST_CASE("Backoff doubles up to its limit, with jitter, and starts over after a success")
 {
     Backoff backoff(10ms, 40ms, std::make_unique<SeededRandom>(3));
--- a/tests/soak/promises.h
+++ b/tests/soak/promises.h
@@ -16,7 +16,6 @@
 struct Attempt {
     std::string id;
     std::string gateway;
-    std::string route;
     std::string method;
     std::string target;
     std::string body;
--- a/tests/soak/soak_backend.cpp
+++ b/tests/soak/soak_backend.cpp
@@ -1,6 +1,7 @@
 #include "soak_backend.h"
 
 #include "base/clock.h"
+#include "forward/record_merge.h"
 
 namespace lycheefield::soak {
 
@@ -11,7 +12,6 @@
 constexpr unsigned failed = 500;
 constexpr std::size_t recordsOfPart = 4;
 constexpr Duration mostExtraWork = std::chrono::milliseconds(50);
-constexpr std::size_t recordBytes = 16;
 
 }
 
@@ -56,8 +56,7 @@
         reply.headers.add("Lycheefield-Not-Executed", "1");
         return exchange->respond(std::move(reply));
     }
-    lastRequestAt = SteadyClock().now();
-    if (lastRequestAt > closedAt)
+    if (SteadyClock().now() > closedAt)
         m_promises.fail("a server that had been draining for long got a request");
     auto timer = std::make_shared<boost::asio::steady_timer>(m_io, m_faults.work + Duration(static_cast<Duration::rep>(m_random.below(mostExtraWork.count()))));
     const bool isLost = m_random.unit() < m_faults.losing;
--- a/tests/soak/soak_backend.h
+++ b/tests/soak/soak_backend.h
@@ -35,7 +35,6 @@
     const std::string& service() const { return m_service; }
     /// From then on no request should come any more; `never`: it serves.
     TimePoint closedAt = never;
-    TimePoint lastRequestAt {};
 
 private:
     HttpReply run(const HttpRequest&);
--- a/tests/standin/backend_server.cpp
+++ b/tests/standin/backend_server.cpp
@@ -15,11 +15,6 @@
 constexpr unsigned statusExpired = 504;
 constexpr Duration shedRetryAfter { 50000 };
 
-Duration scaled(Duration duration, double factor)
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
-}
-
 }
 
 BackendCounters& BackendCounters::operator+=(const BackendCounters& other)
