Settings take numbers with decimal places, as a platform may fill them in

The key was a whole number, so each gateway ended at its start with 'not allowed'. Change: a key of type number for the slack; durations with decimal places, rounded to microseconds; shares in any notation; shorter limits allowed. Rule files keep whole durations.

--- a/src/base/quantity_text.cpp
+++ b/src/base/quantity_text.cpp
@@ -75,6 +75,21 @@
     return Duration(static_cast<Duration::rep>(*value));
 }
 
+std::optional<Duration> parseDecimalDuration(std::string_view text)
+{
+    if (const auto whole = parseDuration(text))
+        return whole;
+    const auto unitAt = text.find_last_of("0123456789.") + 1;
+    const auto number = parseNumber(text.substr(0, unitAt));
+    const auto unit = parseScaled("1" + std::string(text.substr(unitAt)), durationUnits);
+    if (!number || !unit)
+        return std::nullopt;
+    const auto micros = *number * static_cast<double>(*unit);
+    if (micros >= static_cast<double>(Duration::max().count()))
+        return std::nullopt;
+    return Duration(std::llround(micros));
+}
+
 std::string formatDuration(Duration duration)
 {
     return formatScaled(static_cast<std::uint64_t>(duration.count()), durationUnits);
@@ -85,12 +100,10 @@
 /// Parses a share in fraction notation, such as "0.25".
 std::optional<Share> parseFraction(std::string_view text)
 {
-    double value = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
-    const bool isFraction = text == "0" || text == "1" || text.starts_with("0.") || text.starts_with("1.");
-    if (!isFraction || ec != std::errc() || end != text.data() + text.size() || value < 0 || value > 1)
+    const auto value = parseNumber(text);
+    if (!value || *value > 1)
         return std::nullopt;
-    return Share { value };
+    return Share { *value };
 }
 
 }
@@ -138,6 +151,23 @@
     return formatScaled(bytes.value, byteUnits);
 }
 
+std::optional<double> parseNumber(std::string_view text)
+{
+    double value = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool isNumber = ec == std::errc() && end == text.data() + text.size();
+    if (!isNumber || !std::isfinite(value) || std::signbit(value))
+        return std::nullopt;
+    return value;
+}
+
+std::string formatNumber(double value)
+{
+    std::array<char, 32> buf {};
+    const auto [end, ec] = std::to_chars(buf.data(), buf.data() + buf.size(), value);
+    return { buf.data(), end };
+}
+
 std::optional<std::uint64_t> parseWholeNumber(std::string_view text)
 {
     std::uint64_t value = 0;
--- a/src/base/quantity_text.h
+++ b/src/base/quantity_text.h
@@ -16,6 +16,8 @@
 
 /// Whole number with a unit: us, ms, s, m or h.
 std::optional<Duration> parseDuration(std::string_view);
+/// The same, or a decimal number with a unit, rounded to microseconds. For settings that a program fills in.
+std::optional<Duration> parseDecimalDuration(std::string_view);
 std::string formatDuration(Duration);
 
 /// Decimal number from 0 to 100 with up to six decimal places and a percent sign, or a fraction from 0 to 1.
@@ -29,4 +31,8 @@
 /// Whole number without sign, of at most twelve digits.
 std::optional<std::uint64_t> parseWholeNumber(std::string_view);
 
+/// Finite number without sign, with or without decimal places and exponent.
+std::optional<double> parseNumber(std::string_view);
+std::string formatNumber(double);
+
 }
--- a/src/forward/forward_settings.h
+++ b/src/forward/forward_settings.h
@@ -15,7 +15,7 @@
 struct ForwardSettings {
     ZoneName zone; ///< The zone of this instance.
     Share retryRatio { 0.2 }; ///< Extra attempts of the whole fleet, as a share of first attempts.
-    std::uint32_t retrySlack = 0; ///< Extra attempts of the whole fleet in each window in addition to the ratio.
+    double retrySlack = 0; ///< Extra attempts of the whole fleet in each window in addition to the ratio.
     Duration retryWindow = 10s;
     Duration answerMargin = 12ms; ///< Time before the target latency at which a search is answered.
     Share minHedgeDelay { 0.15 }; ///< As a share of the target latency.
--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -73,13 +73,22 @@
 struct ValueType<std::uint32_t> : WholeNumberType<std::uint32_t> {
 };
 
+template <>
+struct ValueType<double> {
+    static constexpr auto name = "number";
+    static constexpr auto unit = "-";
+    static constexpr auto choices = "";
+    static std::string format(double value) { return formatNumber(value); }
+    static std::optional<double> parse(std::string_view text) { return parseNumber(text); }
+};
+
 template <>
 struct ValueType<Duration> {
     static constexpr auto name = "duration";
     static constexpr auto unit = "us, ms, s, m or h";
     static constexpr auto choices = "";
     static std::string format(Duration value) { return formatDuration(value); }
-    static std::optional<Duration> parse(std::string_view text) { return parseDuration(text); }
+    static std::optional<Duration> parse(std::string_view text) { return parseDecimalDuration(text); }
 };
 
 template <>
--- a/src/settings/setting_key.h
+++ b/src/settings/setting_key.h
@@ -11,7 +11,7 @@
 namespace lycheefield {
 
 /// Pointer to the member of Settings that a key sets.
-using SettingField = std::variant<bool*, std::uint16_t*, std::uint32_t*, Duration*, Share*, ByteCount*, std::string*, Endpoint*,
+using SettingField = std::variant<bool*, std::uint16_t*, std::uint32_t*, double*, Duration*, Share*, ByteCount*, std::string*, Endpoint*,
     InstanceName*, ZoneName*, Routing*, LogFormat*>;
 
 /// Lower and upper bound of a number, duration, share or size, in the syntax of the settings file.
@@ -32,7 +32,7 @@
     bool required = false;
 
     std::string fullName() const { return section + "." + key; }
-    /// Returns "duration", "whole number", "share", "size", "switch", "text", "endpoint" or "choice".
+    /// Returns "duration", "whole number", "number", "share", "size", "switch", "text", "endpoint" or "choice".
     std::string type() const;
     /// Returns the unit of the value; "-" for a value without a unit.
     std::string unit() const;
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -177,10 +177,10 @@
                                 { "gateway", "readiness", fieldOf<section, &GatewaySettings::readiness>, {}, "Endpoint on which a gateway serves the balancer's readiness checks." },
                                 { "gateway", "metrics_port", fieldOf<section, &GatewaySettings::metricsPort>, { "0", "65535" }, "Port of a gateway's metrics, on the callers' address; 0: no metrics." },
                                 { "gateway", "log_lines_per_second", fieldOf<section, &GatewaySettings::logLinesPerSecond>, { "1", "100000" }, "Limit on log lines about single requests, per second." },
-                                { "gateway", "cores", fieldOf<section, &GatewaySettings::cores>, { "1%", "100%" }, "Share of one core that a gateway may use." },
-                                { "gateway", "configuration_limit", fieldOf<section, &GatewaySettings::configurationLimit>, { "500ms", "1h" }, "Longest time until a new configuration is in force." },
-                                { "gateway", "servers_limit", fieldOf<section, &GatewaySettings::serversLimit>, { "500ms", "1h" }, "Longest time until a draining or removed server gets no new work." },
-                                { "gateway", "stop_limit", fieldOf<section, &GatewaySettings::stopLimit>, { "1s", "1h" }, "Longest time from SIGTERM until the process has ended." },
+                                { "gateway", "cores", fieldOf<section, &GatewaySettings::cores>, { "0.1%", "100%" }, "Share of one core that a gateway may use." },
+                                { "gateway", "configuration_limit", fieldOf<section, &GatewaySettings::configurationLimit>, { "10ms", "1h" }, "Longest time until a new configuration is in force." },
+                                { "gateway", "servers_limit", fieldOf<section, &GatewaySettings::serversLimit>, { "10ms", "1h" }, "Longest time until a draining or removed server gets no new work." },
+                                { "gateway", "stop_limit", fieldOf<section, &GatewaySettings::stopLimit>, { "100ms", "1h" }, "Longest time from SIGTERM until the process has ended." },
                             });
 }
 
--- /dev/null
+++ b/tests/adapter/settings_template_test.cpp
@@ -0,0 +1,113 @@
+#include "settings/settings.h"
+
+#include <doctest/doctest.h>
+
+#include <fstream>
+#include <map>
+#include <sstream>
+
+namespace lycheefield {
+
+namespace {
+
+using Placeholders = std::map<std::string, std::string>;
+
+/// Returns the text of the template with each placeholder replaced by its value.
+std::string fillTemplate(const Placeholders& values)
+{
+    std::ifstream file(LYCHEEFIELD_SOURCE_DIR "/deploy/gateway.ini");
+    std::stringstream buf;
+    buf << file.rdbuf();
+    std::string text = buf.str();
+    for (const auto& [name, value] : values) {
+        const auto placeholder = "{{" + name + "}}";
+        for (auto at = text.find(placeholder); at != std::string::npos; at = text.find(placeholder))
+            text.replace(at, placeholder.size(), value);
+    }
+    REQUIRE(text.find("{{") == std::string::npos);
+    return text;
+}
+
+Placeholders wholeNumbers()
+{
+    return {
+        { "nodeName", "edge-1" },
+        { "zone", "ikeja-a" },
+        { "portRange.0", "7380" },
+        { "listenAddrs.front", "10.1.0.9:8104" },
+        { "listenAddrs.readyAddr", "10.1.0.9:8108" },
+        { "platform.address", "10.200.1.7:8102" },
+        { "limits.cpuShare", "0.25" },
+        { "bounds.configApplyMs", "3000" },
+        { "bounds.drainMs", "3000" },
+        { "bounds.graceS", "6" },
+        { "bounds.retryBudgetRatio", "0.2" },
+        { "bounds.retrySlack", "58" },
+        { "bounds.budgetWindowS", "10" },
+    };
+}
+
+Settings settingsOf(const Placeholders& values)
+{
+    const auto parsed = parseSettings(fillTemplate(values), "gateway.ini");
+    if (const auto* errors = std::get_if<std::vector<SettingError>>(&parsed))
+        FAIL(errors->front());
+    return std::get<Settings>(parsed);
+}
+
+}
+
+TEST_CASE("The settings template takes the numbers of any deployment" * doctest::test_suite("adapter"))
+{
+    auto values = wholeNumbers();
+
+    SUBCASE("Whole numbers")
+    {
+        const auto settings = settingsOf(values);
+        CHECK(settings.forward.retrySlack == 58);
+        CHECK(settings.forward.retryWindow == std::chrono::seconds(10));
+        CHECK(settings.gateway.stopLimit == std::chrono::seconds(6));
+    }
+    SUBCASE("Bounds with decimal places, as in a deployment that divides the bounds of a larger one")
+    {
+        values["bounds.retrySlack"] = "33.1578947368421";
+        values["bounds.budgetWindowS"] = "10.0";
+        values["bounds.graceS"] = "6.5";
+        values["bounds.configApplyMs"] = "2999.9999999999995";
+        values["bounds.drainMs"] = "3000.0";
+        const auto settings = settingsOf(values);
+        CHECK(settings.forward.retrySlack == doctest::Approx(33.157894));
+        CHECK(settings.forward.retryWindow == std::chrono::seconds(10));
+        CHECK(settings.gateway.stopLimit == std::chrono::milliseconds(6500));
+        CHECK(settings.gateway.configurationLimit == std::chrono::seconds(3));
+        CHECK(settings.gateway.serversLimit == std::chrono::seconds(3));
+    }
+    SUBCASE("Short bounds")
+    {
+        values["bounds.graceS"] = "0.5";
+        values["bounds.configApplyMs"] = "200";
+        values["bounds.drainMs"] = "150.5";
+        CHECK(settingsOf(values).gateway.serversLimit == std::chrono::microseconds(150500));
+    }
+    SUBCASE("Shares in any notation")
+    {
+        values["limits.cpuShare"] = "1";
+        values["bounds.retryBudgetRatio"] = "0.30000000000000004";
+        CHECK(settingsOf(values).gateway.cores == Share { 1 });
+        values["limits.cpuShare"] = "0.005";
+        values["bounds.retryBudgetRatio"] = "1.0";
+        CHECK(settingsOf(values).forward.retryRatio == Share { 1 });
+        values["bounds.retryBudgetRatio"] = "5e-2";
+        CHECK(settingsOf(values).forward.retryRatio.value == doctest::Approx(0.05));
+    }
+    SUBCASE("Text in place of a number is an error")
+    {
+        for (const auto* it : { "many", "-1", "1,5", "inf", "nan", "" }) {
+            CAPTURE(it);
+            values["bounds.retrySlack"] = it;
+            CHECK(std::holds_alternative<std::vector<SettingError>>(parseSettings(fillTemplate(values), "gateway.ini")));
+        }
+    }
+}
+
+}
