Calls to the store are counted by objects and kind

A store call has a price, and nothing showed which of them a gateway makes. lycheefield_store_calls_total{objects,call} on the metrics address counts each page of a list, each watch and each write. Test: published_store_test.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -116,6 +116,8 @@
 
     void announceNews(const StoreNews& news) { m_delegation.announceNews(news); }
 
+    Metrics& metrics() { return m_metrics; }
+
     Instance self() const { return { m_settings.instance.name, m_delegation.life(), m_inner, m_settings.gateway.callers, m_settings.instance.zone, InstanceHealth::Alive, m_settings.gateway.cores.value }; }
 
     Result<GatewayEndpoints> listen()
@@ -390,6 +392,11 @@
     m_impl->run();
 }
 
+Metrics& Gateway::metrics()
+{
+    return m_impl->metrics();
+}
+
 Instance Gateway::self() const
 {
     return m_impl->self();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include "gateway/caller_protocol.h"
 #include "gateway/server_protocol.h"
 #include "membership/view.h"
+#include "observe/metrics.h"
 #include "routing/route_table.h"
 #include "settings/settings.h"
 #include "wire/store_news.h"
@@ -77,6 +78,8 @@
     /// Sets the instances of the fleet, which share the servers' connections and the retry budget, and
     /// delegate legs of searches to each other.
     void onInstances(const std::vector<Instance>&);
+    /// The metrics that this instance serves on its metrics port. Thread safe.
+    Metrics& metrics();
     /// What other instances need to reach this one. Precondition: listen() has succeeded.
     Instance self() const;
 
--- a/tests/adapter/end_to_end_test.cpp
+++ b/tests/adapter/end_to_end_test.cpp
@@ -121,7 +121,7 @@
         client.watchTimeout = 50ms;
         client.connectTimeout = 5s;
         client.callTimeout = 5s;
-        feed = std::make_unique<TableFeed>(*gateway, std::make_shared<PublishedStore>(std::make_shared<PlatformClient>(gateway->executor(), client)), ApplyLimits { 200ms, 200ms });
+        feed = std::make_unique<TableFeed>(*gateway, std::make_shared<PublishedStore>(std::make_shared<PlatformClient>(gateway->executor(), client), gateway->metrics()), ApplyLimits { 200ms, 200ms });
         endpoints = gateway->listen().value();
         feed->start();
         thread = std::thread([this] { gateway->run(); });
--- a/tests/adapter/published_store_test.cpp
+++ b/tests/adapter/published_store_test.cpp
@@ -25,7 +25,7 @@
         settings.callTimeout = 5s;
         settings.connectTimeout = 5s;
         settings.watchTimeout = 20ms;
-        store = std::make_shared<PublishedStore>(std::make_shared<PlatformClient>(io.get_executor(), settings));
+        store = std::make_shared<PublishedStore>(std::make_shared<PlatformClient>(io.get_executor(), settings), metrics);
     }
 
     template <typename Reached>
@@ -37,6 +37,7 @@
 
     boost::asio::io_context io { 1 };
     standin::PublishedStoreServer server;
+    Metrics metrics;
     std::shared_ptr<PublishedStore> store;
 };
 
@@ -61,6 +62,8 @@
     CHECK(batch->status == StoreStatus::Ok);
     CHECK(keysOf(*batch) == std::vector<std::string> { "servers/a", "servers/b", "servers/c", "servers/d", "servers/e" });
     CHECK(batch->changed[0].value == "{\"n\":1}");
+    // Five objects on pages of two are three calls.
+    CHECK(fixture.metrics.counter(R"(lycheefield_store_calls_total{objects="servers",call="list"})").value() == 3);
 }
 
 TEST_CASE("PublishedStore creates and updates an object, and reports a conflict for a stale version" * doctest::test_suite("adapter"))
