--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -41,7 +41,7 @@
 
 }
 
-class Gateway::Impl {
+class Gateway::Impl final : public StoreNewsEvents {
 public:
     Impl(const Settings& settings, GatewayProtocols protocols)
         : m_settings(settings)
@@ -49,7 +49,7 @@
         , m_log(settings.gateway.logLinesPerSecond)
         , m_driver({ m_strand, *m_clock, protocols.callers, protocols.servers, m_metrics, m_log }, forwardSettings(settings))
         , m_delegateChooser(settings.instance.name, settings.instance.zone)
-        , m_delegation({ m_io, m_strand, m_clock, m_driver, m_metrics, m_log, [this](const StoreNews& news) { deliverNews(news); } }, m_delegateChooser, settings.instance.name, settings.instance.zone)
+        , m_delegation({ m_io, m_strand, m_clock, m_driver, m_metrics, m_log, *this }, m_delegateChooser, settings.instance.name, settings.instance.zone)
         , m_readiness([this] { return HttpResponse { isReady() ? ok : unavailable, "text/plain", isReady() ? "ready\n" : "not ready\n" }; })
         , m_metricsPage([this] { return HttpResponse { ok, "text/plain; version=0.0.4", m_metrics.render() }; })
         , m_callerServer(m_io, m_driver, m_clock, m_callerCounters)
@@ -104,17 +104,37 @@
             m_registry.recordStoreUnreachable();
     }
 
-    void onInstances(const std::vector<Instance>& instances)
+    void onInstances(const std::vector<Instance>& instances, bool isSettled)
     {
         m_driver.setInstances(static_cast<std::uint32_t>(instances.size()));
         m_delegation.onPeers(instances);
         if (m_follower)
-            m_follower->onRank(m_delegation.newsRank());
+            m_follower->onRank(isSettled ? m_delegation.newsRank() : std::max(1U, m_delegation.newsRank()));
     }
 
     void setFollower(StoreFollower& follower) { m_follower = &follower; }
 
     void announceNews(const StoreNews& news) { m_delegation.announceNews(news); }
+    bool requestStoreState(const std::string& prefix) { return m_delegation.requestStoreState(prefix); }
+    void sendStoreState(const InstanceName& to, const StoreNews& state) { m_delegation.sendStoreState(to, state); }
+
+    void onNews(const StoreNews& news) override
+    {
+        if (m_follower)
+            m_follower->onNews(news);
+    }
+
+    void onStateRequested(const InstanceName& from, const StoreStateRequest& request) override
+    {
+        if (m_follower)
+            m_follower->onStateRequested(from, request);
+    }
+
+    void onStateRequestFailed(const StoreStateRequest& request) override
+    {
+        if (m_follower)
+            m_follower->onStateRequestFailed(request);
+    }
 
     Metrics& metrics() { return m_metrics; }
 
@@ -161,12 +181,6 @@
     }
 
 private:
-    void deliverNews(const StoreNews& news)
-    {
-        if (m_follower)
-            m_follower->onNews(news);
-    }
-
     static ForwardSettings forwardSettings(const Settings& settings)
     {
         auto forward = settings.forward;
@@ -367,9 +381,9 @@
     m_impl->onStoreReachable(isReachable);
 }
 
-void Gateway::onInstances(const std::vector<Instance>& instances)
+void Gateway::onInstances(const std::vector<Instance>& instances, bool isSettled)
 {
-    m_impl->onInstances(instances);
+    m_impl->onInstances(instances, isSettled);
 }
 
 void Gateway::setFollower(StoreFollower& follower)
@@ -382,6 +396,16 @@
     m_impl->announceNews(news);
 }
 
+bool Gateway::requestStoreState(const std::string& prefix)
+{
+    return m_impl->requestStoreState(prefix);
+}
+
+void Gateway::sendStoreState(const InstanceName& to, const StoreNews& state)
+{
+    m_impl->sendStoreState(to, state);
+}
+
 Result<GatewayEndpoints> Gateway::listen()
 {
     return m_impl->listen();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "routing/route_table.h"
 #include "settings/settings.h"
 #include "wire/store_news.h"
+#include "wire/store_state_request.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -39,8 +40,12 @@
     /// Another instance sent what it read from the store.
     virtual void onNews(const StoreNews&) = 0;
     /// 0: this instance watches the store. Otherwise its place among the instances of its zone, which query
-    /// the store in turn when no news arrives.
+    /// the store in turn when no news arrives. The first call means that the instances of the fleet are known.
     virtual void onRank(std::uint32_t) = 0;
+    /// Another instance asks for the state that this one knows; Gateway::sendStoreState() answers.
+    virtual void onStateRequested(const InstanceName&, const StoreStateRequest&) = 0;
+    /// No other instance could be asked for its state.
+    virtual void onStateRequestFailed(const StoreStateRequest&) = 0;
 };
 
 /// The endpoints where a gateway listens.
@@ -75,9 +80,15 @@
     void setFollower(StoreFollower&);
     /// Sends other instances what this one read from the store.
     void announceNews(const StoreNews&);
+    /// Asks an instance of this zone for the state of the store that it knows; the answer are news from revision 0.
+    /// Returns false when there is no instance to ask.
+    bool requestStoreState(const std::string& prefix);
+    /// Answers another instance's request for the state.
+    void sendStoreState(const InstanceName&, const StoreNews&);
     /// Sets the instances of the fleet, which share the servers' connections and the retry budget, and
-    /// delegate legs of searches to each other.
-    void onInstances(const std::vector<Instance>&);
+    /// delegate legs of searches to each other. isSettled: no instance of a starting fleet is missing; before that no
+    /// instance takes it on itself to watch the store for all.
+    void onInstances(const std::vector<Instance>&, bool isSettled);
     /// The metrics that this instance serves on its metrics port. Thread safe.
     Metrics& metrics();
     /// What other instances need to reach this one. Precondition: listen() has succeeded.
--- a/src/gateway/instance_census.h
+++ b/src/gateway/instance_census.h
@@ -27,7 +27,7 @@
 class InstanceCensus {
 public:
     /// Each instance must refresh its object once in this period.
-    static constexpr Duration refreshPeriod = std::chrono::seconds(30);
+    static constexpr Duration refreshPeriod = std::chrono::seconds(60);
 
     /// Processes a list of all instances' objects.
     void onList(const std::vector<InstanceSighting>&, TimePoint);
--- a/src/gateway/news_distribution.cpp
+++ b/src/gateway/news_distribution.cpp
@@ -58,6 +58,17 @@
     return names;
 }
 
+std::vector<InstanceName> NewsDistribution::stateSources() const
+{
+    auto names = zonePeers();
+    names.resize(std::min(names.size(), maxStateSources));
+    if (!names.empty()) {
+        const auto begin = stableHash(m_self.value()) % names.size();
+        std::rotate(names.begin(), names.begin() + static_cast<std::ptrdiff_t>(begin), names.end());
+    }
+    return names;
+}
+
 std::vector<InstanceName> NewsDistribution::recipientsOfNewsFrom(const InstanceName& sender) const
 {
     const auto it = std::find_if(m_ranked.begin(), m_ranked.end(), [&](const auto& instance) { return instance.name == sender; });
--- a/src/gateway/news_distribution.h
+++ b/src/gateway/news_distribution.h
@@ -25,9 +25,14 @@
     std::uint32_t rank() const;
     /// The instances to which this instance sends what it read from the store.
     std::vector<InstanceName> recipients() const;
+    /// The instances of this zone that are asked for the store's state at a start, the first one first; each
+    /// instance begins at another one. At most maxStateSources.
+    std::vector<InstanceName> stateSources() const;
     /// The instances to which this instance forwards news that came from the sender.
     std::vector<InstanceName> recipientsOfNewsFrom(const InstanceName& sender) const;
 
+    static constexpr std::size_t maxStateSources = 4;
+
 private:
     bool isFirstOfFleet() const { return !m_ranked.empty() && m_ranked.front().name == m_self; }
     std::vector<InstanceName> zonePeers() const;
--- a/src/gateway/search_delegation.cpp
+++ b/src/gateway/search_delegation.cpp
@@ -58,7 +58,21 @@
 {
     for (const auto& it : m_newsDistribution.recipientsOfNewsFrom(from))
         m_network.send(it, news);
-    m_parts.onNews(news);
+    m_parts.storeNews.onNews(news);
+}
+
+bool SearchDelegation::requestStoreState(const std::string& prefix)
+{
+    const auto sources = m_newsDistribution.stateSources();
+    if (sources.empty())
+        return false;
+    m_network.send(sources.front(), StoreStateRequest { prefix });
+    return true;
+}
+
+void SearchDelegation::sendStoreState(const InstanceName& to, const StoreNews& state)
+{
+    m_network.reply(to, state);
 }
 
 void SearchDelegation::announceCrash(const AnnounceContentCrash& crash)
@@ -212,6 +226,8 @@
         onResponse(from, *response);
     else if (const auto* news = std::get_if<StoreNews>(&message))
         onNews(from, *news);
+    else if (const auto* request = std::get_if<StoreStateRequest>(&message))
+        m_parts.storeNews.onStateRequested(from, *request);
     else if (const auto* crash = std::get_if<AnnounceCrash>(&message))
         m_parts.events.onCrashAnnounced(crash->fingerprint, crash->location.server);
 }
@@ -268,6 +284,8 @@
 
 void SearchDelegation::onUndelivered(const InstanceName& to, PeerMessage message)
 {
+    if (const auto* request = std::get_if<StoreStateRequest>(&message))
+        boost::asio::post(m_parts.strand, [this, request = *request] { m_parts.storeNews.onStateRequestFailed(request); });
     const auto* call = std::get_if<SearchCall>(&message);
     if (!call)
         return;
--- a/src/gateway/search_delegation.h
+++ b/src/gateway/search_delegation.h
@@ -49,6 +49,18 @@
     virtual void cancelAllDelegated(const InstanceName& delegator) = 0;
 };
 
+/// Receives what other instances say of the platform's store. Called on the strand of the SearchDelegation.
+class StoreNewsEvents {
+public:
+    virtual ~StoreNewsEvents() = default;
+    /// Another instance announced changes, or answered a request for its state.
+    virtual void onNews(const StoreNews&) = 0;
+    /// Another instance asks for the state that this one knows.
+    virtual void onStateRequested(const InstanceName&, const StoreStateRequest&) = 0;
+    /// The request for another instance's state could not be delivered.
+    virtual void onStateRequestFailed(const StoreStateRequest&) = 0;
+};
+
 /// The dependencies of a SearchDelegation. All of them outlive the SearchDelegation.
 struct SearchDelegationParts {
     boost::asio::io_context& io;
@@ -57,7 +69,7 @@
     SearchDelegationEvents& events;
     Metrics& metrics;
     DecisionLog& log;
-    std::function<void(const StoreNews&)> onNews {}; ///< Called with what another instance read from the store.
+    StoreNewsEvents& storeNews;
 };
 
 /// Exchanges messages with the other instances: delegates legs of searches to them, accepts their
@@ -79,6 +91,10 @@
 
     /// Sends other instances what this one read from the store.
     void announceNews(const StoreNews&);
+    /// Asks an instance of this zone for the state of the store that it knows. Returns false when there is none to ask.
+    bool requestStoreState(const std::string& prefix);
+    /// Answers another instance's request.
+    void sendStoreState(const InstanceName&, const StoreNews&);
     std::uint32_t newsRank() const { return m_newsDistribution.rank(); }
     /// Announces to all instances that this content crashed a server.
     void announceCrash(const AnnounceContentCrash&);
--- a/src/platform/store_watcher.cpp
+++ b/src/platform/store_watcher.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace lycheefield {
@@ -48,6 +49,20 @@
     });
 }
 
+void StoreWatcher::state(StateHandler handler)
+{
+    asio::post(m_strand, [self = shared_from_this(), handler = std::move(handler)] {
+        WatchBatch known;
+        known.status = StoreStatus::Ok;
+        if (self->m_isListed) {
+            known.revision = self->m_revision;
+            for (const auto& [key, object] : self->m_objects)
+                known.changed.push_back(object);
+        }
+        handler(known, self->m_provenAt);
+    });
+}
+
 void StoreWatcher::setSchedule(const WatchSchedule& turn)
 {
     asio::post(m_strand, [self = shared_from_this(), turn] {
@@ -65,21 +80,63 @@
 
 void StoreWatcher::applyAnnouncement(const WatchBatch& batch, std::uint64_t fromRevision, TimePoint currentAsOf)
 {
-    if (m_isStopped || !m_isListed)
+    const bool isList = fromRevision == 0 && batch.revision > 0;
+    if (m_isStopped || (!m_isListed && !isList))
         return;
     if (fromRevision > m_revision) {
-        if (!std::exchange(m_isBehind, true) && !m_isCallInFlight)
+        const bool wasBehind = m_isBehind;
+        markBehind();
+        if (!wasBehind && !m_isCallInFlight)
             scheduleCall(m_schedule.gapPause);
         return;
     }
     m_provenAt = std::max(m_provenAt, currentAsOf);
-    auto seen = batch;
-    if (batch.revision <= m_revision) {
-        seen.changed.clear();
-        seen.removed.clear();
+    m_isBehind = m_isBehind && m_provenAt <= m_behindSince;
+    const bool isNewer = batch.revision > m_revision;
+    m_isListed = true;
+    auto news = batch;
+    news.isFullList = isList && isNewer;
+    deliver(std::move(news), isNewer);
+}
+
+void StoreWatcher::markBehind()
+{
+    if (!std::exchange(m_isBehind, true))
+        m_behindSince = m_clock.now();
+}
+
+void StoreWatcher::deliver(WatchBatch batch, bool isNewer)
+{
+    if (!isNewer) {
+        batch.changed.clear();
+        batch.removed.clear();
     }
+    if (batch.isFullList)
+        m_objects.clear();
+    for (const auto& it : batch.changed)
+        m_objects.insert_or_assign(it.key, it);
+    for (const auto& it : batch.removed)
+        m_objects.erase(it);
     m_revision = std::max(m_revision, batch.revision);
-    m_handler(seen);
+    m_handler(batch);
+}
+
+WatchBatch StoreWatcher::changesSinceKnown(const WatchBatch& list) const
+{
+    WatchBatch changes;
+    changes.status = StoreStatus::Ok;
+    changes.revision = list.revision;
+    std::set<std::string> listed;
+    for (const auto& it : list.changed) {
+        listed.insert(it.key);
+        if (it.version.value > m_revision)
+            changes.changed.push_back(it);
+    }
+    for (const auto& [key, object] : m_objects) {
+        if (!listed.contains(key))
+            changes.removed.push_back(key);
+    }
+    return changes;
 }
 
 TimePoint StoreWatcher::nextCallAt() const
@@ -107,6 +164,7 @@
     const bool wasBehind = std::exchange(m_isBehind, false);
     const bool isShort = wasBehind || m_backoff.failures() > 0 || m_schedule.maxSilence > Duration {};
     m_requestedWait = isShort ? minWait : m_schedule.wait;
+    m_isListCall = !m_isListed;
     if (m_isListed)
         m_store->watch(m_prefix, m_revision, m_requestedWait, std::move(onResponse));
     else
@@ -130,35 +188,55 @@
         callStore();
         return;
     }
-    if (batch.status != StoreStatus::Ok) {
-        m_handler(batch);
-        return scheduleCall(m_backoff.onFailure());
-    }
+    if (batch.status != StoreStatus::Ok)
+        return onFailedCall(batch);
     m_backoff.onSuccess();
+    if (m_isListCall)
+        onList(batch);
+    else
+        onChanges(batch);
+}
+
+void StoreWatcher::onFailedCall(const WatchBatch& batch)
+{
+    m_handler(batch);
+    scheduleCall(std::max(m_backoff.onFailure(), m_schedule.retryPause));
+}
+
+void StoreWatcher::onList(const WatchBatch& batch)
+{
+    const auto fromRevision = m_revision;
+    const auto changes = changesSinceKnown(batch);
+    m_provenAt = std::max(m_provenAt, provenByNoChange(m_clock.now()));
+    m_isListed = true;
+    const bool isNewer = batch.revision >= fromRevision;
+    auto list = batch;
+    list.isFullList = isNewer;
+    deliver(std::move(list), isNewer);
+    if (m_announceHandler && fromRevision > 0 && isNewer)
+        m_announceHandler(changes, fromRevision, m_provenAt);
+    callStore();
+}
+
+void StoreWatcher::onChanges(const WatchBatch& batch)
+{
     const auto changes = batch.changed.size() + batch.removed.size();
-    const bool isFirst = !m_isListed;
-    if (isFirst || changes == 0)
+    if (changes == 0)
         m_provenAt = std::max(m_provenAt, provenByNoChange(m_clock.now()));
-    m_isListed = true;
-    m_isBehind = m_isBehind || (!isFirst && changes > 0);
+    if (changes > 0)
+        markBehind();
     const auto fromRevision = m_revision;
     // Another instance may have announced a later revision while the call was in flight.
-    const bool isNew = isFirst || batch.revision >= m_revision;
-    m_revision = std::max(m_revision, batch.revision);
-    auto seen = batch;
-    seen.isFullList = isFirst;
-    if (!isNew) {
-        seen.changed.clear();
-        seen.removed.clear();
-    }
-    m_handler(seen);
-    if (m_announceHandler && !isFirst && isNew)
-        m_announceHandler(seen, fromRevision, m_provenAt);
+    const bool isNewer = batch.revision >= m_revision;
+    deliver(batch, isNewer);
+    if (m_announceHandler && isNewer)
+        m_announceHandler(batch, fromRevision, m_provenAt);
     const bool mayBeTruncated = changes > truncationThreshold;
-    if (changes > 0 && !isFirst && !mayBeTruncated)
-        scheduleCall(coalescingTime);
-    else
-        callStore();
+    if (changes == 0 || mayBeTruncated)
+        return callStore();
+    // The instance that watches all the time may announce the proof meanwhile.
+    const bool isWatching = m_schedule.maxSilence == Duration {};
+    scheduleCall(isWatching ? coalescingTime : std::max(coalescingTime, std::min(m_schedule.wait, m_schedule.maxSilence / 2)));
 }
 
 void StoreWatcher::scheduleCall(Duration pause)
--- a/src/platform/store_watcher.h
+++ b/src/platform/store_watcher.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -34,9 +35,9 @@
 
     StoreWatcher(const boost::asio::any_io_executor&, std::shared_ptr<ObjectStore>, std::string prefix, Handler, Backoff);
 
-    /// Runs on the executor after each successful watch, unless an announcement has already brought a later
-    /// revision. An instance that knew all changes up to fromRevision and applies the batch knows all changes that
-    /// the store had at currentAsOf.
+    /// Runs on the executor after each successful watch, and after each list but the first, unless an announcement has
+    /// already brought a later revision. An instance that knew all changes up to fromRevision and applies the batch
+    /// knows all changes that the store had at currentAsOf.
     using AnnounceHandler = std::function<void(const WatchBatch&, std::uint64_t fromRevision, TimePoint currentAsOf)>;
 
     /// Precondition: start() has not been called.
@@ -45,11 +46,15 @@
     /// after a silence.
     void setSchedule(const WatchSchedule&);
     /// Applies changes that another instance announced. A batch that leaves a gap after the revision known here
-    /// is dropped, and the watcher calls the store for the missing changes.
+    /// is dropped, and the watcher calls the store for the missing changes. A batch from revision 0 is a list.
     void onAnnouncement(const WatchBatch&, std::uint64_t fromRevision, TimePoint currentAsOf);
 
-    /// Lists the objects, then watches. Precondition: not called before.
+    /// Lists the objects, unless another instance's state has made that needless, then watches.
     void start();
+    using StateHandler = std::function<void(const WatchBatch&, TimePoint currentAsOf)>;
+    /// Passes all objects that are known here, as a list, to the handler on the executor; a batch of revision 0 when
+    /// none was listed yet.
+    void state(StateHandler);
     /// Stops the watcher. A handler call that is queued or in progress may still run.
     void stop();
 
@@ -57,6 +62,14 @@
     void callStore();
     void scheduleCall(Duration);
     void onBatch(const WatchBatch&);
+    void markBehind();
+    void onFailedCall(const WatchBatch&);
+    void onList(const WatchBatch&);
+    void onChanges(const WatchBatch&);
+    /// Passes the batch to the handler. A batch that is not newer than the known state is passed without its changes.
+    void deliver(WatchBatch, bool isNewer);
+    /// Returns the changes that lead from the known state to that of the list.
+    WatchBatch changesSinceKnown(const WatchBatch& list) const;
     void applyAnnouncement(const WatchBatch&, std::uint64_t fromRevision, TimePoint currentAsOf);
     /// Returns when the store is to be called next; a time in the past means now.
     TimePoint nextCallAt() const;
@@ -72,13 +85,16 @@
     bool m_isListed = false;
     bool m_isStopped = false;
     std::uint64_t m_revision = 0;
+    std::map<std::string, StoredObject> m_objects; ///< The objects that exist as of m_revision, by key.
     AnnounceHandler m_announceHandler;
     WatchSchedule m_schedule;
     TimePoint m_calledAt {};
     TimePoint m_provenAt {}; ///< Latest time for which all changes are known to have been seen.
     Duration m_requestedWait {}; ///< Of the watch in flight.
     bool m_isCallInFlight = false;
+    bool m_isListCall = false; ///< Whether the last call was a list; another instance's state may arrive while it is in flight.
     bool m_isBehind = false; ///< The store may hold changes not seen yet: a response may be truncated, or an announcement was missed.
+    TimePoint m_behindSince {}; ///< An announcement that proves a later state makes the call for the missing changes needless.
     BootClock m_clock; ///< Counts the time of a suspension, so that announcements received before the suspension go stale.
 };
 
--- a/src/platform/watch_schedule.cpp
+++ b/src/platform/watch_schedule.cpp
@@ -8,9 +8,14 @@
 
 constexpr int watchesWithinLimit = 4;
 constexpr int silenceDivisor = 2;
-/// Stagger between two ranks: time for one instance to call the store and announce the response to the others.
-constexpr Duration stepBetweenRanks = std::chrono::milliseconds(60);
-constexpr std::uint32_t maxSteps = 5;
+/// Stagger between two ranks as a part of the limit: time for one instance to call a slow store and announce the
+/// response to the others.
+constexpr int stepsWithinLimit = 40;
+/// From this step on the ranks call together, so that half of the silence's length is left to apply a change.
+constexpr std::uint32_t maxSteps = 8;
+/// Ranks that retry as quickly as their back-off allows.
+constexpr std::uint32_t quickRetryRanks = 2;
+constexpr int slowRetriesWithinLimit = 2;
 
 }
 
@@ -18,11 +23,12 @@
 {
     const auto wait = limit / watchesWithinLimit;
     const auto maxSilence = limit / silenceDivisor;
-    const auto failing = maxSilence + stepBetweenRanks * maxSteps;
+    const auto failing = maxSilence + limit * maxSteps / stepsWithinLimit;
     if (rank == 0)
-        return { Duration {}, wait, failing, Duration {} };
-    const auto step = stepBetweenRanks * std::min(rank - 1, maxSteps);
-    return { maxSilence + step, wait, failing, step };
+        return { Duration {}, wait, failing, Duration {}, Duration {} };
+    const auto stagger = limit * std::min(rank - 1, maxSteps) / stepsWithinLimit;
+    const auto retryPause = rank <= quickRetryRanks ? Duration {} : limit / slowRetriesWithinLimit;
+    return { maxSilence + stagger, wait, failing, stagger, retryPause };
 }
 
 }
--- a/src/platform/watch_schedule.h
+++ b/src/platform/watch_schedule.h
@@ -13,6 +13,7 @@
     Duration maxSilenceAfterFailure {}; ///< Replaces a shorter limit on the silence after a failed call, since the instance next in rank may reach the store.
 
     Duration gapPause {}; ///< Delay before the store is called for changes missing between two announcements.
+    Duration retryPause {}; ///< Shortest pause after a failed call.
 
     friend bool operator==(const WatchSchedule&, const WatchSchedule&) = default;
 };
@@ -22,7 +23,9 @@
 ///
 /// The instance of rank 0 watches the store and announces the results to the others at least four times within
 /// the limit. After a silence of half the limit the others call the store, staggered by rank, and announce the
-/// response; so the loss of the first instances costs one pause and not a call by every instance.
+/// response; so the loss of the first instances costs one pause and not a call by every instance. During an outage
+/// of the store the first ranks retry quickly and announce its return; the others, whose calls would fail as well,
+/// retry slowly.
 WatchSchedule watchScheduleForRank(std::uint32_t rank, Duration limit);
 
 }
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -256,6 +256,12 @@
             body.__set_removed(news.removed);
         out.__set_storeNews(body);
     }
+    void operator()(const lycheefield::StoreStateRequest& request) const
+    {
+        StoreStateRequest body;
+        body.prefix = request.prefix;
+        out.__set_storeStateRequest(body);
+    }
     void operator()(const lycheefield::SearchReply& reply) const
     {
         SearchReply body;
--- a/src/wire/convert_from.cpp
+++ b/src/wire/convert_from.cpp
@@ -274,7 +274,7 @@
 {
     const auto& set = in.__isset;
     return set.hello + set.work + set.cancel + set.results + set.servers + set.crash + set.gossip + set.ruleRequest + set.ruleDelta + set.control + set.claimCall + set.claimReply
-        + set.searchCall + set.searchNote + set.searchReply + set.storeNews;
+        + set.searchCall + set.searchNote + set.searchReply + set.storeNews + set.storeStateRequest;
 }
 
 /// Precondition: exactly one body field is set.
@@ -318,6 +318,8 @@
         return fromWire(in.searchReply, reader);
     if (set.storeNews)
         return fromWire(in.storeNews, reader);
+    if (set.storeStateRequest)
+        return lycheefield::StoreStateRequest { reader.name(in.storeStateRequest.prefix, "prefix") };
     return fromWire(in.control);
 }
 
--- a/src/wire/inner.thrift
+++ b/src/wire/inner.thrift
@@ -189,6 +189,11 @@
     3: required binary value
 }
 
+// Asks for all objects below the prefix that the receiver knows; answered by StoreNews from revision 0.
+struct StoreStateRequest {
+    1: required string prefix
+}
+
 // Changes in the platform's store that the sender saw, for those that have seen all up to fromRevision.
 struct StoreNews {
     1: required string prefix
@@ -218,4 +223,5 @@
     15: optional SearchNote searchNote
     16: optional SearchReply searchReply
     17: optional StoreNews storeNews
+    18: optional StoreStateRequest storeStateRequest
 }
--- a/src/wire/peer_message.h
+++ b/src/wire/peer_message.h
@@ -9,6 +9,7 @@
 #include "wire/claim_message.h"
 #include "wire/search_message.h"
 #include "wire/store_news.h"
+#include "wire/store_state_request.h"
 
 #include <cstdint>
 #include <string>
@@ -67,6 +68,6 @@
 
 /// Any message between instances; each frame has exactly one.
 using PeerMessage = std::variant<Hello, WorkOrder, CancelLeg, LegResults, ServerStateUpdate, AnnounceCrash, GossipMessage, RuleRequest, RuleDelta, Control, ClaimCall, ClaimReply, SearchCall,
-    SearchNote, SearchReply, StoreNews>;
+    SearchNote, SearchReply, StoreNews, StoreStateRequest>;
 
 }
--- a/src/wire/store_news.h
+++ b/src/wire/store_news.h
@@ -12,7 +12,7 @@
 /// Changes that one instance read from the platform's store, announced so that few instances read it.
 ///
 /// A receiver that has all changes up to fromRevision and applies these has all changes up to revision.
-/// The store had no later change at the time currentAsOf.
+/// The store had no later change at the time currentAsOf. From revision 0 the news hold all objects.
 struct StoreNews {
     std::string prefix; ///< Key prefix of the objects covered.
     std::uint64_t fromRevision = 0;
--- a/tests/gateway/news_distribution_test.cpp
+++ b/tests/gateway/news_distribution_test.cpp
@@ -82,6 +82,19 @@
             CHECK(distributionOf(*other).recipientsOfNewsFrom(it->name).empty());
         }
     }
+    SUBCASE("instances that start ask a few instances of their zone for the state, not all of them the same one")
+    {
+        std::set<InstanceName> asked;
+        for (const auto& it : instances) {
+            const auto sources = distributionOf(it).stateSources();
+            REQUIRE_FALSE(sources.empty());
+            CHECK(sources.size() <= NewsDistribution::maxStateSources);
+            CHECK(std::find(sources.begin(), sources.end(), it.name) == sources.end());
+            CHECK(sources.front().value().substr(0, 1) == it.zone.value());
+            asked.insert(sources.front());
+        }
+        CHECK(asked.size() > 3);
+    }
     SUBCASE("an instance that knows no other instance watches the store")
     {
         const NewsDistribution alone(InstanceName("x"), ZoneName("a"));
@@ -100,6 +113,11 @@
         CHECK(turn.maxSilence + call < limit);
         CHECK(turn.maxSilence >= watchScheduleForRank(rank - 1, limit).maxSilence);
     }
+    // During an outage the first ranks retry quickly; the others retry in time for the limit without them.
+    CHECK(watchScheduleForRank(0, limit).retryPause == Duration {});
+    CHECK(watchScheduleForRank(1, limit).retryPause == Duration {});
+    CHECK(watchScheduleForRank(20, limit).retryPause >= limit / 4);
+    CHECK(watchScheduleForRank(20, limit).retryPause + call < limit);
     CHECK(watchScheduleForRank(0, limit).maxSilence == Duration {});
     CHECK(watchScheduleForRank(0, limit).wait * 2 < watchScheduleForRank(1, limit).maxSilence + 1ms);
     CHECK(watchScheduleForRank(0, limit).maxSilenceAfterFailure + call < limit);
--- a/tests/wire/search_codec_test.cpp
+++ b/tests/wire/search_codec_test.cpp
@@ -90,6 +90,12 @@
         odd.answer.coveredShards.push_back(1);
         CHECK_FALSE(roundTrip(odd));
     }
+    SUBCASE("A request for the store's state keeps its prefix")
+    {
+        const auto decoded = roundTrip(StoreStateRequest { "servers/" });
+        REQUIRE(decoded);
+        CHECK(std::get<StoreStateRequest>(decoded.value()) == StoreStateRequest { "servers/" });
+    }
     SUBCASE("Store news carry their time as an age")
     {
         StoreNews news { "servers/", 10, 14, { { "servers/a", ObjectVersion { 12 }, "{}" } }, { "servers/b" }, sentAt - 250ms };
