--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -16,6 +16,8 @@
 constexpr Duration graceAfterDeadline = 2s;
 /// The last possible answer is sent this long before the deadline, so that it arrives before the caller gives up.
 constexpr Duration finalAnswerMargin = 15ms;
+/// The callers' target latency includes the network, but a distant caller's search is not cut shorter than this allows.
+constexpr double maxNetworkShare = 0.25;
 /// Share of the fleet's slack that all instances together spend; the rest is a reserve, because an
 /// instance's count starts at zero after a restart.
 constexpr double usableSlackShare = 0.45;
@@ -47,6 +49,13 @@
     return { m_settings.retryRatio, usableSlackShare * m_settings.retrySlack / m_pool.instances(), m_settings.retryWindow };
 }
 
+Duration ForwardEngine::timeToAnswer(const Request& request) const
+{
+    const auto target = request.route().targetLatency;
+    const auto networkTime = std::min(request.request.networkTime, scaled(target, maxNetworkShare));
+    return std::max(Duration {}, target - networkTime - m_settings.answerMargin);
+}
+
 void ForwardEngine::start(ForwardRequest request, TimePoint now, ForwardActions& actions)
 {
     ++m_counters.requests;
@@ -57,7 +66,7 @@
     const auto& route = it.route();
     it.deadline = std::min(it.request.deadline, it.startedAt + route.timeout) - finalAnswerMargin;
     if (route.isSearch()) {
-        it.answerBy = std::min(it.request.answerBy, it.startedAt + std::max(Duration {}, route.targetLatency - m_settings.answerMargin));
+        it.answerBy = std::min(it.request.answerBy, it.startedAt + timeToAnswer(it));
         for (const auto& shard : it.request.isPart() ? it.request.onlyShards : route.shards)
             it.legs.emplace_back().service = shard;
     } else {
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -152,6 +152,8 @@
     };
 
     Request* find(RequestNumber);
+    /// Returns the time from the read of a search until its answer is due, so that it reaches the caller in time.
+    Duration timeToAnswer(const Request&) const;
     /// Updates the server's statistics from its response.
     void recordServerResponse(const Attempt&, const ServerResponse&, TimePoint);
     /// Answers the request if it is complete or due; otherwise sends the legs that are due and sets the next timer.
--- a/src/forward/forward_request.h
+++ b/src/forward/forward_request.h
@@ -32,8 +32,8 @@
     TimePoint readAt {}; ///< When the request was read from its caller.
     TimePoint answerBy = never; ///< When a search should be answered; `never`: at the route's target latency.
     std::vector<ServiceName> onlyShards; ///< The delegated shards of another instance's search, to be answered by answerBy with the parts received so far. Empty: all shards.
-
     bool earnsBudget = true; ///< Whether the first attempts earn this instance's budget for extra attempts; false when they earn the delegating instance's.
+    Duration networkTime {}; ///< Time that the request and its answer spend between the caller and this instance.
 
     bool isPart() const { return !onlyShards.empty(); }
 };
--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -59,11 +59,12 @@
     }
     const RequestNumber number { ++m_lastRequest };
     const auto deadline = fields.timeLeft ? now + *fields.timeLeft : never;
+    const auto networkTime = exchange->networkTime();
     m_pending.emplace(number, PendingRequest { exchange, now, {}, 0 });
     exchange->onDisconnect([this, number] {
         boost::asio::post(m_parts.strand, [this, number] { cancelRequest(number); });
     });
-    startRequest({ number, m_routes, route, std::make_shared<const HttpRequest>(std::move(message)), fields.attemptId, deadline, now, never, {}, true });
+    startRequest({ number, m_routes, route, std::make_shared<const HttpRequest>(std::move(message)), fields.attemptId, deadline, now, never, {}, true, networkTime });
 }
 
 void ForwardDriver::startRequest(ForwardRequest request)
@@ -123,7 +124,7 @@
     const RequestNumber number { ++m_lastRequest };
     m_pending.emplace(number, PendingRequest { nullptr, now, delegator, call.sequence });
     startRequest({ number, m_routes, searchRouteOf(call), std::make_shared<const HttpRequest>(call.message), call.attemptId, call.deadline, now, call.answerBy, call.shards,
-        delegateEarnsBudget(DelegationId(call.sequence)) });
+        delegateEarnsBudget(DelegationId(call.sequence)), {} });
 }
 
 std::optional<RequestNumber> ForwardDriver::findDelegated(const InstanceName& delegator, std::uint64_t sequence) const
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -23,6 +23,9 @@
     virtual void respond(HttpResponse) = 0;
     /// Sets the function that runs once when the caller disconnects before the response is sent.
     virtual void onDisconnect(std::function<void()>) = 0;
+    /// Returns the time that the request and its response spend on the network, with the handshake if the caller opened
+    /// the connection for this request; zero when unknown. Thread safe.
+    virtual Duration networkTime() const { return {}; }
 };
 
 /// Handler of requests. Called on any thread; must not block.
--- a/src/http/http_server_session.cpp
+++ b/src/http/http_server_session.cpp
@@ -1,5 +1,7 @@
 #include "http/http_server_session.h"
 
+#include "http/tcp_round_trip.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -18,9 +20,10 @@
 /// Keeps the session alive while the handler may still respond to the request.
 class SessionExchange final : public HttpExchange {
 public:
-    SessionExchange(std::shared_ptr<HttpServerSession> session, std::uint64_t number)
+    SessionExchange(std::shared_ptr<HttpServerSession> session, std::uint64_t number, Duration networkTime)
         : m_session(std::move(session))
         , m_number(number)
+        , m_networkTime(networkTime)
     {
     }
     ~SessionExchange() override
@@ -37,10 +40,12 @@
             m_session->respond(m_number, std::move(response));
     }
     void onDisconnect(std::function<void()> handler) override { m_session->setDisconnectHandler(m_number, std::move(handler)); }
+    Duration networkTime() const override { return m_networkTime; }
 
 private:
     std::shared_ptr<HttpServerSession> m_session;
     std::uint64_t m_number;
+    Duration m_networkTime;
     std::atomic<bool> m_responded { false };
 };
 
@@ -192,7 +197,14 @@
     m_handling = true;
     m_keepAlive = m_reader->keepAlive() && !m_context.draining->load();
     const auto number = ++m_requestNumber;
-    m_context.handler.handle(m_reader->release(), std::make_shared<SessionExchange>(shared_from_this(), number));
+    m_context.handler.handle(m_reader->release(), std::make_shared<SessionExchange>(shared_from_this(), number, networkTime()));
+}
+
+Duration HttpServerSession::networkTime()
+{
+    const auto roundTrip = tcpRoundTrip(m_socket.native_handle());
+    const bool isFirst = m_requestNumber == 1;
+    return isFirst ? 2 * roundTrip : roundTrip;
 }
 
 void HttpServerSession::respond(std::uint64_t requestNumber, HttpResponse response)
--- a/src/http/http_server_session.h
+++ b/src/http/http_server_session.h
@@ -57,6 +57,9 @@
     void parseMore();
     void refuse();
     void dispatch();
+    /// Returns the time on the network of the request that was just read and its response. Precondition: the request
+    /// has its number.
+    Duration networkTime();
     void continueIfExpected();
     void sendResponse(const HttpResponse&, bool keepAlive);
     void onWritten(const boost::system::error_code&, bool keepAlive);
--- a/tests/forward/forward_engine_test.cpp
+++ b/tests/forward/forward_engine_test.cpp
@@ -33,6 +33,33 @@
 
 }
 
+// Callers in another network open a connection for each request: two round trips pass before a response has reached them.
+TEST_CASE("The time on the network counts against the target latency" * doctest::test_suite("forward"))
+{
+    ForwardTestBed testBed(settings());
+    addShards(testBed, 20);
+    const auto route = testBed.searchRoute(shards(20));
+    for (const auto* it : { "shard3-a", "shard3-b" })
+        testBed.model(it).isSilent = true;
+
+    SUBCASE("A search without all parts is answered earlier by that time")
+    {
+        testBed.setNetworkTime(20ms);
+        const auto number = testBed.start(route);
+        testBed.run(300ms);
+        REQUIRE(testBed.answerTo(number));
+        CHECK(testBed.outcomes().at(number).took == route.targetLatency - settings().answerMargin - 20ms);
+    }
+    SUBCASE("A caller that is further away than that leaves most of the target latency to the search")
+    {
+        testBed.setNetworkTime(route.targetLatency);
+        const auto number = testBed.start(route);
+        testBed.run(300ms);
+        REQUIRE(testBed.answerTo(number));
+        CHECK(testBed.outcomes().at(number).took >= route.targetLatency / 2);
+    }
+}
+
 TEST_CASE("A search sends one leg to every shard" * doctest::test_suite("forward"))
 {
     ForwardTestBed testBed(settings());
--- a/tests/forward/forward_test_bed.cpp
+++ b/tests/forward/forward_test_bed.cpp
@@ -87,7 +87,7 @@
     m_tables.push_back(table);
     const RequestNumber number { ++m_lastRequest };
     m_started[number] = m_now;
-    callAndExecute([&](ForwardActions& actions) { m_engine.start({ number, table, &table->routes.front(), std::make_shared<const HttpRequest>(), "attempt-" + std::to_string(m_lastRequest), m_now + timeLimit, m_now, never, {}, true }, m_now, actions); });
+    callAndExecute([&](ForwardActions& actions) { m_engine.start({ number, table, &table->routes.front(), std::make_shared<const HttpRequest>(), "attempt-" + std::to_string(m_lastRequest), m_now + timeLimit, m_now, never, {}, true, m_networkTime }, m_now, actions); });
     run(Duration {}); // Sends the legs that were left for the request's next turn.
     return number;
 }
--- a/tests/forward/forward_test_bed.h
+++ b/tests/forward/forward_test_bed.h
@@ -38,6 +38,8 @@
 
     RequestNumber start(const Route&, Duration timeLimit = std::chrono::seconds(3));
     void startRequest(const ForwardRequest&);
+    /// Sets the network time between the instance and the callers of later requests.
+    void setNetworkTime(Duration time) { m_networkTime = time; }
     void disconnect(RequestNumber);
     /// Passes the engine an event of a delegation: its answer, its failure, its silence or its request for extra attempts.
     void answerDelegation(DelegationId, const ForwardAnswer&);
@@ -97,6 +99,7 @@
     TimePoint nextCompletion() const;
     void completeDue();
 
+    Duration m_networkTime {};
     TimePoint m_now { std::chrono::seconds(100) };
     std::map<ServerName, Server> m_servers;
     std::map<RequestNumber, TimePoint> m_started;
