Hedges early enough to be of use; a share of nearly one extra attempt is one

Change: the longest hedge delay is a share of the time until the answer is due; a delegate asks for its grant a crossing before the hedge; the share of the slack is rounded to whole attempts where that is more. Tests: forward_engine_test, extra_attempt_budget_test (the shares of all instances, spent twice, stay within the slack).

--- a/src/forward/extra_attempt_budget.cpp
+++ b/src/forward/extra_attempt_budget.cpp
@@ -1,6 +1,7 @@
 #include "forward/extra_attempt_budget.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lycheefield {
 
@@ -8,9 +9,18 @@
 
 /// Share of the ratio that is spent; the rest is a reserve, because the instances' windows are not aligned.
 constexpr double usableRatioShare = 0.85;
+/// Share of the fleet's slack that all instances together spend; the rest is a reserve, because an
+/// instance's count starts at zero after a restart.
+constexpr double usableSlackShare = 0.45;
 
 }
 
+double slackShare(double fleetSlack, std::uint32_t instances)
+{
+    const auto share = usableSlackShare * fleetSlack / instances;
+    return std::max(share, std::round(share));
+}
+
 void ExtraAttemptBudget::advance(TimePoint now, Duration window)
 {
     const auto sliceLength = std::max<Duration::rep>(1, window.count() / static_cast<Duration::rep>(slices));
--- a/src/forward/extra_attempt_budget.h
+++ b/src/forward/extra_attempt_budget.h
@@ -17,6 +17,10 @@
     friend bool operator==(const ExtraAttemptBudgetLimits&, const ExtraAttemptBudgetLimits&) = default;
 };
 
+/// Returns one instance's share of the fleet's slack. A share of nearly one attempt is rounded to one: in a large fleet
+/// no instance could otherwise repeat an attempt at a service that it sends little to.
+double slackShare(double fleetSlack, std::uint32_t instances);
+
 /// Counts the first and extra attempts of this instance to one service over a sliding window. Each
 /// instance spends only what its own requests earn plus its share of the slack, so that the fleet as a
 /// whole stays within its limit without coordination. Not thread safe.
--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -18,9 +18,6 @@
 constexpr Duration finalAnswerMargin = 15ms;
 /// The callers' target latency includes the network, but a distant caller's search is not cut shorter than this allows.
 constexpr double maxNetworkShare = 0.25;
-/// Share of the fleet's slack that all instances together spend; the rest is a reserve, because an
-/// instance's count starts at zero after a restart.
-constexpr double usableSlackShare = 0.45;
 
 /// Returns the fingerprint by which requests that crash servers are recognised.
 Fingerprint fingerprintOf(const ForwardRequest& request)
@@ -46,7 +43,7 @@
 
 ExtraAttemptBudgetLimits ForwardEngine::budgetLimits() const
 {
-    return { m_settings.retryRatio, usableSlackShare * m_settings.retrySlack / m_pool.instances(), m_settings.retryWindow };
+    return { m_settings.retryRatio, slackShare(m_settings.retrySlack, m_pool.instances()), m_settings.retryWindow };
 }
 
 Duration ForwardEngine::timeToAnswer(const Request& request) const
@@ -79,7 +76,8 @@
         return finish(it, now, actions);
     if (it.request.isPart() && route.maxRuns > 1) {
         it.mayUseExtraAttempts = false;
-        it.requestExtraAt = now + hedgeDelay(route);
+        // The grant takes a round trip to the delegating instance.
+        it.requestExtraAt = now + std::max(Duration {}, hedgeDelay(it) - m_settings.crossZoneCost);
     }
     if (route.isSearch()) {
         delegateLegs(it, now, actions);
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -199,8 +199,9 @@
     void endLeg(Request&, Leg&, LegStage);
     void acceptPart(Request&, Leg&, const ServerResponse&);
     bool mayRunAgain(const Request&, const Leg&) const;
-    Duration hedgeDelay(const Route&);
-    Duration maxHedgeDelay(const Route&) const;
+    Duration hedgeDelay(const Request&);
+    /// Returns the longest hedge delay: a share of the time that the request has, so that the second server can answer in time.
+    Duration maxHedgeDelay(const Request&) const;
     TrackedServerPtr pickServer(const Request&, const Leg&, const PickContext&) const;
     /// Returns the expected latency beyond which a hedge is useless.
     Duration maxHedgeLatency(const Request&, TimePoint) const;
--- a/src/forward/forward_engine_delegation.cpp
+++ b/src/forward/forward_engine_delegation.cpp
@@ -95,7 +95,7 @@
 void ForwardEngine::delegate(Request& request, const InstanceName& instance, std::vector<std::size_t> legs, TimePoint now, ForwardActions& actions)
 {
     const DelegationId id { ++m_lastDelegation };
-    DelegateShards delegation { id, instance, request.request, {}, request.answerBy - mergeMargin, maxHedgeDelay(request.route()) + silenceMargin };
+    DelegateShards delegation { id, instance, request.request, {}, request.answerBy - mergeMargin, maxHedgeDelay(request) + silenceMargin };
     delegation.request.deadline = request.deadline;
     for (const auto it : legs) {
         auto& leg = request.legs[it];
@@ -224,7 +224,8 @@
         return;
     request->mayUseExtraAttempts = true;
     for (auto& leg : request->legs) {
-        if (leg.stage == LegStage::Sent)
+        // A leg whose hedge came due before the grant.
+        if (leg.stage == LegStage::Sent && leg.hedgeAt == never)
             leg.hedgeAt = now;
     }
     review(*request, now, actions);
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -31,18 +31,22 @@
     return { it == m_times.end() ? defaultTime : it->second.median(defaultTime), now, &leg.tried };
 }
 
-Duration ForwardEngine::maxHedgeDelay(const Route& route) const
+Duration ForwardEngine::maxHedgeDelay(const Request& request) const
 {
-    return scaled(route.targetLatency, m_settings.maxHedgeDelay.value);
+    const auto& route = request.route();
+    const auto available = route.isSearch() ? std::min(route.targetLatency, Duration(request.answerBy - request.startedAt)) : route.targetLatency;
+    return scaled(std::max(Duration {}, available), m_settings.maxHedgeDelay.value);
 }
 
-Duration ForwardEngine::hedgeDelay(const Route& route)
+Duration ForwardEngine::hedgeDelay(const Request& request)
 {
-    const auto maxDelay = maxHedgeDelay(route);
+    const auto& route = request.route();
+    const auto maxDelay = maxHedgeDelay(request);
+    const auto minDelay = std::min(maxDelay, scaled(route.targetLatency, m_settings.minHedgeDelay.value));
     const auto it = m_times.find(route.name);
     if (it == m_times.end())
         return maxDelay;
-    return std::clamp(scaled(it->second.quantile95(maxDelay), hedgeDelayFactor), scaled(route.targetLatency, m_settings.minHedgeDelay.value), maxDelay);
+    return std::clamp(scaled(it->second.quantile95(maxDelay), hedgeDelayFactor), minDelay, maxDelay);
 }
 
 TrackedServerPtr ForwardEngine::pickServer(const Request& request, const Leg& leg, const PickContext& context) const
@@ -102,7 +106,7 @@
     ++leg.arrivals;
     dequeue(request, index);
     leg.stage = LegStage::Sent;
-    leg.hedgeAt = request.route().isIdempotent ? now + hedgeDelay(request.route()) : never;
+    leg.hedgeAt = request.route().isIdempotent ? now + hedgeDelay(request) : never;
     actions.emplace_back(SendServerRequest { id, server->entry, request.request.message, request.request.attemptId, request.deadline, request.route().isIdempotent });
     return true;
 }
--- a/src/forward/forward_settings.h
+++ b/src/forward/forward_settings.h
@@ -19,7 +19,7 @@
     Duration retryWindow = 10s;
     Duration answerMargin = 8ms; ///< Time that an instance needs to merge and write a search's answer.
     Share minHedgeDelay { 0.15 }; ///< As a share of the target latency.
-    Share maxHedgeDelay { 0.40 }; ///< As a share of the target latency; also the delay until enough latencies are recorded.
+    Share maxHedgeDelay { 0.40 }; ///< As a share of the time until the answer is due; also the delay until enough latencies are recorded.
     Duration crossZoneCost = 12ms; ///< Added to the expected latency of a server in another zone.
     Share cores { 1 }; ///< Processor cores that this instance may use.
 
--- a/tests/forward/extra_attempt_budget_test.cpp
+++ b/tests/forward/extra_attempt_budget_test.cpp
@@ -6,6 +6,18 @@
 
 namespace lycheefield {
 
+TEST_CASE("The instances' shares of the slack leave a reserve, and one attempt each where that is nearly a share" * doctest::test_suite("forward"))
+{
+    CHECK(slackShare(58, 9) == doctest::Approx(2.9).epsilon(0.1));
+    CHECK(slackShare(630, 295) == 1);
+    CHECK(slackShare(100, 295) < 0.5);
+    // Even with all counts lost once within a window, the fleet stays within the slack and its ratio's reserve.
+    for (const double slack : { 10.0, 58.0, 158.0, 214.0, 630.0, 1000.0 }) {
+        for (std::uint32_t instances = 1; instances <= 600; ++instances)
+            CHECK(instances * slackShare(slack, instances) <= 0.9 * slack);
+    }
+}
+
 using namespace std::chrono_literals;
 
 TEST_CASE("The budget limits extra attempts to a share of the first attempts in every window" * doctest::test_suite("forward"))
--- a/tests/forward/forward_engine_test.cpp
+++ b/tests/forward/forward_engine_test.cpp
@@ -60,6 +60,22 @@
     }
 }
 
+// An urgent search of distant callers: a hedge at a share of the whole target latency would come too late to be of use.
+TEST_CASE("A hedge is sent early enough for the second server to answer in time" * doctest::test_suite("forward"))
+{
+    ForwardTestBed testBed(settings());
+    addShards(testBed, 20);
+    auto route = testBed.searchRoute(shards(20));
+    route.targetLatency = 100ms;
+    testBed.model("shard3-a").isSilent = true;
+    testBed.setNetworkTime(25ms);
+    const auto number = testBed.start(route);
+    testBed.run(100ms);
+    REQUIRE(testBed.answerTo(number));
+    CHECK(testBed.answerTo(number)->missingShards == 0);
+    CHECK(testBed.outcomes().at(number).took <= route.targetLatency - 25ms);
+}
+
 TEST_CASE("A search sends one leg to every shard" * doctest::test_suite("forward"))
 {
     ForwardTestBed testBed(settings());
