Delegates run the legs of gateways with another configuration version

Cause: in the seconds in which a version spreads, delegates declined all calls of another version and were avoided for a second; a gateway on 0.12 cores then sent 270 legs of a search itself. Change: a call names its shards, so the delegate runs them by its own route of that name. The delegating gateway still answers from the one set of shards of its version. Tests: route_table_test, delegated_search_test.

--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -105,17 +105,9 @@
     m_engine.onCrashAnnounced(content, server, m_parts.clock.now());
 }
 
-const Route* ForwardDriver::searchRouteOf(const SearchCall& call) const
-{
-    if (!m_routes || m_routes->version != call.tableVersion)
-        return nullptr;
-    const auto it = std::find_if(m_routes->routes.begin(), m_routes->routes.end(), [&](const Route& route) { return route.name == call.route && route.isSearch(); });
-    return it == m_routes->routes.end() ? nullptr : &*it;
-}
-
 bool ForwardDriver::canRun(const SearchCall& call) const
 {
-    return !m_declinesDelegations && !call.shards.empty() && searchRouteOf(call) != nullptr;
+    return !m_declinesDelegations && !call.shards.empty() && m_routes && m_routes->findSearch(call.route);
 }
 
 void ForwardDriver::runDelegated(const InstanceName& delegator, const SearchCall& call)
@@ -123,7 +115,7 @@
     const auto now = m_parts.clock.now();
     const RequestNumber number { ++m_lastRequest };
     m_pending.emplace(number, PendingRequest { nullptr, now, delegator, call.sequence });
-    startRequest({ number, m_routes, searchRouteOf(call), std::make_shared<const HttpRequest>(call.message), call.attemptId, call.deadline, now, call.answerBy, call.shards,
+    startRequest({ number, m_routes, m_routes->findSearch(call.route), std::make_shared<const HttpRequest>(call.message), call.attemptId, call.deadline, now, call.answerBy, call.shards,
         delegateEarnsBudget(DelegationId(call.sequence)), {} });
 }
 
--- a/src/gateway/forward_driver.h
+++ b/src/gateway/forward_driver.h
@@ -84,7 +84,6 @@
     };
 
     void startRequest(ForwardRequest);
-    const Route* searchRouteOf(const SearchCall&) const;
     /// The request that runs for this delegation; empty when the request has ended.
     std::optional<RequestNumber> findDelegated(const InstanceName& delegator, std::uint64_t sequence) const;
     void requestExtraAttempts(const RequestExtraAttempts&);
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/beast/core/string.hpp>
 
+#include <algorithm>
+
 namespace lycheefield {
 
 const Route* RouteTable::find(std::string_view host, std::string_view path) const
@@ -16,4 +18,10 @@
     return best;
 }
 
+const Route* RouteTable::findSearch(std::string_view name) const
+{
+    const auto it = std::find_if(routes.begin(), routes.end(), [&](const Route& route) { return route.name == name && route.isSearch(); });
+    return it == routes.end() ? nullptr : &*it;
+}
+
 }
--- a/src/wire/search_message.h
+++ b/src/wire/search_message.h
@@ -15,7 +15,7 @@
 /// their responses, so that one small answer crosses between the zones instead of every response.
 struct SearchCall {
     std::uint64_t sequence = 0; ///< Unique within the calling process.
-    std::uint64_t tableVersion = 0; ///< Routing table version that the delegate must have in force.
+    std::uint64_t tableVersion = 0; ///< Routing table version of the calling instance. The delegate may have another one in force.
     std::string route;
     std::vector<ServiceName> shards; ///< The shards of the route that are delegated.
     std::string attemptId;
--- a/tests/forward/delegated_search_test.cpp
+++ b/tests/forward/delegated_search_test.cpp
@@ -199,6 +199,23 @@
     CHECK(testBed.delegations().empty());
     CHECK(testBed.serverRequests().size() == 2);
 
+    SUBCASE("A delegate whose configuration names other shards sends the legs to the shards that the delegating instance names")
+    {
+        auto newerTable = std::make_shared<RouteTable>(*table);
+        newerTable->version = table->version + 1;
+        newerTable->routes.front().shards = { ServiceName("shard8"), ServiceName("shard9") };
+        auto older = request;
+        older.number = RequestNumber(901);
+        older.table = newerTable;
+        older.route = &newerTable->routes.front();
+        testBed.startRequest(older);
+        for (const auto& it : testBed.serverRequests())
+            CHECK((it.server.service == ServiceName("shard6") || it.server.service == ServiceName("shard7")));
+        testBed.run(60ms);
+        REQUIRE(testBed.answerTo(older.number));
+        CHECK(testBed.answerTo(older.number)->signatures.size() == 2);
+        CHECK(testBed.answerTo(older.number)->missingShards == 0);
+    }
     SUBCASE("The delegated legs are answered when all parts have arrived")
     {
         testBed.run(60ms);
--- a/tests/routing/route_table_test.cpp
+++ b/tests/routing/route_table_test.cpp
@@ -39,6 +39,17 @@
     }
 }
 
+TEST_CASE("Delegated legs run by the search route of their name, in whichever version" * doctest::test_suite("routing"))
+{
+    RouteTable table;
+    table.version = 8;
+    table.routes = { routeTo("a.example", "/order/"), routeTo("a.example", "/search/") };
+    table.routes[1].shards = { ServiceName("new1"), ServiceName("new2") };
+    CHECK(table.findSearch("/search/") == &table.routes[1]);
+    CHECK(table.findSearch("/order/") == nullptr);
+    CHECK(table.findSearch("/removed/") == nullptr);
+}
+
 TEST_CASE("A route rounds up the minimum number of shards in an answer" * doctest::test_suite("routing"))
 {
     Route route;
