--- a/src/load/answer_check.cpp
+++ b/src/load/answer_check.cpp
@@ -2,7 +2,9 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <set>
+#include <string_view>
 
 namespace lycheefield {
 
@@ -36,6 +38,39 @@
     return {};
 }
 
+/// The shards that an answer lists as missing.
+struct MissingShards {
+    std::set<std::uint64_t> wholly; ///< Without a result.
+    std::set<std::uint64_t> partly; ///< With a result that lacks batches.
+    bool isUnique = true; ///< Whether each shard is listed once.
+
+    std::size_t size() const { return wholly.size() + partly.size(); }
+    friend bool operator==(const MissingShards&, const MissingShards&) = default;
+};
+
+/// The reason that an answer gives for a shard whose result lacks batches; the batches follow.
+constexpr std::string_view batchesNotCovered = "batches not covered:";
+
+MissingShards missingShardsOf(const json::array& entries)
+{
+    MissingShards missing;
+    for (const auto& it : entries) {
+        const auto shard = it.as_object().at("shard").to_number<std::uint64_t>();
+        const std::string_view reason(it.as_object().at("reason").as_string());
+        auto& group = reason.starts_with(batchesNotCovered) ? missing.partly : missing.wholly;
+        missing.isUnique = group.insert(shard).second && missing.isUnique;
+    }
+    return missing;
+}
+
+/// Returns whether every shard either has a result or is listed as missing, and those that lack batches have a result.
+bool isConsistent(const std::set<std::uint64_t>& withResult, const MissingShards& missing, std::uint64_t total)
+{
+    const auto hasResult = [&](std::uint64_t it) { return withResult.contains(it); };
+    return missing.isUnique && withResult.size() + missing.wholly.size() == total && std::none_of(missing.wholly.begin(), missing.wholly.end(), hasResult)
+        && std::all_of(missing.partly.begin(), missing.partly.end(), hasResult);
+}
+
 CheckedAnswer checkResults(const json::object& root, bool complete, std::string_view requestBody)
 {
     const auto snapshot = root.at("snapshot").to_number<std::uint64_t>();
@@ -50,10 +85,10 @@
     if (withResult != shardNumbers(coverage.at("covered").as_array()))
         return wrong("coverage names other shards than the results");
     const auto total = coverage.at("total").to_number<std::uint64_t>();
-    const auto missing = coverage.at("missing").as_array().size();
-    if (withResult.size() + missing != total)
+    const auto missing = missingShardsOf(coverage.at("missing").as_array());
+    if (!isConsistent(withResult, missing, total))
         return wrong("covered and missing shards are not all shards");
-    if (complete != (missing == 0) || complete != coverage.at("complete").as_bool())
+    if (complete != (missing.size() == 0) || complete != coverage.at("complete").as_bool())
         return wrong("the status and the coverage disagree");
     return { complete ? LoadOutcome::Complete : LoadOutcome::Partial, {} };
 }
--- a/tests/load/load_test.cpp
+++ b/tests/load/load_test.cpp
@@ -1,3 +1,4 @@
+#include "daemon/answer_json.h"
 #include "load/answer_check.h"
 #include "load/load_plan.h"
 #include "load/load_report.h"
@@ -12,10 +13,10 @@
 
 const std::string request = "{\"nonce\":\"1\"}";
 
-std::string answer(const std::string& secondVersion, const std::string& secondEcho, const std::string& covered, const std::string& missing, const std::string& complete)
+std::string answer(const std::string& secondVersion, const std::string& secondEcho, const std::string& covered, const std::string& missing, const std::string& complete, int total = 2)
 {
     return R"({"request":"a","run":"ran","snapshot":3,"epoch":1,"coverage":{"complete":)" + complete + R"(,"covered":)" + covered
-        + R"(,"total":2,"batches":[],"missing":)" + missing + R"(},"results":[{"shard":0,"result":{"version":3,"echo":"{\"nonce\":\"1\"}"}},)"
+        + R"(,"total":)" + std::to_string(total) + R"(,"batches":[],"missing":)" + missing + R"(},"results":[{"shard":0,"result":{"version":3,"echo":"{\"nonce\":\"1\"}"}},)"
         + R"({"shard":1,"result":{"version":)" + secondVersion + R"(,"echo":")" + secondEcho + R"("}}]})";
 }
 
@@ -47,6 +48,28 @@
         const std::string missing = R"([{"shard":2,"reason":"late"}])";
         CHECK(checkAnswer(200, answer("3", own, "[0,1]", missing, "false"), request).outcome == LoadOutcome::Wrong);
     }
+    SUBCASE("A shard is missing or has a result, but not both, and no shard is left out of the coverage")
+    {
+        const auto outcomeWith = [&](const std::string& missing) { return checkAnswer(206, answer("3", own, "[0,1]", missing, "false", 3), request).outcome; };
+        CHECK(outcomeWith(R"([{"shard":2,"reason":"late"}])") == LoadOutcome::Partial);
+        CHECK(outcomeWith("[]") == LoadOutcome::Wrong);
+        CHECK(outcomeWith(R"([{"shard":1,"reason":"late"}])") == LoadOutcome::Wrong);
+        CHECK(outcomeWith(R"([{"shard":2,"reason":"late"},{"shard":2,"reason":"late"}])") == LoadOutcome::Wrong);
+        CHECK(outcomeWith(R"([{"shard":2,"reason":"batches not covered: b7"}])") == LoadOutcome::Wrong);
+
+        SUBCASE("A shard whose result lacks batches, as after a repartition, is listed in addition")
+        {
+            CHECK(outcomeWith(R"([{"shard":2,"reason":"late"},{"shard":1,"reason":"batches not covered: b4 b5"}])") == LoadOutcome::Partial);
+            CHECK(outcomeWith(R"([{"shard":1,"reason":"batches not covered: b4 b5"}])") == LoadOutcome::Wrong);
+        }
+    }
+    SUBCASE("An answer of the product that lacks a batch of a covered shard passes the check")
+    {
+        Answer lacking;
+        lacking.version = IndexVersion(3);
+        lacking.covered = { { ShardNumber(0), { BatchId("b1") }, R"({"version":3,"echo":"{\"nonce\":\"1\"}"})", { BatchId("b2") } } };
+        CHECK(checkAnswer(206, formatAnswer(lacking), request).outcome == LoadOutcome::Partial);
+    }
     SUBCASE("A refusal is reported with its kind")
     {
         const auto checked = checkAnswer(503, R"({"run":"not run","error":{"kind":"overloaded"}})", request);
