--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -16,6 +16,8 @@
 constexpr Duration graceAfterDeadline = 2s;
 /// The last possible answer is sent this long before the deadline, so that it arrives before the caller gives up.
 constexpr Duration finalAnswerMargin = 15ms;
+/// Processor time on one full core for one shard's part in merging and writing a search's answer.
+constexpr Duration mergeTimePerShard = 5us;
 /// The callers' target latency includes the network, but a distant caller's search is not cut shorter than this allows.
 constexpr double maxNetworkShare = 0.25;
 
@@ -50,7 +52,8 @@
 {
     const auto target = request.route().targetLatency;
     const auto networkTime = std::min(request.request.networkTime, scaled(target, maxNetworkShare));
-    return std::max(Duration {}, target - networkTime - m_settings.answerMargin);
+    const auto mergeTime = scaled(mergeTimePerShard * static_cast<Duration::rep>(request.route().shards.size()), 1 / m_settings.cores.value);
+    return std::max(Duration {}, target - networkTime - mergeTime - m_settings.answerMargin);
 }
 
 void ForwardEngine::start(ForwardRequest request, TimePoint now, ForwardActions& actions)
--- a/src/forward/forward_settings.h
+++ b/src/forward/forward_settings.h
@@ -17,7 +17,7 @@
     Share retryRatio { 0.2 }; ///< Extra attempts of the whole fleet, as a share of first attempts.
     double retrySlack = 0; ///< Extra attempts of the whole fleet in each window in addition to the ratio.
     Duration retryWindow = 10s;
-    Duration answerMargin = 8ms; ///< Time that an instance needs to merge and write a search's answer.
+    Duration answerMargin = 8ms; ///< Time kept free before the target latency, besides the times on the network and for merging the parts.
     Share minHedgeDelay { 0.15 }; ///< As a share of the target latency.
     Share maxHedgeDelay { 0.40 }; ///< As a share of the time until the answer is due; also the delay until enough latencies are recorded.
     Duration crossZoneCost = 12ms; ///< Added to the expected latency of a server in another zone.
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -191,7 +191,7 @@
                                 { "forward", "retry_ratio", fieldOf<section, &ForwardSettings::retryRatio>, { "0%", "100%" }, "Extra attempts that the whole fleet may make, as a share of the first attempts at a service." },
                                 { "forward", "retry_slack", fieldOf<section, &ForwardSettings::retrySlack>, { "0", "1000000" }, "Further extra attempts of the whole fleet in each window." },
                                 { "forward", "retry_window", fieldOf<section, &ForwardSettings::retryWindow>, { "1s", "10m" }, "Length of the window of the extra-attempt budget." },
-                                { "forward", "answer_margin", fieldOf<section, &ForwardSettings::answerMargin>, { "0ms", "10s" }, "Time to merge and write a search's answer, kept free before its target latency besides the time on the network." },
+                                { "forward", "answer_margin", fieldOf<section, &ForwardSettings::answerMargin>, { "0ms", "10s" }, "Time kept free before a search's target latency, besides the times on the network and for merging the parts." },
                                 { "forward", "least_hedge_delay", fieldOf<section, &ForwardSettings::minHedgeDelay>, { "0%", "100%" }, "Earliest hedge, as a share of the target latency." },
                                 { "forward", "most_hedge_delay", fieldOf<section, &ForwardSettings::maxHedgeDelay>, { "0%", "100%" }, "Latest hedge, as a share of the time until the answer is due." },
                                 { "forward", "cross_zone_cost", fieldOf<section, &ForwardSettings::crossZoneCost>, { "0ms", "1s" }, "Time by which a server in another zone must be better to be chosen." },
--- a/tests/forward/forward_engine_test.cpp
+++ b/tests/forward/forward_engine_test.cpp
@@ -22,6 +22,9 @@
     return names;
 }
 
+/// The time to merge the parts of 20 shards on a full core.
+constexpr Duration mergeTime = 100us;
+
 /// Adds two servers per shard, one in each zone.
 void addShards(ForwardTestBed& testBed, int n)
 {
@@ -48,7 +51,7 @@
         const auto number = testBed.start(route);
         testBed.run(300ms);
         REQUIRE(testBed.answerTo(number));
-        CHECK(testBed.outcomes().at(number).took == route.targetLatency - settings().answerMargin - 20ms);
+        CHECK(testBed.outcomes().at(number).took == route.targetLatency - settings().answerMargin - mergeTime - 20ms);
     }
     SUBCASE("A caller that is further away than that leaves most of the target latency to the search")
     {
@@ -60,6 +63,22 @@
     }
 }
 
+// A slow processor would write the answer of a search over many shards after the target latency.
+TEST_CASE("A slower instance begins earlier to merge the parts of a search" * doctest::test_suite("forward"))
+{
+    auto slow = settings();
+    slow.cores = Share { 0.1 };
+    ForwardTestBed testBed(slow);
+    addShards(testBed, 20);
+    const auto route = testBed.searchRoute(shards(20));
+    for (const auto* it : { "shard3-a", "shard3-b" })
+        testBed.model(it).isSilent = true;
+    const auto number = testBed.start(route);
+    testBed.run(300ms);
+    REQUIRE(testBed.answerTo(number));
+    CHECK(testBed.outcomes().at(number).took == route.targetLatency - slow.answerMargin - 10 * mergeTime);
+}
+
 // An urgent search of distant callers: a hedge at a share of the whole target latency would come too late to be of use.
 TEST_CASE("A hedge is sent early enough for the second server to answer in time" * doctest::test_suite("forward"))
 {
@@ -115,7 +134,7 @@
         REQUIRE(answer);
         CHECK(answer->missingShards == 2);
         CHECK(answer->signatures.size() == 18);
-        CHECK(testBed.outcomes().at(number).took == route.targetLatency - settings().answerMargin);
+        CHECK(testBed.outcomes().at(number).took == route.targetLatency - settings().answerMargin - mergeTime);
     }
     SUBCASE("With too few parts the search waits past the target latency and is answered as soon as enough have arrived")
     {
