--- a/src/platform/store_watcher.cpp
+++ b/src/platform/store_watcher.cpp
@@ -21,6 +21,8 @@
 /// An instance that should watch all the time but whose calls fail retries after this multiple of the silence
 /// that it tolerates, whatever others announce.
 constexpr int retrySilenceFactor = 4;
+/// An instance that hears announcements without a proof calls the store after this many of its silences.
+constexpr int maxUnprovenSilences = 2;
 /// The store honours a requested wait below this limit; a longer watch may end before its wait is over.
 constexpr Duration maxHonouredWait = std::chrono::seconds(5);
 
@@ -91,6 +93,7 @@
         return;
     }
     m_provenAt = std::max(m_provenAt, currentAsOf);
+    m_announcedAt = m_clock.now();
     m_isBehind = m_isBehind && m_provenAt <= m_behindSince;
     const bool isNewer = batch.revision > m_revision;
     m_isListed = true;
@@ -145,7 +148,10 @@
         return {};
     const bool isFailing = m_backoff.failures() > 0;
     const auto maxSilence = isFailing ? std::max(m_schedule.maxSilence, m_schedule.maxSilenceAfterFailure) : m_schedule.maxSilence;
-    const auto heard = m_provenAt + maxSilence;
+    // While changes keep coming, no response proves that there are no more, but a further call would not read them sooner
+    // than the instance that announces them.
+    const auto announced = std::min(m_announcedAt + std::min(m_schedule.wait, maxSilence), m_provenAt + maxUnprovenSilences * maxSilence);
+    const auto heard = std::max(m_provenAt + maxSilence, announced);
     return m_schedule.maxSilence == Duration {} ? std::min(heard, m_calledAt + retrySilenceFactor * maxSilence) : heard;
 }
 
--- a/src/platform/store_watcher.h
+++ b/src/platform/store_watcher.h
@@ -90,6 +90,7 @@
     WatchSchedule m_schedule;
     TimePoint m_calledAt {};
     TimePoint m_provenAt {}; ///< Latest time for which all changes are known to have been seen.
+    TimePoint m_announcedAt {}; ///< When another instance last announced changes that follow on the known state.
     Duration m_requestedWait {}; ///< Of the watch in flight.
     bool m_isCallInFlight = false;
     bool m_isListCall = false; ///< Whether the last call was a list; another instance's state may arrive while it is in flight.
--- a/tests/platform/store_watcher_test.cpp
+++ b/tests/platform/store_watcher_test.cpp
@@ -335,6 +335,25 @@
         CHECK(seen.back().changed.empty());
         CHECK_FALSE(seen.back().isFullList);
     }
+    SUBCASE("Changes that keep coming leave no proof, but the instances that hear of them do not all call the store")
+    {
+        watcher->setSchedule({ 10s, 10s, 10s });
+        watcher->onAnnouncement(batchOf(30, { object("servers/a", 4) }), 0, clock.now() - 15s);
+        watcher->onAnnouncement(change(31, "servers/x"), 30, clock.now() - 15s);
+        watcher->start();
+        runReadyHandlers();
+        CHECK(store->requestedWaits.empty());
+        CHECK(changedKeys(seen.back()) == std::vector<std::string> { "servers/x" });
+    }
+    SUBCASE("Without a proof for too long an instance calls the store although it hears of changes")
+    {
+        watcher->setSchedule({ 10s, 10s, 10s });
+        watcher->onAnnouncement(batchOf(30, { object("servers/a", 4) }), 0, clock.now() - 25s);
+        watcher->onAnnouncement(change(31, "servers/x"), 30, clock.now() - 25s);
+        watcher->start();
+        runReadyHandlers();
+        CHECK(store->requestedRevisions == std::vector<std::uint64_t> { 31 });
+    }
     SUBCASE("After a gap an announcement that proves a later state makes the call needless")
     {
         watcher->setSchedule({ hour, 1s, hour, hour });
