A failed call does not keep a left server in use; announcements without a proof hold calls off

Cause, from the logs and the code: one lost packet fails a call. The gateway then counted the store as unreachable, the gateway that watches called again only after its silence, and a server whose entry was removed meanwhile stayed in use for the grace period of 2.2 s that is meant for entries which expire during an outage. Change: a single failed call is repeated after the back-off; an outage of less than 1 s, in which no entry expires, has no grace period; servers whose period is over are removed when the store is reachable again, not at the next housekeeping. Tests: server_registry_test, store_watcher_test, news_distribution_test.

--- a/src/forward/server_registry.cpp
+++ b/src/forward/server_registry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace lycheefield {
 
@@ -63,9 +64,10 @@
     m_removed.insert_or_assign(entry.name, entry);
 }
 
-void ServerRegistry::recordStoreUnreachable()
+void ServerRegistry::recordStoreUnreachable(TimePoint now)
 {
-    m_isStoreUnreachable = true;
+    if (!std::exchange(m_isStoreUnreachable, true))
+        m_unreachableSince = now;
     for (auto& [name, until] : m_missing)
         until = never;
 }
@@ -75,7 +77,8 @@
     if (!m_isStoreUnreachable)
         return;
     m_isStoreUnreachable = false;
-    m_graceUntil = now + returnGrace;
+    const bool wasShort = now - m_unreachableSince < shortOutage;
+    m_graceUntil = wasShort ? std::max(m_graceUntil, now) : now + returnGrace;
     for (auto& [name, until] : m_missing)
         until = m_graceUntil;
 }
--- a/src/forward/server_registry.h
+++ b/src/forward/server_registry.h
@@ -18,6 +18,8 @@
 public:
     /// Time within which a running server renews its entry once the store is reachable again.
     static constexpr Duration returnGrace = std::chrono::milliseconds(2200);
+    /// A shorter outage makes a server miss one renewal of its entry at most, and the entry does not expire.
+    static constexpr Duration shortOutage = std::chrono::milliseconds(1000);
 
     /// Replaces all entries by the store's list. Returns true if the servers changed.
     bool replaceAll(const std::vector<ServerEntry>&, TimePoint);
@@ -29,8 +31,9 @@
     bool remove(const ServerName&, TimePoint);
 
     /// Records that a call to the store failed.
-    void recordStoreUnreachable();
-    /// Records that a call to the store succeeded.
+    void recordStoreUnreachable(TimePoint);
+    /// Records that a call to the store succeeded. After an outage that was too short for entries to expire there is no
+    /// grace period.
     void recordStoreReachable(TimePoint);
     /// Removes servers whose grace period has ended. Returns true if the servers changed.
     bool expire(TimePoint);
@@ -51,6 +54,7 @@
     std::map<ServerName, ServerEntry> m_servers;
     std::map<ServerName, TimePoint> m_missing; ///< Ends of the grace periods of servers without an entry, which are still in m_servers.
     bool m_isStoreUnreachable = false;
+    TimePoint m_unreachableSince {};
     TimePoint m_graceUntil {};
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -98,10 +98,12 @@
             return;
         m_isStoreReachable = isReachable;
         logState(isReachable ? "store reachable" : "store unreachable; keeping the last known servers", {});
-        if (isReachable)
-            m_registry.recordStoreReachable(m_clock->now());
-        else
-            m_registry.recordStoreUnreachable();
+        const auto now = m_clock->now();
+        if (!isReachable)
+            return m_registry.recordStoreUnreachable(now);
+        m_registry.recordStoreReachable(now);
+        if (m_registry.expire(now))
+            publishServers();
     }
 
     void onInstances(const std::vector<Instance>& instances, bool isSettled)
--- a/src/platform/store_watcher.cpp
+++ b/src/platform/store_watcher.cpp
@@ -18,11 +18,12 @@
 constexpr Duration coalescingTime = std::chrono::milliseconds(250);
 /// A response with more changes than this may be truncated, so the store is called again at once.
 constexpr std::size_t truncationThreshold = 16;
+/// After more failures in a row than this the store counts as unreachable for this instance. A single lost packet can
+/// fail a call.
+constexpr std::uint32_t toleratedFailures = 1;
 /// An instance that should watch all the time but whose calls fail retries after this multiple of the silence
 /// that it tolerates, whatever others announce.
 constexpr int retrySilenceFactor = 4;
-/// An instance that hears announcements without a proof calls the store after this many of its silences.
-constexpr int maxUnprovenSilences = 2;
 /// The store honours a requested wait below this limit; a longer watch may end before its wait is over.
 constexpr Duration maxHonouredWait = std::chrono::seconds(5);
 
@@ -146,11 +147,11 @@
 {
     if (!m_isListed || m_isBehind)
         return {};
-    const bool isFailing = m_backoff.failures() > 0;
+    const bool isFailing = m_backoff.failures() > toleratedFailures;
     const auto maxSilence = isFailing ? std::max(m_schedule.maxSilence, m_schedule.maxSilenceAfterFailure) : m_schedule.maxSilence;
     // While changes keep coming, no response proves that there are no more, but a further call would not read them sooner
     // than the instance that announces them.
-    const auto announced = std::min(m_announcedAt + std::min(m_schedule.wait, maxSilence), m_provenAt + maxUnprovenSilences * maxSilence);
+    const auto announced = std::min(m_announcedAt + std::min(m_schedule.wait, maxSilence), m_provenAt + m_schedule.maxUnproven);
     const auto heard = std::max(m_provenAt + maxSilence, announced);
     return m_schedule.maxSilence == Duration {} ? std::min(heard, m_calledAt + retrySilenceFactor * maxSilence) : heard;
 }
--- a/src/platform/watch_schedule.cpp
+++ b/src/platform/watch_schedule.cpp
@@ -16,6 +16,7 @@
 /// Ranks that retry as quickly as their back-off allows.
 constexpr std::uint32_t quickRetryRanks = 2;
 constexpr int slowRetriesWithinLimit = 2;
+constexpr double unprovenShareOfLimit = 0.75;
 
 }
 
@@ -25,10 +26,10 @@
     const auto maxSilence = limit / silenceDivisor;
     const auto failing = maxSilence + limit * maxSteps / stepsWithinLimit;
     if (rank == 0)
-        return { Duration {}, wait, failing, Duration {}, Duration {} };
+        return { Duration {}, wait, failing, Duration {}, Duration {}, Duration {} };
     const auto stagger = limit * std::min(rank - 1, maxSteps) / stepsWithinLimit;
     const auto retryPause = rank <= quickRetryRanks ? Duration {} : limit / slowRetriesWithinLimit;
-    return { maxSilence + stagger, wait, failing, stagger, retryPause };
+    return { maxSilence + stagger, wait, failing, stagger, retryPause, scaled(limit, unprovenShareOfLimit) };
 }
 
 }
--- a/tests/forward/server_registry_test.cpp
+++ b/tests/forward/server_registry_test.cpp
@@ -55,7 +55,7 @@
     }
     SUBCASE("The registry keeps a server whose entry expired while the store was unreachable")
     {
-        registry.recordStoreUnreachable();
+        registry.recordStoreUnreachable(start + 1s);
         CHECK_FALSE(registry.remove(name, start + 5s));
         CHECK(registry.servers().contains(name));
         CHECK(registry.nextExpiry() == never);
@@ -76,25 +76,43 @@
         }
         SUBCASE("The server is kept when the store becomes unreachable again")
         {
-            registry.recordStoreUnreachable();
+            registry.recordStoreUnreachable(start + 10s);
             CHECK_FALSE(registry.expire(start + 60s));
         }
     }
     SUBCASE("The registry keeps a server missing from the first list after an outage for the grace period")
     {
-        registry.recordStoreUnreachable();
+        registry.recordStoreUnreachable(start + 1s);
         registry.recordStoreReachable(start + 5s);
         registry.replaceAll({ entryOf("s2") }, start + 5s);
         CHECK(registry.servers().contains(name));
         CHECK(registry.expire(start + 8s));
         CHECK_FALSE(registry.servers().contains(name));
     }
+    // A lost packet fails one call. A server that left just then must not stay in use for the grace period.
+    SUBCASE("A server that is removed around a call that failed is removed once a call has succeeded")
+    {
+        registry.recordStoreUnreachable(start + 1s);
+        CHECK_FALSE(registry.remove(name, start + 1200ms));
+        registry.recordStoreReachable(start + 1500ms);
+        CHECK(registry.expire(start + 1500ms));
+        CHECK_FALSE(registry.servers().contains(name));
+
+        SUBCASE("A short outage within the grace period of a long one does not end that period")
+        {
+            registry.recordStoreUnreachable(start + 2s);
+            registry.recordStoreReachable(start + 9s);
+            registry.recordStoreUnreachable(start + 10s);
+            registry.recordStoreReachable(start + 10100ms);
+            CHECK_FALSE(registry.remove(ServerName("s2"), start + 10200ms));
+        }
+    }
     SUBCASE("The registry removes a draining server at once, even while the store is unreachable")
     {
         auto draining = entryOf("s1", 5);
         draining.isDraining = true;
         registry.put(draining, start);
-        registry.recordStoreUnreachable();
+        registry.recordStoreUnreachable(start);
         CHECK(registry.remove(name, start + 1s));
     }
 }
--- a/tests/gateway/news_distribution_test.cpp
+++ b/tests/gateway/news_distribution_test.cpp
@@ -111,6 +111,7 @@
         const auto turn = watchScheduleForRank(rank, limit);
         CHECK(turn.maxSilence > limit / 4);
         CHECK(turn.maxSilence + call < limit);
+        CHECK(turn.maxUnproven < limit);
         CHECK(turn.maxSilence >= watchScheduleForRank(rank - 1, limit).maxSilence);
     }
     // During an outage the first ranks retry quickly; the others retry in time for the limit without them.
--- a/tests/platform/store_watcher_test.cpp
+++ b/tests/platform/store_watcher_test.cpp
@@ -335,9 +335,23 @@
         CHECK(seen.back().changed.empty());
         CHECK_FALSE(seen.back().isFullList);
     }
+    SUBCASE("The instance that watches repeats a single failed call at once, and leaves the store to others after more")
+    {
+        watcher->setSchedule({ Duration {}, 1s, hour });
+        watcher->start();
+        runReadyHandlers();
+        REQUIRE(store->requestedWaits.size() == 1);
+        store->completeWatch({});
+        context.restart();
+        while (store->requestedWaits.size() < 2 && context.run_one() > 0) { }
+        store->completeWatch({});
+        context.restart();
+        context.run_for(20ms);
+        CHECK(store->requestedWaits.size() == 2);
+    }
     SUBCASE("Changes that keep coming leave no proof, but the instances that hear of them do not all call the store")
     {
-        watcher->setSchedule({ 10s, 10s, 10s });
+        watcher->setSchedule({ 10s, 10s, 10s, {}, {}, 20s });
         watcher->onAnnouncement(batchOf(30, { object("servers/a", 4) }), 0, clock.now() - 15s);
         watcher->onAnnouncement(change(31, "servers/x"), 30, clock.now() - 15s);
         watcher->start();
@@ -347,7 +361,7 @@
     }
     SUBCASE("Without a proof for too long an instance calls the store although it hears of changes")
     {
-        watcher->setSchedule({ 10s, 10s, 10s });
+        watcher->setSchedule({ 10s, 10s, 10s, {}, {}, 20s });
         watcher->onAnnouncement(batchOf(30, { object("servers/a", 4) }), 0, clock.now() - 25s);
         watcher->onAnnouncement(change(31, "servers/x"), 30, clock.now() - 25s);
         watcher->start();
