--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -18,8 +18,9 @@
 constexpr Duration finalAnswerMargin = 15ms;
 /// Processor time on one full core for one shard's part in merging and writing a search's answer.
 constexpr Duration mergeTimePerShard = 5us;
-/// The callers' target latency includes the network, but a distant caller's search is not cut shorter than this allows.
-constexpr double maxNetworkShare = 0.25;
+/// The target latency includes the network and the merging, but neither a distant caller nor a slow processor shortens
+/// the wait for the parts by more than this share of it.
+constexpr double maxReservedShare = 0.25;
 
 /// Returns the fingerprint by which requests that crash servers are recognised.
 Fingerprint fingerprintOf(const ForwardRequest& request)
@@ -51,8 +52,10 @@
 Duration ForwardEngine::timeToAnswer(const Request& request) const
 {
     const auto target = request.route().targetLatency;
-    const auto networkTime = std::min(request.request.networkTime, scaled(target, maxNetworkShare));
-    const auto mergeTime = scaled(mergeTimePerShard * static_cast<Duration::rep>(request.route().shards.size()), 1 / m_settings.cores.value);
+    const auto maxReserved = scaled(target, maxReservedShare);
+    const auto networkTime = std::min(request.request.networkTime, maxReserved);
+    const auto shards = static_cast<Duration::rep>(request.route().shards.size());
+    const auto mergeTime = std::min(scaled(mergeTimePerShard * shards, 1 / m_settings.cores.value), maxReserved);
     return std::max(Duration {}, target - networkTime - mergeTime - m_settings.answerMargin);
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -99,6 +99,7 @@
         m_isStoreReachable = isReachable;
         logState(isReachable ? "store reachable" : "store unreachable; keeping the last known servers", {});
         const auto now = m_clock->now();
+        // Entries that are removed during an outage may only have expired, so the registry keeps their servers for a while.
         if (!isReachable)
             return m_registry.recordStoreUnreachable(now);
         m_registry.recordStoreReachable(now);
--- a/src/platform/store_watcher.h
+++ b/src/platform/store_watcher.h
@@ -62,9 +62,12 @@
     void callStore();
     void scheduleCall(Duration);
     void onBatch(const WatchBatch&);
+    /// Records that the store may hold changes that are not known here.
     void markBehind();
     void onFailedCall(const WatchBatch&);
+    /// Handles the response to a list. What it tells beyond the known state is announced, so that others need not list.
     void onList(const WatchBatch&);
+    /// Handles the response to a watch.
     void onChanges(const WatchBatch&);
     /// Passes the batch to the handler. A batch that is not newer than the known state is passed without its changes.
     void deliver(WatchBatch, bool isNewer);
--- a/tests/forward/forward_engine_test.cpp
+++ b/tests/forward/forward_engine_test.cpp
@@ -79,6 +79,20 @@
     CHECK(testBed.outcomes().at(number).took == route.targetLatency - slow.answerMargin - 10 * mergeTime);
 }
 
+TEST_CASE("However slow the instance, most of the target latency is left to the servers" * doctest::test_suite("forward"))
+{
+    auto slow = settings();
+    slow.cores = Share { 0.001 };
+    ForwardTestBed testBed(slow);
+    addShards(testBed, 20);
+    const auto route = testBed.searchRoute(shards(20));
+    testBed.setNetworkTime(route.targetLatency);
+    const auto number = testBed.start(route);
+    testBed.run(300ms);
+    REQUIRE(testBed.answerTo(number));
+    CHECK(testBed.answerTo(number)->missingShards == 0);
+}
+
 // An urgent search of distant callers: a hedge at a share of the whole target latency would come too late to be of use.
 TEST_CASE("A hedge is sent early enough for the second server to answer in time" * doctest::test_suite("forward"))
 {
