A delegate of another configuration version declines if its route has other limits

Found by reading: since delegates run legs of another version, a delegate whose version keeps fewer records would have cut the merged part below what the answer needs (not the greatest records any more), and one whose version allows more attempts would have sent a leg to more servers than the caller's version allows. Change: the call carries both (SearchLimits); a delegate with others, or a call of an earlier release without them, is declined as before. Tests: route_table_test (both cases fail without the comparison), search_codec_test.

--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -107,7 +107,7 @@
 
 bool ForwardDriver::canRun(const SearchCall& call) const
 {
-    return !m_declinesDelegations && !call.shards.empty() && m_routes && m_routes->findSearch(call.route);
+    return !m_declinesDelegations && !call.shards.empty() && m_routes && m_routes->findSearch(call.route, call.limits);
 }
 
 void ForwardDriver::runDelegated(const InstanceName& delegator, const SearchCall& call)
@@ -115,7 +115,7 @@
     const auto now = m_parts.clock.now();
     const RequestNumber number { ++m_lastRequest };
     m_pending.emplace(number, PendingRequest { nullptr, now, delegator, call.sequence });
-    startRequest({ number, m_routes, m_routes->findSearch(call.route), std::make_shared<const HttpRequest>(call.message), call.attemptId, call.deadline, now, call.answerBy, call.shards,
+    startRequest({ number, m_routes, m_routes->findSearch(call.route, call.limits), std::make_shared<const HttpRequest>(call.message), call.attemptId, call.deadline, now, call.answerBy, call.shards,
         delegateEarnsBudget(DelegationId(call.sequence)), {} });
 }
 
--- a/src/gateway/search_delegation.cpp
+++ b/src/gateway/search_delegation.cpp
@@ -91,6 +91,7 @@
     call.sequence = action.id.value();
     call.tableVersion = request.table->version;
     call.route = request.route->name;
+    call.limits = request.route->searchLimits();
     call.shards = action.shards;
     call.attemptId = request.attemptId;
     call.message = *request.message;
--- a/src/routing/route.h
+++ b/src/routing/route.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "base/units.h"
+#include "routing/search_limits.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -38,6 +39,7 @@
     Share minCoverage { 1 }; ///< Minimum share of the shards in an answer.
 
     bool isSearch() const { return !shards.empty(); }
+    SearchLimits searchLimits() const { return { topRecords, maxRuns }; }
     /// Returns the minimum number of shards in an answer; at least one.
     std::size_t minimumShards() const;
 
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -18,9 +18,9 @@
     return best;
 }
 
-const Route* RouteTable::findSearch(std::string_view name) const
+const Route* RouteTable::findSearch(std::string_view name, const SearchLimits& limits) const
 {
-    const auto it = std::find_if(routes.begin(), routes.end(), [&](const Route& route) { return route.name == name && route.isSearch(); });
+    const auto it = std::find_if(routes.begin(), routes.end(), [&](const Route& route) { return route.name == name && route.isSearch() && route.searchLimits() == limits; });
     return it == routes.end() ? nullptr : &*it;
 }
 
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -29,10 +29,10 @@
     /// is case-insensitive and may include a port; the path must not include a query.
     const Route* find(std::string_view host, std::string_view path) const;
 
-    /// Returns the search route of that name, by which delegated legs run; null when there is none. The delegating
-    /// instance names the shards of each leg and answers by its own table, so this table may be of another version.
-    /// While a version spreads through the fleet, instances with either version run each other's legs.
-    const Route* findSearch(std::string_view name) const;
+    /// Returns the search route of that name, by which delegated legs run; null when there is none with these limits.
+    /// The delegating instance names the shards and answers by its own table, so this table may be of another version:
+    /// while a version spreads through the fleet, instances with either version run each other's legs.
+    const Route* findSearch(std::string_view name, const SearchLimits&) const;
 
     friend bool operator==(const RouteTable&, const RouteTable&) = default;
 };
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -209,6 +209,8 @@
         body.sequence = toSigned(call.sequence);
         body.tableVersion = toSigned(call.tableVersion);
         body.route = call.route;
+        body.__set_topRecords(toSigned(call.limits.topRecords));
+        body.__set_maxRuns(static_cast<std::int32_t>(call.limits.maxRuns));
         body.attemptId = call.attemptId;
         body.method = call.message.method;
         body.target = call.message.target;
--- a/src/wire/convert_from.cpp
+++ b/src/wire/convert_from.cpp
@@ -197,6 +197,7 @@
     out.sequence = Reader::number(in.sequence);
     out.tableVersion = Reader::number(in.tableVersion);
     out.route = reader.name(in.route, "route");
+    out.limits = { Reader::number(in.topRecords), reader.count(in.maxRuns, "maxRuns") };
     out.attemptId = reader.name(in.attemptId, "attemptId");
     out.message.method = reader.name(in.method, "method");
     out.message.target = reader.name(in.target, "target");
--- a/src/wire/inner.thrift
+++ b/src/wire/inner.thrift
@@ -161,6 +161,8 @@
     9: required i64 budgetMicros // Time left until the deadline when the message was sent.
     10: required i64 answerMicros // Time left until the answer should leave, likewise.
     11: required list<string> shards
+    12: optional i64 topRecords = 0
+    13: optional i32 maxRuns = 0 // Servers that one shard may be sent to. Without these two the call is declined.
 }
 
 // Taken, declined or cancelled: see SearchNoteKind.
--- a/src/wire/search_message.h
+++ b/src/wire/search_message.h
@@ -4,6 +4,7 @@
 #include "base/time.h"
 #include "forward/forward_request.h"
 #include "http/http_message.h"
+#include "routing/search_limits.h"
 
 #include <cstdint>
 #include <string>
@@ -17,6 +18,7 @@
     std::uint64_t sequence = 0; ///< Unique within the calling process.
     std::uint64_t tableVersion = 0; ///< Routing table version of the calling instance. The delegate may have another one in force.
     std::string route;
+    SearchLimits limits; ///< Of the route in the calling instance's table. A delegate whose route has others declines.
     std::vector<ServiceName> shards; ///< The shards of the route that are delegated.
     std::string attemptId;
     HttpRequest message;
--- a/tests/routing/route_table_test.cpp
+++ b/tests/routing/route_table_test.cpp
@@ -39,15 +39,27 @@
     }
 }
 
-TEST_CASE("Delegated legs run by the search route of their name, in whichever version" * doctest::test_suite("routing"))
+TEST_CASE("Delegated legs run by the search route of their name, in whichever version, if its limits are the same" * doctest::test_suite("routing"))
 {
     RouteTable table;
     table.version = 8;
     table.routes = { routeTo("a.example", "/order/"), routeTo("a.example", "/search/") };
     table.routes[1].shards = { ServiceName("new1"), ServiceName("new2") };
-    CHECK(table.findSearch("/search/") == &table.routes[1]);
-    CHECK(table.findSearch("/order/") == nullptr);
-    CHECK(table.findSearch("/removed/") == nullptr);
+    table.routes[1].topRecords = 50;
+    table.routes[1].maxRuns = 2;
+    const SearchLimits same { 50, 2 };
+    CHECK(table.findSearch("/search/", same) == &table.routes[1]);
+    CHECK(table.findSearch("/order/", same) == nullptr);
+    CHECK(table.findSearch("/removed/", same) == nullptr);
+
+    SUBCASE("A delegate that would keep fewer records than the answer needs does not run them")
+    {
+        CHECK(table.findSearch("/search/", { 100, 2 }) == nullptr);
+    }
+    SUBCASE("A delegate that would send a leg to more servers than the delegating instance allows does not run them")
+    {
+        CHECK(table.findSearch("/search/", { 50, 1 }) == nullptr);
+    }
 }
 
 TEST_CASE("A route rounds up the minimum number of shards in an answer" * doctest::test_suite("routing"))
--- a/tests/wire/search_codec_test.cpp
+++ b/tests/wire/search_codec_test.cpp
@@ -23,6 +23,7 @@
     call.sequence = 7;
     call.tableVersion = 12;
     call.route = "quotes";
+    call.limits = { 50, 2 };
     call.shards = { ServiceName("shard1"), ServiceName("shard2") };
     call.attemptId = "abc";
     call.message.method = "POST";
