A starting instance does not take outdated state from another one

Found by reading: an instance that is cut off from the store keeps its last state. One that starts beside it took that state and was ready with it, so a server that had left could be used again until its first call to the store returned. Tests: store_watcher_test; the case of the server that left fails without the change. Measured: unit tests only.

--- a/src/platform/store_watcher.cpp
+++ b/src/platform/store_watcher.cpp
@@ -83,7 +83,9 @@
 void StoreWatcher::applyAnnouncement(const WatchBatch& batch, std::uint64_t fromRevision, TimePoint currentAsOf)
 {
     const bool isList = fromRevision == 0 && batch.revision > 0;
-    if (m_isStopped || (!m_isListed && !isList))
+    // An instance that could not reach the store for long may still list servers that left.
+    const bool isOutdated = isList && m_clock.now() - currentAsOf > m_schedule.maxUnproven;
+    if (m_isStopped || isOutdated || (!m_isListed && !isList))
         return;
     if (fromRevision > m_revision) {
         const bool wasBehind = m_isBehind;
@@ -93,7 +95,8 @@
         return;
     }
     m_provenAt = std::max(m_provenAt, currentAsOf);
-    m_announcedAt = m_clock.now();
+    if (!isList)
+        m_announcedAt = m_clock.now();
     m_isBehind = m_isBehind && m_provenAt <= m_behindSince;
     const bool isNewer = batch.revision > m_revision;
     m_isListed = true;
--- a/src/platform/store_watcher.h
+++ b/src/platform/store_watcher.h
@@ -46,7 +46,8 @@
     /// after a silence.
     void setSchedule(const WatchSchedule&);
     /// Applies changes that another instance announced. A batch that leaves a gap after the revision known here
-    /// is dropped, and the watcher calls the store for the missing changes. A batch from revision 0 is a list.
+    /// is dropped, and the watcher calls the store for the missing changes. A batch from revision 0 is a list; one that is
+    /// older than the schedule allows is dropped.
     void onAnnouncement(const WatchBatch&, std::uint64_t fromRevision, TimePoint currentAsOf);
 
     /// Lists the objects, unless another instance's state has made that needless, then watches.
--- a/src/platform/watch_schedule.h
+++ b/src/platform/watch_schedule.h
@@ -14,7 +14,7 @@
 
     Duration gapPause {}; ///< Delay before the store is called for changes missing between two announcements.
     Duration retryPause {}; ///< Shortest pause after a failed call.
-    Duration maxUnproven {}; ///< Replaces a shorter limit on the silence while others announce changes without a proof that these are all.
+    Duration maxUnproven {}; ///< Oldest state of another instance that is taken at a start. Replaces a shorter limit on the silence while others announce changes without a proof that these are all.
 
     friend bool operator==(const WatchSchedule&, const WatchSchedule&) = default;
 };
--- a/tests/platform/store_watcher_test.cpp
+++ b/tests/platform/store_watcher_test.cpp
@@ -277,7 +277,7 @@
     }
     SUBCASE("An instance that starts takes the state of another one and does not list")
     {
-        watcher->setSchedule({ hour, 1s, hour });
+        watcher->setSchedule({ hour, 1s, hour, {}, {}, hour });
         watcher->onAnnouncement(batchOf(30, { object("servers/a", 4) }), 0, clock.now());
         watcher->start();
         runReadyHandlers();
@@ -302,15 +302,25 @@
             CHECK_FALSE(seen.back().isFullList);
         }
     }
-    SUBCASE("State that is too old is followed by a call to the store for the changes since")
+    SUBCASE("State older than the silence allows is followed by a call to the store for the changes since")
     {
-        watcher->setSchedule({ 1s, 1s, 1s });
+        watcher->setSchedule({ 1s, 1s, 1s, {}, {}, 10s });
         watcher->onAnnouncement(batchOf(30, { object("servers/a", 4) }), 0, clock.now() - 5s);
         watcher->start();
         runReadyHandlers();
         CHECK(store->lists == 0);
         CHECK(store->requestedRevisions == std::vector<std::uint64_t> { 30 });
     }
+    SUBCASE("State of an instance that could not reach the store for long is not taken, so that no server that left is used")
+    {
+        watcher->setSchedule({ 1s, 1s, 1s, {}, {}, 10s });
+        watcher->onAnnouncement(batchOf(30, { object("servers/left", 4) }), 0, clock.now() - 60s);
+        watcher->start();
+        runReadyHandlers();
+        CHECK(store->lists == 1);
+        for (const auto& it : seen)
+            CHECK(it.changed.empty());
+    }
     SUBCASE("An instance that knows nothing itself leads the one that asks to the store")
     {
         WatchBatch known;
@@ -325,7 +335,7 @@
     SUBCASE("A list that was slower than the state of another instance is dropped when it is older")
     {
         store->holdsLists = true;
-        watcher->setSchedule({ hour, 1s, hour });
+        watcher->setSchedule({ hour, 1s, hour, {}, {}, hour });
         watcher->start();
         runReadyHandlers();
         watcher->onAnnouncement(batchOf(30, { object("servers/a", 4) }), 0, clock.now());
@@ -361,9 +371,10 @@
     }
     SUBCASE("Without a proof for too long an instance calls the store although it hears of changes")
     {
-        watcher->setSchedule({ 10s, 10s, 10s, {}, {}, 20s });
+        watcher->setSchedule({ 10s, 10s, 10s, {}, {}, hour });
         watcher->onAnnouncement(batchOf(30, { object("servers/a", 4) }), 0, clock.now() - 25s);
-        watcher->onAnnouncement(change(31, "servers/x"), 30, clock.now() - 25s);
+        watcher->setSchedule({ 10s, 10s, 10s, {}, {}, 20s });
+        watcher->onAnnouncement(change(31, "servers/x"), 30, clock.now() - 60s);
         watcher->start();
         runReadyHandlers();
         CHECK(store->requestedRevisions == std::vector<std::uint64_t> { 31 });
