The played load of distant callers fails without the earlier hedges

The load that was added for them passed without the change, as a warm instance hedges by its latency quantile long before the limit.

--- a/tests/forward/heavy_load_test.cpp
+++ b/tests/forward/heavy_load_test.cpp
@@ -113,41 +113,28 @@
     CHECK(result.credit >= 0.9 * result.requests);
 }
 
-// Urgent searches of callers in another network while the servers pause in turn: a part is in time only if its hedge is
-// sent while the second server can still answer.
-TEST_CASE("Distant callers with urgent searches get nearly every part although servers pause in turn" * doctest::test_suite("forward"))
+// Urgent searches of callers in another network, just after an instance has started and knows no latencies yet, while
+// servers pause: a part is in time only if its hedge is sent while the second server can still answer.
+TEST_CASE("Distant callers get every part from an instance that has just started although servers pause" * doctest::test_suite("forward"))
 {
     constexpr Duration networkTime = 25ms;
-    constexpr Duration pauseLength = 100ms;
-    ForwardTestBed testBed(settings());
-    addShards(testBed, 20ms);
-    auto route = searchOf(testBed);
-    route.targetLatency = 100ms;
-    testBed.setNetworkTime(networkTime);
-    runLoad(testBed, route, 20ms, 1s);
+    constexpr Duration period = 5ms;
     LoadResult result;
-    for (int i = 0; i < 2 * shardCount; ++i) {
-        // Its late responses make the route's latency quantiles large.
-        const auto paused = shardName(i % shardCount) + "-a";
-        testBed.model(paused).work = 150ms;
-        std::vector<RequestNumber> numbers;
-        for (Duration at {}; at < pauseLength; at += 20ms) {
-            numbers.push_back(testBed.start(route));
-            testBed.run(20ms);
-        }
-        testBed.model(paused).work = 20ms;
-        testBed.run(pauseLength);
-        for (const auto& it : numbers) {
-            REQUIRE(testBed.answerTo(it));
-            const auto& outcome = testBed.outcomes().at(it);
-            ++result.requests;
-            result.inTime += outcome.took + networkTime <= route.targetLatency ? 1 : 0;
-            const auto covered = 1 - static_cast<double>(outcome.answer.missingShards) / shardCount;
-            result.credit += covered * covered;
-        }
+    for (int i = 0; i < shardCount; ++i) {
+        ForwardTestBed testBed(settings());
+        addShards(testBed, 20ms);
+        auto route = searchOf(testBed);
+        route.targetLatency = 100ms;
+        testBed.setNetworkTime(networkTime);
+        for (const auto shard : { i, (i + shardCount / 2) % shardCount })
+            testBed.model(shardName(shard) + "-a").work = 150ms;
+        const auto load = runLoad(testBed, route, period, 2 * period);
+        for (const auto& [number, outcome] : testBed.outcomes())
+            CHECK(outcome.took + networkTime <= route.targetLatency);
+        result.requests += load.requests;
+        result.credit += load.credit;
     }
     CAPTURE(result.credit / result.requests);
-    CHECK(result.inTime == result.requests);
     CHECK(result.credit >= 0.99 * result.requests);
 }
 
