--- a/src/forward/extra_attempt_budget.h
+++ b/src/forward/extra_attempt_budget.h
@@ -18,7 +18,7 @@
 };
 
 /// Returns one instance's share of the fleet's slack. A share of nearly one attempt is rounded to one: in a large fleet
-/// no instance could otherwise repeat an attempt at a service that it sends little to.
+/// no instance could otherwise repeat an attempt at a service to which it sends little.
 double slackShare(double fleetSlack, std::uint32_t instances);
 
 /// Counts the first and extra attempts of this instance to one service over a sliding window. Each
--- a/src/forward/server_registry.cpp
+++ b/src/forward/server_registry.cpp
@@ -6,6 +6,11 @@
 
 namespace lycheefield {
 
+ServerRegistry::ServerRegistry(Duration renewalPeriod)
+    : m_renewalPeriod(renewalPeriod)
+{
+}
+
 bool ServerRegistry::replaceAll(const std::vector<ServerEntry>& entries, TimePoint now)
 {
     std::set<ServerName> listed;
@@ -77,7 +82,7 @@
     if (!m_isStoreUnreachable)
         return;
     m_isStoreUnreachable = false;
-    const bool wasShort = now - m_unreachableSince < shortOutage;
+    const bool wasShort = now - m_unreachableSince < m_renewalPeriod;
     m_graceUntil = wasShort ? std::max(m_graceUntil, now) : now + returnGrace;
     for (auto& [name, until] : m_missing)
         until = m_graceUntil;
--- a/src/forward/server_registry.h
+++ b/src/forward/server_registry.h
@@ -18,8 +18,10 @@
 public:
     /// Time within which a running server renews its entry once the store is reachable again.
     static constexpr Duration returnGrace = std::chrono::milliseconds(2200);
-    /// A shorter outage makes a server miss one renewal of its entry at most, and the entry does not expire.
-    static constexpr Duration shortOutage = std::chrono::milliseconds(1000);
+
+    /// renewalPeriod: the period in which servers renew their entries, which expire after several missed renewals. In an
+    /// outage that is shorter a server misses one renewal at most, and no entry expires.
+    explicit ServerRegistry(Duration renewalPeriod);
 
     /// Replaces all entries by the store's list. Returns true if the servers changed.
     bool replaceAll(const std::vector<ServerEntry>&, TimePoint);
@@ -50,6 +52,7 @@
     /// Removed servers whose last entries are remembered, so that a late report does not restore a removed server.
     static constexpr std::size_t maxRemoved = 4096;
 
+    Duration m_renewalPeriod;
     std::map<ServerName, ServerEntry> m_removed;
     std::map<ServerName, ServerEntry> m_servers;
     std::map<ServerName, TimePoint> m_missing; ///< Ends of the grace periods of servers without an entry, which are still in m_servers.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -50,6 +50,7 @@
         , m_driver({ m_strand, *m_clock, protocols.callers, protocols.servers, m_metrics, m_log }, forwardSettings(settings))
         , m_delegateChooser(settings.instance.name, settings.instance.zone)
         , m_delegation({ m_io, m_strand, m_clock, m_driver, m_metrics, m_log, *this }, m_delegateChooser, settings.instance.name, settings.instance.zone)
+        , m_registry(settings.gateway.renewalPeriod)
         , m_readiness([this] { return HttpResponse { isReady() ? ok : unavailable, "text/plain", isReady() ? "ready\n" : "not ready\n" }; })
         , m_metricsPage([this] { return HttpResponse { ok, "text/plain; version=0.0.4", m_metrics.render() }; })
         , m_callerServer(m_io, m_driver, m_clock, m_callerCounters)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -44,7 +44,7 @@
     virtual void onRank(std::uint32_t) = 0;
     /// Another instance asks for the state that this one knows; Gateway::sendStoreState() answers.
     virtual void onStateRequested(const InstanceName&, const StoreStateRequest&) = 0;
-    /// No other instance could be asked for its state.
+    /// The request for another instance's state could not be delivered.
     virtual void onStateRequestFailed(const StoreStateRequest&) = 0;
 };
 
@@ -80,14 +80,14 @@
     void setFollower(StoreFollower&);
     /// Sends other instances what this one read from the store.
     void announceNews(const StoreNews&);
-    /// Asks an instance of this zone for the state of the store that it knows; the answer are news from revision 0.
+    /// Asks an instance of this zone for the state of the store that it knows; it answers with news from revision 0.
     /// Returns false when there is no instance to ask.
     bool requestStoreState(const std::string& prefix);
     /// Answers another instance's request for the state.
     void sendStoreState(const InstanceName&, const StoreNews&);
     /// Sets the instances of the fleet, which share the servers' connections and the retry budget, and
     /// delegate legs of searches to each other. isSettled: no instance of a starting fleet is missing; before that no
-    /// instance takes it on itself to watch the store for all.
+    /// instance watches the store on behalf of the others.
     void onInstances(const std::vector<Instance>&, bool isSettled);
     /// The metrics that this instance serves on its metrics port. Thread safe.
     Metrics& metrics();
--- a/src/gateway/news_distribution.h
+++ b/src/gateway/news_distribution.h
@@ -25,12 +25,13 @@
     std::uint32_t rank() const;
     /// The instances to which this instance sends what it read from the store.
     std::vector<InstanceName> recipients() const;
-    /// The instances of this zone that are asked for the store's state at a start, the first one first; each
-    /// instance begins at another one. At most maxStateSources.
+    /// The instances of this zone that can be asked for the store's state at a start, in the order in which this
+    /// one asks them, which differs between instances. At most maxStateSources.
     std::vector<InstanceName> stateSources() const;
     /// The instances to which this instance forwards news that came from the sender.
     std::vector<InstanceName> recipientsOfNewsFrom(const InstanceName& sender) const;
 
+    /// More than one, so that a failed instance does not hold up all that start; few, as the first ones have the most processor.
     static constexpr std::size_t maxStateSources = 4;
 
 private:
--- a/src/platform/store_watcher.cpp
+++ b/src/platform/store_watcher.cpp
@@ -18,7 +18,7 @@
 constexpr Duration coalescingTime = std::chrono::milliseconds(250);
 /// A response with more changes than this may be truncated, so the store is called again at once.
 constexpr std::size_t truncationThreshold = 16;
-/// After more failures in a row than this an instance leaves the store to others for a while. One lost packet fails one call.
+/// After more failures in a row than this the calls pause and the announcements of others are awaited. One lost packet fails one call.
 constexpr std::uint32_t toleratedFailures = 1;
 /// An instance that should watch all the time but whose calls fail retries after this multiple of the silence
 /// that it tolerates, whatever others announce.
--- a/src/platform/watch_schedule.cpp
+++ b/src/platform/watch_schedule.cpp
@@ -11,11 +11,12 @@
 /// Stagger between two ranks as a part of the limit: time for one instance to call a slow store and announce the
 /// response to the others.
 constexpr int stepsWithinLimit = 40;
-/// From this step on the ranks call together, so that half of the silence's length is left to apply a change.
+/// From this step on the ranks call together, so that a quarter of the limit is left to apply a change.
 constexpr std::uint32_t maxSteps = 8;
 /// Ranks that retry as quickly as their back-off allows.
 constexpr std::uint32_t quickRetryRanks = 2;
 constexpr int slowRetriesWithinLimit = 2;
+/// Leaves a quarter of the limit for the call and its response.
 constexpr double unprovenShareOfLimit = 0.75;
 
 }
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -92,6 +92,7 @@
     Duration stopLimit = 6s; ///< From SIGTERM to the end of the process, at most.
     Share cores { 1 }; ///< Share of one core that this process may use.
     Duration configurationLimit = 3s; ///< From a configuration change until it is in force here, at most.
+    Duration renewalPeriod = 1s; ///< Backend servers renew their entries in the store once in this period.
     Duration serversLimit = 3s; ///< From the drain or removal of a server until it gets no new work, at most.
 
     friend bool operator==(const GatewaySettings&, const GatewaySettings&) = default;
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -180,6 +180,7 @@
                                 { "gateway", "cores", fieldOf<section, &GatewaySettings::cores>, { "0.1%", "100%" }, "Share of one core that a gateway may use." },
                                 { "gateway", "configuration_limit", fieldOf<section, &GatewaySettings::configurationLimit>, { "10ms", "1h" }, "Longest time until a new configuration is in force." },
                                 { "gateway", "servers_limit", fieldOf<section, &GatewaySettings::serversLimit>, { "10ms", "1h" }, "Longest time until a draining or removed server gets no new work." },
+                                { "gateway", "renewal_period", fieldOf<section, &GatewaySettings::renewalPeriod>, { "1ms", "1h" }, "Period in which backend servers renew their entries in the store." },
                                 { "gateway", "stop_limit", fieldOf<section, &GatewaySettings::stopLimit>, { "100ms", "1h" }, "Longest time from SIGTERM until the process has ended." },
                             });
 }
--- a/tests/adapter/settings_template_test.cpp
+++ b/tests/adapter/settings_template_test.cpp
@@ -38,6 +38,7 @@
         { "listenAddrs.readyAddr", "10.1.0.9:8108" },
         { "platform.address", "10.200.1.7:8102" },
         { "limits.cpuShare", "0.25" },
+        { "heartbeatMs", "1200" },
         { "bounds.configApplyMs", "3000" },
         { "bounds.drainMs", "3000" },
         { "bounds.graceS", "6" },
@@ -67,6 +68,7 @@
         CHECK(settings.forward.retrySlack == 58);
         CHECK(settings.forward.retryWindow == std::chrono::seconds(10));
         CHECK(settings.gateway.stopLimit == std::chrono::seconds(6));
+        CHECK(settings.gateway.renewalPeriod == std::chrono::milliseconds(1200));
     }
     SUBCASE("Bounds with decimal places, as in a deployment that divides the bounds of a larger one")
     {
--- a/tests/forward/extra_attempt_budget_test.cpp
+++ b/tests/forward/extra_attempt_budget_test.cpp
@@ -8,11 +8,11 @@
 
 TEST_CASE("The instances' shares of the slack leave a reserve, and one attempt each where that is nearly a share" * doctest::test_suite("forward"))
 {
-    CHECK(slackShare(58, 9) == doctest::Approx(2.9).epsilon(0.1));
-    CHECK(slackShare(630, 295) == 1);
-    CHECK(slackShare(100, 295) < 0.5);
-    // Even with all counts lost once within a window, the fleet stays within the slack and its ratio's reserve.
-    for (const double slack : { 10.0, 58.0, 158.0, 214.0, 630.0, 1000.0 }) {
+    CHECK(slackShare(60, 10) == 3);
+    CHECK(slackShare(600, 300) == 1);
+    CHECK(slackShare(100, 300) < 0.5);
+    // Even with all counts lost once within a window, the fleet stays within the slack.
+    for (const double slack : { 10.0, 50.0, 150.0, 200.0, 600.0, 1000.0 }) {
         for (std::uint32_t instances = 1; instances <= 600; ++instances)
             CHECK(instances * slackShare(slack, instances) <= 0.9 * slack);
     }
--- a/tests/forward/forward_engine_test.cpp
+++ b/tests/forward/forward_engine_test.cpp
@@ -25,6 +25,12 @@
 /// The time to merge the parts of 20 shards on a full core.
 constexpr Duration mergeTime = 100us;
 
+void silenceShard3(ForwardTestBed& testBed)
+{
+    for (const auto* it : { "shard3-a", "shard3-b" })
+        testBed.model(it).isSilent = true;
+}
+
 /// Adds two servers per shard, one in each zone.
 void addShards(ForwardTestBed& testBed, int n)
 {
@@ -42,8 +48,7 @@
     ForwardTestBed testBed(settings());
     addShards(testBed, 20);
     const auto route = testBed.searchRoute(shards(20));
-    for (const auto* it : { "shard3-a", "shard3-b" })
-        testBed.model(it).isSilent = true;
+    silenceShard3(testBed);
 
     SUBCASE("A search without all parts is answered earlier by that time")
     {
@@ -71,8 +76,7 @@
     ForwardTestBed testBed(slow);
     addShards(testBed, 20);
     const auto route = testBed.searchRoute(shards(20));
-    for (const auto* it : { "shard3-a", "shard3-b" })
-        testBed.model(it).isSilent = true;
+    silenceShard3(testBed);
     const auto number = testBed.start(route);
     testBed.run(300ms);
     REQUIRE(testBed.answerTo(number));
--- a/tests/forward/server_registry_test.cpp
+++ b/tests/forward/server_registry_test.cpp
@@ -23,7 +23,7 @@
 
 TEST_CASE("The registry follows the platform's list of servers" * doctest::test_suite("forward"))
 {
-    ServerRegistry registry;
+    ServerRegistry registry(1s);
     const TimePoint start { 10s };
     const ServerName name("s1");
     registry.replaceAll({ entryOf("s1"), entryOf("s2") }, start);
@@ -98,6 +98,15 @@
         CHECK(registry.expire(start + 1500ms));
         CHECK_FALSE(registry.servers().contains(name));
 
+        SUBCASE("An outage in which a server may have missed several renewals has a grace period, however short these are")
+        {
+            ServerRegistry frequent(200ms);
+            frequent.replaceAll({ entryOf("s1") }, start);
+            frequent.recordStoreUnreachable(start + 1s);
+            frequent.remove(name, start + 1200ms);
+            frequent.recordStoreReachable(start + 1500ms);
+            CHECK_FALSE(frequent.expire(start + 1500ms));
+        }
         SUBCASE("A short outage within the grace period of a long one does not end that period")
         {
             registry.recordStoreUnreachable(start + 2s);
