Review case 2: a spoiled answer of one server ends the gateway process

Cause: flat_buffer::prepare() throws std::length_error when a chunk's size line or trailer does not end within 8 MB, and nothing catches it. Change: a script with real gateways and stand-ins; the stand-in server can spoil an answer.

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,7 +1,7 @@
-// A server drains after another writer left an entry with unreadable bytes in the store.
+// One server spoils an answer: it announces chunks and sends bytes that are none.
 //
-// Rule DRAIN: a request reaches a server later than drainMs after a machine in touch acknowledged that the
-// server is draining.
+// Rule LOST: at any time, a machine in touch passes a request from a kept connection on to a sound server and
+// closes that connection without an answer, more than three times.
 
 #include "../standin/lab.h"
 
@@ -9,34 +9,34 @@
 #include <exception>
 #include <map>
 #include <mutex>
+#include <set>
 
 using namespace lab;
 
 namespace {
 
 constexpr int gateways = 3;
-constexpr int servers = 4;
-constexpr int callers = 12;
-constexpr double trafficS = 32;
-constexpr double pause = 0.2;
-constexpr double foreignEntryAt = 6;
-constexpr double drainAt = 16; ///< Ten seconds after the foreign entry.
-constexpr double servesOnFor = 12; ///< drainMs "and a little longer (at times many seconds)".
-constexpr double drainS = 3;
-constexpr int deadlineMs = 8000;
-constexpr double readyLimit = 15;
+constexpr int servers = 10;
+constexpr int callers = 36;
+constexpr double trafficS = 25;
+constexpr double longestPause = 0.05;
+constexpr int deadlineMs = 15000;
+constexpr double restartDelay = 0.5;
 
-const std::string configuration = R"({"version":7,"routes":[{"name":"r-receipts","host":"receipts.example","pathPrefix":"/receipts/","routeType":"idempotent","timeoutMs":8000,"targetLatencyMs":500,"priority":2,"service":"receipt-desk","attempts":2}],"services":[{"name":"receipt-desk","healthPath":"/health","maxConns":110,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
+/// The disruption: garble, share = 0.1 (one of ten servers), x = 0.02, for_s = 5.
+const std::string faultyServer = "i-ledger-0";
+constexpr double garbleAt = 8;
+constexpr double garbleForS = 5;
+constexpr double spoiledShareOfAnswers = 0.02;
 
-/// The entry of another writer: its zone holds bytes that are no text. JSON escapes them as a lone surrogate.
-const std::string foreignEntry = R"({"service":"receipt-desk","address":"127.0.0.1:9","zone":"hue-\udcff","version":"v1","slots":2,"state":"ready","warmupLeftMs":0,"sequence":4,"born":1700000000000})";
+const std::string configuration = R"({"version":7,"routes":[{"name":"r-ledger","host":"ledger.example","pathPrefix":"/ledger/","routeType":"idempotent","timeoutMs":15000,"targetLatencyMs":800,"priority":2,"service":"ledgerbook","attempts":2}],"services":[{"name":"ledgerbook","healthPath":"/health","maxConns":110,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 
 std::mutex mutex;
+std::map<std::string, std::set<std::string>> arrivals; // attempt id -> servers that it reached
+std::set<std::string> spoiledAttempts;
+std::uint64_t faultyAnswers = 0;
 std::map<int, int> byStatus;
-std::atomic<double> drainAcknowledgedAt { 1e9 };
-std::atomic<int> lateArrivals { 0 };
-std::atomic<int> allArrivals { 0 };
-std::atomic<double> lastArrival { 0 };
+std::atomic<double> trafficStart { 1e9 };
 
 int run(const std::string& folder)
 {
@@ -44,32 +44,37 @@
     Store store(loopback(0, 1));
     store.put("config", "main", configuration);
     Server::Hooks hooks;
+    hooks.onArrival = [&](const Server& server, const Message& request) {
+        const std::lock_guard lock(mutex);
+        arrivals[request.header("Lycheefield-Attempt-Id")].insert(server.id());
+    };
     hooks.onRun = [&](const Server& server, const Message& request) {
         record.line("RUN " + request.header("Lycheefield-Attempt-Id") + " on " + server.id());
         return true;
     };
-    hooks.onArrival = [&](const Server& server, const Message& request) {
-        ++allArrivals;
-        const auto since = now() - drainAcknowledgedAt;
-        if (server.id() != "i-receipt-0" || since <= 0)
-            return;
-        lastArrival = std::max<double>(lastArrival, since);
-        if (since <= drainS)
-            return;
-        ++lateArrivals;
-        record.line("LATE " + request.header("Lycheefield-Attempt-Id") + " reached the draining server " + std::to_string(since) + " s after the acknowledgement");
+    hooks.spoils = [&](const Server& server, const Message& request) {
+        if (server.id() != faultyServer)
+            return false;
+        const std::lock_guard lock(mutex);
+        ++faultyAnswers;
+        const auto at = now() - trafficStart;
+        const bool isGarbling = hasTrouble() && at >= garbleAt && at < garbleAt + garbleForS;
+        if (!isGarbling || static_cast<double>(spoiledAttempts.size() + 1) > spoiledShareOfAnswers * static_cast<double>(faultyAnswers))
+            return false;
+        const auto id = request.header("Lycheefield-Attempt-Id");
+        spoiledAttempts.insert(id);
+        record.line("SPOILED the answer to " + id + " by " + server.id());
+        return true;
     };
-    const std::vector<std::string> zones { "hue-a", "hue-b", "hue-c" };
+    const std::vector<std::string> zones { "ikeja-a", "lekki-b", "ibadan-c" };
     std::vector<std::unique_ptr<Server>> backends;
     for (int i = 0; i < servers; ++i)
-        backends.push_back(std::make_unique<Server>(store, ServerSettings { "receipt-desk", zones[static_cast<std::size_t>(i) % 3], 4, 16, 60, 110 }, "i-receipt-" + std::to_string(i), loopback(2, i + 1), 0, hooks));
+        backends.push_back(std::make_unique<Server>(store, ServerSettings { "ledgerbook", zones[static_cast<std::size_t>(i) % 3], 4, 16, 220, 110 }, "i-ledger-" + std::to_string(i), loopback(2, i + 1), 0, hooks));
     std::vector<std::unique_ptr<Gateway>> fleet;
-    const auto addGateway = [&](int i) {
+    for (int i = 0; i < gateways; ++i) {
         fleet.push_back(std::make_unique<Gateway>(store, "edge-" + std::to_string(i), zones[static_cast<std::size_t>(i) % 3], loopback(1, i + 1), temporaryFolder()));
         fleet.back()->start();
-    };
-    for (int i = 0; i < gateways; ++i)
-        addGateway(i);
+    }
     for (const auto& it : fleet) {
         if (!it->waitReady(10)) {
             std::printf("gateway %s is not ready\n", it->name().c_str());
@@ -78,53 +83,62 @@
     }
     sleepFor(4);
 
-    const auto start = now();
+    trafficStart = now();
+    std::atomic<bool> isEnding { false };
+    int ends = 0;
+    // The platform starts a process again after a short delay when it ended by itself.
+    std::thread platform([&] {
+        while (!isEnding) {
+            for (const auto& it : fleet) {
+                if (it->isRunning())
+                    continue;
+                ++ends;
+                record.line("ENDED " + it->name() + " has ended by itself");
+                sleepFor(restartDelay);
+                it->start();
+            }
+            sleepFor(0.02);
+        }
+    });
+    int cut = 0;
     std::vector<std::thread> threads;
     for (int i = 0; i < callers; ++i) {
         threads.emplace_back([&, i] {
             const auto& gateway = *fleet[static_cast<std::size_t>(i) % gateways];
             Caller caller(gateway.front());
-            while (now() - start < trafficS) {
+            while (now() - trafficStart < trafficS) {
                 const auto id = newAttemptId();
                 record.line("SENT " + id + " to " + gateway.name());
-                const auto answer = caller.call("GET", "/receipts/" + id, "receipts.example", id, deadlineMs, "");
+                const auto answer = caller.call("GET", "/ledger/" + id, "ledger.example", id, deadlineMs, "");
                 record.line("ANSWERED " + id + " status " + std::to_string(answer.status));
                 {
                     const std::lock_guard lock(mutex);
                     ++byStatus[answer.status];
+                    const auto& reached = arrivals[id];
+                    const bool isAtSoundServer = !reached.empty() && !reached.contains(faultyServer);
+                    if (answer.wasCut && answer.wasKept && isAtSoundServer) {
+                        ++cut;
+                        record.line("LOST " + id + ": its kept connection was closed without an answer; it had reached " + *reached.begin());
+                    }
                 }
-                sleepFor(pause * 2 * randomUnit());
+                sleepFor(longestPause * randomUnit());
             }
         });
     }
-    sleepUntil(start + foreignEntryAt);
-    if (hasTrouble()) {
-        store.put("servers", "i-foreign", foreignEntry);
-        record.line("STORE another writer's entry i-foreign is in the store");
-    }
-    sleepUntil(start + drainAt);
-    backends[0]->setState("draining");
-    drainAcknowledgedAt = now();
-    record.line("STORE acknowledged that i-receipt-0 is draining");
-    sleepUntil(start + drainAt + servesOnFor);
-    backends[0]->removeEntry();
-    backends[0]->stop();
-    record.line("i-receipt-0 has ended, its entry is removed");
     for (auto& it : threads)
         it.join();
-    // A machine is added: with an unreadable list it never becomes ready. Not part of the verdict.
-    addGateway(gateways);
-    const bool isNewReady = fleet.back()->waitReady(readyLimit);
+    isEnding = true;
+    platform.join();
 
-    std::string summary = "arrivals " + std::to_string(allArrivals) + ", at the draining server later than drainMs " + std::to_string(lateArrivals) + " (last one "
-        + std::to_string(lastArrival) + " s after the acknowledgement); an added gateway is " + (isNewReady ? "ready" : "NOT ready after 15 s") + "; answers:";
+    std::string summary = "spoiled answers " + std::to_string(spoiledAttempts.size()) + " of " + std::to_string(faultyAnswers) + " of one server; gateways that ended by themselves " + std::to_string(ends)
+        + ", requests of kept connections cut off while at a sound server " + std::to_string(cut) + "; answers:";
     for (const auto& [status, n] : byStatus)
         summary += " " + std::to_string(status) + "x" + std::to_string(n);
     record.line(summary);
     std::printf("%s\n", summary.c_str());
-    if (allArrivals < 500)
+    if (byStatus[200] < 500 || (hasTrouble() && spoiledAttempts.empty()))
         return 2;
-    return lateArrivals > 0 ? 1 : 0;
+    return cut > 3 ? 1 : 0;
 }
 
 }
--- a/review/standin/lab.cpp
+++ b/review/standin/lab.cpp
@@ -677,6 +677,21 @@
     return true;
 }
 
+namespace {
+
+/// Writes the head of a chunked answer, and then zero bytes where the first chunk should begin.
+void sendSpoiled(Connection& connection, const Message& request)
+{
+    constexpr int blocks = 144;
+    constexpr std::size_t blockBytes = 64 * 1024;
+    if (!connection.write("HTTP/1.1 200 OK\r\nLycheefield-Attempt-Id: " + request.header("Lycheefield-Attempt-Id") + "\r\nTransfer-Encoding: chunked\r\n\r\n"))
+        return;
+    const std::string block(blockBytes, '\0');
+    for (int i = 0; i < blocks && connection.write(block); ++i) { }
+}
+
+}
+
 void Server::serve(const std::shared_ptr<Connection>& connection)
 {
     // A server resets connections beyond its limit.
@@ -702,6 +717,10 @@
                 connection->reset();
             return;
         }
+        if (m_hooks.spoils && m_hooks.spoils(*this, request)) {
+            sendSpoiled(*connection, request);
+            return;
+        }
         if (!connection->write(answer))
             return;
         refusedId = answer.starts_with("HTTP/1.1 503") ? request.header("Lycheefield-Attempt-Id") : "";
@@ -806,11 +825,16 @@
     if (method != "GET")
         request += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     request += "\r\n" + body;
-    const auto until = now() + deadlineMs / 1000.0 + clientGrace;
-    if (!m_connection || m_connection->isPeerGone())
+    const auto deadline = now() + deadlineMs / 1000.0;
+    const auto until = deadline + clientGrace;
+    if (!m_connection || m_connection->isPeerGone()) {
         m_connection = Connection::open(m_gateway, 1);
+        m_isKept = false;
+    }
     Answer answer;
+    answer.wasKept = std::exchange(m_isKept, true);
     if (!m_connection || !m_connection->write(request) || !m_connection->read(answer.message, until - now())) {
+        answer.wasCut = m_connection && now() < deadline;
         m_connection.reset();
         return answer;
     }
--- a/review/standin/lab.h
+++ b/review/standin/lab.h
@@ -171,6 +171,8 @@
         /// Whether a late second copy of this answer follows.
         std::function<bool(const Server&, const Message&)> sendsExtra;
         std::function<void(const Server&, const std::string& attemptId)> onExtra;
+        /// Whether the server spoils this answer: it announces chunks and sends bytes that are none.
+        std::function<bool(const Server&, const Message&)> spoils;
         /// The body of a success.
         std::function<std::string(const Server&, const Message&)> body;
         /// Called, on a thread of its own, after the server has crashed and its port is closed.
@@ -252,6 +254,8 @@
 /// The result of one client attempt.
 struct Answer {
     int status = 0; ///< 0: the connection ended without a complete answer.
+    bool wasKept = false; ///< The connection had carried an earlier request.
+    bool wasCut = false; ///< The gateway closed the connection without a complete answer, before the deadline.
     Message message;
 };
 
@@ -272,6 +276,7 @@
 private:
     Address m_gateway;
     std::unique_ptr<Connection> m_connection;
+    bool m_isKept = false;
 };
 
 std::string newAttemptId();
