--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -193,7 +193,8 @@
             + "; answers to the poison:" + describe(poisonAnswers) + "; to other searches before it:" + describe(normalBefore) + ", since:" + describe(normalAfter);
         record.line(summary);
         std::printf("%s\n", summary.c_str());
-        result = normalBefore[200] < 20 ? 2 : lateRetries.size() > 3 && crashes.size() >= 3 ? 1 : 0;
+        result = normalBefore[200] < 20 ? 2 : lateRetries.size() > 3 && crashes.size() >= 3 ? 1
+                                                                                            : 0;
     }
     backends.clear();
     return result;
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr int gateways = 4;
-constexpr int servers = 8;
+constexpr int servers = 3;
 constexpr int callers = 8;
 constexpr double trafficS = 40;
 constexpr double pause = 0.3;
@@ -169,7 +169,8 @@
             + "; answers to the poison:" + describe(poisonAnswers) + "; to other lookups:" + describe(lookupAnswers);
         record.line(summary);
         std::printf("%s\n", summary.c_str());
-        result = lookupAnswers[200] < 100 ? 2 : lateRetries.size() > 3 && crashes.size() >= 3 ? 1 : 0;
+        result = lookupAnswers[200] < 100 ? 2 : lateRetries.size() > 3 && crashes.size() >= 3 ? 1
+                                                                                              : 0;
     }
     backends.clear();
     return result;
