--- a/review/standin/lab.cpp
+++ b/review/standin/lab.cpp
@@ -170,11 +170,32 @@
     return remover.path;
 }
 
-std::string loopback(int group, int host)
+namespace {
+
+/// Returns an N that no other script uses now. A socket that stays bound for the life of the process keeps it, so that
+/// two scripts never start gateways on one address: the port of their metrics is fixed.
+int reserveNetwork()
 {
     constexpr int first = 16;
     constexpr int count = 200;
-    return "127." + std::to_string(first + getpid() % count) + "." + std::to_string(group) + "." + std::to_string(host);
+    constexpr int guardPort = 9463;
+    for (int i = 0; i < count; ++i) {
+        const int n = first + (getpid() + i) % count;
+        const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const auto address = toSockaddr({ "127." + std::to_string(n) + ".0.254", guardPort });
+        if (bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0 && listen(fd, 1) == 0)
+            return n;
+        ::close(fd);
+    }
+    throw std::runtime_error("no free loopback network");
+}
+
+}
+
+std::string loopback(int group, int host)
+{
+    static const int network = reserveNetwork();
+    return "127." + std::to_string(network) + "." + std::to_string(group) + "." + std::to_string(host);
 }
 
 int freePort(const std::string& ip)
