Review cases 1 and 2: doses are kept inside each window

Cause: case 2 counted the answers before its window, so 3 of about 79 answers in the window were spoiled, over the quoted 2 in 100; case 1 kept its share over all windows together.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -19,7 +19,7 @@
 constexpr int gateways = 9;
 constexpr int services = 4; ///< Each has one server with 2 slots, as every company runs its own order desk.
 constexpr int callersPerService = 9;
-constexpr double trafficS = 36;
+constexpr double trafficS = 28;
 constexpr double longestPause = 0.04; ///< Between the answer to an order and the caller's next order.
 constexpr double workMs = 28;
 constexpr int queue = 4;
@@ -54,20 +54,26 @@
 std::map<std::string, std::vector<std::string>> runs; // attempt id -> servers that began to work on it
 std::map<std::string, int> statuses;
 std::uint64_t extras = 0;
-std::uint64_t chosenExtras = 0;
 std::uint64_t garblingAnswers = 0;
 std::uint64_t rejections = 0;
 std::atomic<double> trafficStart { 1e9 };
 
-bool isGarbling(const Server& server)
+/// The server's garble window that lies at this time; -1 outside of them and for the other servers.
+int garbleWindow(const Server& server)
 {
     const auto at = now() - trafficStart;
     if (at < firstGarbleAt || at > trafficS || server.id().back() - '0' >= garblingServers)
-        return false;
-    const auto since = at - firstGarbleAt;
-    return since - garbleEvery * static_cast<int>(since / garbleEvery) < garbleForS;
+        return -1;
+    const auto window = static_cast<int>((at - firstGarbleAt) / garbleEvery);
+    return at - firstGarbleAt - garbleEvery * window < garbleForS ? window : -1;
 }
 
+struct Dose {
+    std::uint64_t answers = 0;
+    std::uint64_t extras = 0;
+};
+std::map<std::pair<std::string, int>, Dose> doses; // by server and window
+
 int run(const std::string& folder)
 {
     Record record(folder + "/record.txt");
@@ -87,14 +93,18 @@
         ++rejections;
     };
     hooks.sendsExtra = [&](const Server& server, const Message&) {
-        if (!hasTrouble() || !isGarbling(server))
+        const auto window = garbleWindow(server);
+        if (!hasTrouble() || window < 0)
             return false;
         const std::lock_guard lock(mutex);
         ++garblingAnswers;
-        const bool isWithinShare = static_cast<double>(chosenExtras + 1) <= extraShareOfAnswers * static_cast<double>(garblingAnswers);
+        // The share holds for each server in each window.
+        auto& dose = doses[{ server.id(), window }];
+        ++dose.answers;
+        const bool isWithinShare = static_cast<double>(dose.extras + 1) <= extraShareOfAnswers * static_cast<double>(dose.answers);
         if (!isWithinShare || randomUnit() >= 2 * extraShareOfAnswers)
             return false;
-        ++chosenExtras;
+        ++dose.extras;
         return true;
     };
     hooks.onExtra = [&](const Server& server, const std::string& id) {
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -17,7 +17,7 @@
 
 constexpr int gateways = 3;
 constexpr int servers = 10;
-constexpr int callers = 36;
+constexpr int callers = 48;
 constexpr double trafficS = 25;
 constexpr double longestPause = 0.05;
 constexpr int deadlineMs = 15000;
@@ -56,10 +56,13 @@
         if (server.id() != faultyServer)
             return false;
         const std::lock_guard lock(mutex);
-        ++faultyAnswers;
         const auto at = now() - trafficStart;
-        const bool isGarbling = hasTrouble() && at >= garbleAt && at < garbleAt + garbleForS;
-        if (!isGarbling || static_cast<double>(spoiledAttempts.size() + 1) > spoiledShareOfAnswers * static_cast<double>(faultyAnswers))
+        const bool isWindow = at >= garbleAt && at < garbleAt + garbleForS;
+        if (!hasTrouble() || !isWindow)
+            return false;
+        // Only answers inside the window count for the share.
+        ++faultyAnswers;
+        if (static_cast<double>(spoiledAttempts.size() + 1) > spoiledShareOfAnswers * static_cast<double>(faultyAnswers))
             return false;
         const auto id = request.header("Lycheefield-Attempt-Id");
         spoiledAttempts.insert(id);
@@ -130,7 +133,7 @@
     isEnding = true;
     platform.join();
 
-    std::string summary = "spoiled answers " + std::to_string(spoiledAttempts.size()) + " of " + std::to_string(faultyAnswers) + " of one server; gateways that ended by themselves " + std::to_string(ends)
+    std::string summary = "spoiled answers " + std::to_string(spoiledAttempts.size()) + " of " + std::to_string(faultyAnswers) + " of one server in its five seconds; gateways that ended by themselves " + std::to_string(ends)
         + ", requests of kept connections cut off while at a sound server " + std::to_string(cut) + "; answers:";
     for (const auto& [status, n] : byStatus)
         summary += " " + std::to_string(status) + "x" + std::to_string(n);
