--- a/src/daemon/peer_router.cpp
+++ b/src/daemon/peer_router.cpp
@@ -3,13 +3,16 @@
 #include "daemon/entry_driver.h"
 #include "daemon/relay_driver.h"
 
+#include <algorithm>
+
 namespace lycheefield {
 
 namespace {
 
 CrashNews newsOf(const AnnounceCrash& crash)
 {
-    return { crash.fingerprint, crash.crashes, crash.quarantine, crash.location.server };
+    // A relay counts every lost leg, and one crash loses many.
+    return { crash.fingerprint, std::min(crash.crashes, 1U), crash.quarantine, crash.location.server };
 }
 
 }
--- a/src/dispatch/relay_action.h
+++ b/src/dispatch/relay_action.h
@@ -61,6 +61,7 @@
     std::uint32_t crashes = 0; ///< Zero: the suspicion is withdrawn.
     Duration quarantine {}; ///< Zero: the content is only suspect.
     CrashLocation location {}; ///< The server's name is empty when the server is not known.
+    ServiceName service {}; ///< The server's service; empty when not known.
 };
 
 using RelayAction = std::variant<OpenConnection, CloseConnection, SendLeg, CancelAtServer, ReturnResult, AnnounceServerState, AnnounceCrash>;
--- a/src/forward/forward_action.h
+++ b/src/forward/forward_action.h
@@ -2,6 +2,7 @@
 
 #include "forward/forward_request.h"
 #include "forward/server_entry.h"
+#include "query/crash_news.h"
 
 #include <string>
 #include <variant>
@@ -54,10 +55,15 @@
     std::vector<std::uint32_t> positions; ///< Positions in the delegation's shards.
 };
 
-/// Announce to all other instances that a server crashed while it ran that content.
+/// Announce to all other instances what is known about a content that crashed servers.
 struct AnnounceContentCrash {
-    Fingerprint content;
-    ServerName server;
+    CrashNews news;
+};
+
+/// Tell the instance that delegated this request what is known about its content, before the request is answered.
+struct ReportContentCrash {
+    RequestNumber request;
+    CrashNews news;
 };
 
 /// Send the answer to the caller.
@@ -80,7 +86,7 @@
     std::string detail; ///< The inputs of the decision as "key=value" pairs.
 };
 
-using ForwardAction = std::variant<SendServerRequest, CancelServerRequest, DelegateShards, CancelDelegation, GrantExtraAttempts, RequestExtraAttempts, AnnounceContentCrash, DeliverForwardAnswer, LogForwardDecision>;
+using ForwardAction = std::variant<SendServerRequest, CancelServerRequest, DelegateShards, CancelDelegation, GrantExtraAttempts, RequestExtraAttempts, AnnounceContentCrash, ReportContentCrash, DeliverForwardAnswer, LogForwardDecision>;
 using ForwardActions = std::vector<ForwardAction>;
 
 }
--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -21,13 +21,8 @@
 /// The target latency includes the network and the merging, but neither a distant caller nor a slow processor shortens
 /// the wait for the parts by more than this share of it.
 constexpr double maxReservedShare = 0.25;
-
-/// Returns the fingerprint by which requests that crash servers are recognised.
-Fingerprint fingerprintOf(const ForwardRequest& request)
-{
-    const auto& message = *request.message;
-    return Fingerprint(stableHash(message.body, stableHash(message.path(), stableHash(message.headers.find("Host")))));
-}
+/// A server that crashes by itself breaks one attempt of a content, and its retry mostly succeeds.
+constexpr CrashPolicy crashPolicy { .minSuspectCrashes = 2, .minSuspectServers = 3, .retention = std::chrono::hours(1) };
 
 }
 
@@ -35,6 +30,7 @@
     : m_settings(std::move(settings))
     , m_random(std::move(random))
     , m_pool(m_settings, *m_random)
+    , m_evidence(crashPolicy)
 {
 }
 
@@ -85,7 +81,8 @@
         // The grant takes a round trip to the delegating instance.
         it.requestExtraAt = now + std::max(Duration {}, hedgeDelay(it) - m_settings.crossZoneCost);
     }
-    if (route.isSearch()) {
+    // The legs of suspect content wait for its probe.
+    if (route.isSearch() && standingOf(it, now) == ContentStanding::Clear) {
         delegateLegs(it, now, actions);
         shedLegs(it, now);
     }
@@ -102,6 +99,8 @@
     const auto attempt = it->second;
     forgetAttempt(id, now);
     recordServerResponse(attempt, response, now);
+    if (response.kind == ServerResponseKind::Served)
+        recordServed(attempt, response, now, actions);
     auto* request = find(attempt.request);
     if (!request)
         return sendNextQueued(attempt.server->entry.service, now, actions);
@@ -112,8 +111,6 @@
         --leg.mayHaveRun;
     else
         request->mayHaveRun = true;
-    if (!isRefused && response.kind != ServerResponseKind::Unusable && !m_crashes.isEmpty())
-        m_crashes.recordServed(fingerprintOf(request->request));
     if (isWaiting(leg)) {
         if (response.kind == ServerResponseKind::Failed)
             leg.singleResponse = response.message;
@@ -165,6 +162,8 @@
         ServerPool::recordFull(*attempt.server, now);
     else
         ServerPool::recordFailure(*attempt.server, now);
+    if (failure == ServerRequestFailure::Broken)
+        recordCrash(attempt, now, actions);
     auto* request = find(attempt.request);
     if (!request)
         return sendNextQueued(attempt.server->entry.service, now, actions);
@@ -172,7 +171,6 @@
     std::erase(leg.inFlight, id);
     if (failure == ServerRequestFailure::Broken) {
         request->mayHaveRun = true;
-        recordCrash(*request, attempt.server->entry.name, now, actions);
     } else {
         --leg.mayHaveRun;
         --leg.arrivals;
@@ -180,7 +178,7 @@
     if (failure == ServerRequestFailure::ConnectionRejected)
         std::erase(leg.tried, attempt.server);
     actions.emplace_back(LogForwardDecision { DecisionImportance::Extra, request->request.attemptId, "server request failed",
-        "server=" + attempt.server->entry.name.value() + " how=" + std::string(toString(failure)) });
+        "server=" + attempt.server->entry.name.value() + " how=" + std::string(toString(failure)) + " content=" + std::to_string(attempt.content.value()) + " crashes=" + std::to_string(m_evidence.crashesOf(attempt.content, now)) });
     if (isWaiting(leg)) {
         onLegFailed(*request, attempt.leg, now, actions);
         review(*request, now, actions);
@@ -188,31 +186,6 @@
     sendNextQueued(attempt.server->entry.service, now, actions);
 }
 
-void ForwardEngine::recordCrash(const Request& request, const ServerName& server, TimePoint now, ForwardActions& actions)
-{
-    // Searches are not quarantined: a search can crash many servers at once, and several instances send its legs.
-    if (request.route().isSearch())
-        return;
-    const auto content = fingerprintOf(request.request);
-    if (!m_crashes.recordCrash(content, server, now))
-        return;
-    actions.emplace_back(AnnounceContentCrash { content, server });
-    if (m_crashes.remaining(content, now) > Duration {})
-        actions.emplace_back(LogForwardDecision { DecisionImportance::Failure, request.request.attemptId, "request quarantined", "why=three servers crashed while running its content" });
-}
-
-Duration ForwardEngine::quarantineRemaining(const Request& request, TimePoint now) const
-{
-    if (m_crashes.isEmpty() || request.route().isSearch())
-        return {};
-    return m_crashes.remaining(fingerprintOf(request.request), now);
-}
-
-void ForwardEngine::onCrashAnnounced(Fingerprint content, const ServerName& server, TimePoint now)
-{
-    m_crashes.recordCrash(content, server, now);
-}
-
 void ForwardEngine::cancel(RequestNumber number, TimePoint now, ForwardActions& actions)
 {
     auto* request = find(number);
@@ -316,8 +289,12 @@
     if (request.request.isPart()) {
         for (const auto& leg : request.legs)
             answer.runs.push_back(leg.mayHaveRun);
+        // Without it the delegating instance would take back the legs and send them itself.
+        if (standingOf(request, now) == ContentStanding::Quarantined)
+            actions.emplace_back(ReportContentCrash { request.request.number, newsOf(request.request.content, now) });
     }
     countAnswer(request, answer, now);
+    announceCrashesOfFailed(request, answer, now, actions);
     const bool isPlain = answer.missingShards == 0 && (answer.kind == ForwardAnswerKind::Search || answer.kind == ForwardAnswerKind::PassThrough);
     const auto micros = (now - request.startedAt).count();
     actions.emplace_back(LogForwardDecision { isPlain ? DecisionImportance::Plain : DecisionImportance::Failure, request.request.attemptId, "answered",
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "base/random_source.h"
-#include "forward/crash_quarantine.h"
 #include "forward/delegate_chooser.h"
 #include "forward/extra_attempt_budget.h"
 #include "forward/forward_action.h"
@@ -9,6 +8,7 @@
 #include "forward/forward_settings.h"
 #include "forward/route_times.h"
 #include "forward/server_pool.h"
+#include "query/crash_evidence.h"
 #include "routing/split_picker.h"
 
 #include <cstdint>
@@ -77,8 +77,10 @@
     void onExtraAttemptsGranted(RequestNumber, TimePoint, ForwardActions&);
     /// Enables delegation to other instances. Precondition: the chooser outlives the engine.
     void setDelegateChooser(DelegateChooser& chooser) { m_delegateChooser = &chooser; }
-    /// Records a crash that another instance announced.
-    void onCrashAnnounced(Fingerprint, const ServerName&, TimePoint);
+    /// Records what another instance announced about a content that crashed servers.
+    void onCrashAnnounced(const CrashNews&, TimePoint);
+    /// Returns what an instance must be told that may know none of the quarantined contents.
+    std::vector<CrashNews> quarantines(TimePoint now) const { return m_evidence.quarantines(now); }
     /// Replaces the servers that may get work.
     void onServers(const std::map<ServerName, ServerEntry>&, TimePoint);
     /// Discards the state of routes and services that are not in the table.
@@ -98,11 +100,16 @@
     struct Attempt {
         TrackedServerPtr server;
         TimePoint sentAt {};
+        std::uint64_t sequence = 0; ///< The place in the order of all attempts of this instance.
         TimePoint cancelAt = never; ///< When the attempt is cancelled, once its response is no longer needed.
         RequestNumber request;
         std::size_t leg = 0;
         std::string routeName;
+        std::string attemptId;
+        Fingerprint content;
         bool isIdempotent = false;
+        bool isSearch = false;
+        bool isProbe = false; ///< The only attempt of suspect content that its request has in flight.
     };
     enum class LegStage : std::uint8_t {
         Unsent, ///< Waiting for a server with capacity.
@@ -140,6 +147,7 @@
         std::map<DelegationId, std::vector<std::size_t>> delegations; ///< The legs of each delegation, in the order of its shards.
         TimePoint requestExtraAt = never; ///< For legs delegated to this instance: when extra attempts are requested.
         bool mayUseExtraAttempts = true; ///< False while the delegating instance may take the legs back.
+        bool hasPassedProbe = false; ///< A server has served the request although its content is suspect.
 
         const Route& route() const { return *request.route; }
         std::size_t pending() const { return legs.size() - done - missing; }
@@ -191,8 +199,23 @@
     Duration expectedWait(const Leg&, const PickContext&) const;
     bool trySend(Request&, std::size_t leg, bool isHedge, TimePoint, ForwardActions&);
     bool takeBudget(const Request&, Leg&, TimePoint);
-    /// Records and announces that a server closed the connection while it may have run the request.
-    void recordCrash(const Request&, const ServerName&, TimePoint, ForwardActions&);
+    /// Records that a server closed the connection while it may have run the attempt, whether or not its request still waits.
+    void recordCrash(const Attempt&, TimePoint, ForwardActions&);
+    /// Records that a server has served the attempt.
+    void recordServed(const Attempt&, const ServerResponse&, TimePoint, ForwardActions&);
+    /// Returns what is known about the content's crashes.
+    CrashNews newsOf(Fingerprint, TimePoint) const;
+    void announceCrashes(Fingerprint, const CrashedAttempt&, TimePoint, ForwardActions&);
+    /// Announces the crashes of a request that was not served, so that its caller's next attempt meets instances that know them.
+    void announceCrashesOfFailed(const Request&, const ForwardAnswer&, TimePoint, ForwardActions&);
+    ContentStanding standingOf(const Request&, TimePoint) const;
+    /// Returns whether an attempt of the request may be sent now, given the crashes of its content.
+    bool mayRunContent(const Request&, TimePoint) const;
+    static bool hasAttemptInFlight(const Request&);
+    /// Sends one leg of a request with suspect content, preferably to a service whose servers crashed.
+    void reviewProbe(Request&, TimePoint, ForwardActions&);
+    /// Ends all legs that have not been sent, because the content is quarantined.
+    void endUnsentLegs(Request&);
     /// Returns the remaining quarantine of the request's content; zero when it may run.
     Duration quarantineRemaining(const Request&, TimePoint) const;
     void onLegFailed(Request&, std::size_t leg, TimePoint, ForwardActions&);
@@ -239,7 +262,7 @@
     std::unordered_map<ServiceName, std::set<QueuedLeg>> m_queues;
     std::unordered_map<ServiceName, ExtraAttemptBudget> m_budgets;
     std::map<std::string, RouteTimes> m_times;
-    CrashQuarantine m_crashes;
+    CrashEvidence m_evidence;
     std::uint64_t m_lastAttempt = 0;
     std::uint64_t m_lastDelegation = 0;
     std::unordered_map<DelegationId, RequestNumber> m_delegations;
--- a/src/forward/forward_engine_delegation.cpp
+++ b/src/forward/forward_engine_delegation.cpp
@@ -152,7 +152,7 @@
         return onDelegationFailed(id, true, now, actions);
     }
     const auto legs = takeDelegation(*request, id);
-    request->mayHaveRun = true;
+    request->mayHaveRun = request->mayHaveRun || answer.kind != ForwardAnswerKind::NotRun;
     for (std::size_t i = 0; i < answer.coveredShards.size(); ++i) {
         ServerResponse part;
         part.signature = answer.signatures[i];
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -89,6 +89,8 @@
 bool ForwardEngine::trySend(Request& request, std::size_t index, bool isHedge, TimePoint now, ForwardActions& actions)
 {
     auto& leg = request.legs[index];
+    if (!mayRunContent(request, now))
+        return false;
     const auto context = contextFor(request.route(), leg, now);
     const auto server = pickServer(request, leg, context);
     if (!server || (isHedge && m_pool.expected(*server, context) > maxHedgeLatency(request, now)))
@@ -99,7 +101,8 @@
         ++(isHedge ? m_counters.hedges : m_counters.retries);
     const ServerRequestId id { ++m_lastAttempt };
     ServerPool::recordSent(*server, now);
-    m_attempts.emplace(id, Attempt { server, now, never, request.request.number, index, request.route().name, request.route().isIdempotent });
+    const bool isProbe = standingOf(request, now) == ContentStanding::Suspect && !request.hasPassedProbe;
+    m_attempts.emplace(id, Attempt { server, now, m_evidence.nextSequence(), never, request.request.number, index, request.route().name, request.request.attemptId, request.request.content, request.route().isIdempotent, request.route().isSearch(), isProbe });
     leg.tried.push_back(server);
     leg.inFlight.push_back(id);
     ++leg.mayHaveRun;
@@ -138,7 +141,9 @@
     auto& leg = request.legs[index];
     leg.stage = LegStage::Unsent;
     leg.hedgeAt = now + retryPeriod;
-    m_queues[leg.service].insert({ request.route().rank, request.request.number, index });
+    // A leg that waits for its content's probe must not keep others from the next free server.
+    if (mayRunContent(request, now))
+        m_queues[leg.service].insert({ request.route().rank, request.request.number, index });
 }
 
 void ForwardEngine::dequeue(const Request& request, std::size_t index)
@@ -247,6 +252,10 @@
     if (isOver || (isLate && request.coversEnough()))
         return finish(request, now, actions);
     requestExtraAttempts(request, now, actions);
+    if (standingOf(request, now) == ContentStanding::Quarantined)
+        endUnsentLegs(request);
+    if (standingOf(request, now) == ContentStanding::Suspect && mayRunContent(request, now) && !request.hasPassedProbe)
+        reviewProbe(request, now, actions);
     const auto turnEnd = m_lastAttempt + attemptsPerTurn;
     for (std::size_t i = 0; i < request.legs.size() && m_lastAttempt < turnEnd; ++i) {
         const auto& leg = request.legs[i];
--- a/src/forward/forward_request.cpp
+++ b/src/forward/forward_request.cpp
@@ -1,7 +1,32 @@
 #include "forward/forward_request.h"
 
+#include "base/fingerprint.h"
+
+#include <algorithm>
+#include <cctype>
+
 namespace lycheefield {
 
+namespace {
+
+std::string lowerCase(std::string_view text)
+{
+    std::string out(text);
+    std::transform(out.begin(), out.end(), out.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return out;
+}
+
+}
+
+Fingerprint contentOf(const HttpRequest& request, std::string_view callerAddress)
+{
+    auto hash = stableHash(request.method);
+    hash = stableHash(lowerCase(request.headers.find("Host")), hash);
+    hash = stableHash(request.target, hash);
+    hash = stableHash(request.body, hash);
+    return Fingerprint(stableHash(callerAddress, hash));
+}
+
 std::string_view toString(ServerRequestFailure failure)
 {
     switch (failure) {
--- a/src/forward/forward_request.h
+++ b/src/forward/forward_request.h
@@ -34,10 +34,15 @@
     std::vector<ServiceName> onlyShards; ///< The delegated shards of another instance's search, to be answered by answerBy with the parts received so far. Empty: all shards.
     bool earnsBudget = true; ///< Whether the first attempts earn this instance's budget for extra attempts; false when they earn the delegating instance's.
     Duration networkTime {}; ///< Time that the request and its answer spend between the caller and this instance.
+    Fingerprint content {}; ///< See contentOf().
 
     bool isPart() const { return !onlyShards.empty(); }
 };
 
+/// Returns the fingerprint by which a request is recognised when its caller repeats it, at this or another instance:
+/// the method, host, path with query and body, and the caller's network address.
+Fingerprint contentOf(const HttpRequest&, std::string_view callerAddress);
+
 /// The load that a server reported with its response.
 struct ServerLoad {
     std::uint32_t running = 0;
@@ -73,6 +78,7 @@
     ServerResponseKind kind = ServerResponseKind::Unusable;
     std::string signature; ///< Proves which server made the response; empty when there is none.
     std::optional<ServerLoad> load;
+    TimePoint connectedAt = never; ///< When the connection that carried the response was opened.
     HttpResponse message;
 
     friend bool operator==(const ServerResponse&, const ServerResponse&) = default;
--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -60,11 +60,12 @@
     const RequestNumber number { ++m_lastRequest };
     const auto deadline = fields.timeLeft ? now + *fields.timeLeft : never;
     const auto networkTime = exchange->networkTime();
+    const auto content = contentOf(message, exchange->callerAddress());
     m_pending.emplace(number, PendingRequest { exchange, now, {}, 0 });
     exchange->onDisconnect([this, number] {
         boost::asio::post(m_parts.strand, [this, number] { cancelRequest(number); });
     });
-    startRequest({ number, m_routes, route, std::make_shared<const HttpRequest>(std::move(message)), fields.attemptId, deadline, now, never, {}, true, networkTime });
+    startRequest({ number, m_routes, route, std::make_shared<const HttpRequest>(std::move(message)), fields.attemptId, deadline, now, never, {}, true, networkTime, content });
 }
 
 void ForwardDriver::startRequest(ForwardRequest request)
@@ -100,9 +101,9 @@
     callEngine([&](TimePoint, ForwardActions& actions) { m_engine.onExtraAttemptsRequested(id, positions, actions); });
 }
 
-void ForwardDriver::onCrashAnnounced(Fingerprint content, const ServerName& server)
+void ForwardDriver::onCrashAnnounced(const CrashNews& news)
 {
-    m_engine.onCrashAnnounced(content, server, m_parts.clock.now());
+    m_engine.onCrashAnnounced(news, m_parts.clock.now());
 }
 
 bool ForwardDriver::canRun(const SearchCall& call) const
@@ -116,7 +117,7 @@
     const RequestNumber number { ++m_lastRequest };
     m_pending.emplace(number, PendingRequest { nullptr, now, delegator, call.sequence });
     startRequest({ number, m_routes, m_routes->findSearch(call.route, call.limits), std::make_shared<const HttpRequest>(call.message), call.attemptId, call.deadline, now, call.answerBy, call.shards,
-        delegateEarnsBudget(DelegationId(call.sequence)), {} });
+        delegateEarnsBudget(DelegationId(call.sequence)), {}, call.content });
 }
 
 std::optional<RequestNumber> ForwardDriver::findDelegated(const InstanceName& delegator, std::uint64_t sequence) const
@@ -146,6 +147,13 @@
         m_delegation->requestExtraAttempts(it->second.instance, it->second.sequence, lateLegs.positions);
 }
 
+void ForwardDriver::reportCrash(const ReportContentCrash& report)
+{
+    const auto it = m_pending.find(report.request);
+    if (it != m_pending.end())
+        m_delegation->reportCrash(it->second.instance, report.news);
+}
+
 void ForwardDriver::cancelAllDelegated(const InstanceName& delegator)
 {
     std::vector<RequestNumber> numbers;
@@ -206,7 +214,9 @@
         else if (const auto* lateLegs = std::get_if<RequestExtraAttempts>(&action))
             requestExtraAttempts(*lateLegs);
         else if (const auto* crash = std::get_if<AnnounceContentCrash>(&action))
-            m_delegation->announceCrash(*crash);
+            m_delegation->announceCrash(crash->news);
+        else if (const auto* report = std::get_if<ReportContentCrash>(&action))
+            reportCrash(*report);
         else if (const auto* answer = std::get_if<DeliverForwardAnswer>(&action))
             deliver(answer->answer);
         else if (const auto* decision = std::get_if<LogForwardDecision>(&action))
--- a/src/gateway/forward_driver.h
+++ b/src/gateway/forward_driver.h
@@ -45,7 +45,7 @@
     void onDelegationFailed(DelegationId, bool mayHaveRun) override;
     bool onDelegationSilent(DelegationId) override;
     void onExtraAttemptsRequested(DelegationId, const std::vector<std::uint32_t>& positions) override;
-    void onCrashAnnounced(Fingerprint, const ServerName&) override;
+    void onCrashAnnounced(const CrashNews&) override;
     bool canRun(const SearchCall&) const override;
     void runDelegated(const InstanceName& delegator, const SearchCall&) override;
     void onExtraAttemptsGranted(const InstanceName& delegator, std::uint64_t sequence) override;
@@ -87,6 +87,7 @@
     /// The request that runs for this delegation; empty when the request has ended.
     std::optional<RequestNumber> findDelegated(const InstanceName& delegator, std::uint64_t sequence) const;
     void requestExtraAttempts(const RequestExtraAttempts&);
+    void reportCrash(const ReportContentCrash&);
     void cancelRequest(RequestNumber);
     void onRequest(HttpRequest&&, const std::shared_ptr<HttpExchange>&);
     void refuse(const std::shared_ptr<HttpExchange>&, const std::string& attemptId, const EarlyRefusal&);
--- a/src/gateway/search_delegation.cpp
+++ b/src/gateway/search_delegation.cpp
@@ -16,6 +16,11 @@
 /// A dropped connection hands back its unsent messages within this time.
 constexpr Duration undeliveredReturnTime = std::chrono::milliseconds(2);
 
+AnnounceCrash messageOf(const CrashNews& news)
+{
+    return { news.fingerprint, news.crashes, news.quarantine, { news.server, {} }, news.service };
+}
+
 ProcessLife newLife()
 {
     return ProcessLife(systemSeed());
@@ -75,13 +80,14 @@
     m_network.reply(to, state);
 }
 
-void SearchDelegation::announceCrash(const AnnounceContentCrash& crash)
+void SearchDelegation::announceCrash(const CrashNews& news)
+{
+    m_network.broadcast(messageOf(news));
+}
+
+void SearchDelegation::reportCrash(const InstanceName& delegator, const CrashNews& news)
 {
-    AnnounceCrash message;
-    message.fingerprint = crash.content;
-    message.crashes = 1;
-    message.location.server = crash.server;
-    m_network.broadcast(message);
+    m_network.reply(delegator, messageOf(news));
 }
 
 void SearchDelegation::delegate(const DelegateShards& action)
@@ -94,6 +100,7 @@
     call.limits = request.route->searchLimits();
     call.shards = action.shards;
     call.attemptId = request.attemptId;
+    call.content = request.content;
     call.message = *request.message;
     call.deadline = request.deadline;
     call.answerBy = action.answerBy - m_chooser.returnTime(action.instance);
@@ -230,7 +237,7 @@
     else if (const auto* request = std::get_if<StoreStateRequest>(&message))
         m_parts.storeNews.onStateRequested(from, *request);
     else if (const auto* crash = std::get_if<AnnounceCrash>(&message))
-        m_parts.events.onCrashAnnounced(crash->fingerprint, crash->location.server);
+        m_parts.events.onCrashAnnounced({ crash->fingerprint, crash->crashes, crash->quarantine, crash->location.server, crash->service });
 }
 
 void SearchDelegation::onCall(const InstanceName& from, const SearchCall& call)
--- a/src/gateway/search_delegation.h
+++ b/src/gateway/search_delegation.h
@@ -35,8 +35,8 @@
     virtual bool onDelegationSilent(DelegationId) = 0;
     /// The delegate asks for extra attempts for the legs at these positions in the delegation's shards.
     virtual void onExtraAttemptsRequested(DelegationId, const std::vector<std::uint32_t>& positions) = 0;
-    /// Another instance saw this content crash a server.
-    virtual void onCrashAnnounced(Fingerprint, const ServerName&) = 0;
+    /// Another instance announced what it knows about a content that crashed servers.
+    virtual void onCrashAnnounced(const CrashNews&) = 0;
     /// Whether this instance can run the delegated legs.
     virtual bool canRun(const SearchCall&) const = 0;
     /// Runs legs that the delegator delegated. Precondition: canRun().
@@ -96,8 +96,10 @@
     /// Answers another instance's request.
     void sendStoreState(const InstanceName&, const StoreNews&);
     std::uint32_t newsRank() const { return m_newsDistribution.rank(); }
-    /// Announces to all instances that this content crashed a server.
-    void announceCrash(const AnnounceContentCrash&);
+    /// Announces to all instances what is known about a content that crashed servers.
+    void announceCrash(const CrashNews&);
+    /// Tells it to the instance that delegated a request with the content, on the connection that also carries the answer.
+    void reportCrash(const InstanceName& delegator, const CrashNews&);
     void delegate(const DelegateShards&);
     /// Cancels a delegation whose answer is no longer needed.
     void cancel(DelegationId);
--- a/src/gateway/server_connections.cpp
+++ b/src/gateway/server_connections.cpp
@@ -152,6 +152,7 @@
         m_usableUntil = now + allowance;
         m_freshUntil = now + allowance / freshDivisor;
         auto response = owner->m_protocol.read(std::move(message), request.attemptId);
+        response.connectedAt = m_openedAt;
         if (response.kind == ServerResponseKind::Unusable) {
             owner->m_unusable.add();
             m_http->close();
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace lycheefield {
 
@@ -26,6 +27,8 @@
     /// Returns the time that the request and its response spend on the network, with the handshake if the caller opened
     /// the connection for this request; zero when unknown. Thread safe.
     virtual Duration networkTime() const { return {}; }
+    /// Returns the IP address from which the caller connected; empty when unknown. Thread safe.
+    virtual std::string callerAddress() const { return {}; }
 };
 
 /// Handler of requests. Called on any thread; must not block.
--- a/src/http/http_server_session.cpp
+++ b/src/http/http_server_session.cpp
@@ -20,10 +20,11 @@
 /// Keeps the session alive while the handler may still respond to the request.
 class SessionExchange final : public HttpExchange {
 public:
-    SessionExchange(std::shared_ptr<HttpServerSession> session, std::uint64_t number, Duration networkTime)
+    SessionExchange(std::shared_ptr<HttpServerSession> session, std::uint64_t number, Duration networkTime, std::string callerAddress)
         : m_session(std::move(session))
         , m_number(number)
         , m_networkTime(networkTime)
+        , m_callerAddress(std::move(callerAddress))
     {
     }
     ~SessionExchange() override
@@ -41,11 +42,13 @@
     }
     void onDisconnect(std::function<void()> handler) override { m_session->setDisconnectHandler(m_number, std::move(handler)); }
     Duration networkTime() const override { return m_networkTime; }
+    std::string callerAddress() const override { return m_callerAddress; }
 
 private:
     std::shared_ptr<HttpServerSession> m_session;
     std::uint64_t m_number;
     Duration m_networkTime;
+    std::string m_callerAddress;
     std::atomic<bool> m_responded { false };
 };
 
@@ -82,6 +85,10 @@
     , m_context(std::move(context))
     , m_timeoutTimer(m_socket.get_executor())
 {
+    boost::system::error_code ec;
+    const auto caller = m_socket.remote_endpoint(ec);
+    if (!ec)
+        m_callerAddress = caller.address().to_string();
     startMessage();
 }
 
@@ -197,7 +204,7 @@
     m_handling = true;
     m_keepAlive = m_reader->keepAlive() && !m_context.draining->load();
     const auto number = ++m_requestNumber;
-    m_context.handler.handle(m_reader->release(), std::make_shared<SessionExchange>(shared_from_this(), number, networkTime()));
+    m_context.handler.handle(m_reader->release(), std::make_shared<SessionExchange>(shared_from_this(), number, networkTime(), m_callerAddress));
 }
 
 Duration HttpServerSession::networkTime()
--- a/src/http/http_server_session.h
+++ b/src/http/http_server_session.h
@@ -72,6 +72,7 @@
 
     std::uint64_t m_id;
     boost::asio::ip::tcp::socket m_socket;
+    std::string m_callerAddress; ///< Empty when unknown.
     HttpServerContext m_context;
     boost::asio::steady_timer m_timeoutTimer;
     std::array<char, 4 * 1024> m_chunk {}; ///< Destination of the pending read.
--- a/src/query/crash_evidence.cpp
+++ b/src/query/crash_evidence.cpp
@@ -1,13 +1,12 @@
 #include "query/crash_evidence.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace lycheefield {
 
 namespace {
 
-/// Lost legs of the same content within this time count as one crash.
-constexpr Duration crashWindow = std::chrono::milliseconds(200);
 /// Number of separate crashes that is no coincidence even without a probe.
 constexpr std::uint32_t minCrashesToQuarantine = 3;
 
@@ -28,7 +27,7 @@
         return;
     // Evicts quarantined content last: a flood of other content must not end a quarantine.
     const auto isLessImportant = [](const auto& a, const auto& b) {
-        return std::pair(a.second.quarantinedUntil, a.second.expiresAt) < std::pair(b.second.quarantinedUntil, b.second.expiresAt);
+        return std::tuple(a.second.quarantinedUntil, a.second.crashes, a.second.expiresAt) < std::tuple(b.second.quarantinedUntil, b.second.crashes, b.second.expiresAt);
     };
     m_records.erase(std::min_element(m_records.begin(), m_records.end(), isLessImportant));
 }
@@ -50,7 +49,10 @@
     const auto* record = find(fingerprint, now);
     if (!record)
         return ContentStanding::Clear;
-    return record->quarantinedUntil > now ? ContentStanding::Quarantined : ContentStanding::Suspect;
+    if (record->quarantinedUntil > now)
+        return ContentStanding::Quarantined;
+    const bool isSuspect = record->crashes >= m_policy.minSuspectCrashes || record->crashedServers.size() >= m_policy.minSuspectServers;
+    return isSuspect ? ContentStanding::Suspect : ContentStanding::Clear;
 }
 
 Duration CrashEvidence::remainingQuarantine(Fingerprint fingerprint, TimePoint now) const
@@ -59,16 +61,31 @@
     return record && record->quarantinedUntil > now ? record->quarantinedUntil - now : Duration {};
 }
 
-void CrashEvidence::recordCrash(Fingerprint fingerprint, const ServerName& server, bool wasProbe, TimePoint now)
+std::uint32_t CrashEvidence::crashesOf(Fingerprint fingerprint, TimePoint now) const
+{
+    const auto* record = find(fingerprint, now);
+    return record ? record->crashes : 0;
+}
+
+void CrashEvidence::addServer(Record& record, const ServerName& server, const ServiceName& service, TimePoint now)
+{
+    auto& crashes = record.crashedServers[server];
+    crashes.service = service;
+    crashes.lastAt = now;
+    ++crashes.count;
+}
+
+void CrashEvidence::recordCrash(Fingerprint fingerprint, const CrashedAttempt& attempt, TimePoint now)
 {
     auto& record = recordOf(fingerprint, now);
-    if (record.crashes == 0 || now - record.lastCrash > crashWindow)
+    if (record.crashes == 0 || attempt.sequence > record.lastSequence) {
         ++record.crashes;
-    record.lastCrash = now;
-    record.expiresAt = now + retention;
-    record.crashedServers[server] = now;
-    if (wasProbe || record.crashes >= minCrashesToQuarantine)
-        record.quarantinedUntil = now + retention;
+        record.lastSequence = m_lastSequence;
+    }
+    record.expiresAt = now + m_policy.retention;
+    addServer(record, attempt.server, attempt.service, now);
+    if (attempt.wasProbe || record.crashes >= minCrashesToQuarantine)
+        record.quarantinedUntil = record.expiresAt;
 }
 
 void CrashEvidence::recordCrashNews(const CrashNews& news, TimePoint now)
@@ -80,24 +97,63 @@
         return;
     }
     auto& record = recordOf(news.fingerprint, now);
-    record.crashes = std::max(record.crashes, 1U);
-    record.lastCrash = now;
-    record.expiresAt = std::max(record.expiresAt, now + std::max(retention, news.quarantine));
-    if (!news.server.value().empty())
-        record.crashedServers[news.server] = now;
+    const bool namesServer = !news.server.value().empty();
+    // A repeated announcement names no server and must not prolong the record.
+    if (namesServer || news.crashes > record.crashes) {
+        record.lastSequence = m_lastSequence;
+        record.expiresAt = std::max(record.expiresAt, now + m_policy.retention);
+    }
+    record.crashes = std::max(record.crashes, news.crashes);
+    if (namesServer && !record.crashedServers.contains(news.server))
+        addServer(record, news.server, news.service, now);
     if (news.quarantine > Duration {})
         record.quarantinedUntil = std::max(record.quarantinedUntil, now + news.quarantine);
+    record.expiresAt = std::max(record.expiresAt, record.quarantinedUntil);
 }
 
 void CrashEvidence::recordAnswer(const ServerName& server, TimePoint sentAt)
 {
     for (auto& [fingerprint, record] : m_records) {
         const auto it = record.crashedServers.find(server);
-        if (it != record.crashedServers.end() && it->second < sentAt)
+        if (it != record.crashedServers.end() && it->second.lastAt < sentAt)
             record.crashedServers.erase(it);
     }
 }
 
+bool CrashEvidence::recordServed(Fingerprint fingerprint, const ServiceName& service, TimePoint now)
+{
+    if (!find(fingerprint, now))
+        return false;
+    const auto it = m_records.find(fingerprint);
+    auto& servers = it->second.crashedServers;
+    std::erase_if(servers, [&](const auto& entry) { return entry.second.service == service || entry.second.service.value().empty(); });
+    if (!servers.empty())
+        return false;
+    m_records.erase(it);
+    return true;
+}
+
+bool CrashEvidence::removeUnaccounted(Record& record)
+{
+    std::uint32_t accounted = 0;
+    for (const auto& [server, crashes] : record.crashedServers)
+        accounted += crashes.count;
+    record.crashes = std::min(record.crashes, accounted);
+    return accounted == 0;
+}
+
+void CrashEvidence::recordSurvival(const ServerName& server, TimePoint connectedAt, TimePoint sentAt)
+{
+    for (auto it = m_records.begin(); it != m_records.end();) {
+        auto& record = it->second;
+        const auto crashes = record.crashedServers.find(server);
+        const bool isWithdrawn = crashes != record.crashedServers.end() && crashes->second.lastAt > connectedAt && crashes->second.lastAt < sentAt;
+        if (isWithdrawn && --crashes->second.count == 0)
+            record.crashedServers.erase(crashes);
+        it = isWithdrawn && removeUnaccounted(record) ? m_records.erase(it) : std::next(it);
+    }
+}
+
 bool CrashEvidence::mayRunOn(Fingerprint fingerprint, const Shard& shard, const ServerName& server, TimePoint now) const
 {
     const auto* record = find(fingerprint, now);
@@ -112,4 +168,22 @@
     return record && !record->crashedServers.empty() ? &record->crashedServers.begin()->first : nullptr;
 }
 
+bool CrashEvidence::hasCrashedIn(Fingerprint fingerprint, const ServiceName& service, TimePoint now) const
+{
+    const auto* record = find(fingerprint, now);
+    if (!record)
+        return false;
+    return std::any_of(record->crashedServers.begin(), record->crashedServers.end(), [&](const auto& it) { return it.second.service == service; });
+}
+
+std::vector<CrashNews> CrashEvidence::quarantines(TimePoint now) const
+{
+    std::vector<CrashNews> all;
+    for (const auto& [fingerprint, record] : m_records) {
+        if (record.quarantinedUntil > now)
+            all.push_back({ fingerprint, record.crashes, record.quarantinedUntil - now, {} });
+    }
+    return all;
+}
+
 }
--- a/src/query/crash_evidence.h
+++ b/src/query/crash_evidence.h
@@ -7,46 +7,98 @@
 #include <cstddef>
 #include <map>
 #include <unordered_map>
+#include <vector>
 
 namespace lycheefield {
 
-/// Evidence against contents that ran when servers crashed, from this entry's own legs and from
-/// the relays' announcements. The number of records is bounded. Not thread safe.
+/// How much evidence makes content suspect or quarantined, and how long it is kept. Immutable.
+struct CrashPolicy {
+    std::uint32_t minSuspectCrashes = 1; ///< Separate crashes from which content is suspect.
+    std::uint32_t minSuspectServers = 1; ///< Servers that crashed, separately or at once, from which content is suspect.
+    Duration retention = std::chrono::minutes(5); ///< Time after the last crash for which evidence is kept and content is quarantined.
+
+    friend bool operator==(const CrashPolicy&, const CrashPolicy&) = default;
+};
+
+/// An attempt whose server crashed while it may have run the content.
+struct CrashedAttempt {
+    ServerName server;
+    ServiceName service; ///< Empty when unknown.
+    std::uint64_t sequence = 0; ///< From CrashEvidence::nextSequence(), taken when the attempt was sent.
+    bool wasProbe = false; ///< Whether the content ran as a probe, with no other attempt of its request in flight.
+};
+
+/// Evidence against contents that ran when servers crashed, from this instance's own attempts and from
+/// announcements of others.
+///
+/// Servers that crash by themselves take down whatever they run, often several at the same moment. So only
+/// an attempt that was sent after the last separate crash of the same content is evidence of another one.
+/// Suspect content runs as a probe, one attempt at a time. A crash during a probe, or the third separate
+/// crash, quarantines the content. The number of records is bounded. Not thread safe.
 class CrashEvidence {
 public:
     static constexpr std::size_t maxRecords = 256;
-    /// How long evidence is kept and content is quarantined.
-    static constexpr Duration retention = std::chrono::minutes(5);
 
+    explicit CrashEvidence(const CrashPolicy& policy = {})
+        : m_policy(policy)
+    {
+    }
+
+    /// Returns the place of an attempt that is sent now in the order of all attempts of this instance.
+    std::uint64_t nextSequence() { return ++m_lastSequence; }
     ContentStanding standingOf(Fingerprint, TimePoint) const;
     /// Returns the remaining quarantine time of the content; zero when the content is not quarantined.
     Duration remainingQuarantine(Fingerprint, TimePoint) const;
-    /// Records that a server crashed while it ran a leg of the content. Crashes close together count as one.
-    void recordCrash(Fingerprint, const ServerName&, bool wasProbe, TimePoint);
-    /// Records what a relay announced about content that crashed a server.
+    /// Returns the number of separate crashes of the content.
+    std::uint32_t crashesOf(Fingerprint, TimePoint) const;
+    /// Records that a server crashed while it ran an attempt of the content.
+    void recordCrash(Fingerprint, const CrashedAttempt&, TimePoint);
+    /// Records what another instance announced about content that crashed a server.
     void recordCrashNews(const CrashNews&, TimePoint);
     /// Records that the server answered an attempt sent at sentAt: a server that crashed before then is back.
     void recordAnswer(const ServerName&, TimePoint sentAt);
+    /// Records that a server of the service served the content: its crashes in that service had another cause.
+    /// Returns whether this cleared the content, which had crashes on record.
+    bool recordServed(Fingerprint, const ServiceName&, TimePoint);
+    /// Records that the server answered an attempt sent at sentAt on a connection opened at connectedAt. Its process
+    /// ran all that time, so only a connection broke where a crash was recorded in between, which is withdrawn.
+    void recordSurvival(const ServerName&, TimePoint connectedAt, TimePoint sentAt);
 
     /// Returns false when the content crashed another replica of the shard that has not answered since.
     bool mayRunOn(Fingerprint, const Shard&, const ServerName&, TimePoint) const;
     /// Returns the first crashed server by name, whose relay runs the probe; null when none is known.
     const ServerName* probeServer(Fingerprint, TimePoint) const;
+    /// Returns whether a server of the service crashed while it ran the content.
+    bool hasCrashedIn(Fingerprint, const ServiceName&, TimePoint) const;
+    /// Returns announcements of all quarantined contents, for an instance that knows none.
+    std::vector<CrashNews> quarantines(TimePoint) const;
     bool isEmpty() const { return m_records.empty(); }
 
 private:
+    /// The crashes of one server.
+    struct ServerCrashes {
+        ServiceName service;
+        TimePoint lastAt {};
+        std::uint32_t count = 0;
+    };
     struct Record {
-        std::uint32_t crashes = 0;
-        TimePoint lastCrash {};
+        std::uint32_t crashes = 0; ///< Separate crashes.
+        std::uint64_t lastSequence = 0; ///< The last attempt that was sent before the last separate crash.
         TimePoint expiresAt {};
         TimePoint quarantinedUntil {};
-        std::map<ServerName, TimePoint> crashedServers; ///< Time of the crash, for each server that has not answered since.
+        std::map<ServerName, ServerCrashes> crashedServers; ///< The servers that have not answered since their crash.
     };
 
     const Record* find(Fingerprint, TimePoint) const;
     Record& recordOf(Fingerprint, TimePoint);
+    /// Removes all expired records, and one more when there are too many.
     void evict(TimePoint);
+    static void addServer(Record&, const ServerName&, const ServiceName&, TimePoint);
+    /// Lowers the number of separate crashes to what the servers on record account for. Returns whether none is left.
+    static bool removeUnaccounted(Record&);
 
+    CrashPolicy m_policy;
+    std::uint64_t m_lastSequence = 0;
     std::unordered_map<Fingerprint, Record> m_records;
 };
 
--- a/src/query/crash_news.h
+++ b/src/query/crash_news.h
@@ -7,12 +7,13 @@
 
 namespace lycheefield {
 
-/// What a relay announces to all instances about content that crashed a server.
+/// What an instance announces to all others about content that crashed servers.
 struct CrashNews {
     Fingerprint fingerprint;
-    std::uint32_t crashes = 0; ///< Zero when a probe cleared the content.
+    std::uint32_t crashes = 0; ///< Separate crashes; zero when a server has served the content since.
     Duration quarantine {}; ///< Zero when the content is only suspect.
     ServerName server; ///< The crashed server; empty when the announcement names none.
+    ServiceName service {}; ///< The server's service; empty when unknown.
 
     friend bool operator==(const CrashNews&, const CrashNews&) = default;
 };
--- a/src/query/leg_state.h
+++ b/src/query/leg_state.h
@@ -21,6 +21,7 @@
     InstanceName relay;
     LegClass* legClass = nullptr;
     TimePoint sentAt {};
+    std::uint64_t sequence = 0; ///< The place in the order of all attempts of this engine.
     bool isHedge = false;
     bool isOpen = true; ///< True while the result is awaited.
     TimePoint notHeldAt = never; ///< When the relay responded that it does not hold the server; the server then got no request.
--- a/src/query/standard_query_engine_attempts.cpp
+++ b/src/query/standard_query_engine_attempts.cpp
@@ -42,6 +42,7 @@
     attempt.relay = choice.relay;
     attempt.legClass = &m_hedges.classOf(query.rule->service, *choice.zone);
     attempt.sentAt = now;
+    attempt.sequence = m_evidence.nextSequence();
     attempt.isHedge = isHedge;
     query.hedgeCheckAt = {};
     ++choice.server->outstanding.at(query.rule->priority);
--- a/src/query/standard_query_engine_plan.cpp
+++ b/src/query/standard_query_engine_plan.cpp
@@ -276,7 +276,7 @@
     ++m_counters.crashes;
     const auto index = static_cast<std::size_t>(&leg - query.legs.data());
     const bool wasProbe = query.isSuspect && (query.canary == index || query.legs.size() == 1);
-    m_evidence.recordCrash(query.fingerprint, attempt.server->name, wasProbe, now);
+    m_evidence.recordCrash(query.fingerprint, { attempt.server->name, query.rule->service, attempt.sequence, wasProbe }, now);
     for (const auto& [id, other] : m_queries) {
         if (other->fingerprint != query.fingerprint)
             continue;
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -153,6 +153,8 @@
             body.__set_server(crash.location.server.value());
             body.__set_shard(toSigned(crash.location.shard.value()));
         }
+        if (!crash.service.value().empty())
+            body.__set_serviceName(crash.service.value());
         out.__set_crash(body);
     }
     void operator()(const GossipMessage& gossip) const { out.__set_gossip(lycheefield::toWire(gossip)); }
@@ -225,6 +227,7 @@
             body.shards.push_back(it.value());
         body.budgetMicros = timeLeft(call.deadline, now);
         body.answerMicros = timeLeft(call.answerBy, now);
+        body.__set_content(toSigned(call.content.value()));
         out.__set_searchCall(body);
     }
     void operator()(const lycheefield::SearchNote& note) const
--- a/src/wire/convert_from.cpp
+++ b/src/wire/convert_from.cpp
@@ -208,6 +208,7 @@
     out.message.body = std::move(in.body);
     out.deadline = reader.deadline(in.budgetMicros, "budgetMicros");
     out.answerBy = reader.deadline(in.answerMicros, "answerMicros");
+    out.content = Fingerprint(Reader::number(in.content));
     return out;
 }
 
@@ -299,6 +300,8 @@
             reader.duration(in.crash.quarantineMicros, "quarantineMicros") };
         if (in.crash.__isset.server)
             crash.location = { ServerName(reader.name(in.crash.server, "server")), ShardNumber(reader.count(in.crash.shard, "shard")) };
+        if (in.crash.__isset.serviceName)
+            crash.service = ServiceName(reader.name(in.crash.serviceName, "serviceName"));
         return crash;
     }
     if (set.gossip)
--- a/src/wire/inner.thrift
+++ b/src/wire/inner.thrift
@@ -67,6 +67,7 @@
     3: required i64 quarantineMicros
     4: optional string server // Where it crashed; without it nobody but the sender probes the content.
     5: optional i32 shard
+    6: optional string serviceName // The service of the server.
 }
 
 // First message on each connection, both ways.
@@ -163,6 +164,7 @@
     11: required list<string> shards
     12: optional i64 topRecords = 0
     13: optional i32 maxRuns = 0 // Servers that one shard may be sent to. Without these two the call is declined.
+    14: optional i64 content = 0 // Fingerprint of the request's content and caller; 0 when unknown.
 }
 
 // Taken, declined or cancelled: see SearchNoteKind.
--- a/tests/forward/delegated_search_test.cpp
+++ b/tests/forward/delegated_search_test.cpp
@@ -194,7 +194,7 @@
     for (const auto& it : search.names)
         table->services[ServiceName(it)] = { 26 };
     ForwardRequest request { RequestNumber(900), table, &table->routes.front(), std::make_shared<const HttpRequest>(), "id", testBed.now() + 3s, testBed.now(),
-        testBed.now() + 180ms, { ServiceName("shard6"), ServiceName("shard7") }, true };
+        testBed.now() + 180ms, { ServiceName("shard6"), ServiceName("shard7") }, true, {}, Fingerprint(1) };
     testBed.startRequest(request);
     CHECK(testBed.delegations().empty());
     CHECK(testBed.serverRequests().size() == 2);
--- a/tests/forward/forward_test_bed.cpp
+++ b/tests/forward/forward_test_bed.cpp
@@ -87,7 +87,7 @@
     m_tables.push_back(table);
     const RequestNumber number { ++m_lastRequest };
     m_started[number] = m_now;
-    callAndExecute([&](ForwardActions& actions) { m_engine.start({ number, table, &table->routes.front(), std::make_shared<const HttpRequest>(), "attempt-" + std::to_string(m_lastRequest), m_now + timeLimit, m_now, never, {}, true, m_networkTime }, m_now, actions); });
+    callAndExecute([&](ForwardActions& actions) { m_engine.start({ number, table, &table->routes.front(), std::make_shared<const HttpRequest>(), "attempt-" + std::to_string(m_lastRequest), m_now + timeLimit, m_now, never, {}, true, m_networkTime, m_content }, m_now, actions); });
     run(Duration {}); // Sends the legs that were left for the request's next turn.
     return number;
 }
@@ -246,6 +246,12 @@
     callAndExecute([&](ForwardActions& actions) { m_engine.onServerRequestFailed(id, failure, m_now, actions); });
 }
 
+void ForwardTestBed::crashServersInFlight()
+{
+    for (const auto& it : serverRequests())
+        failServerRequest(it.id, ServerRequestFailure::Broken);
+}
+
 std::vector<SendServerRequest> ForwardTestBed::serverRequests() const
 {
     std::vector<SendServerRequest> serverRequests;
@@ -282,6 +288,8 @@
             m_extraAttemptRequests.push_back(*request);
         } else if (const auto* crash = std::get_if<AnnounceContentCrash>(&action)) {
             m_announcedCrashes.push_back(*crash);
+        } else if (const auto* report = std::get_if<ReportContentCrash>(&action)) {
+            m_reportedCrashes.push_back(*report);
         } else if (const auto* deliver = std::get_if<DeliverForwardAnswer>(&action)) {
             const auto number = deliver->answer.request;
             m_outcomes.emplace(number, Outcome { deliver->answer, m_now - m_started.at(number) });
--- a/tests/forward/forward_test_bed.h
+++ b/tests/forward/forward_test_bed.h
@@ -38,6 +38,11 @@
 
     RequestNumber start(const Route&, Duration timeLimit = std::chrono::seconds(3));
     void startRequest(const ForwardRequest&);
+    /// Sets the content of later requests.
+    void setContent(Fingerprint content) { m_content = content; }
+    /// Breaks the connections of all server requests in flight at once, as servers do that crash.
+    void crashServersInFlight();
+    const std::vector<ReportContentCrash>& reportedCrashes() const { return m_reportedCrashes; }
     /// Sets the network time between the instance and the callers of later requests.
     void setNetworkTime(Duration time) { m_networkTime = time; }
     void disconnect(RequestNumber);
@@ -100,6 +105,8 @@
     void completeDue();
 
     Duration m_networkTime {};
+    Fingerprint m_content { 1 };
+    std::vector<ReportContentCrash> m_reportedCrashes;
     TimePoint m_now { std::chrono::seconds(100) };
     std::map<ServerName, Server> m_servers;
     std::map<RequestNumber, TimePoint> m_started;
--- a/tests/query/crash_test.cpp
+++ b/tests/query/crash_test.cpp
@@ -226,13 +226,13 @@
 {
     CrashEvidence evidence;
     const TimePoint now { 1s };
-    evidence.recordCrash(Fingerprint(1), ServerName("s"), true, now);
+    evidence.recordCrash(Fingerprint(1), { ServerName("s"), service, evidence.nextSequence(), true }, now);
     for (std::uint64_t i = 2; i < 3 * CrashEvidence::maxRecords; ++i)
-        evidence.recordCrash(Fingerprint(i), ServerName("s"), false, now + Duration(i));
+        evidence.recordCrash(Fingerprint(i), { ServerName("s"), service, evidence.nextSequence(), false }, now + Duration(i));
     CHECK((evidence.standingOf(Fingerprint(1), now + 1s) == ContentStanding::Quarantined));
     CHECK((evidence.standingOf(Fingerprint(2), now + 1s) == ContentStanding::Clear));
     CHECK((evidence.standingOf(Fingerprint(3 * CrashEvidence::maxRecords - 1), now + 1s) == ContentStanding::Suspect));
-    CHECK((evidence.standingOf(Fingerprint(1), now + CrashEvidence::retention) == ContentStanding::Clear));
+    CHECK((evidence.standingOf(Fingerprint(1), now + CrashPolicy {}.retention) == ContentStanding::Clear));
 }
 
 }
--- a/tests/wire/frame_codec_test.cpp
+++ b/tests/wire/frame_codec_test.cpp
@@ -172,9 +172,11 @@
         wire::Envelope results;
         results.protocolVersion = innerProtocolVersion;
         wire::LegResult result;
-        result.outcome = 9;
+        result.outcome = static_cast<std::int32_t>(LegOutcome::NotHeld) + 1;
         results.__set_results({ result });
-        CHECK((decodeFrame(encodeEnvelope(results), receivedAt).error().kind == ErrorKind::InvalidInput));
+        const auto decoded = decodeFrame(encodeEnvelope(results), receivedAt);
+        REQUIRE_FALSE(decoded.has_value());
+        CHECK((decoded.error().kind == ErrorKind::InvalidInput));
     }
     SUBCASE("A frame with trailing bytes is rejected")
     {
