--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -115,9 +115,10 @@
 {
     const auto now = m_parts.clock.now();
     const RequestNumber number { ++m_lastRequest };
+    const auto content = call.content == Fingerprint() ? contentOf(call.message, {}) : call.content;
     m_pending.emplace(number, PendingRequest { nullptr, now, delegator, call.sequence });
     startRequest({ number, m_routes, m_routes->findSearch(call.route, call.limits), std::make_shared<const HttpRequest>(call.message), call.attemptId, call.deadline, now, call.answerBy, call.shards,
-        delegateEarnsBudget(DelegationId(call.sequence)), {}, call.content });
+        delegateEarnsBudget(DelegationId(call.sequence)), {}, content });
 }
 
 std::optional<RequestNumber> ForwardDriver::findDelegated(const InstanceName& delegator, std::uint64_t sequence) const
--- a/src/gateway/forward_driver.h
+++ b/src/gateway/forward_driver.h
@@ -66,6 +66,8 @@
     std::shared_ptr<const RouteTable> routes() const { return m_routes; }
     void setServers(const std::map<ServerName, ServerEntry>&);
     void setInstances(std::uint32_t n) { m_engine.setInstances(n); }
+    /// Returns announcements of all quarantined contents.
+    std::vector<CrashNews> quarantines() const { return m_engine.quarantines(m_parts.clock.now()); }
     /// Answers every request in flight with the results that have arrived.
     void finishAll();
     void closeStaleConnections() { m_connections.closeStale(); }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -117,6 +117,21 @@
     }
 
     void setFollower(StoreFollower& follower) { m_follower = &follower; }
+    void setQuarantineStore(QuarantineStore& store) { m_quarantineStore = &store; }
+
+    void onQuarantines(const std::vector<CrashNews>& quarantines)
+    {
+        for (const auto& it : quarantines)
+            m_driver.onCrashAnnounced(it);
+        if (!quarantines.empty())
+            logState("quarantines read from the store", { { "count", std::to_string(quarantines.size()) } });
+    }
+
+    void onQuarantined(const CrashNews& news) override
+    {
+        if (m_quarantineStore)
+            m_quarantineStore->keep(news);
+    }
 
     void announceNews(const StoreNews& news) { m_delegation.announceNews(news); }
     bool requestStoreState(const std::string& prefix) { return m_delegation.requestStoreState(prefix); }
@@ -235,6 +250,7 @@
     void runHousekeeping()
     {
         m_driver.closeStaleConnections();
+        m_delegation.shareQuarantines(m_driver.quarantines());
         if (m_registry.expire(m_clock->now()))
             publishServers();
         const auto untilExpiry = m_registry.nextExpiry() == never ? housekeepingPeriod : Duration(m_registry.nextExpiry() - m_clock->now());
@@ -337,6 +353,7 @@
     DelegateChooser m_delegateChooser;
     SearchDelegation m_delegation;
     StoreFollower* m_follower = nullptr;
+    QuarantineStore* m_quarantineStore = nullptr;
     Endpoint m_inner;
     ServerRegistry m_registry;
     SimpleHandler m_readiness;
@@ -395,6 +412,16 @@
     m_impl->setFollower(follower);
 }
 
+void Gateway::setQuarantineStore(QuarantineStore& store)
+{
+    m_impl->setQuarantineStore(store);
+}
+
+void Gateway::onQuarantines(const std::vector<CrashNews>& quarantines)
+{
+    m_impl->onQuarantines(quarantines);
+}
+
 void Gateway::announceNews(const StoreNews& news)
 {
     m_impl->announceNews(news);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "gateway/server_protocol.h"
 #include "membership/view.h"
 #include "observe/metrics.h"
+#include "query/crash_news.h"
 #include "routing/route_table.h"
 #include "settings/settings.h"
 #include "wire/store_news.h"
@@ -48,6 +49,14 @@
     virtual void onStateRequestFailed(const StoreStateRequest&) = 0;
 };
 
+/// Keeps quarantined contents where they outlast all processes that know them. Called on the gateway's executor.
+class QuarantineStore {
+public:
+    virtual ~QuarantineStore() = default;
+    /// This instance has quarantined the content.
+    virtual void keep(const CrashNews&) = 0;
+};
+
 /// The endpoints where a gateway listens.
 struct GatewayEndpoints {
     Endpoint callers;
@@ -78,6 +87,10 @@
     void onStoreReachable(bool isReachable);
     /// Sets the receiver of other instances' news. Preconditions: called before run(); the follower outlives run().
     void setFollower(StoreFollower&);
+    /// Sets where quarantined contents are kept. Preconditions: called before run(); the store outlives run().
+    void setQuarantineStore(QuarantineStore&);
+    /// Applies quarantines that were kept by earlier processes or other instances.
+    void onQuarantines(const std::vector<CrashNews>&);
     /// Sends other instances what this one read from the store.
     void announceNews(const StoreNews&);
     /// Asks an instance of this zone for the state of the store that it knows; it answers with news from revision 0.
--- a/src/gateway/news_distribution.cpp
+++ b/src/gateway/news_distribution.cpp
@@ -69,6 +69,19 @@
     return names;
 }
 
+std::vector<InstanceName> NewsDistribution::quarantineRecipients() const
+{
+    std::vector<InstanceName> ring;
+    for (const auto& it : m_ranked) {
+        if (it.name != m_self)
+            ring.push_back(it.name);
+    }
+    std::sort(ring.begin(), ring.end());
+    std::rotate(ring.begin(), std::upper_bound(ring.begin(), ring.end(), m_self), ring.end());
+    ring.resize(std::min(ring.size(), maxQuarantineRecipients));
+    return ring;
+}
+
 std::vector<InstanceName> NewsDistribution::recipientsOfNewsFrom(const InstanceName& sender) const
 {
     const auto it = std::find_if(m_ranked.begin(), m_ranked.end(), [&](const auto& instance) { return instance.name == sender; });
--- a/src/gateway/search_delegation.cpp
+++ b/src/gateway/search_delegation.cpp
@@ -83,6 +83,18 @@
 void SearchDelegation::announceCrash(const CrashNews& news)
 {
     m_network.broadcast(messageOf(news));
+    if (news.quarantine > Duration {})
+        m_parts.storeNews.onQuarantined(news);
+}
+
+void SearchDelegation::shareQuarantines(const std::vector<CrashNews>& quarantines)
+{
+    if (quarantines.empty())
+        return;
+    for (const auto& it : m_newsDistribution.quarantineRecipients()) {
+        for (const auto& news : quarantines)
+            m_network.send(it, messageOf(news));
+    }
 }
 
 void SearchDelegation::reportCrash(const InstanceName& delegator, const CrashNews& news)
--- a/tests/gateway/news_distribution_test.cpp
+++ b/tests/gateway/news_distribution_test.cpp
@@ -35,6 +35,22 @@
 
 }
 
+TEST_CASE("A quarantine reaches an instance that missed its announcement although two of its neighbours are gone" * doctest::test_suite("gateway"))
+{
+    std::multiset<InstanceName> notified;
+    for (const auto& it : fleet()) {
+        const auto recipients = distributionOf(it).quarantineRecipients();
+        CHECK(std::find(recipients.begin(), recipients.end(), it.name) == recipients.end());
+        notified.insert(recipients.begin(), recipients.end());
+    }
+    for (const auto& it : fleet())
+        CHECK(notified.count(it.name) == NewsDistribution::maxQuarantineRecipients);
+
+    NewsDistribution alone(InstanceName("a0"), ZoneName("a"));
+    alone.onPeers({ fleet().front() });
+    CHECK(alone.quarantineRecipients().empty());
+}
+
 TEST_CASE("Exactly one instance of the fleet watches the store" * doctest::test_suite("gateway"))
 {
     const auto instances = fleet();
