--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -81,6 +81,10 @@
         // The grant takes a round trip to the delegating instance.
         it.requestExtraAt = now + std::max(Duration {}, hedgeDelay(it) - m_settings.crossZoneCost);
     }
+    if (!shedLimitedLegs(it, now)) {
+        ++m_counters.limitedRequests;
+        return finish(it, now, actions);
+    }
     // The legs of suspect content wait for its probe.
     if (route.isSearch() && standingOf(it, now) == ContentStanding::Clear) {
         delegateLegs(it, now, actions);
@@ -131,6 +135,8 @@
     auto& server = *attempt.server;
     if (response.load)
         ServerPool::recordLoad(server, *response.load, now);
+    if (response.kind != ServerResponseKind::Unusable && response.kind != ServerResponseKind::WrongServer)
+        m_pool.recordLimit(server, response.rateLimit, now);
     switch (response.kind) {
     case ServerResponseKind::Served: {
         auto& times = m_times[attempt.routeName];
@@ -212,8 +218,20 @@
     m_pool.update(servers, now);
 }
 
+void ForwardEngine::setInstances(const std::vector<Instance>& instances, TimePoint now)
+{
+    m_pool.setInstances(static_cast<std::uint32_t>(instances.size()));
+    m_pool.setFleet(instances, now);
+}
+
 void ForwardEngine::onRoutes(const RouteTable& table)
 {
+    std::set<ServiceName> directServices;
+    for (const auto& route : table.routes) {
+        for (const auto& it : route.targets)
+            directServices.insert(it.service);
+    }
+    m_pool.setDirectServices(std::move(directServices));
     m_splits.keepOnly(table.routes);
     std::erase_if(m_times, [&](const auto& entry) {
         return std::none_of(table.routes.begin(), table.routes.end(), [&](const Route& route) { return route.name == entry.first; });
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -28,6 +28,8 @@
     std::uint64_t hedges = 0;
     std::uint64_t retries = 0;
     std::uint64_t delegatedLegs = 0; ///< Legs delegated to other instances.
+    std::uint64_t limitedLegs = 0; ///< Legs shed because their servers allow no more requests.
+    std::uint64_t limitedRequests = 0; ///< Requests refused for the same reason.
     std::uint64_t shedLegs = 0; ///< Legs shed from searches because their responses were expected too late.
     std::uint64_t extraAttemptsDenied = 0; ///< Extra attempts that the budget did not allow.
     std::uint64_t complete = 0;
@@ -85,7 +87,8 @@
     void onServers(const std::map<ServerName, ServerEntry>&, TimePoint);
     /// Discards the state of routes and services that are not in the table.
     void onRoutes(const RouteTable&);
-    void setInstances(std::uint32_t n) { m_pool.setInstances(n); }
+    /// Sets the instances that share the servers' connections and request rates and the retry budget.
+    void setInstances(const std::vector<Instance>&, TimePoint);
 
     /// Executes everything that is due. Must be called no later than nextWake().
     void onTimer(TimePoint, ForwardActions&);
@@ -188,6 +191,8 @@
     void requestExtraAttempts(Request&, TimePoint, ForwardActions&);
     /// Sheds the legs whose responses are expected too late, as far as the coverage allows.
     void shedLegs(Request&, TimePoint);
+    /// Sheds the legs whose servers allow no request now. Returns false if too few legs are left; nothing is sent then.
+    bool shedLimitedLegs(Request&, TimePoint);
     /// Sends shed legs while the search can't cover enough shards without them.
     void restoreShedLegs(Request&, TimePoint, ForwardActions&);
     /// Enqueues a leg for its service. The leg is also retried on a timer, because this instance may have
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -136,6 +136,27 @@
     }
 }
 
+bool ForwardEngine::shedLimitedLegs(Request& request, TimePoint now)
+{
+    std::vector<std::size_t> limited;
+    for (std::size_t i = 0; i < request.legs.size(); ++i) {
+        const auto& service = request.legs[i].service;
+        const bool isSentFromHere = !m_delegateChooser || request.request.isPart() || !request.route().isSearch() || m_pool.hasServersIn(service, m_settings.zone);
+        if (isSentFromHere && m_pool.untilAllowed(service, now) > Duration {})
+            limited.push_back(i);
+    }
+    const bool isDividedInZone = request.route().isSearch() && !request.request.isPart() && request.legs.size() > maxLocalLegs(request.route());
+    if (limited.empty() || isDividedInZone)
+        return true;
+    const auto minLegs = request.route().isSearch() ? request.route().minimumOf(request.legs.size()) : 1;
+    if (request.legs.size() - limited.size() < minLegs)
+        return false;
+    for (const auto it : limited)
+        endLeg(request, request.legs[it], LegStage::Shed);
+    m_counters.limitedLegs += limited.size();
+    return true;
+}
+
 void ForwardEngine::enqueue(Request& request, std::size_t index, TimePoint now)
 {
     auto& leg = request.legs[index];
@@ -225,7 +246,8 @@
 {
     auto& leg = request.legs[index];
     if (leg.stage == LegStage::Unsent && !trySend(request, index, false, now, actions)) {
-        if (!m_pool.hasServers(leg.service))
+        // Demand beyond what the servers allow does not wait: the next requests they allow are wanted as well.
+        if (!m_pool.hasServers(leg.service) || m_pool.untilAllowed(leg.service, now) > Duration {})
             endLeg(request, leg, LegStage::Missing);
         else
             enqueue(request, index, now);
@@ -325,7 +347,7 @@
         answer.retryAfter = std::max(minRetryAfter, quarantined);
         for (const auto& leg : request.legs) {
             if (leg.stage != LegStage::Done)
-                answer.retryAfter = std::max(answer.retryAfter, m_pool.untilUsable(leg.service, now));
+                answer.retryAfter = std::max({ answer.retryAfter, m_pool.untilUsable(leg.service, now), m_pool.untilAllowed(leg.service, now) });
         }
         return answer;
     }
--- a/src/forward/forward_request.h
+++ b/src/forward/forward_request.h
@@ -78,6 +78,7 @@
     ServerResponseKind kind = ServerResponseKind::Unusable;
     std::string signature; ///< Proves which server made the response; empty when there is none.
     std::optional<ServerLoad> load;
+    std::optional<double> rateLimit; ///< Requests per second that the server allows all instances together; empty: any.
     TimePoint connectedAt = never; ///< When the connection that carried the response was opened.
     HttpResponse message;
 
--- a/src/forward/forward_settings.h
+++ b/src/forward/forward_settings.h
@@ -13,6 +13,7 @@
 
 /// Limits and weights for the decisions about forwarded requests.
 struct ForwardSettings {
+    InstanceName instance; ///< The name of this instance.
     ZoneName zone; ///< The zone of this instance.
     Share retryRatio { 0.2 }; ///< Extra attempts of the whole fleet, as a share of first attempts.
     double retrySlack = 0; ///< Extra attempts of the whole fleet in each window in addition to the ratio.
--- a/src/forward/server_pool.cpp
+++ b/src/forward/server_pool.cpp
@@ -57,6 +57,7 @@
 ServerPool::ServerPool(const ForwardSettings& settings, RandomSource& random)
     : m_settings(settings)
     , m_random(random)
+    , m_sharing(settings.instance, settings.zone)
 {
 }
 
@@ -64,6 +65,7 @@
 {
     std::map<ServerName, TrackedServerPtr> servers;
     m_byService.clear();
+    ++m_shareVersion;
     for (const auto& [name, entry] : entries) {
         const auto it = m_servers.find(name);
         const bool isSameLife = it != m_servers.end() && it->second->entry.startedAt == entry.startedAt && it->second->entry.endpoint == entry.endpoint;
@@ -125,7 +127,8 @@
     for (const auto& server : it->second) {
         const bool isTried = context.tried && std::find(context.tried->begin(), context.tried->end(), server) != context.tried->end();
         const auto limit = context.now < server->fullUntil ? std::min(share, server->maxInFlight) : share;
-        if (!server->takesNewWork() || isTried || server->inFlight >= limit)
+        const bool isAllowed = server->rateLimit.untilAllowed(context.now) == Duration {};
+        if (!server->takesNewWork() || isTried || !isAllowed || server->inFlight >= limit)
             continue;
         const auto micros = toMicros(expected(*server, context)) * (1 + randomSpread * m_random.unit());
         if (best && micros >= bestMicros)
@@ -177,8 +180,64 @@
     return std::max(Duration {}, soonest - now);
 }
 
+void ServerPool::setFleet(const std::vector<Instance>& instances, TimePoint now)
+{
+    m_sharing.setInstances(instances, now);
+    ++m_shareVersion;
+}
+
+void ServerPool::setDirectServices(std::set<ServiceName> services)
+{
+    m_directServices = std::move(services);
+    ++m_shareVersion;
+}
+
+ServiceReach ServerPool::reachOf(const ServiceName& service) const
+{
+    ServiceReach reach;
+    reach.isDirect = m_directServices.contains(service);
+    if (const auto it = m_byService.find(service); it != m_byService.end()) {
+        for (const auto& server : it->second)
+            reach.zones.insert(server->entry.zone);
+    }
+    return reach;
+}
+
+void ServerPool::recordLimit(TrackedServer& server, std::optional<double> limit, TimePoint now)
+{
+    if (!limit) {
+        server.namedLimit.reset();
+        server.rateLimit.clear();
+        return;
+    }
+    if (now >= m_nextShareChange)
+        ++m_shareVersion;
+    m_nextShareChange = m_sharing.nextChange(now);
+    if (server.namedLimit == limit && server.shareVersion == m_shareVersion)
+        return;
+    server.namedLimit = limit;
+    server.shareVersion = m_shareVersion;
+    const auto share = m_sharing.shareOf(server.entry, *limit, reachOf(server.entry.service), now);
+    // The fill is random, so that the instances do not all send at the same moment.
+    server.rateLimit.set(share, share.burst * m_random.unit(), now);
+}
+
+Duration ServerPool::untilAllowed(const ServiceName& service, TimePoint now) const
+{
+    const auto it = m_byService.find(service);
+    if (it == m_byService.end())
+        return {};
+    auto soonest = Duration::max();
+    for (const auto& server : it->second) {
+        if (server->takesNewWork())
+            soonest = std::min(soonest, server->rateLimit.untilAllowed(now));
+    }
+    return soonest == Duration::max() ? Duration {} : soonest;
+}
+
 void ServerPool::recordSent(TrackedServer& server, TimePoint now)
 {
+    server.rateLimit.take(now);
     if (server.inFlight++ == 0)
         server.noResponseSince = now;
 }
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -3,11 +3,15 @@
 #include "base/random_source.h"
 #include "forward/forward_request.h"
 #include "forward/forward_settings.h"
+#include "forward/limit_sharing.h"
 #include "forward/server_entry.h"
+#include "forward/server_rate_limit.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -30,6 +34,9 @@
     TimePoint fullUntil {};
     std::uint32_t failuresInRow = 0;
     TimePoint avoidUntil {}; ///< End of the back-off after failures; until then the expected latency has a penalty.
+    std::optional<double> namedLimit; ///< Requests per second that the server allows all instances together; empty: no limit.
+    ServerRateLimit rateLimit; ///< This instance's share of that limit.
+    std::uint64_t shareVersion = 0; ///< Of the inputs from which the share was computed.
 
     bool takesNewWork() const { return isListed && !entry.isDraining; }
 };
@@ -57,6 +64,10 @@
     /// Sets the number of instances that share the servers' connections; 0 counts as 1.
     void setInstances(std::uint32_t n) { m_instances = std::max(1U, n); }
     std::uint32_t instances() const { return m_instances; }
+    /// Sets the instances that share the request rates which servers allow, with or without this one.
+    void setFleet(const std::vector<Instance>&, TimePoint);
+    /// Sets the services to which single requests go.
+    void setDirectServices(std::set<ServiceName>);
 
     /// Returns the server with the lowest expected latency; null when no server may get work now.
     TrackedServerPtr pick(const ServiceName&, const ServicePolicy&, const PickContext&) const;
@@ -74,6 +85,12 @@
     /// now, and unusableCost when no server accepts new work.
     Duration untilUsable(const ServiceName&, TimePoint) const;
 
+    /// Returns the time until a server of the service may be sent a request, given the request rates that servers allow;
+    /// zero when one may now or no server accepts new work.
+    Duration untilAllowed(const ServiceName&, TimePoint) const;
+    /// Records the request rate that the server allows, in requests per second, as its last response named it; empty: any.
+    void recordLimit(TrackedServer&, std::optional<double> limit, TimePoint);
+
     static void recordSent(TrackedServer&, TimePoint);
     /// Records the end of an attempt, with or without a response. Precondition: recordSent() was called for the attempt.
     static void recordEnd(TrackedServer&, TimePoint);
@@ -98,6 +115,7 @@
 private:
     std::uint32_t connectionShare(const ServicePolicy&) const;
     bool isSilent(const TrackedServer&, const PickContext&) const;
+    ServiceReach reachOf(const ServiceName&) const;
 
     const ForwardSettings& m_settings;
     RandomSource& m_random;
@@ -106,6 +124,10 @@
     static constexpr std::uint32_t instancesUntilCounted = 32;
 
     std::uint32_t m_instances = instancesUntilCounted;
+    LimitSharing m_sharing;
+    std::set<ServiceName> m_directServices;
+    std::uint64_t m_shareVersion = 1; ///< Changes with each input of the shares.
+    TimePoint m_nextShareChange = never;
     std::map<ServerName, TrackedServerPtr> m_servers;
     std::unordered_map<ServiceName, std::vector<TrackedServerPtr>> m_byService;
 };
--- a/src/gateway/forward_driver.h
+++ b/src/gateway/forward_driver.h
@@ -65,7 +65,7 @@
     void setRoutes(std::shared_ptr<const RouteTable>);
     std::shared_ptr<const RouteTable> routes() const { return m_routes; }
     void setServers(const std::map<ServerName, ServerEntry>&);
-    void setInstances(std::uint32_t n) { m_engine.setInstances(n); }
+    void setInstances(const std::vector<Instance>& instances) { m_engine.setInstances(instances, m_parts.clock.now()); }
     /// Returns announcements of all quarantined contents.
     std::vector<CrashNews> quarantines() const { return m_engine.quarantines(m_parts.clock.now()); }
     /// Answers every request in flight with the results that have arrived.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -110,7 +110,7 @@
 
     void onInstances(const std::vector<Instance>& instances, bool isSettled)
     {
-        m_driver.setInstances(static_cast<std::uint32_t>(instances.size()));
+        m_driver.setInstances(instances);
         m_delegation.onPeers(instances);
         if (m_follower)
             m_follower->onRank(isSettled ? m_delegation.newsRank() : std::max(1U, m_delegation.newsRank()));
@@ -203,6 +203,7 @@
     static ForwardSettings forwardSettings(const Settings& settings)
     {
         auto forward = settings.forward;
+        forward.instance = settings.instance.name;
         forward.zone = settings.instance.zone;
         forward.cores = settings.gateway.cores;
         return forward;
@@ -325,6 +326,8 @@
         count("sends_total{kind=\"retry\"}", forward.retries);
         count("legs_relayed_total", forward.delegatedLegs);
         count("legs_shed_total", forward.shedLegs);
+        count("legs_over_server_limit_total", forward.limitedLegs);
+        count("requests_over_server_limit_total", forward.limitedRequests);
         count("sends_denied_total", forward.extraAttemptsDenied);
         count("answers_total{outcome=\"complete\"}", forward.complete);
         count("answers_total{outcome=\"partial\"}", forward.partial);
--- a/src/routing/route.h
+++ b/src/routing/route.h
@@ -41,7 +41,9 @@
     bool isSearch() const { return !shards.empty(); }
     SearchLimits searchLimits() const { return { topRecords, maxRuns }; }
     /// Returns the minimum number of shards in an answer; at least one.
-    std::size_t minimumShards() const;
+    std::size_t minimumShards() const { return minimumOf(shards.size()); }
+    /// Returns the same for n of the shards.
+    std::size_t minimumOf(std::size_t n) const;
 
     friend bool operator==(const Route&, const Route&) = default;
 };
--- a/tests/adapter/wire_test.cpp
+++ b/tests/adapter/wire_test.cpp
@@ -49,6 +49,13 @@
         CHECK(servers.read(response(200, { { "Lycheefield-Server-Load", "3, 1,8" } }), "id1").load == ServerLoad { 3, 1, 8 });
         CHECK_FALSE(servers.read(response(200, { { "Lycheefield-Server-Load", "3,x,8" } }), "id1").load);
     }
+    SUBCASE("a limit is a decimal number of requests per second; anything else is none")
+    {
+        CHECK(servers.read(response(200, { { "Server-Limit", "25.6" } }), "id1").rateLimit == 25.6);
+        CHECK(servers.read(response(503, { { "Server-Limit", "0" } }), "id1").rateLimit == 0);
+        for (const auto* text : { "", "x", "-1", "4 per second", "inf", "nan", "1e999" })
+            CHECK_FALSE(servers.read(response(200, { { "Server-Limit", text } }), "id1").rateLimit);
+    }
     SUBCASE("the idle allowance ends before the server closes the connection")
     {
         CHECK(servers.idleAllowance(response(200, { { "Keep-Alive", "timeout=5, max=9" } })) == 4500ms);
--- a/tests/forward/forward_test_bed.cpp
+++ b/tests/forward/forward_test_bed.cpp
@@ -24,7 +24,7 @@
 ForwardTestBed::ForwardTestBed(ForwardSettings settings)
     : m_engine(std::move(settings), std::make_unique<SeededRandom>(seed))
 {
-    m_engine.setInstances(1);
+    m_engine.setInstances({}, m_now);
 }
 
 void ForwardTestBed::addServer(const std::string& service, const std::string& name, const std::string& zone, ServerModel model)
