--- a/tests/adapter/decode_test.cpp
+++ b/tests/adapter/decode_test.cpp
@@ -37,7 +37,10 @@
     SUBCASE("an entry with a missing, malformed or mistyped field gives no server")
     {
         for (const auto& text : { replaced(server, "\"slots\":2", "\"slots\":\"2\""), replaced(server, "\"service\":\"quotes\",", ""),
-                 replaced(server, "\"ready\"", "\"resting\""), replaced(server, "10.0.0.9:8080", "host:8080"), replaced(server, "\"sequence\":4", "\"sequence\":-4"),
+                 replaced(server, "\"ready\"", "\"resting\""), replaced(server, "10.0.0.9:8080", "host:8080"), replaced(server, "10.0.0.9:8080", "10.0.0.9:65536"), replaced(server, "10.0.0.9:8080", "10.0.0.9:0"),
+                 replaced(server, "\"slots\":2", "\"slots\":4294967296"), replaced(server, "\"slots\":2", "\"slots\":1e300"), replaced(server, "\"slots\":2", "\"slots\":1e99999999999"),
+                 replaced(server, "1500", "1e300"), replaced(server, "1700000000000", "18446744073709551615"), replaced(server, "\"slots\":2", "\"slots\":" + std::string(200, '[') + std::string(200, ']')),
+                 replaced(server, "\"sequence\":4", "\"sequence\":-4"),
                  replaced(server, "1700000000000", "17.5"), std::string("\"text\""), std::string("{"), std::string(), std::string("\xff\xfe") }) {
             CAPTURE(text);
             CHECK_FALSE(decodeServer(name, text));
--- a/tests/adapter/published_store_test.cpp
+++ b/tests/adapter/published_store_test.cpp
@@ -66,6 +66,44 @@
     CHECK(fixture.metrics.counter(R"(lycheefield_store_calls_total{objects="servers",call="list"})").value() == 3);
 }
 
+TEST_CASE("One odd entry of another writer hides neither the list nor the changes of the others" * doctest::test_suite("adapter"))
+{
+    const auto nested = std::string(200, '[') + std::string(200, ']');
+    const std::vector<std::string> oddSpecs {
+        "{\"slots\":" + nested + "}",
+        nested,
+        "{\"slots\":1e99999999999}",
+        "{\"slots\":123456789012345678901234567890123456789012345678901234567890}",
+        "{\"zone\":\"hue-\\udcff\"}",
+        "{\"zone\":\"hue-\xff\xfe\"}",
+        "{\"address\":\"10.0.0.1:99999\"}",
+        "null",
+    };
+    for (const auto& odd : oddSpecs) {
+        CAPTURE(odd);
+        StoreFixture fixture;
+        fixture.server.put("servers", "a", "{\"n\":1}");
+        fixture.server.put("servers", "b", odd);
+        fixture.server.put("servers", "c", "{\"n\":3}");
+        std::vector<WatchBatch> batches;
+        auto watcher = std::make_shared<StoreWatcher>(
+            fixture.io.get_executor(), fixture.store, "servers/", [&](const WatchBatch& it) { batches.push_back(it); }, Backoff(1ms, 2ms, std::make_unique<SeededRandom>(7)));
+        watcher->start();
+        fixture.runUntil([&] { return !batches.empty(); });
+        REQUIRE(batches.front().status == StoreStatus::Ok);
+        CHECK(keysOf(batches.front()) == std::vector<std::string> { "servers/a", "servers/b", "servers/c" });
+        CHECK(batches.front().changed[2].value == "{\"n\":3}");
+
+        batches.clear();
+        fixture.server.put("servers", "d", odd);
+        fixture.server.put("servers", "e", "{\"n\":5}");
+        fixture.runUntil([&] { return !batches.empty() && !batches.back().changed.empty() && batches.back().changed.back().key == "servers/e"; });
+        for (const auto& it : batches)
+            CHECK(it.status == StoreStatus::Ok);
+        watcher->stop();
+    }
+}
+
 TEST_CASE("PublishedStore creates and updates an object, and reports a conflict for a stale version" * doctest::test_suite("adapter"))
 {
     StoreFixture fixture;
