--- a/src/http/http_client_connection.cpp
+++ b/src/http/http_client_connection.cpp
@@ -163,8 +163,12 @@
             fail("the server's response is malformed: " + ec.message());
             return;
         }
-        if (!m_parser->is_done())
+        if (!m_parser->is_done()) {
+            // The parser leaves the bytes of a chunk's size line or trailer in the buffer until they end, without a limit of its own.
+            if (m_buffer.size() > m_limits.maxHeaderBytes)
+                fail("the server's response has more framing bytes than a header may have");
             return;
+        }
         // Bytes after the response belong to no request and must not be parsed as the response to the next request.
         m_hasSurplusBytes = m_buffer.size() > 0;
         deliverResponse();
--- a/src/http/http_request_reader.cpp
+++ b/src/http/http_request_reader.cpp
@@ -16,6 +16,7 @@
 }
 
 HttpRequestReader::HttpRequestReader(const HttpLimits& limits)
+    : m_maxUnparsed(limits.maxHeaderBytes)
 {
     m_parser.header_limit(limits.maxHeaderBytes);
     m_parser.body_limit(limits.maxBodyBytes);
@@ -34,19 +35,25 @@
     if (ec && ec != http::error::need_more)
         return refuse(ec);
     if (!m_parser.is_done())
-        return State::NeedsMore;
+        return buffer.size() > m_maxUnparsed ? refuse(headerTooLarge, "chunk header or trailer too long") : State::NeedsMore;
     m_keepAlive = m_parser.get().keep_alive();
     return State::Done;
 }
 
 HttpRequestReader::State HttpRequestReader::refuse(const boost::system::error_code& ec)
 {
-    m_status = badRequest;
+    auto status = badRequest;
     if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
-        m_status = headerTooLarge;
+        status = headerTooLarge;
     else if (ec == http::error::body_limit)
-        m_status = bodyTooLarge;
-    m_reason = ec.message();
+        status = bodyTooLarge;
+    return refuse(status, ec.message());
+}
+
+HttpRequestReader::State HttpRequestReader::refuse(unsigned status, std::string reason)
+{
+    m_status = status;
+    m_reason = std::move(reason);
     return State::Refused;
 }
 
--- a/src/http/http_request_reader.h
+++ b/src/http/http_request_reader.h
@@ -45,8 +45,10 @@
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     State refuse(const boost::system::error_code&);
+    State refuse(unsigned status, std::string reason);
 
     Parser m_parser;
+    std::size_t m_maxUnparsed; ///< Limit on the bytes of a chunk's size line or of a trailer, for which the parser has none.
     std::string m_reason;
     unsigned m_status = 0;
     bool m_expectationTaken = false;
--- a/tests/http/http_client_connection_test.cpp
+++ b/tests/http/http_client_connection_test.cpp
@@ -150,6 +150,53 @@
     }
 }
 
+TEST_CASE("A response whose head or body ends early is never delivered")
+{
+    const std::string withLength = "HTTP/1.1 200 OK\r\nLycheefield-Response-Stamp: s\r\nContent-Length: 16\r\n\r\n0123456789abcdef";
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n";
+    const std::string untilClose = "HTTP/1.1 200 OK\r\nLycheefield-Response-Stamp: s\r\n\r\n";
+    for (const auto& whole : { withLength, chunked, untilClose }) {
+        for (std::size_t n = 1; n < whole.size(); ++n) {
+            CAPTURE(whole.substr(0, n));
+            ClientFixture fixture;
+            fixture.client->send({ "GET", "/x", {}, "" });
+            fixture.readRequest();
+            fixture.answer(whole.substr(0, n));
+            boost::system::error_code ec;
+            fixture.peer.close(ec);
+            runUntil(fixture.io, [&] { return fixture.events->losses == 1; });
+            CHECK(fixture.events->responses.empty());
+            CHECK(fixture.events->bytesWritten);
+        }
+    }
+}
+
+TEST_CASE_FIXTURE(ClientFixture, "Bytes without end in a response close the connection and end nothing else")
+{
+    client->send({ "GET", "/x", {}, "" });
+    readRequest();
+    std::string start;
+    std::string filler(4096, '0');
+    SUBCASE("in the head") { start = "HTTP/1.1 200 OK\r\nX-Long: "; }
+    SUBCASE("in a chunk's size") { start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"; }
+    SUBCASE("in a chunk's size, of bytes that are no digits")
+    {
+        start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        filler.assign(4096, '\0');
+    }
+    SUBCASE("in a chunk's extension") { start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x="; }
+    SUBCASE("in the trailer") { start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Long: "; }
+    answer(start);
+    for (int i = 0; i < 4096 && events->losses == 0; ++i) {
+        boost::system::error_code ec;
+        boost::asio::write(peer, boost::asio::buffer(filler), ec);
+        io.restart();
+        io.poll();
+    }
+    CHECK(events->losses == 1);
+    CHECK(events->responses.empty());
+}
+
 TEST_CASE("A client connection that the server refuses reports that no request was sent")
 {
     boost::asio::io_context io;
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -186,6 +186,16 @@
             bytes += "400\r\n" + std::string(1024, 'x') + "\r\n";
         status = "HTTP/1.1 413";
     }
+    SUBCASE("A chunk's extension does not end: status 431")
+    {
+        bytes = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5;x=" + std::string(1'000'000, 'x');
+        status = "HTTP/1.1 431";
+    }
+    SUBCASE("A trailer does not end: status 431")
+    {
+        bytes = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Long: " + std::string(1'000'000, 'x');
+        status = "HTTP/1.1 431";
+    }
     SUBCASE("Garbage follows a valid pipelined request: the server answers the valid request, then responds with status 400")
     {
         bytes = goodRequest + "garbage\r\n\r\n";
