--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -55,6 +55,16 @@
     return std::max(Duration {}, target - networkTime - mergeTime - m_settings.answerMargin);
 }
 
+bool ForwardEngine::endsTooLate(const Request& request, TimePoint now) const
+{
+    if (m_end == never)
+        return false;
+    const auto target = request.route().targetLatency;
+    const auto it = m_times.find(request.route().name);
+    const auto expected = it == m_times.end() ? target : it->second.quantile95(target);
+    return now + expected > m_end;
+}
+
 void ForwardEngine::start(ForwardRequest request, TimePoint now, ForwardActions& actions)
 {
     ++m_counters.requests;
@@ -63,7 +73,7 @@
     it.request = std::move(request);
     it.startedAt = it.request.readAt;
     const auto& route = it.route();
-    it.deadline = std::min(it.request.deadline, it.startedAt + route.timeout) - finalAnswerMargin;
+    it.deadline = std::min({ it.request.deadline, it.startedAt + route.timeout, m_end }) - finalAnswerMargin;
     if (route.isSearch()) {
         it.answerBy = std::min(it.request.answerBy, it.startedAt + timeToAnswer(it));
         for (const auto& shard : it.request.isPart() ? it.request.onlyShards : route.shards)
@@ -71,7 +81,7 @@
     } else {
         it.legs.emplace_back().service = m_splits.pick(route);
     }
-    if (quarantineRemaining(it, now) > Duration {})
+    if (quarantineRemaining(it, now) > Duration {} || endsTooLate(it, now))
         return finish(it, now, actions);
     const auto servable = std::count_if(it.legs.begin(), it.legs.end(), [&](const Leg& leg) { return m_pool.hasServers(leg.service); });
     if (static_cast<std::size_t>(servable) < it.needed())
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -63,6 +63,8 @@
     void onServerRequestFailed(ServerRequestId, ServerRequestFailure, TimePoint, ForwardActions&);
     /// Ends a request whose caller has disconnected, and cancels its idempotent attempts at the servers.
     void cancel(RequestNumber, TimePoint, ForwardActions&);
+    /// Sets when finishAll() will be called. From now on a request that would not be answered by then is refused as not run.
+    void setEnd(TimePoint end) { m_end = end; }
     /// Answers every request with the parts received so far, before the process ends.
     void finishAll(TimePoint, ForwardActions&);
 
@@ -165,6 +167,8 @@
     Request* find(RequestNumber);
     /// Returns the time from the read of a search until its answer is due, so that it reaches the caller in time.
     Duration timeToAnswer(const Request&) const;
+    /// Returns whether the request would probably still run when the process ends.
+    bool endsTooLate(const Request&, TimePoint) const;
     /// Updates the server's statistics from its response.
     void recordServerResponse(const Attempt&, const ServerResponse&, TimePoint);
     /// Answers the request if it is complete or due; otherwise sends the legs that are due and sets the next timer.
@@ -268,6 +272,7 @@
     std::unordered_map<ServiceName, ExtraAttemptBudget> m_budgets;
     std::map<std::string, RouteTimes> m_times;
     CrashEvidence m_evidence;
+    TimePoint m_end = never; ///< When all requests are answered because the process ends.
     std::uint64_t m_lastAttempt = 0;
     std::uint64_t m_lastDelegation = 0;
     std::unordered_map<DelegationId, RequestNumber> m_delegations;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -195,6 +195,7 @@
         logState("stopping", { { "in_flight", std::to_string(m_driver.inFlight()) } });
         updateReadiness();
         m_driver.declineDelegations();
+        m_driver.setEnd(m_stopStartedAt + m_settings.gateway.stopLimit - finishBeforeLimit);
         m_callerServer.closeAfterResponses();
         checkStop();
     }
--- a/tests/adapter/end_to_end_test.cpp
+++ b/tests/adapter/end_to_end_test.cpp
@@ -242,4 +242,24 @@
     }
 }
 
+TEST_CASE("An order that comes too late in a planned stop is refused as not run and reaches no server" * doctest::test_suite("adapter"))
+{
+    GatewayFixture fixture;
+    fixture.settings.gateway.stopLimit = 3s;
+    fixture.store.put("servers", "i-1", fixture.serverX.entry("x"));
+    fixture.store.put("config", "main", configuration);
+    fixture.startGateway();
+    fixture.waitUntilReady();
+    const auto caller = std::make_shared<Caller>();
+    caller->open(fixture.io, fixture.endpoints.callers);
+    fixture.runUntil([&] { return caller->isConnected; });
+    fixture.gateway->stop();
+    caller->send(requestTo("/o/1", "id7"));
+    fixture.runUntil([&] { return caller->response.has_value() || caller->isLost; });
+    REQUIRE(caller->response);
+    CHECK(caller->response->status == 503);
+    CHECK(caller->response->headers.find("Connection") == "close");
+    CHECK(fixture.serverX.requests.empty());
+}
+
 }
