A server that says in its responses that it leaves gets no new work

Cause: only the store's entry counted, which an instance may learn late or, cut off from the store, not at all. Change: Server-Leaving: 1 in any response to this instance ends new work for that process of the server, until another one is listed. Result: new engine and wire tests pass; without the flag the engine test can't be written, as the response had no such field.

--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -145,8 +145,10 @@
     auto& server = *attempt.server;
     if (response.load)
         ServerPool::recordLoad(server, *response.load, now);
-    if (response.kind != ServerResponseKind::Unusable && response.kind != ServerResponseKind::WrongServer)
+    if (response.kind != ServerResponseKind::Unusable && response.kind != ServerResponseKind::WrongServer) {
         m_pool.recordLimit(server, response.rateLimit, now);
+        server.isLeaving = server.isLeaving || response.isLeaving;
+    }
     switch (response.kind) {
     case ServerResponseKind::Served: {
         auto& times = m_times[attempt.routeName];
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -21,6 +21,7 @@
 struct TrackedServer {
     ServerEntry entry;
     bool isListed = true; ///< False once the server's entry is removed; the server then gets no new work.
+    bool isLeaving = false; ///< The server's own responses say that it leaves.
     TimePoint listedAt {}; ///< When the current entry was received.
     std::uint32_t inFlight = 0; ///< Attempts of this instance that have not ended.
     TimePoint noResponseSince = never; ///< Start of the current wait for a response; `never` while no attempt is in flight.
@@ -38,7 +39,7 @@
     ServerRateLimit rateLimit; ///< This instance's share of that limit.
     std::uint64_t shareVersion = 0; ///< Of the inputs from which the share was computed.
 
-    bool takesNewWork() const { return isListed && !entry.isDraining; }
+    bool takesNewWork() const { return isListed && !isLeaving && !entry.isDraining; }
 };
 
 using TrackedServerPtr = std::shared_ptr<TrackedServer>;
--- a/tests/adapter/wire_test.cpp
+++ b/tests/adapter/wire_test.cpp
@@ -49,6 +49,12 @@
         CHECK(servers.read(response(200, { { "Lycheefield-Server-Load", "3, 1,8" } }), "id1").load == ServerLoad { 3, 1, 8 });
         CHECK_FALSE(servers.read(response(200, { { "Lycheefield-Server-Load", "3,x,8" } }), "id1").load);
     }
+    SUBCASE("a server that leaves says so in its responses")
+    {
+        CHECK(servers.read(response(200, { { "Server-Leaving", "1" } }), "id1").isLeaving);
+        CHECK_FALSE(servers.read(response(200, { { "Server-Leaving", "0" } }), "id1").isLeaving);
+        CHECK_FALSE(servers.read(response(200, {}), "id1").isLeaving);
+    }
     SUBCASE("a limit is a decimal number of requests per second; anything else is none")
     {
         CHECK(servers.read(response(200, { { "Server-Limit", "25.6" } }), "id1").rateLimit == 25.6);
--- a/tests/forward/forward_test_bed.cpp
+++ b/tests/forward/forward_test_bed.cpp
@@ -46,6 +46,17 @@
     publish();
 }
 
+void ForwardTestBed::restartServer(const std::string& name)
+{
+    auto& server = m_servers.at(ServerName(name));
+    ++server.entry.startedAt;
+    server.running.clear();
+    server.waiting.clear();
+    server.arrivals = 0;
+    server.model.isLeaving = false;
+    publish();
+}
+
 void ForwardTestBed::publish()
 {
     std::map<ServerName, ServerEntry> entries;
@@ -183,6 +194,7 @@
     response.signature = kind == ServerResponseKind::Served ? server.entry.name.value() : "";
     response.message.status = kind == ServerResponseKind::Served ? 200 : 500;
     response.message.body = std::string(16, 'r');
+    response.isLeaving = server.model.isLeaving;
     if (server.model.reportsLoad)
         response.load = ServerLoad { static_cast<std::uint32_t>(server.running.size()), static_cast<std::uint32_t>(server.waiting.size()), server.model.slots };
     return response;
--- a/tests/forward/forward_test_bed.h
+++ b/tests/forward/forward_test_bed.h
@@ -19,6 +19,8 @@
     std::uint32_t queue = 12; ///< Waiting requests; further ones are refused without running.
     bool isSilent = false; ///< Accepts requests and never responds.
     bool reportsLoad = true;
+    bool isLeaving = false; ///< Says so in its responses.
+    Duration retryAfter {}; ///< Of its refusals.
 };
 
 /// Simulates the backend servers and callers of one engine on a virtual clock.
@@ -29,6 +31,8 @@
     /// Adds a server and lists it at once.
     void addServer(const std::string& service, const std::string& name, const std::string& zone, ServerModel = {});
     void removeServer(const std::string& name);
+    /// Replaces the server's process by a new one under the same name, and lists it.
+    void restartServer(const std::string& name);
     ServerModel& model(const std::string& name) { return m_servers.at(ServerName(name)).model; }
     void publish();
 
--- /dev/null
+++ b/tests/forward/server_notice_test.cpp
@@ -0,0 +1,58 @@
+#include "forward_test_bed.h"
+
+#include <doctest/doctest.h>
+
+namespace lycheefield {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+ForwardSettings settingsInZoneA()
+{
+    ForwardSettings settings;
+    settings.zone = ZoneName("a");
+    settings.retrySlack = 100;
+    return settings;
+}
+
+}
+
+TEST_CASE("A server that says in a response that it leaves gets no new work, though its entry is still listed" * doctest::test_suite("forward"))
+{
+    ForwardTestBed testBed(settingsInZoneA());
+    testBed.addServer("lookups", "o1", "a", { .isLeaving = true });
+    const auto route = testBed.singleRoute("lookups", true);
+    const auto first = testBed.start(route);
+    testBed.run(100ms);
+    CHECK(testBed.answerTo(first)->kind == ForwardAnswerKind::PassThrough);
+
+    SUBCASE("Another server takes all further requests")
+    {
+        testBed.addServer("lookups", "o2", "b");
+        for (int i = 0; i < 20; ++i) {
+            testBed.start(route);
+            testBed.run(100ms);
+        }
+        CHECK(testBed.arrivals("o1") == 1);
+        CHECK(testBed.arrivals("o2") == 20);
+    }
+    SUBCASE("Without another server a request is refused at once")
+    {
+        const auto refused = testBed.start(route);
+        REQUIRE(testBed.answerTo(refused));
+        CHECK(testBed.answerTo(refused)->kind == ForwardAnswerKind::NotRun);
+        CHECK(testBed.arrivals("o1") == 1);
+    }
+    SUBCASE("An update of its entry does not bring it back, and a new process under its name does")
+    {
+        testBed.publish();
+        const auto refused = testBed.start(route);
+        CHECK(testBed.answerTo(refused));
+        testBed.restartServer("o1");
+        testBed.start(route);
+        CHECK(testBed.arrivals("o1") == 1);
+    }
+}
+
+}
