A server that answers 503 with Retry-After gets nothing from this instance for that time

Cause: a server's Retry-After was ignored; a refusal only started a short back-off, whose penalty a request could still choose. Change: the pause counts as the server's limit does: its replicas take the requests, and what none may take is refused at once with the time that is left. A pause ends with the server's process.

--- a/src/forward/server_pool.cpp
+++ b/src/forward/server_pool.cpp
@@ -127,7 +127,7 @@
     for (const auto& server : it->second) {
         const bool isTried = context.tried && std::find(context.tried->begin(), context.tried->end(), server) != context.tried->end();
         const auto limit = context.now < server->fullUntil ? std::min(share, server->maxInFlight) : share;
-        const bool isAllowed = server->rateLimit.untilAllowed(context.now) == Duration {};
+        const bool isAllowed = server->untilAllowed(context.now) == Duration {};
         if (!server->takesNewWork() || isTried || !isAllowed || server->inFlight >= limit)
             continue;
         const auto micros = toMicros(expected(*server, context)) * (1 + randomSpread * m_random.unit());
@@ -230,7 +230,7 @@
     auto soonest = Duration::max();
     for (const auto& server : it->second) {
         if (server->takesNewWork())
-            soonest = std::min(soonest, server->rateLimit.untilAllowed(now));
+            soonest = std::min(soonest, server->untilAllowed(now));
     }
     return soonest == Duration::max() ? Duration {} : soonest;
 }
@@ -282,6 +282,11 @@
     ++server.failuresInRow;
 }
 
+void ServerPool::recordPause(TrackedServer& server, Duration pause, TimePoint now)
+{
+    server.pausedUntil = std::max(server.pausedUntil, now + pause);
+}
+
 void ServerPool::recordLoad(TrackedServer& server, const ServerLoad& load, TimePoint now)
 {
     server.load = load;
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -7,6 +7,7 @@
 #include "forward/server_entry.h"
 #include "forward/server_rate_limit.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -35,10 +36,13 @@
     TimePoint fullUntil {};
     std::uint32_t failuresInRow = 0;
     TimePoint avoidUntil {}; ///< End of the back-off after failures; until then the expected latency has a penalty.
+    TimePoint pausedUntil {}; ///< The server has asked this instance to send nothing before.
     std::optional<double> namedLimit; ///< Requests per second that the server allows all instances together; empty: no limit.
     ServerRateLimit rateLimit; ///< This instance's share of that limit.
     std::uint64_t shareVersion = 0; ///< Of the inputs from which the share was computed.
 
+    /// Returns the time until the server may be sent a request, given its limit and the pause that it asked for.
+    Duration untilAllowed(TimePoint now) const { return std::max(rateLimit.untilAllowed(now), std::max(Duration {}, Duration(pausedUntil - now))); }
     bool takesNewWork() const { return isListed && !isLeaving && !entry.isDraining; }
 };
 
@@ -86,8 +90,8 @@
     /// now, and unusableCost when no server accepts new work.
     Duration untilUsable(const ServiceName&, TimePoint) const;
 
-    /// Returns the time until a server of the service may be sent a request, given the request rates that servers allow;
-    /// zero when one may now or no server accepts new work.
+    /// Returns the time until a server of the service may be sent a request, given the servers' limits and pauses; zero when
+    /// one may now or no server accepts new work.
     Duration untilAllowed(const ServiceName&, TimePoint) const;
     /// Records the request rate that the server allows, in requests per second, as its last response named it; empty: any.
     void recordLimit(TrackedServer&, std::optional<double> limit, TimePoint);
@@ -105,6 +109,8 @@
     /// Returns whether a refusal with that load report means that the server is full. A refusal without a
     /// report, or by a server with no waiting requests, counts as a failure.
     static bool isFull(const std::optional<ServerLoad>& load) { return load && load->waiting > 0; }
+    /// Records that the server asked this instance to send nothing for that time.
+    static void recordPause(TrackedServer&, Duration, TimePoint);
     static void recordLoad(TrackedServer&, const ServerLoad&, TimePoint);
     /// Marks the server as replaced: another server has its address.
     static void markReplaced(TrackedServer&);
--- a/tests/adapter/wire_test.cpp
+++ b/tests/adapter/wire_test.cpp
@@ -49,6 +49,16 @@
         CHECK(servers.read(response(200, { { "Lycheefield-Server-Load", "3, 1,8" } }), "id1").load == ServerLoad { 3, 1, 8 });
         CHECK_FALSE(servers.read(response(200, { { "Lycheefield-Server-Load", "3,x,8" } }), "id1").load);
     }
+    SUBCASE("only a 503 asks for a pause, in seconds with or without a fraction")
+    {
+        CHECK(servers.read(response(503, { { "Retry-After", "2.5" } }), "id1").retryAfter == 2500ms);
+        CHECK(servers.read(response(503, { { "Lycheefield-Not-Executed", "1" }, { "Retry-After", "3" } }), "id1").retryAfter == 3s);
+        CHECK(servers.read(response(503, { { "Retry-After", "1e300" } }), "id1").retryAfter == 24h);
+        CHECK(servers.read(response(200, { { "Retry-After", "3" } }), "id1").retryAfter == 0s);
+        CHECK(servers.read(response(503, {}), "id1").retryAfter == 0s);
+        CHECK(servers.read(response(503, { { "Retry-After", "Fri, 31 Dec 1999 23:59:59 GMT" } }), "id1").retryAfter == 0s);
+        CHECK(servers.read(response(503, { { "Lycheefield-Attempt-Id", "other" }, { "Retry-After", "3" } }), "id1").retryAfter == 0s);
+    }
     SUBCASE("a server that leaves says so in its responses")
     {
         CHECK(servers.read(response(200, { { "Server-Leaving", "1" } }), "id1").isLeaving);
--- a/tests/forward/forward_test_bed.cpp
+++ b/tests/forward/forward_test_bed.cpp
@@ -195,6 +195,8 @@
     response.message.status = kind == ServerResponseKind::Served ? 200 : 500;
     response.message.body = std::string(16, 'r');
     response.isLeaving = server.model.isLeaving;
+    if (kind == ServerResponseKind::NotRun)
+        response.retryAfter = server.model.retryAfter;
     if (server.model.reportsLoad)
         response.load = ServerLoad { static_cast<std::uint32_t>(server.running.size()), static_cast<std::uint32_t>(server.waiting.size()), server.model.slots };
     return response;
--- a/tests/forward/server_notice_test.cpp
+++ b/tests/forward/server_notice_test.cpp
@@ -55,4 +55,47 @@
     }
 }
 
+TEST_CASE("A server that asks for a pause gets nothing from this instance until its end" * doctest::test_suite("forward"))
+{
+    ForwardTestBed testBed(settingsInZoneA());
+    testBed.addServer("lookups", "o1", "a", { .slots = 1, .queue = 0, .retryAfter = 4s });
+    const auto route = testBed.singleRoute("lookups", true);
+    testBed.start(route);
+    const auto refused = testBed.start(route);
+    REQUIRE(testBed.arrivals("o1") == 2);
+    REQUIRE(testBed.answerTo(refused));
+    CHECK(testBed.answerTo(refused)->kind == ForwardAnswerKind::NotRun);
+
+    SUBCASE("Requests are refused at once meanwhile, with the time that is left, though the server is free again")
+    {
+        for (int i = 0; i < 10; ++i) {
+            testBed.run(300ms);
+            const auto early = testBed.start(route);
+            REQUIRE(testBed.answerTo(early));
+            CHECK(testBed.answerTo(early)->kind == ForwardAnswerKind::NotRun);
+            CHECK(testBed.answerTo(early)->retryAfter >= 1s);
+        }
+        CHECK(testBed.arrivals("o1") == 2);
+        testBed.run(1s);
+        testBed.start(route);
+        CHECK(testBed.arrivals("o1") == 3);
+    }
+    SUBCASE("A replica takes the requests")
+    {
+        testBed.addServer("lookups", "o2", "b");
+        for (int i = 0; i < 10; ++i) {
+            testBed.start(route);
+            testBed.run(300ms);
+        }
+        CHECK(testBed.arrivals("o1") == 2);
+        CHECK(testBed.arrivals("o2") == 10);
+    }
+    SUBCASE("A new process of the server has asked for nothing")
+    {
+        testBed.restartServer("o1");
+        testBed.start(route);
+        CHECK(testBed.arrivals("o1") == 1);
+    }
+}
+
 }
