--- a/src/gateway/server_connections.cpp
+++ b/src/gateway/server_connections.cpp
@@ -23,6 +23,8 @@
 constexpr int freshDivisor = 3;
 /// Added to the time that connecting took (about one round trip) before the first request is sent.
 constexpr Duration acceptanceMargin = std::chrono::microseconds(300);
+/// A connection on which the server refused so many attempts is closed instead of remembering more.
+constexpr std::size_t maxRefusedAttempts = 32;
 constexpr std::uint64_t maxResponseBytes = 8ULL * 1024 * 1024;
 constexpr std::uint32_t maxResponseHeaderBytes = 32 * 1024;
 /// The minimum time left that a request tells its server: with zero the server would not begin.
@@ -61,8 +63,8 @@
     void cancel(ServerRequestId);
     void closeStale();
     std::size_t count() const { return m_count; }
-    /// Removes and returns a usable idle connection to the server; null when there is none.
-    ConnectionPtr takeIdle(const ServerKey&, bool mustBeFresh);
+    /// Removes and returns an idle connection to the server that may carry the request; null when there is none.
+    ConnectionPtr takeIdle(const ServerKey&, const SendServerRequest&);
     void closeStaleOf(std::vector<ConnectionPtr>&, TimePoint);
 
     /// Makes a connection available for later requests.
@@ -118,6 +120,8 @@
 
     bool isStale(TimePoint now) const { return now >= m_usableUntil; }
     bool isFresh(TimePoint now) const { return now < m_freshUntil; }
+    /// Whether a response that arrives on this connection can't be taken for one to an earlier send of the attempt.
+    bool mayCarry(const std::string& attemptId) const { return std::find(m_refusedAttempts.begin(), m_refusedAttempts.end(), attemptId) == m_refusedAttempts.end(); }
     const ServerKey& key() const { return m_key; }
 
     /// A server at its connection limit closes a connection right after accepting it, which this process
@@ -153,8 +157,12 @@
         m_freshUntil = now + allowance / freshDivisor;
         auto response = owner->m_protocol.read(std::move(message), request.attemptId);
         response.connectedAt = m_openedAt;
-        if (response.kind == ServerResponseKind::Unusable) {
+        if (response.kind == ServerResponseKind::NotRun)
+            m_refusedAttempts.push_back(request.attemptId);
+        const bool isUnusable = response.kind == ServerResponseKind::Unusable;
+        if (isUnusable)
             owner->m_unusable.add();
+        if (isUnusable || m_refusedAttempts.size() >= maxRefusedAttempts) {
             m_http->close();
             owner->remove(m_key, this);
         } else {
@@ -197,29 +205,33 @@
     TimePoint m_freshUntil = never;
     boost::asio::steady_timer m_acceptanceTimer;
     TimePoint m_openedAt;
+    std::vector<std::string> m_refusedAttempts; ///< The attempts that the server refused on this connection. It may send a refusal twice, and late.
     bool m_isConnected = false;
     bool m_isAccepted = false; ///< The server has kept the connection open for a round trip: requests may be sent.
     bool m_isClosed = false;
 };
 
-ServerConnections::Impl::ConnectionPtr ServerConnections::Impl::takeIdle(const ServerKey& key, bool mustBeFresh)
+ServerConnections::Impl::ConnectionPtr ServerConnections::Impl::takeIdle(const ServerKey& key, const SendServerRequest& request)
 {
     const auto it = m_idle.find(key);
     if (it == m_idle.end())
         return nullptr;
     const auto now = m_clock.now();
     closeStaleOf(it->second, now);
-    if (it->second.empty() || (mustBeFresh && !it->second.back()->isFresh(now)))
+    auto& idle = it->second;
+    const auto mayCarry = [&](const ConnectionPtr& connection) { return connection->mayCarry(request.attemptId) && (request.isIdempotent || connection->isFresh(now)); };
+    const auto chosen = std::find_if(idle.rbegin(), idle.rend(), mayCarry);
+    if (chosen == idle.rend())
         return nullptr;
-    auto connection = it->second.back();
-    it->second.pop_back();
+    auto connection = *chosen;
+    idle.erase(std::next(chosen).base());
     return connection;
 }
 
 void ServerConnections::Impl::send(const SendServerRequest& request)
 {
     const ServerKey key { request.server.name, request.server.endpoint };
-    if (const auto idle = takeIdle(key, !request.isIdempotent)) {
+    if (const auto idle = takeIdle(key, request)) {
         m_reused.add();
         m_busy.emplace(request.id, idle);
         idle->assign(request);
--- /dev/null
+++ b/tests/adapter/server_connections_test.cpp
@@ -0,0 +1,95 @@
+#include "wire_servers.h"
+
+#include "gateway/server_connections.h"
+#include "http/http_server.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
+
+namespace lycheefield {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A server that refuses every request as not run.
+class RefusingHandler final : public HttpHandler {
+public:
+    void handle(HttpRequest request, std::shared_ptr<HttpExchange> exchange) override
+    {
+        HttpResponse response { 503, "", "" };
+        response.headers.add("Lycheefield-Not-Executed", "1");
+        response.headers.add("Lycheefield-Attempt-Id", std::string(request.headers.find("Lycheefield-Attempt-Id")));
+        response.headers.add("Keep-Alive", "timeout=60");
+        exchange->respond(std::move(response));
+    }
+};
+
+struct ConnectionsFixture final : ServerRequestEvents {
+    ConnectionsFixture()
+        : server(io, handler, clock, counters)
+        , connections(boost::asio::make_strand(io), *clock, protocol, *this, metrics)
+    {
+        entry.name = ServerName("i-1");
+        entry.endpoint = server.listen({ "127.0.0.1", 0 }).value();
+    }
+
+    void onResponse(ServerRequestId, const ServerResponse& response) override
+    {
+        CHECK((response.kind == ServerResponseKind::NotRun));
+        ++responses;
+    }
+    void onFailed(ServerRequestId, ServerRequestFailure) override { FAIL("the server answers every request"); }
+
+    /// Sends the attempt and waits for its refusal. Returns the number of connections that the server has accepted so far.
+    std::uint64_t connectionsAfter(const std::string& attemptId, bool isIdempotent)
+    {
+        const auto expected = responses + 1;
+        const auto message = std::make_shared<const HttpRequest>(HttpRequest { "POST", "/o/1", { { "Host", "a" }, { "Lycheefield-Attempt-Id", attemptId } }, "" });
+        connections.send({ ServerRequestId(static_cast<std::uint64_t>(expected)), entry, message, attemptId, clock->now() + 5s, isIdempotent });
+        io.restart();
+        while (responses < expected && io.run_one() > 0) { }
+        return counters->connections;
+    }
+
+    boost::asio::io_context io { 1 };
+    std::shared_ptr<SteadyClock> clock = std::make_shared<SteadyClock>();
+    std::shared_ptr<HttpServerCounters> counters = std::make_shared<HttpServerCounters>();
+    RefusingHandler handler;
+    HttpServer server;
+    WireServers protocol;
+    Metrics metrics;
+    ServerConnections connections;
+    ServerEntry entry;
+    int responses = 0;
+};
+
+}
+
+TEST_CASE("A refused attempt is sent again on another connection, where no late copy of its refusal can arrive" * doctest::test_suite("adapter"))
+{
+    for (const bool isIdempotent : { false, true }) {
+        CAPTURE(isIdempotent);
+        ConnectionsFixture fixture;
+        CHECK(fixture.connectionsAfter("a", isIdempotent) == 1);
+        CHECK(fixture.connectionsAfter("a", isIdempotent) == 2);
+        CHECK(fixture.connectionsAfter("a", isIdempotent) == 3);
+
+        SUBCASE("Other attempts use the connections that are open")
+        {
+            CHECK(fixture.connectionsAfter("b", isIdempotent) == 3);
+            CHECK(fixture.connectionsAfter("b", isIdempotent) == 3);
+            CHECK(fixture.connectionsAfter("c", isIdempotent) == 3);
+        }
+        SUBCASE("A connection that remembers many refusals is closed")
+        {
+            for (int i = 0; i < 100; ++i)
+                fixture.connectionsAfter("x" + std::to_string(i), isIdempotent);
+            CHECK(fixture.counters->connections.load() == 4);
+        }
+    }
+}
+
+}
