--- a/src/forward/forward_action.h
+++ b/src/forward/forward_action.h
@@ -27,6 +27,11 @@
     ServerRequestId id;
 };
 
+/// Open a connection to the server, to learn whether it still runs. The engine's onServerChecked() is called once.
+struct CheckServer {
+    ServerEntry server;
+};
+
 /// Delegate some shards of a search to another instance. The engine's onDelegationAnswered or
 /// onDelegationFailed is called once for the delegation, unless CancelDelegation ends it.
 struct DelegateShards {
@@ -86,7 +91,7 @@
     std::string detail; ///< The inputs of the decision as "key=value" pairs.
 };
 
-using ForwardAction = std::variant<SendServerRequest, CancelServerRequest, DelegateShards, CancelDelegation, GrantExtraAttempts, RequestExtraAttempts, AnnounceContentCrash, ReportContentCrash, DeliverForwardAnswer, LogForwardDecision>;
+using ForwardAction = std::variant<SendServerRequest, CancelServerRequest, CheckServer, DelegateShards, CancelDelegation, GrantExtraAttempts, RequestExtraAttempts, AnnounceContentCrash, ReportContentCrash, DeliverForwardAnswer, LogForwardDecision>;
 using ForwardActions = std::vector<ForwardAction>;
 
 }
--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -22,7 +22,10 @@
 /// the wait for the parts by more than this share of it.
 constexpr double maxReservedShare = 0.25;
 /// A server that crashes by itself breaks one attempt of a content, and its retry mostly succeeds.
-constexpr CrashPolicy crashPolicy { .minSuspectCrashes = 2, .minSuspectServers = 3, .retention = std::chrono::hours(1) };
+constexpr CrashPolicy crashPolicy { .minSuspectCrashes = 2,
+    .minSuspectServers = 3,
+    .needsConfirmation = true,
+    .retention = std::chrono::hours(1) };
 
 }
 
@@ -114,7 +117,7 @@
     forgetAttempt(id, now);
     recordServerResponse(attempt, response, now);
     if (response.kind == ServerResponseKind::Served)
-        recordServed(attempt, response, now, actions);
+        recordServed(attempt, now, actions);
     auto* request = find(attempt.request);
     if (!request)
         return sendNextQueued(attempt.server->entry.service, now, actions);
@@ -183,7 +186,7 @@
     else
         ServerPool::recordFailure(*attempt.server, now);
     if (failure == ServerRequestFailure::Broken)
-        recordCrash(attempt, now, actions);
+        recordCrash(attempt, now);
     auto* request = find(attempt.request);
     if (!request)
         return sendNextQueued(attempt.server->entry.service, now, actions);
@@ -257,6 +260,7 @@
 {
     while (!m_cancellations.empty() && m_cancellations.begin()->first <= now)
         cancelAttempt(m_cancellations.begin()->second, now, actions);
+    sendDueChecks(now, actions);
     // Each due request is reviewed once, so that events which arrived in the meantime precede its next turn.
     std::vector<RequestNumber> due;
     for (auto it = m_dueTimes.begin(); it != m_dueTimes.end() && it->first <= now; ++it)
@@ -274,7 +278,8 @@
 {
     const auto due = m_dueTimes.empty() ? never : m_dueTimes.begin()->first;
     const auto cancellation = m_cancellations.empty() ? never : m_cancellations.begin()->first;
-    return std::min(due, cancellation);
+    const auto check = m_dueChecks.empty() ? never : m_dueChecks.begin()->first;
+    return std::min({ due, cancellation, check });
 }
 
 void ForwardEngine::forgetAttempt(ServerRequestId id, TimePoint now)
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -61,6 +61,8 @@
     void onResponse(ServerRequestId, const ServerResponse&, TimePoint, ForwardActions&);
     /// Handles an attempt that ended without a response.
     void onServerRequestFailed(ServerRequestId, ServerRequestFailure, TimePoint, ForwardActions&);
+    /// Handles the result of a check: whether the server accepted a connection.
+    void onServerChecked(const ServerName&, bool isRunning, TimePoint, ForwardActions&);
     /// Ends a request whose caller has disconnected, and cancels its idempotent attempts at the servers.
     void cancel(RequestNumber, TimePoint, ForwardActions&);
     /// Sets when finishAll() will be called. From now on a request that would not be answered by then is refused as not run.
@@ -209,12 +211,13 @@
     bool trySend(Request&, std::size_t leg, bool isHedge, TimePoint, ForwardActions&);
     bool takeBudget(const Request&, Leg&, TimePoint);
     /// Records that a server closed the connection while it may have run the attempt, whether or not its request still waits.
-    void recordCrash(const Attempt&, TimePoint, ForwardActions&);
+    void recordCrash(const Attempt&, TimePoint);
+    void sendDueChecks(TimePoint, ForwardActions&);
     /// Records that a server has served the attempt.
-    void recordServed(const Attempt&, const ServerResponse&, TimePoint, ForwardActions&);
+    void recordServed(const Attempt&, TimePoint, ForwardActions&);
     /// Returns what is known about the content's crashes.
     CrashNews newsOf(Fingerprint, TimePoint) const;
-    void announceCrashes(Fingerprint, const CrashedAttempt&, TimePoint, ForwardActions&);
+    void announceCrashes(const ConfirmedCrash&, const ServerName&, TimePoint, ForwardActions&);
     /// Announces the crashes of a request that was not served, so that its caller's next attempt meets instances that know them.
     void announceCrashesOfFailed(const Request&, const ForwardAnswer&, TimePoint, ForwardActions&);
     ContentStanding standingOf(const Request&, TimePoint) const;
@@ -272,6 +275,8 @@
     std::unordered_map<ServiceName, ExtraAttemptBudget> m_budgets;
     std::map<std::string, RouteTimes> m_times;
     CrashEvidence m_evidence;
+    std::set<ServerName> m_checkedServers; ///< The servers whose checks are due or in progress.
+    std::multimap<TimePoint, ServerEntry> m_dueChecks;
     TimePoint m_end = never; ///< When all requests are answered because the process ends.
     std::uint64_t m_lastAttempt = 0;
     std::uint64_t m_lastDelegation = 0;
--- a/src/forward/forward_engine_crashes.cpp
+++ b/src/forward/forward_engine_crashes.cpp
@@ -9,29 +9,41 @@
 /// Crashes of a search are announced at once from this number on. A server that crashes by itself breaks legs
 /// of many searches, which their replicas then serve.
 constexpr std::uint32_t minSearchCrashesToAnnounce = 2;
+/// From a broken connection until the check whether its server still runs. A process that ends closes its sockets one after
+/// the other, and the one that accepts connections may be the last.
+constexpr Duration checkDelay = 50ms;
 
-std::string crashText(Fingerprint content, std::uint32_t crashes)
+}
+
+void ForwardEngine::recordCrash(const Attempt& attempt, TimePoint now)
 {
-    return "content=" + std::to_string(content.value()) + " crashes=" + std::to_string(crashes);
+    const auto& entry = attempt.server->entry;
+    m_evidence.recordCrash(attempt.content, { entry.name, entry.service, attempt.sequence, attempt.isProbe, attempt.isSearch }, now);
+    if (m_checkedServers.insert(entry.name).second)
+        m_dueChecks.emplace(now + checkDelay, entry);
 }
 
+void ForwardEngine::sendDueChecks(TimePoint now, ForwardActions& actions)
+{
+    while (!m_dueChecks.empty() && m_dueChecks.begin()->first <= now) {
+        actions.emplace_back(CheckServer { m_dueChecks.begin()->second });
+        m_dueChecks.erase(m_dueChecks.begin());
+    }
 }
 
-void ForwardEngine::recordCrash(const Attempt& attempt, TimePoint now, ForwardActions& actions)
+void ForwardEngine::onServerChecked(const ServerName& server, bool isRunning, TimePoint now, ForwardActions& actions)
 {
-    const auto& entry = attempt.server->entry;
-    const CrashedAttempt crashed { entry.name, entry.service, attempt.sequence, attempt.isProbe };
-    const bool wasQuarantined = m_evidence.standingOf(attempt.content, now) == ContentStanding::Quarantined;
-    const auto crashesBefore = m_evidence.crashesOf(attempt.content, now);
-    m_evidence.recordCrash(attempt.content, crashed, now);
-    const auto crashes = m_evidence.crashesOf(attempt.content, now);
-    const bool isQuarantined = m_evidence.standingOf(attempt.content, now) == ContentStanding::Quarantined;
-    if (isQuarantined && !wasQuarantined)
-        actions.emplace_back(LogForwardDecision { DecisionImportance::Failure, attempt.attemptId, "request quarantined",
-            crashText(attempt.content, crashes) + (attempt.isProbe ? " why=its probe crashed a server" : " why=servers crashed three times while running its content") });
-    const bool isNews = crashes > crashesBefore || isQuarantined != wasQuarantined;
-    if (isNews && (!attempt.isSearch || isQuarantined || crashes >= minSearchCrashesToAnnounce))
-        announceCrashes(attempt.content, crashed, now, actions);
+    m_checkedServers.erase(server);
+    if (isRunning)
+        return m_evidence.withdrawCrashes(server);
+    for (const auto& it : m_evidence.confirmCrashes(server, now)) {
+        const auto crashes = m_evidence.crashesOf(it.content, now);
+        if (it.startsQuarantine)
+            actions.emplace_back(LogForwardDecision { DecisionImportance::Failure, {}, "request quarantined",
+                "content=" + std::to_string(it.content.value()) + " crashes=" + std::to_string(crashes) + " last_server=" + server.value() });
+        if (it.startsQuarantine || it.hasFailedRequest || !it.isSearchLeg || crashes >= minSearchCrashesToAnnounce)
+            announceCrashes(it, server, now, actions);
+    }
 }
 
 CrashNews ForwardEngine::newsOf(Fingerprint content, TimePoint now) const
@@ -39,11 +51,11 @@
     return { content, m_evidence.crashesOf(content, now), m_evidence.remainingQuarantine(content, now), {} };
 }
 
-void ForwardEngine::announceCrashes(Fingerprint content, const CrashedAttempt& attempt, TimePoint now, ForwardActions& actions)
+void ForwardEngine::announceCrashes(const ConfirmedCrash& crash, const ServerName& server, TimePoint now, ForwardActions& actions)
 {
-    auto news = newsOf(content, now);
-    news.server = attempt.server;
-    news.service = attempt.service;
+    auto news = newsOf(crash.content, now);
+    news.server = server;
+    news.service = crash.service;
     actions.emplace_back(AnnounceContentCrash { std::move(news) });
 }
 
@@ -54,22 +66,23 @@
     const auto crashes = m_evidence.crashesOf(content, now);
     if (isServed || !request.route().isSearch() || crashes == 0 || crashes >= minSearchCrashesToAnnounce)
         return;
+    m_evidence.recordFailedRequest(content);
+    if (m_evidence.hasUnconfirmed(content, now))
+        return;
     for (const auto& leg : request.legs) {
         if (!m_evidence.hasCrashedIn(content, leg.service, now))
             continue;
-        announceCrashes(content, { leg.tried.empty() ? ServerName() : leg.tried.front()->entry.name, leg.service, {}, false }, now, actions);
+        announceCrashes({ content, leg.service }, leg.tried.empty() ? ServerName() : leg.tried.front()->entry.name, now, actions);
         return;
     }
 }
 
-void ForwardEngine::recordServed(const Attempt& attempt, const ServerResponse& response, TimePoint now, ForwardActions& actions)
+void ForwardEngine::recordServed(const Attempt& attempt, TimePoint now, ForwardActions& actions)
 {
     if (m_evidence.isEmpty())
         return;
-    const auto& entry = attempt.server->entry;
-    m_evidence.recordSurvival(entry.name, response.connectedAt, attempt.sentAt);
     const auto crashes = m_evidence.crashesOf(attempt.content, now);
-    const bool isCleared = m_evidence.recordServed(attempt.content, entry.service, now);
+    const bool isCleared = m_evidence.recordServed(attempt.content, attempt.server->entry.service, now);
     if (isCleared && (!attempt.isSearch || crashes >= minSearchCrashesToAnnounce))
         actions.emplace_back(AnnounceContentCrash { { attempt.content, 0, {}, {} } });
     auto* request = find(attempt.request);
@@ -102,7 +115,8 @@
     case ContentStanding::Suspect:
         break;
     }
-    return request.hasPassedProbe || !hasAttemptInFlight(request);
+    // A crash that is being checked may prove the content guilty within a round trip.
+    return request.hasPassedProbe || (!hasAttemptInFlight(request) && !m_evidence.hasUnconfirmed(request.request.content, now));
 }
 
 bool ForwardEngine::hasAttemptInFlight(const Request& request)
--- a/src/forward/forward_request.h
+++ b/src/forward/forward_request.h
@@ -81,7 +81,6 @@
     std::optional<double> rateLimit; ///< Requests per second that the server allows all instances together; empty: any.
     Duration retryAfter {}; ///< With a refusal: the time for which the server wants no request of this instance; zero when it names none.
     bool isLeaving = false; ///< The server leaves and should get no new work.
-    TimePoint connectedAt = never; ///< When the connection that carried the response was opened.
     HttpResponse message;
 
     friend bool operator==(const ServerResponse&, const ServerResponse&) = default;
--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -183,6 +183,11 @@
     callEngine([&](TimePoint now, ForwardActions& actions) { m_engine.onServerRequestFailed(id, failure, now, actions); });
 }
 
+void ForwardDriver::onChecked(const ServerName& server, bool isRunning)
+{
+    callEngine([&](TimePoint now, ForwardActions& actions) { m_engine.onServerChecked(server, isRunning, now, actions); });
+}
+
 void ForwardDriver::setRoutes(std::shared_ptr<const RouteTable> routes)
 {
     m_routes = std::move(routes);
@@ -206,6 +211,8 @@
             m_connections.send(*request);
         else if (const auto* cancelledRequest = std::get_if<CancelServerRequest>(&action))
             m_connections.cancel(cancelledRequest->id);
+        else if (const auto* check = std::get_if<CheckServer>(&action))
+            m_connections.check(check->server);
         else if (const auto* shards = std::get_if<DelegateShards>(&action))
             m_delegation->delegate(*shards);
         else if (const auto* cancelledDelegation = std::get_if<CancelDelegation>(&action))
--- a/src/gateway/server_connections.cpp
+++ b/src/gateway/server_connections.cpp
@@ -60,6 +60,7 @@
     using ConnectionPtr = std::shared_ptr<Connection>;
 
     void send(const SendServerRequest&);
+    void check(const ServerEntry&);
     void cancel(ServerRequestId);
     void closeStale();
     std::size_t count() const { return m_count; }
@@ -71,6 +72,8 @@
     void addIdle(const ServerKey&, const ConnectionPtr&);
     void remove(const ServerKey&, const Connection*);
     void removeBusy(ServerRequestId id) { m_busy.erase(id); }
+    /// Reports the result of the check if the connection was opened for one that is in progress.
+    void endCheck(const Connection&, bool isRunning);
 
 private:
     friend class Connection;
@@ -84,6 +87,7 @@
     Counter& m_unusable;
     std::map<ServerKey, std::vector<ConnectionPtr>> m_idle;
     std::unordered_map<ServerRequestId, ConnectionPtr> m_busy;
+    std::map<ServerKey, ConnectionPtr> m_checks; ///< Connections that are being opened to check servers.
     std::size_t m_count = 0;
 };
 
@@ -133,6 +137,7 @@
         if (!owner)
             return;
         m_isConnected = true;
+        owner->endCheck(*this, true);
         m_acceptanceTimer.expires_after(owner->m_clock.now() - m_openedAt + acceptanceMargin);
         m_acceptanceTimer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
             if (ec || self->m_isClosed)
@@ -140,6 +145,8 @@
             self->m_isAccepted = true;
             if (self->m_request)
                 self->transmit();
+            else
+                self->becomeIdle(defaultIdleAllowance);
         });
     }
 
@@ -151,12 +158,7 @@
         const auto request = *std::exchange(m_request, std::nullopt);
         owner->removeBusy(request.id);
         const auto declared = owner->m_protocol.idleAllowance(message);
-        const auto allowance = declared == Duration {} ? defaultIdleAllowance : declared;
-        const auto now = owner->m_clock.now();
-        m_usableUntil = now + allowance;
-        m_freshUntil = now + allowance / freshDivisor;
         auto response = owner->m_protocol.read(std::move(message), request.attemptId);
-        response.connectedAt = m_openedAt;
         if (response.kind == ServerResponseKind::NotRun)
             m_refusedAttempts.push_back(request.attemptId);
         const bool isUnusable = response.kind == ServerResponseKind::Unusable;
@@ -166,7 +168,7 @@
             m_http->close();
             owner->remove(m_key, this);
         } else {
-            owner->addIdle(m_key, shared_from_this());
+            becomeIdle(declared == Duration {} ? defaultIdleAllowance : declared);
         }
         // Posted, so that a connection that closes with this response is removed before it could be reused.
         boost::asio::post(owner->m_executor, [owner, id = request.id, response = std::move(response)] { owner->m_events.onResponse(id, response); });
@@ -180,6 +182,7 @@
         if (!owner)
             return;
         owner->remove(m_key, this);
+        owner->endCheck(*this, false);
         if (!m_request)
             return;
         const auto id = std::exchange(m_request, std::nullopt)->id;
@@ -188,6 +191,18 @@
     }
 
 private:
+    /// Makes the connection available for later requests until the allowance ends.
+    void becomeIdle(Duration allowance)
+    {
+        const auto owner = m_owner.lock();
+        if (!owner)
+            return;
+        const auto now = owner->m_clock.now();
+        m_usableUntil = now + allowance;
+        m_freshUntil = now + allowance / freshDivisor;
+        owner->addIdle(m_key, shared_from_this());
+    }
+
     void transmit()
     {
         const auto owner = m_owner.lock();
@@ -245,6 +260,26 @@
     connection->open(m_executor);
 }
 
+void ServerConnections::Impl::check(const ServerEntry& server)
+{
+    const ServerKey key { server.name, server.endpoint };
+    m_opened.add();
+    ++m_count;
+    const auto connection = std::make_shared<Connection>(weak_from_this(), key, m_executor, m_clock.now());
+    m_checks.emplace(key, connection);
+    connection->open(m_executor);
+}
+
+void ServerConnections::Impl::endCheck(const Connection& connection, bool isRunning)
+{
+    const auto it = m_checks.find(connection.key());
+    if (it == m_checks.end() || it->second.get() != &connection)
+        return;
+    const auto server = it->first.first;
+    m_checks.erase(it);
+    m_events.onChecked(server, isRunning);
+}
+
 void ServerConnections::Impl::cancel(ServerRequestId id)
 {
     const auto it = m_busy.find(id);
@@ -300,6 +335,11 @@
     m_impl->send(request);
 }
 
+void ServerConnections::check(const ServerEntry& server)
+{
+    m_impl->check(server);
+}
+
 void ServerConnections::cancel(ServerRequestId id)
 {
     m_impl->cancel(id);
--- a/src/query/crash_evidence.cpp
+++ b/src/query/crash_evidence.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace lycheefield {
 
@@ -67,12 +68,15 @@
     return record ? record->crashes : 0;
 }
 
-void CrashEvidence::addServer(Record& record, const ServerName& server, const ServiceName& service, TimePoint now)
+void CrashEvidence::addCrash(Record& record, const CrashedAttempt& attempt, TimePoint now)
 {
-    auto& crashes = record.crashedServers[server];
-    crashes.service = service;
+    auto& crashes = record.crashedServers[attempt.server];
+    crashes.service = attempt.service;
     crashes.lastAt = now;
+    crashes.wasProbe = attempt.wasProbe;
+    crashes.isSearchLeg = attempt.isSearchLeg;
     ++crashes.count;
+    ++crashes.unconfirmed;
 }
 
 void CrashEvidence::recordCrash(Fingerprint fingerprint, const CrashedAttempt& attempt, TimePoint now)
@@ -83,9 +87,62 @@
         record.lastSequence = m_lastSequence;
     }
     record.expiresAt = now + m_policy.retention;
-    addServer(record, attempt.server, attempt.service, now);
-    if (attempt.wasProbe || record.crashes >= minCrashesToQuarantine)
-        record.quarantinedUntil = record.expiresAt;
+    addCrash(record, attempt, now);
+    if (!m_policy.needsConfirmation)
+        confirm(record, record.crashedServers.at(attempt.server), now);
+}
+
+void CrashEvidence::confirm(Record& record, ServerCrashes& crashes, TimePoint now) const
+{
+    crashes.unconfirmed = 0;
+    std::uint32_t confirmed = 0;
+    for (const auto& [server, it] : record.crashedServers)
+        confirmed += it.count - it.unconfirmed;
+    if (crashes.wasProbe || std::min(record.crashes, confirmed) >= minCrashesToQuarantine)
+        record.quarantinedUntil = now + m_policy.retention;
+}
+
+std::vector<ConfirmedCrash> CrashEvidence::confirmCrashes(const ServerName& server, TimePoint now)
+{
+    std::vector<ConfirmedCrash> confirmed;
+    for (auto& [fingerprint, record] : m_records) {
+        const auto it = record.crashedServers.find(server);
+        if (it == record.crashedServers.end() || it->second.unconfirmed == 0)
+            continue;
+        const bool wasQuarantined = record.quarantinedUntil > now;
+        confirm(record, it->second, now);
+        confirmed.push_back({ fingerprint, it->second.service, it->second.isSearchLeg, !wasQuarantined && record.quarantinedUntil > now, record.hasFailedRequest });
+    }
+    return confirmed;
+}
+
+void CrashEvidence::recordFailedRequest(Fingerprint fingerprint)
+{
+    if (const auto it = m_records.find(fingerprint); it != m_records.end())
+        it->second.hasFailedRequest = true;
+}
+
+void CrashEvidence::withdrawCrashes(const ServerName& server)
+{
+    for (auto it = m_records.begin(); it != m_records.end();) {
+        auto& record = it->second;
+        const auto crashes = record.crashedServers.find(server);
+        const bool isWithdrawn = crashes != record.crashedServers.end() && crashes->second.unconfirmed > 0;
+        if (isWithdrawn) {
+            crashes->second.count -= std::exchange(crashes->second.unconfirmed, 0);
+            if (crashes->second.count == 0)
+                record.crashedServers.erase(crashes);
+        }
+        it = isWithdrawn && removeUnaccounted(record) ? m_records.erase(it) : std::next(it);
+    }
+}
+
+bool CrashEvidence::hasUnconfirmed(Fingerprint fingerprint, TimePoint now) const
+{
+    const auto* record = find(fingerprint, now);
+    if (!record)
+        return false;
+    return std::any_of(record->crashedServers.begin(), record->crashedServers.end(), [](const auto& it) { return it.second.unconfirmed > 0; });
 }
 
 void CrashEvidence::recordCrashNews(const CrashNews& news, TimePoint now)
@@ -104,8 +161,10 @@
         record.expiresAt = std::max(record.expiresAt, now + m_policy.retention);
     }
     record.crashes = std::max(record.crashes, news.crashes);
-    if (namesServer && !record.crashedServers.contains(news.server))
-        addServer(record, news.server, news.service, now);
+    if (namesServer && !record.crashedServers.contains(news.server)) {
+        addCrash(record, { news.server, news.service }, now);
+        record.crashedServers.at(news.server).unconfirmed = 0;
+    }
     if (news.quarantine > Duration {})
         record.quarantinedUntil = std::max(record.quarantinedUntil, now + news.quarantine);
     record.expiresAt = std::max(record.expiresAt, record.quarantinedUntil);
@@ -142,18 +201,6 @@
     return accounted == 0;
 }
 
-void CrashEvidence::recordSurvival(const ServerName& server, TimePoint connectedAt, TimePoint sentAt)
-{
-    for (auto it = m_records.begin(); it != m_records.end();) {
-        auto& record = it->second;
-        const auto crashes = record.crashedServers.find(server);
-        const bool isWithdrawn = crashes != record.crashedServers.end() && crashes->second.lastAt > connectedAt && crashes->second.lastAt < sentAt;
-        if (isWithdrawn && --crashes->second.count == 0)
-            record.crashedServers.erase(crashes);
-        it = isWithdrawn && removeUnaccounted(record) ? m_records.erase(it) : std::next(it);
-    }
-}
-
 bool CrashEvidence::mayRunOn(Fingerprint fingerprint, const Shard& shard, const ServerName& server, TimePoint now) const
 {
     const auto* record = find(fingerprint, now);
--- a/src/query/crash_evidence.h
+++ b/src/query/crash_evidence.h
@@ -15,6 +15,7 @@
 struct CrashPolicy {
     std::uint32_t minSuspectCrashes = 1; ///< Separate crashes from which content is suspect.
     std::uint32_t minSuspectServers = 1; ///< Servers that crashed, separately or at once, from which content is suspect.
+    bool needsConfirmation = false; ///< Whether a crash counts towards a quarantine only after confirmCrashes().
     Duration retention = std::chrono::minutes(5); ///< Time after the last crash for which evidence is kept and content is quarantined.
 
     friend bool operator==(const CrashPolicy&, const CrashPolicy&) = default;
@@ -26,6 +27,18 @@
     ServiceName service; ///< Empty when unknown.
     std::uint64_t sequence = 0; ///< From CrashEvidence::nextSequence(), taken when the attempt was sent.
     bool wasProbe = false; ///< Whether the content ran as a probe, with no other attempt of its request in flight.
+    bool isSearchLeg = false;
+};
+
+/// A crash on record that is now known to be one.
+struct ConfirmedCrash {
+    Fingerprint content;
+    ServiceName service;
+    bool isSearchLeg = false;
+    bool startsQuarantine = false;
+    bool hasFailedRequest = false; ///< See CrashEvidence::recordFailedRequest().
+
+    friend bool operator==(const ConfirmedCrash&, const ConfirmedCrash&) = default;
 };
 
 /// Evidence against contents that ran when servers crashed, from this instance's own attempts and from
@@ -34,7 +47,8 @@
 /// Servers that crash by themselves take down whatever they run, often several at the same moment. So only
 /// an attempt that was sent after the last separate crash of the same content is evidence of another one.
 /// Suspect content runs as a probe, one attempt at a time. A crash during a probe, or the third separate
-/// crash, quarantines the content. The number of records is bounded. Not thread safe.
+/// crash, quarantines the content. A broken connection may have another cause than a crash, so the owner can check whether the
+/// server still runs before a crash counts towards a quarantine. The number of records is bounded. Not thread safe.
 class CrashEvidence {
 public:
     static constexpr std::size_t maxRecords = 256;
@@ -53,6 +67,14 @@
     std::uint32_t crashesOf(Fingerprint, TimePoint) const;
     /// Records that a server crashed while it ran an attempt of the content.
     void recordCrash(Fingerprint, const CrashedAttempt&, TimePoint);
+    /// Confirms all unconfirmed crashes of the server, which does not run any more.
+    std::vector<ConfirmedCrash> confirmCrashes(const ServerName&, TimePoint);
+    /// Withdraws all unconfirmed crashes of the server, which still runs: only connections had broken.
+    void withdrawCrashes(const ServerName&);
+    /// Records that a request with the content, which has crashes on record, ended without being served.
+    void recordFailedRequest(Fingerprint);
+    /// Returns whether a crash of the content is unconfirmed.
+    bool hasUnconfirmed(Fingerprint, TimePoint) const;
     /// Records what another instance announced about content that crashed a server.
     void recordCrashNews(const CrashNews&, TimePoint);
     /// Records that the server answered an attempt sent at sentAt: a server that crashed before then is back.
@@ -60,9 +82,6 @@
     /// Records that a server of the service served the content: its crashes in that service had another cause.
     /// Returns whether this cleared the content, which had crashes on record.
     bool recordServed(Fingerprint, const ServiceName&, TimePoint);
-    /// Records that the server answered an attempt sent at sentAt on a connection opened at connectedAt. Its process
-    /// ran all that time, so only a connection broke where a crash was recorded in between, which is withdrawn.
-    void recordSurvival(const ServerName&, TimePoint connectedAt, TimePoint sentAt);
 
     /// Returns false when the content crashed another replica of the shard that has not answered since.
     bool mayRunOn(Fingerprint, const Shard&, const ServerName&, TimePoint) const;
@@ -80,12 +99,16 @@
         ServiceName service;
         TimePoint lastAt {};
         std::uint32_t count = 0;
+        std::uint32_t unconfirmed = 0; ///< How many of them.
+        bool wasProbe = false; ///< Whether the content ran as a probe at the last one.
+        bool isSearchLeg = false;
     };
     struct Record {
         std::uint32_t crashes = 0; ///< Separate crashes.
         std::uint64_t lastSequence = 0; ///< The last attempt that was sent before the last separate crash.
         TimePoint expiresAt {};
         TimePoint quarantinedUntil {};
+        bool hasFailedRequest = false;
         std::map<ServerName, ServerCrashes> crashedServers; ///< The servers that have not answered since their crash.
     };
 
@@ -93,7 +116,8 @@
     Record& recordOf(Fingerprint, TimePoint);
     /// Removes all expired records, and one more when there are too many.
     void evict(TimePoint);
-    static void addServer(Record&, const ServerName&, const ServiceName&, TimePoint);
+    static void addCrash(Record&, const CrashedAttempt&, TimePoint);
+    void confirm(Record&, ServerCrashes&, TimePoint) const;
     /// Lowers the number of separate crashes to what the servers on record account for. Returns whether none is left.
     static bool removeUnaccounted(Record&);
 
--- a/tests/adapter/server_connections_test.cpp
+++ b/tests/adapter/server_connections_test.cpp
@@ -41,6 +41,11 @@
         CHECK((response.kind == ServerResponseKind::NotRun));
         ++responses;
     }
+    void onChecked(const ServerName& name, bool isRunning) override
+    {
+        CHECK(name == entry.name);
+        checks.push_back(isRunning);
+    }
     void onFailed(ServerRequestId, ServerRequestFailure) override { FAIL("the server answers every request"); }
 
     /// Sends the attempt and waits for its refusal. Returns the number of connections that the server has accepted so far.
@@ -64,6 +69,7 @@
     ServerConnections connections;
     ServerEntry entry;
     int responses = 0;
+    std::vector<bool> checks;
 };
 
 }
@@ -92,4 +98,29 @@
     }
 }
 
+TEST_CASE("A check tells whether a server accepts connections" * doctest::test_suite("adapter"))
+{
+    ConnectionsFixture fixture;
+    const auto runCheck = [&] {
+        fixture.connections.check(fixture.entry);
+        fixture.io.restart();
+        while (fixture.checks.empty() && fixture.io.run_one() > 0) { }
+    };
+
+    SUBCASE("The connection to a running server stays open for the next request")
+    {
+        runCheck();
+        CHECK(fixture.checks == std::vector<bool> { true });
+        CHECK(fixture.connections.count() == 1);
+    }
+    SUBCASE("A server that has ended refuses the connection")
+    {
+        fixture.server.close();
+        fixture.io.poll();
+        runCheck();
+        CHECK(fixture.checks == std::vector<bool> { false });
+        CHECK(fixture.connections.count() == 0);
+    }
+}
+
 }
--- a/tests/forward/forward_test_bed.h
+++ b/tests/forward/forward_test_bed.h
@@ -46,6 +46,8 @@
     void setContent(Fingerprint content) { m_content = content; }
     /// Breaks the connections of all server requests in flight at once, as servers do that crash.
     void crashServersInFlight();
+    /// Sets whether servers whose connections break still run; by default they have crashed.
+    void setServersSurvive(bool survive) { m_serversSurvive = survive; }
     const std::vector<ReportContentCrash>& reportedCrashes() const { return m_reportedCrashes; }
     /// Sets the network time between the instance and the callers of later requests.
     void setNetworkTime(Duration time) { m_networkTime = time; }
@@ -110,6 +112,7 @@
 
     Duration m_networkTime {};
     Fingerprint m_content { 1 };
+    bool m_serversSurvive = false;
     std::vector<ReportContentCrash> m_reportedCrashes;
     TimePoint m_now { std::chrono::seconds(100) };
     std::map<ServerName, Server> m_servers;
