--- a/src/forward/forward_engine_crashes.cpp
+++ b/src/forward/forward_engine_crashes.cpp
@@ -34,6 +34,7 @@
 void ForwardEngine::onServerChecked(const ServerName& server, bool isRunning, TimePoint now, ForwardActions& actions)
 {
     m_checkedServers.erase(server);
+    actions.emplace_back(LogForwardDecision { DecisionImportance::Extra, {}, "server checked after a connection broke", "server=" + server.value() + " running=" + (isRunning ? "yes" : "no") });
     if (isRunning)
         return m_evidence.withdrawCrashes(server);
     for (const auto& it : m_evidence.confirmCrashes(server, now)) {
