The soak test sends requests that crash their servers, and servers name limits

Change: a search and an order that crash each server, sent again every 1.5 s at any gateway; a server that allows 5 requests a second in each calm phase, checked from 4.5 s on. FaultLink::crash() closes the port as a process that ends does.

--- a/tests/soak/fault_link.cpp
+++ b/tests/soak/fault_link.cpp
@@ -124,6 +124,25 @@
             it->end();
     }
 
+    void crash(Duration downTime)
+    {
+        boost::system::error_code ec;
+        m_acceptor.close(ec);
+        resetAll();
+        // The port stays bound, so that no other process takes it, and without a listener it refuses connections.
+        const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), own.port);
+        m_acceptor.open(endpoint.protocol());
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+        m_acceptor.bind(endpoint);
+        auto timer = std::make_shared<asio::steady_timer>(m_io, downTime);
+        timer->async_wait([self = shared_from_this(), timer](const boost::system::error_code&) {
+            if (!self->m_acceptor.is_open())
+                return;
+            self->m_acceptor.listen();
+            self->accept();
+        });
+    }
+
     void stallAll()
     {
         for (const auto& it : m_tunnels)
@@ -166,6 +185,11 @@
     m_impl->resetAll();
 }
 
+void FaultLink::crash(Duration downTime)
+{
+    m_impl->crash(downTime);
+}
+
 void FaultLink::stall()
 {
     m_impl->stallAll();
--- a/tests/soak/fault_link.h
+++ b/tests/soak/fault_link.h
@@ -28,6 +28,8 @@
     void setFaults(const LinkFaults&);
     /// Resets every open connection.
     void reset();
+    /// Resets every open connection and refuses new ones for that time, as a server does that crashes and starts again.
+    void crash(Duration downTime);
     /// Blocks all bytes of the connections that are open now, permanently.
     void stall();
 
--- a/tests/soak/soak_backend.cpp
+++ b/tests/soak/soak_backend.cpp
@@ -11,16 +11,22 @@
 constexpr unsigned unavailable = 503;
 constexpr unsigned failed = 500;
 constexpr std::size_t recordsPerPart = 4;
+constexpr Duration downTime = std::chrono::seconds(2);
+constexpr Duration limitWindow = std::chrono::seconds(4);
+/// Tolerance of the limit: a factor, and requests in addition.
+constexpr double limitFactor = 1.5;
+constexpr double limitExtra = 5;
 constexpr Duration maxExtraWork = std::chrono::milliseconds(50);
 
 }
 
-SoakBackend::SoakBackend(boost::asio::io_context& io, std::string service, std::string name, std::string zone, GuaranteeChecker& promises, RandomSource& random)
+SoakBackend::SoakBackend(boost::asio::io_context& io, std::string service, std::string name, std::string zone, GuaranteeChecker& promises, CrashingRequests& crashing, RandomSource& random)
     : m_io(io)
     , m_service(std::move(service))
     , m_name(std::move(name))
     , m_zone(std::move(zone))
     , m_checker(promises)
+    , m_crashing(crashing)
     , m_random(random)
     , m_server(io, *this, std::make_shared<SteadyClock>(), std::make_shared<HttpServerCounters>())
     , m_link(std::make_unique<FaultLink>(io, m_server.listen({ "127.0.0.1", 0 }).value()))
@@ -45,9 +51,41 @@
     HttpResponse response { run.status, "application/octet-stream", run.body };
     response.headers.add("Lycheefield-Response-Stamp", run.signature);
     response.headers.add("Lycheefield-Attempt-Id", id);
+    if (m_limit)
+        response.headers.add("Server-Limit", std::to_string(*m_limit));
     return response;
 }
 
+void SoakBackend::setLimit(std::optional<double> limit)
+{
+    m_limit = limit;
+    m_limitCheckedFrom = never;
+    m_arrivals.clear();
+}
+
+void SoakBackend::countForLimit()
+{
+    const auto now = SteadyClock().now();
+    if (!m_limit || now < m_limitCheckedFrom)
+        return;
+    m_arrivals.push_back(now);
+    while (m_arrivals.front() < now - limitWindow)
+        m_arrivals.pop_front();
+    const auto allowed = limitFactor * *m_limit * std::chrono::duration<double>(limitWindow).count() + limitExtra;
+    if (static_cast<double>(m_arrivals.size()) > allowed)
+        m_checker.fail("a server got more requests than the limit that it names allows");
+}
+
+void SoakBackend::crash(const HttpRequest& request)
+{
+    m_crashing.onCrash(std::string(request.headers.find("Lycheefield-Attempt-Id")), request.target, SteadyClock().now());
+    if (std::exchange(m_isDown, true))
+        return;
+    m_link->crash(downTime);
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_io, downTime);
+    timer->async_wait([this, timer](const boost::system::error_code&) { m_isDown = false; });
+}
+
 void SoakBackend::handle(HttpRequest request, std::shared_ptr<HttpExchange> exchange)
 {
     const bool isTarget = request.headers.find("Lycheefield-Target-Instance") == m_name;
@@ -56,6 +94,9 @@
         response.headers.add("Lycheefield-Not-Executed", "1");
         return exchange->respond(std::move(response));
     }
+    countForLimit();
+    if (CrashingRequests::isOne(request))
+        return crash(request);
     if (SteadyClock().now() > drainDeadline)
         m_checker.fail("a server received a request after the drain limit had passed");
     auto timer = std::make_shared<boost::asio::steady_timer>(m_io, m_faults.work + Duration(static_cast<Duration::rep>(m_random.below(maxExtraWork.count()))));
--- a/tests/soak/soak_backend.h
+++ b/tests/soak/soak_backend.h
@@ -1,14 +1,18 @@
 #pragma once
 
+#include "crashing_requests.h"
 #include "fault_link.h"
 #include "guarantee_checker.h"
 
+#include "base/clock.h"
 #include "base/random_source.h"
 #include "http/http_server.h"
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace lycheefield::soak {
@@ -24,7 +28,7 @@
 /// A backend server that implements the users' published protocol, behind a FaultLink.
 class SoakBackend final : public HttpHandler {
 public:
-    SoakBackend(boost::asio::io_context&, std::string service, std::string name, std::string zone, GuaranteeChecker&, RandomSource&);
+    SoakBackend(boost::asio::io_context&, std::string service, std::string name, std::string zone, GuaranteeChecker&, CrashingRequests&, RandomSource&);
 
     void handle(HttpRequest, std::shared_ptr<HttpExchange>) override;
     /// Returns the next version of the entry of the server for the store.
@@ -33,21 +37,32 @@
     FaultLink& link() { return *m_link; }
     const std::string& name() const { return m_name; }
     const std::string& service() const { return m_service; }
+    /// Makes the server name a limit of requests per second, or none.
+    void setLimit(std::optional<double>);
+    /// From now on more requests than the limit allows are a violation.
+    void checkLimit() { m_limitCheckedFrom = SteadyClock().now(); }
     /// Time after which a request to the draining server is a violation; `never` while it serves.
     TimePoint drainDeadline = never;
 
 private:
     HttpResponse run(const HttpRequest&);
+    void crash(const HttpRequest&);
+    void countForLimit();
 
     boost::asio::io_context& m_io;
     std::string m_service;
     std::string m_name;
     std::string m_zone;
     GuaranteeChecker& m_checker;
+    CrashingRequests& m_crashing;
     RandomSource& m_random;
     HttpServer m_server;
     std::unique_ptr<FaultLink> m_link;
     BackendFaults m_faults;
+    bool m_isDown = false;
+    std::optional<double> m_limit;
+    TimePoint m_limitCheckedFrom = never;
+    std::deque<TimePoint> m_arrivals; ///< Of the last seconds, while the limit is checked.
     std::uint64_t m_runs = 0;
     mutable std::uint64_t m_sequence = 0;
 };
--- a/tests/soak/soak_test_bed.cpp
+++ b/tests/soak/soak_test_bed.cpp
@@ -26,6 +26,8 @@
 constexpr Duration recoveryTime = 12s;
 constexpr Duration faultPhase = 8s;
 constexpr Duration calmPhase = 9s;
+constexpr Duration crashingInterval = 1500ms;
+constexpr double limitPerSecond = 5; ///< That a server names in a calm phase.
 constexpr double minServedAfterRecovery = 0.9; ///< Share of the requests sent after the recovery time.
 const std::vector<std::string> zones { "a", "b", "c" };
 
@@ -131,7 +133,7 @@
 void SoakTestBed::addBackend(const std::string& service, std::size_t number, const std::string& zone)
 {
     const auto name = service + "-" + std::to_string(number);
-    m_backends.push_back(std::make_unique<SoakBackend>(m_io, service, name, zone, m_checker, m_random));
+    m_backends.push_back(std::make_unique<SoakBackend>(m_io, service, name, zone, m_checker, m_crashing, m_random));
     m_store.put("servers", name, m_backends.back()->entry(false));
 }
 
@@ -405,6 +407,20 @@
     }
 }
 
+void SoakTestBed::sendCrashing()
+{
+    if (!m_isSending)
+        return;
+    const auto& node = m_nodes[m_random.below(m_nodes.size())];
+    const bool isSearch = m_random.below(2) == 0;
+    auto request = newRequest(*node, isSearch, isSearch ? "/s/" : "/o/");
+    request.target = isSearch ? "/s/crash" : "/o/crash";
+    request.body = isSearch ? "" : "crash";
+    m_crashing.onSent(request, isUndisturbed(*node) && node->isExpectedToRun, m_clock.now());
+    sendRequest(*node, request);
+    runAfter(crashingInterval, [this] { sendCrashing(); });
+}
+
 void SoakTestBed::sendNext()
 {
     if (!m_isSending)
@@ -426,19 +442,25 @@
     runFor(4s);
     m_isSending = true;
     sendNext();
+    sendCrashing();
     const auto end = m_clock.now() + m_settings.duration;
     while (m_clock.now() < end) {
         m_isInjecting = true;
         injectFault();
         runFor(faultPhase);
         m_isInjecting = false;
+        auto& limited = *m_backends[m_random.below(m_backends.size())];
+        limited.setLimit(limitPerSecond);
         runFor(calmPhase / 2);
+        ++m_faults["limit"];
+        limited.checkLimit();
         drain(*m_backends[m_random.below(m_backends.size())]);
         const auto before = m_version;
         m_version += 1 + m_random.below(5);
         publishConfiguration();
         runAfter(applyLimit, [this, added = m_version, before] { probeConfiguration(added, before); });
         runFor(calmPhase / 2);
+        limited.setLimit(std::nullopt);
     }
     runFor(recoveryTime);
     const auto before = m_lastRequestNumber;
@@ -449,6 +471,8 @@
     m_isSending = false;
     runFor(4s);
     m_checker.checkAll();
+    m_crashing.check(m_checker);
+    m_faults["crash by a request"] = m_crashing.crashes();
     std::cout << "seed=" << m_settings.seed << " requests=" << m_lastRequestNumber << " answered=" << m_checker.answers() << " served=" << m_checker.successes()
               << " checks=" << m_checker.checks() << " broken=" << m_checker.violations().size() << '\n';
     for (const auto& [name, n] : m_faults)
--- a/tests/soak/soak_test_bed.h
+++ b/tests/soak/soak_test_bed.h
@@ -59,6 +59,8 @@
     void sendNext();
     void send(Node&);
     void sendRequest(Node&, const SoakRequest&);
+    /// Sends a request that crashes its servers, and schedules the next one.
+    void sendCrashing();
     SoakRequest newRequest(const Node&, bool isSearch, const std::string& prefix);
     /// Sends every undisturbed gateway a request for the route just added and one for the route just dropped.
     void probeConfiguration(std::uint64_t added, std::uint64_t dropped);
@@ -71,6 +73,7 @@
     boost::asio::io_context m_io { 1 };
     SeededRandom m_random;
     GuaranteeChecker m_checker;
+    CrashingRequests m_crashing;
     standin::PublishedStoreServer m_store;
     Endpoint m_storeEndpoint;
     std::vector<std::unique_ptr<SoakBackend>> m_backends;
