--- a/src/query/crash_evidence.cpp
+++ b/src/query/crash_evidence.cpp
@@ -130,6 +130,7 @@
         const bool isWithdrawn = crashes != record.crashedServers.end() && crashes->second.unconfirmed > 0;
         if (isWithdrawn) {
             crashes->second.count -= std::exchange(crashes->second.unconfirmed, 0);
+            crashes->second.wasProbe = false;
             if (crashes->second.count == 0)
                 record.crashedServers.erase(crashes);
         }
--- a/tests/adapter/quarantine_feed_test.cpp
+++ b/tests/adapter/quarantine_feed_test.cpp
@@ -121,6 +121,7 @@
 
 TEST_CASE("An unreadable object of quarantines counts as empty" * doctest::test_suite("adapter"))
 {
+    CHECK(decodeQuarantines(R"({"contents":[{"content":"5","crashes":3,"endsAt":18446744073709551615}]})").empty());
     CHECK(decodeQuarantines("").empty());
     CHECK(decodeQuarantines("[1]").empty());
     CHECK(decodeQuarantines(R"({"contents":[7,{"content":"x"},{"content":"5","crashes":-1,"endsAt":3}]})").empty());
--- a/tests/forward/crashing_request_test.cpp
+++ b/tests/forward/crashing_request_test.cpp
@@ -10,14 +10,6 @@
 
 namespace {
 
-ForwardSettings settingsInZoneA()
-{
-    ForwardSettings settings;
-    settings.zone = ZoneName("a");
-    settings.retrySlack = 100;
-    return settings;
-}
-
 const std::vector<std::string> shards { "s0", "s1", "s2", "s3", "s4", "s5" };
 
 /// Six shards with two replicas each.
--- a/tests/forward/delegated_search_test.cpp
+++ b/tests/forward/delegated_search_test.cpp
@@ -9,7 +9,7 @@
 /// Six shards with servers in this instance's zone, and four with servers only in zone b, where
 /// another instance can be a delegate.
 struct DelegatedSearchFixture {
-    explicit DelegatedSearchFixture(const ForwardSettings& used = settings())
+    explicit DelegatedSearchFixture(const ForwardSettings& used = settingsInZoneA())
         : testBed(used)
         , chooser(InstanceName("a1"), ZoneName("a"))
     {
@@ -25,14 +25,6 @@
         testBed.engine().setDelegateChooser(chooser);
     }
 
-    static ForwardSettings settings()
-    {
-        ForwardSettings settings;
-        settings.zone = ZoneName("a");
-        settings.retrySlack = 100;
-        return settings;
-    }
-
     /// Returns a delegate's answer with the first n of its four shards.
     ForwardAnswer parts(std::uint32_t n) const
     {
@@ -171,7 +163,7 @@
 
 TEST_CASE("The engine waits for a silent delegate while the budget allows no extra attempt" * doctest::test_suite("forward"))
 {
-    auto settings = DelegatedSearchFixture::settings();
+    auto settings = settingsInZoneA();
     settings.retrySlack = 0;
     DelegatedSearchFixture search(settings);
     auto& testBed = search.testBed;
@@ -255,7 +247,7 @@
 
 TEST_CASE("The engine of a small instance delegates a search with more shards than it can send in time" * doctest::test_suite("forward"))
 {
-    auto settings = DelegatedSearchFixture::settings();
+    auto settings = settingsInZoneA();
     settings.cores = Share { 0.1 };
     ForwardTestBed testBed(settings);
     std::vector<std::string> names;
--- a/tests/forward/forward_engine_test.cpp
+++ b/tests/forward/forward_engine_test.cpp
@@ -6,14 +6,6 @@
 
 namespace {
 
-ForwardSettings settings()
-{
-    ForwardSettings settings;
-    settings.zone = ZoneName("a");
-    settings.retrySlack = 100;
-    return settings;
-}
-
 std::vector<std::string> shards(int n)
 {
     std::vector<std::string> names;
@@ -45,7 +37,7 @@
 // Callers in another network open a connection for each request: two round trips pass before a response has reached them.
 TEST_CASE("The time on the network counts against the target latency" * doctest::test_suite("forward"))
 {
-    ForwardTestBed testBed(settings());
+    ForwardTestBed testBed(settingsInZoneA());
     addShards(testBed, 20);
     const auto route = testBed.searchRoute(shards(20));
     silenceShard3(testBed);
@@ -56,7 +48,7 @@
         const auto number = testBed.start(route);
         testBed.run(300ms);
         REQUIRE(testBed.answerTo(number));
-        CHECK(testBed.outcomes().at(number).took == route.targetLatency - settings().answerMargin - mergeTime - 20ms);
+        CHECK(testBed.outcomes().at(number).took == route.targetLatency - settingsInZoneA().answerMargin - mergeTime - 20ms);
     }
     SUBCASE("A caller that is further away than that leaves most of the target latency to the search")
     {
@@ -71,7 +63,7 @@
 // A slow processor would write the answer of a search over many shards after the target latency.
 TEST_CASE("A slower instance begins earlier to merge the parts of a search" * doctest::test_suite("forward"))
 {
-    auto slow = settings();
+    auto slow = settingsInZoneA();
     slow.cores = Share { 0.1 };
     ForwardTestBed testBed(slow);
     addShards(testBed, 20);
@@ -85,7 +77,7 @@
 
 TEST_CASE("However slow the instance, most of the target latency is left to the servers" * doctest::test_suite("forward"))
 {
-    auto slow = settings();
+    auto slow = settingsInZoneA();
     slow.cores = Share { 0.001 };
     ForwardTestBed testBed(slow);
     addShards(testBed, 20);
@@ -100,7 +92,7 @@
 // An urgent search of distant callers: a hedge at a share of the whole target latency would come too late to be of use.
 TEST_CASE("A hedge is sent early enough for the second server to answer in time" * doctest::test_suite("forward"))
 {
-    ForwardTestBed testBed(settings());
+    ForwardTestBed testBed(settingsInZoneA());
     addShards(testBed, 20);
     auto route = testBed.searchRoute(shards(20));
     route.targetLatency = 100ms;
@@ -115,7 +107,7 @@
 
 TEST_CASE("A search sends one leg to every shard" * doctest::test_suite("forward"))
 {
-    ForwardTestBed testBed(settings());
+    ForwardTestBed testBed(settingsInZoneA());
     addShards(testBed, 20);
     const auto route = testBed.searchRoute(shards(20));
     const auto number = testBed.start(route);
@@ -152,7 +144,7 @@
         REQUIRE(answer);
         CHECK(answer->missingShards == 2);
         CHECK(answer->signatures.size() == 18);
-        CHECK(testBed.outcomes().at(number).took == route.targetLatency - settings().answerMargin - mergeTime);
+        CHECK(testBed.outcomes().at(number).took == route.targetLatency - settingsInZoneA().answerMargin - mergeTime);
     }
     SUBCASE("With too few parts the search waits past the target latency and is answered as soon as enough have arrived")
     {
@@ -192,7 +184,7 @@
 
 TEST_CASE("The engine refuses a search that can't cover enough shards at once, as not run" * doctest::test_suite("forward"))
 {
-    ForwardTestBed testBed(settings());
+    ForwardTestBed testBed(settingsInZoneA());
     addShards(testBed, 10);
     const auto number = testBed.start(testBed.searchRoute(shards(20)));
     const auto* answer = testBed.answerTo(number);
@@ -204,7 +196,7 @@
 
 TEST_CASE("The engine sends a non-idempotent request to one server at first" * doctest::test_suite("forward"))
 {
-    ForwardTestBed testBed(settings());
+    ForwardTestBed testBed(settingsInZoneA());
     for (const auto* it : { "s1", "s2", "s3" })
         testBed.addServer("ledger", it, "a");
     const auto number = testBed.start(testBed.singleRoute("ledger", false));
@@ -230,7 +222,7 @@
     {
         for (const auto failure : { ServerRequestFailure::NotConnected, ServerRequestFailure::ConnectionRejected }) {
             CAPTURE(toString(failure));
-            ForwardTestBed other(settings());
+            ForwardTestBed other(settingsInZoneA());
             for (const auto* it : { "s1", "s2" })
                 other.addServer("ledger", it, "a");
             const auto again = other.start(other.singleRoute("ledger", false));
@@ -246,7 +238,7 @@
     }
     SUBCASE("A non-idempotent request waits for its only server while that server is full")
     {
-        ForwardTestBed other(settings());
+        ForwardTestBed other(settingsInZoneA());
         other.addServer("ledger", "s1", "a");
         const auto again = other.start(other.singleRoute("ledger", false));
         other.failServerRequest(other.serverRequests().front().id, ServerRequestFailure::ConnectionRejected);
@@ -280,7 +272,7 @@
 
 TEST_CASE("An idempotent request runs on no more servers than its route allows" * doctest::test_suite("forward"))
 {
-    ForwardTestBed testBed(settings());
+    ForwardTestBed testBed(settingsInZoneA());
     for (const auto* it : { "s1", "s2", "s3", "s4" })
         testBed.addServer("ledger", it, "a");
     const auto number = testBed.start(testBed.singleRoute("ledger", true));
@@ -294,7 +286,7 @@
 
 TEST_CASE("A removed server gets no new work" * doctest::test_suite("forward"))
 {
-    ForwardTestBed testBed(settings());
+    ForwardTestBed testBed(settingsInZoneA());
     addShards(testBed, 1);
     testBed.removeServer("shard0-a");
     testBed.start(testBed.searchRoute(shards(1)));
@@ -304,7 +296,7 @@
 
 TEST_CASE("The engine answers every request when the process ends" * doctest::test_suite("forward"))
 {
-    ForwardTestBed testBed(settings());
+    ForwardTestBed testBed(settingsInZoneA());
     addShards(testBed, 20);
     testBed.model("shard7-a").isSilent = true;
     const auto number = testBed.start(testBed.searchRoute(shards(20)));
--- a/tests/forward/forward_test_bed.cpp
+++ b/tests/forward/forward_test_bed.cpp
@@ -21,6 +21,14 @@
 
 }
 
+ForwardSettings settingsInZoneA()
+{
+    ForwardSettings settings;
+    settings.zone = ZoneName("a");
+    settings.retrySlack = 100;
+    return settings;
+}
+
 ForwardTestBed::ForwardTestBed(ForwardSettings settings)
     : m_engine(std::move(settings), std::make_unique<SeededRandom>(seed))
 {
--- a/tests/forward/forward_test_bed.h
+++ b/tests/forward/forward_test_bed.h
@@ -23,6 +23,9 @@
     Duration retryAfter {}; ///< Of its refusals.
 };
 
+/// The settings of an instance in zone a with a large budget for extra attempts.
+ForwardSettings settingsInZoneA();
+
 /// Simulates the backend servers and callers of one engine on a virtual clock.
 class ForwardTestBed {
 public:
--- a/tests/forward/server_notice_test.cpp
+++ b/tests/forward/server_notice_test.cpp
@@ -6,18 +6,6 @@
 
 using namespace std::chrono_literals;
 
-namespace {
-
-ForwardSettings settingsInZoneA()
-{
-    ForwardSettings settings;
-    settings.zone = ZoneName("a");
-    settings.retrySlack = 100;
-    return settings;
-}
-
-}
-
 TEST_CASE("A server that says in a response that it leaves gets no new work, though its entry is still listed" * doctest::test_suite("forward"))
 {
     ForwardTestBed testBed(settingsInZoneA());
