--- a/tests/adapter/quarantine_feed_test.cpp
+++ b/tests/adapter/quarantine_feed_test.cpp
@@ -105,6 +105,13 @@
         REQUIRE(fixture.kept().size() == 1);
         CHECK(fixture.kept()[0].content == Fingerprint(9));
     }
+    SUBCASE("A quarantine that ends later than any clock allows is cut off, as other instances would not accept it")
+    {
+        fixture.store->object.value = encodeQuarantines({ { Fingerprint(8), 4, unixMillis() + 100'000'000 } });
+        fixture.start();
+        REQUIRE(fixture.known.size() == 1);
+        CHECK(fixture.known[0].quarantine == 1h);
+    }
     SUBCASE("A write whose response is lost, or that the store refuses, is repeated")
     {
         SUBCASE("lost") { fixture.store->losesResponses = true; }
