A body with an encoding other than chunked is refused, not read as the next request

Seen in the review, not put as a case: a request with Transfer-Encoding: gzip had no body for the parser, and its body ran at a server as a request of its own. Change: 400, and the connection closes. Result: the new case passes; on the earlier code it does not end, as both requests are answered and the connection stays open (ended by hand after ten minutes).

--- a/src/http/http_request_reader.cpp
+++ b/src/http/http_request_reader.cpp
@@ -36,6 +36,10 @@
         return refuse(ec);
     if (!m_parser.is_done())
         return buffer.size() > m_maxUnparsed ? refuse(headerTooLarge, "chunk header or trailer too long") : State::NeedsMore;
+    // The parser reads no body of another encoding, which would then be read as the next request.
+    const bool hasOtherEncoding = m_parser.get().count(http::field::transfer_encoding) > 0 && !m_parser.chunked();
+    if (hasOtherEncoding)
+        return refuse(badRequest, "Transfer-Encoding other than chunked");
     m_keepAlive = m_parser.get().keep_alive();
     return State::Done;
 }
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -186,6 +186,11 @@
             bytes += "400\r\n" + std::string(1024, 'x') + "\r\n";
         status = "HTTP/1.1 413";
     }
+    SUBCASE("The body has an encoding other than chunked, and is not read as a request: status 400")
+    {
+        bytes = "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n" + goodRequest;
+        status = "HTTP/1.1 400";
+    }
     SUBCASE("A chunk's extension does not end: status 431")
     {
         bytes = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5;x=" + std::string(1'000'000, 'x');
