--- a/src/forward/forward_engine_crashes.cpp
+++ b/src/forward/forward_engine_crashes.cpp
@@ -116,7 +116,7 @@
     case ContentStanding::Suspect:
         break;
     }
-    // A crash that is being checked may prove the content guilty within a round trip.
+    // The check of a crash, which takes a round trip, may quarantine the content.
     return request.hasPassedProbe || (!hasAttemptInFlight(request) && !m_evidence.hasUnconfirmed(request.request.content, now));
 }
 
--- a/src/forward/limit_sharing.cpp
+++ b/src/forward/limit_sharing.cpp
@@ -70,11 +70,11 @@
 
 std::vector<InstanceName> LimitSharing::senders(const ServerEntry& server, const ServiceReach& reach) const
 {
-    const bool isZoneStaffed = std::any_of(m_instances.begin(), m_instances.end(), [&](const auto& it) { return it.second == server.zone; });
+    const bool hasInstancesInZone = std::any_of(m_instances.begin(), m_instances.end(), [&](const auto& it) { return it.second == server.zone; });
     std::vector<InstanceName> names;
     for (const auto& [name, zone] : m_instances) {
         const bool isRemoteSender = reach.isDirect && !reach.zones.contains(zone);
-        if (zone == server.zone || isRemoteSender || !isZoneStaffed)
+        if (zone == server.zone || isRemoteSender || !hasInstancesInZone)
             names.push_back(name);
     }
     return names;
