--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -149,7 +149,7 @@
     if (response.load)
         ServerPool::recordLoad(server, *response.load, now);
     if (response.retryAfter > Duration {})
-        ServerPool::recordPause(server, response.retryAfter, now);
+        ServerPool::recordRetryAfter(server, response.retryAfter, now);
     if (response.kind != ServerResponseKind::Unusable && response.kind != ServerResponseKind::WrongServer) {
         m_pool.recordLimit(server, response.rateLimit, now);
         server.isLeaving = server.isLeaving || response.isLeaving;
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -85,7 +85,7 @@
     void setDelegateChooser(DelegateChooser& chooser) { m_delegateChooser = &chooser; }
     /// Records what another instance announced about a content that crashed servers.
     void onCrashAnnounced(const CrashNews&, TimePoint);
-    /// Returns what an instance must be told that may know none of the quarantined contents.
+    /// Returns announcements of all quarantined contents.
     std::vector<CrashNews> quarantines(TimePoint now) const { return m_evidence.quarantines(now); }
     /// Replaces the servers that may get work.
     void onServers(const std::map<ServerName, ServerEntry>&, TimePoint);
@@ -112,7 +112,6 @@
         RequestNumber request;
         std::size_t leg = 0;
         std::string routeName;
-        std::string attemptId;
         Fingerprint content;
         bool isIdempotent = false;
         bool isSearch = false;
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -102,7 +102,7 @@
     const ServerRequestId id { ++m_lastAttempt };
     ServerPool::recordSent(*server, now);
     const bool isProbe = standingOf(request, now) == ContentStanding::Suspect && !request.hasPassedProbe;
-    m_attempts.emplace(id, Attempt { server, now, m_evidence.nextSequence(), never, request.request.number, index, request.route().name, request.request.attemptId, request.request.content, request.route().isIdempotent, request.route().isSearch(), isProbe });
+    m_attempts.emplace(id, Attempt { server, now, m_evidence.nextSequence(), never, request.request.number, index, request.route().name, request.request.content, request.route().isIdempotent, request.route().isSearch(), isProbe });
     leg.tried.push_back(server);
     leg.inFlight.push_back(id);
     ++leg.mayHaveRun;
@@ -139,17 +139,20 @@
 bool ForwardEngine::shedLimitedLegs(Request& request, TimePoint now)
 {
     std::vector<std::size_t> limited;
+    std::size_t withoutServers = 0;
     for (std::size_t i = 0; i < request.legs.size(); ++i) {
         const auto& service = request.legs[i].service;
         const bool isSentFromHere = !m_delegateChooser || request.request.isPart() || !request.route().isSearch() || m_pool.hasServersIn(service, m_settings.zone);
         if (isSentFromHere && m_pool.untilAllowed(service, now) > Duration {})
             limited.push_back(i);
+        else if (!m_pool.hasServers(service))
+            ++withoutServers;
     }
     const bool isDividedInZone = request.route().isSearch() && !request.request.isPart() && request.legs.size() > maxLocalLegs(request.route());
     if (limited.empty() || isDividedInZone)
         return true;
     const auto minLegs = request.route().isSearch() ? request.route().minimumOf(request.legs.size()) : 1;
-    if (request.legs.size() - limited.size() < minLegs)
+    if (request.legs.size() - limited.size() - withoutServers < minLegs)
         return false;
     for (const auto it : limited)
         endLeg(request, request.legs[it], LegStage::Shed);
--- a/src/forward/forward_request.h
+++ b/src/forward/forward_request.h
@@ -79,7 +79,7 @@
     std::string signature; ///< Proves which server made the response; empty when there is none.
     std::optional<ServerLoad> load;
     std::optional<double> rateLimit; ///< Requests per second that the server allows all instances together; empty: any.
-    Duration retryAfter {}; ///< With a refusal: the time for which the server wants no request of this instance; zero when it names none.
+    Duration retryAfter {}; ///< With a refusal: the time for which the server wants no request of this instance; zero when it gives none.
     bool isLeaving = false; ///< The server leaves and should get no new work.
     HttpResponse message;
 
--- a/src/forward/limit_sharing.h
+++ b/src/forward/limit_sharing.h
@@ -35,7 +35,7 @@
 
     /// Sets the instances of the fleet, with or without this one.
     void setInstances(const std::vector<Instance>&, TimePoint now);
-    /// Returns this instance's share of the limit, in requests per second, that the server has named.
+    /// Returns this instance's share of the limit, in requests per second, that the server advertises.
     /// Precondition: limit >= 0 and finite.
     RateShare shareOf(const ServerEntry&, double limit, const ServiceReach&, TimePoint now) const;
     /// Returns when a share changes although the instances stay the same; `never` when it does not.
--- a/src/forward/server_pool.cpp
+++ b/src/forward/server_pool.cpp
@@ -206,16 +206,16 @@
 void ServerPool::recordLimit(TrackedServer& server, std::optional<double> limit, TimePoint now)
 {
     if (!limit) {
-        server.namedLimit.reset();
+        server.advertisedLimit.reset();
         server.rateLimit.clear();
         return;
     }
     if (now >= m_nextShareChange)
         ++m_shareVersion;
     m_nextShareChange = m_sharing.nextChange(now);
-    if (server.namedLimit == limit && server.shareVersion == m_shareVersion)
+    if (server.advertisedLimit == limit && server.shareVersion == m_shareVersion)
         return;
-    server.namedLimit = limit;
+    server.advertisedLimit = limit;
     server.shareVersion = m_shareVersion;
     const auto share = m_sharing.shareOf(server.entry, *limit, reachOf(server.entry.service), now);
     // The fill is random, so that the instances do not all send at the same moment.
@@ -282,9 +282,9 @@
     ++server.failuresInRow;
 }
 
-void ServerPool::recordPause(TrackedServer& server, Duration pause, TimePoint now)
+void ServerPool::recordRetryAfter(TrackedServer& server, Duration retryAfter, TimePoint now)
 {
-    server.pausedUntil = std::max(server.pausedUntil, now + pause);
+    server.retryNotBefore = std::max(server.retryNotBefore, now + retryAfter);
 }
 
 void ServerPool::recordLoad(TrackedServer& server, const ServerLoad& load, TimePoint now)
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -36,13 +36,13 @@
     TimePoint fullUntil {};
     std::uint32_t failuresInRow = 0;
     TimePoint avoidUntil {}; ///< End of the back-off after failures; until then the expected latency has a penalty.
-    TimePoint pausedUntil {}; ///< The server has asked this instance to send nothing before.
-    std::optional<double> namedLimit; ///< Requests per second that the server allows all instances together; empty: no limit.
+    TimePoint retryNotBefore {}; ///< From the Retry-After of a refusal; before then the server wants no request of this instance.
+    std::optional<double> advertisedLimit; ///< Requests per second that the server allows all instances together; empty: no limit.
     ServerRateLimit rateLimit; ///< This instance's share of that limit.
     std::uint64_t shareVersion = 0; ///< Of the inputs from which the share was computed.
 
-    /// Returns the time until the server may be sent a request, given its limit and the pause that it asked for.
-    Duration untilAllowed(TimePoint now) const { return std::max(rateLimit.untilAllowed(now), std::max(Duration {}, Duration(pausedUntil - now))); }
+    /// Returns the time until the server may be sent a request, given its limit and its Retry-After.
+    Duration untilAllowed(TimePoint now) const { return std::max(rateLimit.untilAllowed(now), std::max(Duration {}, Duration(retryNotBefore - now))); }
     bool takesNewWork() const { return isListed && !isLeaving && !entry.isDraining; }
 };
 
@@ -90,10 +90,10 @@
     /// now, and unusableCost when no server accepts new work.
     Duration untilUsable(const ServiceName&, TimePoint) const;
 
-    /// Returns the time until a server of the service may be sent a request, given the servers' limits and pauses; zero when
+    /// Returns the time until a server of the service may be sent a request, given the limits and the Retry-After of the servers; zero when
     /// one may now or no server accepts new work.
     Duration untilAllowed(const ServiceName&, TimePoint) const;
-    /// Records the request rate that the server allows, in requests per second, as its last response named it; empty: any.
+    /// Records the request rate that the server allows, in requests per second, as advertised in its last response; empty: any.
     void recordLimit(TrackedServer&, std::optional<double> limit, TimePoint);
 
     static void recordSent(TrackedServer&, TimePoint);
@@ -109,8 +109,8 @@
     /// Returns whether a refusal with that load report means that the server is full. A refusal without a
     /// report, or by a server with no waiting requests, counts as a failure.
     static bool isFull(const std::optional<ServerLoad>& load) { return load && load->waiting > 0; }
-    /// Records that the server asked this instance to send nothing for that time.
-    static void recordPause(TrackedServer&, Duration, TimePoint);
+    /// Records that the server refused a request and wants none of this instance for that time.
+    static void recordRetryAfter(TrackedServer&, Duration, TimePoint);
     static void recordLoad(TrackedServer&, const ServerLoad&, TimePoint);
     /// Marks the server as replaced: another server has its address.
     static void markReplaced(TrackedServer&);
--- a/src/forward/server_rate_limit.h
+++ b/src/forward/server_rate_limit.h
@@ -13,13 +13,13 @@
     friend bool operator==(const RateShare&, const RateShare&) = default;
 };
 
-/// Limits the requests of this instance to one server, while the server names a limit. Performs no I/O. Not thread safe.
+/// Limits the requests of this instance to one server, while the server advertises a limit. Performs no I/O. Not thread safe.
 class ServerRateLimit {
 public:
     /// Sets the share, and refills by the earlier one until now. `tokens` is the fill of a new limit.
     /// Precondition: share.perSecond > 0.
     void set(const RateShare&, double tokens, TimePoint now);
-    /// Ends the limit: the server names none any more.
+    /// Ends the limit: the server advertises none any more.
     void clear() { m_isSet = false; }
     bool isSet() const { return m_isSet; }
 
--- a/tests/forward/crashing_request_test.cpp
+++ b/tests/forward/crashing_request_test.cpp
@@ -237,7 +237,7 @@
     CHECK(testBed.announcedCrashes().front().news.service == ServiceName("s0"));
 }
 
-TEST_CASE("Servers that crash by themselves shut no path to sound requests" * doctest::test_suite("forward"))
+TEST_CASE("Requests that were in flight at servers that crash by themselves are served when they are repeated" * doctest::test_suite("forward"))
 {
     ForwardTestBed testBed(settingsInZoneA());
 
--- a/tests/forward/server_limit_test.cpp
+++ b/tests/forward/server_limit_test.cpp
@@ -38,7 +38,7 @@
     return entry;
 }
 
-/// The engines of a fleet, which send lookups to servers that may name a limit. Virtual time.
+/// The engines of a fleet, which send lookups to servers that may advertise a limit. Virtual time.
 class LimitedFleet {
 public:
     /// One server in each of the zones.
@@ -68,7 +68,7 @@
         m_limit = limit;
         m_namedAt = m_now;
     }
-    /// Makes one server name no limit.
+    /// Makes one server advertise no limit.
     void exempt(const std::string& server) { m_exempt = ServerName(server); }
     /// Sends that many lookups a second in all, each from a random instance that runs.
     void run(Duration time, double perSecond)
@@ -103,7 +103,7 @@
             it.engine->setInstances(m_instances, m_now);
     }
 
-    /// Returns the largest number of requests that one server got in four seconds, from four seconds after it named its limit
+    /// Returns the largest number of requests that one server got in four seconds, from four seconds after it advertised its limit
     /// on, from instances that had known the limit for half a second.
     std::size_t worstFourSeconds() const
     {
--- a/tests/forward/server_notice_test.cpp
+++ b/tests/forward/server_notice_test.cpp
@@ -86,4 +86,24 @@
     }
 }
 
+TEST_CASE("A search that a missing server and a refusing one leave with too few shards is refused before anything is sent" * doctest::test_suite("forward"))
+{
+    ForwardTestBed testBed(settingsInZoneA());
+    std::vector<std::string> shards;
+    for (int i = 0; i < 10; ++i)
+        shards.push_back("s" + std::to_string(i));
+    for (int i = 1; i < 10; ++i)
+        testBed.addServer(shards[static_cast<std::size_t>(i)], "server" + std::to_string(i), "a", { .slots = 1, .queue = 0, .retryAfter = 4s });
+    const auto route = testBed.searchRoute(shards);
+    testBed.start(testBed.singleRoute("s1", true));
+    testBed.start(testBed.singleRoute("s1", true));
+    testBed.run(100ms);
+    const auto refused = testBed.start(route);
+    REQUIRE(testBed.answerTo(refused));
+    CHECK(testBed.answerTo(refused)->kind == ForwardAnswerKind::NotRun);
+    CHECK(testBed.arrivals("server1") == 2);
+    for (int i = 2; i < 10; ++i)
+        CHECK(testBed.arrivals("server" + std::to_string(i)) == 0);
+}
+
 }
--- a/tests/soak/soak_backend.cpp
+++ b/tests/soak/soak_backend.cpp
@@ -73,7 +73,7 @@
         m_arrivals.pop_front();
     const auto allowed = limitFactor * *m_limit * std::chrono::duration<double>(limitWindow).count() + limitExtra;
     if (static_cast<double>(m_arrivals.size()) > allowed)
-        m_checker.fail("a server got more requests than the limit that it names allows");
+        m_checker.fail("a server got more requests than the limit that it advertises allows");
 }
 
 void SoakBackend::crash(const HttpRequest& request)
--- a/tests/soak/soak_backend.h
+++ b/tests/soak/soak_backend.h
@@ -37,7 +37,7 @@
     FaultLink& link() { return *m_link; }
     const std::string& name() const { return m_name; }
     const std::string& service() const { return m_service; }
-    /// Makes the server name a limit of requests per second, or none.
+    /// Makes the server advertise a limit of requests per second, or none.
     void setLimit(std::optional<double>);
     /// From now on more requests than the limit allows are a violation.
     void checkLimit() { m_limitCheckedFrom = SteadyClock().now(); }
--- a/tests/soak/soak_test_bed.cpp
+++ b/tests/soak/soak_test_bed.cpp
@@ -27,7 +27,7 @@
 constexpr Duration faultPhase = 8s;
 constexpr Duration calmPhase = 9s;
 constexpr Duration crashingInterval = 1500ms;
-constexpr double limitPerSecond = 5; ///< That a server names in a calm phase.
+constexpr double limitPerSecond = 5; ///< That a server advertises in a calm phase.
 constexpr double minServedAfterRecovery = 0.9; ///< Share of the requests sent after the recovery time.
 const std::vector<std::string> zones { "a", "b", "c" };
 
