--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -237,7 +237,7 @@
     const bool isWatch = pending->call.kind == PlatformCallKind::Watch;
     if (!isWatch)
         ++m_poolSize;
-    auto connection = makePlatformConnection(m_strand);
+    auto connection = makePlatformConnection(m_strand, m_settings.maxResponse);
     m_busy.insert(connection);
     count([](auto& counters) { ++counters.connectionsOpened; });
     const auto timeout = std::min(m_settings.connectTimeout, timeLeft(*pending));
--- a/src/platform/platform_connection.cpp
+++ b/src/platform/platform_connection.cpp
@@ -18,8 +18,8 @@
 namespace http = beast::http;
 using boost::system::error_code;
 
-/// A list may hold many objects of 1 MB each.
-constexpr std::uint64_t maxResponseBytes = 64ULL * 1024 * 1024;
+/// The parser leaves a chunk's size line and a trailer in the buffer until they end, without a limit of its own.
+constexpr std::size_t maxUnparsedBytes = 64ULL * 1024;
 
 http::verb verbOf(PlatformMethod method)
 {
@@ -36,8 +36,10 @@
 
 class BeastConnection final : public PlatformConnection, public std::enable_shared_from_this<BeastConnection> {
 public:
-    explicit BeastConnection(const asio::any_io_executor& executor)
+    BeastConnection(const asio::any_io_executor& executor, ByteCount maxResponse)
         : m_stream(executor)
+        , m_maxResponse(maxResponse)
+        , m_buf(maxUnparsedBytes)
     {
     }
 
@@ -98,7 +100,7 @@
         if (ec)
             return fail();
         m_parser.emplace();
-        m_parser->body_limit(maxResponseBytes);
+        m_parser->body_limit(m_maxResponse.value);
         http::async_read(m_stream, m_buf, *m_parser, [self = shared_from_this()](error_code ec, std::size_t received) { self->onRead(ec, received); });
     }
 
@@ -125,6 +127,7 @@
     void finish() { std::exchange(m_handler, nullptr)(std::move(m_result)); }
 
     beast::tcp_stream m_stream;
+    ByteCount m_maxResponse;
     beast::flat_buffer m_buf;
     std::string m_host;
     bool m_isOpen = false;
@@ -136,9 +139,9 @@
 
 }
 
-std::shared_ptr<PlatformConnection> makePlatformConnection(const asio::any_io_executor& executor)
+std::shared_ptr<PlatformConnection> makePlatformConnection(const asio::any_io_executor& executor, ByteCount maxResponse)
 {
-    return std::make_shared<BeastConnection>(executor);
+    return std::make_shared<BeastConnection>(executor, maxResponse);
 }
 
 }
--- a/src/platform/platform_connection.h
+++ b/src/platform/platform_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/time.h"
+#include "base/units.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -54,6 +55,7 @@
     virtual void close() = 0;
 };
 
-std::shared_ptr<PlatformConnection> makePlatformConnection(const boost::asio::any_io_executor&);
+/// A response with a longer body than maxResponse fails its exchange and closes the connection.
+std::shared_ptr<PlatformConnection> makePlatformConnection(const boost::asio::any_io_executor&, ByteCount maxResponse);
 
 }
