--- a/tests/adapter/json_text_test.cpp
+++ b/tests/adapter/json_text_test.cpp
@@ -30,6 +30,12 @@
         for (const auto* it : { "{\"a\"}", "{\"a\":}", "{a:1}", "{\"a\":1,}", "[]", "{\"a\":1]" })
             CHECK_FALSE(membersOf(it));
     }
+    // Guards against a name without an end, which took the reader past the end of the text.
+    SUBCASE("Text that ends in a name or in its last backslash gives nothing")
+    {
+        for (const auto* it : { "{\"", "{\"a", "{\"a\\", "{\"a\":1,\"b\\", "{\"\\" })
+            CHECK_FALSE(membersOf(it));
+    }
     SUBCASE("Depth costs no stack")
     {
         constexpr std::size_t depth = 1'000'000;
