--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,11 +1,8 @@
 #include "http/http_server.h"
 
-#include "base/listening_socket.h"
+#include "base/accept_loop.h"
 #include "http/http_server_session.h"
 
-#include <boost/asio/post.hpp>
-#include <boost/asio/strand.hpp>
-
 #include <map>
 #include <mutex>
 
@@ -14,9 +11,8 @@
 class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
 public:
     Impl(boost::asio::io_context& io, HttpHandler& handler, std::shared_ptr<const Clock> clock, std::shared_ptr<HttpServerCounters> counters, HttpLimits limits)
-        : m_io(io)
-        , m_context { handler, std::move(clock), std::move(counters), std::make_shared<Snapshot<HttpLimits>>(limits), std::make_shared<std::atomic<bool>>(false), {} }
-        , m_acceptor(boost::asio::make_strand(io))
+        : m_context { handler, std::move(clock), std::move(counters), std::make_shared<Snapshot<HttpLimits>>(limits), std::make_shared<std::atomic<bool>>(false), {} }
+        , m_acceptLoop(std::make_shared<AcceptLoop>(io))
     {
     }
 
@@ -26,10 +22,7 @@
             if (const auto self = weak.lock())
                 self->remove(id);
         };
-        const auto local = listenOn(m_acceptor, endpoint, "address");
-        if (local)
-            accept();
-        return local;
+        return m_acceptLoop->listen(endpoint, "address", [self = shared_from_this()](boost::asio::ip::tcp::socket socket) { self->add(std::move(socket)); });
     }
 
     void setLimits(const HttpLimits& limits) { m_context.limits->publish(limits); }
@@ -43,13 +36,7 @@
             session->closeIfIdle();
     }
 
-    void stopListening()
-    {
-        boost::asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
-            boost::system::error_code ec;
-            self->m_acceptor.close(ec);
-        });
-    }
+    void stopListening() { m_acceptLoop->close(); }
 
     void close()
     {
@@ -60,21 +47,6 @@
     }
 
 private:
-    void accept()
-    {
-        m_acceptor.async_accept(boost::asio::make_strand(m_io),
-            [self = shared_from_this()](const boost::system::error_code& ec, boost::asio::ip::tcp::socket socket) { self->onAccepted(ec, std::move(socket)); });
-    }
-
-    void onAccepted(const boost::system::error_code& ec, boost::asio::ip::tcp::socket socket)
-    {
-        if (ec == boost::asio::error::operation_aborted || !m_acceptor.is_open())
-            return;
-        if (!ec)
-            add(std::move(socket));
-        accept();
-    }
-
     void add(boost::asio::ip::tcp::socket socket)
     {
         const std::lock_guard lock(m_mutex);
@@ -95,9 +67,8 @@
         m_sessions.erase(id);
     }
 
-    boost::asio::io_context& m_io;
     HttpServerContext m_context;
-    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::shared_ptr<AcceptLoop> m_acceptLoop;
     std::mutex m_mutex;
     std::map<std::uint64_t, std::shared_ptr<HttpServerSession>> m_sessions;
     std::uint64_t m_lastId = 0;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -48,7 +48,7 @@
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
 
-    /// Listens on the endpoint and returns the endpoint with the bound port; for port 0 the kernel chooses a free port. Call at most once.
+    /// Listens on the endpoint and returns the endpoint with the bound port; for port 0 the kernel chooses a free port. Call until it succeeds once.
     Result<Endpoint> listen(const Endpoint&);
     /// Sets the limits for messages and connections that start afterwards.
     void setLimits(const HttpLimits&);
--- a/src/wire/peer_server.cpp
+++ b/src/wire/peer_server.cpp
@@ -1,8 +1,6 @@
 #include "wire/peer_server.h"
 
-#include "base/listening_socket.h"
-
-#include <boost/asio/post.hpp>
+#include <utility>
 
 namespace lycheefield {
 
@@ -16,38 +14,24 @@
 PeerServer::PeerServer(PeerContext context, PeerHandler& handler)
     : m_context(std::move(context))
     , m_handler(handler)
-    , m_acceptor(boost::asio::make_strand(m_context.io))
+    , m_acceptLoop(std::make_shared<AcceptLoop>(m_context.io))
 {
 }
 
 Result<Endpoint> PeerServer::listen(const Endpoint& endpoint)
 {
-    const auto local = listenOn(m_acceptor, endpoint, "inner address");
-    if (local)
-        accept();
-    return local;
-}
-
-void PeerServer::accept()
-{
-    m_acceptor.async_accept(boost::asio::make_strand(m_context.io),
-        [self = shared_from_this()](const boost::system::error_code& ec, boost::asio::ip::tcp::socket socket) { self->onAccepted(ec, std::move(socket)); });
+    return m_acceptLoop->listen(endpoint, "inner address", [self = shared_from_this()](boost::asio::ip::tcp::socket socket) { self->add(std::move(socket)); });
 }
 
-void PeerServer::onAccepted(const boost::system::error_code& ec, boost::asio::ip::tcp::socket socket)
+void PeerServer::add(boost::asio::ip::tcp::socket socket)
 {
-    if (ec == boost::asio::error::operation_aborted || !m_acceptor.is_open())
+    auto session = std::make_shared<FrameSession>(
+        std::move(socket), m_context.self, shared_from_this(), m_context.clock, m_context.counters, m_context.limits);
+    const std::lock_guard lock(m_mutex);
+    if (m_sessions.size() >= maxPeerSessions)
         return;
-    if (!ec) {
-        auto session = std::make_shared<FrameSession>(
-            std::move(socket), m_context.self, shared_from_this(), m_context.clock, m_context.counters, m_context.limits);
-        const std::lock_guard lock(m_mutex);
-        if (m_sessions.size() < maxPeerSessions) {
-            m_sessions.insert(session);
-            session->start();
-        }
-    }
-    accept();
+    m_sessions.insert(session);
+    session->start();
 }
 
 void PeerServer::reply(const InstanceName& to, PeerMessage message)
@@ -65,10 +49,7 @@
 
 void PeerServer::close()
 {
-    boost::asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
-        boost::system::error_code ec;
-        self->m_acceptor.close(ec);
-    });
+    m_acceptLoop->close();
     const std::lock_guard lock(m_mutex);
     for (const auto& it : m_sessions)
         it->close();
--- a/src/wire/peer_server.h
+++ b/src/wire/peer_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/accept_loop.h"
 #include "wire/peer_link.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -17,7 +18,7 @@
     /// Precondition: the handler outlives the server.
     PeerServer(PeerContext, PeerHandler&);
 
-    /// Listens on the endpoint; port 0 lets the kernel choose. Returns the bound endpoint. Call once.
+    /// Listens on the endpoint; port 0 lets the kernel choose. Returns the bound endpoint. Call until it succeeds once.
     Result<Endpoint> listen(const Endpoint&);
     /// Sends over the peer's newest connection; drops the message when there is none.
     void reply(const InstanceName& to, PeerMessage);
@@ -28,12 +29,11 @@
     void onClosed(FrameSession&, std::vector<PeerMessage> unsent) override;
 
 private:
-    void accept();
-    void onAccepted(const boost::system::error_code&, boost::asio::ip::tcp::socket);
+    void add(boost::asio::ip::tcp::socket);
 
     PeerContext m_context;
     PeerHandler& m_handler;
-    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::shared_ptr<AcceptLoop> m_acceptLoop;
     std::mutex m_mutex;
     std::map<InstanceName, std::shared_ptr<FrameSession>> m_sessionByPeer;
     std::set<std::shared_ptr<FrameSession>> m_sessions;
--- /dev/null
+++ b/tests/base/accept_loop_test.cpp
@@ -0,0 +1,78 @@
+#include "base/accept_loop.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <doctest/doctest.h>
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <vector>
+
+using namespace lycheefield;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// While it exists, the process can open no further descriptor.
+class NoFreeDescriptors {
+public:
+    NoFreeDescriptors()
+    {
+        getrlimit(RLIMIT_NOFILE, &m_before);
+        // dup() returns the lowest free number, and the limit is on the numbers.
+        const int lowestFree = dup(STDERR_FILENO);
+        ::close(lowestFree);
+        const rlimit none { static_cast<rlim_t>(lowestFree), m_before.rlim_max };
+        setrlimit(RLIMIT_NOFILE, &none);
+    }
+    ~NoFreeDescriptors() { setrlimit(RLIMIT_NOFILE, &m_before); }
+    NoFreeDescriptors(const NoFreeDescriptors&) = delete;
+    NoFreeDescriptors& operator=(const NoFreeDescriptors&) = delete;
+
+private:
+    rlimit m_before {};
+};
+
+}
+
+TEST_SUITE_BEGIN("base");
+
+// Guards against a process that uses a whole core to repeat an accept that fails.
+TEST_CASE("Without free descriptors a listening socket waits, and accepts again once there are some")
+{
+    boost::asio::io_context io;
+    const auto loop = std::make_shared<AcceptLoop>(io);
+    std::vector<boost::asio::ip::tcp::socket> accepted;
+    const auto local = loop->listen({ "127.0.0.1", 0 }, "address", [&](boost::asio::ip::tcp::socket socket) { accepted.push_back(std::move(socket)); });
+    REQUIRE(local);
+    boost::asio::ip::tcp::socket caller(io);
+    caller.connect({ boost::asio::ip::address_v4::loopback(), local.value().port });
+    {
+        const NoFreeDescriptors none;
+        // The handlers that are ready now: the accept fails once and leaves a timer.
+        constexpr int enoughHandlers = 100;
+        int handlers = 0;
+        while (handlers < enoughHandlers && io.poll_one() > 0)
+            ++handlers;
+        CHECK(handlers < enoughHandlers);
+        CHECK(accepted.empty());
+    }
+    while (accepted.empty())
+        io.run_one();
+    CHECK(accepted.size() == 1);
+
+    SUBCASE("After it is closed it accepts nothing and keeps nothing alive")
+    {
+        loop->close();
+        io.restart();
+        io.run();
+        boost::system::error_code ec;
+        boost::asio::ip::tcp::socket late(io);
+        late.connect({ boost::asio::ip::address_v4::loopback(), local.value().port }, ec);
+        CHECK(ec == boost::asio::error::connection_refused);
+        CHECK(loop.use_count() == 1);
+    }
+}
+
+TEST_SUITE_END();
