--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -21,11 +21,10 @@
 /// The target latency includes the network and the merging, but neither a distant caller nor a slow processor shortens
 /// the wait for the parts by more than this share of it.
 constexpr double maxReservedShare = 0.25;
-/// A server that crashes by itself breaks one attempt of a content, and its retry mostly succeeds.
-constexpr CrashPolicy crashPolicy { .minSuspectCrashes = 2,
-    .minSuspectServers = 3,
-    .needsConfirmation = true,
-    .retention = std::chrono::hours(1) };
+/// Servers that crash at one moment from which content is suspect.
+constexpr std::uint32_t minSuspectServers = 3;
+/// Time after the last crash for which evidence is kept and content is quarantined.
+constexpr Duration crashRetention = std::chrono::hours(1);
 
 }
 
@@ -33,7 +32,7 @@
     : m_settings(std::move(settings))
     , m_random(std::move(random))
     , m_pool(m_settings, *m_random)
-    , m_evidence(crashPolicy)
+    , m_evidence(CrashPolicy { .minSuspectCrashes = minSuspectCrashes, .minSuspectServers = minSuspectServers, .needsConfirmation = true, .retention = crashRetention })
 {
 }
 
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -103,6 +103,13 @@
     const ForwardCounters& counters() const { return m_counters; }
 
 private:
+    /// Separate crashes from which content is suspect. A server that crashes by itself breaks one attempt of a content, and its retry
+    /// mostly succeeds.
+    static constexpr std::uint32_t minSuspectCrashes = 2;
+    /// Servers that crash within this time of each other while they run one search may have crashed because of it. Its legs wait
+    /// for so long before they go to other servers.
+    static constexpr Duration simultaneousCrashTime = std::chrono::milliseconds(5);
+
     /// An attempt, kept until it ends even when its request has already been answered.
     struct Attempt {
         TrackedServerPtr server;
@@ -220,8 +227,15 @@
     /// Announces the crashes of a request that was not served, so that its caller's next attempt meets instances that know them.
     void announceCrashesOfFailed(const Request&, const ForwardAnswer&, TimePoint, ForwardActions&);
     ContentStanding standingOf(const Request&, TimePoint) const;
+    /// Returns whether a server crashed a moment ago while it ran the search, so that others may be about to.
+    bool awaitsSimultaneousCrashes(const Request&, TimePoint) const;
     /// Returns whether an attempt of the request may be sent now, given the crashes of its content.
     bool mayRunContent(const Request&, TimePoint) const;
+    /// Returns the time for which an attempt of the search, whose content is suspect, could crash the last running server of the
+    /// leg's service; zero when the service has another one.
+    Duration lastServerAtRisk(const Request&, const Leg&, TimePoint) const;
+    /// Ends the legs of a request with suspect content if none may be sent as a probe.
+    void endLegsWithoutProbe(Request&, TimePoint);
     static bool hasAttemptInFlight(const Request&);
     /// Sends one leg of a request with suspect content, preferably to a service whose servers crashed.
     void reviewProbe(Request&, TimePoint, ForwardActions&);
--- a/src/forward/forward_engine_crashes.cpp
+++ b/src/forward/forward_engine_crashes.cpp
@@ -12,6 +12,8 @@
 /// From a broken connection until the check whether its server still runs. A process that ends closes its sockets one after
 /// the other, and the one that accepts connections may be the last.
 constexpr Duration checkDelay = 50ms;
+/// A server that crashed is expected back within this time.
+constexpr Duration serverRestartTime = 4s;
 
 }
 
@@ -49,7 +51,10 @@
 
 CrashNews ForwardEngine::newsOf(Fingerprint content, TimePoint now) const
 {
-    return { content, m_evidence.crashesOf(content, now), m_evidence.remainingQuarantine(content, now), {} };
+    // Servers that crashed at one moment count as one crash; they make the content suspect at the other instances as well.
+    const bool isSuspect = m_evidence.standingOf(content, now) == ContentStanding::Suspect;
+    const auto crashes = std::max(m_evidence.crashesOf(content, now), isSuspect ? minSuspectCrashes : 0);
+    return { content, crashes, m_evidence.remainingQuarantine(content, now), {} };
 }
 
 void ForwardEngine::announceCrashes(const ConfirmedCrash& crash, const ServerName& server, TimePoint now, ForwardActions& actions)
@@ -106,8 +111,18 @@
     return m_evidence.isEmpty() ? ContentStanding::Clear : m_evidence.standingOf(request.request.content, now);
 }
 
+bool ForwardEngine::awaitsSimultaneousCrashes(const Request& request, TimePoint now) const
+{
+    if (!request.route().isSearch() || request.hasPassedProbe)
+        return false;
+    const auto lastCrash = m_evidence.lastCrashOf(request.request.content, now);
+    return lastCrash && now < *lastCrash + simultaneousCrashTime;
+}
+
 bool ForwardEngine::mayRunContent(const Request& request, TimePoint now) const
 {
+    if (awaitsSimultaneousCrashes(request, now))
+        return false;
     switch (standingOf(request, now)) {
     case ContentStanding::Clear:
         return true;
@@ -120,6 +135,23 @@
     return request.hasPassedProbe || (!hasAttemptInFlight(request) && !m_evidence.hasUnconfirmed(request.request.content, now));
 }
 
+Duration ForwardEngine::lastServerAtRisk(const Request& request, const Leg& leg, TimePoint now) const
+{
+    if (!request.route().isSearch() || request.hasPassedProbe || standingOf(request, now) != ContentStanding::Suspect)
+        return {};
+    const auto content = request.request.content;
+    const auto lastCrash = m_evidence.lastCrashOf(content, now);
+    const bool isAtRisk = lastCrash && now < *lastCrash + serverRestartTime && m_pool.hasOneRunningServer(leg.service, m_evidence.crashedServersOf(content, now));
+    return isAtRisk ? *lastCrash + serverRestartTime - now : Duration {};
+}
+
+void ForwardEngine::endLegsWithoutProbe(Request& request, TimePoint now)
+{
+    const auto mayProbe = [&](const Leg& leg) { return isWaiting(leg) && lastServerAtRisk(request, leg, now) == Duration {}; };
+    if (std::none_of(request.legs.begin(), request.legs.end(), mayProbe))
+        endUnsentLegs(request);
+}
+
 bool ForwardEngine::hasAttemptInFlight(const Request& request)
 {
     return std::any_of(request.legs.begin(), request.legs.end(), [](const Leg& leg) { return !leg.inFlight.empty(); });
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -91,6 +91,8 @@
     auto& leg = request.legs[index];
     if (!mayRunContent(request, now))
         return false;
+    if (lastServerAtRisk(request, leg, now) > Duration {})
+        return false;
     const auto context = contextFor(request.route(), leg, now);
     const auto server = pickServer(request, leg, context);
     if (!server || (isHedge && m_pool.expected(*server, context) > maxHedgeLatency(request, now)))
@@ -164,7 +166,7 @@
 {
     auto& leg = request.legs[index];
     leg.stage = LegStage::Unsent;
-    leg.hedgeAt = now + retryPeriod;
+    leg.hedgeAt = now + (awaitsSimultaneousCrashes(request, now) ? simultaneousCrashTime : retryPeriod);
     // A leg that waits for its content's probe must not keep others from the next free server.
     if (mayRunContent(request, now))
         m_queues[leg.service].insert({ request.route().rank, request.request.number, index });
@@ -281,6 +283,8 @@
         endUnsentLegs(request);
     if (standingOf(request, now) == ContentStanding::Suspect && mayRunContent(request, now) && !request.hasPassedProbe)
         reviewProbe(request, now, actions);
+    if (standingOf(request, now) == ContentStanding::Suspect && mayRunContent(request, now) && !request.hasPassedProbe)
+        endLegsWithoutProbe(request, now);
     const auto turnEnd = m_lastAttempt + attemptsPerTurn;
     for (std::size_t i = 0; i < request.legs.size() && m_lastAttempt < turnEnd; ++i) {
         const auto& leg = request.legs[i];
@@ -350,7 +354,7 @@
         answer.retryAfter = std::max(minRetryAfter, quarantined);
         for (const auto& leg : request.legs) {
             if (leg.stage != LegStage::Done)
-                answer.retryAfter = std::max({ answer.retryAfter, m_pool.untilUsable(leg.service, now), m_pool.untilAllowed(leg.service, now) });
+                answer.retryAfter = std::max({ answer.retryAfter, m_pool.untilUsable(leg.service, now), m_pool.untilAllowed(leg.service, now), lastServerAtRisk(request, leg, now) });
         }
         return answer;
     }
--- a/src/forward/server_pool.cpp
+++ b/src/forward/server_pool.cpp
@@ -165,6 +165,22 @@
     });
 }
 
+bool ServerPool::hasOneRunningServer(const ServiceName& service, const std::set<ServerName>& crashed) const
+{
+    const auto it = m_byService.find(service);
+    if (it == m_byService.end())
+        return false;
+    std::size_t running = 0;
+    std::size_t down = 0;
+    for (const auto& server : it->second) {
+        if (!server->takesNewWork())
+            continue;
+        const bool isDown = server->failuresInRow > 0 || crashed.contains(server->entry.name);
+        ++(isDown ? down : running);
+    }
+    return running == 1 && down > 0;
+}
+
 Duration ServerPool::untilUsable(const ServiceName& service, TimePoint now) const
 {
     const auto it = m_byService.find(service);
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -86,6 +86,9 @@
     bool hasServersIn(const ServiceName&, const ZoneName&) const;
     /// Returns whether the service has a server that accepts new work and is not among the tried ones.
     bool hasUntriedServers(const ServiceName&, const std::vector<TrackedServerPtr>& tried) const;
+    /// Returns whether the service has a single server left whose last attempt did not fail and which is not among the crashed ones,
+    /// and has others that accept new work.
+    bool hasOneRunningServer(const ServiceName&, const std::set<ServerName>& crashed) const;
     /// Returns the time until a server of the service is out of its back-off after failures; zero when one is
     /// now, and unusableCost when no server accepts new work.
     Duration untilUsable(const ServiceName&, TimePoint) const;
--- a/src/query/crash_evidence.cpp
+++ b/src/query/crash_evidence.cpp
@@ -224,6 +224,25 @@
     return std::any_of(record->crashedServers.begin(), record->crashedServers.end(), [&](const auto& it) { return it.second.service == service; });
 }
 
+std::optional<TimePoint> CrashEvidence::lastCrashOf(Fingerprint fingerprint, TimePoint now) const
+{
+    const auto* record = find(fingerprint, now);
+    if (!record || record->crashedServers.empty())
+        return std::nullopt;
+    const auto isEarlier = [](const auto& a, const auto& b) { return a.second.lastAt < b.second.lastAt; };
+    return std::max_element(record->crashedServers.begin(), record->crashedServers.end(), isEarlier)->second.lastAt;
+}
+
+std::set<ServerName> CrashEvidence::crashedServersOf(Fingerprint fingerprint, TimePoint now) const
+{
+    std::set<ServerName> servers;
+    if (const auto* record = find(fingerprint, now)) {
+        for (const auto& [server, crashes] : record->crashedServers)
+            servers.insert(server);
+    }
+    return servers;
+}
+
 std::vector<CrashNews> CrashEvidence::quarantines(TimePoint now) const
 {
     std::vector<CrashNews> all;
--- a/src/query/crash_evidence.h
+++ b/src/query/crash_evidence.h
@@ -6,6 +6,8 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -89,6 +91,10 @@
     const ServerName* probeServer(Fingerprint, TimePoint) const;
     /// Returns whether a server of the service crashed while it ran the content.
     bool hasCrashedIn(Fingerprint, const ServiceName&, TimePoint) const;
+    /// Returns the time of the last crash of a server that ran the content and has not answered since; nullopt when there is none.
+    std::optional<TimePoint> lastCrashOf(Fingerprint, TimePoint) const;
+    /// Returns the servers that crashed while they ran the content and have not answered since.
+    std::set<ServerName> crashedServersOf(Fingerprint, TimePoint) const;
     /// Returns announcements of all quarantined contents, for an instance that knows none.
     std::vector<CrashNews> quarantines(TimePoint) const;
     bool isEmpty() const { return m_records.empty(); }
--- a/tests/forward/crashing_request_test.cpp
+++ b/tests/forward/crashing_request_test.cpp
@@ -192,8 +192,9 @@
     crashEveryServer(testBed);
     REQUIRE(testBed.answerTo(first));
     CHECK(testBed.answerTo(first)->kind == ForwardAnswerKind::Failed);
-    // Six first attempts, and the retries that left before the third crash was seen.
-    CHECK(shardArrivals(testBed) <= 8);
+    // Guards against retries and a probe that took the last server of a shard, so that no other search was served.
+    for (const auto& it : shards)
+        CHECK(testBed.arrivals(it + "-a") + testBed.arrivals(it + "-b") == 1);
     REQUIRE_FALSE(testBed.announcedCrashes().empty());
     testBed.run(5s);
 
@@ -223,6 +224,73 @@
     }
 }
 
+TEST_CASE("A search whose servers crashed a moment ago waits until a shard has two servers again" * doctest::test_suite("forward"))
+{
+    ForwardTestBed testBed(settingsInZoneA());
+    addShards(testBed);
+    const auto route = testBed.searchRoute(shards);
+    testBed.start(route);
+    crashEveryServer(testBed);
+    const auto before = shardArrivals(testBed);
+
+    SUBCASE("Its next attempt is refused at once, with the time after which it may run")
+    {
+        const auto refused = testBed.start(route);
+        REQUIRE(testBed.answerTo(refused));
+        CHECK(testBed.answerTo(refused)->kind == ForwardAnswerKind::NotRun);
+        CHECK(testBed.answerTo(refused)->retryAfter > 3s);
+        CHECK(testBed.answerTo(refused)->retryAfter <= 4s);
+        CHECK(shardArrivals(testBed) == before);
+        testBed.run(testBed.answerTo(refused)->retryAfter);
+        testBed.start(route);
+        CHECK(testBed.serverRequests().size() == 1);
+    }
+    SUBCASE("A shard whose crashed server has been replaced runs the probe, and its success serves the search")
+    {
+        testBed.addServer("s3", "s3-c", "a");
+        const auto next = testBed.start(route);
+        CHECK(testBed.serverRequests().size() == 1);
+        testBed.run(200ms);
+        REQUIRE(testBed.answerTo(next));
+        CHECK(testBed.answerTo(next)->kind == ForwardAnswerKind::Search);
+        CHECK(testBed.answerTo(next)->missingShards == 0);
+    }
+    SUBCASE("Another instance sends one attempt at a time as well")
+    {
+        ForwardTestBed other(settingsInZoneA());
+        addShards(other);
+        REQUIRE_FALSE(testBed.announcedCrashes().empty());
+        other.engine().onCrashAnnounced(testBed.announcedCrashes().back().news, other.now());
+        other.start(route);
+        other.run(10ms);
+        CHECK(other.serverRequests().size() == 1);
+    }
+    SUBCASE("Other searches are served by the remaining servers")
+    {
+        testBed.setContent(Fingerprint(2));
+        const auto other = testBed.start(route);
+        testBed.run(100ms);
+        REQUIRE(testBed.answerTo(other));
+        CHECK(testBed.answerTo(other)->missingShards == 0);
+    }
+}
+
+TEST_CASE("A leg whose server crashes alone goes to the replica after a few milliseconds" * doctest::test_suite("forward"))
+{
+    ForwardTestBed testBed(settingsInZoneA());
+    addShards(testBed);
+    const auto search = testBed.start(testBed.searchRoute(shards));
+    REQUIRE(testBed.serverRequests().size() == shards.size());
+    const auto crashed = testBed.serverRequests().front();
+    testBed.failServerRequest(crashed.id, ServerRequestFailure::Broken);
+    CHECK(testBed.serverRequests().size() == shards.size() - 1);
+    testBed.run(6ms);
+    CHECK(testBed.serverRequests().size() == shards.size());
+    testBed.run(100ms);
+    REQUIRE(testBed.answerTo(search));
+    CHECK(testBed.answerTo(search)->missingShards == 0);
+}
+
 TEST_CASE("Searches of one shard are refused although each instance sees a single crash" * doctest::test_suite("forward"))
 {
     ForwardTestBed testBed(settingsInZoneA());
