--- a/tests/adapter/end_to_end_test.cpp
+++ b/tests/adapter/end_to_end_test.cpp
@@ -1,4 +1,6 @@
+#include "decode.h"
 #include "published_store.h"
+#include "quarantine_feed.h"
 #include "table_feed.h"
 #include "wire_callers.h"
 #include "wire_servers.h"
@@ -7,6 +9,8 @@
 #include "http/http_client_connection.h"
 #include "standin/published_store.h"
 
+#include <boost/asio/post.hpp>
+
 #include <doctest/doctest.h>
 
 #include <optional>
@@ -33,6 +37,8 @@
         if (request.headers.find("Lycheefield-Target-Instance") != m_name)
             return exchange->respond({ 421, "", "" });
         requests.push_back(request);
+        if (crashes)
+            return m_server.close();
         HttpResponse response { 200, "", std::string(16, m_name.back()) };
         response.headers.add("Lycheefield-Response-Stamp", "stamp-" + m_name);
         response.headers.add("Lycheefield-Attempt-Id", std::string(request.headers.find("Lycheefield-Attempt-Id")));
@@ -50,6 +56,7 @@
 
     std::vector<HttpRequest> requests;
     std::vector<std::pair<std::shared_ptr<HttpExchange>, HttpResponse>> heldResponses;
+    bool crashes = false; ///< Instead of responding it closes all connections and accepts no more.
     bool holdsResponses = false; ///< Responses are kept in `heldResponses` and not sent.
 
 private:
@@ -79,13 +86,14 @@
     std::shared_ptr<HttpClientConnection> m_connection;
 };
 
-HttpRequest requestTo(const std::string& path, const std::string& id)
+HttpRequest requestTo(const std::string& path, const std::string& id, const std::string& deadlineMs = "5000")
 {
-    return { "GET", path, { { "Host", "a.example" }, { "Lycheefield-Attempt-Id", id }, { "Lycheefield-Deadline-Ms", "5000" } }, "" };
+    return { "GET", path, { { "Host", "a.example" }, { "Lycheefield-Attempt-Id", id }, { "Lycheefield-Deadline-Ms", deadlineMs } }, "" };
 }
 
 const std::string configuration = R"({"version":3,"routes":[
     {"name":"s","host":"a.example","pathPrefix":"/s/","routeType":"idempotent","timeoutMs":5000,"targetLatencyMs":4000,"priority":1,"gather":["x","y"],"attempts":2,"topK":2,"minShardRatio":1},
+    {"name":"l","host":"a.example","pathPrefix":"/l/","routeType":"idempotent","timeoutMs":5000,"targetLatencyMs":4000,"priority":2,"service":"x","attempts":2},
     {"name":"o","host":"a.example","pathPrefix":"/o/","routeType":"non_idempotent","timeoutMs":5000,"targetLatencyMs":4000,"priority":2,"service":"x","attempts":2}],
     "services":[{"name":"x","maxConns":26},{"name":"y","maxConns":26}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
 
@@ -103,13 +111,7 @@
         settings.gateway.store = store.listen().value();
         settings.drain.balancerLag = 1ms;
     }
-    ~GatewayFixture()
-    {
-        if (!gateway)
-            return;
-        gateway->stop();
-        thread.join();
-    }
+    ~GatewayFixture() { stopGateway(); }
     GatewayFixture(const GatewayFixture&) = delete;
     GatewayFixture& operator=(const GatewayFixture&) = delete;
 
@@ -121,12 +123,27 @@
         client.watchTimeout = 50ms;
         client.connectTimeout = 5s;
         client.callTimeout = 5s;
-        feed = std::make_unique<TableFeed>(*gateway, std::make_shared<PublishedStore>(std::make_shared<PlatformClient>(gateway->executor(), client), gateway->metrics()), ApplyLimits { 200ms, 200ms });
+        const auto objects = std::make_shared<PublishedStore>(std::make_shared<PlatformClient>(gateway->executor(), client), gateway->metrics());
+        feed = std::make_unique<TableFeed>(*gateway, objects, ApplyLimits { 200ms, 200ms });
+        quarantines = std::make_unique<QuarantineFeed>(gateway->executor(), objects, [this](const std::vector<CrashNews>& all) { gateway->onQuarantines(all); });
+        gateway->setQuarantineStore(*quarantines);
         endpoints = gateway->listen().value();
         feed->start();
+        quarantines->start();
         thread = std::thread([this] { gateway->run(); });
     }
 
+    void stopGateway()
+    {
+        if (!gateway)
+            return;
+        gateway->stop();
+        thread.join();
+        quarantines.reset();
+        feed.reset();
+        gateway.reset();
+    }
+
     template <typename Reached>
     void runUntil(Reached isReached)
     {
@@ -158,6 +175,7 @@
     Settings settings;
     std::unique_ptr<Gateway> gateway;
     std::unique_ptr<TableFeed> feed;
+    std::unique_ptr<QuarantineFeed> quarantines;
     GatewayEndpoints endpoints;
     std::thread thread;
 };
@@ -262,4 +280,72 @@
     CHECK(fixture.serverX.requests.empty());
 }
 
+// Guards against a quarantine that lives in one process only, so that its content runs again after a restart or at another instance.
+TEST_CASE("A content that crashed three servers is refused by later processes and other instances" * doctest::test_suite("adapter"))
+{
+    constexpr int maxTries = 1000;
+    GatewayFixture fixture;
+    FakeBackend third(fixture.io, "i-3");
+    const std::vector<FakeBackend*> crashing { &fixture.serverX, &fixture.serverY, &third };
+    for (auto* it : crashing)
+        it->crashes = true;
+    fixture.store.put("servers", "i-1", fixture.serverX.entry("x"));
+    fixture.store.put("servers", "i-2", fixture.serverY.entry("x"));
+    fixture.store.put("servers", "i-3", third.entry("x"));
+    fixture.store.put("config", "main", configuration);
+    fixture.startGateway();
+    fixture.waitUntilReady();
+    const auto arrivals = [&] { return fixture.serverX.requests.size() + fixture.serverY.requests.size() + third.requests.size(); };
+    for (int attempt = 0; arrivals() < crashing.size(); ++attempt)
+        fixture.fetch(fixture.endpoints.callers, requestTo("/l/crash", "crash" + std::to_string(attempt), "200"));
+    // A request that is refused for the crashes gets a far later time than one that finds no server.
+    const auto isQuarantined = [&](const Endpoint& endpoint, const std::string& id) {
+        const auto response = fixture.fetch(endpoint, requestTo("/l/crash", id));
+        return response.status == 503 && std::stod(std::string(response.headers.find("Retry-After"))) > 60;
+    };
+    const auto becomesQuarantined = [&](const Endpoint& endpoint) {
+        for (int i = 0; i < maxTries; ++i) {
+            if (isQuarantined(endpoint, "try" + std::to_string(i)))
+                return true;
+            std::this_thread::sleep_for(10ms);
+        }
+        return false;
+    };
+    REQUIRE(becomesQuarantined(fixture.endpoints.callers));
+    FakeBackend replacement(fixture.io, "i-4");
+
+    SUBCASE("by the next process of the instance")
+    {
+        for (int i = 0; i < maxTries && !fixture.store.contains("quarantines", "current"); ++i)
+            fixture.io.run_for(10ms);
+        CHECK(fixture.store.contains("quarantines", "current"));
+        fixture.stopGateway();
+        fixture.store.put("servers", "i-4", replacement.entry("x"));
+        fixture.startGateway();
+        fixture.waitUntilReady();
+        CHECK(becomesQuarantined(fixture.endpoints.callers));
+        CHECK(fixture.fetch(fixture.endpoints.callers, requestTo("/l/other", "other")).status == 200);
+        CHECK(replacement.requests.size() == 1);
+    }
+    SUBCASE("by an instance that was added later and reads no kept quarantine")
+    {
+        auto settings = fixture.settings;
+        settings.instance.name = InstanceName("g2");
+        Gateway other(settings, { fixture.callers, fixture.servers });
+        const auto endpoints = other.listen().value();
+        const std::vector<Instance> instances { fixture.gateway->self(), other.self() };
+        boost::asio::post(other.executor(), [&] {
+            other.onRoutes(decodeConfiguration(configuration).value());
+            other.onServers({ true, { *decodeServer(ServerName("i-4"), replacement.entry("x")) }, {} });
+            other.onInstances(instances, true);
+        });
+        boost::asio::post(fixture.gateway->executor(), [&] { fixture.gateway->onInstances(instances, true); });
+        std::thread thread([&] { other.run(); });
+        CHECK(becomesQuarantined(endpoints.callers));
+        CHECK(fixture.fetch(endpoints.callers, requestTo("/l/other", "other")).status == 200);
+        other.stop();
+        thread.join();
+    }
+}
+
 }
--- a/tests/standin/published_store.cpp
+++ b/tests/standin/published_store.cpp
@@ -107,6 +107,20 @@
     return { 200, "application/json", "{\"items\":[" + items + "],\"hasMore\":" + (hasMore ? "true" : "false") + ",\"atRev\":" + std::to_string(m_revision) + "}" };
 }
 
+bool PublishedStoreServer::contains(const std::string& kind, const std::string& name) const
+{
+    const auto objects = m_objects.find(kind);
+    return objects != m_objects.end() && objects->second.contains(name);
+}
+
+HttpResponse PublishedStoreServer::read(const std::string& kind, const std::string& name) const
+{
+    if (!contains(kind, name))
+        return { 404, "application/json", "{}" };
+    const auto& object = m_objects.at(kind).at(name);
+    return { 200, "application/json", objectText(name, object.spec, object.revision) };
+}
+
 HttpResponse PublishedStoreServer::write(const HttpRequest& request, const std::string& kind)
 {
     const auto body = json::parse(request.body).as_object();
@@ -155,6 +169,8 @@
     const auto kind = rest.substr(0, rest.find('/'));
     if (request.method != "GET")
         return exchange->respond(write(request, kind));
+    if (kind.size() < rest.size())
+        return exchange->respond(read(kind, rest.substr(kind.size() + 1)));
     const auto after = queryValue(request.target, "watch");
     if (!after.empty())
         return watch(kind, std::stoull(after), std::stoll(queryValue(request.target, "waitMs")), std::move(exchange));
--- a/tests/standin/published_store.h
+++ b/tests/standin/published_store.h
@@ -30,6 +30,7 @@
     void forgetHistory();
     void setFaults(const Faults& faults) { m_faults = faults; }
     std::size_t calls() const { return m_calls; }
+    bool contains(const std::string& kind, const std::string& name) const;
 
     void handle(HttpRequest, std::shared_ptr<HttpExchange>) override;
 
@@ -51,6 +52,7 @@
     };
 
     HttpResponse list(const std::string& kind, const std::string& after) const;
+    HttpResponse read(const std::string& kind, const std::string& name) const;
     HttpResponse write(const HttpRequest&, const std::string& kind);
     void watch(const std::string& kind, std::uint64_t after, std::int64_t waitMs, std::shared_ptr<HttpExchange>);
     HttpResponse eventsAfter(const std::string& kind, std::uint64_t after) const;
