--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -176,7 +176,7 @@
             if (!metrics)
                 return metrics.error();
         }
-        logState("started", { { "instance", m_settings.instance.name.value() }, { "zone", m_settings.instance.zone.value() }, { "callers", m_settings.gateway.callers.toString() } });
+        logState("started", { { "instance", m_settings.instance.name.value() }, { "zone", m_settings.instance.zone.value() }, { "callers", m_settings.gateway.callers.toString() }, { "settings_adjusted", adjustedKeys() } });
         return GatewayEndpoints { callers.value(), readiness.value(), m_inner };
     }
 
@@ -232,6 +232,15 @@
             logState("many servers draining or removed", { { "draining", std::to_string(draining) }, { "gone", std::to_string(changes.removed.size()) } });
     }
 
+    /// Returns the keys whose text had no value or one outside the range, separated by blanks.
+    std::string adjustedKeys() const
+    {
+        std::string keys;
+        for (const auto& it : m_settings.adjusted)
+            keys.append(keys.empty() ? "" : " ").append(it);
+        return keys;
+    }
+
     bool isReady() const { return m_isReady.load(std::memory_order_relaxed); }
 
     void logState(std::string_view event, std::initializer_list<LineField> fields) { m_log.write(LineImportance::State, m_clock->now(), event, fields); }
--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -194,6 +194,18 @@
     return value >= *ValueType<T>::parse(range.min) && value <= *ValueType<T>::parse(range.max);
 }
 
+bool hasDigit(std::string_view text)
+{
+    return text.find_first_of("0123456789") != std::string_view::npos;
+}
+
+/// Returns whether the text is empty or one of the type's units alone.
+template <typename T>
+bool isUnitOf(std::string_view text)
+{
+    return text.empty() || ValueType<T>::parse("1" + std::string(text)).has_value();
+}
+
 /// Calls the visitor with a pointer to the key's member in `settings`.
 template <typename Visitor>
 auto visitField(const SettingKey& key, Settings& settings, Visitor visitor)
@@ -253,15 +265,22 @@
     return visitField(*this, defaults, [](auto* member) { return ValueType<std::remove_pointer_t<decltype(member)>>::format(*member); });
 }
 
-bool SettingKey::assign(Settings& settings, std::string_view text) const
+SettingOutcome SettingKey::assign(Settings& settings, std::string_view text) const
 {
     return visitField(*this, settings, [&](auto* member) {
         using T = std::remove_pointer_t<decltype(member)>;
+        if (isFigure && !hasDigit(text))
+            return isUnitOf<T>(text) ? SettingOutcome::Unset : SettingOutcome::Refused;
         const auto value = ValueType<T>::parse(text);
-        if (!value || !inRange(*value, range))
-            return false;
-        *member = *value;
-        return true;
+        if (value && inRange(*value, range)) {
+            *member = *value;
+            return SettingOutcome::Set;
+        }
+        if (!value || !isFigure)
+            return SettingOutcome::Refused;
+        const bool isBelow = *value < *ValueType<T>::parse(range.min);
+        *member = *ValueType<T>::parse(isBelow ? range.min : range.max);
+        return SettingOutcome::Clamped;
     });
 }
 
--- a/src/settings/setting_key.h
+++ b/src/settings/setting_key.h
@@ -22,6 +22,14 @@
     friend bool operator==(const SettingRange&, const SettingRange&) = default;
 };
 
+/// What became of the text of a value.
+enum class SettingOutcome : std::uint8_t {
+    Set,
+    Clamped, ///< The value is outside the range and has been moved to the nearest bound.
+    Unset, ///< The text has no value, as a template's placeholder for a figure that a deployment lacks; the default stays.
+    Refused, ///< The text is not an allowed value; nothing has changed.
+};
+
 /// Description of one key of the settings file. The table of these is the only place that names the keys.
 struct SettingKey {
     std::string section;
@@ -30,6 +38,7 @@
     SettingRange range; ///< Empty for types without bounds, such as texts and choices.
     std::string doc; ///< Purpose, one sentence for operators.
     bool required = false;
+    bool isFigure = false; ///< Set from a deployment's figures: a missing one leaves the default, one outside the range is moved into it.
 
     std::string fullName() const { return section + "." + key; }
     /// Returns "duration", "whole number", "number", "share", "size", "switch", "text", "endpoint" or "choice".
@@ -39,8 +48,8 @@
     /// Returns the allowed values in words.
     std::string allowed() const;
     std::string defaultText() const;
-    /// Sets the key's member. Returns false and changes nothing when the text is not an allowed value.
-    bool assign(Settings&, std::string_view text) const;
+    /// Sets the key's member from the text.
+    SettingOutcome assign(Settings&, std::string_view text) const;
 };
 
 /// Returns every key of the settings file, grouped by section. Thread safe.
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -168,6 +168,13 @@
                             });
 }
 
+/// Marks a key that is set from a deployment's figures.
+SettingKey figure(SettingKey key)
+{
+    key.isFigure = true;
+    return key;
+}
+
 void addGateway(std::vector<SettingKey>& keys)
 {
     constexpr auto section = &Settings::gateway;
@@ -177,11 +184,11 @@
                                 { "gateway", "readiness", fieldOf<section, &GatewaySettings::readiness>, {}, "Endpoint on which a gateway serves the balancer's readiness checks." },
                                 { "gateway", "metrics_port", fieldOf<section, &GatewaySettings::metricsPort>, { "0", "65535" }, "Port of a gateway's metrics, on the callers' address; 0: no metrics." },
                                 { "gateway", "log_lines_per_second", fieldOf<section, &GatewaySettings::logLinesPerSecond>, { "1", "100000" }, "Limit on log lines about single requests, per second." },
-                                { "gateway", "cores", fieldOf<section, &GatewaySettings::cores>, { "0.1%", "100%" }, "Share of one core that a gateway may use." },
-                                { "gateway", "configuration_limit", fieldOf<section, &GatewaySettings::configurationLimit>, { "10ms", "1h" }, "Longest time until a new configuration is in force." },
-                                { "gateway", "servers_limit", fieldOf<section, &GatewaySettings::serversLimit>, { "10ms", "1h" }, "Longest time until a draining or removed server gets no new work." },
-                                { "gateway", "renewal_period", fieldOf<section, &GatewaySettings::renewalPeriod>, { "1ms", "1h" }, "Period in which backend servers renew their entries in the store." },
-                                { "gateway", "stop_limit", fieldOf<section, &GatewaySettings::stopLimit>, { "100ms", "1h" }, "Longest time from SIGTERM until the process has ended." },
+                                figure({ "gateway", "cores", fieldOf<section, &GatewaySettings::cores>, { "0.1%", "100%" }, "Share of one core that a gateway may use." }),
+                                figure({ "gateway", "configuration_limit", fieldOf<section, &GatewaySettings::configurationLimit>, { "10ms", "1h" }, "Longest time until a new configuration is in force." }),
+                                figure({ "gateway", "servers_limit", fieldOf<section, &GatewaySettings::serversLimit>, { "10ms", "1h" }, "Longest time until a draining or removed server gets no new work." }),
+                                figure({ "gateway", "renewal_period", fieldOf<section, &GatewaySettings::renewalPeriod>, { "1ms", "1h" }, "Period in which backend servers renew their entries in the store." }),
+                                figure({ "gateway", "stop_limit", fieldOf<section, &GatewaySettings::stopLimit>, { "100ms", "1h" }, "Longest time from SIGTERM until the process has ended." }),
                             });
 }
 
@@ -189,9 +196,9 @@
 {
     constexpr auto section = &Settings::forward;
     keys.insert(keys.end(), {
-                                { "forward", "retry_ratio", fieldOf<section, &ForwardSettings::retryRatio>, { "0%", "100%" }, "Extra attempts that the whole fleet may make, as a share of the first attempts at a service." },
-                                { "forward", "retry_slack", fieldOf<section, &ForwardSettings::retrySlack>, { "0", "1000000" }, "Further extra attempts of the whole fleet in each window." },
-                                { "forward", "retry_window", fieldOf<section, &ForwardSettings::retryWindow>, { "1s", "10m" }, "Length of the window of the extra-attempt budget." },
+                                figure({ "forward", "retry_ratio", fieldOf<section, &ForwardSettings::retryRatio>, { "0%", "100%" }, "Extra attempts that the whole fleet may make, as a share of the first attempts at a service." }),
+                                figure({ "forward", "retry_slack", fieldOf<section, &ForwardSettings::retrySlack>, { "0", "1000000" }, "Further extra attempts of the whole fleet in each window." }),
+                                figure({ "forward", "retry_window", fieldOf<section, &ForwardSettings::retryWindow>, { "1s", "10m" }, "Length of the window of the extra-attempt budget." }),
                                 { "forward", "answer_margin", fieldOf<section, &ForwardSettings::answerMargin>, { "0ms", "10s" }, "Time kept free before a search's target latency, besides the times on the network and for merging the parts." },
                                 { "forward", "least_hedge_delay", fieldOf<section, &ForwardSettings::minHedgeDelay>, { "0%", "100%" }, "Earliest hedge, as a share of the target latency." },
                                 { "forward", "most_hedge_delay", fieldOf<section, &ForwardSettings::maxHedgeDelay>, { "0%", "100%" }, "Latest hedge, as a share of the time until the answer is due." },
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -89,8 +89,11 @@
             return report(fullName, "this key does not exist", "the keys that 'lycheefield settings' lists");
         if (!m_seen.insert(fullName).second)
             return report(fullName, "the key is set more than once", "one line for each key");
-        if (!key->assign(m_settings, value))
+        const auto outcome = key->assign(m_settings, value);
+        if (outcome == SettingOutcome::Refused)
             report(fullName, "'" + value + "' is not allowed", key->allowed());
+        else if (outcome != SettingOutcome::Set)
+            m_settings.adjusted.push_back(fullName);
     }
 
     void checkRequiredKeys()
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -31,6 +31,7 @@
     MembershipSettings membership;
     GatewaySettings gateway;
     ForwardSettings forward;
+    std::vector<std::string> adjusted; ///< Full names of the keys whose text had no value or one outside the range.
 
     /// Returns the address that is announced to peers and the platform.
     const std::string& reachableAddress() const { return listen.advertisedAddress.empty() ? listen.address : listen.advertisedAddress; }
