--- a/src/base/listening_socket.cpp
+++ b/src/base/listening_socket.cpp
@@ -15,7 +15,9 @@
         acceptor.bind(local);
         acceptor.listen();
     } catch (const boost::system::system_error& ex) {
-        return Error { ErrorKind::Unavailable, "cannot listen on " + endpoint.toString() + ": " + ex.what(), "choose a free port, or port 0 to let the kernel choose" };
+        acceptor.close(ec);
+        const bool mayWorkLater = ex.code() == boost::asio::error::address_in_use || ex.code() == boost::asio::error::no_descriptors;
+        return Error { mayWorkLater ? ErrorKind::Unavailable : ErrorKind::InvalidInput, "cannot listen on " + endpoint.toString() + ": " + ex.what(), "choose a free port, or port 0 to let the kernel choose" };
     }
     return Endpoint { endpoint.address, acceptor.local_endpoint().port() };
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include "gateway/forward_driver.h"
+#include "gateway/port_opener.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -41,7 +42,7 @@
 
 }
 
-class Gateway::Impl final : public StoreNewsEvents {
+class Gateway::Impl final : public StoreNewsEvents, public PortEvents {
 public:
     Impl(const Settings& settings, GatewayProtocols protocols)
         : m_settings(settings)
@@ -51,6 +52,7 @@
         , m_delegateChooser(settings.instance.name, settings.instance.zone)
         , m_delegation({ m_io, m_strand, m_clock, m_driver, m_metrics, m_log, *this }, m_delegateChooser, settings.instance.name, settings.instance.zone)
         , m_registry(settings.gateway.renewalPeriod)
+        , m_ports(m_strand, *m_clock, *this)
         , m_readiness([this] { return HttpResponse { isReady() ? ok : unavailable, "text/plain", isReady() ? "ready\n" : "not ready\n" }; })
         , m_metricsPage([this] { return HttpResponse { ok, "text/plain; version=0.0.4", m_metrics.render() }; })
         , m_callerServer(m_io, m_driver, m_clock, m_callerCounters)
@@ -155,27 +157,34 @@
             m_follower->onStateRequestFailed(request);
     }
 
+    void onPortUnavailable(const std::string& name, const Error& error) override { logState("port not open; trying again until it is", { { "port", name }, { "why", error.message } }); }
+
+    void onPortOpened(const std::string& name) override
+    {
+        logState("port open", { { "port", name } });
+        updateReadiness();
+    }
+
     Metrics& metrics() { return m_metrics; }
 
     Instance self() const { return { m_settings.instance.name, m_delegation.life(), m_inner, m_settings.gateway.callers, m_settings.instance.zone, InstanceHealth::Alive, m_settings.gateway.cores.value }; }
 
     Result<GatewayEndpoints> listen()
     {
-        const auto inner = m_delegation.listen({ m_settings.gateway.callers.address, m_settings.listen.innerPort });
+        const auto& own = m_settings.gateway;
+        const Endpoint innerEndpoint { own.callers.address, m_settings.listen.innerPort };
+        const auto inner = m_ports.openRequired("inner", innerEndpoint, [this, innerEndpoint] { return m_delegation.listen(innerEndpoint); });
         if (!inner)
             return inner.error();
         m_inner = inner.value();
-        const auto callers = m_callerServer.listen(m_settings.gateway.callers);
+        const auto callers = m_ports.openRequired("callers", own.callers, [this, &own] { return m_callerServer.listen(own.callers); });
         if (!callers)
             return callers.error();
-        const auto readiness = m_readinessServer.listen(m_settings.gateway.readiness);
+        const auto readiness = m_ports.openRequired("readiness", own.readiness, [this, &own] { return m_readinessServer.listen(own.readiness); });
         if (!readiness)
             return readiness.error();
-        if (m_settings.gateway.metricsPort != 0) {
-            const auto metrics = m_metricsServer.listen({ m_settings.gateway.callers.address, m_settings.gateway.metricsPort });
-            if (!metrics)
-                return metrics.error();
-        }
+        if (const Endpoint metrics { own.callers.address, own.metricsPort }; metrics.port != 0)
+            m_ports.openOptional("metrics", [this, metrics] { return m_metricsServer.listen(metrics); });
         logState("started", { { "instance", m_settings.instance.name.value() }, { "zone", m_settings.instance.zone.value() }, { "callers", m_settings.gateway.callers.toString() }, { "settings_adjusted", adjustedKeys() } });
         return GatewayEndpoints { callers.value(), readiness.value(), m_inner };
     }
@@ -191,6 +200,7 @@
     {
         if (std::exchange(m_isStopping, true))
             return;
+        m_ports.cancel();
         m_stopStartedAt = m_clock->now();
         logState("stopping", { { "in_flight", std::to_string(m_driver.inFlight()) } });
         updateReadiness();
@@ -247,7 +257,7 @@
 
     void updateReadiness()
     {
-        const bool isReady = m_driver.routes() && m_hasServers && !m_isStopping;
+        const bool isReady = m_driver.routes() && m_hasServers && m_ports.areRequiredOpen() && !m_isStopping;
         if (m_isReady.exchange(isReady) != isReady)
             logState(isReady ? "ready" : "not ready", {});
     }
@@ -369,6 +379,7 @@
     QuarantineStore* m_quarantineStore = nullptr;
     Endpoint m_inner;
     ServerRegistry m_registry;
+    PortOpener m_ports;
     SimpleHandler m_readiness;
     SimpleHandler m_metricsPage;
     std::shared_ptr<HttpServerCounters> m_callerCounters = std::make_shared<HttpServerCounters>();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -107,10 +107,10 @@
     /// What other instances need to reach this one. Precondition: listen() has succeeded.
     Instance self() const;
 
-    /// Opens the listening sockets and returns their endpoints; for port 0 the kernel chooses the port.
-    /// Precondition: called before run().
+    /// Opens the listening ports and returns their endpoints; for port 0 the kernel chooses the port. A port that is in use is tried
+    /// again while run() runs, and the gateway is not ready before. Precondition: called before run().
     Result<GatewayEndpoints> listen();
-    /// Serves until SIGTERM or stop().
+    /// Serves until SIGTERM or stop(). A handler that throws ends its own request only.
     void run();
     /// Starts the same graceful stop as SIGTERM. Thread safe.
     void stop();
--- a/tests/soak/soak_test_bed.h
+++ b/tests/soak/soak_test_bed.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "gateway_process.h"
 #include "guarantee_checker.h"
 #include "soak_backend.h"
 
 #include "standin/published_store.h"
+#include "support/gateway_process.h"
 
 #include <functional>
 #include <memory>
--- a/tests/soak/gateway_process.cpp
+++ b/tests/support/gateway_process.cpp
@@ -1,15 +1,17 @@
-#include "gateway_process.h"
+#include "support/gateway_process.h"
 
 #include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <csignal>
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
 #include <utility>
 
-namespace lycheefield::soak {
+namespace lycheefield {
 
 namespace {
 
@@ -31,12 +33,13 @@
 
 }
 
-GatewayProcess::GatewayProcess(std::string program, std::string folder, std::string name, std::string zone, Endpoint store)
+GatewayProcess::GatewayProcess(std::string program, std::string folder, std::string name, std::string zone, Endpoint store, GatewayProcessOptions options)
     : m_program(std::move(program))
     , m_folder(std::move(folder))
     , m_name(std::move(name))
     , m_zone(std::move(zone))
     , m_store(std::move(store))
+    , m_options(std::move(options))
     , m_reservedCallerPort(reservePort(m_io))
     , m_reservedReadinessPort(reservePort(m_io))
     , m_callers(endpointOf(m_reservedCallerPort))
@@ -45,7 +48,8 @@
     std::ofstream settings(m_folder + "/" + m_name + ".ini");
     settings << "[instance]\nname = " << m_name << "\nzone = " << m_zone << "\nlog_format = json\n[platform]\nrequest_timeout = 800ms\nwatch_timeout = 2500ms\nbackoff_maximum = 500ms\n"
              << "[gateway]\ncallers = " << m_callers.toString() << "\nstore = " << m_store.toString() << "\nreadiness = " << m_readiness.toString()
-             << "\nconfiguration_limit = 3000ms\nservers_limit = 3000ms\nlog_lines_per_second = 2000\nstop_limit = 6s\n[drain]\nbalancer_lag = 1s\n[forward]\nretry_ratio = 0.2\nretry_slack = 58\nretry_window = 10s\n";
+             << "\nconfiguration_limit = 3000ms\nservers_limit = 3000ms\nlog_lines_per_second = 2000\nstop_limit = 6s\n[drain]\nbalancer_lag = 1s\n[forward]\nretry_ratio = 0.2\nretry_slack = 58\nretry_window = 10s\n"
+             << m_options.settings;
 }
 
 GatewayProcess::~GatewayProcess()
@@ -68,12 +72,28 @@
     const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     dup2(out, STDOUT_FILENO);
     dup2(out, STDERR_FILENO);
+    if (m_options.hasClosedStreams) {
+        for (const int it : { STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO })
+            close(it);
+    }
+    if (m_options.maxDescriptors > 0) {
+        const rlimit limit { m_options.maxDescriptors, m_options.maxDescriptors };
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
     // The program must not inherit the sockets of the test.
     close_range(STDERR_FILENO + 1, ~0U, 0);
     execl(m_program.c_str(), m_program.c_str(), settings.c_str(), nullptr);
     _exit(127);
 }
 
+std::string GatewayProcess::log() const
+{
+    const std::ifstream file(m_folder + "/" + m_name + ".log");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
 void GatewayProcess::signal(int number)
 {
     if (m_pid > 0)
--- a/tests/soak/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -7,17 +7,25 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <sys/types.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
-namespace lycheefield::soak {
+namespace lycheefield {
+
+/// How a gateway process differs from the usual.
+struct GatewayProcessOptions {
+    std::string settings {}; ///< Further lines of the settings file.
+    std::uint64_t maxDescriptors = 0; ///< 0: as the test has.
+    bool hasClosedStreams = false; ///< Starts without standard input, output and error.
+};
 
 /// One gateway process that runs the real program, started and signalled by the test. Signals go only to
 /// the child process.
 class GatewayProcess {
 public:
     /// Writes the settings file to the folder; the log goes there too.
-    GatewayProcess(std::string program, std::string folder, std::string name, std::string zone, Endpoint store);
+    GatewayProcess(std::string program, std::string folder, std::string name, std::string zone, Endpoint store, GatewayProcessOptions = {});
     ~GatewayProcess();
     GatewayProcess(const GatewayProcess&) = delete;
     GatewayProcess& operator=(const GatewayProcess&) = delete;
@@ -28,6 +36,9 @@
     /// Returns the wait status once after each exit of the process; no value otherwise.
     std::optional<int> takeExitStatus();
     bool isRunning() const { return m_pid > 0; }
+    pid_t pid() const { return m_pid; }
+    /// Returns what the process has written so far.
+    std::string log() const;
 
     const std::string& name() const { return m_name; }
     const std::string& zone() const { return m_zone; }
@@ -40,6 +51,7 @@
     std::string m_name;
     std::string m_zone;
     Endpoint m_store;
+    GatewayProcessOptions m_options;
     boost::asio::io_context m_io;
     /// Bound without listening, so that no other process gets the ports while the program is down.
     boost::asio::ip::tcp::acceptor m_reservedCallerPort;
