--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -8,7 +8,6 @@
 #include "daemon/daemon_metrics.h"
 #include "daemon/drain.h"
 #include "daemon/entry_driver.h"
-#include "daemon/handler_loop.h"
 #include "daemon/membership_role.h"
 #include "daemon/operator_api.h"
 #include "daemon/peer_calls.h"
@@ -16,6 +15,7 @@
 #include "daemon/relay_driver.h"
 #include "daemon/request_admin.h"
 #include "daemon/rules_role.h"
+#include "observe/handler_loop.h"
 #include "observe/log.h"
 #include "observe/metrics.h"
 #include "platform/http_object_store.h"
@@ -299,7 +299,7 @@
     TablePublisher m_publisher;
     RequestLog m_log;
     Metrics m_metrics;
-    HandlerLoop m_loop { m_io, m_metrics };
+    HandlerLoop m_loop { m_io, m_metrics, [](std::string_view why) { logChange(LogLevel::Error, "a handler threw an exception; its request ends, other requests continue", { { "why", std::string(why) } }); } };
     std::shared_ptr<WireCounters> m_wireCounters = std::make_shared<WireCounters>();
     std::shared_ptr<HttpServerCounters> m_httpCounters = std::make_shared<HttpServerCounters>();
     PeerRouter m_router;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/forward_driver.h"
 #include "gateway/port_opener.h"
+#include "observe/handler_loop.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -52,6 +53,7 @@
         , m_delegateChooser(settings.instance.name, settings.instance.zone)
         , m_delegation({ m_io, m_strand, m_clock, m_driver, m_metrics, m_log, *this }, m_delegateChooser, settings.instance.name, settings.instance.zone)
         , m_registry(settings.gateway.renewalPeriod)
+        , m_loop(m_io, m_metrics, [this](std::string_view why) { logState("handler threw an exception; its request ends, others continue", { { "why", why } }); })
         , m_ports(m_strand, *m_clock, *this)
         , m_readiness([this] { return HttpResponse { isReady() ? ok : unavailable, "text/plain", isReady() ? "ready\n" : "not ready\n" }; })
         , m_metricsPage([this] { return HttpResponse { ok, "text/plain; version=0.0.4", m_metrics.render() }; })
@@ -193,16 +195,16 @@
     {
         waitForSignal();
         runHousekeeping();
-        m_io.run();
+        m_loop.run();
     }
 
-    void beginStop()
+    void beginStop(std::string_view why)
     {
         if (std::exchange(m_isStopping, true))
             return;
         m_ports.cancel();
         m_stopStartedAt = m_clock->now();
-        logState("stopping", { { "in_flight", std::to_string(m_driver.inFlight()) } });
+        logState("stopping", { { "why", why }, { "in_flight", std::to_string(m_driver.inFlight()) } });
         updateReadiness();
         m_driver.declineDelegations();
         m_driver.setEnd(m_stopStartedAt + m_settings.gateway.stopLimit - finishBeforeLimit);
@@ -290,7 +292,7 @@
             if (signal == SIGHUP)
                 logState("SIGHUP received; a changed settings file takes effect at the next start", {});
             else
-                beginStop();
+                beginStop(signal == SIGTERM ? "SIGTERM" : "SIGINT");
             waitForSignal();
         });
     }
@@ -379,6 +381,7 @@
     QuarantineStore* m_quarantineStore = nullptr;
     Endpoint m_inner;
     ServerRegistry m_registry;
+    HandlerLoop m_loop;
     PortOpener m_ports;
     SimpleHandler m_readiness;
     SimpleHandler m_metricsPage;
@@ -483,7 +486,7 @@
 
 void Gateway::stop()
 {
-    boost::asio::post(m_impl->executor(), [impl = m_impl] { impl->beginStop(); });
+    boost::asio::post(m_impl->executor(), [impl = m_impl] { impl->beginStop("stop requested"); });
 }
 
 }
--- /dev/null
+++ b/src/gateway/process_setup.cpp
@@ -0,0 +1,72 @@
+#include "gateway/process_setup.h"
+
+#include "observe/log_text.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <exception>
+#include <string>
+
+namespace lycheefield {
+
+namespace {
+
+std::string textOfCurrentException()
+{
+    try {
+        if (const auto current = std::current_exception())
+            std::rethrow_exception(current);
+    } catch (const std::exception& ex) {
+        return std::string("uncaught exception: ") + ex.what();
+    } catch (...) {
+        return "uncaught exception of unknown type";
+    }
+    return "terminated without an exception";
+}
+
+}
+
+HeldSignals::HeldSignals()
+{
+    sigset_t held;
+    sigemptyset(&held);
+    for (const int it : { SIGTERM, SIGINT, SIGHUP })
+        sigaddset(&held, it);
+    pthread_sigmask(SIG_BLOCK, &held, &m_before);
+}
+
+HeldSignals::~HeldSignals()
+{
+    pthread_sigmask(SIG_SETMASK, &m_before, nullptr);
+}
+
+void openStandardStreams()
+{
+    for (const int it : { STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO }) {
+        // open() returns the lowest free number, which is the closed stream's.
+        if (fcntl(it, F_GETFD) < 0 && open("/dev/null", O_RDWR) < 0)
+            return;
+    }
+}
+
+void logProcessEnd(std::string_view why)
+{
+    std::string line = "{\"event\":\"ended\",\"why\":";
+    appendJsonText(line, why);
+    line += "}\n";
+    const auto isWritten = [&](int stream) { return write(stream, line.data(), line.size()) == static_cast<ssize_t>(line.size()); };
+    if (!isWritten(STDOUT_FILENO))
+        isWritten(STDERR_FILENO);
+}
+
+void logUncaughtExceptions()
+{
+    std::set_terminate([] {
+        logProcessEnd(textOfCurrentException());
+        std::abort();
+    });
+}
+
+}
--- a/src/observe/decision_log.cpp
+++ b/src/observe/decision_log.cpp
@@ -1,5 +1,7 @@
 #include "observe/decision_log.h"
 
+#include "observe/log_text.h"
+
 #include <algorithm>
 #include <fcntl.h>
 #include <unistd.h>
@@ -26,18 +28,6 @@
     return 1;
 }
 
-void appendQuoted(std::string& out, std::string_view text)
-{
-    constexpr unsigned char firstPrintable = 0x20;
-    out += '"';
-    for (const char it : text) {
-        if (it == '"' || it == '\\')
-            out += '\\';
-        out += static_cast<unsigned char>(it) < firstPrintable ? ' ' : it;
-    }
-    out += '"';
-}
-
 }
 
 DecisionLog::DecisionLog(std::uint32_t linesPerSecond)
@@ -60,12 +50,12 @@
         return;
     }
     m_line.assign("{\"at_us\":").append(std::to_string(now.time_since_epoch().count())).append(",\"event\":");
-    appendQuoted(m_line, event);
+    appendJsonText(m_line, event);
     for (const auto& it : fields) {
         m_line += ',';
-        appendQuoted(m_line, it.name);
+        appendJsonText(m_line, it.name);
         m_line += ':';
-        appendQuoted(m_line, it.value);
+        appendJsonText(m_line, it.value);
     }
     if (m_droppedLines > 0)
         m_line.append(",\"left_out\":").append(std::to_string(m_droppedLines));
--- a/src/daemon/handler_loop.cpp
+++ b/src/observe/handler_loop.cpp
@@ -1,14 +1,14 @@
-#include "daemon/handler_loop.h"
-
-#include "observe/log.h"
+#include "observe/handler_loop.h"
 
 #include <exception>
+#include <utility>
 
 namespace lycheefield {
 
-HandlerLoop::HandlerLoop(boost::asio::io_context& io, Metrics& metrics)
+HandlerLoop::HandlerLoop(boost::asio::io_context& io, Metrics& metrics, Report report)
     : m_io(io)
     , m_exceptions(metrics.counter("lycheefield_handler_exceptions_total"))
+    , m_report(std::move(report))
 {
 }
 
@@ -20,7 +20,7 @@
             return;
         } catch (const std::exception& ex) {
             m_exceptions.add();
-            logChange(LogLevel::Error, "a handler threw an exception; its request ends, other requests continue", { { "why", ex.what() } });
+            m_report(ex.what());
         }
     }
 }
--- a/tests/adapter/end_to_end_test.cpp
+++ b/tests/adapter/end_to_end_test.cpp
@@ -14,6 +14,7 @@
 #include <doctest/doctest.h>
 
 #include <optional>
+#include <stdexcept>
 #include <thread>
 
 namespace lycheefield {
@@ -241,6 +242,13 @@
             fixture.store.put("config", "main", "{\"version\":5,\"routes\":[]}");
             CHECK(fixture.fetch(fixture.endpoints.callers, requestTo("/s/1", "id5")).status == 404);
         }
+        // Guards against an exception of one handler that ends the process.
+        SUBCASE("a handler that throws ends no other request")
+        {
+            boost::asio::post(fixture.gateway->executor(), [] { throw std::length_error("too long, on purpose"); });
+            CHECK(fixture.fetch(fixture.endpoints.callers, requestTo("/s/1", "id8")).status == 200);
+            CHECK(fixture.gateway->metrics().render().find("lycheefield_handler_exceptions_total 1\n") != std::string::npos);
+        }
         SUBCASE("a stopping gateway answers a request that it has read, with \"Connection: close\"")
         {
             fixture.serverX.holdsResponses = true;
--- a/tests/daemon/handler_loop_test.cpp
+++ b/tests/observe/handler_loop_test.cpp
@@ -1,4 +1,4 @@
-#include "daemon/handler_loop.h"
+#include "observe/handler_loop.h"
 
 #include "http/http_server.h"
 #include "support/raw_caller.h"
@@ -27,13 +27,14 @@
 
 }
 
-TEST_SUITE_BEGIN("daemon");
+TEST_SUITE_BEGIN("observe");
 
 TEST_CASE("A handler that throws ends its own request and no other")
 {
     boost::asio::io_context io;
     Metrics metrics;
-    HandlerLoop loop(io, metrics);
+    std::atomic<int> reports { 0 };
+    HandlerLoop loop(io, metrics, [&](std::string_view) { ++reports; });
     const auto& exceptions = metrics.counter("lycheefield_handler_exceptions_total");
 
     SUBCASE("The loop runs the remaining handlers on every thread")
@@ -51,6 +52,7 @@
         other.join();
         CHECK(ran == 30);
         CHECK(exceptions.value() == 10);
+        CHECK(reports == 10);
     }
     SUBCASE("The caller receives status 500 on a connection that stays open, and other callers are unaffected")
     {
