--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include "gateway/forward_counters_metrics.h"
 #include "gateway/forward_driver.h"
 #include "gateway/port_opener.h"
 #include "observe/handler_loop.h"
@@ -7,6 +8,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <csignal>
 #include <utility>
@@ -23,9 +26,20 @@
 constexpr Duration drainCheckPeriod = std::chrono::milliseconds(100);
 /// The log names at most this many servers of one change.
 constexpr std::size_t maxNamedServers = 8;
+/// Callers may use this share of the descriptors; the rest is for servers, the store, other instances and readiness checks.
+constexpr std::size_t callerDescriptorDivisor = 2;
 constexpr unsigned ok = 200;
 constexpr unsigned unavailable = 503;
 
+std::size_t maxCallerConnections()
+{
+    const auto most = HttpLimits().maxConnections;
+    rlimit descriptors {};
+    if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0 || descriptors.rlim_cur == RLIM_INFINITY)
+        return most;
+    return std::clamp<std::size_t>(descriptors.rlim_cur / callerDescriptorDivisor, 1, most);
+}
+
 /// Responds to every request with the result of a function.
 class SimpleHandler final : public HttpHandler {
 public:
@@ -57,7 +71,7 @@
         , m_ports(m_strand, *m_clock, *this)
         , m_readiness([this] { return HttpResponse { isReady() ? ok : unavailable, "text/plain", isReady() ? "ready\n" : "not ready\n" }; })
         , m_metricsPage([this] { return HttpResponse { ok, "text/plain; version=0.0.4", m_metrics.render() }; })
-        , m_callerServer(m_io, m_driver, m_clock, m_callerCounters)
+        , m_callerServer(m_io, m_driver, m_clock, m_callerCounters, { .maxConnections = maxCallerConnections() })
         , m_readinessServer(m_io, m_readiness, m_clock, m_probeCounters)
         , m_metricsServer(m_io, m_metricsPage, m_clock, m_probeCounters)
         , m_signals(m_strand, SIGTERM, SIGINT, SIGHUP)
@@ -78,6 +92,7 @@
         const auto version = std::to_string(table.version);
         const auto before = current ? std::to_string(current->version) : std::string("none");
         const auto routes = std::to_string(table.routes.size());
+        table.callerLimits.maxConnections = maxCallerConnections();
         m_callerServer.setLimits(table.callerLimits);
         m_driver.setRoutes(std::make_shared<const RouteTable>(std::move(table)));
         logState("configuration applied", { { "version", version }, { "before", before }, { "routes", routes } });
@@ -187,7 +202,7 @@
             return readiness.error();
         if (const Endpoint metrics { own.callers.address, own.metricsPort }; metrics.port != 0)
             m_ports.openOptional("metrics", [this, metrics] { return m_metricsServer.listen(metrics); });
-        logState("started", { { "instance", m_settings.instance.name.value() }, { "zone", m_settings.instance.zone.value() }, { "callers", m_settings.gateway.callers.toString() }, { "settings_adjusted", adjustedKeys() } });
+        logState("started", { { "instance", m_settings.instance.name.value() }, { "zone", m_settings.instance.zone.value() }, { "callers", m_settings.gateway.callers.toString() }, { "caller_connections", std::to_string(maxCallerConnections()) }, { "settings_adjusted", adjustedKeys() } });
         return GatewayEndpoints { callers.value(), readiness.value(), m_inner };
     }
 
@@ -338,27 +353,7 @@
 
     void registerMetrics()
     {
-        const auto& forward = m_driver.counters();
-        const auto count = [this](const std::string& name, const std::uint64_t& value) {
-            m_metrics.count("lycheefield_" + name, [&value] { return value; });
-        };
-        count("requests_total", forward.requests);
-        count("sends_total{kind=\"first\"}", forward.firstAttempts);
-        count("sends_total{kind=\"hedge\"}", forward.hedges);
-        count("sends_total{kind=\"retry\"}", forward.retries);
-        count("legs_relayed_total", forward.delegatedLegs);
-        count("legs_shed_total", forward.shedLegs);
-        count("legs_over_server_limit_total", forward.limitedLegs);
-        count("requests_over_server_limit_total", forward.limitedRequests);
-        count("sends_denied_total", forward.extraAttemptsDenied);
-        count("answers_total{outcome=\"complete\"}", forward.complete);
-        count("answers_total{outcome=\"partial\"}", forward.partial);
-        count("answers_total{outcome=\"passed_through\"}", forward.passedThrough);
-        count("answers_total{outcome=\"not_run\"}", forward.refused);
-        count("answers_total{outcome=\"failed\"}", forward.failed);
-        count("answers_total{outcome=\"timed_out\"}", forward.timedOut);
-        count("answers_late_total", forward.lateAnswers);
-        count("callers_gone_total", forward.disconnectedCallers);
+        registerForwardCounters(m_metrics, m_driver.counters());
         m_metrics.gauge("lycheefield_ready", [this] { return isReady() ? 1 : 0; });
         m_metrics.gauge("lycheefield_store_reachable", [this] { return m_isStoreReachable ? 1 : 0; });
         m_metrics.gauge("lycheefield_configuration_version", [this] { return m_driver.routes() ? static_cast<double>(m_driver.routes()->version) : 0; });
