--- a/tests/processes/gateway_program_test.cpp
+++ b/tests/processes/gateway_program_test.cpp
@@ -11,7 +11,6 @@
 #include <algorithm>
 #include <csignal>
 #include <filesystem>
-#include <fstream>
 
 using namespace lycheefield;
 using namespace std::chrono_literals;
@@ -156,13 +155,11 @@
         first.start();
         REQUIRE(fixture.becomesReady(first));
         first.signal(SIGTERM);
-        const auto firstPid = first.pid();
-        // Its object starts the next process on the same ports.
-        first.start();
+        first.startBesidePrevious();
         fixture.runFor(startTime);
         CHECK_FALSE(first.takeExitStatus());
-        int status = -1;
-        CHECK(fixture.waitUntil([&] { return waitpid(firstPid, &status, WNOHANG) == firstPid; }));
+        std::optional<int> status;
+        CHECK(fixture.waitUntil([&] { return (status = first.takePreviousExitStatus()).has_value(); }));
         CHECK(status == 0);
         CHECK(fixture.becomesReady(first));
         first.signal(SIGTERM);
@@ -198,23 +195,15 @@
 TEST_CASE("Signals that arrive before their handlers are set are delivered afterwards")
 {
     ProgramFixture fixture;
-    auto process = fixture.makeProcess("g1");
+    auto process = fixture.makeProcess("g1", { .readsSettingsFromPipe = true });
     process.start();
-    // From its first statements on the program holds the signals back.
-    const auto holdsSignals = [&] {
-        std::ifstream status("/proc/" + std::to_string(process.pid()) + "/status");
-        for (std::string line; std::getline(status, line);) {
-            if (line.starts_with("SigBlk:"))
-                return line.find_last_not_of("0\t") > std::string("SigBlk:").size();
-        }
-        return false;
-    };
-    bool wasHeld = false;
-    while (!wasHeld && process.log().empty())
-        wasHeld = holdsSignals();
-    CHECK(wasHeld);
+    // The program holds the signals back from its first statement on; here it waits for its settings.
+    CHECK(fixture.waitUntil([&] { return process.holdsOrCatchesSignals(); }));
     process.signal(SIGHUP);
     process.signal(SIGTERM);
+    fixture.runFor(50ms);
+    REQUIRE_FALSE(process.takeExitStatus());
+    process.writeSettings();
     CHECK(fixture.exitOf(process) == 0);
     CHECK(process.log().find("\"why\":\"SIGTERM\"") != std::string::npos);
 }
--- /dev/null
+++ b/tests/soak/process_faults.cpp
@@ -0,0 +1,162 @@
+#include "soak_test_bed.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <csignal>
+#include <sys/wait.h>
+
+namespace lycheefield::soak {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// From SIGTERM to the end of a process, at most.
+constexpr Duration stopLimit = 6s;
+
+bool isCleanEnd(int status)
+{
+    const bool isKilled = WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL;
+    return isKilled || (WIFEXITED(status) && WEXITSTATUS(status) == 0);
+}
+
+}
+
+void SoakTestBed::applyFault(Node& node, Duration time, const std::function<void()>& begin, const std::function<void()>& end)
+{
+    node.disturbedUntil = never;
+    begin();
+    runAfter(time, [this, &node, end] {
+        end();
+        node.disturbedUntil = m_clock.now();
+    });
+}
+
+void SoakTestBed::stopNode(Node& node, int signal)
+{
+    node.isExpectedToRun = false;
+    // SIGTERM is a planned stop: the gateway still answers the requests that a server runs, so the gateway counts
+    // as undisturbed until its process has ended.
+    if (signal != SIGTERM)
+        node.disturbedUntil = m_clock.now();
+    node.process->signal(signal);
+}
+
+void SoakTestBed::startNode(Node& node)
+{
+    node.process->start();
+    node.isExpectedToRun = true;
+    node.disturbedUntil = m_clock.now();
+    if (m_random.below(2) == 0)
+        signalWhileStarting(node);
+}
+
+void SoakTestBed::signalWhileStarting(Node& node)
+{
+    // The program can take care of signals from its first statement on.
+    if (!node.process->holdsOrCatchesSignals())
+        return runAfter(1ms, [this, &node] { signalWhileStarting(node); });
+    ++m_faults["reload while starting"];
+    node.process->signal(SIGHUP);
+}
+
+void SoakTestBed::restartInGrace(Node& node)
+{
+    ++m_faults["restart beside the stopping process"];
+    node.disturbedUntil = never;
+    node.process->signal(SIGTERM);
+    runAfter(randomDuration(50ms, 3s), [this, &node] {
+        // The stopping process may have ended already; watchProcesses() then starts the next one.
+        if (node.process->isRunning() && !node.process->hasPrevious())
+            node.process->startBesidePrevious();
+    });
+    runAfter(stopLimit + 500ms, [this, &node] { node.disturbedUntil = m_clock.now(); });
+}
+
+void SoakTestBed::openManyConnections(Node& node, Duration time)
+{
+    ++m_faults["more connections than descriptors"];
+    const auto sockets = std::make_shared<std::vector<boost::asio::ip::tcp::socket>>();
+    const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address(node.process->callers().address), node.process->callers().port);
+    for (std::size_t i = 0; i < maxDescriptors; ++i)
+        sockets->emplace_back(m_io).async_connect(endpoint, [](const boost::system::error_code&) {});
+    applyFault(
+        node, time, [] {}, [sockets] { sockets->clear(); });
+}
+
+void SoakTestBed::watchProcesses()
+{
+    for (const auto& it : m_nodes) {
+        if (const auto end = it->process->takePreviousExitStatus(); end && !isCleanEnd(*end))
+            m_checker.fail("a gateway process ended with an error beside its next process");
+        const auto end = it->process->takeExitStatus();
+        if (!end)
+            continue;
+        if (it->isExpectedToRun || !isCleanEnd(*end))
+            m_checker.fail("a gateway process exited unexpectedly or with an error");
+        it->disturbedUntil = never;
+        runAfter(randomDuration(100ms, 900ms), [this, node = it.get()] { startNode(*node); });
+    }
+    runAfter(20ms, [this] { watchProcesses(); });
+}
+
+void SoakTestBed::injectGatewayFault(Node& node)
+{
+    if (!node.process->isRunning() || !node.isExpectedToRun)
+        return;
+    const auto time = randomDuration(200ms, 4s);
+    switch (m_random.below(13)) {
+    case 10:
+    case 11:
+        return restartInGrace(node);
+    case 12:
+        return openManyConnections(node, time);
+    case 8:
+    case 9:
+        return pauseRepeatedly(node, 1 + m_random.below(12));
+    case 0:
+        ++m_faults["kill"];
+        return stopNode(node, SIGKILL);
+    case 1:
+        ++m_faults["terminate"];
+        return stopNode(node, SIGTERM);
+    case 2:
+        ++m_faults["reload"];
+        return node.process->signal(SIGHUP);
+    case 3:
+        ++m_faults["pause"];
+        return applyFault(
+            node, time, [&] { node.process->signal(SIGSTOP); }, [&] { node.process->signal(SIGCONT); });
+    case 4:
+        ++m_faults["store link blocked one way"];
+        return applyFault(
+            node, time, [&] { node.storeLink->setFaults({ {}, false, true, false }); }, [&] { node.storeLink->setFaults({}); });
+    case 5:
+        ++m_faults["store link refuses"];
+        return applyFault(
+            node, time, [&] { node.storeLink->setFaults({ {}, false, false, true }); node.storeLink->reset(); }, [&] { node.storeLink->setFaults({}); });
+    case 6:
+        ++m_faults["store link delayed"];
+        return applyFault(
+            node, time, [&] { node.storeLink->setFaults({ 150ms, false, false, false }); }, [&] { node.storeLink->setFaults({}); });
+    default:
+        ++m_faults["store link stalled permanently"];
+        node.storeLink->stall();
+        node.disturbedUntil = m_clock.now();
+    }
+}
+
+void SoakTestBed::pauseRepeatedly(Node& node, std::uint64_t times)
+{
+    if (times == 0 || !node.process->isRunning() || !node.isExpectedToRun)
+        return;
+    ++m_faults["repeated short pauses"];
+    applyFault(
+        node, randomDuration(20ms, 150ms), [&] { node.process->signal(SIGSTOP); },
+        [this, &node, times] {
+            node.process->signal(SIGCONT);
+            runAfter(randomDuration(10ms, 120ms), [this, &node, times] { pauseRepeatedly(node, times - 1); });
+        });
+}
+
+}
--- a/tests/soak/soak_test_bed.cpp
+++ b/tests/soak/soak_test_bed.cpp
@@ -7,7 +7,6 @@
 #include <csignal>
 #include <iostream>
 #include <set>
-#include <sys/wait.h>
 
 namespace lycheefield::soak {
 
@@ -29,6 +28,8 @@
 constexpr Duration crashingInterval = 1500ms;
 constexpr double limitPerSecond = 5; ///< That a server advertises in a calm phase.
 constexpr double minServedAfterRecovery = 0.9; ///< Share of the requests sent after the recovery time.
+const std::vector<std::string> storeFaultNames { "store busy", "store silent", "store sends rubbish", "store drops its history", "store drops its history" };
+const std::vector<std::string> storeRubbish { R"({"items\)", R"({"items":[{"meta":7}],"atRev":"x"})", "[[[[", "{}" };
 const std::vector<std::string> zones { "a", "b", "c" };
 
 std::set<std::string> shardNames()
@@ -109,7 +110,7 @@
     , m_store(m_io)
     , m_storeEndpoint(m_store.listen().value())
 {
-    m_store.setFaults({ false, false, 500 });
+    m_store.setFaults({ .pageSize = 500 });
     std::size_t place = 0;
     for (const auto& it : shardNames()) {
         ++place;
@@ -122,7 +123,7 @@
     for (std::size_t i = 0; i < m_settings.gateways; ++i) {
         auto node = std::make_unique<Node>();
         node->storeLink = std::make_unique<FaultLink>(m_io, m_storeEndpoint);
-        node->process = std::make_unique<GatewayProcess>(m_settings.program, m_settings.folder, "g" + std::to_string(i), zones[i % zones.size()], node->storeLink->endpoint());
+        node->process = std::make_unique<GatewayProcess>(m_settings.program, m_settings.folder, "g" + std::to_string(i), zones[i % zones.size()], node->storeLink->endpoint(), GatewayProcessOptions { .maxDescriptors = maxDescriptors });
         node->process->start();
         m_nodes.push_back(std::move(node));
     }
@@ -180,107 +181,16 @@
     return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto& it) { return isUndisturbed(*it); });
 }
 
-void SoakTestBed::applyFault(Node& node, Duration time, const std::function<void()>& begin, const std::function<void()>& end)
-{
-    node.disturbedUntil = never;
-    begin();
-    runAfter(time, [this, &node, end] {
-        end();
-        node.disturbedUntil = m_clock.now();
-    });
-}
-
-void SoakTestBed::stopNode(Node& node, int signal)
-{
-    node.isExpectedToRun = false;
-    // SIGTERM is a planned stop: the gateway still answers the requests that a server runs, so the gateway counts
-    // as undisturbed until its process has ended.
-    if (signal != SIGTERM)
-        node.disturbedUntil = m_clock.now();
-    node.process->signal(signal);
-}
-
-void SoakTestBed::watchProcesses()
-{
-    for (const auto& it : m_nodes) {
-        const auto end = it->process->takeExitStatus();
-        if (!end)
-            continue;
-        const bool isClean = WIFEXITED(*end) && WEXITSTATUS(*end) == 0;
-        if (it->isExpectedToRun || (!isClean && !(WIFSIGNALED(*end) && WTERMSIG(*end) == SIGKILL)))
-            m_checker.fail("a gateway process exited unexpectedly or with an error");
-        it->disturbedUntil = never;
-        runAfter(randomDuration(100ms, 900ms), [this, node = it.get()] {
-            node->process->start();
-            node->isExpectedToRun = true;
-            node->disturbedUntil = m_clock.now();
-        });
-    }
-    runAfter(20ms, [this] { watchProcesses(); });
-}
-
-void SoakTestBed::injectGatewayFault(Node& node)
-{
-    if (!node.process->isRunning() || !node.isExpectedToRun)
-        return;
-    const auto time = randomDuration(200ms, 4s);
-    switch (m_random.below(10)) {
-    case 8:
-    case 9:
-        return pauseRepeatedly(node, 1 + m_random.below(12));
-    case 0:
-        ++m_faults["kill"];
-        return stopNode(node, SIGKILL);
-    case 1:
-        ++m_faults["terminate"];
-        return stopNode(node, SIGTERM);
-    case 2:
-        ++m_faults["reload"];
-        return node.process->signal(SIGHUP);
-    case 3:
-        ++m_faults["pause"];
-        return applyFault(
-            node, time, [&] { node.process->signal(SIGSTOP); }, [&] { node.process->signal(SIGCONT); });
-    case 4:
-        ++m_faults["store link blocked one way"];
-        return applyFault(
-            node, time, [&] { node.storeLink->setFaults({ {}, false, true, false }); }, [&] { node.storeLink->setFaults({}); });
-    case 5:
-        ++m_faults["store link refuses"];
-        return applyFault(
-            node, time, [&] { node.storeLink->setFaults({ {}, false, false, true }); node.storeLink->reset(); }, [&] { node.storeLink->setFaults({}); });
-    case 6:
-        ++m_faults["store link delayed"];
-        return applyFault(
-            node, time, [&] { node.storeLink->setFaults({ 150ms, false, false, false }); }, [&] { node.storeLink->setFaults({}); });
-    default:
-        ++m_faults["store link stalled permanently"];
-        node.storeLink->stall();
-        node.disturbedUntil = m_clock.now();
-    }
-}
-
-void SoakTestBed::pauseRepeatedly(Node& node, std::uint64_t times)
-{
-    if (times == 0 || !node.process->isRunning() || !node.isExpectedToRun)
-        return;
-    ++m_faults["repeated short pauses"];
-    applyFault(
-        node, randomDuration(20ms, 150ms), [&] { node.process->signal(SIGSTOP); },
-        [this, &node, times] {
-            node.process->signal(SIGCONT);
-            runAfter(randomDuration(10ms, 120ms), [this, &node, times] { pauseRepeatedly(node, times - 1); });
-        });
-}
-
 void SoakTestBed::injectStoreFault()
 {
     const auto time = randomDuration(300ms, 5s);
     m_storeDisturbedUntil = never;
-    const auto kind = m_random.below(4);
-    ++m_faults[kind == 0 ? "store busy" : (kind == 1 ? "store silent" : "store drops its history")];
+    const auto kind = m_random.below(5);
+    ++m_faults[storeFaultNames.at(kind)];
     if (kind < 2)
-        m_store.setFaults({ kind == 0, kind == 1, 500 });
+        m_store.setFaults({ .isBusy = kind == 0, .isSilent = kind == 1, .pageSize = 500 });
+    else if (kind == 2)
+        m_store.setFaults({ .rubbish = storeRubbish.at(m_random.below(storeRubbish.size())), .pageSize = 500 });
     else
         m_store.forgetHistory();
     // The entry of a server may lapse during an outage; the server registers again soon after the outage.
@@ -289,7 +199,7 @@
     if (lapses)
         m_store.remove("servers", lapsed.name());
     runAfter(time, [this, &lapsed, lapses] {
-        m_store.setFaults({ false, false, 500 });
+        m_store.setFaults({ .pageSize = 500 });
         m_storeDisturbedUntil = m_clock.now();
         if (lapses)
             runAfter(randomDuration(100ms, 1800ms), [this, &lapsed] { m_store.put("servers", lapsed.name(), lapsed.entry(lapsed.drainDeadline != never)); });
--- a/tests/soak/soak_test_bed.h
+++ b/tests/soak/soak_test_bed.h
@@ -54,7 +54,15 @@
     void injectServerFault();
     void drain(SoakBackend&);
     void stopNode(Node&, int signal);
+    /// Restarts processes that have ended; an unexpected end is a violation.
     void watchProcesses();
+    void startNode(Node&);
+    /// Sends SIGHUP before the process has set its handlers, or soon after.
+    void signalWhileStarting(Node&);
+    /// Stops the process, and starts the next one on the same ports before it has ended.
+    void restartInGrace(Node&);
+    /// Opens as many connections as the process may have descriptors.
+    void openManyConnections(Node&, Duration);
     void applyFault(Node&, Duration, const std::function<void()>& begin, const std::function<void()>& end);
     void sendNext();
     void send(Node&);
@@ -69,6 +77,9 @@
     std::size_t successesDuring(Duration);
     Duration randomDuration(Duration min, Duration max);
 
+    /// Of each gateway process.
+    static constexpr std::size_t maxDescriptors = 512;
+
     SoakSettings m_settings;
     boost::asio::io_context m_io { 1 };
     SeededRandom m_random;
--- a/tests/standin/published_store.cpp
+++ b/tests/standin/published_store.cpp
@@ -161,6 +161,8 @@
     }
     if (m_faults.isBusy)
         return exchange->respond({ 503, "application/json", "{}" });
+    if (!m_faults.rubbish.empty())
+        return exchange->respond({ 200, "application/json", m_faults.rubbish });
     const std::string root = "/objects/";
     const std::string path(request.path());
     if (!path.starts_with(root))
--- a/tests/standin/published_store.h
+++ b/tests/standin/published_store.h
@@ -18,6 +18,7 @@
     struct Faults {
         bool isBusy = false; ///< Responds 503 to every request.
         bool isSilent = false; ///< Sends no response to any request.
+        std::string rubbish {}; ///< The body of every response, if not empty.
         std::size_t pageSize = 2; ///< Objects per page of a list.
     };
 
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -17,6 +17,7 @@
 struct GatewayProcessOptions {
     std::string settings {}; ///< Further lines of the settings file.
     std::uint64_t maxDescriptors = 0; ///< 0: as the test has.
+    bool readsSettingsFromPipe = false; ///< Waits at its start until writeSettings() is called.
     bool hasClosedStreams = false; ///< Starts without standard input, output and error.
 };
 
@@ -31,10 +32,20 @@
     GatewayProcess& operator=(const GatewayProcess&) = delete;
 
     void start();
+    /// Writes the settings file. Called by the constructor, except for a pipe.
+    void writeSettings() const;
     /// Sends the signal to the process; does nothing when the process does not run.
     void signal(int number);
     /// Returns the wait status once after each exit of the process; no value otherwise.
     std::optional<int> takeExitStatus();
+    /// Starts the next process on the same ports while the running one, which has been told to stop, still runs. Precondition:
+    /// isRunning() and !hasPrevious().
+    void startBesidePrevious();
+    bool hasPrevious() const { return m_previousPid > 0; }
+    /// Returns the wait status once after the exit of the previous process; no value otherwise.
+    std::optional<int> takePreviousExitStatus();
+    /// Whether SIGTERM no longer ends the process by default: the process holds it back or has a handler.
+    bool holdsOrCatchesSignals() const;
     bool isRunning() const { return m_pid > 0; }
     pid_t pid() const { return m_pid; }
     /// Returns what the process has written so far.
@@ -46,12 +57,15 @@
     const Endpoint& readiness() const { return m_readiness; }
 
 private:
+    std::string settingsPath() const;
+
     std::string m_program;
     std::string m_folder;
     std::string m_name;
     std::string m_zone;
     Endpoint m_store;
     GatewayProcessOptions m_options;
+    std::string m_settingsText;
     boost::asio::io_context m_io;
     /// Bound without listening, so that no other process gets the ports while the program is down.
     boost::asio::ip::tcp::acceptor m_reservedCallerPort;
@@ -59,6 +73,7 @@
     Endpoint m_callers;
     Endpoint m_readiness;
     pid_t m_pid = 0;
+    pid_t m_previousPid = 0;
 };
 
 }
