--- a/src/http/http_limits.h
+++ b/src/http/http_limits.h
@@ -13,6 +13,7 @@
     std::uint32_t maxHeaderBytes = 16 * 1024;
     std::uint64_t maxBodyBytes = 1024 * 1024;
     std::size_t maxPipelinedBytes = 64 * 1024; ///< Read ahead while a request is being handled.
+    std::uint64_t maxBufferedBytes = 64 * 1024 * 1024; ///< Received bytes of requests that are not answered yet, of all connections together.
     std::size_t maxConnections = 8192;
     Duration headerTimeout = std::chrono::seconds(5); ///< From the first byte of a message to the end of its header.
     Duration messageTimeout = std::chrono::seconds(10); ///< From the first byte of a message to its last.
@@ -29,6 +30,7 @@
     std::atomic<std::uint64_t> requests { 0 };
     std::atomic<std::uint64_t> malformed { 0 }; ///< Requests answered with status 400; the connection is closed.
     std::atomic<std::uint64_t> oversized { 0 }; ///< Requests answered with status 413 or 431; the connection is closed.
+    std::atomic<std::uint64_t> overMemoryLimit { 0 }; ///< Requests answered with status 503, because all connections together had too many buffered bytes.
     std::atomic<std::uint64_t> slow { 0 }; ///< Connections closed because reading a request or writing a response timed out.
     std::atomic<std::uint64_t> overConnectionLimit { 0 }; ///< Connections closed on arrival because the limit was reached.
     std::atomic<std::uint64_t> disconnectedCallers { 0 }; ///< Requests whose caller disconnected before the response was sent.
--- a/src/http/http_server_session.cpp
+++ b/src/http/http_server_session.cpp
@@ -16,6 +16,9 @@
 
 /// How long the session reads on after its last response, so that a TCP reset does not discard that response.
 constexpr Duration lingerTimeout = std::chrono::seconds(2);
+constexpr unsigned unavailable = 503;
+/// In seconds: by then other requests have been answered or have timed out.
+constexpr auto memoryRetryAfter = "1";
 
 /// Keeps the session alive while the handler may still respond to the request.
 class SessionExchange final : public HttpExchange {
@@ -97,6 +100,7 @@
     m_limits = m_context.limits->read();
     m_buffer.max_size(m_limits->maxHeaderBytes + m_limits->maxPipelinedBytes + m_limits->maxBodyBytes + 2 * sizeof(m_chunk) + m_buffer.size());
     m_reader.emplace(*m_limits);
+    setBuffered(m_buffer.size());
 }
 
 void HttpServerSession::start()
@@ -125,7 +129,7 @@
 
 void HttpServerSession::readMore()
 {
-    const bool isFull = m_handling && m_buffer.size() >= m_limits->maxPipelinedBytes;
+    const bool isFull = m_handling && m_lingerStarted == never && (m_buffer.size() >= m_limits->maxPipelinedBytes || isOverMemoryLimit());
     if (m_reading || m_closed || isFull)
         return;
     m_reading = true;
@@ -149,12 +153,27 @@
     }
     // The parser consumes m_buffer while a read is pending, which can move the buffer's storage. The read therefore goes to m_chunk.
     m_buffer.commit(boost::asio::buffer_copy(m_buffer.prepare(n), boost::asio::buffer(m_chunk.data(), n)));
-    if (!m_handling)
+    setBuffered(m_buffered + n);
+    if (!m_handling && isOverMemoryLimit())
+        refuseForMemory();
+    else if (!m_handling)
         parseMore();
     if (!m_closed)
         readMore();
 }
 
+void HttpServerSession::setBuffered(std::uint64_t n)
+{
+    // Unsigned arithmetic: the difference may be negative.
+    *m_context.bufferedBytes += n - m_buffered;
+    m_buffered = n;
+}
+
+bool HttpServerSession::isOverMemoryLimit() const
+{
+    return m_buffered > m_limits->maxHeaderBytes && m_context.bufferedBytes->load() > m_limits->maxBufferedBytes;
+}
+
 void HttpServerSession::reportDisconnect()
 {
     if (!m_handling)
@@ -197,6 +216,16 @@
     sendResponse({ m_reader->status(), "text/plain", m_reader->reason() + "\n" }, false);
 }
 
+void HttpServerSession::refuseForMemory()
+{
+    ++m_context.counters->overMemoryLimit;
+    m_handling = true;
+    ++m_requestNumber;
+    HttpResponse response { unavailable, "text/plain", "too many bytes of unanswered requests\n" };
+    response.headers.add("Retry-After", memoryRetryAfter);
+    sendResponse(response, false);
+}
+
 void HttpServerSession::dispatch()
 {
     ++m_context.counters->requests;
@@ -272,6 +301,7 @@
     m_lingerStarted = m_context.clock->now();
     m_messageStarted = never;
     m_buffer.clear();
+    setBuffered(0);
     readMore();
 }
 
@@ -313,6 +343,7 @@
     m_timeoutTimer.cancel();
     m_socket.close(ec);
     m_disconnectHandler = nullptr;
+    setBuffered(0);
     m_context.onEnd(m_id);
 }
 
--- a/src/http/http_server_session.h
+++ b/src/http/http_server_session.h
@@ -28,6 +28,7 @@
     std::shared_ptr<HttpServerCounters> counters;
     std::shared_ptr<Snapshot<HttpLimits>> limits; ///< Read at the start of each message.
     std::shared_ptr<std::atomic<bool>> draining;
+    std::shared_ptr<std::atomic<std::uint64_t>> bufferedBytes; ///< Of all sessions.
     /// Runs once with the session's id when the session ends.
     std::function<void(std::uint64_t)> onEnd;
 };
@@ -56,6 +57,12 @@
     void onRead(const boost::system::error_code&, std::size_t);
     void parseMore();
     void refuse();
+    /// Answers a request whose bytes exceed what all connections together may buffer.
+    void refuseForMemory();
+    /// Sets the number of received bytes of this session that wait for their answer.
+    void setBuffered(std::uint64_t);
+    /// Whether all connections together buffer too much. A connection may always buffer as much as a header may have.
+    bool isOverMemoryLimit() const;
     void dispatch();
     /// Returns the time on the network of the request that was just read and its response. Precondition: the request
     /// has its number.
@@ -81,6 +88,7 @@
     std::optional<HttpRequestReader> m_reader;
     std::function<void()> m_disconnectHandler;
     std::string m_outgoing;
+    std::uint64_t m_buffered = 0; ///< See setBuffered().
     std::uint64_t m_requestNumber = 0;
     TimePoint m_messageStarted = never; ///< `never` unless a request has arrived in part.
     TimePoint m_writeStarted = never;
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -84,6 +84,55 @@
 
 TEST_SUITE_BEGIN("http");
 
+// Guards against callers that use up the memory of the process with requests inside their own limits.
+TEST_CASE("Callers that send much at once are refused beyond what all connections may buffer" * doctest::test_suite("http"))
+{
+    boost::asio::io_context io;
+    DeferringHandler handler;
+    const auto counters = std::make_shared<HttpServerCounters>();
+    HttpLimits limits;
+    limits.maxHeaderBytes = 1024;
+    limits.maxBufferedBytes = 64 * 1024;
+    HttpServer server(io, handler, std::make_shared<SteadyClock>(), counters, limits);
+    const auto endpoint = server.listen({ "127.0.0.1", 0 }).value();
+    const std::string header = "POST /big HTTP/1.1\r\nHost: a\r\nContent-Length: 50000\r\n\r\n";
+    RawCaller first(io, endpoint);
+    first.send(header + std::string(49'000, 'x'));
+    // What has been sent over the loopback is read at once.
+    while (io.poll() > 0) { }
+    RawCaller second(io, endpoint);
+    second.send(header + std::string(40'000, 'x'));
+    runUntil(io, [&] { return second.isClosed(); });
+    CHECK(second.count("HTTP/1.1 503") == 1);
+    CHECK(second.count("Retry-After: 1") == 1);
+    CHECK(counters->overMemoryLimit == 1);
+    CHECK(handler.requests.empty());
+
+    SUBCASE("Small requests are served meanwhile")
+    {
+        RawCaller small(io, endpoint);
+        small.send(goodRequest);
+        runUntil(io, [&] { return small.count("you sent hi") == 1; });
+    }
+    SUBCASE("The first one is served, and its bytes are free again afterwards")
+    {
+        for (int i = 0; i < 3; ++i) {
+            first.send(i == 0 ? std::string(1'000, 'x') : header + std::string(50'000, 'x'));
+            runUntil(io, [&] { return first.count("you sent x") == static_cast<std::size_t>(i) + 1 || first.isClosed(); });
+            CHECK(first.count("HTTP/1.1 200") == static_cast<std::size_t>(i) + 1);
+        }
+    }
+    SUBCASE("When the first caller leaves, its bytes are free")
+    {
+        first.close();
+        RawCaller third(io, endpoint);
+        runUntil(io, [&] { return counters->connections == 3; });
+        third.send(header + std::string(50'000, 'x'));
+        runUntil(io, [&] { return third.count("HTTP/1.1") == 1; });
+        CHECK(third.count("HTTP/1.1 200") == 1);
+    }
+}
+
 TEST_CASE_FIXTURE(ServerFixture, "A server connection handles several requests one after the other")
 {
     RawCaller caller(io, endpoint);
