--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -42,7 +42,13 @@
 
 bool isName(std::string_view text)
 {
-    const auto allowed = [](char c) { return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '.' || c == '_' || c == '-'; };
+    // Compared as unsigned, as char is signed on some machines and bytes of UTF-8 are above 127.
+    const auto allowed = [](char c) {
+        constexpr unsigned char blank = 0x20;
+        constexpr unsigned char del = 0x7f;
+        const auto byte = static_cast<unsigned char>(c);
+        return byte > blank && byte != del && std::string_view("\"'\\/").find(c) == std::string_view::npos;
+    };
     return !text.empty() && text.size() <= maxNameBytes && std::all_of(text.begin(), text.end(), allowed);
 }
 
@@ -168,7 +174,7 @@
 struct NameType {
     static constexpr auto name = "text";
     static constexpr auto unit = "-";
-    static constexpr auto choices = "letters, digits, '.', '_' and '-', at most 128";
+    static constexpr auto choices = "UTF-8 without blanks, quotes, slashes and backslashes, at most 128 bytes";
     static std::string format(const T& value) { return value.value(); }
     static std::optional<T> parse(std::string_view text)
     {
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -64,6 +64,17 @@
         CHECK(claims.initialBackoff == std::chrono::milliseconds(1));
         CHECK(claims.maxBackoff == std::chrono::seconds(2));
     }
+    SUBCASE("A platform may choose names of any letters")
+    {
+        for (const auto* it : { "edge@10.1.0.9:8104", "huế-a", "A+b=c", "x" }) {
+            CAPTURE(it);
+            const auto settings = settingsOf("[instance]\nname = " + std::string(it) + "\nzone = " + it + "\n[platform]\nport = 7000\n");
+            CHECK(settings.instance.name == InstanceName(it));
+            CHECK(settings.instance.zone == ZoneName(it));
+        }
+        for (const auto* it : { "a b", "a/b", "a\\b", "a\"b", "a\x7f" })
+            CHECK_FALSE(errorsOf("[instance]\nname = " + std::string(it) + "\nzone = z\n[platform]\nport = 7000\n").empty());
+    }
     SUBCASE("The settings files of the examples are valid")
     {
         for (const auto* it : { "kobowire", "sac-ngoi" }) {
