--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -231,9 +231,9 @@
     bool awaitsSimultaneousCrashes(const Request&, TimePoint) const;
     /// Returns whether an attempt of the request may be sent now, given the crashes of its content.
     bool mayRunContent(const Request&, TimePoint) const;
-    /// Returns the time for which an attempt of the search, whose content is suspect, could crash the last running server of the
-    /// leg's service; zero when the service has another one.
-    Duration lastServerAtRisk(const Request&, const Leg&, TimePoint) const;
+    /// Returns the time until the leg of a search with suspect content may be sent: an attempt now could crash the last running
+    /// server of the leg's service. Zero when the service has another one.
+    Duration untilProbeAllowed(const Request&, const Leg&, TimePoint) const;
     /// Ends the legs of a request with suspect content if none may be sent as a probe.
     void endLegsWithoutProbe(Request&, TimePoint);
     static bool hasAttemptInFlight(const Request&);
--- a/src/forward/forward_engine_crashes.cpp
+++ b/src/forward/forward_engine_crashes.cpp
@@ -135,7 +135,7 @@
     return request.hasPassedProbe || (!hasAttemptInFlight(request) && !m_evidence.hasUnconfirmed(request.request.content, now));
 }
 
-Duration ForwardEngine::lastServerAtRisk(const Request& request, const Leg& leg, TimePoint now) const
+Duration ForwardEngine::untilProbeAllowed(const Request& request, const Leg& leg, TimePoint now) const
 {
     if (!request.route().isSearch() || request.hasPassedProbe || standingOf(request, now) != ContentStanding::Suspect)
         return {};
@@ -147,7 +147,7 @@
 
 void ForwardEngine::endLegsWithoutProbe(Request& request, TimePoint now)
 {
-    const auto mayProbe = [&](const Leg& leg) { return isWaiting(leg) && lastServerAtRisk(request, leg, now) == Duration {}; };
+    const auto mayProbe = [&](const Leg& leg) { return isWaiting(leg) && untilProbeAllowed(request, leg, now) == Duration {}; };
     if (std::none_of(request.legs.begin(), request.legs.end(), mayProbe))
         endUnsentLegs(request);
 }
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -91,7 +91,7 @@
     auto& leg = request.legs[index];
     if (!mayRunContent(request, now))
         return false;
-    if (lastServerAtRisk(request, leg, now) > Duration {})
+    if (untilProbeAllowed(request, leg, now) > Duration {})
         return false;
     const auto context = contextFor(request.route(), leg, now);
     const auto server = pickServer(request, leg, context);
@@ -354,7 +354,7 @@
         answer.retryAfter = std::max(minRetryAfter, quarantined);
         for (const auto& leg : request.legs) {
             if (leg.stage != LegStage::Done)
-                answer.retryAfter = std::max({ answer.retryAfter, m_pool.untilUsable(leg.service, now), m_pool.untilAllowed(leg.service, now), lastServerAtRisk(request, leg, now) });
+                answer.retryAfter = std::max({ answer.retryAfter, m_pool.untilUsable(leg.service, now), m_pool.untilAllowed(leg.service, now), untilProbeAllowed(request, leg, now) });
         }
         return answer;
     }
--- a/src/gateway/port_opener.cpp
+++ b/src/gateway/port_opener.cpp
@@ -12,10 +12,10 @@
 
 }
 
-PortOpener::PortOpener(boost::asio::any_io_executor executor, const Clock& clock, PortEvents& events)
+PortOpener::PortOpener(const boost::asio::any_io_executor& executor, const Clock& clock, PortEvents& events)
     : m_clock(clock)
     , m_events(events)
-    , m_timer(std::move(executor))
+    , m_timer(executor)
 {
 }
 
--- a/src/gateway/port_opener.h
+++ b/src/gateway/port_opener.h
@@ -31,7 +31,7 @@
     using Listen = std::function<Result<Endpoint>()>;
 
     /// Preconditions: the executor is a strand; the events outlive its run.
-    PortOpener(boost::asio::any_io_executor, const Clock&, PortEvents&);
+    PortOpener(const boost::asio::any_io_executor&, const Clock&, PortEvents&);
 
     /// Opens the port, now or later, and returns the endpoint, with the chosen port if it is open. Returns an error when the port
     /// can't be opened later either.
