--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -11,7 +11,7 @@
 class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
 public:
     Impl(boost::asio::io_context& io, HttpHandler& handler, std::shared_ptr<const Clock> clock, std::shared_ptr<HttpServerCounters> counters, HttpLimits limits)
-        : m_context { handler, std::move(clock), std::move(counters), std::make_shared<Snapshot<HttpLimits>>(limits), std::make_shared<std::atomic<bool>>(false), std::make_shared<std::atomic<std::uint64_t>>(0), {} }
+        : m_context { handler, std::move(clock), std::move(counters), std::make_shared<Snapshot<HttpLimits>>(limits), std::make_shared<std::atomic<bool>>(false), {} }
         , m_acceptLoop(std::make_shared<AcceptLoop>(io))
     {
     }
--- a/src/http/http_server_session.h
+++ b/src/http/http_server_session.h
@@ -28,9 +28,9 @@
     std::shared_ptr<HttpServerCounters> counters;
     std::shared_ptr<Snapshot<HttpLimits>> limits; ///< Read at the start of each message.
     std::shared_ptr<std::atomic<bool>> draining;
-    std::shared_ptr<std::atomic<std::uint64_t>> bufferedBytes; ///< Of all sessions.
     /// Runs once with the session's id when the session ends.
     std::function<void(std::uint64_t)> onEnd;
+    std::shared_ptr<std::atomic<std::uint64_t>> bufferedBytes = std::make_shared<std::atomic<std::uint64_t>>(0); ///< Of all sessions.
 };
 
 /// Connection of a caller. Unless the buffer is full, a read is always pending, so that the session detects
--- a/tests/soak/process_faults.cpp
+++ b/tests/soak/process_faults.cpp
@@ -80,6 +80,7 @@
 {
     ++m_faults["more connections than descriptors"];
     const auto sockets = std::make_shared<std::vector<boost::asio::ip::tcp::socket>>();
+    sockets->reserve(maxDescriptors);
     const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address(node.process->callers().address), node.process->callers().port);
     for (std::size_t i = 0; i < maxDescriptors; ++i)
         sockets->emplace_back(m_io).async_connect(endpoint, [](const boost::system::error_code&) {});
