--- a/src/base/accept_loop.cpp
+++ b/src/base/accept_loop.cpp
@@ -47,8 +47,9 @@
             return;
         if (ec)
             return self->pause(handler);
-        (*handler)(std::move(socket));
+        // The next accept is started first, so that a handler that throws does not end the loop.
         self->accept(handler);
+        (*handler)(std::move(socket));
     });
 }
 
--- a/src/base/accept_loop.h
+++ b/src/base/accept_loop.h
@@ -15,7 +15,7 @@
 
 /// Accepts connections on one listening socket until it is closed. While the process has no descriptor or memory for another
 /// connection, the loop pauses between its attempts; connections wait in the kernel's queue meanwhile. Keeps itself alive
-/// while the socket is open. Thread safe.
+/// while the socket is open. Not thread safe but for close().
 class AcceptLoop : public std::enable_shared_from_this<AcceptLoop> {
 public:
     /// Receives each connection, on a strand of its own.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -287,12 +287,19 @@
 
     void runHousekeeping()
     {
+        // Scheduled first, so that an exception does not end it.
+        scheduleHousekeeping(housekeepingPeriod);
         m_driver.closeStaleConnections();
         m_delegation.shareQuarantines(m_driver.quarantines());
         if (m_registry.expire(m_clock->now()))
             publishServers();
         const auto untilExpiry = m_registry.nextExpiry() == never ? housekeepingPeriod : Duration(m_registry.nextExpiry() - m_clock->now());
-        m_housekeeping.expires_after(std::clamp(untilExpiry, Duration(1), housekeepingPeriod));
+        scheduleHousekeeping(std::clamp(untilExpiry, Duration(1), housekeepingPeriod));
+    }
+
+    void scheduleHousekeeping(Duration delay)
+    {
+        m_housekeeping.expires_after(delay);
         m_housekeeping.async_wait([this](const boost::system::error_code& ec) {
             if (!ec)
                 runHousekeeping();
@@ -304,17 +311,23 @@
         m_signals.async_wait([this](const boost::system::error_code& ec, int signal) {
             if (ec)
                 return;
+            waitForSignal();
             if (signal == SIGHUP)
                 logState("SIGHUP received; a changed settings file takes effect at the next start", {});
             else
                 beginStop(signal == SIGTERM ? "SIGTERM" : "SIGINT");
-            waitForSignal();
         });
     }
 
     /// Goes on serving for the balancer's lag, then stops once no request is in flight or the stop limit is near.
     void checkStop()
     {
+        // Scheduled first, so that an exception does not end the checks.
+        m_drainTimer.expires_after(drainCheckPeriod);
+        m_drainTimer.async_wait([this](const boost::system::error_code& ec) {
+            if (!ec)
+                checkStop();
+        });
         const auto now = m_clock->now();
         const auto since = now - m_stopStartedAt;
         const bool isLast = since >= m_settings.gateway.stopLimit - finishBeforeLimit;
@@ -329,11 +342,6 @@
             return stop();
         if (!m_isClosing && (isLast || (since >= m_settings.drain.balancerLag && isIdle)))
             stopAcceptingCallers();
-        m_drainTimer.expires_after(drainCheckPeriod);
-        m_drainTimer.async_wait([this](const boost::system::error_code& ec) {
-            if (!ec)
-                checkStop();
-        });
     }
 
     /// Closes idle connections and accepts no new ones. Requests read by then are still answered.
--- a/src/http/http_server_session.cpp
+++ b/src/http/http_server_session.cpp
@@ -17,7 +17,7 @@
 /// How long the session reads on after its last response, so that a TCP reset does not discard that response.
 constexpr Duration lingerTimeout = std::chrono::seconds(2);
 constexpr unsigned unavailable = 503;
-/// In seconds: by then other requests have been answered or have timed out.
+/// In seconds.
 constexpr auto memoryRetryAfter = "1";
 
 /// Keeps the session alive while the handler may still respond to the request.
--- a/tests/base/accept_loop_test.cpp
+++ b/tests/base/accept_loop_test.cpp
@@ -7,6 +7,7 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <new>
 #include <vector>
 
 using namespace lycheefield;
@@ -75,4 +76,27 @@
     }
 }
 
+// Guards against a process that goes on after an exception but accepts nothing more.
+TEST_CASE("A handler that throws does not end the acceptance of connections")
+{
+    boost::asio::io_context io;
+    const auto loop = std::make_shared<AcceptLoop>(io);
+    int handled = 0;
+    const auto local = loop->listen({ "127.0.0.1", 0 }, "address", [&](const boost::asio::ip::tcp::socket&) {
+        if (++handled == 1)
+            throw std::bad_alloc();
+    });
+    REQUIRE(local);
+    const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::address_v4::loopback(), local.value().port);
+    boost::asio::ip::tcp::socket first(io);
+    first.connect(endpoint);
+    CHECK_THROWS_AS(io.run_one(), std::bad_alloc);
+    boost::asio::ip::tcp::socket second(io);
+    second.connect(endpoint);
+    constexpr int enoughHandlers = 100;
+    for (int i = 0; i < enoughHandlers && handled < 2; ++i)
+        io.run_one_for(10ms);
+    CHECK(handled == 2);
+}
+
 TEST_SUITE_END();
