--- a/src/gateway/server_connections.cpp
+++ b/src/gateway/server_connections.cpp
@@ -159,7 +159,7 @@
         owner->removeBusy(request.id);
         const auto declared = owner->m_protocol.idleAllowance(message);
         auto response = owner->m_protocol.read(std::move(message), request.attemptId);
-        if (response.kind == ServerResponseKind::NotRun)
+        if (response.kind == ServerResponseKind::NotRun || response.kind == ServerResponseKind::WrongServer)
             m_refusedAttempts.push_back(request.attemptId);
         const bool isUnusable = response.kind == ServerResponseKind::Unusable;
         if (isUnusable)
--- a/tests/adapter/server_connections_test.cpp
+++ b/tests/adapter/server_connections_test.cpp
@@ -16,17 +16,20 @@
 
 namespace {
 
-/// A server that refuses every request as not run.
+/// A server that refuses every request as not run, because it is full or because the request names another server.
 class RefusingHandler final : public HttpHandler {
 public:
     void handle(HttpRequest request, std::shared_ptr<HttpExchange> exchange) override
     {
-        HttpResponse response { 503, "", "" };
-        response.headers.add("Lycheefield-Not-Executed", "1");
+        HttpResponse response { isOtherServer ? 421U : 503U, "", "" };
+        if (!isOtherServer)
+            response.headers.add("Lycheefield-Not-Executed", "1");
         response.headers.add("Lycheefield-Attempt-Id", std::string(request.headers.find("Lycheefield-Attempt-Id")));
         response.headers.add("Keep-Alive", "timeout=60");
         exchange->respond(std::move(response));
     }
+
+    bool isOtherServer = false;
 };
 
 struct ConnectionsFixture final : ServerRequestEvents {
@@ -40,7 +43,7 @@
 
     void onResponse(ServerRequestId, const ServerResponse& response) override
     {
-        CHECK((response.kind == ServerResponseKind::NotRun));
+        CHECK((response.kind == (handler.isOtherServer ? ServerResponseKind::WrongServer : ServerResponseKind::NotRun)));
         ++responses;
     }
     void onChecked(const ServerName& name, ServerCheck check) override
@@ -78,9 +81,11 @@
 
 TEST_CASE("A refused attempt is sent again on another connection, where no late copy of its refusal can arrive" * doctest::test_suite("adapter"))
 {
-    for (const bool isIdempotent : { false, true }) {
+    for (const auto& [isIdempotent, isOtherServer] : { std::pair(false, false), std::pair(true, false), std::pair(false, true), std::pair(true, true) }) {
         CAPTURE(isIdempotent);
+        CAPTURE(isOtherServer);
         ConnectionsFixture fixture;
+        fixture.handler.isOtherServer = isOtherServer;
         CHECK(fixture.connectionsAfter("a", isIdempotent) == 1);
         CHECK(fixture.connectionsAfter("a", isIdempotent) == 2);
         CHECK(fixture.connectionsAfter("a", isIdempotent) == 3);
