--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -14,6 +14,8 @@
 /// Name of a lycheefieldd instance, unique across both regions.
 using InstanceName = StrongId<struct InstanceNameTag, std::string>;
 using ZoneName = StrongId<struct ZoneNameTag, std::string>;
+/// Name of a team: callers that share API keys, a priority and a quota.
+using TeamName = StrongId<struct TeamNameTag, std::string>;
 /// Identifier of an index batch, the unit in which coverage is measured.
 using BatchId = StrongId<struct BatchIdTag, std::string>;
 /// Key under which a caller submits a request that must not run more than once.
--- a/src/forward/forward_action.h
+++ b/src/forward/forward_action.h
@@ -20,6 +20,7 @@
     std::string attemptId;
     TimePoint deadline = never;
     bool isIdempotent = false;
+    TeamName team {}; ///< Of the caller; empty when there is none.
 };
 
 /// Cancel a server request: close its connection, so that the server stops working on it. Nothing is
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -112,7 +112,7 @@
     dequeue(request, index);
     leg.stage = LegStage::Sent;
     leg.hedgeAt = request.route().isIdempotent ? now + hedgeDelay(request) : never;
-    actions.emplace_back(SendServerRequest { id, server->entry, request.request.message, request.request.attemptId, request.deadline, request.route().isIdempotent });
+    actions.emplace_back(SendServerRequest { id, server->entry, request.request.message, request.request.attemptId, request.deadline, request.route().isIdempotent, request.request.team });
     return true;
 }
 
--- a/src/forward/forward_request.h
+++ b/src/forward/forward_request.h
@@ -35,6 +35,8 @@
     bool earnsBudget = true; ///< Whether the first attempts earn this instance's budget for extra attempts; false when they earn the delegating instance's.
     Duration networkTime {}; ///< Time that the request and its answer spend between the caller and this instance.
     Fingerprint content {}; ///< See contentOf().
+    TeamName team {}; ///< The team of the caller, which the servers are told; empty when the configuration has no teams or the route is public.
+    std::uint32_t teamRank = 0; ///< The team's priority, which goes before that of the route.
     std::string callerAddress {}; ///< The IP address from which the request came, for logs; empty when unknown.
 
     bool isPart() const { return !onlyShards.empty(); }
--- a/src/forward/forward_settings.h
+++ b/src/forward/forward_settings.h
@@ -22,6 +22,8 @@
     Share minHedgeDelay { 0.15 }; ///< As a share of the target latency.
     Share maxHedgeDelay { 0.40 }; ///< As a share of the time until the answer is due; also the delay until enough latencies are recorded.
     Duration crossZoneCost = 12ms; ///< Added to the expected latency of a server in another zone.
+    double warmupTolerance = 1; ///< A server that warms up takes this multiple of its configured rate.
+    double warmupSlack = 0; ///< And so many further requests in one second.
     Share cores { 1 }; ///< Processor cores that this instance may use.
 
     friend bool operator==(const ForwardSettings&, const ForwardSettings&) = default;
--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -65,7 +65,7 @@
     exchange->onDisconnect([this, number] {
         boost::asio::post(m_parts.strand, [this, number] { cancelRequest(number); });
     });
-    startRequest({ number, m_routes, route, std::make_shared<const HttpRequest>(std::move(message)), fields.attemptId, deadline, now, never, {}, true, networkTime, content, exchange->callerAddress() });
+    startRequest({ number, m_routes, route, std::make_shared<const HttpRequest>(std::move(message)), fields.attemptId, deadline, now, never, {}, true, networkTime, content, {}, 0, exchange->callerAddress() });
 }
 
 void ForwardDriver::startRequest(ForwardRequest request)
@@ -118,7 +118,7 @@
     const auto content = call.content == Fingerprint() ? contentOf(call.message) : call.content;
     m_pending.emplace(number, PendingRequest { nullptr, now, delegator, call.sequence });
     startRequest({ number, m_routes, m_routes->findSearch(call.route, call.limits), std::make_shared<const HttpRequest>(call.message), call.attemptId, call.deadline, now, call.answerBy, call.shards,
-        delegateEarnsBudget(DelegationId(call.sequence)), {}, content });
+        delegateEarnsBudget(DelegationId(call.sequence)), {}, content, call.team, call.teamRank });
 }
 
 std::optional<RequestNumber> ForwardDriver::findDelegated(const InstanceName& delegator, std::uint64_t sequence) const
--- a/src/gateway/search_delegation.cpp
+++ b/src/gateway/search_delegation.cpp
@@ -113,6 +113,8 @@
     call.shards = action.shards;
     call.attemptId = request.attemptId;
     call.content = request.content;
+    call.team = request.team;
+    call.teamRank = request.teamRank;
     call.message = *request.message;
     call.deadline = request.deadline;
     call.answerBy = action.answerBy - m_chooser.returnTime(action.instance);
--- a/src/gateway/server_connections.cpp
+++ b/src/gateway/server_connections.cpp
@@ -209,7 +209,7 @@
         if (!owner)
             return;
         const auto left = std::max(minTimeLeft, Duration(m_request->deadline - owner->m_clock.now()));
-        m_http->send(owner->m_protocol.write(*m_request->message, { m_request->server.name, left }));
+        m_http->send(owner->m_protocol.write(*m_request->message, { m_request->server.name, left, m_request->team }));
     }
 
     std::weak_ptr<Impl> m_owner;
--- a/src/gateway/server_protocol.h
+++ b/src/gateway/server_protocol.h
@@ -13,6 +13,7 @@
 struct ServerRequestFields {
     ServerName server; ///< A different server that has taken over the address must refuse the request.
     Duration timeLeft {}; ///< The server stops work on the request after this time.
+    TeamName team {}; ///< The team of the caller; empty when there is none.
 
     friend bool operator==(const ServerRequestFields&, const ServerRequestFields&) = default;
 };
--- a/src/routing/route.h
+++ b/src/routing/route.h
@@ -37,6 +37,7 @@
     std::vector<ServiceName> shards;
     std::size_t topRecords = 0; ///< Records in the answer of a search.
     Share minCoverage { 1 }; ///< Minimum share of the shards in an answer.
+    bool isPublic = false; ///< Needs no API key, although the configuration has teams.
 
     bool isSearch() const { return !shards.empty(); }
     SearchLimits searchLimits() const { return { topRecords, maxRuns }; }
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -2,9 +2,11 @@
 
 #include "http/http_limits.h"
 #include "routing/route.h"
+#include "routing/team_directory.h"
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string_view>
 #include <vector>
 
@@ -13,6 +15,7 @@
 /// Configured limits of a service's servers.
 struct ServicePolicy {
     std::uint32_t maxConnections = 1; ///< Connections that one server accepts from all instances together.
+    double warmupRate = 0; ///< Requests per second that a server takes from all instances together while it warms up; 0: no limit.
 
     friend bool operator==(const ServicePolicy&, const ServicePolicy&) = default;
 };
@@ -24,6 +27,7 @@
     std::vector<Route> routes;
     std::map<ServiceName, ServicePolicy> services;
     HttpLimits callerLimits;
+    std::shared_ptr<const TeamDirectory> teams; ///< Null when requests need no API key.
 
     /// Returns the host's route with the longest matching path prefix; null when none matches. The host
     /// is case-insensitive and may include a port; the path must not include a query.
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -94,6 +94,7 @@
     Duration configurationLimit = 3s; ///< From a configuration change until it is in force here, at most.
     Duration renewalPeriod = 1s; ///< Backend servers renew their entries in the store once in this period.
     Duration serversLimit = 3s; ///< From the drain or removal of a server until it gets no new work, at most.
+    Duration zoneDrainLimit {}; ///< From the drain of an availability zone until its servers get no new work, at most; zero: zones are not drained.
 
     friend bool operator==(const GatewaySettings&, const GatewaySettings&) = default;
 };
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -188,6 +188,7 @@
                                 figure({ "gateway", "configuration_limit", fieldOf<section, &GatewaySettings::configurationLimit>, { "10ms", "1h" }, "Longest time until a new configuration is in force." }),
                                 figure({ "gateway", "servers_limit", fieldOf<section, &GatewaySettings::serversLimit>, { "10ms", "1h" }, "Longest time until a draining or removed server gets no new work." }),
                                 figure({ "gateway", "renewal_period", fieldOf<section, &GatewaySettings::renewalPeriod>, { "1ms", "1h" }, "Period in which backend servers renew their entries in the store." }),
+                                figure({ "gateway", "zone_drain_limit", fieldOf<section, &GatewaySettings::zoneDrainLimit>, { "0ms", "1h" }, "Longest time until the servers of a drained zone get no new work; 0: drains of zones are not followed." }),
                                 figure({ "gateway", "stop_limit", fieldOf<section, &GatewaySettings::stopLimit>, { "100ms", "1h" }, "Longest time from SIGTERM until the process has ended." }),
                             });
 }
@@ -203,6 +204,19 @@
                                 { "forward", "least_hedge_delay", fieldOf<section, &ForwardSettings::minHedgeDelay>, { "0%", "100%" }, "Earliest hedge, as a share of the target latency." },
                                 { "forward", "most_hedge_delay", fieldOf<section, &ForwardSettings::maxHedgeDelay>, { "0%", "100%" }, "Latest hedge, as a share of the time until the answer is due." },
                                 { "forward", "cross_zone_cost", fieldOf<section, &ForwardSettings::crossZoneCost>, { "0ms", "1s" }, "Time by which a server in another zone must be better to be chosen." },
+                                figure({ "forward", "warmup_tolerance", fieldOf<section, &ForwardSettings::warmupTolerance>, { "1", "100" }, "Multiple of a service's warm-up rate that a server takes while it warms up." }),
+                                figure({ "forward", "warmup_slack", fieldOf<section, &ForwardSettings::warmupSlack>, { "0", "1000000" }, "Further requests that it takes in one second." }),
+                            });
+}
+
+void addAdmission(std::vector<SettingKey>& keys)
+{
+    constexpr auto section = &Settings::admission;
+    keys.insert(keys.end(), {
+                                figure({ "admission", "revocation_limit", fieldOf<section, &AdmissionSettings::revocationLimit>, { "0ms", "1h" }, "Longest time until a removed API key is admitted nowhere, even by an instance that is cut off; 0: as soon as the configuration arrives." }),
+                                figure({ "admission", "quota_window", fieldOf<section, &AdmissionSettings::quotaWindow>, { "100ms", "1h" }, "Length of the sliding window in which a team's requests are counted." }),
+                                figure({ "admission", "quota_tolerance", fieldOf<section, &AdmissionSettings::quotaTolerance>, { "0%", "100%" }, "Requests that a window may hold beyond the quota, as a share of it." }),
+                                figure({ "admission", "quota_slack", fieldOf<section, &AdmissionSettings::quotaSlack>, { "0", "1000000" }, "Further requests that a window may hold beyond the quota." }),
                             });
 }
 
@@ -228,6 +242,7 @@
     addMembership(keys);
     addGateway(keys);
     addForward(keys);
+    addAdmission(keys);
     addRest(keys);
     return keys;
 }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/admission_settings.h"
 #include "claims/claim_settings.h"
 #include "dispatch/relay_settings.h"
 #include "forward/forward_settings.h"
@@ -31,6 +32,7 @@
     MembershipSettings membership;
     GatewaySettings gateway;
     ForwardSettings forward;
+    AdmissionSettings admission;
     std::vector<std::string> adjusted; ///< Full names of the keys whose text had no value or one outside the range.
 
     /// Returns the address that is announced to peers and the platform.
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -228,6 +228,10 @@
         body.budgetMicros = timeLeft(call.deadline, now);
         body.answerMicros = timeLeft(call.answerBy, now);
         body.__set_content(toSigned(call.content.value()));
+        if (!call.team.value().empty()) {
+            body.__set_team(call.team.value());
+            body.__set_teamRank(toSigned(call.teamRank));
+        }
         out.__set_searchCall(body);
     }
     void operator()(const lycheefield::SearchNote& note) const
@@ -259,6 +263,8 @@
             body.__set_changed(changed);
         if (!news.removed.empty())
             body.__set_removed(news.removed);
+        if (news.confirmedAt != TimePoint {})
+            body.__set_confirmedAtMicros(news.confirmedAt.time_since_epoch().count());
         out.__set_storeNews(body);
     }
     void operator()(const lycheefield::StoreStateRequest& request) const
@@ -267,6 +273,45 @@
         body.prefix = request.prefix;
         out.__set_storeStateRequest(body);
     }
+    void operator()(const lycheefield::QuotaCall& call) const
+    {
+        QuotaCall body;
+        body.sequence = toSigned(call.sequence);
+        for (const auto& it : call.wishes) {
+            QuotaWish wish;
+            wish.team = it.team.value();
+            wish.requests = toSigned(it.requests);
+            body.wishes.push_back(std::move(wish));
+        }
+        out.__set_quotaCall(body);
+    }
+    void operator()(const lycheefield::QuotaReply& reply) const
+    {
+        QuotaReply body;
+        body.sequence = toSigned(reply.sequence);
+        for (const auto& it : reply.grants) {
+            QuotaGrant grant;
+            grant.team = it.team.value();
+            grant.permits = toSigned(it.permits);
+            grant.lifetimeMicros = it.lifetime.count();
+            grant.retryAfterMicros = it.retryAfter.count();
+            body.grants.push_back(std::move(grant));
+        }
+        out.__set_quotaReply(body);
+    }
+    void operator()(const lycheefield::ClockCall& call) const
+    {
+        ClockCall body;
+        body.sentAtMicros = call.sentAt.time_since_epoch().count();
+        out.__set_clockCall(body);
+    }
+    void operator()(const lycheefield::ClockReply& reply) const
+    {
+        ClockReply body;
+        body.sentAtMicros = reply.sentAt.time_since_epoch().count();
+        body.nowMicros = reply.now.time_since_epoch().count();
+        out.__set_clockReply(body);
+    }
     void operator()(const lycheefield::SearchReply& reply) const
     {
         SearchReply body;
--- a/src/wire/convert_from.cpp
+++ b/src/wire/convert_from.cpp
@@ -209,6 +209,8 @@
     out.deadline = reader.deadline(in.budgetMicros, "budgetMicros");
     out.answerBy = reader.deadline(in.answerMicros, "answerMicros");
     out.content = Fingerprint(Reader::number(in.content));
+    out.team = TeamName(std::move(in.team));
+    out.teamRank = reader.count(in.teamRank, "teamRank");
     return out;
 }
 
@@ -232,6 +234,27 @@
     for (auto& it : in.changed)
         out.changed.push_back({ reader.name(it.key, "key"), ObjectVersion { Reader::number(it.version) }, std::move(it.value) });
     out.removed = std::move(in.removed);
+    out.confirmedAt = TimePoint(Duration(in.confirmedAtMicros));
+    return out;
+}
+
+lycheefield::QuotaCall fromWire(QuotaCall& in, Reader& reader)
+{
+    lycheefield::QuotaCall out;
+    out.sequence = Reader::number(in.sequence);
+    for (auto& it : in.wishes)
+        out.wishes.push_back({ TeamName(reader.name(it.team, "team")), reader.count(it.requests, "requests") });
+    return out;
+}
+
+lycheefield::QuotaReply fromWire(QuotaReply& in, Reader& reader)
+{
+    lycheefield::QuotaReply out;
+    out.sequence = Reader::number(in.sequence);
+    for (auto& it : in.grants) {
+        out.grants.push_back({ TeamName(reader.name(it.team, "team")), reader.count(it.permits, "permits"), reader.duration(it.lifetimeMicros, "lifetimeMicros"),
+            reader.duration(it.retryAfterMicros, "retryAfterMicros") });
+    }
     return out;
 }
 
@@ -276,7 +299,7 @@
 {
     const auto& set = in.__isset;
     return set.hello + set.work + set.cancel + set.results + set.servers + set.crash + set.gossip + set.ruleRequest + set.ruleDelta + set.control + set.claimCall + set.claimReply
-        + set.searchCall + set.searchNote + set.searchReply + set.storeNews + set.storeStateRequest;
+        + set.searchCall + set.searchNote + set.searchReply + set.storeNews + set.storeStateRequest + set.quotaCall + set.quotaReply + set.clockCall + set.clockReply;
 }
 
 /// Precondition: exactly one body field is set.
@@ -324,6 +347,14 @@
         return fromWire(in.storeNews, reader);
     if (set.storeStateRequest)
         return lycheefield::StoreStateRequest { reader.name(in.storeStateRequest.prefix, "prefix") };
+    if (set.quotaCall)
+        return fromWire(in.quotaCall, reader);
+    if (set.quotaReply)
+        return fromWire(in.quotaReply, reader);
+    if (set.clockCall)
+        return lycheefield::ClockCall { TimePoint(Duration(in.clockCall.sentAtMicros)) };
+    if (set.clockReply)
+        return lycheefield::ClockReply { TimePoint(Duration(in.clockReply.sentAtMicros)), TimePoint(Duration(in.clockReply.nowMicros)) };
     return fromWire(in.control);
 }
 
--- a/src/wire/inner.thrift
+++ b/src/wire/inner.thrift
@@ -165,6 +165,8 @@
     12: optional i64 topRecords = 0
     13: optional i32 maxRuns = 0 // Servers that one shard may be sent to. Without these two the call is declined.
     14: optional i64 content = 0 // Fingerprint of the request's content and caller; 0 when unknown.
+    15: optional string team // Of the caller, with its priority.
+    16: optional i32 teamRank = 0
 }
 
 // Taken, declined or cancelled: see SearchNoteKind.
@@ -206,6 +208,40 @@
     4: required i64 ageMicros // How long ago that was all there was.
     5: optional list<StoreObject> changed
     6: optional list<string> removed
+    7: optional i64 confirmedAtMicros = 0 // On the sender's clock, by which a receiver that knows that clock judges the age.
+}
+
+struct QuotaWish {
+    1: required string team
+    2: required i32 requests
+}
+
+// Asks the instance that keeps the quotas of these teams for permits.
+struct QuotaCall {
+    1: required i64 sequence
+    2: required list<QuotaWish> wishes
+}
+
+struct QuotaGrant {
+    1: required string team
+    2: required i32 permits
+    3: required i64 lifetimeMicros
+    4: required i64 retryAfterMicros
+}
+
+struct QuotaReply {
+    1: required i64 sequence
+    2: required list<QuotaGrant> grants
+}
+
+// Asks for the receiver's clock.
+struct ClockCall {
+    1: required i64 sentAtMicros
+}
+
+struct ClockReply {
+    1: required i64 sentAtMicros
+    2: required i64 nowMicros
 }
 
 // The one message of a frame. Exactly one body field is set; a receiver skips fields it does not know.
@@ -228,4 +264,8 @@
     16: optional SearchReply searchReply
     17: optional StoreNews storeNews
     18: optional StoreStateRequest storeStateRequest
+    19: optional QuotaCall quotaCall
+    20: optional QuotaReply quotaReply
+    21: optional ClockCall clockCall
+    22: optional ClockReply clockReply
 }
--- a/src/wire/peer_message.h
+++ b/src/wire/peer_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/quota_message.h"
 #include "base/ids.h"
 #include "base/leg.h"
 #include "base/time.h"
@@ -7,6 +8,7 @@
 #include "membership/member_digest.h"
 #include "rules/rule_delta.h"
 #include "wire/claim_message.h"
+#include "wire/clock_message.h"
 #include "wire/search_message.h"
 #include "wire/store_news.h"
 #include "wire/store_state_request.h"
@@ -68,6 +70,6 @@
 
 /// Any message between instances; each frame has exactly one.
 using PeerMessage = std::variant<Hello, WorkOrder, CancelLeg, LegResults, ServerStateUpdate, AnnounceCrash, GossipMessage, RuleRequest, RuleDelta, Control, ClaimCall, ClaimReply, SearchCall,
-    SearchNote, SearchReply, StoreNews, StoreStateRequest>;
+    SearchNote, SearchReply, StoreNews, StoreStateRequest, QuotaCall, QuotaReply, ClockCall, ClockReply>;
 
 }
--- a/src/wire/search_message.h
+++ b/src/wire/search_message.h
@@ -25,6 +25,8 @@
     TimePoint deadline = never;
     TimePoint answerBy = never; ///< When the delegate should send its answer, so that the caller's answer is in time.
     Fingerprint content; ///< Of the request, see contentOf().
+    TeamName team; ///< Of the caller; empty when there is none.
+    std::uint32_t teamRank = 0; ///< The team's priority.
 
     friend bool operator==(const SearchCall&, const SearchCall&) = default;
 };
--- a/src/wire/store_news.h
+++ b/src/wire/store_news.h
@@ -20,6 +20,7 @@
     std::vector<StoredObject> changed;
     std::vector<std::string> removed; ///< Keys of removed objects.
     TimePoint currentAsOf {}; ///< Sent on the wire as an age.
+    TimePoint confirmedAt {}; ///< On the sender's clock: when the call was sent whose response showed that there was no later change; the epoch when none did.
 
     friend bool operator==(const StoreNews&, const StoreNews&) = default;
 };
--- a/tests/adapter/settings_template_test.cpp
+++ b/tests/adapter/settings_template_test.cpp
@@ -12,6 +12,22 @@
 
 using Placeholders = std::map<std::string, std::string>;
 
+/// Keeps the content of each section whose value is present and not false, and removes the others.
+void fillSections(std::string& text, const Placeholders& values)
+{
+    for (auto at = text.find("{{#"); at != std::string::npos; at = text.find("{{#")) {
+        const auto nameEnd = text.find("}}", at);
+        const auto name = text.substr(at + 3, nameEnd - at - 3);
+        const auto closing = "{{/" + name + "}}";
+        const auto end = text.find(closing, at);
+        REQUIRE(end != std::string::npos);
+        const auto it = values.find(name);
+        const bool isKept = it != values.end() && !it->second.empty() && it->second != "false";
+        const auto content = isKept ? text.substr(nameEnd + 2, end - nameEnd - 2) : "";
+        text.replace(at, end + closing.size() - at, content);
+    }
+}
+
 /// Returns the text of the template with each placeholder replaced by its value.
 std::string fillTemplate(const Placeholders& values)
 {
@@ -19,6 +35,7 @@
     std::stringstream buf;
     buf << file.rdbuf();
     std::string text = buf.str();
+    fillSections(text, values);
     for (const auto& [name, value] : values) {
         const auto placeholder = "{{" + name + "}}";
         for (auto at = text.find(placeholder); at != std::string::npos; at = text.find(placeholder))
@@ -103,6 +120,26 @@
         CHECK(settingsOf(values).forward.retryRatio.value == doctest::Approx(0.05));
     }
     // Guards against a gateway that ends at its start because the deployment lacks a bound.
+    SUBCASE("Bounds that only some deployments have are taken where they are present")
+    {
+        auto values = wholeNumbers();
+        values["bounds.evacuateMs"] = "5000";
+        values["bounds.warmupOvershoot"] = "1.5";
+        values["bounds.warmupSlack"] = "5";
+        values["bounds.strictRevoke"] = "true";
+        values["bounds.revokeMs"] = "4000";
+        values["bounds.quotaWindowS"] = "6";
+        values["bounds.quotaOvershoot"] = "0.2";
+        values["bounds.quotaSlack"] = "30";
+        const auto settings = settingsOf(values);
+        CHECK(settings.adjusted.empty());
+        CHECK(settings.gateway.zoneDrainLimit == 5s);
+        CHECK(settings.forward.warmupTolerance == 1.5);
+        CHECK(settings.forward.warmupSlack == 5);
+        CHECK(settings.admission == AdmissionSettings { 4s, 6s, Share { 0.2 }, 30 });
+        values["bounds.strictRevoke"] = "false";
+        CHECK(settingsOf(values).admission.revocationLimit == 0s);
+    }
     SUBCASE("A bound that the deployment lacks leaves its default")
     {
         for (const auto* it : { "limits.cpuShare", "heartbeatMs", "bounds.configApplyMs", "bounds.drainMs", "bounds.graceS", "bounds.retryBudgetRatio", "bounds.retrySlack", "bounds.budgetWindowS" })
