--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,7 +1,9 @@
 #include "gateway/gateway.h"
 
+#include "gateway/computed_response.h"
 #include "gateway/forward_counters_metrics.h"
 #include "gateway/forward_driver.h"
+#include "gateway/leaving_servers_log.h"
 #include "gateway/port_opener.h"
 #include "observe/handler_loop.h"
 
@@ -24,8 +26,6 @@
 constexpr Duration answerFlushTime = std::chrono::milliseconds(200);
 constexpr Duration housekeepingPeriod = std::chrono::seconds(1);
 constexpr Duration drainCheckPeriod = std::chrono::milliseconds(100);
-/// The log names at most this many servers of one change.
-constexpr std::size_t maxNamedServers = 8;
 /// Callers may use this share of the descriptors; the rest is for servers, the store, other instances and readiness checks.
 constexpr std::size_t callerDescriptorDivisor = 2;
 constexpr unsigned ok = 200;
@@ -40,21 +40,6 @@
     return std::clamp<std::size_t>(descriptors.rlim_cur / callerDescriptorDivisor, 1, most);
 }
 
-/// Responds to every request with the result of a function.
-class SimpleHandler final : public HttpHandler {
-public:
-    using ResponseSource = std::function<HttpResponse()>;
-
-    explicit SimpleHandler(ResponseSource source)
-        : m_source(std::move(source))
-    {
-    }
-    void handle(HttpRequest, std::shared_ptr<HttpExchange> exchange) override { exchange->respond(m_source()); }
-
-private:
-    ResponseSource m_source;
-};
-
 }
 
 class Gateway::Impl final : public StoreNewsEvents, public PortEvents {
@@ -106,7 +91,7 @@
         for (const auto& it : changes.removed)
             changed = m_registry.remove(it, now) || changed;
         m_hasServers = true;
-        logLeavingServers(changes);
+        logLeavingServers(changes, m_clock->now(), m_log);
         if (changed)
             publishServers();
         updateReadiness();
@@ -245,20 +230,6 @@
         return changed;
     }
 
-    /// Logs the first draining and the first removed servers by name, and both total counts if there are more.
-    void logLeavingServers(const ServerChanges& changes)
-    {
-        std::size_t draining = 0;
-        for (const auto& it : changes.listed) {
-            if (it.isDraining && ++draining <= maxNamedServers)
-                logState("server draining", { { "server", it.name.value() }, { "service", it.service.value() } });
-        }
-        for (std::size_t i = 0; i < std::min(maxNamedServers, changes.removed.size()); ++i)
-            logState("server removed", { { "server", changes.removed[i].value() } });
-        if (draining > maxNamedServers || changes.removed.size() > maxNamedServers)
-            logState("many servers draining or removed", { { "draining", std::to_string(draining) }, { "gone", std::to_string(changes.removed.size()) } });
-    }
-
     /// Returns the keys whose text had no value or one outside the range, separated by blanks.
     std::string adjustedKeys() const
     {
@@ -386,8 +357,8 @@
     ServerRegistry m_registry;
     HandlerLoop m_loop;
     PortOpener m_ports;
-    SimpleHandler m_readiness;
-    SimpleHandler m_metricsPage;
+    ComputedResponse m_readiness;
+    ComputedResponse m_metricsPage;
     std::shared_ptr<HttpServerCounters> m_callerCounters = std::make_shared<HttpServerCounters>();
     std::shared_ptr<HttpServerCounters> m_probeCounters = std::make_shared<HttpServerCounters>();
     HttpServer m_callerServer;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "base/error.h"
-#include "forward/server_entry.h"
 #include "gateway/caller_protocol.h"
+#include "gateway/server_changes.h"
 #include "gateway/server_protocol.h"
 #include "membership/view.h"
 #include "observe/metrics.h"
@@ -25,15 +25,6 @@
     const ServerProtocol& servers;
 };
 
-/// Changes to the list of servers.
-struct ServerChanges {
-    bool isFullList = false; ///< `listed` is the complete list.
-    std::vector<ServerEntry> listed;
-    std::vector<ServerName> removed;
-
-    friend bool operator==(const ServerChanges&, const ServerChanges&) = default;
-};
-
 /// Follows the platform's store for a gateway. Called on the gateway's executor.
 class StoreFollower {
 public:
--- /dev/null
+++ b/src/gateway/server_changes.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "base/ids.h"
+#include "forward/server_entry.h"
+
+#include <vector>
+
+namespace lycheefield {
+
+/// Changes to the list of servers.
+struct ServerChanges {
+    bool isFullList = false; ///< `listed` is the complete list.
+    std::vector<ServerEntry> listed;
+    std::vector<ServerName> removed;
+
+    friend bool operator==(const ServerChanges&, const ServerChanges&) = default;
+};
+
+}
