--- a/src/gateway/news_distribution.cpp
+++ b/src/gateway/news_distribution.cpp
@@ -48,8 +48,11 @@
 std::vector<InstanceName> NewsDistribution::recipients() const
 {
     auto names = zonePeers();
-    if (!isFirstOfFleet())
+    if (!isFirstOfFleet()) {
+        if (!m_ranked.empty() && m_ranked.front().zone != m_zone)
+            names.push_back(m_ranked.front().name);
         return names;
+    }
     std::set<ZoneName> notifiedZones { m_zone };
     for (const auto& it : m_ranked) {
         if (notifiedZones.insert(it.zone).second)
@@ -84,6 +87,9 @@
 
 std::vector<InstanceName> NewsDistribution::recipientsOfNewsFrom(const InstanceName& sender) const
 {
+    // Another instance of this zone queries the store as well and sends the news to the zone.
+    if (isFirstOfFleet())
+        return {};
     const auto it = std::find_if(m_ranked.begin(), m_ranked.end(), [&](const auto& instance) { return instance.name == sender; });
     const bool isFromOtherZone = it != m_ranked.end() && it->zone != m_zone;
     return isFromOtherZone ? zonePeers() : std::vector<InstanceName> {};
--- a/src/gateway/news_distribution.h
+++ b/src/gateway/news_distribution.h
@@ -14,7 +14,8 @@
 /// All instances rank the fleet alike: by processor cores, most first. The first one watches the store
 /// and sends news to its zone and to the first instance of each other zone, which forwards the news
 /// within its zone; so news enters each other zone once. Any other instance that had to query the store
-/// sends its news to its own zone only. Does no I/O. Not thread safe.
+/// sends its news to its own zone and to the first instance, which may be cut off from the store and have
+/// no other instance in its zone. Does no I/O. Not thread safe.
 class NewsDistribution {
 public:
     NewsDistribution(InstanceName self, ZoneName zone);
--- a/tests/gateway/news_distribution_test.cpp
+++ b/tests/gateway/news_distribution_test.cpp
@@ -51,6 +51,32 @@
     CHECK(alone.crashNewsRecipients().empty());
 }
 
+TEST_CASE("An instance that reads the store in place of the one that watches it tells that one as well" * doctest::test_suite("gateway"))
+{
+    // The first instance may be cut off from the store only, and be the only one of its zone.
+    std::vector<Instance> instances;
+    for (const auto* zone : { "a", "b", "c", "a" }) {
+        Instance it;
+        it.name = InstanceName("g" + std::to_string(instances.size()));
+        it.zone = ZoneName(zone);
+        instances.push_back(it);
+    }
+    std::vector<NewsDistribution> distributions;
+    for (const auto& it : instances) {
+        distributions.emplace_back(it.name, it.zone);
+        distributions.back().onPeers(instances);
+    }
+    const auto first = std::find_if(distributions.begin(), distributions.end(), [](const auto& it) { return it.rank() == 0; });
+    REQUIRE(first != distributions.end());
+    const auto firstName = instances[static_cast<std::size_t>(first - distributions.begin())].name;
+    for (const auto& it : distributions) {
+        const auto recipients = it.recipients();
+        CHECK(std::set<InstanceName>(recipients.begin(), recipients.end()).size() == recipients.size());
+        if (it.rank() > 0)
+            CHECK(std::count(recipients.begin(), recipients.end(), firstName) == 1);
+    }
+}
+
 TEST_CASE("Exactly one instance of the fleet watches the store" * doctest::test_suite("gateway"))
 {
     const auto instances = fleet();
@@ -88,11 +114,12 @@
         CHECK(ranks.size() == 5);
         CHECK(*ranks.rbegin() <= 5);
     }
-    SUBCASE("an instance that queried the store itself sends its news to its zone, and no recipient forwards the news")
+    SUBCASE("an instance that queried the store itself sends its news to its zone and to the one that watches, and no recipient forwards the news")
     {
         const auto it = std::find_if(instances.begin(), instances.end(), [](const auto& instance) { return distributionOf(instance).rank() == 2; });
         const auto recipients = distributionOf(*it).recipients();
-        CHECK(recipients.size() == 4);
+        CHECK(recipients.size() == (it->zone == first.front().zone ? 4 : 5));
+        CHECK(std::count(recipients.begin(), recipients.end(), first.front().name) == 1);
         for (const auto& name : recipients) {
             const auto other = std::find_if(instances.begin(), instances.end(), [&](const auto& instance) { return instance.name == name; });
             CHECK(distributionOf(*other).recipientsOfNewsFrom(it->name).empty());
