--- a/src/gateway/caller_protocol.h
+++ b/src/gateway/caller_protocol.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace lycheefield {
 
@@ -12,6 +13,7 @@
 struct CallerFields {
     std::string attemptId; ///< Empty when the caller gave none.
     std::optional<Duration> timeLeft; ///< How long the caller waits; absent: as long as the route allows.
+    std::string_view key {}; ///< The API key; points into the request. Empty when the caller gave none, or more than one.
 
     friend bool operator==(const CallerFields&, const CallerFields&) = default;
 };
@@ -30,6 +32,8 @@
 public:
     virtual ~CallerProtocol() = default;
     virtual CallerFields read(const HttpRequest&) const = 0;
+    /// Removes the headers that hold the caller's API key or name a team, so that they go no further.
+    virtual void removeCredentials(HttpRequest&) const = 0;
     virtual HttpResponse write(const ForwardAnswer&) const = 0;
     virtual HttpResponse write(const EarlyRefusal&) const = 0;
 };
--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -11,6 +11,7 @@
 /// The time after which a caller may retry a request that came before the first configuration.
 constexpr Duration startupRetryTime = std::chrono::milliseconds(100);
 constexpr unsigned badRequest = 400;
+constexpr unsigned unauthorized = 401;
 constexpr unsigned notFound = 404;
 constexpr unsigned unavailable = 503;
 
@@ -35,6 +36,7 @@
     , m_engine(std::move(settings), std::make_unique<SeededRandom>(systemSeed()))
     , m_connections(m_parts.strand, m_parts.clock, m_parts.servers, *this, m_parts.metrics)
     , m_noRoute(m_parts.metrics.counter("lycheefield_requests_without_route_total"))
+    , m_unknownKeys(m_parts.metrics.counter("lycheefield_requests_without_valid_key_total"))
     , m_answerTimes(m_parts.metrics.histogram("lycheefield_answer_seconds"))
 {
 }
@@ -57,15 +59,37 @@
         m_noRoute.add();
         return refuse(exchange, fields.attemptId, { notFound, {}, "no route in version " + std::to_string(m_routes->version) });
     }
-    const RequestNumber number { ++m_lastRequest };
-    const auto deadline = fields.timeLeft ? now + *fields.timeLeft : never;
-    const auto networkTime = exchange->networkTime();
-    const auto content = contentOf(message);
-    m_pending.emplace(number, PendingRequest { exchange, now, {}, 0 });
+    const auto decision = checkCredential(*m_routes, *route, fields.key, true);
+    if (decision.verdict != CredentialVerdict::Admitted)
+        return refuseCredential(exchange, fields.attemptId, decision);
+    if (m_routes->teams)
+        m_parts.callers.removeCredentials(message);
+    ForwardRequest request;
+    request.number = RequestNumber(++m_lastRequest);
+    request.table = m_routes;
+    request.route = route;
+    request.attemptId = fields.attemptId;
+    request.deadline = fields.timeLeft ? now + *fields.timeLeft : never;
+    request.readAt = now;
+    request.networkTime = exchange->networkTime();
+    request.content = contentOf(message);
+    request.callerAddress = exchange->callerAddress();
+    if (decision.team) {
+        request.team = decision.team->name;
+        request.teamRank = decision.team->rank;
+    }
+    request.message = std::make_shared<const HttpRequest>(std::move(message));
+    admit(std::move(request), exchange);
+}
+
+void ForwardDriver::admit(ForwardRequest request, const std::shared_ptr<HttpExchange>& exchange)
+{
+    const auto number = request.number;
+    m_pending.emplace(number, PendingRequest { exchange, request.readAt, {}, 0 });
     exchange->onDisconnect([this, number] {
         boost::asio::post(m_parts.strand, [this, number] { cancelRequest(number); });
     });
-    startRequest({ number, m_routes, route, std::make_shared<const HttpRequest>(std::move(message)), fields.attemptId, deadline, now, never, {}, true, networkTime, content, {}, 0, exchange->callerAddress() });
+    startRequest(std::move(request));
 }
 
 void ForwardDriver::startRequest(ForwardRequest request)
@@ -116,8 +140,12 @@
     const auto now = m_parts.clock.now();
     const RequestNumber number { ++m_lastRequest };
     const auto content = call.content == Fingerprint() ? contentOf(call.message) : call.content;
+    auto message = call.message;
+    // The delegator may not know of teams yet.
+    if (m_routes->teams)
+        m_parts.callers.removeCredentials(message);
     m_pending.emplace(number, PendingRequest { nullptr, now, delegator, call.sequence });
-    startRequest({ number, m_routes, m_routes->findSearch(call.route, call.limits), std::make_shared<const HttpRequest>(call.message), call.attemptId, call.deadline, now, call.answerBy, call.shards,
+    startRequest({ number, m_routes, m_routes->findSearch(call.route, call.limits), std::make_shared<const HttpRequest>(std::move(message)), call.attemptId, call.deadline, now, call.answerBy, call.shards,
         delegateEarnsBudget(DelegationId(call.sequence)), {}, content, call.team, call.teamRank });
 }
 
@@ -173,6 +201,12 @@
     exchange->respond(m_parts.callers.write(refusal));
 }
 
+void ForwardDriver::refuseCredential(const std::shared_ptr<HttpExchange>& exchange, const std::string& attemptId, const CredentialDecision& decision)
+{
+    m_unknownKeys.add();
+    refuse(exchange, attemptId, { unauthorized, {}, "no valid API key" });
+}
+
 void ForwardDriver::onResponse(ServerRequestId id, const ServerResponse& response)
 {
     callEngine([&](TimePoint now, ForwardActions& actions) { m_engine.onResponse(id, response, now, actions); });
--- a/src/gateway/forward_driver.h
+++ b/src/gateway/forward_driver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/credential_check.h"
 #include "base/clock.h"
 #include "forward/forward_engine.h"
 #include "forward/server_registry.h"
@@ -88,6 +89,8 @@
         std::uint64_t sequence = 0; ///< Of the delegation.
     };
 
+    /// Starts a caller's request that its key allows.
+    void admit(ForwardRequest, const std::shared_ptr<HttpExchange>&);
     void startRequest(ForwardRequest);
     /// The request that runs for this delegation; empty when the request has ended.
     std::optional<RequestNumber> findDelegated(const InstanceName& delegator, std::uint64_t sequence) const;
@@ -96,6 +99,7 @@
     void cancelRequest(RequestNumber);
     void onRequest(HttpRequest&&, const std::shared_ptr<HttpExchange>&);
     void refuse(const std::shared_ptr<HttpExchange>&, const std::string& attemptId, const EarlyRefusal&);
+    void refuseCredential(const std::shared_ptr<HttpExchange>&, const std::string& attemptId, const CredentialDecision&);
     /// Calls the engine and executes the actions that it returns.
     template <typename Call>
     void callEngine(Call call)
@@ -119,6 +123,7 @@
     std::unordered_map<RequestNumber, PendingRequest> m_pending;
     std::uint64_t m_lastRequest = 0;
     Counter& m_noRoute;
+    Counter& m_unknownKeys;
     BucketHistogram& m_answerTimes;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -79,8 +79,11 @@
         const auto routes = std::to_string(table.routes.size());
         table.callerLimits.maxConnections = maxCallerConnections();
         m_callerServer.setLimits(table.callerLimits);
+        const auto teams = table.teams;
         m_driver.setRoutes(std::make_shared<const RouteTable>(std::move(table)));
         logState("configuration applied", { { "version", version }, { "before", before }, { "routes", routes } });
+        if (teams)
+            logState("teams applied", { { "teams", std::to_string(teams->teams().size()) }, { "keys_of_several_teams", std::to_string(teams->ambiguousKeys()) } });
         updateReadiness();
     }
 
--- a/src/http/http_message.h
+++ b/src/http/http_message.h
@@ -19,6 +19,10 @@
     void add(std::string name, std::string value) { m_fields.emplace_back(std::move(name), std::move(value)); }
     /// Returns the first value of that name; empty when the name is absent.
     std::string_view find(std::string_view name) const;
+    /// Removes all fields of that name.
+    void remove(std::string_view name);
+    /// Returns the number of fields of that name.
+    std::size_t count(std::string_view name) const;
     const std::vector<std::pair<std::string, std::string>>& fields() const { return m_fields; }
 
     friend bool operator==(const HttpHeaders&, const HttpHeaders&) = default;
--- a/src/routing/team_directory.cpp
+++ b/src/routing/team_directory.cpp
@@ -19,6 +19,8 @@
         m_teams.push_back(it.team);
         m_byName.emplace(it.team.name, position);
         for (const auto& key : it.keys) {
+            if (key.empty())
+                continue;
             const auto [known, isNew] = m_byKey.emplace(digestOf(key), position);
             if (isNew || known->second == position || known->second == noTeam)
                 continue;
--- a/src/routing/team_directory.h
+++ b/src/routing/team_directory.h
@@ -35,6 +35,7 @@
 /// The directory keeps digests of the keys, not the keys. A key that several teams hold identifies none of them.
 class TeamDirectory {
 public:
+    /// Empty keys are left out: a caller without a key has the empty one.
     explicit TeamDirectory(const std::vector<TeamKeys>&);
 
     /// Returns the team that holds the key; null when none or more than one does. The time that this takes does not tell how much of
--- a/tests/adapter/end_to_end_test.cpp
+++ b/tests/adapter/end_to_end_test.cpp
@@ -269,6 +269,62 @@
     }
 }
 
+TEST_CASE("A gateway with teams admits callers by their keys and tells servers the team, never the key" * doctest::test_suite("adapter"))
+{
+    GatewayFixture fixture;
+    fixture.store.put("servers", "i-1", fixture.serverX.entry("x"));
+    fixture.store.put("servers", "i-2", fixture.serverY.entry("y"));
+    const auto withTeams = [](std::uint64_t version, const std::string& teams) {
+        return R"({"version":)" + std::to_string(version) + R"(,"routes":[
+            {"name":"s","host":"a.example","pathPrefix":"/s/","routeType":"idempotent","timeoutMs":5000,"targetLatencyMs":4000,"gather":["x","y"],"topK":2},
+            {"name":"p","host":"a.example","pathPrefix":"/p/","routeType":"idempotent","timeoutMs":5000,"targetLatencyMs":4000,"service":"x","public":true}],"tenants":)"
+            + teams + "}";
+    };
+    const auto keyed = [](const std::string& path, const std::string& id, const std::string& key) {
+        auto request = requestTo(path, id);
+        request.headers.add("Authorization", "Bearer " + key);
+        request.headers.add("Lycheefield-Tenant", "pretended");
+        return request;
+    };
+    fixture.store.put("config", "main", withTeams(1, R"([{"name":"desk","apiKeys":["key-1"],"priority":1}])"));
+    fixture.startGateway();
+    fixture.waitUntilReady();
+
+    SUBCASE("every shard's server is told the team and not the key")
+    {
+        CHECK(fixture.fetch(fixture.endpoints.callers, keyed("/s/1", "id1", "key-1")).status == 200);
+        for (auto* server : { &fixture.serverX, &fixture.serverY }) {
+            REQUIRE(server->requests.size() == 1);
+            CHECK(server->requests[0].headers.count("Lycheefield-Tenant") == 1);
+            CHECK(server->requests[0].headers.find("Lycheefield-Tenant") == "desk");
+            CHECK(server->requests[0].headers.count("Authorization") == 0);
+        }
+    }
+    SUBCASE("a caller without a valid key gets 401 and reaches no server")
+    {
+        CHECK(fixture.fetch(fixture.endpoints.callers, keyed("/s/1", "id2", "key-2")).status == 401);
+        CHECK(fixture.fetch(fixture.endpoints.callers, requestTo("/s/1", "id3")).status == 401);
+        CHECK(fixture.serverX.requests.empty());
+        CHECK(fixture.gateway->metrics().render().find("lycheefield_requests_without_valid_key_total 2\n") != std::string::npos);
+    }
+    SUBCASE("a public route needs no key, and its servers get neither a key nor a team")
+    {
+        CHECK(fixture.fetch(fixture.endpoints.callers, keyed("/p/1", "id4", "key-1")).status == 200);
+        CHECK(fixture.fetch(fixture.endpoints.callers, requestTo("/p/1", "id5")).status == 200);
+        for (const auto& request : fixture.serverX.requests) {
+            CHECK(request.headers.count("Lycheefield-Tenant") == 0);
+            CHECK(request.headers.count("Authorization") == 0);
+        }
+    }
+    SUBCASE("unreadable teams leave the previous configuration in force; a removed key gets 401 with the next version")
+    {
+        fixture.store.put("config", "main", withTeams(2, "7"));
+        fixture.store.put("config", "main", withTeams(3, R"([{"name":"vans","apiKeys":["key-3"]}])"));
+        while (fixture.fetch(fixture.endpoints.callers, keyed("/s/1", "id6", "key-3")).status != 200) { }
+        CHECK(fixture.fetch(fixture.endpoints.callers, keyed("/s/1", "id7", "key-1")).status == 401);
+    }
+}
+
 TEST_CASE("An order that comes too late in a planned stop is refused as not run and reaches no server" * doctest::test_suite("adapter"))
 {
     GatewayFixture fixture;
--- a/tests/adapter/wire_test.cpp
+++ b/tests/adapter/wire_test.cpp
@@ -140,4 +140,49 @@
     }
 }
 
+TEST_CASE("WireCallers reads the API key of a request that carries exactly one" * doctest::test_suite("adapter"))
+{
+    const WireCallers callers;
+    const auto keyOf = [&](const HttpHeaders& headers) { return std::string(callers.read({ "GET", "/", headers, "" }).key); };
+    const std::string longKey(8192, 'k');
+    CHECK(keyOf({ { "Authorization", "Bearer k1" } }) == "k1");
+    CHECK(keyOf({ { "authorization", "bEARER   k1 " } }) == "k1");
+    CHECK(keyOf({ { "Authorization", "Bearer " + longKey } }) == longKey);
+    CHECK(keyOf({}).empty());
+    for (const auto* text : { "", "Bearer", "Bearer ", "Bearer   ", "Basic k1", "BearerX k1", "k1", "Bearer\tk1" })
+        CHECK(keyOf({ { "Authorization", text } }).empty());
+
+    SUBCASE("a second Authorization header makes both unusable")
+    {
+        CHECK(keyOf({ { "Authorization", "Bearer k1" }, { "AUTHORIZATION", "Bearer k1" } }).empty());
+        CHECK(keyOf({ { "Authorization", "" }, { "Authorization", "Bearer k1" } }).empty());
+    }
+    SUBCASE("the headers that hold a key or name a team are removed, and no others")
+    {
+        HttpRequest request { "GET", "/", { { "Host", "a" }, { "authorization", "Bearer k1" }, { "LYCHEEFIELD-TENANT", "x" }, { "Authorization", "Basic z" } }, "" };
+        callers.removeCredentials(request);
+        CHECK(request.headers == HttpHeaders { { "Host", "a" } });
+    }
+    SUBCASE("a 401 names the scheme of the credentials that are expected")
+    {
+        CHECK(callers.write(EarlyRefusal { 401, {}, "no valid API key" }).headers.find("WWW-Authenticate") == "Bearer");
+    }
+}
+
+TEST_CASE("WireServers names the caller's team whatever the caller sent" * doctest::test_suite("adapter"))
+{
+    const WireServers servers;
+    const HttpRequest callers { "GET", "/", { { "Host", "a" }, { "lycheefield-tenant", "pretended" }, { "Authorization", "Basic x" } }, "" };
+    const auto sent = servers.write(callers, { ServerName("i-7"), 1s, TeamName("desk") });
+    CHECK(sent.headers.count("Lycheefield-Tenant") == 1);
+    CHECK(sent.headers.find("Lycheefield-Tenant") == "desk");
+
+    SUBCASE("without a team the message passes as the caller sent it")
+    {
+        const auto plain = servers.write(callers, { ServerName("i-7"), 1s });
+        CHECK(plain.headers.find("Lycheefield-Tenant") == "pretended");
+        CHECK(plain.headers.find("Authorization") == "Basic x");
+    }
+}
+
 }
--- a/tests/wire/search_codec_test.cpp
+++ b/tests/wire/search_codec_test.cpp
@@ -32,6 +32,8 @@
     call.message.body = std::string("bo\0dy", 5);
     call.deadline = sentAt + 800ms;
     call.answerBy = sentAt + 90ms;
+    call.team = TeamName("desk");
+    call.teamRank = 3;
     return call;
 }
 
@@ -105,6 +107,31 @@
         news.currentAsOf = receivedAt - 250ms;
         CHECK(std::get<StoreNews>(decoded.value()) == news);
     }
+    SUBCASE("Store news carry the time of their confirmation on the sender's clock")
+    {
+        StoreNews news { "config/", 10, 10, {}, {}, sentAt, TimePoint(123456789us) };
+        const auto decoded = roundTrip(news);
+        REQUIRE(decoded);
+        CHECK(std::get<StoreNews>(decoded.value()).confirmedAt == TimePoint(123456789us));
+    }
+}
+
+TEST_CASE("Messages of clocks and quotas decode to what was encoded" * doctest::test_suite("wire"))
+{
+    SUBCASE("clock messages keep the times of both clocks")
+    {
+        const ClockCall call { TimePoint(77s) };
+        const ClockReply reply { TimePoint(77s), TimePoint(5000001us) };
+        CHECK(std::get<ClockCall>(roundTrip(call).value()) == call);
+        CHECK(std::get<ClockReply>(roundTrip(reply).value()) == reply);
+    }
+    SUBCASE("quota messages keep their teams and numbers")
+    {
+        const QuotaCall call { 9, { { TeamName("desk"), 12 }, { TeamName("vans"), 0 } } };
+        const QuotaReply reply { 9, { { TeamName("desk"), 10, 300ms, 25ms }, { TeamName("vans"), 0, 0ms, 0ms } } };
+        CHECK(std::get<QuotaCall>(roundTrip(call).value()) == call);
+        CHECK(std::get<QuotaReply>(roundTrip(reply).value()) == reply);
+    }
 }
 
 }
