--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -120,8 +120,10 @@
     if (response.kind == ServerResponseKind::Served)
         recordServed(attempt, now, actions);
     auto* request = find(attempt.request);
-    if (!request)
-        return sendNextQueued(attempt.server->entry.service, now, actions);
+    if (!request) {
+        sendNextQueued(attempt.server->entry.service, now, actions);
+        return;
+    }
     auto& leg = request->legs[attempt.leg];
     std::erase(leg.inFlight, id);
     const bool isRefused = response.kind == ServerResponseKind::NotRun || response.kind == ServerResponseKind::WrongServer;
@@ -189,8 +191,10 @@
     if (failure == ServerRequestFailure::Broken)
         recordCrash(attempt, now);
     auto* request = find(attempt.request);
-    if (!request)
-        return sendNextQueued(attempt.server->entry.service, now, actions);
+    if (!request) {
+        sendNextQueued(attempt.server->entry.service, now, actions);
+        return;
+    }
     auto& leg = request->legs[attempt.leg];
     std::erase(leg.inFlight, id);
     if (failure == ServerRequestFailure::Broken) {
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -4,6 +4,7 @@
 #include "forward/cancelled_attempts.h"
 #include "forward/delegate_chooser.h"
 #include "forward/extra_attempt_budget.h"
+#include "forward/fair_queue.h"
 #include "forward/forward_action.h"
 #include "forward/forward_request.h"
 #include "forward/forward_settings.h"
@@ -212,10 +213,13 @@
     /// Enqueues a leg for its service. The leg is also retried on a timer, because this instance may have
     /// no attempt in flight to the service whose end would dequeue the leg.
     void enqueue(Request&, std::size_t leg, TimePoint);
-    /// Sends a service's most urgent, then oldest, queued leg once one of its servers has capacity.
-    void sendNextQueued(const ServiceName&, TimePoint, ForwardActions&);
+    static WaitingLeg waitingLeg(const Request&, std::size_t leg);
+    /// Sends the service's leg that is next in the order, once one of its servers has capacity. Returns whether it was sent.
+    bool sendNextQueued(const ServiceName&, TimePoint, ForwardActions&);
+    /// Sends the legs that go before a leg of a team, so that it takes no turn of theirs by arriving while a server is free.
+    void sendQueuedAhead(const Request&, std::size_t leg, TimePoint, ForwardActions&);
     /// Returns the expected wait for capacity of a leg that is queued now.
-    Duration expectedWait(const Leg&, const PickContext&) const;
+    Duration expectedWait(const Request&, std::size_t leg, const PickContext&) const;
     bool trySend(Request&, std::size_t leg, bool isHedge, TimePoint, ForwardActions&);
     bool takeBudget(const Request&, Leg&, TimePoint);
     /// Records that a server closed the connection while it may have run the attempt, whether or not its request still waits.
@@ -281,14 +285,7 @@
     std::unordered_map<ServerRequestId, Attempt> m_attempts;
     std::set<std::pair<TimePoint, RequestNumber>> m_dueTimes;
     std::set<std::pair<TimePoint, ServerRequestId>> m_cancellations;
-    /// A leg that waits for a server with capacity, ordered by rank and then by age.
-    struct QueuedLeg {
-        std::uint32_t rank = 0;
-        RequestNumber request;
-        std::size_t leg = 0;
-        friend auto operator<=>(const QueuedLeg&, const QueuedLeg&) = default;
-    };
-    std::unordered_map<ServiceName, std::set<QueuedLeg>> m_queues;
+    std::unordered_map<ServiceName, FairQueue> m_queues;
     std::unordered_map<ServiceName, ExtraAttemptBudget> m_budgets;
     std::map<std::string, RouteTimes> m_times;
     CrashEvidence m_evidence;
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -109,6 +109,8 @@
     leg.inFlight.push_back(id);
     ++leg.mayHaveRun;
     ++leg.arrivals;
+    if (const auto queue = m_queues.find(leg.service); queue != m_queues.end())
+        queue->second.recordSent(waitingLeg(request, index));
     dequeue(request, index);
     leg.stage = LegStage::Sent;
     leg.hedgeAt = request.route().isIdempotent ? now + hedgeDelay(request) : never;
@@ -126,7 +128,7 @@
             continue;
         const auto context = contextFor(request.route(), leg, now);
         const auto server = pickServer(request, leg, context);
-        const auto expected = server ? m_pool.expectedIfResponsive(*server, context) : expectedWait(leg, context);
+        const auto expected = server ? m_pool.expectedIfResponsive(*server, context) : expectedWait(request, i, context);
         if (expected > timeLeft || !m_pool.hasServers(leg.service))
             late.emplace_back(expected, i);
     }
@@ -162,46 +164,6 @@
     return true;
 }
 
-void ForwardEngine::enqueue(Request& request, std::size_t index, TimePoint now)
-{
-    auto& leg = request.legs[index];
-    leg.stage = LegStage::Unsent;
-    leg.hedgeAt = now + (awaitsSimultaneousCrashes(request, now) ? simultaneousCrashTime : retryPeriod);
-    // A leg that waits for its content's probe must not keep others from the next free server.
-    if (mayRunContent(request, now))
-        m_queues[leg.service].insert({ request.route().rank, request.request.number, index });
-}
-
-void ForwardEngine::dequeue(const Request& request, std::size_t index)
-{
-    const auto it = m_queues.find(request.legs[index].service);
-    if (it == m_queues.end())
-        return;
-    it->second.erase({ request.route().rank, request.request.number, index });
-    if (it->second.empty())
-        m_queues.erase(it);
-}
-
-void ForwardEngine::sendNextQueued(const ServiceName& service, TimePoint now, ForwardActions& actions)
-{
-    const auto it = m_queues.find(service);
-    if (it == m_queues.end())
-        return;
-    const auto next = *it->second.begin();
-    auto* request = find(next.request);
-    if (!request)
-        return;
-    if (trySend(*request, next.leg, false, now, actions))
-        schedule(*request, now);
-}
-
-Duration ForwardEngine::expectedWait(const Leg& leg, const PickContext& context) const
-{
-    const auto it = m_queues.find(leg.service);
-    const auto ahead = it == m_queues.end() ? 0 : it->second.size();
-    return context.medianTime * static_cast<Duration::rep>(1 + ahead);
-}
-
 void ForwardEngine::restoreShedLegs(Request& request, TimePoint now, ForwardActions& actions)
 {
     for (std::size_t i = 0; i < request.legs.size() && !request.canCoverEnough(); ++i) {
@@ -250,6 +212,8 @@
 void ForwardEngine::reviewLeg(Request& request, std::size_t index, TimePoint now, ForwardActions& actions)
 {
     auto& leg = request.legs[index];
+    if (leg.stage == LegStage::Unsent)
+        sendQueuedAhead(request, index, now, actions);
     if (leg.stage == LegStage::Unsent && !trySend(request, index, false, now, actions)) {
         // Demand beyond what the servers allow does not wait: the next requests they allow are wanted as well.
         if (!m_pool.hasServers(leg.service) || m_pool.untilAllowed(leg.service, now) > Duration {})
