--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -204,6 +204,13 @@
     void cancelDelegations(Request&, ForwardActions&);
     /// Requests extra attempts from the delegating instance once the legs delegated to this instance are late.
     void requestExtraAttempts(Request&, TimePoint, ForwardActions&);
+    /// Returns whether the delegated leg may go to a second server only once the delegating instance grants it.
+    bool awaitsGrant(const Request&, const Leg&) const;
+    /// Requests extra attempts at once for a delegated leg whose attempt failed: this instance knows the servers it tried, and the
+    /// delegating instance does not. Returns false if the leg is left to that instance.
+    bool requestGrant(Request&, Leg&, TimePoint);
+    /// Leaves the legs that failed here to the delegating instance once their content is suspect, so that one instance probes it.
+    void endSuspectRetries(Request&, TimePoint);
     /// Sheds the legs whose responses are expected too late, as far as the coverage allows.
     void shedLegs(Request&, TimePoint);
     /// Sheds the legs whose servers allow no request now. Returns false if too few legs are left; nothing is sent then.
--- a/src/forward/forward_engine_delegation.cpp
+++ b/src/forward/forward_engine_delegation.cpp
@@ -22,6 +22,8 @@
 /// Legs beyond this number are divided into groups of at most this many on average. A group may have more,
 /// because the groups are ranges of equal length over all legs of the search.
 constexpr std::size_t legsPerGroup = 12;
+/// A failed leg whose extra attempt is not granted within this time is left to the delegating instance.
+constexpr Duration maxGrantTime = 15ms;
 
 }
 
@@ -224,13 +226,44 @@
         return;
     request->mayUseExtraAttempts = true;
     for (auto& leg : request->legs) {
-        // A leg whose hedge came due before the grant.
-        if (leg.stage == LegStage::Sent && leg.hedgeAt == never)
+        // A leg whose hedge came due, or whose attempt failed, before the grant.
+        const bool isRetry = leg.stage == LegStage::Unsent && leg.mayHaveRun > 0;
+        if (isRetry || (leg.stage == LegStage::Sent && leg.hedgeAt == never))
             leg.hedgeAt = now;
     }
     review(*request, now, actions);
 }
 
+bool ForwardEngine::awaitsGrant(const Request& request, const Leg& leg) const
+{
+    return !request.mayUseExtraAttempts && leg.mayHaveRun > 0 && !mayRunAgain(request, leg);
+}
+
+bool ForwardEngine::requestGrant(Request& request, Leg& leg, TimePoint now)
+{
+    const bool mayRunAfterGrant = awaitsGrant(request, leg) && leg.mayHaveRun < request.route().maxRuns;
+    if (!mayRunAfterGrant || standingOf(request, now) != ContentStanding::Clear || !m_pool.hasUntriedServers(leg.service, leg.tried))
+        return false;
+    // The delegating instance may have a budget for the leg when this one has none.
+    if (!m_budgets[leg.service].hasExtra(now, budgetLimits()))
+        return false;
+    if (request.requestExtraAt != never)
+        request.requestExtraAt = now;
+    leg.stage = LegStage::Unsent;
+    leg.hedgeAt = now + maxGrantTime;
+    return true;
+}
+
+void ForwardEngine::endSuspectRetries(Request& request, TimePoint now)
+{
+    if (!request.request.isPart() || standingOf(request, now) == ContentStanding::Clear)
+        return;
+    for (auto& leg : request.legs) {
+        if (leg.stage == LegStage::Unsent && leg.mayHaveRun > 0)
+            endLeg(request, leg, LegStage::Missing);
+    }
+}
+
 void ForwardEngine::takeBackLeg(Request& request, std::size_t index, std::uint32_t runs, TimePoint now, ForwardActions& actions)
 {
     auto& leg = request.legs[index];
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -89,7 +89,7 @@
 bool ForwardEngine::trySend(Request& request, std::size_t index, bool isHedge, TimePoint now, ForwardActions& actions)
 {
     auto& leg = request.legs[index];
-    if (!mayRunContent(request, now))
+    if (awaitsGrant(request, leg) || !mayRunContent(request, now))
         return false;
     if (untilProbeAllowed(request, leg, now) > Duration {})
         return false;
@@ -205,6 +205,8 @@
     const bool mayWait = !isQuarantined && mayRunAgain(request, leg) && m_pool.hasUntriedServers(leg.service, leg.tried);
     if (mayWait)
         return enqueue(request, index, now);
+    if (!isQuarantined && requestGrant(request, leg, now))
+        return;
     // The leg has failed: the request's content is quarantined, the leg may not run again, or every server has been tried.
     endLeg(request, leg, LegStage::Missing);
 }
@@ -212,6 +214,8 @@
 void ForwardEngine::reviewLeg(Request& request, std::size_t index, TimePoint now, ForwardActions& actions)
 {
     auto& leg = request.legs[index];
+    if (leg.stage == LegStage::Unsent && awaitsGrant(request, leg))
+        return endLeg(request, leg, LegStage::Missing);
     if (leg.stage == LegStage::Unsent)
         sendQueuedAhead(request, index, now, actions);
     if (leg.stage == LegStage::Unsent && !trySend(request, index, false, now, actions)) {
@@ -243,6 +247,7 @@
     if (isOver || (isLate && request.coversEnough()))
         return finish(request, now, actions);
     requestExtraAttempts(request, now, actions);
+    endSuspectRetries(request, now);
     if (standingOf(request, now) == ContentStanding::Quarantined)
         endUnsentLegs(request);
     if (standingOf(request, now) == ContentStanding::Suspect && mayRunContent(request, now) && !request.hasPassedProbe)
--- a/tests/forward/delegated_search_test.cpp
+++ b/tests/forward/delegated_search_test.cpp
@@ -243,6 +243,44 @@
         CHECK(testBed.answerTo(request.number)->runs == std::vector<std::uint32_t> { 1, 1 });
         CHECK(testBed.answerTo(request.number)->missingShards == 1);
     }
+    SUBCASE("A failed delegated leg goes to another server as soon as the delegating instance grants it, and never to the same one")
+    {
+        const auto failed = testBed.serverRequests().front();
+        testBed.failServerRequest(failed.id, ServerRequestFailure::Broken);
+        testBed.run(1ms);
+        REQUIRE(testBed.extraAttemptRequests().size() == 1);
+        CHECK(testBed.extraAttemptRequests().front().positions == std::vector<std::uint32_t> { 0, 1 });
+        testBed.grantExtraAttempts(request.number);
+        testBed.run(8ms);
+        REQUIRE(testBed.serverRequests().size() == 2);
+        CHECK(testBed.serverRequests().back().server.service == failed.server.service);
+        CHECK(testBed.serverRequests().back().server.name != failed.server.name);
+        testBed.run(60ms);
+        REQUIRE(testBed.answerTo(request.number));
+        CHECK(testBed.answerTo(request.number)->missingShards == 0);
+        CHECK(testBed.answerTo(request.number)->runs == std::vector<std::uint32_t> { 2, 1 });
+    }
+    SUBCASE("A failed delegated leg whose content becomes suspect is returned, although its extra attempt was granted")
+    {
+        testBed.failServerRequest(testBed.serverRequests().front().id, ServerRequestFailure::Broken);
+        testBed.run(1ms);
+        testBed.grantExtraAttempts(request.number);
+        testBed.announceCrash({ Fingerprint(1), 2, {}, {}, ServiceName("shard6") });
+        testBed.run(60ms);
+        REQUIRE(testBed.answerTo(request.number));
+        CHECK(testBed.answerTo(request.number)->runs == std::vector<std::uint32_t> { 1, 1 });
+        CHECK(testBed.arrivals("shard6-x") + testBed.arrivals("shard6-y") == 1);
+    }
+    SUBCASE("A failed delegated leg without another server is returned at once")
+    {
+        const auto failed = testBed.serverRequests().front();
+        testBed.removeServer(failed.server.name.value() == "shard6-x" ? "shard6-y" : "shard6-x");
+        testBed.failServerRequest(failed.id, ServerRequestFailure::Broken);
+        testBed.run(21ms);
+        REQUIRE(testBed.answerTo(request.number));
+        CHECK(testBed.answerTo(request.number)->runs == std::vector<std::uint32_t> { 1, 1 });
+        CHECK(testBed.extraAttemptRequests().empty());
+    }
 }
 
 TEST_CASE("The engine of a small instance delegates a search with more shards than it can send in time" * doctest::test_suite("forward"))
--- a/tests/forward/forward_test_bed.cpp
+++ b/tests/forward/forward_test_bed.cpp
@@ -201,9 +201,11 @@
             const auto id = it->second.id;
             server.running.erase(it);
             startWaiting(server);
-            ForwardActions actions;
-            m_engine.onResponse(id, responseOf(server, ServerResponseKind::Served), m_now, actions);
-            execute(actions);
+            if (server.model.lostShare > 0 && m_random.unit() < server.model.lostShare) {
+                callAndExecute([&](ForwardActions& actions) { m_engine.onServerRequestFailed(id, ServerRequestFailure::Broken, m_now, actions); });
+                continue;
+            }
+            callAndExecute([&](ForwardActions& actions) { m_engine.onResponse(id, responseOf(server, ServerResponseKind::Served), m_now, actions); });
         }
     }
 }
--- a/tests/forward/forward_test_bed.h
+++ b/tests/forward/forward_test_bed.h
@@ -21,6 +21,7 @@
     bool reportsLoad = true;
     bool isLeaving = false; ///< Says so in its responses.
     Duration retryAfter {}; ///< Of its refusals.
+    double lostShare = 0; ///< Responses that are lost because their connections break.
 };
 
 /// The settings of an instance in zone a with a large budget for extra attempts.
@@ -121,6 +122,7 @@
     Fingerprint m_content { 1 };
     bool m_serversSurvive = false;
     std::vector<ReportContentCrash> m_reportedCrashes;
+    SeededRandom m_random { 7 };
     TimePoint m_now { std::chrono::seconds(100) };
     std::map<ServerName, Server> m_servers;
     std::map<RequestNumber, TimePoint> m_started;
