--- /dev/null
+++ b/src/admission/configuration_freshness.cpp
@@ -0,0 +1,44 @@
+#include "admission/configuration_freshness.h"
+
+#include <algorithm>
+
+namespace lycheefield {
+
+namespace {
+
+/// Part of the limit that is left for clocks that run at slightly different rates.
+constexpr int marginDivisor = 50;
+
+}
+
+ConfigurationFreshness::ConfigurationFreshness(Duration limit)
+    : m_limit(limit)
+{
+}
+
+void ConfigurationFreshness::confirm(TimePoint sentAt)
+{
+    m_confirmedAt = std::max(m_confirmedAt.load(), sentAt);
+}
+
+TimePoint ConfigurationFreshness::freshUntil() const
+{
+    if (!isLimited())
+        return never;
+    const auto confirmedAt = m_confirmedAt.load();
+    return confirmedAt == TimePoint {} ? TimePoint {} : confirmedAt + m_limit - m_limit / marginDivisor;
+}
+
+Duration ConfigurationFreshness::age(TimePoint now) const
+{
+    const auto confirmedAt = m_confirmedAt.load();
+    return confirmedAt == TimePoint {} ? Duration::max() : now - confirmedAt;
+}
+
+std::string ConfigurationFreshness::ageText(TimePoint now) const
+{
+    const auto current = age(now);
+    return current == Duration::max() ? "none" : std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(current).count());
+}
+
+}
--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -10,6 +10,8 @@
 
 /// The time after which a caller may retry a request that came before the first configuration.
 constexpr Duration startupRetryTime = std::chrono::milliseconds(100);
+/// The time after which a caller may retry a request that came while the configuration could not be confirmed; another instance may confirm its own.
+constexpr Duration staleRetryTime = std::chrono::milliseconds(100);
 constexpr unsigned badRequest = 400;
 constexpr unsigned unauthorized = 401;
 constexpr unsigned notFound = 404;
@@ -37,6 +39,7 @@
     , m_connections(m_parts.strand, m_parts.clock, m_parts.servers, *this, m_parts.metrics)
     , m_noRoute(m_parts.metrics.counter("lycheefield_requests_without_route_total"))
     , m_unknownKeys(m_parts.metrics.counter("lycheefield_requests_without_valid_key_total"))
+    , m_unverifiableKeys(m_parts.metrics.counter("lycheefield_requests_with_outdated_configuration_total"))
     , m_answerTimes(m_parts.metrics.histogram("lycheefield_answer_seconds"))
 {
 }
@@ -59,7 +62,7 @@
         m_noRoute.add();
         return refuse(exchange, fields.attemptId, { notFound, {}, "no route in version " + std::to_string(m_routes->version) });
     }
-    const auto decision = checkCredential(*m_routes, *route, fields.key, true);
+    const auto decision = checkCredential(*m_routes, *route, fields.key, m_parts.freshness.isFresh(now));
     if (decision.verdict != CredentialVerdict::Admitted)
         return refuseCredential(exchange, fields.attemptId, decision);
     if (m_routes->teams)
@@ -203,8 +206,14 @@
 
 void ForwardDriver::refuseCredential(const std::shared_ptr<HttpExchange>& exchange, const std::string& attemptId, const CredentialDecision& decision)
 {
-    m_unknownKeys.add();
-    refuse(exchange, attemptId, { unauthorized, {}, "no valid API key" });
+    const bool isUnknown = decision.verdict == CredentialVerdict::Unknown;
+    (isUnknown ? m_unknownKeys : m_unverifiableKeys).add();
+    const auto refusal = isUnknown ? EarlyRefusal { unauthorized, {}, "no valid API key" } : EarlyRefusal { unavailable, staleRetryTime, "not run: the configuration may be outdated" };
+    const auto now = m_parts.clock.now();
+    const auto team = decision.team ? decision.team->name.value() : std::string();
+    m_parts.log.write(LineImportance::Failure, now, "request refused",
+        { { "request", attemptId }, { "status", std::to_string(refusal.status) }, { "reason", refusal.reason }, { "team", team }, { "configuration_age_ms", m_parts.freshness.ageText(now) } });
+    exchange->respond(m_parts.callers.write(refusal));
 }
 
 void ForwardDriver::onResponse(ServerRequestId id, const ServerResponse& response)
--- a/src/gateway/forward_driver.h
+++ b/src/gateway/forward_driver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/configuration_freshness.h"
 #include "admission/credential_check.h"
 #include "base/clock.h"
 #include "forward/forward_engine.h"
@@ -30,6 +31,7 @@
     const ServerProtocol& servers;
     Metrics& metrics;
     DecisionLog& log;
+    const ConfigurationFreshness& freshness;
 };
 
 /// Runs a ForwardEngine: passes callers' requests to the engine, executes the actions that the engine
@@ -99,6 +101,7 @@
     void cancelRequest(RequestNumber);
     void onRequest(HttpRequest&&, const std::shared_ptr<HttpExchange>&);
     void refuse(const std::shared_ptr<HttpExchange>&, const std::string& attemptId, const EarlyRefusal&);
+    /// Refuses a request that the decision does not admit. The log line names the team and never the key.
     void refuseCredential(const std::shared_ptr<HttpExchange>&, const std::string& attemptId, const CredentialDecision&);
     /// Calls the engine and executes the actions that it returns.
     template <typename Call>
@@ -124,6 +127,7 @@
     std::uint64_t m_lastRequest = 0;
     Counter& m_noRoute;
     Counter& m_unknownKeys;
+    Counter& m_unverifiableKeys;
     BucketHistogram& m_answerTimes;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -48,7 +48,8 @@
         : m_settings(settings)
         , m_strand(boost::asio::make_strand(m_io))
         , m_log(settings.gateway.logLinesPerSecond)
-        , m_driver({ m_strand, *m_clock, protocols.callers, protocols.servers, m_metrics, m_log }, forwardSettings(settings))
+        , m_freshness(settings.admission.revocationLimit)
+        , m_driver({ m_strand, *m_clock, protocols.callers, protocols.servers, m_metrics, m_log, m_freshness }, forwardSettings(settings))
         , m_delegateChooser(settings.instance.name, settings.instance.zone)
         , m_delegation({ m_io, m_strand, m_clock, m_driver, m_metrics, m_log, *this }, m_delegateChooser, settings.instance.name, settings.instance.zone)
         , m_registry(settings.gateway.renewalPeriod)
@@ -87,6 +88,12 @@
         updateReadiness();
     }
 
+    void onConfigurationConfirmed(TimePoint sentAt)
+    {
+        m_freshness.confirm(sentAt);
+        updateReadiness();
+    }
+
     void onServers(const ServerChanges& changes)
     {
         const auto now = m_clock->now();
@@ -246,9 +253,25 @@
 
     void logState(std::string_view event, std::initializer_list<LineField> fields) { m_log.write(LineImportance::State, m_clock->now(), event, fields); }
 
+    /// Whether callers with API keys can be served.
+    bool canVerifyKeys() const
+    {
+        const auto routes = m_driver.routes();
+        return !routes || !routes->teams || m_freshness.isFresh(m_clock->now());
+    }
+
+    void updateKeyState()
+    {
+        const bool canVerify = canVerifyKeys();
+        if (std::exchange(m_canVerifyKeys, canVerify) == canVerify)
+            return;
+        logState(canVerify ? "configuration current again; API keys are admitted" : "configuration may be outdated; requests with API keys are refused until it is confirmed", { { "age_ms", m_freshness.ageText(m_clock->now()) } });
+    }
+
     void updateReadiness()
     {
-        const bool isReady = m_driver.routes() && m_hasServers && m_ports.areRequiredOpen() && !m_isStopping;
+        updateKeyState();
+        const bool isReady = m_driver.routes() && m_hasServers && m_canVerifyKeys && m_ports.areRequiredOpen() && !m_isStopping;
         if (m_isReady.exchange(isReady) != isReady)
             logState(isReady ? "ready" : "not ready", {});
     }
@@ -264,6 +287,7 @@
         // Scheduled first, so that an exception does not end it.
         scheduleHousekeeping(housekeepingPeriod);
         m_driver.closeStaleConnections();
+        updateReadiness();
         m_delegation.shareCrashes(m_driver.crashAnnouncements());
         if (m_registry.expire(m_clock->now()))
             publishServers();
@@ -339,6 +363,8 @@
         m_metrics.gauge("lycheefield_ready", [this] { return isReady() ? 1 : 0; });
         m_metrics.gauge("lycheefield_store_reachable", [this] { return m_isStoreReachable ? 1 : 0; });
         m_metrics.gauge("lycheefield_configuration_version", [this] { return m_driver.routes() ? static_cast<double>(m_driver.routes()->version) : 0; });
+        if (m_freshness.isLimited())
+            m_metrics.gauge("lycheefield_configuration_age_seconds", [this] { return std::chrono::duration<double>(m_freshness.age(m_clock->now())).count(); });
         m_metrics.gauge("lycheefield_servers", [this] { return static_cast<double>(m_registry.servers().size()); });
         m_metrics.gauge("lycheefield_server_connections", [this] { return static_cast<double>(m_driver.serverConnections()); });
         m_metrics.gauge("lycheefield_requests_in_flight", [this] { return static_cast<double>(m_driver.inFlight()); });
@@ -351,6 +377,7 @@
     std::shared_ptr<const Clock> m_clock = std::make_shared<BootClock>();
     Metrics m_metrics;
     DecisionLog m_log;
+    ConfigurationFreshness m_freshness;
     ForwardDriver m_driver;
     DelegateChooser m_delegateChooser;
     SearchDelegation m_delegation;
@@ -371,6 +398,7 @@
     boost::asio::steady_timer m_housekeeping;
     boost::asio::steady_timer m_drainTimer;
     std::atomic<bool> m_isReady { false };
+    bool m_canVerifyKeys = true;
     bool m_hasServers = false;
     bool m_isStoreReachable = false;
     bool m_isStopping = false;
@@ -396,6 +424,11 @@
     m_impl->onRoutes(std::move(table));
 }
 
+void Gateway::onConfigurationConfirmed(TimePoint sentAt)
+{
+    m_impl->onConfigurationConfirmed(sentAt);
+}
+
 void Gateway::onServers(const ServerChanges& changes)
 {
     m_impl->onServers(changes);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -73,6 +73,9 @@
     boost::asio::any_io_executor executor() const;
     /// Applies a configuration. A version that is not newer than the one in force is ignored.
     void onRoutes(RouteTable);
+    /// Records that the configuration in force was the latest one when a call to the store was sent at that time, on the BootClock; the
+    /// epoch is no proof. See AdmissionSettings::revocationLimit.
+    void onConfigurationConfirmed(TimePoint sentAt);
     void onServers(const ServerChanges&);
     /// Whether the last call to the platform's store succeeded.
     void onStoreReachable(bool isReachable);
--- a/src/platform/object_store.h
+++ b/src/platform/object_store.h
@@ -17,6 +17,7 @@
     std::vector<StoredObject> changed {};
     std::vector<std::string> removed {}; ///< Keys of removed objects; only from a watch.
     bool isFullList = false; ///< True for a list: an object missing from it has been removed. Set by StoreWatcher.
+    TimePoint confirmedAt {}; ///< Sending time of the latest call whose response shows that nothing later than this batch existed when the call was sent; the epoch when there was none. Set by StoreWatcher.
 };
 
 /// The platform's object API. Calls return at once; each handler runs exactly once, on the
--- a/src/platform/store_watcher.cpp
+++ b/src/platform/store_watcher.cpp
@@ -58,6 +58,7 @@
         known.status = StoreStatus::Ok;
         if (self->m_isListed) {
             known.revision = self->m_revision;
+            known.confirmedAt = self->m_confirmedAt;
             for (const auto& [key, object] : self->m_objects)
                 known.changed.push_back(object);
         }
@@ -95,6 +96,7 @@
         return;
     }
     m_provenAt = std::max(m_provenAt, currentAsOf);
+    m_confirmedAt = std::max(m_confirmedAt, batch.confirmedAt);
     if (!isList)
         m_announcedAt = m_clock.now();
     m_isBehind = m_isBehind && m_provenAt <= m_behindSince;
@@ -124,6 +126,7 @@
     for (const auto& it : batch.removed)
         m_objects.erase(it);
     m_revision = std::max(m_revision, batch.revision);
+    batch.confirmedAt = m_confirmedAt;
     m_handler(batch);
 }
 
@@ -155,7 +158,11 @@
     // than the instance that announces them.
     const auto announced = std::min(m_announcedAt + std::min(m_schedule.wait, maxSilence), m_provenAt + m_schedule.maxUnproven);
     const auto heard = std::max(m_provenAt + maxSilence, announced);
-    return m_schedule.maxSilence == Duration {} ? std::min(heard, m_calledAt + retrySilenceFactor * maxSilence) : heard;
+    if (m_schedule.maxSilence == Duration {})
+        return std::min(heard, m_calledAt + retrySilenceFactor * maxSilence);
+    // Announcements that piled up during a pause of this process look younger than they are.
+    const bool needsProof = m_schedule.maxUnconfirmed > Duration {};
+    return needsProof ? std::min(heard, std::max(m_confirmedAt + m_schedule.maxUnconfirmed, m_calledAt + m_schedule.wait)) : heard;
 }
 
 void StoreWatcher::callStore()
@@ -170,6 +177,7 @@
     };
     m_isCallInFlight = true;
     m_calledAt = now;
+    m_calledRevision = m_revision;
     const bool wasBehind = std::exchange(m_isBehind, false);
     const bool isShort = wasBehind || m_backoff.failures() > 0 || m_schedule.maxSilence > Duration {};
     m_requestedWait = isShort ? minWait : m_schedule.wait;
@@ -187,6 +195,12 @@
     return std::min(now, m_calledAt + waited);
 }
 
+void StoreWatcher::confirm(const WatchBatch& response)
+{
+    if (response.revision >= m_calledRevision)
+        m_confirmedAt = std::max(m_confirmedAt, m_calledAt);
+}
+
 void StoreWatcher::onBatch(const WatchBatch& batch)
 {
     m_isCallInFlight = false;
@@ -215,8 +229,10 @@
 void StoreWatcher::onList(const WatchBatch& batch)
 {
     const auto fromRevision = m_revision;
-    const auto changes = changesSinceKnown(batch);
+    auto changes = changesSinceKnown(batch);
     m_provenAt = std::max(m_provenAt, provenByNoChange(m_clock.now()));
+    confirm(batch);
+    changes.confirmedAt = m_confirmedAt;
     m_isListed = true;
     const bool isNewer = batch.revision >= fromRevision;
     auto list = batch;
@@ -230,16 +246,21 @@
 void StoreWatcher::onChanges(const WatchBatch& batch)
 {
     const auto changes = batch.changed.size() + batch.removed.size();
-    if (changes == 0)
+    if (changes == 0) {
         m_provenAt = std::max(m_provenAt, provenByNoChange(m_clock.now()));
+        confirm(batch);
+    }
     if (changes > 0)
         markBehind();
     const auto fromRevision = m_revision;
     // Another instance may have announced a later revision while the call was in flight.
     const bool isNewer = batch.revision >= m_revision;
     deliver(batch, isNewer);
-    if (m_announceHandler && isNewer)
-        m_announceHandler(batch, fromRevision, m_provenAt);
+    if (m_announceHandler && isNewer) {
+        auto announced = batch;
+        announced.confirmedAt = m_confirmedAt;
+        m_announceHandler(announced, fromRevision, m_provenAt);
+    }
     const bool mayBeTruncated = changes > truncationThreshold;
     if (changes == 0 || mayBeTruncated)
         return callStore();
--- a/src/platform/store_watcher.h
+++ b/src/platform/store_watcher.h
@@ -47,7 +47,7 @@
     void setSchedule(const WatchSchedule&);
     /// Applies changes that another instance announced. A batch that leaves a gap after the revision known here
     /// is dropped, and the watcher calls the store for the missing changes. A batch from revision 0 is a list; one that is
-    /// older than the schedule allows is dropped.
+    /// older than the schedule allows is dropped. The batch's confirmedAt must be on this instance's clock.
     void onAnnouncement(const WatchBatch&, std::uint64_t fromRevision, TimePoint currentAsOf);
 
     /// Lists the objects, unless another instance's state has made that needless, then watches.
@@ -77,6 +77,9 @@
     void applyAnnouncement(const WatchBatch&, std::uint64_t fromRevision, TimePoint currentAsOf);
     /// Returns when the store is to be called next; a time in the past means now.
     TimePoint nextCallAt() const;
+    /// Records that nothing later than the known state existed when the last call was sent. Precondition: the response was a list, or
+    /// without changes.
+    void confirm(const WatchBatch& response);
     /// Returns the time up to which a response without changes proves that no change was missed.
     TimePoint provenByNoChange(TimePoint now) const;
 
@@ -94,6 +97,8 @@
     WatchSchedule m_schedule;
     TimePoint m_calledAt {};
     TimePoint m_provenAt {}; ///< Latest time for which all changes are known to have been seen.
+    TimePoint m_confirmedAt {}; ///< Unlike m_provenAt it never includes time that a call waited: it is when a call was sent.
+    std::uint64_t m_calledRevision = 0; ///< The known revision when the last call was sent.
     TimePoint m_announcedAt {}; ///< When another instance last announced changes that follow on the known state.
     Duration m_requestedWait {}; ///< Of the watch in flight.
     bool m_isCallInFlight = false;
--- a/src/platform/watch_schedule.cpp
+++ b/src/platform/watch_schedule.cpp
@@ -18,19 +18,25 @@
 constexpr int slowRetriesWithinLimit = 2;
 /// Leaves a quarter of the limit for the call and its response.
 constexpr double unprovenShareOfLimit = 0.75;
+/// Proofs are as old as this when the first instance has ended and the next ones have called the store.
+constexpr double unconfirmedShareOfLimit = 0.78;
+constexpr int unconfirmedStaggerDivisor = 2;
 
 }
 
-WatchSchedule watchScheduleForRank(std::uint32_t rank, Duration limit)
+WatchSchedule watchScheduleForRank(std::uint32_t rank, Duration applyLimit, Duration proofLimit)
 {
+    const bool needsProof = proofLimit > Duration {};
+    const auto limit = needsProof ? std::min(applyLimit, proofLimit) : applyLimit;
     const auto wait = limit / watchesWithinLimit;
     const auto maxSilence = limit / silenceDivisor;
     const auto failing = maxSilence + limit * maxSteps / stepsWithinLimit;
     if (rank == 0)
-        return { Duration {}, wait, failing, Duration {}, Duration {}, Duration {} };
+        return { Duration {}, wait, failing, Duration {}, Duration {}, Duration {}, Duration {} };
     const auto stagger = limit * std::min(rank - 1, maxSteps) / stepsWithinLimit;
     const auto retryPause = rank <= quickRetryRanks ? Duration {} : limit / slowRetriesWithinLimit;
-    return { maxSilence + stagger, wait, failing, stagger, retryPause, scaled(limit, unprovenShareOfLimit) };
+    const auto maxUnconfirmed = needsProof ? scaled(limit, unconfirmedShareOfLimit) + stagger / unconfirmedStaggerDivisor : Duration {};
+    return { maxSilence + stagger, wait, failing, stagger, retryPause, scaled(limit, unprovenShareOfLimit), maxUnconfirmed };
 }
 
 }
--- a/src/platform/watch_schedule.h
+++ b/src/platform/watch_schedule.h
@@ -15,6 +15,7 @@
     Duration gapPause {}; ///< Delay before the store is called for changes missing between two announcements.
     Duration retryPause {}; ///< Shortest pause after a failed call.
     Duration maxUnproven {}; ///< Oldest state of another instance that is taken at a start. Replaces a shorter limit on the silence while others announce changes without a proof that these are all.
+    Duration maxUnconfirmed {}; ///< Oldest proof, counted from the sending of its call, after which the store is called, whatever others announce; zero: any.
 
     friend bool operator==(const WatchSchedule&, const WatchSchedule&) = default;
 };
@@ -27,6 +28,10 @@
 /// response; so the loss of the first instances costs one pause and not a call by every instance. During an outage
 /// of the store the first ranks retry quickly and announce its return; the others, whose calls would fail as well,
 /// retry slowly.
-WatchSchedule watchScheduleForRank(std::uint32_t rank, Duration limit);
+///
+/// With a proofLimit every instance holds a proof younger than it, counted from the sending of the call that gave the proof, while the
+/// store responds: also when the first instance ends, and after a pause of the process, during which announcements have piled up
+/// whose age is unknown. This costs no further calls otherwise.
+WatchSchedule watchScheduleForRank(std::uint32_t rank, Duration limit, Duration proofLimit = {});
 
 }
--- a/tests/adapter/end_to_end_test.cpp
+++ b/tests/adapter/end_to_end_test.cpp
@@ -126,7 +126,7 @@
         client.connectTimeout = 5s;
         client.callTimeout = 5s;
         const auto objects = std::make_shared<PublishedStore>(std::make_shared<PlatformClient>(gateway->executor(), client), gateway->metrics());
-        feed = std::make_unique<TableFeed>(*gateway, objects, ApplyLimits { 200ms, 200ms });
+        feed = std::make_unique<TableFeed>(*gateway, objects, ApplyLimits { 200ms, 200ms, settings.admission.revocationLimit });
         quarantines = std::make_unique<QuarantineFeed>(gateway->executor(), objects, [this](const std::vector<CrashNews>& all) { gateway->onQuarantines(all); });
         gateway->setQuarantineStore(*quarantines);
         endpoints = gateway->listen().value();
@@ -325,6 +325,42 @@
     }
 }
 
+TEST_CASE("A gateway that can't confirm its configuration admits no API key, and says that nothing ran" * doctest::test_suite("adapter"))
+{
+    GatewayFixture fixture;
+    fixture.settings.admission.revocationLimit = 1s;
+    fixture.store.put("servers", "i-1", fixture.serverX.entry("x"));
+    fixture.store.put("config", "main", R"({"version":1,"tenants":[{"name":"desk","apiKeys":["key-1"]}],"routes":[
+        {"name":"o","host":"a.example","pathPrefix":"/o/","routeType":"idempotent","timeoutMs":5000,"targetLatencyMs":4000,"service":"x"},
+        {"name":"p","host":"a.example","pathPrefix":"/p/","routeType":"idempotent","timeoutMs":5000,"targetLatencyMs":4000,"service":"x","public":true}]})");
+    fixture.startGateway();
+    fixture.waitUntilReady();
+    const auto fetchWith = [&](const std::string& key) {
+        auto request = requestTo("/o/1", "id1");
+        request.headers.add("Authorization", "Bearer " + key);
+        return fixture.fetch(fixture.endpoints.callers, request);
+    };
+    const auto isReady = [&] {
+        std::this_thread::sleep_for(10ms);
+        return fixture.fetch(fixture.endpoints.readiness, requestTo("/ready", "probe")).status == 200;
+    };
+    while (fetchWith("key-1").status != 200) { }
+    fixture.store.setFaults({ .isBusy = true });
+    while (isReady()) { }
+    const auto arrivals = fixture.serverX.requests.size();
+    for (const auto* key : { "key-1", "unknown" }) {
+        const auto refused = fetchWith(key);
+        CHECK(refused.status == 503);
+        CHECK_FALSE(refused.headers.find("Retry-After").empty());
+    }
+    CHECK(fixture.serverX.requests.size() == arrivals);
+    CHECK(fixture.fetch(fixture.endpoints.callers, requestTo("/p/1", "id2")).status == 200);
+    fixture.store.setFaults({});
+    while (!isReady()) { }
+    while (fetchWith("key-1").status != 200) { }
+    CHECK(fixture.gateway->metrics().render().find("lycheefield_configuration_age_seconds") != std::string::npos);
+}
+
 TEST_CASE("An order that comes too late in a planned stop is refused as not run and reaches no server" * doctest::test_suite("adapter"))
 {
     GatewayFixture fixture;
