--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -90,6 +90,8 @@
     std::vector<CrashNews> crashAnnouncements(TimePoint now) const { return m_evidence.announcements(now); }
     /// Replaces the servers that may get work.
     void onServers(const std::map<ServerName, ServerEntry>&, TimePoint);
+    /// Sets the zones whose servers get no new work, as if they were draining: also servers that are listed later.
+    void setDrainedZones(const std::set<ZoneName>& zones) { m_pool.setDrainedZones(zones); }
     /// Discards the state of routes and services that are not in the table.
     void onRoutes(const RouteTable&);
     /// Sets the instances that share the servers' connections and request rates and the retry budget.
@@ -214,8 +216,8 @@
     void enqueue(Request&, std::size_t leg, TimePoint);
     /// Sends a service's most urgent, then oldest, queued leg once one of its servers has capacity.
     void sendNextQueued(const ServiceName&, TimePoint, ForwardActions&);
-    /// Returns the expected wait for capacity of a leg that is queued now.
-    Duration expectedWait(const Leg&, const PickContext&) const;
+    /// Returns the expected wait for capacity of a leg that is queued now, behind those that are at least as urgent.
+    Duration expectedWait(const Leg&, std::uint32_t rank, const PickContext&) const;
     bool trySend(Request&, std::size_t leg, bool isHedge, TimePoint, ForwardActions&);
     bool takeBudget(const Request&, Leg&, TimePoint);
     /// Records that a server closed the connection while it may have run the attempt, whether or not its request still waits.
--- a/src/forward/forward_engine_crashes.cpp
+++ b/src/forward/forward_engine_crashes.cpp
@@ -35,11 +35,18 @@
 void ForwardEngine::sendDueChecks(TimePoint now, ForwardActions& actions)
 {
     while (!m_dueChecks.empty() && m_dueChecks.begin()->first <= now) {
-        actions.emplace_back(CheckServer { m_dueChecks.begin()->second });
+        const auto entry = m_dueChecks.begin()->second;
         m_dueChecks.erase(m_dueChecks.begin());
+        // Nothing is sent into a drained zone. The crash stays unconfirmed, so it doesn't count.
+        if (m_pool.isDrained(entry.zone))
+            m_checkedServers.erase(entry.name);
+        else
+            actions.emplace_back(CheckServer { entry });
     }
     for (const auto& it : m_cancelledAttempts.takeDueChecks(now)) {
-        if (m_checkedServers.insert(it->entry.name).second)
+        if (m_pool.isDrained(it->entry.zone))
+            m_cancelledAttempts.forgetChecked(it->entry.name);
+        else if (m_checkedServers.insert(it->entry.name).second)
             actions.emplace_back(CheckServer { it->entry, true });
     }
 }
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -126,7 +126,7 @@
             continue;
         const auto context = contextFor(request.route(), leg, now);
         const auto server = pickServer(request, leg, context);
-        const auto expected = server ? m_pool.expectedIfResponsive(*server, context) : expectedWait(leg, context);
+        const auto expected = server ? m_pool.expectedIfResponsive(*server, context) : expectedWait(leg, request.route().rank, context);
         if (expected > timeLeft || !m_pool.hasServers(leg.service))
             late.emplace_back(expected, i);
     }
@@ -195,11 +195,14 @@
         schedule(*request, now);
 }
 
-Duration ForwardEngine::expectedWait(const Leg& leg, const PickContext& context) const
+Duration ForwardEngine::expectedWait(const Leg& leg, std::uint32_t rank, const PickContext& context) const
 {
     const auto it = m_queues.find(leg.service);
-    const auto ahead = it == m_queues.end() ? 0 : it->second.size();
-    return context.medianTime * static_cast<Duration::rep>(1 + ahead);
+    if (it == m_queues.end())
+        return context.medianTime;
+    const auto isAhead = [rank](const QueuedLeg& queued) { return queued.rank <= rank; };
+    const auto ahead = std::find_if_not(it->second.begin(), it->second.end(), isAhead);
+    return context.medianTime * (1 + std::distance(it->second.begin(), ahead));
 }
 
 void ForwardEngine::restoreShedLegs(Request& request, TimePoint now, ForwardActions& actions)
--- a/src/forward/server_pool.cpp
+++ b/src/forward/server_pool.cpp
@@ -73,6 +73,7 @@
         if (!isSameLife || state->entry != entry)
             state->listedAt = now;
         state->entry = entry;
+        state->isInDrainedZone = isDrained(entry.zone);
         servers.emplace(name, state);
         m_byService[entry.service].push_back(std::move(state));
     }
@@ -84,6 +85,13 @@
     m_servers = std::move(servers);
 }
 
+void ServerPool::setDrainedZones(const std::set<ZoneName>& zones)
+{
+    m_drainedZones = zones;
+    for (const auto& [name, server] : m_servers)
+        server->isInDrainedZone = isDrained(server->entry.zone);
+}
+
 std::uint32_t ServerPool::connectionShare(const ServicePolicy& policy) const
 {
     const auto share = usableConnectionShare * policy.maxConnections / m_instances;
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -22,6 +22,7 @@
 struct TrackedServer {
     ServerEntry entry;
     bool isListed = true; ///< False once the server's entry is removed; the server then gets no new work.
+    bool isInDrainedZone = false; ///< Its zone gets no new work.
     bool isLeaving = false; ///< The server's own responses say that it leaves.
     TimePoint listedAt {}; ///< When the current entry was received.
     std::uint32_t inFlight = 0; ///< Attempts of this instance that have not ended.
@@ -43,7 +44,7 @@
 
     /// Returns the time until the server may be sent a request, given its limit and its Retry-After.
     Duration untilAllowed(TimePoint now) const { return std::max(rateLimit.untilAllowed(now), std::max(Duration {}, Duration(retryNotBefore - now))); }
-    bool takesNewWork() const { return isListed && !isLeaving && !entry.isDraining; }
+    bool takesNewWork() const { return isListed && !isLeaving && !entry.isDraining && !isInDrainedZone; }
 };
 
 using TrackedServerPtr = std::shared_ptr<TrackedServer>;
@@ -66,6 +67,9 @@
     /// Replaces the servers that may get work. The state of a listed server is kept while the server's endpoint
     /// and start time are the same.
     void update(const std::map<ServerName, ServerEntry>&, TimePoint);
+    /// Sets the zones whose servers get no new work.
+    void setDrainedZones(const std::set<ZoneName>&);
+    bool isDrained(const ZoneName& zone) const { return m_drainedZones.contains(zone); }
     /// Sets the number of instances that share the servers' connections; 0 counts as 1.
     void setInstances(std::uint32_t n) { m_instances = std::max(1U, n); }
     std::uint32_t instances() const { return m_instances; }
@@ -136,6 +140,7 @@
     std::uint32_t m_instances = instancesUntilCounted;
     LimitSharing m_sharing;
     std::set<ServiceName> m_directServices;
+    std::set<ZoneName> m_drainedZones;
     std::uint64_t m_shareVersion = 1; ///< Changes with each input of the shares.
     TimePoint m_nextShareChange = never;
     std::map<ServerName, TrackedServerPtr> m_servers;
--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -199,6 +199,12 @@
     m_engine.onServers(servers, m_parts.clock.now());
 }
 
+void ForwardDriver::setDrainedZones(const std::set<ZoneName>& zones)
+{
+    m_engine.setDrainedZones(zones);
+    m_connections.withdrawUnsent(zones);
+}
+
 void ForwardDriver::finishAll()
 {
     callEngine([&](TimePoint now, ForwardActions& actions) { m_engine.finishAll(now, actions); });
--- a/src/gateway/forward_driver.h
+++ b/src/gateway/forward_driver.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace lycheefield {
@@ -66,6 +67,8 @@
     void setRoutes(std::shared_ptr<const RouteTable>);
     std::shared_ptr<const RouteTable> routes() const { return m_routes; }
     void setServers(const std::map<ServerName, ServerEntry>&);
+    /// Sets the zones whose servers get no new work. Attempts for them that are not on a connection yet go elsewhere.
+    void setDrainedZones(const std::set<ZoneName>&);
     void setInstances(const std::vector<Instance>& instances) { m_engine.setInstances(instances, m_parts.clock.now()); }
     /// Returns announcements of the quarantined and the latest suspect contents.
     std::vector<CrashNews> crashAnnouncements() const { return m_engine.crashAnnouncements(m_parts.clock.now()); }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,7 +5,9 @@
 #include "gateway/forward_driver.h"
 #include "gateway/leaving_servers_log.h"
 #include "gateway/port_opener.h"
+#include "gateway/zone_drain_log.h"
 #include "observe/handler_loop.h"
+#include "placement/zone_drains.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -52,6 +54,7 @@
         , m_delegateChooser(settings.instance.name, settings.instance.zone)
         , m_delegation({ m_io, m_strand, m_clock, m_driver, m_metrics, m_log, *this }, m_delegateChooser, settings.instance.name, settings.instance.zone)
         , m_registry(settings.gateway.renewalPeriod)
+        , m_zoneDrains(settings.gateway.zoneDrainLimit)
         , m_loop(m_io, m_metrics, [this](std::string_view why) { logState("handler threw an exception; its request ends, others continue", { { "why", why } }); })
         , m_ports(m_strand, *m_clock, *this)
         , m_readiness([this] { return HttpResponse { isReady() ? ok : unavailable, "text/plain", isReady() ? "ready\n" : "not ready\n" }; })
@@ -91,12 +94,21 @@
         for (const auto& it : changes.removed)
             changed = m_registry.remove(it, now) || changed;
         m_hasServers = true;
+        m_zoneDrains.recordServersKnown(now);
         logLeavingServers(changes, m_clock->now(), m_log);
         if (changed)
             publishServers();
         updateReadiness();
     }
 
+    void onDrainedZones(const std::set<ZoneName>& zones)
+    {
+        const auto now = m_clock->now();
+        logZoneDrains(m_zoneDrains.replaceAll(zones, now), m_registry.servers(), now, m_log);
+        m_driver.setDrainedZones(zones);
+        useHeldServers();
+    }
+
     void onStoreReachable(bool isReachable)
     {
         if (isReachable == m_isStoreReachable)
@@ -245,13 +257,25 @@
 
     void updateReadiness()
     {
-        const bool isReady = m_driver.routes() && m_hasServers && m_ports.areRequiredOpen() && !m_isStopping;
+        const bool isReady = m_driver.routes() && m_hasServers && !m_holdsServers && m_ports.areRequiredOpen() && !m_isStopping;
         if (m_isReady.exchange(isReady) != isReady)
             logState(isReady ? "ready" : "not ready", {});
     }
 
+    /// Lets the known servers get work once it is known which zones are drained, or can't be learned.
+    void useHeldServers()
+    {
+        if (!m_holdsServers || !m_zoneDrains.mayUseServers(m_clock->now()))
+            return;
+        publishServers();
+        updateReadiness();
+    }
+
     void publishServers()
     {
+        m_holdsServers = !m_zoneDrains.mayUseServers(m_clock->now());
+        if (m_holdsServers)
+            return;
         m_driver.setServers(m_registry.servers());
         logState("server list updated", { { "count", std::to_string(m_registry.servers().size()) } });
     }
@@ -264,6 +288,7 @@
         m_delegation.shareCrashes(m_driver.crashAnnouncements());
         if (m_registry.expire(m_clock->now()))
             publishServers();
+        useHeldServers();
         const auto untilExpiry = m_registry.nextExpiry() == never ? housekeepingPeriod : Duration(m_registry.nextExpiry() - m_clock->now());
         scheduleHousekeeping(std::clamp(untilExpiry, Duration(1), housekeepingPeriod));
     }
@@ -337,6 +362,7 @@
         m_metrics.gauge("lycheefield_store_reachable", [this] { return m_isStoreReachable ? 1 : 0; });
         m_metrics.gauge("lycheefield_configuration_version", [this] { return m_driver.routes() ? static_cast<double>(m_driver.routes()->version) : 0; });
         m_metrics.gauge("lycheefield_servers", [this] { return static_cast<double>(m_registry.servers().size()); });
+        m_metrics.gauge("lycheefield_drained_zones", [this] { return static_cast<double>(m_zoneDrains.count()); });
         m_metrics.gauge("lycheefield_server_connections", [this] { return static_cast<double>(m_driver.serverConnections()); });
         m_metrics.gauge("lycheefield_requests_in_flight", [this] { return static_cast<double>(m_driver.inFlight()); });
         m_metrics.count("lycheefield_log_lines_left_out_total", [this] { return m_log.droppedLines(); });
@@ -355,6 +381,7 @@
     QuarantineStore* m_quarantineStore = nullptr;
     Endpoint m_inner;
     ServerRegistry m_registry;
+    ZoneDrains m_zoneDrains;
     HandlerLoop m_loop;
     PortOpener m_ports;
     ComputedResponse m_readiness;
@@ -369,6 +396,7 @@
     boost::asio::steady_timer m_drainTimer;
     std::atomic<bool> m_isReady { false };
     bool m_hasServers = false;
+    bool m_holdsServers = false; ///< The servers get no work yet, because the drained zones are not known.
     bool m_isStoreReachable = false;
     bool m_isStopping = false;
     bool m_isClosing = false; ///< New connections are not accepted any more.
@@ -398,6 +426,11 @@
     m_impl->onServers(changes);
 }
 
+void Gateway::onDrainedZones(const std::set<ZoneName>& zones)
+{
+    m_impl->onDrainedZones(zones);
+}
+
 void Gateway::onStoreReachable(bool isReachable)
 {
     m_impl->onStoreReachable(isReachable);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace lycheefield {
@@ -59,7 +60,7 @@
 
 /// One process that accepts callers' requests and forwards them directly to backend servers.
 ///
-/// The gateway is ready once it has a configuration and a list of servers. After SIGTERM the gateway
+/// The gateway is ready once it has a configuration and a list of servers that may get work. After SIGTERM the gateway
 /// reports that it is not ready, goes on serving while the balancer still sends callers, and exits within
 /// the stop limit. The owner delivers the configuration, the servers and the instances on executor().
 class Gateway {
@@ -74,6 +75,9 @@
     /// Applies a configuration. A version that is not newer than the one in force is ignored.
     void onRoutes(RouteTable);
     void onServers(const ServerChanges&);
+    /// Replaces the zones whose servers get no new work. While the settings follow drains, no server gets work before the first
+    /// call, for no longer than their limit.
+    void onDrainedZones(const std::set<ZoneName>&);
     /// Whether the last call to the platform's store succeeded.
     void onStoreReachable(bool isReachable);
     /// Sets the receiver of other instances' news. Preconditions: called before run(); the follower outlives run().
--- a/src/gateway/server_connections.cpp
+++ b/src/gateway/server_connections.cpp
@@ -53,6 +53,7 @@
         , m_opened(metrics.counter("lycheefield_server_connections_opened_total"))
         , m_reused(metrics.counter("lycheefield_server_connections_reused_total"))
         , m_unusable(metrics.counter("lycheefield_server_replies_unusable_total"))
+        , m_withdrawn(metrics.counter("lycheefield_sends_withdrawn_for_drain_total"))
     {
     }
 
@@ -61,6 +62,7 @@
 
     void send(const SendServerRequest&);
     void check(const CheckServer&);
+    void withdrawUnsent(const std::set<ZoneName>&);
     void cancel(ServerRequestId);
     void closeStale();
     std::size_t count() const { return m_count; }
@@ -85,6 +87,7 @@
     Counter& m_opened;
     Counter& m_reused;
     Counter& m_unusable;
+    Counter& m_withdrawn;
     std::map<ServerKey, std::vector<ConnectionPtr>> m_idle;
     std::unordered_map<ServerRequestId, ConnectionPtr> m_busy;
     std::map<ServerKey, ConnectionPtr> m_checks; ///< Connections that are being opened to check servers.
@@ -122,6 +125,8 @@
         m_http->close();
     }
 
+    /// Whether a request for a server of these zones waits for this connection to open, so that the server has not seen it.
+    bool isUnsentTo(const std::set<ZoneName>& zones) const { return !m_isAccepted && m_request && zones.contains(m_request->server.zone); }
     bool isStale(TimePoint now) const { return now >= m_usableUntil; }
     bool isFresh(TimePoint now) const { return now < m_freshUntil; }
     /// Whether a response that arrives on this connection can't be taken for one to an earlier send of the attempt.
@@ -285,6 +290,20 @@
     m_events.onChecked(server, result);
 }
 
+void ServerConnections::Impl::withdrawUnsent(const std::set<ZoneName>& zones)
+{
+    std::vector<ServerRequestId> withdrawn;
+    for (const auto& [id, connection] : m_busy) {
+        if (connection->isUnsentTo(zones))
+            withdrawn.push_back(id);
+    }
+    for (const auto& id : withdrawn) {
+        cancel(id);
+        m_withdrawn.add();
+        boost::asio::post(m_executor, [self = shared_from_this(), id] { self->m_events.onFailed(id, ServerRequestFailure::NotConnected); });
+    }
+}
+
 void ServerConnections::Impl::cancel(ServerRequestId id)
 {
     const auto it = m_busy.find(id);
@@ -345,6 +364,11 @@
     m_impl->check(check);
 }
 
+void ServerConnections::withdrawUnsent(const std::set<ZoneName>& zones)
+{
+    m_impl->withdrawUnsent(zones);
+}
+
 void ServerConnections::cancel(ServerRequestId id)
 {
     m_impl->cancel(id);
--- a/src/gateway/server_connections.h
+++ b/src/gateway/server_connections.h
@@ -9,6 +9,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <set>
 
 namespace lycheefield {
 
@@ -39,6 +40,8 @@
     /// Opens a connection to learn whether the server runs, unless an open one may tell; it serves later requests. Leads to exactly
     /// one call of the events.
     void check(const CheckServer&);
+    /// Withdraws the requests to servers of these zones whose connections are still being opened; each of them ends as not connected.
+    void withdrawUnsent(const std::set<ZoneName>&);
     /// Closes the request's connection, without a call of the events.
     void cancel(ServerRequestId);
     /// Closes the connections that have been idle for as long as their server allows.
--- /dev/null
+++ b/src/placement/zone_drains.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace lycheefield {
+
+/// The drains that one update of the list began and ended.
+struct ZoneDrainChange {
+    /// A drain that ended, and how long it was known here.
+    struct Ended {
+        ZoneName zone;
+        Duration lasted {};
+
+        friend bool operator==(const Ended&, const Ended&) = default;
+    };
+    std::vector<ZoneName> begun;
+    std::vector<Ended> ended;
+
+    friend bool operator==(const ZoneDrainChange&, const ZoneDrainChange&) = default;
+};
+
+/// The availability zones that are drained: their servers get no new work until the drain ends.
+///
+/// A process that starts doesn't know which zones are free. Until it has a first list of the drains it may use no
+/// server, but no longer than the limit on drains: past that time the list can't be had, and a process that refused all
+/// requests would turn the loss of one list into an outage. Performs no I/O. Not thread safe.
+class ZoneDrains {
+public:
+    /// limit: longest time until a drain must be in force; zero: drains are not followed, and no zone is ever drained.
+    explicit ZoneDrains(Duration limit);
+
+    /// Replaces the list and returns what has changed.
+    ZoneDrainChange replaceAll(const std::set<ZoneName>&, TimePoint);
+    /// Starts the wait for a first list of the drains. Only the first call counts.
+    void recordServersKnown(TimePoint);
+    /// Returns whether servers may get work: the drains are known, or the wait for them has ended.
+    bool mayUseServers(TimePoint now) const;
+    std::size_t count() const { return m_since.size(); }
+
+private:
+    Duration m_limit;
+    bool m_isKnown;
+    TimePoint m_waitEnds = never;
+    std::map<ZoneName, TimePoint> m_since; ///< The drained zones, and when this process learned of each drain.
+};
+
+}
--- a/tests/forward/forward_test_bed.h
+++ b/tests/forward/forward_test_bed.h
@@ -40,6 +40,8 @@
     void restartServer(const std::string& name);
     ServerModel& model(const std::string& name) { return m_servers.at(ServerName(name)).model; }
     void publish();
+    /// Drains these zones and no others.
+    void drainZones(const std::set<ZoneName>& zones) { m_engine.setDrainedZones(zones); }
 
     /// Returns a search route with the services as its shards.
     Route searchRoute(const std::vector<std::string>& services) const;
