--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -91,6 +91,8 @@
     std::vector<CrashNews> crashAnnouncements(TimePoint now) const { return m_evidence.announcements(now); }
     /// Replaces the servers that may get work.
     void onServers(const std::map<ServerName, ServerEntry>&, TimePoint);
+    /// Sets the zones whose servers get no new work, as if they were draining: also servers that are listed later.
+    void setDrainedZones(const std::set<ZoneName>& zones) { m_pool.setDrainedZones(zones); }
     /// Discards the state of routes and services that are not in the table.
     void onRoutes(const RouteTable&);
     /// Sets the instances that share the servers' connections and request rates and the retry budget.
@@ -225,7 +227,7 @@
     bool sendNextQueued(const ServiceName&, TimePoint, ForwardActions&);
     /// Sends the legs that go before a leg of a team, so that it takes no turn of theirs by arriving while a server is free.
     void sendQueuedAhead(const Request&, std::size_t leg, TimePoint, ForwardActions&);
-    /// Returns the expected wait for capacity of a leg that is queued now.
+    /// Returns the expected wait for capacity of a leg that is queued now, behind those that go before it.
     Duration expectedWait(const Request&, std::size_t leg, const PickContext&) const;
     bool trySend(Request&, std::size_t leg, bool isHedge, TimePoint, ForwardActions&);
     bool takeBudget(const Request&, Leg&, TimePoint);
--- a/src/forward/forward_engine_queue.cpp
+++ b/src/forward/forward_engine_queue.cpp
@@ -64,8 +64,7 @@
     const auto it = m_queues.find(request.legs[index].service);
     if (it == m_queues.end())
         return context.medianTime;
-    const auto ahead = request.request.team.value().empty() ? it->second.size() : it->second.countAhead(waitingLeg(request, index));
-    return context.medianTime * static_cast<Duration::rep>(1 + ahead);
+    return context.medianTime * static_cast<Duration::rep>(1 + it->second.countAhead(waitingLeg(request, index)));
 }
 
 }
