--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "gateway/computed_response.h"
 #include "gateway/forward_counters_metrics.h"
 #include "gateway/forward_driver.h"
+#include "gateway/key_admission.h"
 #include "gateway/leaving_servers_log.h"
 #include "gateway/port_opener.h"
 #include "observe/handler_loop.h"
@@ -49,6 +50,7 @@
         , m_strand(boost::asio::make_strand(m_io))
         , m_log(settings.gateway.logLinesPerSecond)
         , m_freshness(settings.admission.revocationLimit)
+        , m_keyAdmission(m_freshness, *m_clock, m_log, m_metrics)
         , m_driver({ m_strand, *m_clock, protocols.callers, protocols.servers, m_metrics, m_log, m_freshness }, forwardSettings(settings))
         , m_delegateChooser(settings.instance.name, settings.instance.zone)
         , m_delegation({ m_io, m_strand, m_clock, m_driver, m_metrics, m_log, *this }, m_delegateChooser, settings.instance.name, settings.instance.zone)
@@ -253,25 +255,10 @@
 
     void logState(std::string_view event, std::initializer_list<LineField> fields) { m_log.write(LineImportance::State, m_clock->now(), event, fields); }
 
-    /// Whether callers with API keys can be served.
-    bool canVerifyKeys() const
-    {
-        const auto routes = m_driver.routes();
-        return !routes || !routes->teams || m_freshness.isFresh(m_clock->now());
-    }
-
-    void updateKeyState()
-    {
-        const bool canVerify = canVerifyKeys();
-        if (std::exchange(m_canVerifyKeys, canVerify) == canVerify)
-            return;
-        logState(canVerify ? "configuration current again; API keys are admitted" : "configuration may be outdated; requests with API keys are refused until it is confirmed", { { "age_ms", m_freshness.ageText(m_clock->now()) } });
-    }
-
     void updateReadiness()
     {
-        updateKeyState();
-        const bool isReady = m_driver.routes() && m_hasServers && m_canVerifyKeys && m_ports.areRequiredOpen() && !m_isStopping;
+        const bool canAdmitKeys = m_keyAdmission.update(m_driver.routes().get());
+        const bool isReady = m_driver.routes() && m_hasServers && canAdmitKeys && m_ports.areRequiredOpen() && !m_isStopping;
         if (m_isReady.exchange(isReady) != isReady)
             logState(isReady ? "ready" : "not ready", {});
     }
@@ -363,8 +350,6 @@
         m_metrics.gauge("lycheefield_ready", [this] { return isReady() ? 1 : 0; });
         m_metrics.gauge("lycheefield_store_reachable", [this] { return m_isStoreReachable ? 1 : 0; });
         m_metrics.gauge("lycheefield_configuration_version", [this] { return m_driver.routes() ? static_cast<double>(m_driver.routes()->version) : 0; });
-        if (m_freshness.isLimited())
-            m_metrics.gauge("lycheefield_configuration_age_seconds", [this] { return std::chrono::duration<double>(m_freshness.age(m_clock->now())).count(); });
         m_metrics.gauge("lycheefield_servers", [this] { return static_cast<double>(m_registry.servers().size()); });
         m_metrics.gauge("lycheefield_server_connections", [this] { return static_cast<double>(m_driver.serverConnections()); });
         m_metrics.gauge("lycheefield_requests_in_flight", [this] { return static_cast<double>(m_driver.inFlight()); });
@@ -378,6 +363,7 @@
     Metrics m_metrics;
     DecisionLog m_log;
     ConfigurationFreshness m_freshness;
+    KeyAdmission m_keyAdmission;
     ForwardDriver m_driver;
     DelegateChooser m_delegateChooser;
     SearchDelegation m_delegation;
@@ -398,7 +384,6 @@
     boost::asio::steady_timer m_housekeeping;
     boost::asio::steady_timer m_drainTimer;
     std::atomic<bool> m_isReady { false };
-    bool m_canVerifyKeys = true;
     bool m_hasServers = false;
     bool m_isStoreReachable = false;
     bool m_isStopping = false;
--- a/tests/gateway/freshness_fleet_test.cpp
+++ b/tests/gateway/freshness_fleet_test.cpp
@@ -303,4 +303,19 @@
     }
 }
 
+TEST_CASE("An instance whose proof is old calls the store at once when it runs or is reached again, whatever news piled up" * doctest::test_suite("gateway"))
+{
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        Fleet fleet(seed);
+        fleet.run(10s, [] {});
+        auto& node = *fleet.nodes()[seed % fleet.nodes().size()];
+        (seed % 2 == 0 ? node.pausedUntil : node.cutUntil) = fleet.now() + 20s;
+        fleet.run(19900ms, [] {});
+        CHECK_FALSE(fleet.isFresh(node));
+        fleet.run(300ms, [] {});
+        CHECK(fleet.isFresh(node));
+    }
+}
+
 }
