--- a/src/forward/forward_request.h
+++ b/src/forward/forward_request.h
@@ -52,6 +52,7 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    double slowdown = 1; ///< Time that work takes on the server's machine at that moment, as a multiple of the usual time.
 
     friend bool operator==(const ServerLoad&, const ServerLoad&) = default;
 };
--- a/src/forward/server_pool.cpp
+++ b/src/forward/server_pool.cpp
@@ -45,6 +45,11 @@
     return 1 + (server.slowness - 1) * std::exp(-toMicros(now - server.slownessUpdatedAt) / decayTime);
 }
 
+double expectedSlowness(const TrackedServer& server, TimePoint now)
+{
+    return server.reportedSlowdown.combinedWith(currentSlowness(server, now), now);
+}
+
 double requestsAhead(const TrackedServer& server, TimePoint now)
 {
     const auto age = toMicros(now - server.loadReportedAt) / toMicros(loadReportLifetime);
@@ -106,7 +111,7 @@
 {
     const double slots = std::max(1U, server.entry.slots);
     const auto turns = std::max(0.0, requestsAhead(server, context.now) + 1 - slots) / slots;
-    double micros = toMicros(context.medianTime) * currentSlowness(server, context.now) * (1 + turns);
+    double micros = toMicros(context.medianTime) * expectedSlowness(server, context.now) * (1 + turns);
     if (context.now < server.listedAt + server.entry.warmupLeft)
         micros *= warmupFactor;
     if (server.entry.zone != m_settings.zone)
@@ -272,6 +277,7 @@
     if (median <= Duration {})
         return;
     const auto sample = std::min(maxSampleSlowness, toMicros(now - sentAt) / toMicros(median));
+    server.reportedSlowdown.recordSample(sample, currentSlowness(server, now), now);
     const bool isSlow = sample >= minSlowSample;
     const bool isAgain = isSlow && server.slowStreak > 0 && sentAt > server.lastSlowAt;
     const auto weight = isSlow && !isAgain ? firstSlowWeight : newSampleWeight;
@@ -307,6 +313,7 @@
 {
     server.load = load;
     server.loadReportedAt = now;
+    server.reportedSlowdown.record(load.slowdown, now);
 }
 
 void ServerPool::markReplaced(TrackedServer& server)
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -6,6 +6,7 @@
 #include "forward/limit_sharing.h"
 #include "forward/server_entry.h"
 #include "forward/server_rate_limit.h"
+#include "placement/reported_slowdown.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -32,6 +33,7 @@
     TimePoint lastSlowAt {}; ///< When the last slow response arrived.
     ServerLoad load;
     TimePoint loadReportedAt {};
+    ReportedSlowdown reportedSlowdown;
     std::uint32_t maxInFlight = 0; ///< Limit on this instance's attempts in flight until fullUntil.
     TimePoint fullUntil {};
     std::uint32_t failuresInRow = 0;
--- a/tests/adapter/wire_test.cpp
+++ b/tests/adapter/wire_test.cpp
@@ -48,6 +48,10 @@
     {
         CHECK(servers.read(response(200, { { "Lycheefield-Server-Load", "3, 1,8" } }), "id1").load == ServerLoad { 3, 1, 8 });
         CHECK_FALSE(servers.read(response(200, { { "Lycheefield-Server-Load", "3,x,8" } }), "id1").load);
+        CHECK(servers.read(response(200, { { "Lycheefield-Server-Load", "3,1,8,250" } }), "id1").load == ServerLoad { 3, 1, 8, 2.5 });
+        CHECK_FALSE(servers.read(response(200, { { "Lycheefield-Server-Load", "3,1,8,x" } }), "id1").load);
+        CHECK_FALSE(servers.read(response(200, { { "Lycheefield-Server-Load", "3,1,8,0" } }), "id1").load);
+        CHECK_FALSE(servers.read(response(200, { { "Lycheefield-Server-Load", "3,1,8,100,1" } }), "id1").load);
     }
     SUBCASE("only a 503 asks for a pause, in seconds with or without a fraction")
     {
