--- a/src/forward/delegate_chooser.cpp
+++ b/src/forward/delegate_chooser.cpp
@@ -66,6 +66,17 @@
     return zones;
 }
 
+Duration DelegateChooser::networkTimeTo(const ZoneName& zone) const
+{
+    Duration shortest {};
+    for (const auto& [name, peer] : m_peers) {
+        const bool isKnown = peer.zone == zone && peer.roundTrip > Duration {};
+        if (isKnown && (shortest == Duration {} || peer.roundTrip < shortest))
+            shortest = peer.roundTrip;
+    }
+    return shortest;
+}
+
 std::optional<DelegateChoice> DelegateChooser::choose(const std::vector<ZoneCoverage>& coverage, TimePoint now)
 {
     std::size_t maxShards = minShards;
--- a/src/forward/delegate_chooser.h
+++ b/src/forward/delegate_chooser.h
@@ -58,6 +58,9 @@
     /// Returns the zones of the other instances.
     std::vector<ZoneName> zones() const;
 
+    /// Returns the shortest round trip to an instance in the zone; zero while unknown.
+    Duration networkTimeTo(const ZoneName&) const;
+
     /// Returns an instance in the zone that has servers of the most shards; empty when this instance
     /// should send the legs itself.
     std::optional<DelegateChoice> choose(const std::vector<ZoneCoverage>&, TimePoint);
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -29,6 +29,7 @@
     std::uint64_t hedges = 0;
     std::uint64_t retries = 0;
     std::uint64_t delegatedLegs = 0; ///< Legs delegated to other instances.
+    std::uint64_t attemptsInOtherZones = 0; ///< Attempts sent to servers in other zones.
     std::uint64_t limitedLegs = 0; ///< Legs shed because their servers allow no more requests.
     std::uint64_t limitedRequests = 0; ///< Requests refused for the same reason.
     std::uint64_t shedLegs = 0; ///< Legs shed from searches because their responses were expected too late.
@@ -102,6 +103,8 @@
 
     std::size_t inFlight() const { return m_requests.size(); }
     const ForwardCounters& counters() const { return m_counters; }
+    /// Returns the highest share of the requests for one service that may leave the zone.
+    double highestSpillShare(TimePoint now) const { return m_pool.highestSpillShare(now); }
 
 private:
     /// Separate crashes from which content is suspect. A server that crashes by itself breaks one attempt of a content, and its retry
@@ -187,6 +190,11 @@
     /// Delegates the legs without a server in this zone, and legs of this zone if they are too many for
     /// this instance.
     void delegateLegs(Request&, TimePoint, ForwardActions&);
+    void learnNetworkTimes(TimePoint);
+    /// Returns whether the leg has a server in the zone that is neither silent nor failing.
+    bool hasUsableServersIn(const Request&, std::size_t leg, const ZoneName&, TimePoint);
+    /// Returns whether the leg is sent to servers of this zone: it has some there, and they can respond or no other zone has one that can.
+    bool isServedInZone(const Request&, std::size_t leg, TimePoint);
     void delegateRemoteLegs(Request&, std::vector<std::size_t> legs, TimePoint, ForwardActions&);
     /// Divides the legs into groups and delegates each to an instance of the zone.
     void delegateInGroups(Request&, const ZoneName&, const std::vector<std::size_t>& legs, TimePoint, ForwardActions&);
@@ -216,6 +224,7 @@
     void sendNextQueued(const ServiceName&, TimePoint, ForwardActions&);
     /// Returns the expected wait for capacity of a leg that is queued now.
     Duration expectedWait(const Leg&, const PickContext&) const;
+    void logSpillChanges(const Request&, TimePoint, ForwardActions&);
     bool trySend(Request&, std::size_t leg, bool isHedge, TimePoint, ForwardActions&);
     bool takeBudget(const Request&, Leg&, TimePoint);
     /// Records that a server closed the connection while it may have run the attempt, whether or not its request still waits.
@@ -254,7 +263,7 @@
     Duration hedgeDelay(const Request&);
     /// Returns the longest hedge delay: a share of the time that the request has, so that the second server can answer in time.
     Duration maxHedgeDelay(const Request&) const;
-    TrackedServerPtr pickServer(const Request&, const Leg&, const PickContext&) const;
+    TrackedServerPtr pickServer(const Request&, const Leg&, const PickContext&);
     /// Returns the expected latency beyond which a hedge is useless.
     Duration maxHedgeLatency(const Request&, TimePoint) const;
     PickContext contextFor(const Route&, const Leg&, TimePoint);
@@ -275,6 +284,7 @@
     ForwardSettings m_settings;
     std::unique_ptr<RandomSource> m_random;
     ServerPool m_pool;
+    TimePoint m_learnNetworkTimesAt {};
     DelegateChooser* m_delegateChooser = nullptr;
     SplitPicker m_splits;
     std::unordered_map<RequestNumber, Request> m_requests;
--- a/src/forward/forward_engine_delegation.cpp
+++ b/src/forward/forward_engine_delegation.cpp
@@ -22,6 +22,7 @@
 /// Legs beyond this number are divided into groups of at most this many on average. A group may have more,
 /// because the groups are ranges of equal length over all legs of the search.
 constexpr std::size_t legsPerGroup = 12;
+constexpr Duration networkTimesPeriod = std::chrono::seconds(1);
 
 }
 
@@ -34,11 +35,12 @@
 {
     if (!m_delegateChooser || request.request.isPart())
         return;
+    learnNetworkTimes(now);
     std::vector<std::size_t> near;
     std::vector<std::size_t> far;
     for (std::size_t i = 0; i < request.legs.size(); ++i) {
         const auto& service = request.legs[i].service;
-        if (m_pool.hasServersIn(service, m_settings.zone))
+        if (isServedInZone(request, i, now))
             near.push_back(i);
         else if (m_pool.hasServers(service))
             far.push_back(i);
@@ -48,6 +50,32 @@
         delegateInGroups(request, m_settings.zone, near, now, actions);
 }
 
+void ForwardEngine::learnNetworkTimes(TimePoint now)
+{
+    if (now < m_learnNetworkTimesAt)
+        return;
+    m_learnNetworkTimesAt = now + networkTimesPeriod;
+    for (const auto& zone : m_delegateChooser->zones()) {
+        if (const auto time = m_delegateChooser->networkTimeTo(zone); time > Duration {})
+            m_pool.setNetworkTime(zone, time);
+    }
+}
+
+bool ForwardEngine::hasUsableServersIn(const Request& request, std::size_t leg, const ZoneName& zone, TimePoint now)
+{
+    return m_pool.hasUsableServersIn(request.legs[leg].service, zone, contextFor(request.route(), request.legs[leg], now));
+}
+
+bool ForwardEngine::isServedInZone(const Request& request, std::size_t leg, TimePoint now)
+{
+    if (!m_pool.hasServersIn(request.legs[leg].service, m_settings.zone))
+        return false;
+    if (hasUsableServersIn(request, leg, m_settings.zone, now))
+        return true;
+    const auto zones = m_delegateChooser->zones();
+    return std::none_of(zones.begin(), zones.end(), [&](const auto& zone) { return hasUsableServersIn(request, leg, zone, now); });
+}
+
 std::size_t ForwardEngine::maxLocalLegs(const Route& route) const
 {
     return static_cast<std::size_t>(scaled(route.targetLatency, processorShareOfTarget * m_settings.cores.value) / processorTimePerLeg);
@@ -60,13 +88,13 @@
         for (const auto& zone : m_delegateChooser->zones()) {
             ZoneCoverage covered { zone, 0 };
             for (const auto it : legs)
-                covered.shards += m_pool.hasServersIn(request.legs[it].service, zone) ? 1 : 0;
+                covered.shards += hasUsableServersIn(request, it, zone, now) ? 1 : 0;
             coverage.push_back(std::move(covered));
         }
         const auto choice = m_delegateChooser->choose(coverage, now);
         if (!choice)
             return;
-        const auto isInZone = [&](std::size_t it) { return m_pool.hasServersIn(request.legs[it].service, choice->zone); };
+        const auto isInZone = [&](std::size_t it) { return hasUsableServersIn(request, it, choice->zone, now); };
         std::vector<std::size_t> inZone;
         std::copy_if(legs.begin(), legs.end(), std::back_inserter(inZone), isInZone);
         std::erase_if(legs, isInZone);
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -2,6 +2,8 @@
 #include "forward/record_merge.h"
 
 #include <algorithm>
+#include <iomanip>
+#include <sstream>
 #include <utility>
 
 namespace lycheefield {
@@ -28,7 +30,7 @@
 {
     const auto defaultTime = scaled(route.targetLatency, defaultLatencyShare);
     const auto it = m_times.find(route.name);
-    return { it == m_times.end() ? defaultTime : it->second.median(defaultTime), now, &leg.tried };
+    return { it == m_times.end() ? defaultTime : it->second.median(defaultTime), now, &leg.tried, route.targetLatency };
 }
 
 Duration ForwardEngine::maxHedgeDelay(const Request& request) const
@@ -49,7 +51,7 @@
     return std::clamp(scaled(it->second.quantile95(maxDelay), hedgeDelayFactor), minDelay, maxDelay);
 }
 
-TrackedServerPtr ForwardEngine::pickServer(const Request& request, const Leg& leg, const PickContext& context) const
+TrackedServerPtr ForwardEngine::pickServer(const Request& request, const Leg& leg, const PickContext& context)
 {
     const auto& services = request.request.table->services;
     const auto policy = services.find(leg.service);
@@ -95,12 +97,15 @@
         return false;
     const auto context = contextFor(request.route(), leg, now);
     const auto server = pickServer(request, leg, context);
+    logSpillChanges(request, now, actions);
     if (!server || (isHedge && m_pool.expected(*server, context) > maxHedgeLatency(request, now)))
         return false;
     if (!takeBudget(request, leg, now))
         return false;
     if (leg.arrivals > 0)
         ++(isHedge ? m_counters.hedges : m_counters.retries);
+    if (!server->isInZone)
+        ++m_counters.attemptsInOtherZones;
     const ServerRequestId id { ++m_lastAttempt };
     ServerPool::recordSent(*server, now);
     const bool isProbe = standingOf(request, now) == ContentStanding::Suspect && !request.hasPassedProbe;
@@ -116,6 +121,15 @@
     return true;
 }
 
+void ForwardEngine::logSpillChanges(const Request& request, TimePoint now, ForwardActions& actions)
+{
+    for (const auto& it : m_pool.takeSpillChanges(now)) {
+        std::ostringstream detail;
+        detail << std::fixed << std::setprecision(2) << "service=" << it.service.value() << " share=" << it.share << " backlog=" << it.inputs.backlog << " capacity=" << it.inputs.capacity << " headroom=" << it.inputs.headroom;
+        actions.emplace_back(LogForwardDecision { DecisionImportance::Extra, request.request.attemptId, it.isSpilling ? "requests leave the zone" : "requests stay in the zone again", detail.str() });
+    }
+}
+
 void ForwardEngine::shedLegs(Request& request, TimePoint now)
 {
     const auto timeLeft = scaled(request.answerBy - now, shedFactor);
--- a/src/forward/server_pool.cpp
+++ b/src/forward/server_pool.cpp
@@ -39,24 +39,18 @@
     return static_cast<double>(duration.count());
 }
 
+/// The best server of some zones.
+struct Candidate {
+    const TrackedServerPtr* server = nullptr;
+    double micros = 0; ///< Expected latency.
+};
+
 double currentSlowness(const TrackedServer& server, TimePoint now)
 {
     const auto decayTime = toMicros(slownessDecayTime) * (1 + std::min(server.slowStreak, maxSlowStreak));
     return 1 + (server.slowness - 1) * std::exp(-toMicros(now - server.slownessUpdatedAt) / decayTime);
 }
 
-double expectedSlowness(const TrackedServer& server, TimePoint now)
-{
-    return server.reportedSlowdown.combinedWith(currentSlowness(server, now), now);
-}
-
-double requestsAhead(const TrackedServer& server, TimePoint now)
-{
-    const auto age = toMicros(now - server.loadReportedAt) / toMicros(loadReportLifetime);
-    const double reported = server.load.running + server.load.waiting;
-    return std::max<double>(server.inFlight, reported * std::max(0.0, 1 - age));
-}
-
 }
 
 ServerPool::ServerPool(const ForwardSettings& settings, RandomSource& random)
@@ -78,6 +72,8 @@
         if (!isSameLife || state->entry != entry)
             state->listedAt = now;
         state->entry = entry;
+        state->isInZone = entry.zone == m_settings.zone;
+        state->zoneCost = costOf(entry.zone);
         servers.emplace(name, state);
         m_byService[entry.service].push_back(std::move(state));
     }
@@ -87,6 +83,7 @@
             state->isListed = false;
     }
     m_servers = std::move(servers);
+    std::erase_if(m_spills, [&](const auto& it) { return !m_byService.contains(it.first); });
 }
 
 std::uint32_t ServerPool::connectionShare(const ServicePolicy& policy) const
@@ -102,6 +99,18 @@
     return context.now - server.noResponseSince > std::max(minSilence, silentAfterMedians * context.medianTime);
 }
 
+double ServerPool::expectedSlowness(const TrackedServer& server, TimePoint now)
+{
+    return server.reportedSlowdown.combinedWith(currentSlowness(server, now), now);
+}
+
+double ServerPool::requestsAhead(const TrackedServer& server, TimePoint now)
+{
+    const auto age = toMicros(now - server.loadReportedAt) / toMicros(loadReportLifetime);
+    const double reported = server.load.running + server.load.waiting;
+    return std::max<double>(server.inFlight, reported * std::max(0.0, 1 - age));
+}
+
 Duration ServerPool::expected(const TrackedServer& server, const PickContext& context) const
 {
     return expectedIfResponsive(server, context) + (isSilent(server, context) ? unusableCost : Duration {});
@@ -114,21 +123,20 @@
     double micros = toMicros(context.medianTime) * expectedSlowness(server, context.now) * (1 + turns);
     if (context.now < server.listedAt + server.entry.warmupLeft)
         micros *= warmupFactor;
-    if (server.entry.zone != m_settings.zone)
-        micros += toMicros(m_settings.crossZoneCost);
+    micros += toMicros(server.zoneCost);
     if (context.now < server.avoidUntil)
         micros += 2 * toMicros(unusableCost);
     return Duration(static_cast<Duration::rep>(micros));
 }
 
-TrackedServerPtr ServerPool::pick(const ServiceName& service, const ServicePolicy& policy, const PickContext& context) const
+TrackedServerPtr ServerPool::pick(const ServiceName& service, const ServicePolicy& policy, const PickContext& context)
 {
     const auto it = m_byService.find(service);
     if (it == m_byService.end())
         return nullptr;
     const auto share = connectionShare(policy);
-    TrackedServerPtr best;
-    double bestMicros = 0;
+    Candidate local;
+    Candidate remote;
     for (const auto& server : it->second) {
         const bool isTried = context.tried && std::find(context.tried->begin(), context.tried->end(), server) != context.tried->end();
         const auto limit = context.now < server->fullUntil ? std::min(share, server->maxInFlight) : share;
@@ -136,12 +144,13 @@
         if (!server->takesNewWork() || isTried || !isAllowed || server->inFlight >= limit)
             continue;
         const auto micros = toMicros(expected(*server, context)) * (1 + randomSpread * m_random.unit());
-        if (best && micros >= bestMicros)
-            continue;
-        best = server;
-        bestMicros = micros;
+        auto& best = server->isInZone ? local : remote;
+        if (!best.server || micros < best.micros)
+            best = { &server, micros };
     }
-    return best;
+    if (!local.server || !remote.server || local.micros <= remote.micros)
+        return local.server ? *local.server : (remote.server ? *remote.server : nullptr);
+    return leavesZone(service, Duration(static_cast<Duration::rep>(local.micros)), context) ? *remote.server : *local.server;
 }
 
 bool ServerPool::hasServers(const ServiceName& service) const
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -7,6 +7,7 @@
 #include "forward/server_entry.h"
 #include "forward/server_rate_limit.h"
 #include "placement/reported_slowdown.h"
+#include "placement/zone_spill.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -15,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace lycheefield {
@@ -24,6 +26,8 @@
     ServerEntry entry;
     bool isListed = true; ///< False once the server's entry is removed; the server then gets no new work.
     bool isLeaving = false; ///< The server's own responses say that it leaves.
+    bool isInZone = true; ///< In this instance's zone.
+    Duration zoneCost {}; ///< Added to the expected latency of a server in another zone.
     TimePoint listedAt {}; ///< When the current entry was received.
     std::uint32_t inFlight = 0; ///< Attempts of this instance that have not ended.
     TimePoint noResponseSince = never; ///< Start of the current wait for a response; `never` while no attempt is in flight.
@@ -55,6 +59,17 @@
     Duration medianTime {}; ///< Median latency of the route's legs.
     TimePoint now {};
     const std::vector<TrackedServerPtr>* tried = nullptr; ///< Servers to exclude; null for none.
+    Duration targetLatency {}; ///< Of the route; zero: each request goes to the server with the lowest expected latency.
+};
+
+/// A change of the decision whether requests for a service leave the zone, with the figures that caused it.
+struct ZoneSpillChange {
+    ServiceName service;
+    bool isSpilling = false;
+    double share = 0;
+    ZoneSpillInputs inputs;
+
+    friend bool operator==(const ZoneSpillChange&, const ZoneSpillChange&) = default;
 };
 
 /// Selects servers by their silence, failures, recent latencies, load and zone.
@@ -76,8 +91,15 @@
     /// Sets the services to which single requests go.
     void setDirectServices(std::set<ServiceName>);
 
-    /// Returns the server with the lowest expected latency; null when no server may get work now.
-    TrackedServerPtr pick(const ServiceName&, const ServicePolicy&, const PickContext&) const;
+    /// Returns the server with the lowest expected latency; null when no server may get work now. A server in another zone
+    /// is returned only if the zone's own can't respond in time, for a part of the requests (see ZoneSpill), or to a further attempt.
+    TrackedServerPtr pick(const ServiceName&, const ServicePolicy&, const PickContext&);
+    /// Sets the network round trip to the zone, as far as it is known.
+    void setNetworkTime(const ZoneName&, Duration);
+    /// Returns the changes of the decisions to leave the zone since the last call.
+    std::vector<ZoneSpillChange> takeSpillChanges(TimePoint);
+    /// Returns the highest share of the requests for one service that may leave the zone.
+    double highestSpillShare(TimePoint) const;
     /// Returns the expected latency of a request sent now, with penalties for silence, failures and another zone.
     Duration expected(const TrackedServer&, const PickContext&) const;
     /// Returns the expected latency without the penalty for silence, since the silence may be a short pause.
@@ -86,6 +108,8 @@
     bool hasServers(const ServiceName&) const;
     /// Returns whether the service has a server in the zone that accepts new work.
     bool hasServersIn(const ServiceName&, const ZoneName&) const;
+    /// Returns whether the service has a server in the zone that accepts new work and is neither silent nor failing.
+    bool hasUsableServersIn(const ServiceName&, const ZoneName&, const PickContext&) const;
     /// Returns whether the service has a server that accepts new work and is not among the tried ones.
     bool hasUntriedServers(const ServiceName&, const std::vector<TrackedServerPtr>& tried) const;
     /// Returns whether the service has a single server left whose last attempt did not fail and which is not among the crashed ones,
@@ -127,7 +151,19 @@
 private:
     std::uint32_t connectionShare(const ServicePolicy&) const;
     bool isSilent(const TrackedServer&, const PickContext&) const;
+    /// Returns the expected latency without queueing as a multiple of the route's median.
+    static double expectedSlowness(const TrackedServer&, TimePoint);
+    /// Returns the requests that the server is known to run or have waiting.
+    static double requestsAhead(const TrackedServer&, TimePoint);
     ServiceReach reachOf(const ServiceName&) const;
+    Duration costOf(const ZoneName&) const;
+    /// Returns whether a request leaves the zone. Precondition: a server in another zone has a lower expected latency than all in this zone.
+    bool leavesZone(const ServiceName&, Duration localLatency, const PickContext&);
+    /// Returns the service's decision, updated if that is due.
+    ZoneSpill& observeZones(const ServiceName&, const PickContext&);
+    ZoneSpillInputs spillInputs(const ServiceName&, const PickContext&) const;
+    /// Forgets the decisions for services whose requests no longer leave.
+    void endUnusedSpills(TimePoint);
 
     const ForwardSettings& m_settings;
     RandomSource& m_random;
@@ -142,6 +178,10 @@
     TimePoint m_nextShareChange = never;
     std::map<ServerName, TrackedServerPtr> m_servers;
     std::unordered_map<ServiceName, std::vector<TrackedServerPtr>> m_byService;
+    std::unordered_map<ServiceName, ZoneSpill> m_spills; ///< Of the services whose requests left the zone or wanted to.
+    std::vector<ZoneSpillChange> m_spillChanges;
+    TimePoint m_nextSpillReview {};
+    std::map<ZoneName, Duration> m_networkTimes;
 };
 
 }
--- /dev/null
+++ b/src/forward/server_pool_zones.cpp
@@ -0,0 +1,121 @@
+#include "forward/server_pool.h"
+
+#include <algorithm>
+
+namespace lycheefield {
+
+namespace {
+
+/// A response expected after this share of the target latency leaves too little time for a further attempt.
+constexpr double lateShare = 0.5;
+/// Wait for a slot, as a share of the target latency, up to which a zone's own requests count as served in time.
+constexpr double maxWaitShare = 0.25;
+/// The same for requests of other zones; the difference is kept for the zone's own.
+constexpr double maxForeignWaitShare = 0.125;
+constexpr Duration spillReviewPeriod = 250ms;
+
+}
+
+Duration ServerPool::costOf(const ZoneName& zone) const
+{
+    if (zone == m_settings.zone)
+        return {};
+    const auto it = m_networkTimes.find(zone);
+    return it == m_networkTimes.end() ? m_settings.crossZoneCost : std::max(m_settings.crossZoneCost, it->second);
+}
+
+void ServerPool::setNetworkTime(const ZoneName& zone, Duration time)
+{
+    m_networkTimes[zone] = time;
+    const auto cost = costOf(zone);
+    for (const auto& [name, server] : m_servers) {
+        if (server->entry.zone == zone)
+            server->zoneCost = cost;
+    }
+}
+
+bool ServerPool::hasUsableServersIn(const ServiceName& service, const ZoneName& zone, const PickContext& context) const
+{
+    const auto it = m_byService.find(service);
+    if (it == m_byService.end())
+        return false;
+    return std::any_of(it->second.begin(), it->second.end(), [&](const auto& server) {
+        return server->takesNewWork() && server->entry.zone == zone && expected(*server, context) < unusableCost;
+    });
+}
+
+ZoneSpillInputs ServerPool::spillInputs(const ServiceName& service, const PickContext& context) const
+{
+    ZoneSpillInputs inputs;
+    for (const auto& server : m_byService.at(service)) {
+        const bool isUsable = server->takesNewWork() && server->untilAllowed(context.now) == Duration {} && expected(*server, context) < unusableCost;
+        if (!isUsable)
+            continue;
+        const auto requestTime = scaled(context.medianTime, expectedSlowness(*server, context.now));
+        const auto maxWait = scaled(context.targetLatency, server->isInZone ? maxWaitShare : maxForeignWaitShare);
+        const auto tolerable = tolerableRequests(std::max(1U, server->entry.slots), requestTime, maxWait);
+        const auto ahead = requestsAhead(*server, context.now);
+        if (server->isInZone) {
+            inputs.backlog += ahead;
+            inputs.capacity += tolerable;
+        } else {
+            inputs.headroom += std::max(0.0, tolerable - ahead);
+        }
+    }
+    return inputs;
+}
+
+ZoneSpill& ServerPool::observeZones(const ServiceName& service, const PickContext& context)
+{
+    auto it = m_spills.find(service);
+    if (it == m_spills.end())
+        it = m_spills.emplace(service, ZoneSpill(m_random.unit())).first;
+    auto& spill = it->second;
+    if (!spill.isDue(context.now))
+        return spill;
+    const bool wasSpilling = spill.isSpilling();
+    spill.update(spillInputs(service, context), context.now);
+    if (spill.isSpilling() != wasSpilling)
+        m_spillChanges.push_back({ service, spill.isSpilling(), spill.share(context.now), spill.inputs() });
+    return spill;
+}
+
+bool ServerPool::leavesZone(const ServiceName& service, Duration localLatency, const PickContext& context)
+{
+    const bool isFurtherAttempt = context.tried && !context.tried->empty();
+    if (isFurtherAttempt || localLatency >= unusableCost || context.targetLatency == Duration {})
+        return true;
+    const auto& spill = observeZones(service, context);
+    if (localLatency > scaled(context.targetLatency, lateShare))
+        return spill.mayLeaveLate(m_random.unit());
+    return spill.mayLeave(m_random.unit(), context.now);
+}
+
+void ServerPool::endUnusedSpills(TimePoint now)
+{
+    if (now < m_nextSpillReview)
+        return;
+    m_nextSpillReview = now + spillReviewPeriod;
+    std::erase_if(m_spills, [&](const auto& it) {
+        const bool isUnused = it.second.share(now) == 0 && now > it.second.updatedAt() + spillReviewPeriod;
+        if (isUnused && it.second.isSpilling())
+            m_spillChanges.push_back({ it.first, false, 0, it.second.inputs() });
+        return isUnused;
+    });
+}
+
+std::vector<ZoneSpillChange> ServerPool::takeSpillChanges(TimePoint now)
+{
+    endUnusedSpills(now);
+    return std::exchange(m_spillChanges, {});
+}
+
+double ServerPool::highestSpillShare(TimePoint now) const
+{
+    double share = 0;
+    for (const auto& [service, spill] : m_spills)
+        share = std::max(share, spill.share(now));
+    return share;
+}
+
+}
--- a/src/gateway/forward_counters_metrics.cpp
+++ b/src/gateway/forward_counters_metrics.cpp
@@ -14,6 +14,7 @@
     count("sends_total{kind=\"first\"}", counters.firstAttempts);
     count("sends_total{kind=\"hedge\"}", counters.hedges);
     count("sends_total{kind=\"retry\"}", counters.retries);
+    count("sends_to_other_zones_total", counters.attemptsInOtherZones);
     count("legs_relayed_total", counters.delegatedLegs);
     count("legs_shed_total", counters.shedLegs);
     count("legs_over_server_limit_total", counters.limitedLegs);
--- /dev/null
+++ b/src/placement/zone_spill.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "base/time.h"
+
+namespace lycheefield {
+
+/// What an instance observes of the servers of one service, in requests.
+struct ZoneSpillInputs {
+    double backlog = 0; ///< Requests that the usable servers of this zone run or have waiting.
+    double capacity = 0; ///< Requests that these servers may run or have waiting without a late response.
+    double headroom = 0; ///< Further requests that the servers of other zones may take in the same sense.
+
+    double excess() const { return backlog > capacity ? backlog - capacity : 0; }
+
+    friend bool operator==(const ZoneSpillInputs&, const ZoneSpillInputs&) = default;
+};
+
+/// Returns how many requests a server may run or have waiting so that none waits longer than maxWait.
+double tolerableRequests(double slots, Duration requestTime, Duration maxWait);
+
+/// Decides which share of an instance's requests for one service may leave the availability zone.
+///
+/// The share grows while the zone's servers have more requests than they can serve in time and other zones have
+/// headroom, and shrinks once they have clearly less, or other zones are full. All instances observe about the same
+/// load, so each moves only a share of its own requests, slowly against the age of the load reports, and
+/// with a threshold of its own: they neither leave nor return all at once. The state is kept in memory only. Not thread safe.
+class ZoneSpill {
+public:
+    /// The threshold is drawn by each instance, uniformly from [0, 1).
+    explicit ZoneSpill(double threshold);
+
+    /// Adjusts the share. Without updates the share falls to zero by itself.
+    void update(const ZoneSpillInputs&, TimePoint);
+    /// Returns whether an update is due.
+    bool isDue(TimePoint now) const { return now >= m_updatedAt + updatePeriod; }
+    TimePoint updatedAt() const { return m_updatedAt; }
+    /// Returns the share of the requests that may leave.
+    double share(TimePoint) const;
+    /// Returns whether a request that the zone can still serve in time may leave; draw: uniform from [0, 1).
+    bool mayLeave(double draw, TimePoint now) const { return draw < share(now); }
+    /// Returns whether a request that would be late in this zone may leave. While other zones have headroom for only
+    /// some of the excess requests, that part of them may.
+    bool mayLeaveLate(double draw) const;
+    /// Returns whether requests leave; changes only once the share has clearly grown or is zero again.
+    bool isSpilling() const { return m_isSpilling; }
+    const ZoneSpillInputs& inputs() const { return m_inputs; }
+
+    static constexpr Duration updatePeriod = std::chrono::milliseconds(25);
+
+private:
+    ZoneSpillInputs m_inputs;
+    double m_share = 0;
+    double m_threshold;
+    TimePoint m_updatedAt {};
+    bool m_isSpilling = false;
+};
+
+}
