--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -103,8 +103,8 @@
 
     std::size_t inFlight() const { return m_requests.size(); }
     const ForwardCounters& counters() const { return m_counters; }
-    /// Returns the highest share of the requests for one service that may leave the zone.
-    double highestSpillShare(TimePoint now) const { return m_pool.highestSpillShare(now); }
+    /// Returns the highest share of one service's last requests that left the zone.
+    double highestLeftShare() const { return m_pool.highestLeftShare(); }
 
 private:
     /// Separate crashes from which content is suspect. A server that crashes by itself breaks one attempt of a content, and its retry
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -106,6 +106,8 @@
         ++(isHedge ? m_counters.hedges : m_counters.retries);
     if (!server->isInZone)
         ++m_counters.attemptsInOtherZones;
+    if (leg.tried.empty())
+        m_pool.recordFirstAttempt(*server);
     const ServerRequestId id { ++m_lastAttempt };
     ServerPool::recordSent(*server, now);
     const bool isProbe = standingOf(request, now) == ContentStanding::Suspect && !request.hasPassedProbe;
--- a/src/forward/server_pool.cpp
+++ b/src/forward/server_pool.cpp
@@ -150,7 +150,7 @@
     }
     if (!local.server || !remote.server || local.micros <= remote.micros)
         return local.server ? *local.server : (remote.server ? *remote.server : nullptr);
-    return leavesZone(service, Duration(static_cast<Duration::rep>(local.micros)), context) ? *remote.server : *local.server;
+    return leavesZone(service, **local.server, context) ? *remote.server : *local.server;
 }
 
 bool ServerPool::hasServers(const ServiceName& service) const
@@ -212,6 +212,8 @@
 
 void ServerPool::setFleet(const std::vector<Instance>& instances, TimePoint now)
 {
+    const auto inZone = std::count_if(instances.begin(), instances.end(), [&](const auto& it) { return it.zone == m_settings.zone; });
+    m_zoneInstances = std::max(1U, static_cast<std::uint32_t>(inZone));
     m_sharing.setInstances(instances, now);
     ++m_shareVersion;
 }
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -98,8 +98,10 @@
     void setNetworkTime(const ZoneName&, Duration);
     /// Returns the changes of the decisions to leave the zone since the last call.
     std::vector<ZoneSpillChange> takeSpillChanges(TimePoint);
-    /// Returns the highest share of the requests for one service that may leave the zone.
-    double highestSpillShare(TimePoint) const;
+    /// Records that a request's first attempt was sent to the server.
+    void recordFirstAttempt(const TrackedServer&);
+    /// Returns the highest share of one service's last requests that left the zone.
+    double highestLeftShare() const;
     /// Returns the expected latency of a request sent now, with penalties for silence, failures and another zone.
     Duration expected(const TrackedServer&, const PickContext&) const;
     /// Returns the expected latency without the penalty for silence, since the silence may be a short pause.
@@ -151,6 +153,8 @@
 private:
     std::uint32_t connectionShare(const ServicePolicy&) const;
     bool isSilent(const TrackedServer&, const PickContext&) const;
+    /// Returns whether the server is neither silent nor in its back-off after failures.
+    bool isResponsive(const TrackedServer& server, const PickContext& context) const { return !isSilent(server, context) && context.now >= server.avoidUntil; }
     /// Returns the expected latency without queueing as a multiple of the route's median.
     static double expectedSlowness(const TrackedServer&, TimePoint);
     /// Returns the requests that the server is known to run or have waiting.
@@ -158,7 +162,7 @@
     ServiceReach reachOf(const ServiceName&) const;
     Duration costOf(const ZoneName&) const;
     /// Returns whether a request leaves the zone. Precondition: a server in another zone has a lower expected latency than all in this zone.
-    bool leavesZone(const ServiceName&, Duration localLatency, const PickContext&);
+    bool leavesZone(const ServiceName&, const TrackedServer& local, const PickContext&);
     /// Returns the service's decision, updated if that is due.
     ZoneSpill& observeZones(const ServiceName&, const PickContext&);
     ZoneSpillInputs spillInputs(const ServiceName&, const PickContext&) const;
@@ -172,6 +176,7 @@
     static constexpr std::uint32_t instancesUntilCounted = 32;
 
     std::uint32_t m_instances = instancesUntilCounted;
+    std::uint32_t m_zoneInstances = 1;
     LimitSharing m_sharing;
     std::set<ServiceName> m_directServices;
     std::uint64_t m_shareVersion = 1; ///< Changes with each input of the shares.
--- a/src/forward/server_pool_zones.cpp
+++ b/src/forward/server_pool_zones.cpp
@@ -7,12 +7,16 @@
 namespace {
 
 /// A response expected after this share of the target latency leaves too little time for a further attempt.
-constexpr double lateShare = 0.5;
+constexpr double lateShare = 0.35;
+/// A longer median latency contains waits for slots, which must not make the servers' capacity look smaller.
+constexpr double maxRequestTimeShare = 0.25;
 /// Wait for a slot, as a share of the target latency, up to which a zone's own requests count as served in time.
 constexpr double maxWaitShare = 0.25;
 /// The same for requests of other zones; the difference is kept for the zone's own.
-constexpr double maxForeignWaitShare = 0.125;
+constexpr double maxForeignWaitShare = 0.25;
 constexpr Duration spillReviewPeriod = 250ms;
+/// After this time without a request that would leave, a service's decision is forgotten.
+constexpr Duration spillLifetime = 2s;
 
 }
 
@@ -40,18 +44,20 @@
     if (it == m_byService.end())
         return false;
     return std::any_of(it->second.begin(), it->second.end(), [&](const auto& server) {
-        return server->takesNewWork() && server->entry.zone == zone && expected(*server, context) < unusableCost;
+        return server->takesNewWork() && server->entry.zone == zone && isResponsive(*server, context);
     });
 }
 
 ZoneSpillInputs ServerPool::spillInputs(const ServiceName& service, const PickContext& context) const
 {
     ZoneSpillInputs inputs;
+    inputs.zoneInstances = m_zoneInstances;
+    inputs.requestTime = std::min(context.medianTime, scaled(context.targetLatency, maxRequestTimeShare));
     for (const auto& server : m_byService.at(service)) {
-        const bool isUsable = server->takesNewWork() && server->untilAllowed(context.now) == Duration {} && expected(*server, context) < unusableCost;
+        const bool isUsable = server->takesNewWork() && server->untilAllowed(context.now) == Duration {} && isResponsive(*server, context);
         if (!isUsable)
             continue;
-        const auto requestTime = scaled(context.medianTime, expectedSlowness(*server, context.now));
+        const auto requestTime = scaled(inputs.requestTime, expectedSlowness(*server, context.now));
         const auto maxWait = scaled(context.targetLatency, server->isInZone ? maxWaitShare : maxForeignWaitShare);
         const auto tolerable = tolerableRequests(std::max(1U, server->entry.slots), requestTime, maxWait);
         const auto ahead = requestsAhead(*server, context.now);
@@ -71,24 +77,21 @@
     if (it == m_spills.end())
         it = m_spills.emplace(service, ZoneSpill(m_random.unit())).first;
     auto& spill = it->second;
+    spill.recordCandidate(context.now);
     if (!spill.isDue(context.now))
         return spill;
-    const bool wasSpilling = spill.isSpilling();
     spill.update(spillInputs(service, context), context.now);
-    if (spill.isSpilling() != wasSpilling)
-        m_spillChanges.push_back({ service, spill.isSpilling(), spill.share(context.now), spill.inputs() });
     return spill;
 }
 
-bool ServerPool::leavesZone(const ServiceName& service, Duration localLatency, const PickContext& context)
+bool ServerPool::leavesZone(const ServiceName& service, const TrackedServer& local, const PickContext& context)
 {
     const bool isFurtherAttempt = context.tried && !context.tried->empty();
-    if (isFurtherAttempt || localLatency >= unusableCost || context.targetLatency == Duration {})
+    if (isFurtherAttempt || !isResponsive(local, context) || context.targetLatency == Duration {})
         return true;
     const auto& spill = observeZones(service, context);
-    if (localLatency > scaled(context.targetLatency, lateShare))
-        return spill.mayLeaveLate(m_random.unit());
-    return spill.mayLeave(m_random.unit(), context.now);
+    const bool isLate = expectedIfResponsive(local, context) > scaled(context.targetLatency, lateShare);
+    return spill.mayLeave(isLate, m_random.unit(), context.now);
 }
 
 void ServerPool::endUnusedSpills(TimePoint now)
@@ -97,7 +100,7 @@
         return;
     m_nextSpillReview = now + spillReviewPeriod;
     std::erase_if(m_spills, [&](const auto& it) {
-        const bool isUnused = it.second.share(now) == 0 && now > it.second.updatedAt() + spillReviewPeriod;
+        const bool isUnused = it.second.share(now) == 0 && now > it.second.updatedAt() + spillLifetime;
         if (isUnused && it.second.isSpilling())
             m_spillChanges.push_back({ it.first, false, 0, it.second.inputs() });
         return isUnused;
@@ -110,11 +113,23 @@
     return std::exchange(m_spillChanges, {});
 }
 
-double ServerPool::highestSpillShare(TimePoint now) const
+void ServerPool::recordFirstAttempt(const TrackedServer& server)
+{
+    const auto it = m_spills.find(server.entry.service);
+    if (it == m_spills.end())
+        return;
+    auto& spill = it->second;
+    const bool wasSpilling = spill.isSpilling();
+    spill.recordSent(!server.isInZone);
+    if (spill.isSpilling() != wasSpilling)
+        m_spillChanges.push_back({ server.entry.service, spill.isSpilling(), spill.leftShare(), spill.inputs() });
+}
+
+double ServerPool::highestLeftShare() const
 {
     double share = 0;
     for (const auto& [service, spill] : m_spills)
-        share = std::max(share, spill.share(now));
+        share = std::max(share, spill.leftShare());
     return share;
 }
 
--- a/src/gateway/forward_driver.h
+++ b/src/gateway/forward_driver.h
@@ -76,8 +76,8 @@
     void closeStaleConnections() { m_connections.closeStale(); }
     std::size_t inFlight() const { return m_pending.size(); }
     const ForwardCounters& counters() const { return m_engine.counters(); }
-    /// Returns the highest share of the requests for one service that may leave the zone.
-    double highestSpillShare() const { return m_engine.highestSpillShare(m_parts.clock.now()); }
+    /// Returns the highest share of one service's last requests that left the zone.
+    double highestLeftShare() const { return m_engine.highestLeftShare(); }
     std::size_t serverConnections() const { return m_connections.count(); }
 
 private:
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -338,7 +338,7 @@
         m_metrics.gauge("lycheefield_configuration_version", [this] { return m_driver.routes() ? static_cast<double>(m_driver.routes()->version) : 0; });
         m_metrics.gauge("lycheefield_servers", [this] { return static_cast<double>(m_registry.servers().size()); });
         m_metrics.gauge("lycheefield_server_connections", [this] { return static_cast<double>(m_driver.serverConnections()); });
-        m_metrics.gauge("lycheefield_zone_spill_share", [this] { return m_driver.highestSpillShare(); });
+        m_metrics.gauge("lycheefield_requests_leaving_zone_share", [this] { return m_driver.highestLeftShare(); });
         m_metrics.gauge("lycheefield_requests_in_flight", [this] { return static_cast<double>(m_driver.inFlight()); });
         m_metrics.count("lycheefield_log_lines_left_out_total", [this] { return m_log.droppedLines(); });
     }
--- a/src/placement/zone_spill.h
+++ b/src/placement/zone_spill.h
@@ -2,6 +2,8 @@
 
 #include "base/time.h"
 
+#include <cstdint>
+
 namespace lycheefield {
 
 /// What an instance observes of the servers of one service, in requests.
@@ -9,8 +11,8 @@
     double backlog = 0; ///< Requests that the usable servers of this zone run or have waiting.
     double capacity = 0; ///< Requests that these servers may run or have waiting without a late response.
     double headroom = 0; ///< Further requests that the servers of other zones may take in the same sense.
-
-    double excess() const { return backlog > capacity ? backlog - capacity : 0; }
+    Duration requestTime {}; ///< Usual time of a request, after which its response tells the load that it met.
+    std::uint32_t zoneInstances = 1; ///< Instances of this zone, which are assumed to have the same demand as this one.
 
     friend bool operator==(const ZoneSpillInputs&, const ZoneSpillInputs&) = default;
 };
@@ -36,12 +38,16 @@
     TimePoint updatedAt() const { return m_updatedAt; }
     /// Returns the share of the requests that may leave.
     double share(TimePoint) const;
-    /// Returns whether a request that the zone can still serve in time may leave; draw: uniform from [0, 1).
-    bool mayLeave(double draw, TimePoint now) const { return draw < share(now); }
-    /// Returns whether a request that would be late in this zone may leave. While other zones have headroom for only
-    /// some of the excess requests, that part of them may.
-    bool mayLeaveLate(double draw) const;
-    /// Returns whether requests leave; changes only once the share has clearly grown or is zero again.
+    /// Records a request for which a server in another zone has the lowest expected latency.
+    void recordCandidate(TimePoint);
+    /// Returns whether such a request may leave; draw: uniform from [0, 1). One that would be late in this zone may
+    /// as far as other zones have headroom for those of all instances, another one only as part of the share.
+    bool mayLeave(bool isLate, double draw, TimePoint) const;
+    /// Records where a request was sent.
+    void recordSent(bool left);
+    /// Returns the share of the last requests that left, a moving average.
+    double leftShare() const { return m_leftShare; }
+    /// Returns whether requests leave; changes only once their share has clearly grown or is almost zero again.
     bool isSpilling() const { return m_isSpilling; }
     const ZoneSpillInputs& inputs() const { return m_inputs; }
 
@@ -50,6 +56,10 @@
 private:
     ZoneSpillInputs m_inputs;
     double m_share = 0;
+    double m_admitted = 1; ///< Part of the candidates for which other zones have headroom.
+    double m_candidatesPerSecond = 0; ///< Moving average.
+    TimePoint m_lastCandidateAt {};
+    double m_leftShare = 0;
     double m_threshold;
     TimePoint m_updatedAt {};
     bool m_isSpilling = false;
