--- a/src/forward/server_pool.cpp
+++ b/src/forward/server_pool.cpp
@@ -39,19 +39,18 @@
     return static_cast<double>(duration.count());
 }
 
+/// The best server of some zones.
+struct Candidate {
+    const TrackedServerPtr* server = nullptr;
+    double micros = 0; ///< Expected latency.
+};
+
 double currentSlowness(const TrackedServer& server, TimePoint now)
 {
     const auto decayTime = toMicros(slownessDecayTime) * (1 + std::min(server.slowStreak, maxSlowStreak));
     return 1 + (server.slowness - 1) * std::exp(-toMicros(now - server.slownessUpdatedAt) / decayTime);
 }
 
-double requestsAhead(const TrackedServer& server, TimePoint now)
-{
-    const auto age = toMicros(now - server.loadReportedAt) / toMicros(loadReportLifetime);
-    const double reported = server.load.running + server.load.waiting;
-    return std::max<double>(server.inFlight, reported * std::max(0.0, 1 - age));
-}
-
 }
 
 ServerPool::ServerPool(const ForwardSettings& settings, RandomSource& random)
@@ -74,6 +73,8 @@
             state->listedAt = now;
         state->entry = entry;
         state->isInDrainedZone = isDrained(entry.zone);
+        state->isInZone = entry.zone == m_settings.zone;
+        state->zoneCost = costOf(entry.zone);
         servers.emplace(name, state);
         m_byService[entry.service].push_back(std::move(state));
     }
@@ -83,6 +84,7 @@
             state->isListed = false;
     }
     m_servers = std::move(servers);
+    std::erase_if(m_spills, [&](const auto& it) { return !m_byService.contains(it.first); });
 }
 
 void ServerPool::setDrainedZones(const std::set<ZoneName>& zones)
@@ -105,6 +107,18 @@
     return context.now - server.noResponseSince > std::max(minSilence, silentAfterMedians * context.medianTime);
 }
 
+double ServerPool::expectedSlowness(const TrackedServer& server, TimePoint now)
+{
+    return server.reportedSlowdown.combinedWith(currentSlowness(server, now), now);
+}
+
+double ServerPool::requestsAhead(const TrackedServer& server, TimePoint now)
+{
+    const auto age = toMicros(now - server.loadReportedAt) / toMicros(loadReportLifetime);
+    const double reported = server.load.running + server.load.waiting;
+    return std::max<double>(server.inFlight, reported * std::max(0.0, 1 - age));
+}
+
 Duration ServerPool::expected(const TrackedServer& server, const PickContext& context) const
 {
     return expectedIfResponsive(server, context) + (isSilent(server, context) ? unusableCost : Duration {});
@@ -114,24 +128,23 @@
 {
     const double slots = std::max(1U, server.entry.slots);
     const auto turns = std::max(0.0, requestsAhead(server, context.now) + 1 - slots) / slots;
-    double micros = toMicros(context.medianTime) * currentSlowness(server, context.now) * (1 + turns);
+    double micros = toMicros(context.medianTime) * expectedSlowness(server, context.now) * (1 + turns);
     if (context.now < server.listedAt + server.entry.warmupLeft)
         micros *= warmupFactor;
-    if (server.entry.zone != m_settings.zone)
-        micros += toMicros(m_settings.crossZoneCost);
+    micros += toMicros(server.zoneCost);
     if (context.now < server.avoidUntil)
         micros += 2 * toMicros(unusableCost);
     return Duration(static_cast<Duration::rep>(micros));
 }
 
-TrackedServerPtr ServerPool::pick(const ServiceName& service, const ServicePolicy& policy, const PickContext& context) const
+TrackedServerPtr ServerPool::pick(const ServiceName& service, const ServicePolicy& policy, const PickContext& context)
 {
     const auto it = m_byService.find(service);
     if (it == m_byService.end())
         return nullptr;
     const auto share = connectionShare(policy);
-    TrackedServerPtr best;
-    double bestMicros = 0;
+    Candidate local;
+    Candidate remote;
     for (const auto& server : it->second) {
         const bool isTried = context.tried && std::find(context.tried->begin(), context.tried->end(), server) != context.tried->end();
         const auto limit = context.now < server->fullUntil ? std::min(share, server->maxInFlight) : share;
@@ -139,12 +152,13 @@
         if (!server->takesNewWork() || isTried || !isAllowed || server->inFlight >= limit)
             continue;
         const auto micros = toMicros(expected(*server, context)) * (1 + randomSpread * m_random.unit());
-        if (best && micros >= bestMicros)
-            continue;
-        best = server;
-        bestMicros = micros;
+        auto& best = server->isInZone ? local : remote;
+        if (!best.server || micros < best.micros)
+            best = { &server, micros };
     }
-    return best;
+    if (!local.server || !remote.server || local.micros <= remote.micros)
+        return local.server ? *local.server : (remote.server ? *remote.server : nullptr);
+    return leavesZone(service, **local.server, context) ? *remote.server : *local.server;
 }
 
 bool ServerPool::hasServers(const ServiceName& service) const
@@ -206,6 +220,8 @@
 
 void ServerPool::setFleet(const std::vector<Instance>& instances, TimePoint now)
 {
+    const auto inZone = std::count_if(instances.begin(), instances.end(), [&](const auto& it) { return it.zone == m_settings.zone; });
+    m_zoneInstances = std::max(1U, static_cast<std::uint32_t>(inZone));
     m_sharing.setInstances(instances, now);
     ++m_shareVersion;
 }
@@ -280,6 +296,7 @@
     if (median <= Duration {})
         return;
     const auto sample = std::min(maxSampleSlowness, toMicros(now - sentAt) / toMicros(median));
+    server.reportedSlowdown.recordSample(sample, currentSlowness(server, now), now);
     const bool isSlow = sample >= minSlowSample;
     const bool isAgain = isSlow && server.slowStreak > 0 && sentAt > server.lastSlowAt;
     const auto weight = isSlow && !isAgain ? firstSlowWeight : newSampleWeight;
@@ -315,6 +332,7 @@
 {
     server.load = load;
     server.loadReportedAt = now;
+    server.reportedSlowdown.record(load.slowdown, now);
 }
 
 void ServerPool::markReplaced(TrackedServer& server)
