--- a/src/platform/watch_schedule.cpp
+++ b/src/platform/watch_schedule.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr int watchesWithinLimit = 4;
+/// A proof counts from the sending of its watch, so it is two waits old when the next one arrives: a third of the limit.
+constexpr int watchesWithinProofLimit = 6;
 constexpr int silenceDivisor = 2;
 /// Stagger between two ranks as a part of the limit: time for one instance to call a slow store and announce the
 /// response to the others.
@@ -28,7 +30,7 @@
 {
     const bool needsProof = proofLimit > Duration {};
     const auto limit = needsProof ? std::min(applyLimit, proofLimit) : applyLimit;
-    const auto wait = limit / watchesWithinLimit;
+    const auto wait = limit / (needsProof ? watchesWithinProofLimit : watchesWithinLimit);
     const auto maxSilence = limit / silenceDivisor;
     const auto failing = maxSilence + limit * maxSteps / stepsWithinLimit;
     if (rank == 0)
