--- a/tests/adapter/end_to_end_test.cpp
+++ b/tests/adapter/end_to_end_test.cpp
@@ -320,7 +320,8 @@
     {
         fixture.store.put("config", "main", withTeams(2, "7"));
         fixture.store.put("config", "main", withTeams(3, R"([{"name":"vans","apiKeys":["key-3"]}])"));
-        while (fixture.fetch(fixture.endpoints.callers, keyed("/s/1", "id6", "key-3")).status != 200) { }
+        while (fixture.fetch(fixture.endpoints.callers, keyed("/s/1", "id6", "key-3")).status != 200)
+            std::this_thread::sleep_for(10ms);
         CHECK(fixture.fetch(fixture.endpoints.callers, keyed("/s/1", "id7", "key-1")).status == 401);
     }
 }
@@ -344,7 +345,11 @@
         std::this_thread::sleep_for(10ms);
         return fixture.fetch(fixture.endpoints.readiness, requestTo("/ready", "probe")).status == 200;
     };
-    while (fetchWith("key-1").status != 200) { }
+    const auto waitUntilAdmitted = [&] {
+        while (fetchWith("key-1").status != 200)
+            std::this_thread::sleep_for(10ms);
+    };
+    waitUntilAdmitted();
     fixture.store.setFaults({ .isBusy = true });
     while (isReady()) { }
     const auto arrivals = fixture.serverX.requests.size();
@@ -357,7 +362,7 @@
     CHECK(fixture.fetch(fixture.endpoints.callers, requestTo("/p/1", "id2")).status == 200);
     fixture.store.setFaults({});
     while (!isReady()) { }
-    while (fetchWith("key-1").status != 200) { }
+    waitUntilAdmitted();
     CHECK(fixture.gateway->metrics().render().find("lycheefield_configuration_age_seconds") != std::string::npos);
 }
 
