--- a/src/forward/server_pool.cpp
+++ b/src/forward/server_pool.cpp
@@ -47,6 +47,8 @@
 
 double currentSlowness(const TrackedServer& server, TimePoint now)
 {
+    if (server.slowness == 1)
+        return 1;
     const auto decayTime = toMicros(slownessDecayTime) * (1 + std::min(server.slowStreak, maxSlowStreak));
     return 1 + (server.slowness - 1) * std::exp(-toMicros(now - server.slownessUpdatedAt) / decayTime);
 }
--- a/src/placement/reported_slowdown.cpp
+++ b/src/placement/reported_slowdown.cpp
@@ -55,6 +55,8 @@
 
 double ReportedSlowdown::combinedWith(double observed, TimePoint now) const
 {
+    if (m_slowdown <= 1)
+        return observed;
     const auto reported = 1 + (m_slowdown - 1) * weight(now);
     return observed + m_trust * std::max(0.0, reported - observed);
 }
