--- a/tests/forward/delegate_chooser_test.cpp
+++ b/tests/forward/delegate_chooser_test.cpp
@@ -1,4 +1,5 @@
 #include "forward/delegate_chooser.h"
+#include "forward/server_pool.h"
 
 #include <doctest/doctest.h>
 
@@ -144,4 +145,38 @@
     }
 }
 
+TEST_CASE("The network time to a zone is the shortest round trip to its instances" * doctest::test_suite("forward"))
+{
+    DelegateChooser chooser { InstanceName("a1"), ZoneName("a") };
+    chooser.onPeers({ instance("b1", "b"), instance("b2", "b"), instance("c1", "c") });
+    CHECK(chooser.networkTimeTo(ZoneName("b")) == Duration {});
+    chooser.recordConfirmation(InstanceName("b1"), 30ms);
+    chooser.recordConfirmation(InstanceName("b2"), 9ms);
+    CHECK(chooser.networkTimeTo(ZoneName("b")) == 9ms);
+    CHECK(chooser.networkTimeTo(ZoneName("c")) == Duration {});
+}
+
+TEST_CASE("A server in a zone that is farther away than the setting says is expected to respond later" * doctest::test_suite("forward"))
+{
+    ForwardSettings settings;
+    settings.zone = ZoneName("a");
+    settings.crossZoneCost = 12ms;
+    SeededRandom random(1);
+    ServerPool pool(settings, random);
+    ServerEntry entry;
+    entry.name = ServerName("s1");
+    entry.service = ServiceName("s");
+    entry.zone = ZoneName("b");
+    const TimePoint now { 100s };
+    pool.update({ { entry.name, entry } }, now);
+    const PickContext context { 20ms, now, nullptr, 160ms };
+    const auto server = pool.pick(entry.service, { 100 }, context);
+    REQUIRE(server);
+    CHECK(pool.expected(*server, context) == 32ms);
+    pool.setNetworkTime(entry.zone, 50ms);
+    CHECK(pool.expected(*server, context) == 70ms);
+    pool.setNetworkTime(entry.zone, 5ms);
+    CHECK(pool.expected(*server, context) == 32ms);
+}
+
 }
--- a/tests/forward/delegated_search_test.cpp
+++ b/tests/forward/delegated_search_test.cpp
@@ -304,4 +304,22 @@
     }
 }
 
+TEST_CASE("The engine delegates shards whose servers in its zone fail, while other zones have servers that don't" * doctest::test_suite("forward"))
+{
+    DelegatedSearchFixture search;
+    auto& testBed = search.testBed;
+    testBed.start(testBed.searchRoute(search.names));
+    for (const auto& it : testBed.serverRequests())
+        testBed.failServerRequest(it.id, ServerRequestFailure::NotConnected);
+    testBed.start(testBed.searchRoute(search.names));
+    REQUIRE(testBed.delegations().size() == 2);
+    CHECK(testBed.delegations().back().shards.size() == search.names.size());
+    SUBCASE("until the servers are out of their back-off")
+    {
+        testBed.run(400ms);
+        testBed.start(testBed.searchRoute(search.names));
+        CHECK(testBed.delegations().back().shards.size() == 4);
+    }
+}
+
 }
