--- a/src/forward/server_pool.cpp
+++ b/src/forward/server_pool.cpp
@@ -131,6 +131,18 @@
     return Duration(static_cast<Duration::rep>(micros));
 }
 
+ServerExclusion ServerPool::exclusionOf(const TrackedServerPtr& server, std::uint32_t connectionShare, const PickContext& context) const
+{
+    if (!server->takesNewWork())
+        return ServerExclusion::NoNewWork;
+    if (context.tried && std::find(context.tried->begin(), context.tried->end(), server) != context.tried->end())
+        return ServerExclusion::Tried;
+    if (server->untilAllowed(context.now) > Duration {})
+        return ServerExclusion::Limited;
+    const auto limit = context.now < server->fullUntil ? std::min(connectionShare, server->maxInFlight) : connectionShare;
+    return server->inFlight >= limit ? ServerExclusion::ConnectionsUsed : ServerExclusion::None;
+}
+
 TrackedServerPtr ServerPool::pick(const ServiceName& service, const ServicePolicy& policy, const PickContext& context)
 {
     const auto it = m_byService.find(service);
@@ -140,10 +152,7 @@
     Candidate local;
     Candidate remote;
     for (const auto& server : it->second) {
-        const bool isTried = context.tried && std::find(context.tried->begin(), context.tried->end(), server) != context.tried->end();
-        const auto limit = context.now < server->fullUntil ? std::min(share, server->maxInFlight) : share;
-        const bool isAllowed = server->untilAllowed(context.now) == Duration {};
-        if (!server->takesNewWork() || isTried || !isAllowed || server->inFlight >= limit)
+        if (exclusionOf(server, share, context) != ServerExclusion::None)
             continue;
         const auto micros = toMicros(expected(*server, context)) * (1 + randomSpread * m_random.unit());
         auto& best = server->isInZone ? local : remote;
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -4,6 +4,7 @@
 #include "forward/forward_request.h"
 #include "forward/forward_settings.h"
 #include "forward/limit_sharing.h"
+#include "forward/server_choice.h"
 #include "forward/server_entry.h"
 #include "forward/server_rate_limit.h"
 #include "placement/reported_slowdown.h"
@@ -94,6 +95,8 @@
     /// Returns the server with the lowest expected latency; null when no server may get work now. A server in another zone
     /// is returned only if the zone's own can't respond in time, for a part of the requests (see ZoneSpill), or to a further attempt.
     TrackedServerPtr pick(const ServiceName&, const ServicePolicy&, const PickContext&);
+    /// Returns what pick() would base its choice on now. The random spread of the expected latencies is left out.
+    ServerChoice explain(const ServiceName&, const ServicePolicy&, const PickContext&) const;
     /// Sets the network round trip to the zone, as far as it is known.
     void setNetworkTime(const ZoneName&, Duration);
     /// Returns the changes of the decisions to leave the zone since the last call.
@@ -152,6 +155,7 @@
 
 private:
     std::uint32_t connectionShare(const ServicePolicy&) const;
+    ServerExclusion exclusionOf(const TrackedServerPtr&, std::uint32_t connectionShare, const PickContext&) const;
     bool isSilent(const TrackedServer&, const PickContext&) const;
     /// Returns whether the server is neither silent nor in its back-off after failures.
     bool isResponsive(const TrackedServer& server, const PickContext& context) const { return !isSilent(server, context) && context.now >= server.avoidUntil; }
--- a/src/forward/server_pool_zones.cpp
+++ b/src/forward/server_pool_zones.cpp
@@ -1,6 +1,7 @@
 #include "forward/server_pool.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace lycheefield {
 
@@ -71,6 +72,24 @@
     return inputs;
 }
 
+ServerChoice ServerPool::explain(const ServiceName& service, const ServicePolicy& policy, const PickContext& context) const
+{
+    ServerChoice choice;
+    const auto servers = m_byService.find(service);
+    if (servers == m_byService.end())
+        return choice;
+    for (const auto& it : servers->second)
+        choice.servers.push_back({ it->entry.name, it->entry.zone, expected(*it, context), exclusionOf(it, connectionShare(policy), context) });
+    const auto rankOf = [](const ServerStanding& it) { return std::tuple(it.exclusion != ServerExclusion::None, it.expected, it.server); };
+    std::sort(choice.servers.begin(), choice.servers.end(), [&](const auto& a, const auto& b) { return rankOf(a) < rankOf(b); });
+    choice.zoneInputs = spillInputs(service, context);
+    if (const auto spill = m_spills.find(service); spill != m_spills.end()) {
+        choice.mayLeaveShare = spill->second.share(context.now);
+        choice.leftShare = spill->second.leftShare();
+    }
+    return choice;
+}
+
 ZoneSpill& ServerPool::observeZones(const ServiceName& service, const PickContext& context)
 {
     auto it = m_spills.find(service);
