--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -190,6 +190,7 @@
     /// Delegates the legs without a server in this zone, and legs of this zone if they are too many for
     /// this instance.
     void delegateLegs(Request&, TimePoint, ForwardActions&);
+    /// Passes the round trips to other zones' instances to the server pool, once in a while.
     void learnNetworkTimes(TimePoint);
     /// Returns whether the leg has a server in the zone that is neither silent nor failing.
     bool hasUsableServersIn(const Request&, std::size_t leg, const ZoneName&, TimePoint);
@@ -224,6 +225,7 @@
     void sendNextQueued(const ServiceName&, TimePoint, ForwardActions&);
     /// Returns the expected wait for capacity of a leg that is queued now.
     Duration expectedWait(const Leg&, const PickContext&) const;
+    /// Logs that requests for a service leave the zone from now on, or stay again.
     void logSpillChanges(const Request&, TimePoint, ForwardActions&);
     bool trySend(Request&, std::size_t leg, bool isHedge, TimePoint, ForwardActions&);
     bool takeBudget(const Request&, Leg&, TimePoint);
--- a/src/forward/server_pool_zones.cpp
+++ b/src/forward/server_pool_zones.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// A response expected after this share of the target latency leaves too little time for a further attempt.
+/// A response that is expected after this share of the target latency counts as late, because it leaves too little time for a further attempt.
 constexpr double lateShare = 0.35;
 /// A longer median latency contains waits for slots, which must not make the servers' capacity look smaller.
 constexpr double maxRequestTimeShare = 0.25;
--- a/src/placement/zone_spill.h
+++ b/src/placement/zone_spill.h
@@ -23,9 +23,10 @@
 /// Decides which share of an instance's requests for one service may leave the availability zone.
 ///
 /// The share grows while the zone's servers have more requests than they can serve in time and other zones have
-/// headroom, and shrinks once they have clearly less, or other zones are full. All instances observe about the same
-/// load, so each moves only a share of its own requests, slowly against the age of the load reports, and
-/// with a threshold of its own: they neither leave nor return all at once. The state is kept in memory only. Not thread safe.
+/// headroom, and shrinks once they have clearly fewer, or other zones are full. A request that would be late in this zone
+/// need not wait for the share to grow. All instances observe about the same load, so the share changes slowly against the
+/// age of the load reports, and each instance has a threshold of its own: they neither leave nor return all at once.
+/// The state is kept in memory only. Not thread safe.
 class ZoneSpill {
 public:
     /// The threshold is drawn by each instance, uniformly from [0, 1).
--- a/tests/forward/zone_fleet.cpp
+++ b/tests/forward/zone_fleet.cpp
@@ -176,7 +176,6 @@
     if (server.waiting.size() >= maxWaiting)
         return sendResponse(id, ServerResponseKind::NotRun);
     server.waiting.push_back(id);
-    server.mostAhead = std::max(server.mostAhead, static_cast<std::uint32_t>(server.running.size() + server.waiting.size()));
     startWaiting(attempt.server);
 }
 
--- a/tests/forward/zone_fleet.h
+++ b/tests/forward/zone_fleet.h
@@ -5,7 +5,6 @@
 #include <deque>
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,7 +30,6 @@
         double reportedSlowdown = 1;
         int arrivals = 0;
         int foreignArrivals = 0; ///< From instances of other zones.
-        std::uint32_t mostAhead = 0; ///< Most requests that were running and waiting at once.
         std::vector<std::uint64_t> running;
         std::deque<std::uint64_t> waiting;
     };
