--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -193,6 +193,7 @@
     /// Delegates the legs without a server in this zone, and legs of this zone if they are too many for
     /// this instance.
     void delegateLegs(Request&, TimePoint, ForwardActions&);
+    /// Passes the round trips to other zones' instances to the server pool, once in a while.
     void learnNetworkTimes(TimePoint);
     /// Returns whether the leg has a server in the zone that is neither silent nor failing.
     bool hasUsableServersIn(const Request&, std::size_t leg, const ZoneName&, TimePoint);
@@ -237,6 +238,7 @@
     void sendQueuedAhead(const Request&, std::size_t leg, TimePoint, ForwardActions&);
     /// Returns the expected wait for capacity of a leg that is queued now, behind those that go before it.
     Duration expectedWait(const Request&, std::size_t leg, const PickContext&) const;
+    /// Logs that requests for a service leave the zone from now on, or stay again.
     void logSpillChanges(const Request&, TimePoint, ForwardActions&);
     bool trySend(Request&, std::size_t leg, bool isHedge, TimePoint, ForwardActions&);
     bool takeBudget(const Request&, Leg&, TimePoint);
--- a/src/forward/server_pool.cpp
+++ b/src/forward/server_pool.cpp
@@ -47,6 +47,8 @@
 
 double currentSlowness(const TrackedServer& server, TimePoint now)
 {
+    if (server.slowness == 1)
+        return 1;
     const auto decayTime = toMicros(slownessDecayTime) * (1 + std::min(server.slowStreak, maxSlowStreak));
     return 1 + (server.slowness - 1) * std::exp(-toMicros(now - server.slownessUpdatedAt) / decayTime);
 }
@@ -137,6 +139,18 @@
     return Duration(static_cast<Duration::rep>(micros));
 }
 
+ServerExclusion ServerPool::exclusionOf(const TrackedServerPtr& server, std::uint32_t connectionShare, const PickContext& context) const
+{
+    if (!server->takesNewWork())
+        return ServerExclusion::NoNewWork;
+    if (context.tried && std::find(context.tried->begin(), context.tried->end(), server) != context.tried->end())
+        return ServerExclusion::Tried;
+    if (server->untilAllowed(context.now) > Duration {})
+        return ServerExclusion::Limited;
+    const auto limit = context.now < server->fullUntil ? std::min(connectionShare, server->maxInFlight) : connectionShare;
+    return server->inFlight >= limit ? ServerExclusion::ConnectionsUsed : ServerExclusion::None;
+}
+
 TrackedServerPtr ServerPool::pick(const ServiceName& service, const ServicePolicy& policy, const PickContext& context)
 {
     const auto it = m_byService.find(service);
@@ -146,10 +160,7 @@
     Candidate local;
     Candidate remote;
     for (const auto& server : it->second) {
-        const bool isTried = context.tried && std::find(context.tried->begin(), context.tried->end(), server) != context.tried->end();
-        const auto limit = context.now < server->fullUntil ? std::min(share, server->maxInFlight) : share;
-        const bool isAllowed = server->untilAllowed(context.now) == Duration {};
-        if (!server->takesNewWork() || isTried || !isAllowed || server->inFlight >= limit)
+        if (exclusionOf(server, share, context) != ServerExclusion::None)
             continue;
         const auto micros = toMicros(expected(*server, context)) * (1 + randomSpread * m_random.unit());
         auto& best = server->isInZone ? local : remote;
