--- /dev/null
+++ b/src/admission/keeper_backoff.cpp
@@ -0,0 +1,27 @@
+#include "admission/keeper_backoff.h"
+
+#include <algorithm>
+
+namespace lycheefield {
+
+namespace {
+
+constexpr Duration initialBackoff = std::chrono::milliseconds(250);
+constexpr std::uint32_t maxDoublings = 4;
+
+}
+
+bool KeeperBackoff::mayAsk(const InstanceName& name, TimePoint now) const
+{
+    const auto it = m_failures.find(name);
+    return it == m_failures.end() || now >= it->second.avoidUntil;
+}
+
+void KeeperBackoff::recordFailure(const InstanceName& name, TimePoint now)
+{
+    auto& failures = m_failures[name];
+    failures.avoidUntil = now + initialBackoff * (1 << std::min(failures.count, maxDoublings));
+    ++failures.count;
+}
+
+}
--- /dev/null
+++ b/src/admission/keeper_backoff.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/time.h"
+
+#include <cstdint>
+#include <unordered_map>
+
+namespace lycheefield {
+
+/// Avoids instances that didn't answer, each for a time that doubles with its failures. Performs no I/O. Not thread safe.
+class KeeperBackoff {
+public:
+    bool mayAsk(const InstanceName&, TimePoint) const;
+    void recordAnswer(const InstanceName& name) { m_failures.erase(name); }
+    void recordFailure(const InstanceName&, TimePoint);
+
+private:
+    struct Failures {
+        std::uint32_t count = 0;
+        TimePoint avoidUntil {};
+    };
+
+    std::unordered_map<InstanceName, Failures> m_failures;
+};
+
+}
--- a/src/admission/quota_message.h
+++ b/src/admission/quota_message.h
@@ -8,7 +8,8 @@
 
 namespace lycheefield {
 
-/// The requests of one team that an instance wants to admit.
+/// The requests of one team that an instance wants to admit. In a call, a second wish directly after another one of the same team asks
+/// ahead, for requests that are still to come; the team gets one grant for both.
 struct QuotaWish {
     TeamName team;
     std::uint32_t requests = 0;
@@ -29,7 +30,7 @@
     TeamName team;
     std::uint32_t permits = 0;
     Duration lifetime {}; ///< Permits that are not used within this time, counted from the sending of the call, are lost.
-    Duration retryAfter {}; ///< Time until more may be granted; zero when all wishes were.
+    Duration retryAfter {}; ///< Time until more may be granted; zero when all waiting requests got a permit.
 
     friend bool operator==(const QuotaGrant&, const QuotaGrant&) = default;
 };
--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -35,6 +35,8 @@
 using ProcessLife = StrongId<struct ProcessLifeTag, std::uint64_t>;
 /// Hash of a request's content, identical on every instance.
 using Fingerprint = StrongId<struct FingerprintTag, std::uint64_t>;
+/// Sequence number of a caller's request, unique within this process.
+using RequestNumber = StrongId<struct RequestNumberTag, std::uint64_t>;
 /// Identifier of a connection from this process to a backend server.
 using ConnectionId = StrongId<struct ConnectionIdTag, std::uint64_t>;
 
--- a/src/forward/delegate_chooser.cpp
+++ b/src/forward/delegate_chooser.cpp
@@ -1,9 +1,9 @@
 #include "forward/delegate_chooser.h"
 
 #include "base/fingerprint.h"
+#include "membership/rendezvous.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace lycheefield {
 
@@ -24,14 +24,6 @@
 constexpr std::size_t minInstancesPerGroup = 2;
 constexpr std::size_t maxGroups = 1024;
 
-/// Weighted rendezvous hashing: an instance has the highest score with a probability proportional to its weight.
-double rendezvousScore(std::uint64_t hash, double weight)
-{
-    constexpr double hashes = 18446744073709551616.0;
-    const auto uniform = (static_cast<double>(hash) + 1) / (hashes + 2);
-    return -weight / std::log(uniform);
-}
-
 }
 
 DelegateChooser::DelegateChooser(InstanceName self, ZoneName zone)
--- a/src/forward/forward_request.h
+++ b/src/forward/forward_request.h
@@ -14,8 +14,6 @@
 
 namespace lycheefield {
 
-/// Sequence number of a request, unique within this process.
-using RequestNumber = StrongId<struct RequestNumberTag, std::uint64_t>;
 /// Identifies one attempt, the request for one leg to one server, within this process.
 using ServerRequestId = StrongId<struct ServerRequestIdTag, std::uint64_t>;
 /// Identifies one delegation of legs to another instance within this process.
--- /dev/null
+++ b/tests/admission/quota_engine_test.cpp
@@ -0,0 +1,248 @@
+#include "admission/quota_engine.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <memory>
+
+using namespace lycheefield;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// An instance that keeps no quota itself, and the two that keep the team's.
+struct Asker {
+    TeamName team { "parts" };
+    std::vector<Instance> instances;
+    std::vector<InstanceName> ranked; ///< Keeper, standby, and an instance without a role.
+    std::unique_ptr<QuotaEngine> engine;
+    TimePoint now { 100s };
+    QuotaActions actions;
+    std::uint64_t requests = 0;
+
+    Asker()
+    {
+        for (const auto* it : { "a", "b", "c" })
+            instances.push_back({ InstanceName(it), {}, {}, {}, {} });
+        QuotaRanking ranking;
+        ranking.setTeams({ team });
+        ranking.setInstances(instances);
+        ranked.resize(3);
+        for (const auto& it : instances)
+            ranked[ranking.rankOf(team, it.name)] = it.name;
+        engine = std::make_unique<QuotaEngine>(ranked[2], AdmissionSettings());
+        engine->setTeams({ { team, 0, 10, 20 } }, now, actions);
+        engine->setInstances(instances, true, now);
+    }
+    void request()
+    {
+        actions.clear();
+        engine->onRequest(RequestNumber(++requests), team, now, actions);
+    }
+    void grant(const InstanceName& from, std::uint32_t permits, Duration retryAfter = {})
+    {
+        actions.clear();
+        engine->onReply(from, { call.sequence, { { team, permits, 500ms, retryAfter } } }, now, actions);
+    }
+    void pass(Duration time)
+    {
+        actions.clear();
+        now += time;
+        engine->onTimer(now, actions);
+    }
+    /// Whether the only action is a call of this instance; keeps the call.
+    bool asks(const InstanceName& instance)
+    {
+        const auto* asked = actions.size() == 1 ? std::get_if<AskKeeper>(actions.data()) : nullptr;
+        if (!asked || asked->instance != instance)
+            return false;
+        call = asked->call;
+        return true;
+    }
+    template <typename Action>
+    std::size_t count() const
+    {
+        return static_cast<std::size_t>(std::count_if(actions.begin(), actions.end(), [](const auto& it) { return std::holds_alternative<Action>(it); }));
+    }
+    QuotaCall call;
+};
+
+}
+
+TEST_SUITE_BEGIN("quota");
+
+TEST_CASE("an instance asks a team's keeper for permits")
+{
+    Asker asker;
+    asker.request();
+    REQUIRE(asker.asks(asker.ranked[0]));
+    CHECK(asker.call.wishes == std::vector<QuotaWish> { { asker.team, 1 } });
+
+    SUBCASE("requests that come meanwhile wait without another call, which follows for all of them")
+    {
+        asker.request();
+        asker.request();
+        CHECK(asker.actions.empty());
+        asker.grant(asker.ranked[0], 1);
+        CHECK(asker.count<AdmitRequest>() == 1);
+        REQUIRE(asker.count<AskKeeper>() == 1);
+        CHECK(std::get<AskKeeper>(asker.actions.back()).call.wishes.at(0).requests == 2);
+    }
+    SUBCASE("a permit that is left admits a later request at once")
+    {
+        asker.grant(asker.ranked[0], 2);
+        asker.request();
+        CHECK(asker.count<AdmitRequest>() == 1);
+        CHECK(asker.actions.size() == 1);
+    }
+    SUBCASE("a permit that is left is lost after its lifetime, counted from the sending of the call")
+    {
+        asker.now += 30ms;
+        asker.grant(asker.ranked[0], 2);
+        asker.now += 470ms;
+        asker.request();
+        CHECK(asker.asks(asker.ranked[0]));
+    }
+    SUBCASE("a denied team's requests are refused without a call until its next credit")
+    {
+        asker.grant(asker.ranked[0], 0, 700ms);
+        REQUIRE(asker.count<RefuseRequest>() == 1);
+        CHECK(std::get<RefuseRequest>(asker.actions[0]).retryAfter == 700ms);
+        asker.now += 600ms;
+        asker.request();
+        REQUIRE(asker.count<RefuseRequest>() == 1);
+        CHECK(std::get<RefuseRequest>(asker.actions[0]).retryAfter == 100ms);
+        asker.now += 100ms;
+        asker.request();
+        CHECK(asker.asks(asker.ranked[0]));
+    }
+    SUBCASE("a changed quota ends a denial")
+    {
+        asker.grant(asker.ranked[0], 0, 700ms);
+        asker.engine->setTeams({ { asker.team, 0, 30, 20 } }, asker.now, asker.actions);
+        asker.request();
+        CHECK(asker.asks(asker.ranked[0]));
+    }
+    SUBCASE("a keeper that doesn't answer in time is passed over for the standby, and its late answer is ignored")
+    {
+        const auto late = asker.call;
+        asker.pass(41ms);
+        REQUIRE(asker.asks(asker.ranked[1]));
+        asker.actions.clear();
+        asker.engine->onReply(asker.ranked[0], { late.sequence, { { asker.team, 1, 500ms, {} } } }, asker.now, asker.actions);
+        CHECK(asker.actions.empty());
+        asker.grant(asker.ranked[1], 1);
+        CHECK(asker.count<AdmitRequest>() == 1);
+
+        SUBCASE("and is avoided for a while")
+        {
+            asker.request();
+            CHECK(asker.asks(asker.ranked[1]));
+            asker.grant(asker.ranked[1], 1);
+            asker.now += 250ms;
+            asker.request();
+            CHECK(asker.asks(asker.ranked[0]));
+        }
+    }
+    SUBCASE("a process that was stalled first reads an answer that may have arrived")
+    {
+        asker.pass(100ms);
+        CHECK(asker.actions.empty());
+        asker.pass(12ms);
+        CHECK(asker.asks(asker.ranked[1]));
+    }
+    SUBCASE("when neither keeper nor standby answers, the instance uses a permit of its own in each window")
+    {
+        const auto failBoth = [&] {
+            asker.actions.clear();
+            asker.engine->onUndelivered(asker.call.sequence, asker.now, asker.actions);
+            REQUIRE(asker.asks(asker.ranked[1]));
+            asker.actions.clear();
+            asker.engine->onUndelivered(asker.call.sequence, asker.now, asker.actions);
+        };
+        failBoth();
+        CHECK(asker.count<RefuseRequest>() == 1);
+        asker.now += 10s;
+        asker.request();
+        REQUIRE(asker.asks(asker.ranked[0]));
+        failBoth();
+        CHECK(asker.count<AdmitRequest>() == 1);
+        asker.request();
+        CHECK(asker.count<RefuseRequest>() == 1);
+    }
+    SUBCASE("a request whose caller has left uses no permit")
+    {
+        asker.engine->onCancel(RequestNumber(1), asker.team);
+        asker.grant(asker.ranked[0], 1);
+        CHECK(asker.actions.empty());
+        asker.request();
+        CHECK(asker.count<AdmitRequest>() == 1);
+    }
+    SUBCASE("a team whose quota is removed has its waiting requests admitted")
+    {
+        asker.actions.clear();
+        asker.engine->setTeams({}, asker.now, asker.actions);
+        CHECK(asker.count<AdmitRequest>() == 1);
+        asker.grant(asker.ranked[0], 1);
+        CHECK(asker.actions.empty());
+    }
+}
+
+TEST_CASE("a keeper grants only while no other instance can")
+{
+    Asker asker;
+    QuotaEngine keeper(asker.ranked[0], AdmissionSettings());
+    QuotaActions actions;
+    auto now = asker.now;
+    keeper.setTeams({ { asker.team, 0, 10, 20 } }, now, actions);
+    const auto permits = [&] {
+        actions.clear();
+        keeper.onCall(asker.ranked[2], { 1, { { asker.team, 3 } } }, now, actions);
+        const auto& grants = std::get<AnswerCall>(actions.at(0)).reply.grants;
+        return grants.empty() ? -1 : static_cast<int>(grants[0].permits);
+    };
+    const auto pass = [&](Duration time) {
+        for (; time > 0s; time -= 1s) {
+            now += 1s;
+            actions.clear();
+            keeper.onTimer(now, actions);
+        }
+    };
+    CHECK(permits() == -1);
+
+    SUBCASE("a new instance waits until all others list it")
+    {
+        keeper.setInstances(asker.instances, false, now);
+        pass(12s);
+        CHECK(permits() == -1);
+        pass(2s);
+        CHECK(permits() == 3);
+    }
+    SUBCASE("a restarted one starts at once, with an empty bucket")
+    {
+        keeper.setInstances(asker.instances, true, now);
+        CHECK(permits() == 0);
+        pass(1s);
+        CHECK(permits() == 3);
+
+        SUBCASE("after a pause it waits until it has listed the instances again")
+        {
+            now += 4s;
+            CHECK(permits() == -1);
+            keeper.setInstances(asker.instances, false, now);
+            CHECK(permits() == 3);
+        }
+        SUBCASE("without a list for long it stops, since others may no longer list it")
+        {
+            pass(109s);
+            CHECK(permits() == -1);
+        }
+        SUBCASE("it stops when it is no longer listed")
+        {
+            keeper.setInstances({ Instance { asker.ranked[1], {}, {}, {}, {} } }, false, now);
+            CHECK(permits() == -1);
+        }
+    }
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/tests/admission/quota_keeper_test.cpp
@@ -0,0 +1,106 @@
+#include "admission/quota_keeper.h"
+
+#include <doctest/doctest.h>
+
+using namespace lycheefield;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("quota");
+
+TEST_CASE("a keeper grants the permits of a team's quota")
+{
+    const TeamName team("parts");
+    const AdmissionSettings settings;
+    const TimePoint start(100s);
+    QuotaKeeper keeper;
+    keeper.setRole(team, QuotaRole::Keeper, start);
+    keeper.setLimits(team, quotaLimitsOf({ team, 0, 10, 20 }, settings), start);
+    const auto ask = [&](std::uint32_t requests, TimePoint now) {
+        return keeper.answer({ 1, { { team, requests } } }, now).grants.at(0);
+    };
+
+    SUBCASE("the bucket starts empty, and the reply tells when it holds a permit")
+    {
+        const auto grant = ask(1, start);
+        CHECK(grant.permits == 0);
+        CHECK(grant.retryAfter == 100ms);
+        CHECK(ask(1, start + 100ms).permits == 1);
+    }
+    SUBCASE("a full bucket holds the burst and what comes in within about a third of a second")
+    {
+        CHECK(ask(100, start + 60s).permits == 23);
+        CHECK(ask(100, start + 61s).permits == 10);
+    }
+    SUBCASE("a call for one request brings a spare permit while the bucket is nearly full")
+    {
+        const auto grant = ask(1, start + 60s);
+        CHECK(grant.permits == 2);
+        CHECK(grant.lifetime == QuotaKeeper::spareLifetime);
+
+        SUBCASE("but no more of them are outstanding than the slack allows")
+        {
+            std::uint32_t spares = 1;
+            for (int i = 0; i < 20; ++i)
+                spares += ask(1, start + 61s + i * 1ms).permits - 1;
+            CHECK(spares <= quotaLimitsOf({ team, 0, 10, 20 }, settings).ahead);
+        }
+    }
+    SUBCASE("requests that are still to come get at most half of the bucket, after those that wait")
+    {
+        const auto reply = keeper.answer({ 1, { { team, 3 }, { team, 100 } } }, start + 60s);
+        REQUIRE(reply.grants.size() == 1);
+        CHECK(reply.grants[0].permits == 13);
+        CHECK(reply.grants[0].retryAfter == 0ms);
+        CHECK(reply.grants[0].lifetime == QuotaKeeper::aheadLifetime);
+    }
+    SUBCASE("a lowered quota applies to the permits in the bucket")
+    {
+        keeper.setLimits(team, quotaLimitsOf({ team, 0, 1, 2 }, settings), start + 60s);
+        CHECK(ask(100, start + 60s).permits == 2);
+        CHECK(ask(100, start + 61s).permits == 1);
+    }
+    SUBCASE("a raised quota refills at the new rate from now on, and not for the past")
+    {
+        ask(100, start + 60s);
+        keeper.setLimits(team, quotaLimitsOf({ team, 0, 100, 200 }, settings), start + 61s);
+        CHECK(ask(1000, start + 61s).permits == 10);
+        CHECK(ask(1000, start + 62s).permits == 100);
+    }
+    SUBCASE("an instance that waits until others know of its role grants nothing and tells so")
+    {
+        keeper.setRole(team, QuotaRole::None, start);
+        keeper.setRole(team, QuotaRole::Keeper, start + 12s);
+        keeper.setLimits(team, quotaLimitsOf({ team, 0, 10, 20 }, settings), start);
+        CHECK(keeper.answer({ 1, { { team, 1 } } }, start + 11s).grants.empty());
+        CHECK(ask(1, start + 12s).permits == 0);
+        CHECK(ask(100, start + 13s).permits == 10);
+    }
+    SUBCASE("a standby grants a part of the slack")
+    {
+        keeper.setRole(team, QuotaRole::Standby, start);
+        keeper.setLimits(team, quotaLimitsOf({ team, 0, 10, 20 }, settings), start);
+        CHECK(ask(100, start + 60s).permits == 3);
+        CHECK(ask(100, start + 65s).permits == 3);
+    }
+    SUBCASE("a team that it doesn't keep gets no grant")
+    {
+        CHECK(keeper.answer({ 1, { { TeamName("other"), 1 } } }, start).grants.empty());
+    }
+}
+
+TEST_CASE("the parts of a quota together stay within tolerance and slack")
+{
+    const AdmissionSettings settings;
+    for (const double rate : { 0.05, 0.5, 3.0, 18.0, 400.0, 20'000.0 }) {
+        for (const double burst : { 0.5, 1.0, rate, 10 * rate }) {
+            CAPTURE(rate);
+            CAPTURE(burst);
+            const auto it = quotaLimitsOf({ TeamName("parts"), 0, rate, burst }, settings);
+            const auto keeper = it.capacity + 5 * it.ratePerSecond + it.ahead;
+            const auto others = it.standbyCapacity + 5 * it.standbyRatePerSecond + it.ownPermits;
+            CHECK(keeper + others <= (5 * rate + burst) * 1.1 + 20);
+        }
+    }
+}
+
+TEST_SUITE_END();
