--- a/src/admission/keeper_backoff.cpp
+++ b/src/admission/keeper_backoff.cpp
@@ -17,6 +17,12 @@
     return it == m_failures.end() || now >= it->second.avoidUntil;
 }
 
+bool KeeperBackoff::hasAnswered(const InstanceName& name) const
+{
+    const auto it = m_failures.find(name);
+    return it != m_failures.end() && it->second.count == 0;
+}
+
 void KeeperBackoff::recordFailure(const InstanceName& name, TimePoint now)
 {
     auto& failures = m_failures[name];
--- a/src/admission/keeper_backoff.h
+++ b/src/admission/keeper_backoff.h
@@ -12,7 +12,9 @@
 class KeeperBackoff {
 public:
     bool mayAsk(const InstanceName&, TimePoint) const;
-    void recordAnswer(const InstanceName& name) { m_failures.erase(name); }
+    /// Whether the last call to the instance was answered.
+    bool hasAnswered(const InstanceName&) const;
+    void recordAnswer(const InstanceName& name) { m_failures[name] = {}; }
     void recordFailure(const InstanceName&, TimePoint);
 
 private:
@@ -21,7 +23,7 @@
         TimePoint avoidUntil {};
     };
 
-    std::unordered_map<InstanceName, Failures> m_failures;
+    std::unordered_map<InstanceName, Failures> m_failures; ///< Also of instances that answered last, which have none.
 };
 
 }
--- a/src/admission/quota_engine.cpp
+++ b/src/admission/quota_engine.cpp
@@ -14,10 +14,14 @@
 /// An instance whose list is older may be missing in the lists of others, who then have another keeper.
 constexpr Duration maxListAge = 110s;
 constexpr Duration replyTimeout = 40ms;
+/// Of an instance that hasn't answered yet or failed last: the connection to it may have to be opened.
+constexpr Duration firstReplyTimeout = 80ms;
 /// A timer that is late by more than this shows that the process was stalled.
 constexpr Duration minStall = 4ms;
 /// After a stall: the time to read a reply that may have arrived meanwhile.
 constexpr Duration stallGrace = 12ms;
+/// After a standby's denial for longer, the keeper may answer again.
+constexpr Duration maxStandbyDenial = 1s;
 constexpr Duration tick = 1s;
 /// Without an event for this time, in spite of the ticks, the process was paused.
 constexpr Duration minPause = 3s;
@@ -156,7 +160,8 @@
     for (const auto& it : teams)
         m_client.appendWishes(it.team, now, call.wishes);
     m_client.m_counters.asked += teams.size();
-    Call sent { instance, now, now + replyTimeout, false, std::move(teams) };
+    const auto timeout = m_backoff.hasAnswered(instance) ? replyTimeout : firstReplyTimeout;
+    Call sent { instance, now, now + timeout, false, std::move(teams) };
     if (instance == m_self)
         return applyReply(sent, mayGrant(now) ? m_keeper.answer(call, now) : QuotaReply { call.sequence, {} }, now, actions);
     m_calls.emplace(call.sequence, std::move(sent));
@@ -187,10 +192,14 @@
     std::vector<AskedTeam> notKept;
     for (const auto& asked : call.teams) {
         const auto grant = std::find_if(reply.grants.begin(), reply.grants.end(), [&](const auto& it) { return it.team == asked.team; });
-        if (grant == reply.grants.end())
+        if (grant == reply.grants.end()) {
             notKept.push_back(asked);
-        else
-            m_client.onGrant(*grant, call.sentAt, now, actions);
+            continue;
+        }
+        auto granted = *grant;
+        if (asked.choice == Choice::Standby)
+            granted.retryAfter = std::min(granted.retryAfter, maxStandbyDenial);
+        m_client.onGrant(granted, call.sentAt, now, actions);
     }
     passOver(notKept, now, actions);
 }
--- a/src/admission/quota_keeper.cpp
+++ b/src/admission/quota_keeper.cpp
@@ -102,7 +102,7 @@
     QuotaReply reply { call.sequence, {} };
     for (const auto& wish : call.wishes) {
         const auto it = m_quotas.find(wish.team);
-        if (it == m_quotas.end() || now < it->second.refilledAt)
+        if (it == m_quotas.end() || now < it->second.refilledAt || it->second.capacity() < 1)
             continue;
         auto& quota = it->second;
         refill(quota, now);
--- a/src/admission/quota_limits.cpp
+++ b/src/admission/quota_limits.cpp
@@ -10,11 +10,13 @@
 constexpr double collectionSeconds = 0.35;
 /// Largest share of the rate's tolerance that the collected permits may take.
 constexpr double collectionShare = 0.7;
-/// Shares of what is then left of tolerance and slack. The remainder covers the time that answers travel.
+/// An answer that travelled this long is still used, so that a window may hold what was granted so long before it.
+constexpr double travelSeconds = 0.1;
+/// Shares of what is then left of tolerance and slack.
 constexpr double aheadShare = 0.2;
 constexpr double standbyBurstShare = 0.15;
 constexpr double standbyRateShare = 0.4;
-constexpr double ownShare = 0.2;
+constexpr double ownShare = 0.25;
 
 }
 
@@ -28,7 +30,7 @@
     limits.burst = team.burst;
     const auto collected = std::min(collectionSeconds, collectionShare * tolerance * window) * team.ratePerSecond;
     limits.capacity = std::max(1.0, team.burst + collected);
-    const auto rest = std::max(0.0, tolerated - (limits.capacity - team.burst));
+    const auto rest = std::max(0.0, tolerated - (limits.capacity - team.burst) - travelSeconds * team.ratePerSecond);
     limits.ahead = aheadShare * rest;
     limits.standbyRatePerSecond = std::min(team.ratePerSecond, standbyRateShare * rest / window);
     limits.standbyCapacity = std::min(limits.capacity, standbyBurstShare * rest);
--- a/src/admission/quota_ranking.cpp
+++ b/src/admission/quota_ranking.cpp
@@ -4,6 +4,7 @@
 #include "membership/rendezvous.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lycheefield {
 
@@ -72,8 +73,19 @@
 void QuotaRanking::rank(const TeamName& team, QuotaKeepers& keepers) const
 {
     keepers = {};
-    for (const auto& it : m_weights)
-        place(team, it, keepers);
+    double best = -1;
+    double second = -1;
+    const auto seed = stableHash(team.value());
+    for (const auto& [name, weight] : m_weights) {
+        const auto score = rendezvousScore(stableHash(name.value(), seed), weight);
+        if (score > best) {
+            second = std::exchange(best, score);
+            keepers = { &name, keepers.keeper };
+        } else if (score > second) {
+            second = score;
+            keepers.standby = &name;
+        }
+    }
 }
 
 void QuotaRanking::place(const TeamName& team, const Weights::value_type& instance, QuotaKeepers& keepers) const
--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -13,6 +13,7 @@
 constexpr unsigned badRequest = 400;
 constexpr unsigned unauthorized = 401;
 constexpr unsigned notFound = 404;
+constexpr unsigned tooManyRequests = 429;
 constexpr unsigned unavailable = 503;
 
 LineImportance importanceOf(DecisionImportance importance)
@@ -89,9 +90,59 @@
     exchange->onDisconnect([this, number] {
         boost::asio::post(m_parts.strand, [this, number] { cancelRequest(number); });
     });
+    startWithinQuota(std::move(request));
+}
+
+void ForwardDriver::startWithinQuota(ForwardRequest request)
+{
+    const auto* team = request.table->teams && m_quotas ? request.table->teams->find(request.team) : nullptr;
+    if (!team || !team->hasQuota())
+        return startRequest(std::move(request));
+    const auto number = request.number;
+    const auto name = request.team;
+    m_held.emplace(number, std::move(request));
+    m_quotas->onRequest(number, name);
+}
+
+void ForwardDriver::onWithinQuota(RequestNumber number)
+{
+    const auto it = m_held.find(number);
+    if (it == m_held.end())
+        return;
+    if (m_parts.clock.now() >= it->second.deadline)
+        return refuseHeld(number, { unavailable, {}, "not run: its deadline passed while it waited for its team's quota" });
+    auto request = std::move(it->second);
+    m_held.erase(it);
     startRequest(std::move(request));
 }
 
+void ForwardDriver::onOverQuota(RequestNumber number, Duration retryAfter)
+{
+    if (m_held.contains(number))
+        refuseHeld(number, { tooManyRequests, retryAfter, "over the team's quota" });
+}
+
+void ForwardDriver::refuseHeld(RequestNumber number, const EarlyRefusal& refusal)
+{
+    const auto request = std::move(m_held.extract(number).mapped());
+    const auto pending = std::move(m_pending.extract(number).mapped());
+    const auto* team = request.table->teams->find(request.team);
+    const auto quota = std::to_string(team->ratePerSecond) + "/s, burst " + std::to_string(team->burst);
+    const auto retryAfter = std::to_string(std::chrono::ceil<std::chrono::milliseconds>(refusal.retryAfter).count());
+    m_parts.log.write(LineImportance::Failure, m_parts.clock.now(), "request refused",
+        { { "request", request.attemptId }, { "status", std::to_string(refusal.status) }, { "reason", refusal.reason }, { "team", request.team.value() }, { "quota", quota }, { "next_credit_ms", retryAfter } });
+    pending.exchange->respond(m_parts.callers.write(refusal));
+}
+
+void ForwardDriver::refuseAllHeld()
+{
+    while (!m_held.empty()) {
+        const auto& [number, request] = *m_held.begin();
+        m_quotas->onCancel(number, request.team);
+        refuseHeld(number, { unavailable, {}, "not run: the instance stops" });
+    }
+}
+
 void ForwardDriver::startRequest(ForwardRequest request)
 {
     callEngine([&](TimePoint now, ForwardActions& actions) { m_engine.start(std::move(request), now, actions); });
@@ -100,6 +151,11 @@
 void ForwardDriver::cancelRequest(RequestNumber number)
 {
     m_pending.erase(number);
+    if (const auto held = m_held.find(number); held != m_held.end()) {
+        m_quotas->onCancel(number, held->second.team);
+        m_held.erase(held);
+        return;
+    }
     callEngine([&](TimePoint now, ForwardActions& actions) { m_engine.cancel(number, now, actions); });
 }
 
@@ -226,6 +282,8 @@
 {
     m_routes = std::move(routes);
     m_engine.onRoutes(*m_routes);
+    if (m_quotas)
+        m_quotas->setTeams(m_routes->teams.get());
 }
 
 void ForwardDriver::setServers(const std::map<ServerName, ServerEntry>& servers)
@@ -235,6 +293,7 @@
 
 void ForwardDriver::finishAll()
 {
+    refuseAllHeld();
     callEngine([&](TimePoint now, ForwardActions& actions) { m_engine.finishAll(now, actions); });
 }
 
--- a/src/gateway/forward_driver.h
+++ b/src/gateway/forward_driver.h
@@ -5,6 +5,7 @@
 #include "forward/forward_engine.h"
 #include "forward/server_registry.h"
 #include "gateway/caller_protocol.h"
+#include "gateway/quota_driver.h"
 #include "gateway/search_delegation.h"
 #include "gateway/server_connections.h"
 #include "http/http_server.h"
@@ -35,7 +36,7 @@
 /// Runs a ForwardEngine: passes callers' requests to the engine, executes the actions that the engine
 /// returns, and reports their outcome to the engine. handle() is thread safe; every other function is
 /// called on the strand.
-class ForwardDriver final : public HttpHandler, public ServerRequestEvents, public SearchDelegationEvents {
+class ForwardDriver final : public HttpHandler, public ServerRequestEvents, public SearchDelegationEvents, public QuotaDecisionEvents {
 public:
     ForwardDriver(ForwardDriverParts, ForwardSettings);
 
@@ -53,6 +54,8 @@
     void onExtraAttemptsGranted(const InstanceName& delegator, std::uint64_t sequence) override;
     void cancelDelegated(const InstanceName& delegator, std::uint64_t sequence) override;
     void cancelAllDelegated(const InstanceName& delegator) override;
+    void onWithinQuota(RequestNumber) override;
+    void onOverQuota(RequestNumber, Duration retryAfter) override;
 
     /// Lets the driver delegate legs of searches from now on. Precondition: both outlive the driver's use.
     void setDelegation(SearchDelegation& delegation, DelegateChooser& chooser)
@@ -60,6 +63,8 @@
         m_delegation = &delegation;
         m_engine.setDelegateChooser(chooser);
     }
+    /// Lets the driver hold callers to the quotas of their teams from now on. Precondition: the quotas outlive the driver's use.
+    void setQuotas(QuotaDriver& quotas) { m_quotas = &quotas; }
     /// Declines all delegations of other instances from now on.
     void declineDelegations() { m_declinesDelegations = true; }
 
@@ -92,6 +97,11 @@
     /// Starts a caller's request that its key allows.
     void admit(ForwardRequest, const std::shared_ptr<HttpExchange>&);
     void startRequest(ForwardRequest);
+    /// Starts the request once it is within its team's quota.
+    void startWithinQuota(ForwardRequest);
+    /// Refuses a request that waits for its team's quota. Precondition: it waits.
+    void refuseHeld(RequestNumber, const EarlyRefusal&);
+    void refuseAllHeld();
     /// The request that runs for this delegation; empty when the request has ended.
     std::optional<RequestNumber> findDelegated(const InstanceName& delegator, std::uint64_t sequence) const;
     void requestExtraAttempts(const RequestExtraAttempts&);
@@ -121,6 +131,8 @@
     ServerConnections m_connections;
     std::shared_ptr<const RouteTable> m_routes;
     std::unordered_map<RequestNumber, PendingRequest> m_pending;
+    QuotaDriver* m_quotas = nullptr;
+    std::unordered_map<RequestNumber, ForwardRequest> m_held; ///< Those in m_pending that wait for their team's quota.
     std::uint64_t m_lastRequest = 0;
     Counter& m_noRoute;
     Counter& m_unknownKeys;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -51,6 +51,7 @@
         , m_driver({ m_strand, *m_clock, protocols.callers, protocols.servers, m_metrics, m_log }, forwardSettings(settings))
         , m_delegateChooser(settings.instance.name, settings.instance.zone)
         , m_delegation({ m_io, m_strand, m_clock, m_driver, m_metrics, m_log, *this }, m_delegateChooser, settings.instance.name, settings.instance.zone)
+        , m_quotas(m_strand, *m_clock, m_driver, m_metrics, settings.instance.name, settings.admission)
         , m_registry(settings.gateway.renewalPeriod)
         , m_loop(m_io, m_metrics, [this](std::string_view why) { logState("handler threw an exception; its request ends, others continue", { { "why", why } }); })
         , m_ports(m_strand, *m_clock, *this)
@@ -64,6 +65,8 @@
         , m_drainTimer(m_strand)
     {
         m_driver.setDelegation(m_delegation, m_delegateChooser);
+        m_quotas.setDelegation(m_delegation);
+        m_driver.setQuotas(m_quotas);
         registerMetrics();
     }
 
@@ -115,10 +118,11 @@
             publishServers();
     }
 
-    void onInstances(const std::vector<Instance>& instances, bool isSettled)
+    void onInstances(const std::vector<Instance>& instances, bool isSettled, bool hadPredecessor)
     {
         m_driver.setInstances(instances);
         m_delegation.onPeers(instances);
+        m_quotas.setInstances(instances, hadPredecessor);
         if (m_follower)
             m_follower->onRank(isSettled ? m_delegation.newsRank() : std::max(1U, m_delegation.newsRank()));
     }
@@ -354,6 +358,7 @@
     ForwardDriver m_driver;
     DelegateChooser m_delegateChooser;
     SearchDelegation m_delegation;
+    QuotaDriver m_quotas;
     StoreFollower* m_follower = nullptr;
     QuarantineStore* m_quarantineStore = nullptr;
     Endpoint m_inner;
@@ -406,9 +411,9 @@
     m_impl->onStoreReachable(isReachable);
 }
 
-void Gateway::onInstances(const std::vector<Instance>& instances, bool isSettled)
+void Gateway::onInstances(const std::vector<Instance>& instances, bool isSettled, bool hadPredecessor)
 {
-    m_impl->onInstances(instances, isSettled);
+    m_impl->onInstances(instances, isSettled, hadPredecessor);
 }
 
 void Gateway::setFollower(StoreFollower& follower)
--- /dev/null
+++ b/src/gateway/quota_driver.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "admission/quota_engine.h"
+#include "base/clock.h"
+#include "gateway/search_delegation.h"
+#include "observe/metrics.h"
+#include "routing/team_directory.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+namespace lycheefield {
+
+/// Receives what the quotas decide about requests. Called on the strand, also from within QuotaDriver::onRequest().
+class QuotaDecisionEvents {
+public:
+    virtual ~QuotaDecisionEvents() = default;
+    virtual void onWithinQuota(RequestNumber) = 0;
+    virtual void onOverQuota(RequestNumber, Duration retryAfter) = 0;
+};
+
+/// Runs a QuotaEngine: exchanges its messages with the other instances and reports its decisions. All functions are called on the strand.
+class QuotaDriver final : public QuotaMessageEvents {
+public:
+    /// Preconditions: strand, clock, events and metrics outlive the driver.
+    QuotaDriver(boost::asio::strand<boost::asio::io_context::executor_type>&, const Clock&, QuotaDecisionEvents&, Metrics&, const InstanceName& self, const AdmissionSettings&);
+
+    /// Lets the driver exchange messages. Precondition: called before any request; the delegation outlives the driver's use.
+    void setDelegation(SearchDelegation&);
+    /// Replaces the teams; null: there are none.
+    void setTeams(const TeamDirectory*);
+    /// See QuotaEngine::setInstances().
+    void setInstances(const std::vector<Instance>&, bool hadPredecessor);
+
+    void onRequest(RequestNumber, const TeamName&);
+    void onCancel(RequestNumber number, const TeamName& team) { m_engine.onCancel(number, team); }
+    void onQuotaCall(const InstanceName& from, const QuotaCall&) override;
+    void onQuotaReply(const InstanceName& from, const QuotaReply&) override;
+    void onQuotaCallUndelivered(std::uint64_t sequence) override;
+
+private:
+    /// Calls the engine and executes the actions that it returns.
+    template <typename Call>
+    void callEngine(Call call)
+    {
+        QuotaActions actions;
+        call(m_clock.now(), actions);
+        execute(actions);
+    }
+    void execute(const QuotaActions&);
+    void setTimer();
+
+    const Clock& m_clock;
+    QuotaDecisionEvents& m_events;
+    SearchDelegation* m_delegation = nullptr;
+    QuotaEngine m_engine;
+    boost::asio::steady_timer m_timer;
+    TimePoint m_timerAt = never;
+};
+
+}
--- a/src/gateway/search_delegation.cpp
+++ b/src/gateway/search_delegation.cpp
@@ -252,6 +252,16 @@
         m_parts.storeNews.onStateRequested(from, *request);
     else if (const auto* crash = std::get_if<AnnounceCrash>(&message))
         m_parts.events.onCrashAnnounced({ crash->fingerprint, crash->crashes, crash->quarantine, crash->location.server, crash->service });
+    else if (m_quotaEvents)
+        receiveQuotaMessage(from, message);
+}
+
+void SearchDelegation::receiveQuotaMessage(const InstanceName& from, const PeerMessage& message)
+{
+    if (const auto* call = std::get_if<QuotaCall>(&message))
+        m_quotaEvents->onQuotaCall(from, *call);
+    else if (const auto* reply = std::get_if<QuotaReply>(&message))
+        m_quotaEvents->onQuotaReply(from, *reply);
 }
 
 void SearchDelegation::onCall(const InstanceName& from, const SearchCall& call)
@@ -308,6 +318,8 @@
 {
     if (const auto* request = std::get_if<StoreStateRequest>(&message))
         boost::asio::post(m_parts.strand, [this, request = *request] { m_parts.storeNews.onStateRequestFailed(request); });
+    if (const auto* call = std::get_if<QuotaCall>(&message); call && m_quotaEvents)
+        boost::asio::post(m_parts.strand, [this, sequence = call->sequence] { m_quotaEvents->onQuotaCallUndelivered(sequence); });
     const auto* call = std::get_if<SearchCall>(&message);
     if (!call)
         return;
--- a/src/gateway/search_delegation.h
+++ b/src/gateway/search_delegation.h
@@ -63,6 +63,16 @@
     virtual void onQuarantined(const CrashNews&) = 0;
 };
 
+/// Receives other instances' messages about quotas. Called on the strand of the SearchDelegation.
+class QuotaMessageEvents {
+public:
+    virtual ~QuotaMessageEvents() = default;
+    virtual void onQuotaCall(const InstanceName& from, const QuotaCall&) = 0;
+    virtual void onQuotaReply(const InstanceName& from, const QuotaReply&) = 0;
+    /// A call of this instance was not delivered.
+    virtual void onQuotaCallUndelivered(std::uint64_t sequence) = 0;
+};
+
 /// The dependencies of a SearchDelegation. All of them outlive the SearchDelegation.
 struct SearchDelegationParts {
     boost::asio::io_context& io;
@@ -91,6 +101,13 @@
     /// Sets the instances of the fleet, with or without this one.
     void onPeers(const std::vector<Instance>&);
 
+    /// Sets who receives messages about quotas; without it they are ignored. Preconditions: called before listen(); the events outlive the SearchDelegation.
+    void setQuotaEvents(QuotaMessageEvents& events) { m_quotaEvents = &events; }
+    /// Sends a message of another part of the gateway to the instance.
+    void send(const InstanceName& to, PeerMessage message) { m_network.send(to, std::move(message)); }
+    /// Sends it on the connection on which the instance called.
+    void reply(const InstanceName& to, PeerMessage message) { m_network.reply(to, std::move(message)); }
+
     /// Sends other instances what this one read from the store.
     void announceNews(const StoreNews&);
     /// Asks an instance of this zone for the state of the store that it knows. Returns false when there is none to ask.
@@ -134,6 +151,7 @@
 
     void onNews(const InstanceName& from, const StoreNews&);
     void receive(const InstanceName& from, PeerMessage&);
+    void receiveQuotaMessage(const InstanceName& from, const PeerMessage&);
     void onNote(const InstanceName& from, const SearchNote&);
     void onResponse(const InstanceName& from, SearchReply&);
     void onCall(const InstanceName& from, const SearchCall&);
@@ -150,6 +168,7 @@
     SearchDelegationParts m_parts;
     ProcessLife m_life;
     DelegateChooser& m_chooser;
+    QuotaMessageEvents* m_quotaEvents = nullptr;
     NewsDistribution m_newsDistribution;
     Snapshot<MembershipView> m_view;
     AsioPeerNetwork m_network;
--- /dev/null
+++ b/tests/adapter/team_quota_test.cpp
@@ -0,0 +1,112 @@
+#include "decode.h"
+#include "wire_callers.h"
+#include "wire_servers.h"
+
+#include "admission/quota_ranking.h"
+#include "gateway/gateway.h"
+#include "support/raw_caller.h"
+
+#include <boost/asio/post.hpp>
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <thread>
+
+namespace lycheefield {
+
+namespace {
+
+const TeamName team("desk");
+
+/// Two gateways without backend servers, so that a request that is admitted gets 503.
+struct TwoGateways {
+    explicit TwoGateways(const std::string& quota)
+    {
+        // Without tolerance and slack, permits come from the keeper only.
+        settings.admission.quotaTolerance = Share { 0 };
+        settings.admission.quotaSlack = 0;
+        settings.gateway.callers = { "127.0.0.1", 0 };
+        settings.gateway.readiness = { "127.0.0.1", 0 };
+        settings.instance.zone = ZoneName("a");
+        settings.drain.balancerLag = std::chrono::milliseconds(1);
+        for (std::size_t i = 0; i < gateways.size(); ++i) {
+            settings.instance.name = InstanceName("g" + std::to_string(i));
+            gateways[i] = std::make_unique<Gateway>(settings, GatewayProtocols { callers, servers });
+            endpoints[i] = gateways[i]->listen().value();
+        }
+        const std::vector<Instance> instances { gateways[0]->self(), gateways[1]->self() };
+        QuotaRanking ranking;
+        ranking.setTeams({ team });
+        ranking.setInstances(instances);
+        keeper = ranking.rankOf(team, instances[0].name);
+        for (std::size_t i = 0; i < gateways.size(); ++i) {
+            boost::asio::post(gateways[i]->executor(), [this, i, instances, quota] {
+                gateways[i]->onRoutes(decodeConfiguration(R"({"version":1,"routes":[{"name":"l","host":"a.example","pathPrefix":"/","routeType":"idempotent","timeoutMs":5000,"targetLatencyMs":4000,"service":"x"}],
+                    "tenants":[{"name":"desk","apiKeys":["key-1"],)"
+                    + quota + R"(},{"name":"free","apiKeys":["key-2"]}]})")
+                                          .value());
+                gateways[i]->onServers({ true, {}, {} });
+                gateways[i]->onInstances(instances, true, true);
+            });
+            threads[i] = std::thread([this, i] { gateways[i]->run(); });
+        }
+    }
+    ~TwoGateways()
+    {
+        for (const auto& it : gateways)
+            it->stop();
+        for (auto& it : threads)
+            it.join();
+    }
+    TwoGateways(const TwoGateways&) = delete;
+    TwoGateways& operator=(const TwoGateways&) = delete;
+
+    std::string fetch(std::size_t gateway, const std::string& key)
+    {
+        io.restart();
+        RawCaller caller(io, endpoints[gateway].callers);
+        caller.send("GET /1 HTTP/1.1\r\nHost: a.example\r\nLycheefield-Attempt-Id: id1\r\nLycheefield-Deadline-Ms: 2000\r\nAuthorization: Bearer " + key + "\r\nConnection: close\r\n\r\n");
+        runUntil(io, [&] { return caller.isClosed(); });
+        return caller.received();
+    }
+    bool isRefused(std::size_t gateway, const std::string& key) { return fetch(gateway, key).starts_with("HTTP/1.1 429"); }
+    bool isMetric(std::size_t gateway, const std::string& line) { return gateways[gateway]->metrics().render().find(line + "\n") != std::string::npos; }
+
+    boost::asio::io_context io { 1 };
+    WireCallers callers;
+    WireServers servers;
+    Settings settings;
+    std::array<std::unique_ptr<Gateway>, 2> gateways;
+    std::array<GatewayEndpoints, 2> endpoints;
+    std::array<std::thread, 2> threads;
+    std::size_t keeper = 0;
+};
+
+}
+
+TEST_CASE("Gateways admit a team's requests within its quota only, whichever of them they come to" * doctest::test_suite("adapter"))
+{
+    SUBCASE("permits of the keeper admit requests at the other gateway")
+    {
+        TwoGateways fleet(R"("ratePerS":1000,"burst":1000)");
+        while (fleet.isRefused(fleet.keeper, "key-1")) { }
+        while (fleet.isRefused(1 - fleet.keeper, "key-1")) { }
+        CHECK_FALSE(fleet.isMetric(1 - fleet.keeper, "lycheefield_quota_admitted_total 0"));
+        CHECK_FALSE(fleet.isMetric(1 - fleet.keeper, "lycheefield_quota_asked_total 0"));
+    }
+    SUBCASE("an exhausted quota gives 429 with the time of the next credit at both; other teams aren't concerned")
+    {
+        TwoGateways fleet(R"("ratePerS":0.001,"burst":1)");
+        for (std::size_t i = 0; i < 2; ++i) {
+            const auto response = fleet.fetch(i, "key-1");
+            CHECK(response.starts_with("HTTP/1.1 429"));
+            CHECK(response.find("Retry-After: ") != std::string::npos);
+            CHECK_FALSE(fleet.isRefused(i, "key-2"));
+        }
+        CHECK(fleet.isMetric(fleet.keeper, "lycheefield_quota_refused_total 1"));
+        CHECK(fleet.isMetric(fleet.keeper, "lycheefield_quota_admitted_total 0"));
+    }
+}
+
+}
