--- a/tests/admission/quota_fleet.cpp
+++ b/tests/admission/quota_fleet.cpp
@@ -241,7 +241,7 @@
         return pause(time);
     case QuotaFault::Restart:
         for (std::size_t i = 0; i < m_nodes.size() / 4; ++i)
-            at(time + i * 400ms, [this, i] { restart(i % 2 == 0 ? keeperOf(0) : m_random.below(m_nodes.size()), randomDuration(200ms, 3s)); });
+            at(time + i * 400ms, [this, i] { restart(i % 2 == 0 ? keeperOf(0) : m_random.below(m_nodes.size()), i % 2 == 0 ? randomDuration(20ms, 300ms) : randomDuration(200ms, 3s)); });
         return;
     case QuotaFault::KeeperDies:
         return at(time, [this] {
