--- a/tests/admission/quota_keeper_test.cpp
+++ b/tests/admission/quota_keeper_test.cpp
@@ -40,8 +40,8 @@
         SUBCASE("but no more of them are outstanding than the slack allows")
         {
             std::uint32_t spares = 1;
-            for (int i = 0; i < 20; ++i)
-                spares += ask(1, start + 61s + i * 1ms).permits - 1;
+            for (int i = 1; i < 15; ++i)
+                spares += ask(1, start + 60s + i * 100ms).permits - 1;
             CHECK(spares <= quotaLimitsOf({ team, 0, 10, 20 }, settings).ahead);
         }
     }
@@ -53,6 +53,15 @@
         CHECK(reply.grants[0].retryAfter == 0ms);
         CHECK(reply.grants[0].lifetime == QuotaKeeper::aheadLifetime);
     }
+    SUBCASE("permits that are granted ahead count as part of the bucket beyond the slack for them, until they are lost")
+    {
+        const auto limits = quotaLimitsOf({ team, 0, 100, 20 }, settings);
+        keeper.setLimits(team, limits, start);
+        const auto ahead = keeper.answer({ 1, { { team, 1 }, { team, 100 } } }, start + 60s).grants.at(0).permits - 1;
+        REQUIRE(ahead > limits.ahead);
+        CHECK(ask(100, start + 60s + 450ms).permits <= limits.capacity - ahead + limits.ahead);
+        CHECK(ask(100, start + 62s).permits == 55);
+    }
     SUBCASE("a lowered quota applies to the permits in the bucket")
     {
         keeper.setLimits(team, quotaLimitsOf({ team, 0, 1, 2 }, settings), start + 60s);
