--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -201,6 +201,8 @@
     static bool isValid(const ForwardAnswer&, std::size_t shards);
     /// Takes back a leg that the delegate did not complete, and sends it from here unless it may not run again.
     void takeBackLeg(Request&, std::size_t leg, std::uint32_t runs, TimePoint, ForwardActions&);
+    /// Excludes, for the legs that a delegate ran without success, the servers that it probably tried.
+    void avoidTriedServers(Request&, const std::vector<std::size_t>& legs, const ForwardAnswer&, TimePoint);
     void cancelDelegations(Request&, ForwardActions&);
     /// Requests extra attempts from the delegating instance once the legs delegated to this instance are late.
     void requestExtraAttempts(Request&, TimePoint, ForwardActions&);
--- a/src/forward/forward_engine_delegation.cpp
+++ b/src/forward/forward_engine_delegation.cpp
@@ -154,6 +154,7 @@
         return onDelegationFailed(id, true, now, actions);
     }
     const auto legs = takeDelegation(*request, id);
+    avoidTriedServers(*request, legs, answer, now);
     request->mayHaveRun = request->mayHaveRun || answer.kind != ForwardAnswerKind::NotRun;
     for (std::size_t i = 0; i < answer.coveredShards.size(); ++i) {
         ServerResponse part;
@@ -168,6 +169,20 @@
     review(*request, now, actions);
 }
 
+void ForwardEngine::avoidTriedServers(Request& request, const std::vector<std::size_t>& legs, const ForwardAnswer& answer, TimePoint now)
+{
+    for (std::size_t i = 0; i < legs.size(); ++i) {
+        auto& leg = request.legs[legs[i]];
+        const bool isCovered = std::find(answer.coveredShards.begin(), answer.coveredShards.end(), i) != answer.coveredShards.end();
+        if (isCovered || answer.runs[i] == 0 || !leg.tried.empty())
+            continue;
+        // The delegate does not name the servers that it tried, but it chooses as this instance does.
+        const auto likely = pickServer(request, leg, contextFor(request.route(), leg, now));
+        if (likely && m_pool.hasUntriedServers(leg.service, { likely }))
+            leg.tried.push_back(likely);
+    }
+}
+
 bool ForwardEngine::onDelegationSilent(DelegationId id, TimePoint now, ForwardActions& actions)
 {
     auto* request = findDelegatingRequest(id);
@@ -242,7 +257,7 @@
 bool ForwardEngine::requestGrant(Request& request, Leg& leg, TimePoint now)
 {
     const bool mayRunAfterGrant = awaitsGrant(request, leg) && leg.mayHaveRun < request.route().maxRuns;
-    if (!mayRunAfterGrant || standingOf(request, now) != ContentStanding::Clear || !m_pool.hasUntriedServers(leg.service, leg.tried))
+    if (!mayRunAfterGrant || !m_pool.hasUntriedServers(leg.service, leg.tried))
         return false;
     // The delegating instance may have a budget for the leg when this one has none.
     if (!m_budgets[leg.service].hasExtra(now, budgetLimits()))
@@ -256,7 +271,8 @@
 
 void ForwardEngine::endSuspectRetries(Request& request, TimePoint now)
 {
-    if (!request.request.isPart() || standingOf(request, now) == ContentStanding::Clear)
+    // Legs in flight may still be served, and show that the content is none that crashes its servers.
+    if (!request.request.isPart() || standingOf(request, now) == ContentStanding::Clear || hasAttemptInFlight(request))
         return;
     for (auto& leg : request.legs) {
         if (leg.stage == LegStage::Unsent && leg.mayHaveRun > 0)
