--- a/src/forward/fair_queue.cpp
+++ b/src/forward/fair_queue.cpp
@@ -29,7 +29,7 @@
     }
 }
 
-void FairQueue::discardIfIdle(std::map<ClassKey, Class>::iterator it)
+void FairQueue::discardIfIdle(std::map<LegPriority, Class>::iterator it)
 {
     if (it->second.order.empty())
         m_classes.erase(it);
@@ -39,7 +39,7 @@
 
 void FairQueue::insert(const WaitingLeg& leg)
 {
-    auto& group = m_classes[classOf(leg)];
+    auto& group = m_classes[leg.priority()];
     const auto [it, isNew] = group.flows.try_emplace(leg.team);
     auto& flow = it->second;
     if (isNew)
@@ -52,7 +52,7 @@
 
 void FairQueue::erase(const WaitingLeg& leg)
 {
-    const auto group = m_classes.find(classOf(leg));
+    const auto group = m_classes.find(leg.priority());
     if (group == m_classes.end())
         return;
     const auto it = group->second.flows.find(leg.team);
@@ -66,7 +66,7 @@
 
 void FairQueue::recordSent(const WaitingLeg& leg)
 {
-    const auto group = m_classes.find(classOf(leg));
+    const auto group = m_classes.find(leg.priority());
     if (group == m_classes.end())
         return;
     auto& [key, it] = *group;
@@ -104,8 +104,8 @@
 
 bool FairQueue::goesFirst(const WaitingLeg& leg) const
 {
-    if (m_classes.empty() || classOf(leg) != m_classes.begin()->first)
-        return m_classes.empty() || classOf(leg) < m_classes.begin()->first;
+    if (m_classes.empty() || leg.priority() != m_classes.begin()->first)
+        return m_classes.empty() || leg.priority() < m_classes.begin()->first;
     const auto& group = m_classes.begin()->second;
     const auto& [start, age, team] = *group.order.begin();
     return std::pair(turnOf(group, leg), ageOf(leg)) <= std::pair(start, age);
@@ -115,13 +115,13 @@
 {
     std::size_t ahead = 0;
     for (const auto& [key, group] : m_classes) {
-        if (key > classOf(leg))
+        if (key > leg.priority())
             break;
         const auto turn = turnOf(group, leg);
         for (const auto& [team, flow] : group.flows) {
             // At equal turns the older leg goes first; the count assumes that of the other team's.
             const auto end = turn + (team == leg.team ? 0 : 1);
-            const bool isMoreUrgent = key < classOf(leg);
+            const bool isMoreUrgent = key < leg.priority();
             ahead += isMoreUrgent ? flow.legs.size() : std::min<std::size_t>(flow.legs.size(), std::max(end, flow.start) - flow.start);
         }
     }
--- a/src/forward/fair_queue.h
+++ b/src/forward/fair_queue.h
@@ -8,9 +8,13 @@
 #include <map>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace lycheefield {
 
+/// The priorities of a waiting leg: its team's and its route's, 0 the most urgent.
+using LegPriority = std::pair<std::uint32_t, std::uint32_t>;
+
 /// A leg that waits for a server with capacity, and what decides its place in the order.
 struct WaitingLeg {
     std::uint32_t teamRank = 0; ///< The team's priority, 0 the most urgent.
@@ -19,6 +23,7 @@
     RequestNumber request;
     std::size_t leg = 0;
 
+    LegPriority priority() const { return { teamRank, routeRank }; }
     friend bool operator==(const WaitingLeg&, const WaitingLeg&) = default;
 };
 
@@ -69,9 +74,7 @@
         std::set<std::tuple<Turn, Age, TeamName>> order; ///< The flows that wait, by start and oldest leg.
         std::set<std::pair<Turn, TeamName>> ahead; ///< The flows without a waiting leg, by start.
     };
-    using ClassKey = std::pair<std::uint32_t, std::uint32_t>;
 
-    static ClassKey classOf(const WaitingLeg& leg) { return { leg.teamRank, leg.routeRank }; }
     static Age ageOf(const WaitingLeg& leg) { return { leg.request, leg.leg }; }
     /// Returns the turn at which the leg is sent.
     static Turn turnOf(const Class&, const WaitingLeg&);
@@ -80,9 +83,9 @@
     static void link(Class&, const TeamName&, const Flow&);
     /// Discards the flows without waiting legs whose start the virtual time has reached.
     static void forgetIdle(Class&);
-    void discardIfIdle(std::map<ClassKey, Class>::iterator);
+    void discardIfIdle(std::map<LegPriority, Class>::iterator);
 
-    std::map<ClassKey, Class> m_classes;
+    std::map<LegPriority, Class> m_classes;
     std::size_t m_size = 0;
 };
 
--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -99,6 +99,10 @@
         ++m_counters.limitedRequests;
         return finish(it, now, actions);
     }
+    if (isHopeless(it, now)) {
+        ++m_counters.refusedEarly;
+        return finish(it, now, actions);
+    }
     // The legs of suspect content wait for its probe.
     if (route.isSearch() && standingOf(it, now) == ContentStanding::Clear) {
         delegateLegs(it, now, actions);
@@ -162,6 +166,7 @@
         auto& times = m_times[attempt.routeName];
         ServerPool::recordAnswer(server, attempt.sentAt, times.median({}), now);
         times.add(now - attempt.sentAt, now);
+        m_waits.recordServed(server.entry.service, now - attempt.sentAt, now);
         return;
     }
     case ServerResponseKind::WrongServer:
@@ -259,6 +264,7 @@
     std::erase_if(m_times, [&](const auto& entry) {
         return std::none_of(table.routes.begin(), table.routes.end(), [&](const Route& route) { return route.name == entry.first; });
     });
+    m_waits.keepOnly([&](const ServiceName& service) { return table.services.contains(service); });
     std::erase_if(m_budgets, [&](const auto& entry) { return !table.services.contains(entry.first); });
 }
 
@@ -292,6 +298,7 @@
 {
     const auto it = m_attempts.find(id);
     ServerPool::recordEnd(*it->second.server, now);
+    m_waits.recordEnd(it->second.server->entry.service);
     if (it->second.cancelAt != never)
         m_cancellations.erase({ it->second.cancelAt, id });
     m_attempts.erase(it);
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -10,6 +10,7 @@
 #include "forward/forward_settings.h"
 #include "forward/route_times.h"
 #include "forward/server_pool.h"
+#include "forward/service_waits.h"
 #include "query/crash_evidence.h"
 #include "routing/split_picker.h"
 
@@ -32,6 +33,7 @@
     std::uint64_t delegatedLegs = 0; ///< Legs delegated to other instances.
     std::uint64_t limitedLegs = 0; ///< Legs shed because their servers allow no more requests.
     std::uint64_t limitedRequests = 0; ///< Requests refused for the same reason.
+    std::uint64_t refusedEarly = 0; ///< Requests refused because their servers are expected to be free too late for them.
     std::uint64_t shedLegs = 0; ///< Legs shed from searches because their responses were expected too late.
     std::uint64_t extraAttemptsDenied = 0; ///< Extra attempts that the budget did not allow.
     std::uint64_t complete = 0;
@@ -145,6 +147,8 @@
         std::uint32_t delegateRuns = 0; ///< While delegated: number of servers that the leg may run on.
         bool isCounted = false; ///< Whether the first attempt has been counted for the budget.
         TimePoint hedgeAt = never;
+        TimePoint waitsSince = never; ///< When the leg began to wait for a server; `never` when it does not.
+        Duration expectedWait {}; ///< At that time.
         std::string signature;
         std::string body;
         std::optional<HttpResponse> singleResponse; ///< A server's response, success or failure, to a request without shards.
@@ -159,6 +163,7 @@
         TimePoint due = never;
         std::size_t done = 0;
         std::size_t missing = 0;
+        Duration refusedWait {}; ///< Of a request that is refused early: the time after which a retry may be served.
         bool mayHaveRun = false;
         std::map<DelegationId, std::vector<std::size_t>> delegations; ///< The legs of each delegation, in the order of its shards.
         TimePoint requestExtraAt = never; ///< For legs delegated to this instance: when extra attempts are requested.
@@ -223,12 +228,20 @@
     /// no attempt in flight to the service whose end would dequeue the leg.
     void enqueue(Request&, std::size_t leg, TimePoint);
     static WaitingLeg waitingLeg(const Request&, std::size_t leg);
+    /// Records that the leg is sent, takes a turn of its team and dequeues it.
+    void recordLegSent(Request&, std::size_t leg, TimePoint);
     /// Sends the service's leg that is next in the order, once one of its servers has capacity. Returns whether it was sent.
     bool sendNextQueued(const ServiceName&, TimePoint, ForwardActions&);
     /// Sends the legs that go before a leg of a team, so that it takes no turn of theirs by arriving while a server is free.
     void sendQueuedAhead(const Request&, std::size_t leg, TimePoint, ForwardActions&);
     /// Returns the expected wait for capacity of a leg that is queued now.
     Duration expectedWait(const Request&, std::size_t leg, const PickContext&) const;
+    /// Returns the expected time until the leg is served if it waits and is hopeless: too late even if the servers get faster.
+    std::optional<Duration> hopelessTime(const Request&, std::size_t leg, TimePoint) const;
+    /// Returns whether too few legs of a request of which nothing was sent can be served before its deadline, and records when a retry may be.
+    bool isHopeless(Request&, TimePoint) const;
+    /// Ends the only leg of a request that waits and became hopeless, unless it was sent before. Returns whether it did.
+    bool endHopelessLeg(Request&, std::size_t leg, TimePoint);
     bool trySend(Request&, std::size_t leg, bool isHedge, TimePoint, ForwardActions&);
     bool takeBudget(const Request&, Leg&, TimePoint);
     /// Records that a server closed the connection while it may have run the attempt, whether or not its request still waits.
@@ -295,6 +308,7 @@
     std::set<std::pair<TimePoint, RequestNumber>> m_dueTimes;
     std::set<std::pair<TimePoint, ServerRequestId>> m_cancellations;
     std::unordered_map<ServiceName, FairQueue> m_queues;
+    ServiceWaits m_waits;
     std::unordered_map<ServiceName, ExtraAttemptBudget> m_budgets;
     std::map<std::string, RouteTimes> m_times;
     CrashEvidence m_evidence;
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -109,9 +109,7 @@
     leg.inFlight.push_back(id);
     ++leg.mayHaveRun;
     ++leg.arrivals;
-    if (const auto queue = m_queues.find(leg.service); queue != m_queues.end())
-        queue->second.recordSent(waitingLeg(request, index));
-    dequeue(request, index);
+    recordLegSent(request, index, now);
     leg.stage = LegStage::Sent;
     leg.hedgeAt = request.route().isIdempotent ? now + hedgeDelay(request) : never;
     actions.emplace_back(SendServerRequest { id, server->entry, request.request.message, request.request.attemptId, request.deadline, request.route().isIdempotent, request.request.team });
@@ -222,7 +220,7 @@
         // Demand beyond what the servers allow does not wait: the next requests they allow are wanted as well.
         if (!m_pool.hasServers(leg.service) || m_pool.untilAllowed(leg.service, now) > Duration {})
             endLeg(request, leg, LegStage::Missing);
-        else
+        else if (!endHopelessLeg(request, index, now))
             enqueue(request, index, now);
         return;
     }
@@ -319,8 +317,9 @@
     if (!request.mayHaveRun && !isInFlight) {
         answer.kind = ForwardAnswerKind::NotRun;
         const auto quarantined = quarantineRemaining(request, now);
-        answer.reason = quarantined > Duration {} ? "quarantined" : "not run";
-        answer.retryAfter = std::max(minRetryAfter, quarantined);
+        answer.reason = quarantined > Duration {} ? "quarantined" : request.refusedWait > Duration {} ? "not run, wait too long"
+                                                                                                      : "not run";
+        answer.retryAfter = std::max({ minRetryAfter, quarantined, request.refusedWait });
         for (const auto& leg : request.legs) {
             if (leg.stage != LegStage::Done)
                 answer.retryAfter = std::max({ answer.retryAfter, m_pool.untilUsable(leg.service, now), m_pool.untilAllowed(leg.service, now), untilProbeAllowed(request, leg, now) });
--- a/src/forward/forward_engine_queue.cpp
+++ b/src/forward/forward_engine_queue.cpp
@@ -1,11 +1,18 @@
 #include "forward/forward_engine.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace lycheefield {
 
 namespace {
 
 /// A leg without an available server or without budget is retried after this time.
 constexpr Duration retryPeriod = 15ms;
+/// A leg is hopeless if it would be served too late even by servers that are so many times as fast as observed.
+constexpr double hopelessMargin = 1.0;
+/// A caller that comes again has the time that it has left now, and the queue may take this share of it.
+constexpr double retryWaitShare = 0.5;
 
 }
 
@@ -20,8 +27,26 @@
     leg.stage = LegStage::Unsent;
     leg.hedgeAt = now + (awaitsSimultaneousCrashes(request, now) ? simultaneousCrashTime : retryPeriod);
     // A leg that waits for its content's probe must not keep others from the next free server.
-    if (mayRunContent(request, now))
-        m_queues[leg.service].insert(waitingLeg(request, index));
+    if (!mayRunContent(request, now))
+        return;
+    auto& queue = m_queues[leg.service];
+    const auto waiting = waitingLeg(request, index);
+    if (leg.waitsSince == never) {
+        leg.waitsSince = now;
+        leg.expectedWait = m_waits.expectedWait(leg.service, queue.countAhead(waiting), now);
+    }
+    queue.insert(waiting);
+}
+
+void ForwardEngine::recordLegSent(Request& request, std::size_t index, TimePoint now)
+{
+    auto& leg = request.legs[index];
+    m_waits.recordSent(leg.service);
+    if (const auto waitsSince = std::exchange(leg.waitsSince, never); waitsSince != never)
+        m_waits.recordWait(leg.service, waitingLeg(request, index).priority(), leg.expectedWait, now - waitsSince, now);
+    if (const auto queue = m_queues.find(leg.service); queue != m_queues.end())
+        queue->second.recordSent(waitingLeg(request, index));
+    dequeue(request, index);
 }
 
 void ForwardEngine::dequeue(const Request& request, std::size_t index)
@@ -68,4 +93,50 @@
     return context.medianTime * static_cast<Duration::rep>(1 + ahead);
 }
 
+std::optional<Duration> ForwardEngine::hopelessTime(const Request& request, std::size_t index, TimePoint now) const
+{
+    const auto& service = request.legs[index].service;
+    const auto queue = m_queues.find(service);
+    if (queue == m_queues.end())
+        return std::nullopt;
+    const auto leg = waitingLeg(request, index);
+    const auto maxTime = scaled(request.deadline - now, hopelessMargin);
+    // The exact place costs a walk through the queue.
+    const auto longest = m_waits.expected(service, leg.priority(), queue->second.size(), now);
+    if (!longest || *longest <= maxTime)
+        return std::nullopt;
+    const auto expected = m_waits.expected(service, leg.priority(), queue->second.countAhead(leg), now);
+    return expected && *expected > maxTime ? expected : std::nullopt;
+}
+
+bool ForwardEngine::isHopeless(Request& request, TimePoint now) const
+{
+    if (request.request.isPart() || m_queues.empty())
+        return false;
+    std::vector<Duration> times;
+    for (std::size_t i = 0; i < request.legs.size(); ++i) {
+        if (const auto time = hopelessTime(request, i, now); time && m_pool.hasServers(request.legs[i].service))
+            times.push_back(*time);
+    }
+    // Shed legs are sent when they are needed.
+    const auto usable = static_cast<std::size_t>(std::count_if(request.legs.begin(), request.legs.end(), [&](const Leg& leg) { return m_pool.hasServers(leg.service); }));
+    if (times.empty() || usable - times.size() >= request.needed())
+        return false;
+    std::sort(times.begin(), times.end());
+    const auto missing = request.needed() - (usable - times.size());
+    const auto left = request.deadline - now;
+    request.refusedWait = std::max(retryPeriod, times[missing - 1] - scaled(left, retryWaitShare));
+    return true;
+}
+
+bool ForwardEngine::endHopelessLeg(Request& request, std::size_t index, TimePoint now)
+{
+    auto& leg = request.legs[index];
+    if (request.route().isSearch() || leg.arrivals > 0 || !isHopeless(request, now))
+        return false;
+    ++m_counters.refusedEarly;
+    endLeg(request, leg, LegStage::Missing);
+    return true;
+}
+
 }
--- a/src/gateway/forward_counters_metrics.cpp
+++ b/src/gateway/forward_counters_metrics.cpp
@@ -18,6 +18,7 @@
     count("legs_shed_total", counters.shedLegs);
     count("legs_over_server_limit_total", counters.limitedLegs);
     count("requests_over_server_limit_total", counters.limitedRequests);
+    count("requests_refused_early_total", counters.refusedEarly);
     count("sends_denied_total", counters.extraAttemptsDenied);
     count("answers_total{outcome=\"complete\"}", counters.complete);
     count("answers_total{outcome=\"partial\"}", counters.partial);
