--- a/src/forward/fair_queue.cpp
+++ b/src/forward/fair_queue.cpp
@@ -98,8 +98,17 @@
     const auto own = group.flows.find(leg.team);
     if (own == group.flows.end())
         return group.now;
+    // Most legs that ask are near one end of a long queue.
     const auto& legs = own->second.legs;
-    return own->second.start + static_cast<Turn>(std::distance(legs.begin(), legs.lower_bound(ageOf(leg))));
+    auto before = legs.lower_bound(ageOf(leg));
+    auto after = before;
+    Turn steps = 0;
+    while (before != legs.begin() && after != legs.end()) {
+        --before;
+        ++after;
+        ++steps;
+    }
+    return own->second.start + (before == legs.begin() ? steps : legs.size() - steps);
 }
 
 bool FairQueue::goesFirst(const WaitingLeg& leg) const
--- a/tests/forward/fair_queue_test.cpp
+++ b/tests/forward/fair_queue_test.cpp
@@ -111,6 +111,17 @@
         CHECK(sendMany(queue, 15).count("direct") == 0);
         CHECK(sendMany(queue, 4).at("direct") == 1);
     }
+    SUBCASE("The legs of one team are counted from whichever end of the queue is nearer")
+    {
+        FairQueue one;
+        for (std::uint64_t i = 0; i < 100; ++i)
+            one.insert(legOf("", 2 * i));
+        for (std::uint64_t i = 0; i < 100; ++i) {
+            CHECK(one.countAhead(legOf("", 2 * i)) == i);
+            CHECK(one.countAhead(legOf("", 2 * i + 1)) == i + 1);
+            CHECK(one.goesFirst(legOf("", 2 * i)) == (i == 0));
+        }
+    }
     SUBCASE("The number of legs ahead is that which is sent before")
     {
         const auto own = legOf("few", 1003);
