--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -4,6 +4,7 @@
 #include "forward/cancelled_attempts.h"
 #include "forward/delegate_chooser.h"
 #include "forward/extra_attempt_budget.h"
+#include "forward/fair_queue.h"
 #include "forward/forward_action.h"
 #include "forward/forward_request.h"
 #include "forward/forward_settings.h"
@@ -205,6 +206,13 @@
     void cancelDelegations(Request&, ForwardActions&);
     /// Requests extra attempts from the delegating instance once the legs delegated to this instance are late.
     void requestExtraAttempts(Request&, TimePoint, ForwardActions&);
+    /// Returns whether the delegated leg may go to a second server only once the delegating instance grants it.
+    bool awaitsGrant(const Request&, const Leg&) const;
+    /// Requests extra attempts at once for a delegated leg whose attempt failed: this instance knows the servers it tried, and the
+    /// delegating instance does not. Returns false if the leg is left to that instance.
+    bool requestGrant(Request&, Leg&, TimePoint);
+    /// Leaves the legs that failed here to the delegating instance once their content is suspect, so that one instance probes it.
+    void endSuspectRetries(Request&, TimePoint);
     /// Sheds the legs whose responses are expected too late, as far as the coverage allows.
     void shedLegs(Request&, TimePoint);
     /// Sheds the legs whose servers allow no request now. Returns false if too few legs are left; nothing is sent then.
@@ -214,10 +222,13 @@
     /// Enqueues a leg for its service. The leg is also retried on a timer, because this instance may have
     /// no attempt in flight to the service whose end would dequeue the leg.
     void enqueue(Request&, std::size_t leg, TimePoint);
-    /// Sends a service's most urgent, then oldest, queued leg once one of its servers has capacity.
-    void sendNextQueued(const ServiceName&, TimePoint, ForwardActions&);
-    /// Returns the expected wait for capacity of a leg that is queued now, behind those that are at least as urgent.
-    Duration expectedWait(const Leg&, std::uint32_t rank, const PickContext&) const;
+    static WaitingLeg waitingLeg(const Request&, std::size_t leg);
+    /// Sends the service's leg that is next in the order, once one of its servers has capacity. Returns whether it was sent.
+    bool sendNextQueued(const ServiceName&, TimePoint, ForwardActions&);
+    /// Sends the legs that go before a leg of a team, so that it takes no turn of theirs by arriving while a server is free.
+    void sendQueuedAhead(const Request&, std::size_t leg, TimePoint, ForwardActions&);
+    /// Returns the expected wait for capacity of a leg that is queued now.
+    Duration expectedWait(const Request&, std::size_t leg, const PickContext&) const;
     bool trySend(Request&, std::size_t leg, bool isHedge, TimePoint, ForwardActions&);
     bool takeBudget(const Request&, Leg&, TimePoint);
     /// Records that a server closed the connection while it may have run the attempt, whether or not its request still waits.
@@ -283,14 +294,7 @@
     std::unordered_map<ServerRequestId, Attempt> m_attempts;
     std::set<std::pair<TimePoint, RequestNumber>> m_dueTimes;
     std::set<std::pair<TimePoint, ServerRequestId>> m_cancellations;
-    /// A leg that waits for a server with capacity, ordered by rank and then by age.
-    struct QueuedLeg {
-        std::uint32_t rank = 0;
-        RequestNumber request;
-        std::size_t leg = 0;
-        friend auto operator<=>(const QueuedLeg&, const QueuedLeg&) = default;
-    };
-    std::unordered_map<ServiceName, std::set<QueuedLeg>> m_queues;
+    std::unordered_map<ServiceName, FairQueue> m_queues;
     std::unordered_map<ServiceName, ExtraAttemptBudget> m_budgets;
     std::map<std::string, RouteTimes> m_times;
     CrashEvidence m_evidence;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -82,8 +82,11 @@
         const auto routes = std::to_string(table.routes.size());
         table.callerLimits.maxConnections = maxCallerConnections();
         m_callerServer.setLimits(table.callerLimits);
+        const auto teams = table.teams;
         m_driver.setRoutes(std::make_shared<const RouteTable>(std::move(table)));
         logState("configuration applied", { { "version", version }, { "before", before }, { "routes", routes } });
+        if (teams)
+            logState("teams applied", { { "teams", std::to_string(teams->teams().size()) }, { "keys_of_several_teams", std::to_string(teams->ambiguousKeys()) } });
         updateReadiness();
     }
 
@@ -106,7 +109,8 @@
         const auto now = m_clock->now();
         logZoneDrains(m_zoneDrains.replaceAll(zones, now), m_registry.servers(), now, m_log);
         m_driver.setDrainedZones(zones);
-        useHeldServers();
+        if (m_holdsServers)
+            publishServers();
     }
 
     void onStoreReachable(bool isReachable)
@@ -262,15 +266,6 @@
             logState(isReady ? "ready" : "not ready", {});
     }
 
-    /// Lets the known servers get work once it is known which zones are drained, or can't be learned.
-    void useHeldServers()
-    {
-        if (!m_holdsServers || !m_zoneDrains.mayUseServers(m_clock->now()))
-            return;
-        publishServers();
-        updateReadiness();
-    }
-
     void publishServers()
     {
         m_holdsServers = !m_zoneDrains.mayUseServers(m_clock->now());
@@ -278,6 +273,7 @@
             return;
         m_driver.setServers(m_registry.servers());
         logState("server list updated", { { "count", std::to_string(m_registry.servers().size()) } });
+        updateReadiness();
     }
 
     void runHousekeeping()
@@ -286,9 +282,8 @@
         scheduleHousekeeping(housekeepingPeriod);
         m_driver.closeStaleConnections();
         m_delegation.shareCrashes(m_driver.crashAnnouncements());
-        if (m_registry.expire(m_clock->now()))
+        if (m_registry.expire(m_clock->now()) || m_holdsServers)
             publishServers();
-        useHeldServers();
         const auto untilExpiry = m_registry.nextExpiry() == never ? housekeepingPeriod : Duration(m_registry.nextExpiry() - m_clock->now());
         scheduleHousekeeping(std::clamp(untilExpiry, Duration(1), housekeepingPeriod));
     }
--- a/tests/forward/forward_test_bed.h
+++ b/tests/forward/forward_test_bed.h
@@ -21,6 +21,7 @@
     bool reportsLoad = true;
     bool isLeaving = false; ///< Says so in its responses.
     Duration retryAfter {}; ///< Of its refusals.
+    double lostShare = 0; ///< Responses that are lost because their connections break.
 };
 
 /// The settings of an instance in zone a with a large budget for extra attempts.
@@ -51,6 +52,8 @@
     void startRequest(const ForwardRequest&);
     /// Sets the content of later requests.
     void setContent(Fingerprint content) { m_content = content; }
+    /// Sets the team of the callers of later requests.
+    void setTeam(const TeamName& team) { m_team = team; }
     /// Breaks the connections of all server requests in flight at once, as servers do that crash.
     void crashServersInFlight();
     /// Sets whether servers whose connections break still run; by default they have crashed.
@@ -121,8 +124,10 @@
 
     Duration m_networkTime {};
     Fingerprint m_content { 1 };
+    TeamName m_team;
     bool m_serversSurvive = false;
     std::vector<ReportContentCrash> m_reportedCrashes;
+    SeededRandom m_random { 7 };
     TimePoint m_now { std::chrono::seconds(100) };
     std::map<ServerName, Server> m_servers;
     std::map<RequestNumber, TimePoint> m_started;
--- a/tests/forward/zone_drain_test.cpp
+++ b/tests/forward/zone_drain_test.cpp
@@ -229,6 +229,7 @@
     DrainFixture fixture(12, 1);
     auto& testBed = fixture.testBed;
     // Two slots for 20 ms: one server serves 100 legs a second. The load of 204 fits the three zones, but not quite the two that remain.
+    testBed.setTeam(TeamName("quotes"));
     auto urgent = testBed.searchRoute(fixture.shards);
     auto other = urgent;
     other.name = "other";
