--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -155,6 +155,8 @@
         ServerPool::recordRetryAfter(server, response.retryAfter, now);
     if (response.kind != ServerResponseKind::Unusable && response.kind != ServerResponseKind::WrongServer) {
         m_pool.recordLimit(server, response.rateLimit, now);
+        if (response.warmupLeft > Duration {})
+            m_pool.recordWarmup(server, response.warmupLeft, now);
         server.isLeaving = server.isLeaving || response.isLeaving;
     }
     switch (response.kind) {
@@ -255,6 +257,7 @@
             directServices.insert(it.service);
     }
     m_pool.setDirectServices(std::move(directServices));
+    m_pool.setWarmupRates(table.services);
     m_splits.keepOnly(table.routes);
     std::erase_if(m_times, [&](const auto& entry) {
         return std::none_of(table.routes.begin(), table.routes.end(), [&](const Route& route) { return route.name == entry.first; });
--- a/src/forward/forward_request.h
+++ b/src/forward/forward_request.h
@@ -84,6 +84,7 @@
     std::optional<ServerLoad> load;
     std::optional<double> rateLimit; ///< Requests per second that the server allows all instances together; empty: any.
     Duration retryAfter {}; ///< With a refusal: the time for which the server wants no request of this instance; zero when it gives none.
+    Duration warmupLeft {}; ///< How long the server goes on warming up; zero when it does not, or does not say.
     bool isLeaving = false; ///< The server leaves and should get no new work.
     HttpResponse message;
 
--- a/src/forward/server_pool.cpp
+++ b/src/forward/server_pool.cpp
@@ -33,6 +33,10 @@
 constexpr double usableConnectionShare = 0.9;
 /// Random spread of the expected latencies, so that instances don't all pick the same one of several similar servers.
 constexpr double randomSpread = 0.1;
+/// Part of the rate that a warming server takes in any one second which is divided: in the worst second all instances spend a
+/// second's rate and their whole bursts, which together are as much again and one request for each of the extra senders.
+constexpr double dividedWarmupShare = 0.5;
+constexpr double warmupBurstAllowance = 4;
 
 double toMicros(Duration duration)
 {
@@ -70,8 +74,10 @@
         const auto it = m_servers.find(name);
         const bool isSameLife = it != m_servers.end() && it->second->entry.startedAt == entry.startedAt && it->second->entry.endpoint == entry.endpoint;
         auto state = isSameLife ? it->second : std::make_shared<TrackedServer>();
-        if (!isSameLife || state->entry != entry)
+        if (!isSameLife || state->entry != entry) {
             state->listedAt = now;
+            state->warmUntil = std::max(state->warmUntil, now + entry.warmupLeft);
+        }
         state->entry = entry;
         state->isInDrainedZone = isDrained(entry.zone);
         servers.emplace(name, state);
@@ -83,6 +89,7 @@
             state->isListed = false;
     }
     m_servers = std::move(servers);
+    limitWarmups(now);
 }
 
 void ServerPool::setDrainedZones(const std::set<ZoneName>& zones)
@@ -208,6 +215,7 @@
 {
     m_sharing.setInstances(instances, now);
     ++m_shareVersion;
+    limitWarmups(now);
 }
 
 void ServerPool::setDirectServices(std::set<ServiceName> services)
@@ -259,9 +267,50 @@
     return soonest == Duration::max() ? Duration {} : soonest;
 }
 
+void ServerPool::setWarmupRates(const std::map<ServiceName, ServicePolicy>& services)
+{
+    m_warmupRates.clear();
+    for (const auto& [name, policy] : services) {
+        if (policy.warmupRate <= 0)
+            continue;
+        const auto taken = policy.warmupRate * m_settings.warmupTolerance + m_settings.warmupSlack;
+        m_warmupRates.emplace(name, std::max(0.0, dividedWarmupShare * (taken - warmupBurstAllowance)));
+    }
+    ++m_shareVersion;
+}
+
+void ServerPool::limitWarmup(TrackedServer& server, TimePoint now)
+{
+    const auto rate = m_warmupRates.find(server.entry.service);
+    if (rate == m_warmupRates.end())
+        return server.warmupLimit.clear();
+    if (server.warmupLimit.isSet() && server.warmupShareVersion == m_shareVersion)
+        return;
+    server.warmupShareVersion = m_shareVersion;
+    const auto share = m_sharing.shareOf(server.entry, rate->second, reachOf(server.entry.service), now);
+    // The fill is random, so that the instances do not all send at the same moment.
+    server.warmupLimit.set(share, share.burst * m_random.unit(), now);
+}
+
+void ServerPool::limitWarmups(TimePoint now)
+{
+    for (const auto& [name, server] : m_servers) {
+        if (now < server->warmUntil)
+            limitWarmup(*server, now);
+    }
+}
+
+void ServerPool::recordWarmup(TrackedServer& server, Duration left, TimePoint now)
+{
+    server.warmUntil = std::max(server.warmUntil, now + left);
+    limitWarmup(server, now);
+}
+
 void ServerPool::recordSent(TrackedServer& server, TimePoint now)
 {
     server.rateLimit.take(now);
+    if (now < server.warmUntil)
+        server.warmupLimit.take(now);
     if (server.inFlight++ == 0)
         server.noResponseSince = now;
 }
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -41,9 +41,16 @@
     std::optional<double> advertisedLimit; ///< Requests per second that the server allows all instances together; empty: no limit.
     ServerRateLimit rateLimit; ///< This instance's share of that limit.
     std::uint64_t shareVersion = 0; ///< Of the inputs from which the share was computed.
-
-    /// Returns the time until the server may be sent a request, given its limit and its Retry-After.
-    Duration untilAllowed(TimePoint now) const { return std::max(rateLimit.untilAllowed(now), std::max(Duration {}, Duration(retryNotBefore - now))); }
+    TimePoint warmUntil {}; ///< End of the warm-up, as its entry or a response said.
+    ServerRateLimit warmupLimit; ///< This instance's share of what the server takes while it warms up.
+    std::uint64_t warmupShareVersion = 0; ///< Of the inputs from which that share was computed.
+
+    /// Returns the time until the server may be sent a request, given its limit, its warm-up and its Retry-After.
+    Duration untilAllowed(TimePoint now) const
+    {
+        const auto warmup = now < warmUntil ? std::min(warmupLimit.untilAllowed(now), Duration(warmUntil - now)) : Duration {};
+        return std::max({ rateLimit.untilAllowed(now), warmup, Duration(retryNotBefore - now), Duration {} });
+    }
     bool takesNewWork() const { return isListed && !isLeaving && !entry.isDraining && !isInDrainedZone; }
 };
 
@@ -103,6 +110,11 @@
     /// Records the request rate that the server allows, in requests per second, as advertised in its last response; empty: any.
     void recordLimit(TrackedServer&, std::optional<double> limit, TimePoint);
 
+    /// Sets the request rates that the servers of each service take while they warm up. Without a rate there is no limit.
+    void setWarmupRates(const std::map<ServiceName, ServicePolicy>&);
+    /// Records that the server warms up for so long. Precondition: the duration is positive.
+    void recordWarmup(TrackedServer&, Duration, TimePoint);
+
     static void recordSent(TrackedServer&, TimePoint);
     /// Records the end of an attempt, with or without a response. Precondition: recordSent() was called for the attempt.
     static void recordEnd(TrackedServer&, TimePoint);
@@ -130,6 +142,9 @@
     std::uint32_t connectionShare(const ServicePolicy&) const;
     bool isSilent(const TrackedServer&, const PickContext&) const;
     ServiceReach reachOf(const ServiceName&) const;
+    /// Sets this instance's share of what the server takes while it warms up.
+    void limitWarmup(TrackedServer&, TimePoint);
+    void limitWarmups(TimePoint);
 
     const ForwardSettings& m_settings;
     RandomSource& m_random;
@@ -141,6 +156,7 @@
     LimitSharing m_sharing;
     std::set<ServiceName> m_directServices;
     std::set<ZoneName> m_drainedZones;
+    std::map<ServiceName, double> m_warmupRates; ///< The rates that are divided among the instances.
     std::uint64_t m_shareVersion = 1; ///< Changes with each input of the shares.
     TimePoint m_nextShareChange = never;
     std::map<ServerName, TrackedServerPtr> m_servers;
--- a/tests/adapter/wire_test.cpp
+++ b/tests/adapter/wire_test.cpp
@@ -64,6 +64,9 @@
         CHECK(servers.read(response(200, { { "Server-Leaving", "1" } }), "id1").isLeaving);
         CHECK_FALSE(servers.read(response(200, { { "Server-Leaving", "0" } }), "id1").isLeaving);
         CHECK_FALSE(servers.read(response(200, {}), "id1").isLeaving);
+        CHECK(servers.read(response(200, { { "Lycheefield-Warmup-Ms", "2500" } }), "id1").warmupLeft == 2500ms);
+        for (const auto* text : { "", "-1", "2.5", "soon" })
+            CHECK(servers.read(response(200, { { "Lycheefield-Warmup-Ms", text } }), "id1").warmupLeft == Duration {});
     }
     SUBCASE("a limit is a decimal number of requests per second; anything else is none")
     {
--- a/tests/forward/lost_responses_test.cpp
+++ b/tests/forward/lost_responses_test.cpp
@@ -52,31 +52,31 @@
 TEST_CASE("Searches are served while many servers lose responses by broken connections" * doctest::test_suite("forward"))
 {
     for (const auto lost : { 0.05, 0.1, 0.2 }) {
-    ForwardTestBed testBed(settingsInZoneA());
-    testBed.setServersSurvive(true);
-    std::vector<std::string> shards;
-    for (int i = 0; i < shardCount; ++i) {
-        shards.push_back("s" + std::to_string(i));
-        for (int k = 0; k < replicas; ++k) {
-            ServerModel model;
-            model.work = 15ms;
-            testBed.addServer(shards.back(), serverName(i, k), "a", model);
+        ForwardTestBed testBed(settingsInZoneA());
+        testBed.setServersSurvive(true);
+        std::vector<std::string> shards;
+        for (int i = 0; i < shardCount; ++i) {
+            shards.push_back("s" + std::to_string(i));
+            for (int k = 0; k < replicas; ++k) {
+                ServerModel model;
+                model.work = 15ms;
+                testBed.addServer(shards.back(), serverName(i, k), "a", model);
+            }
         }
-    }
-    auto route = testBed.searchRoute(shards);
-    route.targetLatency = 150ms;
-    route.minCoverage = Share { 0.95 };
-    search(testBed, route, 1s);
-    for (int i = 0; i < shardCount * replicas; i += 2)
-        testBed.model(serverName(i / replicas, i % replicas)).lostShare = lost;
-    const auto result = search(testBed, route, 4s);
-    CAPTURE(lost);
-    std::string reasons;
-    for (const auto& [reason, count] : result.reasons)
-        reasons += reason + ": " + std::to_string(count) + "; ";
-    CAPTURE(reasons);
-    CAPTURE(result.served);
-    CHECK(result.inTime == result.requests);
+        auto route = testBed.searchRoute(shards);
+        route.targetLatency = 150ms;
+        route.minCoverage = Share { 0.95 };
+        search(testBed, route, 1s);
+        for (int i = 0; i < shardCount * replicas; i += 2)
+            testBed.model(serverName(i / replicas, i % replicas)).lostShare = lost;
+        const auto result = search(testBed, route, 4s);
+        CAPTURE(lost);
+        std::string reasons;
+        for (const auto& [reason, count] : result.reasons)
+            reasons += reason + ": " + std::to_string(count) + "; ";
+        CAPTURE(reasons);
+        CAPTURE(result.served);
+        CHECK(result.inTime == result.requests);
     }
 }
 
