--- a/tests/soak/soak_backend.cpp
+++ b/tests/soak/soak_backend.cpp
@@ -108,6 +108,8 @@
         return exchange->respond(std::move(response));
     }
     countForLimit();
+    if (SteadyClock().now() > zoneDrainDeadline)
+        m_checker.fail("a server received a request after the limit on the drain of its zone had passed");
     if (CrashingRequests::isOne(request))
         return runCrashing(request, exchange);
     if (SteadyClock().now() > drainDeadline)
--- a/tests/soak/soak_backend.h
+++ b/tests/soak/soak_backend.h
@@ -38,6 +38,7 @@
     /// Ends the server as a crash does; it is back seconds later.
     void crash();
     const std::string& name() const { return m_name; }
+    const std::string& zone() const { return m_zone; }
     const std::string& service() const { return m_service; }
     /// Makes the server advertise a limit of requests per second, or none.
     void setLimit(std::optional<double>);
@@ -45,6 +46,8 @@
     void checkLimit() { m_limitCheckedFrom = SteadyClock().now(); }
     /// Time after which a request to the draining server is a violation; `never` while it serves.
     TimePoint drainDeadline = never;
+    /// The same while the server's zone is drained.
+    TimePoint zoneDrainDeadline = never;
 
 private:
     HttpResponse run(const HttpRequest&);
--- a/tests/soak/soak_test_bed.cpp
+++ b/tests/soak/soak_test_bed.cpp
@@ -133,7 +133,7 @@
     for (std::size_t i = 0; i < m_settings.gateways; ++i) {
         auto node = std::make_unique<Node>();
         node->storeLink = std::make_unique<FaultLink>(m_io, m_storeEndpoint);
-        node->process = std::make_unique<GatewayProcess>(m_settings.program, m_settings.folder, "g" + std::to_string(i), zones[i % zones.size()], node->storeLink->endpoint(), GatewayProcessOptions { .maxDescriptors = maxDescriptors });
+        node->process = std::make_unique<GatewayProcess>(m_settings.program, m_settings.folder, "g" + std::to_string(i), zones[i % zones.size()], node->storeLink->endpoint(), GatewayProcessOptions { .settings = "[gateway]\nzone_drain_limit = 3000ms\n", .maxDescriptors = maxDescriptors });
         node->process->start();
         for (std::size_t n = 0; n < callerAddresses; ++n)
             node->callerLinks.push_back(std::make_unique<FaultLink>(m_io, node->process->callers(), "127.0.0." + std::to_string(2 + n)));
@@ -231,6 +231,25 @@
     });
 }
 
+void SoakTestBed::drainZone(const std::string& zone)
+{
+    if (!areAllUndisturbed())
+        return;
+    ++m_faults["drain of a zone"];
+    m_store.put("evacuations", zone, "{}");
+    const auto setDeadlines = [this, zone](TimePoint deadline) {
+        for (const auto& it : m_backends) {
+            if (it->zone() == zone)
+                it->zoneDrainDeadline = deadline;
+        }
+    };
+    setDeadlines(m_clock.now() + drainLimit);
+    runAfter(drainLimit + 1400ms, [this, zone, setDeadlines] {
+        setDeadlines(never);
+        m_store.remove("evacuations", zone);
+    });
+}
+
 void SoakTestBed::injectServerFault()
 {
     auto& server = *m_backends[m_random.below(m_backends.size())];
@@ -391,6 +410,7 @@
         ++m_faults["limit"];
         limited.checkLimit();
         drain(*m_backends[m_random.below(m_backends.size())]);
+        drainZone(zones[m_version % zones.size()]);
         const auto before = m_version;
         m_version += 1 + m_random.below(5);
         publishConfiguration();
@@ -404,6 +424,9 @@
     const auto sent = m_lastRequestNumber - before;
     if (static_cast<double>(served) < minServedAfterRecovery * static_cast<double>(sent))
         m_checker.fail("after the last fault only " + std::to_string(served) + " of " + std::to_string(sent) + " requests were served");
+    // All gateways are undisturbed by now, so each run has one drain of a zone at least.
+    drainZone(zones[m_settings.seed % zones.size()]);
+    runFor(drainLimit + 1500ms);
     m_isSending = false;
     runFor(4s);
     m_checker.checkAll();
--- a/tests/soak/soak_test_bed.h
+++ b/tests/soak/soak_test_bed.h
@@ -54,6 +54,8 @@
     void injectStoreFault();
     void injectServerFault();
     void drain(SoakBackend&);
+    /// Drains a zone, unless a gateway is disturbed, which may then act late.
+    void drainZone(const std::string&);
     void stopNode(Node&, int signal);
     /// Restarts processes that have ended; an unexpected end is a violation.
     void watchProcesses();
