--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -121,7 +121,8 @@
         const auto now = m_clock->now();
         logZoneDrains(m_zoneDrains.replaceAll(zones, now), m_registry.servers(), now, m_log);
         m_driver.setDrainedZones(zones);
-        useHeldServers();
+        if (m_holdsServers)
+            publishServers();
     }
 
     void onStoreReachable(bool isReachable)
@@ -279,15 +280,6 @@
             logState(isReady ? "ready" : "not ready", {});
     }
 
-    /// Lets the known servers get work once it is known which zones are drained, or can't be learned.
-    void useHeldServers()
-    {
-        if (!m_holdsServers || !m_zoneDrains.mayUseServers(m_clock->now()))
-            return;
-        publishServers();
-        updateReadiness();
-    }
-
     void publishServers()
     {
         m_holdsServers = !m_zoneDrains.mayUseServers(m_clock->now());
@@ -295,6 +287,7 @@
             return;
         m_driver.setServers(m_registry.servers());
         logState("server list updated", { { "count", std::to_string(m_registry.servers().size()) } });
+        updateReadiness();
     }
 
     void runHousekeeping()
@@ -304,9 +297,8 @@
         m_driver.closeStaleConnections();
         updateReadiness();
         m_delegation.shareCrashes(m_driver.crashAnnouncements());
-        if (m_registry.expire(m_clock->now()))
+        if (m_registry.expire(m_clock->now()) || m_holdsServers)
             publishServers();
-        useHeldServers();
         const auto untilExpiry = m_registry.nextExpiry() == never ? housekeepingPeriod : Duration(m_registry.nextExpiry() - m_clock->now());
         scheduleHousekeeping(std::clamp(untilExpiry, Duration(1), housekeepingPeriod));
     }
--- a/tests/forward/forward_test_bed.h
+++ b/tests/forward/forward_test_bed.h
@@ -52,6 +52,8 @@
     void startRequest(const ForwardRequest&);
     /// Sets the content of later requests.
     void setContent(Fingerprint content) { m_content = content; }
+    /// Sets the team of the callers of later requests.
+    void setTeam(const TeamName& team) { m_team = team; }
     /// Breaks the connections of all server requests in flight at once, as servers do that crash.
     void crashServersInFlight();
     /// Sets whether servers whose connections break still run; by default they have crashed.
@@ -122,6 +124,7 @@
 
     Duration m_networkTime {};
     Fingerprint m_content { 1 };
+    TeamName m_team;
     bool m_serversSurvive = false;
     std::vector<ReportContentCrash> m_reportedCrashes;
     SeededRandom m_random { 7 };
