--- a/tests/adapter/server_connections_test.cpp
+++ b/tests/adapter/server_connections_test.cpp
@@ -89,7 +89,9 @@
 
 TEST_CASE("A refused attempt is sent again on another connection, where no late copy of its refusal can arrive" * doctest::test_suite("adapter"))
 {
-    for (const auto& [isIdempotent, isOtherServer] : { std::pair(false, false), std::pair(true, false), std::pair(false, true), std::pair(true, true) }) {
+    for (int i = 0; i < 4; ++i) {
+        const bool isIdempotent = i % 2 == 1;
+        const bool isOtherServer = i / 2 == 1;
         CAPTURE(isIdempotent);
         CAPTURE(isOtherServer);
         ConnectionsFixture fixture;
