--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,11 +4,9 @@
 #include "gateway/forward_counters_metrics.h"
 #include "gateway/forward_driver.h"
 #include "gateway/key_admission.h"
-#include "gateway/leaving_servers_log.h"
+#include "gateway/known_servers.h"
 #include "gateway/port_opener.h"
-#include "gateway/zone_drain_log.h"
 #include "observe/handler_loop.h"
-#include "placement/zone_drains.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -57,8 +55,7 @@
         , m_delegateChooser(settings.instance.name, settings.instance.zone)
         , m_delegation({ m_io, m_strand, m_clock, m_driver, m_metrics, m_log, *this }, m_delegateChooser, settings.instance.name, settings.instance.zone)
         , m_quotas(m_strand, *m_clock, m_driver, m_metrics, settings.instance.name, settings.admission)
-        , m_registry(settings.gateway.renewalPeriod)
-        , m_zoneDrains(settings.gateway.zoneDrainLimit)
+        , m_servers(settings.gateway.renewalPeriod, settings.gateway.zoneDrainLimit, *m_clock, m_driver, m_log)
         , m_loop(m_io, m_metrics, [this](std::string_view why) { logState("handler threw an exception; its request ends, others continue", { { "why", why } }); })
         , m_ports(m_strand, *m_clock, *this)
         , m_readiness([this] { return HttpResponse { isReady() ? ok : unavailable, "text/plain", isReady() ? "ready\n" : "not ready\n" }; })
@@ -104,41 +101,17 @@
 
     void onServers(const ServerChanges& changes)
     {
-        const auto now = m_clock->now();
-        bool changed = changes.isFullList ? m_registry.replaceAll(changes.listed, now) : putAll(changes.listed, now);
-        for (const auto& it : changes.removed)
-            changed = m_registry.remove(it, now) || changed;
-        m_hasServers = true;
-        m_zoneDrains.recordServersKnown(now);
-        logLeavingServers(changes, m_clock->now(), m_log);
-        if (changed)
-            publishServers();
+        m_servers.apply(changes);
         updateReadiness();
     }
 
     void onDrainedZones(const std::set<ZoneName>& zones)
     {
-        const auto now = m_clock->now();
-        logZoneDrains(m_zoneDrains.replaceAll(zones, now), m_registry.servers(), now, m_log);
-        m_driver.setDrainedZones(zones);
-        if (m_holdsServers)
-            publishServers();
+        m_servers.setDrainedZones(zones);
+        updateReadiness();
     }
 
-    void onStoreReachable(bool isReachable)
-    {
-        if (isReachable == m_isStoreReachable)
-            return;
-        m_isStoreReachable = isReachable;
-        logState(isReachable ? "store reachable" : "store unreachable; keeping the last known servers", {});
-        const auto now = m_clock->now();
-        // Entries that are removed during an outage may only have expired, so the registry keeps their servers for a while.
-        if (!isReachable)
-            return m_registry.recordStoreUnreachable(now);
-        m_registry.recordStoreReachable(now);
-        if (m_registry.expire(now))
-            publishServers();
-    }
+    void onStoreReachable(bool isReachable) { m_servers.setStoreReachable(isReachable); }
 
     void onInstances(const std::vector<Instance>& instances, bool isSettled, bool hadPredecessor)
     {
@@ -251,14 +224,6 @@
         return forward;
     }
 
-    bool putAll(const std::vector<ServerEntry>& entries, TimePoint now)
-    {
-        bool changed = false;
-        for (const auto& it : entries)
-            changed = m_registry.put(it, now) || changed;
-        return changed;
-    }
-
     /// Returns the keys whose text had no value or one outside the range, separated by blanks.
     std::string adjustedKeys() const
     {
@@ -275,32 +240,21 @@
     void updateReadiness()
     {
         const bool canAdmitKeys = m_keyAdmission.update(m_driver.routes().get());
-        const bool isReady = m_driver.routes() && m_hasServers && !m_holdsServers && canAdmitKeys && m_ports.areRequiredOpen() && !m_isStopping;
+        const bool isReady = m_driver.routes() && m_servers.mayGetWork() && canAdmitKeys && m_ports.areRequiredOpen() && !m_isStopping;
         if (m_isReady.exchange(isReady) != isReady)
             logState(isReady ? "ready" : "not ready", {});
     }
 
-    void publishServers()
-    {
-        m_holdsServers = !m_zoneDrains.mayUseServers(m_clock->now());
-        if (m_holdsServers)
-            return;
-        m_driver.setServers(m_registry.servers());
-        logState("server list updated", { { "count", std::to_string(m_registry.servers().size()) } });
-        updateReadiness();
-    }
-
     void runHousekeeping()
     {
         // Scheduled first, so that an exception does not end it.
         scheduleHousekeeping(housekeepingPeriod);
         m_driver.closeStaleConnections();
-        updateReadiness();
         m_delegation.shareCrashes(m_driver.crashAnnouncements());
-        if (m_registry.expire(m_clock->now()) || m_holdsServers)
-            publishServers();
-        const auto untilExpiry = m_registry.nextExpiry() == never ? housekeepingPeriod : Duration(m_registry.nextExpiry() - m_clock->now());
-        scheduleHousekeeping(std::clamp(untilExpiry, Duration(1), housekeepingPeriod));
+        m_servers.review();
+        updateReadiness();
+        const auto untilReview = m_servers.nextReview() == never ? housekeepingPeriod : Duration(m_servers.nextReview() - m_clock->now());
+        scheduleHousekeeping(std::clamp(untilReview, Duration(1), housekeepingPeriod));
     }
 
     void scheduleHousekeeping(Duration delay)
@@ -369,10 +323,10 @@
     {
         registerForwardCounters(m_metrics, m_driver.counters());
         m_metrics.gauge("lycheefield_ready", [this] { return isReady() ? 1 : 0; });
-        m_metrics.gauge("lycheefield_store_reachable", [this] { return m_isStoreReachable ? 1 : 0; });
+        m_metrics.gauge("lycheefield_store_reachable", [this] { return m_servers.isStoreReachable() ? 1 : 0; });
         m_metrics.gauge("lycheefield_configuration_version", [this] { return m_driver.routes() ? static_cast<double>(m_driver.routes()->version) : 0; });
-        m_metrics.gauge("lycheefield_servers", [this] { return static_cast<double>(m_registry.servers().size()); });
-        m_metrics.gauge("lycheefield_drained_zones", [this] { return static_cast<double>(m_zoneDrains.count()); });
+        m_metrics.gauge("lycheefield_servers", [this] { return static_cast<double>(m_servers.count()); });
+        m_metrics.gauge("lycheefield_drained_zones", [this] { return static_cast<double>(m_servers.drainedZones()); });
         m_metrics.gauge("lycheefield_server_connections", [this] { return static_cast<double>(m_driver.serverConnections()); });
         m_metrics.gauge("lycheefield_requests_leaving_zone_share", [this] { return m_driver.highestLeftShare(); });
         m_metrics.gauge("lycheefield_requests_in_flight", [this] { return static_cast<double>(m_driver.inFlight()); });
@@ -394,8 +348,7 @@
     StoreFollower* m_follower = nullptr;
     QuarantineStore* m_quarantineStore = nullptr;
     Endpoint m_inner;
-    ServerRegistry m_registry;
-    ZoneDrains m_zoneDrains;
+    KnownServers m_servers;
     HandlerLoop m_loop;
     PortOpener m_ports;
     ComputedResponse m_readiness;
@@ -409,9 +362,6 @@
     boost::asio::steady_timer m_housekeeping;
     boost::asio::steady_timer m_drainTimer;
     std::atomic<bool> m_isReady { false };
-    bool m_hasServers = false;
-    bool m_holdsServers = false; ///< The servers get no work yet, because the drained zones are not known.
-    bool m_isStoreReachable = false;
     bool m_isStopping = false;
     bool m_isClosing = false; ///< New connections are not accepted any more.
     TimePoint m_stopStartedAt {};
--- /dev/null
+++ b/src/gateway/known_servers.cpp
@@ -0,0 +1,79 @@
+#include "gateway/known_servers.h"
+
+#include "gateway/leaving_servers_log.h"
+#include "gateway/zone_drain_log.h"
+
+#include <string>
+
+namespace lycheefield {
+
+KnownServers::KnownServers(Duration renewalPeriod, Duration zoneDrainLimit, const Clock& clock, ForwardDriver& driver, DecisionLog& log)
+    : m_clock(clock)
+    , m_driver(driver)
+    , m_log(log)
+    , m_registry(renewalPeriod)
+    , m_drains(zoneDrainLimit)
+{
+}
+
+bool KnownServers::putAll(const std::vector<ServerEntry>& entries, TimePoint now)
+{
+    bool changed = false;
+    for (const auto& it : entries)
+        changed = m_registry.put(it, now) || changed;
+    return changed;
+}
+
+void KnownServers::apply(const ServerChanges& changes)
+{
+    const auto now = m_clock.now();
+    bool changed = changes.isFullList ? m_registry.replaceAll(changes.listed, now) : putAll(changes.listed, now);
+    for (const auto& it : changes.removed)
+        changed = m_registry.remove(it, now) || changed;
+    m_isListed = true;
+    m_drains.recordServersKnown(now);
+    logLeavingServers(changes, now, m_log);
+    if (changed)
+        publish();
+}
+
+void KnownServers::setDrainedZones(const std::set<ZoneName>& zones)
+{
+    const auto now = m_clock.now();
+    logZoneDrains(m_drains.replaceAll(zones, now), m_registry.servers(), now, m_log);
+    m_driver.setDrainedZones(zones);
+    if (m_isHeld)
+        publish();
+}
+
+void KnownServers::setStoreReachable(bool isReachable)
+{
+    if (isReachable == m_isStoreReachable)
+        return;
+    m_isStoreReachable = isReachable;
+    logState(isReachable ? "store reachable" : "store unreachable; keeping the last known servers", {});
+    const auto now = m_clock.now();
+    // Entries that are removed during an outage may only have expired, so the registry keeps their servers for a while.
+    if (!isReachable)
+        return m_registry.recordStoreUnreachable(now);
+    m_registry.recordStoreReachable(now);
+    if (m_registry.expire(now))
+        publish();
+}
+
+void KnownServers::review()
+{
+    if (m_registry.expire(m_clock.now()) || m_isHeld)
+        publish();
+}
+
+void KnownServers::publish()
+{
+    m_isHeld = !m_drains.mayUseServers(m_clock.now());
+    if (m_isHeld)
+        return;
+    m_driver.setServers(m_registry.servers());
+    logState("server list updated", { { "count", std::to_string(m_registry.servers().size()) } });
+}
+
+}
