--- a/src/admission/quota_ranking.cpp
+++ b/src/admission/quota_ranking.cpp
@@ -4,10 +4,19 @@
 #include "membership/rendezvous.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace lycheefield {
 
+namespace {
+
+/// Instances that keep quotas, so that the loss of one concerns few teams; in large fleets one of so many.
+constexpr std::size_t minCandidates = 8;
+constexpr std::size_t instancesPerCandidate = 16;
+
+}
+
 void QuotaRanking::setTeams(const std::vector<TeamName>& teams)
 {
     std::unordered_map<TeamName, QuotaKeepers> keepers;
@@ -22,6 +31,25 @@
     m_keepers = std::move(keepers);
 }
 
+std::size_t QuotaRanking::keepersAmong(std::size_t instances)
+{
+    return std::min(instances, std::max(minCandidates, instances / instancesPerCandidate));
+}
+
+QuotaRanking::Weights QuotaRanking::candidatesOf(const Weights& weights)
+{
+    std::vector<const Weights::value_type*> order;
+    for (const auto& it : weights)
+        order.push_back(&it);
+    const auto keyOf = [](const Weights::value_type* it) { return std::tuple(-it->second, stableHash(it->first.value())); };
+    std::sort(order.begin(), order.end(), [&](const auto* a, const auto* b) { return keyOf(a) < keyOf(b); });
+    order.resize(keepersAmong(order.size()));
+    Weights candidates;
+    for (const auto* it : order)
+        candidates.insert(*it);
+    return candidates;
+}
+
 bool QuotaRanking::setInstances(const std::vector<Instance>& instances)
 {
     Weights weights;
@@ -29,31 +57,32 @@
         weights.emplace(it.name, it.cores);
     if (weights == m_weights)
         return false;
-    std::vector<const InstanceName*> lost;
-    for (const auto& [name, weight] : m_weights) {
-        const auto it = weights.find(name);
-        if (it == weights.end() || it->second != weight)
-            lost.push_back(&name);
+    m_weights = std::move(weights);
+    setCandidates(candidatesOf(m_weights));
+    return true;
+}
+
+void QuotaRanking::setCandidates(const Weights& candidates)
+{
+    std::vector<InstanceName> lost;
+    for (const auto& [name, weight] : m_candidates) {
+        const auto it = candidates.find(name);
+        if (it == candidates.end() || it->second != weight)
+            lost.push_back(name);
     }
-    const auto isLost = [&](const InstanceName* name) { return std::find(lost.begin(), lost.end(), name) != lost.end(); };
-    std::vector<const TeamName*> unranked;
-    for (const auto& [team, keepers] : m_keepers) {
+    const auto isLost = [&](const InstanceName* name) { return name && std::find(lost.begin(), lost.end(), *name) != lost.end(); };
+    for (auto& [team, keepers] : m_keepers) {
         if (isLost(keepers.keeper) || isLost(keepers.standby))
-            unranked.push_back(&team);
+            keepers = {};
     }
-    std::vector<InstanceName> lostNames;
-    for (const auto* it : lost)
-        lostNames.push_back(*it);
-    for (const auto& it : lostNames)
-        m_weights.erase(it);
+    for (const auto& it : lost)
+        m_candidates.erase(it);
     std::vector<const Weights::value_type*> added;
-    for (const auto& it : weights) {
-        const auto [place, isNew] = m_weights.insert(it);
+    for (const auto& it : candidates) {
+        const auto [place, isNew] = m_candidates.insert(it);
         if (isNew)
             added.push_back(&*place);
     }
-    for (const auto* it : unranked)
-        m_keepers[*it] = {};
     for (auto& [team, keepers] : m_keepers) {
         if (!keepers.keeper || !keepers.standby) {
             rank(team, keepers);
@@ -62,7 +91,6 @@
         for (const auto* it : added)
             place(team, *it, keepers);
     }
-    return true;
 }
 
 double QuotaRanking::score(const TeamName& team, const Weights::value_type& instance) const
@@ -76,7 +104,7 @@
     double best = -1;
     double second = -1;
     const auto seed = stableHash(team.value());
-    for (const auto& [name, weight] : m_weights) {
+    for (const auto& [name, weight] : m_candidates) {
         const auto score = rendezvousScore(stableHash(name.value(), seed), weight);
         if (score > best) {
             second = std::exchange(best, score);
@@ -90,7 +118,7 @@
 
 void QuotaRanking::place(const TeamName& team, const Weights::value_type& instance, QuotaKeepers& keepers) const
 {
-    const auto isBefore = [&](const InstanceName* other) { return !other || score(team, instance) > score(team, *m_weights.find(*other)); };
+    const auto isBefore = [&](const InstanceName* other) { return !other || score(team, instance) > score(team, *m_candidates.find(*other)); };
     if (isBefore(keepers.keeper))
         keepers = { &instance.first, keepers.keeper };
     else if (isBefore(keepers.standby))
--- a/src/admission/quota_ranking.h
+++ b/src/admission/quota_ranking.h
@@ -20,6 +20,8 @@
 
 /// Ranks the instances for each team by rendezvous hashing, weighted by their processor cores. All instances with the same list rank alike.
 ///
+/// Only the instances with the most processor keep quotas, so that each instance soon has an open connection to all that do: a
+/// request waits for their answer.
 /// A change of the list costs time in proportion to the teams and to the instances that were added or lost. Performs no I/O. Not thread safe.
 class QuotaRanking {
 public:
@@ -32,17 +34,23 @@
     QuotaKeepers keepersOf(const TeamName& team) const { return m_keepers.at(team); }
     /// The number of instances that are ranked before this one.
     std::size_t rankOf(const TeamName&, const InstanceName&) const;
+    /// Returns how many of that number of instances keep quotas.
+    static std::size_t keepersAmong(std::size_t instances);
     bool contains(const InstanceName& name) const { return m_weights.contains(name); }
     std::size_t instances() const { return m_weights.size(); }
 
 private:
     using Weights = std::map<InstanceName, double>;
 
+    static Weights candidatesOf(const Weights&);
     double score(const TeamName&, const Weights::value_type&) const;
+    /// Replaces the instances that may keep quotas, and ranks the teams again that this concerns.
+    void setCandidates(const Weights&);
     void rank(const TeamName&, QuotaKeepers&) const;
     void place(const TeamName&, const Weights::value_type&, QuotaKeepers&) const;
 
-    Weights m_weights;
+    Weights m_weights; ///< Of all instances.
+    Weights m_candidates; ///< Of those that may keep quotas.
     std::unordered_map<TeamName, QuotaKeepers> m_keepers;
 };
 
