--- a/src/admission/quota_engine.cpp
+++ b/src/admission/quota_engine.cpp
@@ -85,6 +85,13 @@
     updateRoles(m_grantsFrom);
 }
 
+std::set<InstanceName> QuotaEngine::keepers() const
+{
+    auto names = m_ranking.candidates();
+    names.erase(m_self);
+    return names;
+}
+
 void QuotaEngine::updateRoles(TimePoint grantsFrom)
 {
     for (const auto& team : m_client.teams()) {
--- a/src/admission/quota_engine.h
+++ b/src/admission/quota_engine.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,10 @@
     /// of this instance was listed when this one started, so that the fleet knows it already. askedAt: when the list was asked for.
     void setInstances(const std::vector<Instance>&, bool hadPredecessor, TimePoint askedAt, TimePoint now);
 
+    bool hasQuotas() const { return !m_client.teams().empty(); }
+    /// The other instances that may keep quotas.
+    std::set<InstanceName> keepers() const;
+
     /// A request of this team wants to be admitted. AdmitRequest or RefuseRequest follows once, now or within tenths of a second, unless onCancel() is called.
     void onRequest(RequestNumber, const TeamName&, TimePoint, QuotaActions&);
     /// The caller of a waiting request has disconnected.
--- a/src/admission/quota_ranking.cpp
+++ b/src/admission/quota_ranking.cpp
@@ -36,6 +36,14 @@
     return std::min(instances, std::max(minCandidates, instances / instancesPerCandidate));
 }
 
+std::set<InstanceName> QuotaRanking::candidates() const
+{
+    std::set<InstanceName> names;
+    for (const auto& [name, weight] : m_candidates)
+        names.insert(name);
+    return names;
+}
+
 QuotaRanking::Weights QuotaRanking::candidatesOf(const Weights& weights)
 {
     std::vector<const Weights::value_type*> order;
--- a/src/admission/quota_ranking.h
+++ b/src/admission/quota_ranking.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -34,6 +35,8 @@
     QuotaKeepers keepersOf(const TeamName& team) const { return m_keepers.at(team); }
     /// The number of instances that are ranked before this one.
     std::size_t rankOf(const TeamName&, const InstanceName&) const;
+    /// Returns the instances that may keep quotas.
+    std::set<InstanceName> candidates() const;
     /// Returns how many of that number of instances keep quotas.
     static std::size_t keepersAmong(std::size_t instances);
     bool contains(const InstanceName& name) const { return m_weights.contains(name); }
--- a/src/gateway/quota_driver.cpp
+++ b/src/gateway/quota_driver.cpp
@@ -26,11 +26,25 @@
 void QuotaDriver::setTeams(const TeamDirectory* teams)
 {
     callEngine([&](TimePoint now, QuotaActions& actions) { m_engine.setTeams(teams ? teams->teams() : std::vector<Team>(), now, actions); });
+    connectToKeepers();
 }
 
 void QuotaDriver::setInstances(const std::vector<Instance>& instances, bool hadPredecessor, TimePoint askedAt)
 {
     callEngine([&](TimePoint now, QuotaActions&) { m_engine.setInstances(instances, hadPredecessor, askedAt, now); });
+    connectToKeepers();
+}
+
+void QuotaDriver::connectToKeepers()
+{
+    if (!m_delegation || !m_engine.hasQuotas())
+        return;
+    const auto keepers = m_engine.keepers();
+    for (const auto& it : keepers) {
+        if (!m_connected.contains(it))
+            m_delegation->send(it, QuotaCall {});
+    }
+    m_connected = keepers;
 }
 
 void QuotaDriver::onRequest(RequestNumber number, const TeamName& team)
--- a/src/gateway/quota_driver.h
+++ b/src/gateway/quota_driver.h
@@ -10,6 +10,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
+#include <set>
+
 namespace lycheefield {
 
 /// Receives what the quotas decide about requests. Called on the strand, also from within QuotaDriver::onRequest().
@@ -49,6 +51,8 @@
         execute(actions);
     }
     void execute(const QuotaActions&);
+    /// Opens connections to the instances that keep quotas, so that no request waits for one.
+    void connectToKeepers();
     void setTimer();
 
     const Clock& m_clock;
@@ -57,6 +61,7 @@
     QuotaEngine m_engine;
     boost::asio::steady_timer m_timer;
     TimePoint m_timerAt = never;
+    std::set<InstanceName> m_connected; ///< Keepers to which a connection has been opened.
 };
 
 }
--- a/src/settings/setting_key.cpp
+++ b/src/settings/setting_key.cpp
@@ -205,6 +205,12 @@
     return text.find_first_of("0123456789") != std::string_view::npos;
 }
 
+/// Returns whether the text holds a placeholder that the platform has not filled in, because it doesn't know the name.
+bool hasPlaceholder(std::string_view text)
+{
+    return text.find("{{") != std::string_view::npos;
+}
+
 /// Returns whether the text is empty or one of the type's units alone.
 template <typename T>
 bool isUnitOf(std::string_view text)
@@ -275,6 +281,8 @@
 {
     return visitField(*this, settings, [&](auto* member) {
         using T = std::remove_pointer_t<decltype(member)>;
+        if (isFigure && hasPlaceholder(text))
+            return SettingOutcome::Unset;
         if (isFigure && !hasDigit(text))
             return isUnitOf<T>(text) ? SettingOutcome::Unset : SettingOutcome::Refused;
         const auto value = ValueType<T>::parse(text);
--- a/tests/adapter/settings_template_test.cpp
+++ b/tests/adapter/settings_template_test.cpp
@@ -28,19 +28,29 @@
     }
 }
 
-/// Returns the text of the template with each placeholder replaced by its value.
-std::string fillTemplate(const Placeholders& values)
+std::string readTemplate()
 {
     std::ifstream file(LYCHEEFIELD_SOURCE_DIR "/deploy/gateway.ini");
     std::stringstream buf;
     buf << file.rdbuf();
-    std::string text = buf.str();
-    fillSections(text, values);
+    return buf.str();
+}
+
+void fillPlaceholders(std::string& text, const Placeholders& values)
+{
     for (const auto& [name, value] : values) {
         const auto placeholder = "{{" + name + "}}";
         for (auto at = text.find(placeholder); at != std::string::npos; at = text.find(placeholder))
             text.replace(at, placeholder.size(), value);
     }
+}
+
+/// Returns the text of the template with each placeholder replaced by its value.
+std::string fillTemplate(const Placeholders& values)
+{
+    auto text = readTemplate();
+    fillSections(text, values);
+    fillPlaceholders(text, values);
     REQUIRE(text.find("{{") == std::string::npos);
     return text;
 }
@@ -120,6 +130,19 @@
         CHECK(settingsOf(values).forward.retryRatio.value == doctest::Approx(0.05));
     }
     // Guards against a gateway that ends at its start because the deployment lacks a bound.
+    SUBCASE("A platform that knows neither sections nor the newer bounds leaves their defaults")
+    {
+        auto text = readTemplate();
+        fillPlaceholders(text, wholeNumbers());
+        const auto parsed = parseSettings(text, "gateway.ini");
+        if (const auto* errors = std::get_if<std::vector<SettingError>>(&parsed))
+            FAIL(errors->front());
+        const auto& settings = std::get<Settings>(parsed);
+        CHECK(settings.gateway.zoneDrainLimit == 0s);
+        CHECK(settings.admission == AdmissionSettings());
+        CHECK(settings.forward.warmupTolerance == ForwardSettings().warmupTolerance);
+        CHECK(settings.forward.retrySlack == 58);
+    }
     SUBCASE("Bounds that only some deployments have are taken where they are present")
     {
         auto values = wholeNumbers();
