--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -200,10 +200,6 @@
     void delegateLegs(Request&, TimePoint, ForwardActions&);
     /// Passes the round trips to other zones' instances to the server pool, once in a while.
     void learnNetworkTimes(TimePoint);
-    /// Returns whether the leg has a server in the zone that is neither silent nor failing.
-    bool hasUsableServersIn(const Request&, std::size_t leg, const ZoneName&, TimePoint);
-    /// Returns whether the leg is sent to servers of this zone: it has some there, and they can respond or no other zone has one that can.
-    bool isServedInZone(const Request&, std::size_t leg, TimePoint);
     void delegateRemoteLegs(Request&, std::vector<std::size_t> legs, TimePoint, ForwardActions&);
     /// Divides the legs into groups and delegates each to an instance of the zone.
     void delegateInGroups(Request&, const ZoneName&, const std::vector<std::size_t>& legs, TimePoint, ForwardActions&);
--- a/src/forward/forward_engine_delegation.cpp
+++ b/src/forward/forward_engine_delegation.cpp
@@ -42,7 +42,7 @@
     std::vector<std::size_t> far;
     for (std::size_t i = 0; i < request.legs.size(); ++i) {
         const auto& service = request.legs[i].service;
-        if (isServedInZone(request, i, now))
+        if (m_pool.hasServersIn(service, m_settings.zone))
             near.push_back(i);
         else if (m_pool.hasServers(service))
             far.push_back(i);
@@ -63,21 +63,6 @@
     }
 }
 
-bool ForwardEngine::hasUsableServersIn(const Request& request, std::size_t leg, const ZoneName& zone, TimePoint now)
-{
-    return m_pool.hasUsableServersIn(request.legs[leg].service, zone, contextFor(request.route(), request.legs[leg], now));
-}
-
-bool ForwardEngine::isServedInZone(const Request& request, std::size_t leg, TimePoint now)
-{
-    if (!m_pool.hasServersIn(request.legs[leg].service, m_settings.zone))
-        return false;
-    if (hasUsableServersIn(request, leg, m_settings.zone, now))
-        return true;
-    const auto zones = m_delegateChooser->zones();
-    return std::none_of(zones.begin(), zones.end(), [&](const auto& zone) { return hasUsableServersIn(request, leg, zone, now); });
-}
-
 std::size_t ForwardEngine::maxLocalLegs(const Route& route) const
 {
     return static_cast<std::size_t>(scaled(route.targetLatency, processorShareOfTarget * m_settings.cores.value) / processorTimePerLeg);
@@ -90,13 +75,13 @@
         for (const auto& zone : m_delegateChooser->zones()) {
             ZoneCoverage covered { zone, 0 };
             for (const auto it : legs)
-                covered.shards += hasUsableServersIn(request, it, zone, now) ? 1 : 0;
+                covered.shards += m_pool.hasServersIn(request.legs[it].service, zone) ? 1 : 0;
             coverage.push_back(std::move(covered));
         }
         const auto choice = m_delegateChooser->choose(coverage, now);
         if (!choice)
             return;
-        const auto isInZone = [&](std::size_t it) { return hasUsableServersIn(request, it, choice->zone, now); };
+        const auto isInZone = [&](std::size_t it) { return m_pool.hasServersIn(request.legs[it].service, choice->zone); };
         std::vector<std::size_t> inZone;
         std::copy_if(legs.begin(), legs.end(), std::back_inserter(inZone), isInZone);
         std::erase_if(legs, isInZone);
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -124,8 +124,6 @@
     bool hasServers(const ServiceName&) const;
     /// Returns whether the service has a server in the zone that accepts new work.
     bool hasServersIn(const ServiceName&, const ZoneName&) const;
-    /// Returns whether the service has a server in the zone that accepts new work and is neither silent nor failing.
-    bool hasUsableServersIn(const ServiceName&, const ZoneName&, const PickContext&) const;
     /// Returns whether the service has a server that accepts new work and is not among the tried ones.
     bool hasUntriedServers(const ServiceName&, const std::vector<TrackedServerPtr>& tried) const;
     /// Returns whether the service has a single server left whose last attempt did not fail and which is not among the crashed ones,
--- a/src/forward/server_pool_zones.cpp
+++ b/src/forward/server_pool_zones.cpp
@@ -39,16 +39,6 @@
     }
 }
 
-bool ServerPool::hasUsableServersIn(const ServiceName& service, const ZoneName& zone, const PickContext& context) const
-{
-    const auto it = m_byService.find(service);
-    if (it == m_byService.end())
-        return false;
-    return std::any_of(it->second.begin(), it->second.end(), [&](const auto& server) {
-        return server->takesNewWork() && server->entry.zone == zone && isResponsive(*server, context);
-    });
-}
-
 ZoneSpillInputs ServerPool::spillInputs(const ServiceName& service, const PickContext& context) const
 {
     ZoneSpillInputs inputs;
