--- a/src/forward/server_pool_zones.cpp
+++ b/src/forward/server_pool_zones.cpp
@@ -11,10 +11,8 @@
 constexpr double lateShare = 0.35;
 /// A longer median latency contains waits for slots, which must not make the servers' capacity look smaller.
 constexpr double maxRequestTimeShare = 0.25;
-/// Wait for a slot, as a share of the target latency, up to which a zone's own requests count as served in time.
+/// Wait for a slot, as a share of the target latency, up to which requests count as served in time.
 constexpr double maxWaitShare = 0.25;
-/// The same for requests of other zones; the difference is kept for the zone's own.
-constexpr double maxForeignWaitShare = 0.25;
 constexpr Duration spillReviewPeriod = 250ms;
 /// After this time without a request that would leave, a service's decision is forgotten.
 constexpr Duration spillLifetime = 2s;
@@ -49,7 +47,7 @@
         if (!isUsable)
             continue;
         const auto requestTime = scaled(inputs.requestTime, expectedSlowness(*server, context.now));
-        const auto maxWait = scaled(context.targetLatency, server->isInZone ? maxWaitShare : maxForeignWaitShare);
+        const auto maxWait = scaled(context.targetLatency, maxWaitShare);
         const auto tolerable = tolerableRequests(std::max(1U, server->entry.slots), requestTime, maxWait);
         const auto ahead = requestsAhead(*server, context.now);
         if (server->isInZone) {
--- a/src/gateway/news_distribution.cpp
+++ b/src/gateway/news_distribution.cpp
@@ -87,7 +87,8 @@
 
 std::vector<InstanceName> NewsDistribution::recipientsOfNewsFrom(const InstanceName& sender) const
 {
-    // Another instance of this zone queries the store as well and sends the news to the zone.
+    // Other instances send news to the first one only when they read the store in its place. Then one of its zone reads the store as well, and
+    // tells the zone.
     if (isFirstOfFleet())
         return {};
     const auto it = std::find_if(m_ranked.begin(), m_ranked.end(), [&](const auto& instance) { return instance.name == sender; });
