--- a/tests/forward/forward_test_bed.cpp
+++ b/tests/forward/forward_test_bed.cpp
@@ -193,7 +193,8 @@
 
 void ForwardTestBed::completeDue()
 {
-    for (auto& [name, server] : m_servers) {
+    for (auto& entry : m_servers) {
+        auto& server = entry.second;
         while (!server.model.isSilent) {
             const auto it = std::find_if(server.running.begin(), server.running.end(), [&](const auto& run) { return run.first <= m_now; });
             if (it == server.running.end())
