--- a/src/forward/fair_queue.cpp
+++ b/src/forward/fair_queue.cpp
@@ -128,7 +128,7 @@
             break;
         const auto turn = turnOf(group, leg);
         for (const auto& [team, flow] : group.flows) {
-            // At equal turns the older leg goes first; the count assumes that of the other team's.
+            // At equal turns the older leg goes first; the count assumes that the other team's leg is older.
             const auto end = turn + (team == leg.team ? 0 : 1);
             const bool isMoreUrgent = key < leg.priority();
             ahead += isMoreUrgent ? flow.legs.size() : std::min<std::size_t>(flow.legs.size(), std::max(end, flow.start) - flow.start);
