--- a/src/http/http_client_connection.cpp
+++ b/src/http/http_client_connection.cpp
@@ -1,20 +1,18 @@
 #include "http/http_client_connection.h"
 
+#include "http/http_response_reader.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <optional>
 
 namespace lycheefield {
 
-namespace http = boost::beast::http;
-
 namespace {
 
 constexpr std::size_t readBytes = 4 * 1024;
@@ -76,7 +74,7 @@
         m_inFlight = true;
         m_outgoing = formatRequest(request, m_host);
         m_writing = true;
-        resetParser();
+        m_reader.emplace(m_limits);
         boost::asio::async_write(m_socket, boost::asio::buffer(m_outgoing), [self = shared_from_this()](const boost::system::error_code& ec, std::size_t) {
             self->m_writing = false;
             if (ec)
@@ -110,14 +108,6 @@
             events->onConnected();
     }
 
-    void resetParser()
-    {
-        m_parser.emplace();
-        m_parser->header_limit(m_limits.maxHeaderBytes);
-        m_parser->body_limit(m_limits.maxBodyBytes);
-        m_parser->eager(true);
-    }
-
     void readMore()
     {
         m_socket.async_read_some(m_buffer.prepare(readBytes),
@@ -144,10 +134,7 @@
 
     void onReadError(const boost::system::error_code& ec)
     {
-        boost::system::error_code parseError;
-        if (m_inFlight && ec == boost::asio::error::eof && m_parser->is_header_done())
-            m_parser->put_eof(parseError);
-        if (m_inFlight && !parseError && m_parser->is_done())
+        if (m_inFlight && ec == boost::asio::error::eof && m_reader->takeEnd() == HttpResponseReader::State::Done)
             deliverResponse();
         if (!m_closed)
             fail(ec.message());
@@ -155,22 +142,13 @@
 
     void parseMore()
     {
-        boost::system::error_code ec;
-        while (m_buffer.size() > 0 && !m_parser->is_done() && !ec) {
-            const auto n = m_parser->put(m_buffer.data(), ec);
-            m_buffer.consume(n);
-            if (n == 0)
-                break;
-        }
-        if (ec && ec != http::error::need_more) {
-            fail("the server's response is malformed: " + ec.message());
-            return;
-        }
-        if (!m_parser->is_done()) {
-            // The parser leaves the bytes of a chunk's size line or trailer in the buffer until they end, without a limit of its own.
-            if (m_buffer.size() > m_limits.maxHeaderBytes)
-                fail("the server's response has more framing bytes than a header may have");
+        switch (m_reader->take(m_buffer)) {
+        case HttpResponseReader::State::NeedsMore:
             return;
+        case HttpResponseReader::State::Malformed:
+            return fail("the server's response is malformed: " + m_reader->reason());
+        case HttpResponseReader::State::Done:
+            break;
         }
         // Bytes after the response belong to no request and must not be parsed as the response to the next request.
         m_hasSurplusBytes = m_buffer.size() > 0;
@@ -179,16 +157,10 @@
 
     void deliverResponse()
     {
-        auto message = m_parser->release();
         m_inFlight = false;
-        HttpResponse response;
-        response.status = message.result_int();
-        response.contentType.clear();
-        for (const auto& field : message)
-            response.headers.add({ field.name_string().data(), field.name_string().size() }, { field.value().data(), field.value().size() });
-        response.body = std::move(message.body());
         // If the response comes before the whole request is sent, the server may never read the rest of the request.
-        m_closing = m_hasSurplusBytes || m_writing || !message.keep_alive();
+        m_closing = m_hasSurplusBytes || m_writing || !m_reader->keepAlive();
+        auto response = m_reader->release();
         if (const auto events = m_events.lock())
             events->onResponse(std::move(response));
         if (m_closing)
@@ -213,7 +185,7 @@
     std::weak_ptr<HttpClientEvents> m_events;
     HttpLimits m_limits;
     boost::beast::flat_buffer m_buffer;
-    std::optional<http::response_parser<http::string_body>> m_parser;
+    std::optional<HttpResponseReader> m_reader; ///< Of the response to the request in flight.
     std::string m_outgoing;
     bool m_inFlight = false;
     bool m_writing = false; ///< The write of the current request has not completed.
--- /dev/null
+++ b/src/http/http_response_reader.cpp
@@ -0,0 +1,101 @@
+#include "http/http_response_reader.h"
+
+#include <boost/beast/http/error.hpp>
+
+namespace lycheefield {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// The status codes of final responses; others are invalid (RFC 9110, section 15).
+constexpr unsigned firstFinalStatus = 200;
+constexpr unsigned lastFinalStatus = 599;
+
+}
+
+HttpResponseReader::HttpResponseReader(const HttpLimits& limits)
+    : m_limits(limits)
+{
+    m_parser.emplace();
+    m_parser->header_limit(m_limits.maxHeaderBytes);
+    m_parser->body_limit(m_limits.maxBodyBytes);
+    m_parser->eager(true);
+}
+
+HttpResponseReader::State HttpResponseReader::take(boost::beast::flat_buffer& buffer)
+{
+    if (!parse(buffer))
+        return State::Malformed;
+    if (m_parser->is_done())
+        return State::Done;
+    // The parser leaves the bytes of a chunk's size line or trailer in the buffer until they end, without a limit of its own.
+    if (buffer.size() > m_limits.maxHeaderBytes)
+        return fail("it has more framing bytes than a header may have");
+    return State::NeedsMore;
+}
+
+bool HttpResponseReader::parse(boost::beast::flat_buffer& buffer)
+{
+    boost::system::error_code ec;
+    while (buffer.size() > 0 && !m_parser->is_done() && !ec) {
+        const auto n = m_parser->put(buffer.data(), ec);
+        buffer.consume(n);
+        if (n == 0)
+            break;
+    }
+    if (ec && ec != http::error::need_more) {
+        fail(ec.message());
+        return false;
+    }
+    return checkHead();
+}
+
+bool HttpResponseReader::checkHead()
+{
+    if (m_isHeadChecked || !m_parser->is_header_done())
+        return true;
+    m_isHeadChecked = true;
+    const auto status = m_parser->get().result_int();
+    if (status < firstFinalStatus || status > lastFinalStatus) {
+        fail("its status " + std::to_string(status) + " is not that of a final response");
+        return false;
+    }
+    return true;
+}
+
+HttpResponseReader::State HttpResponseReader::takeEnd()
+{
+    if (!m_parser->is_header_done())
+        return fail("the connection ended before the head did");
+    boost::system::error_code ec;
+    m_parser->put_eof(ec);
+    if (ec)
+        return fail(ec.message());
+    return m_parser->is_done() ? State::Done : fail("the connection ended before the body did");
+}
+
+HttpResponseReader::State HttpResponseReader::fail(std::string reason)
+{
+    m_reason = std::move(reason);
+    return State::Malformed;
+}
+
+bool HttpResponseReader::keepAlive() const
+{
+    return m_parser->get().keep_alive();
+}
+
+HttpResponse HttpResponseReader::release()
+{
+    auto message = m_parser->release();
+    HttpResponse response;
+    response.status = message.result_int();
+    response.contentType.clear();
+    for (const auto& field : message)
+        response.headers.add({ field.name_string().data(), field.name_string().size() }, { field.value().data(), field.value().size() });
+    response.body = std::move(message.body());
+    return response;
+}
+
+}
--- /dev/null
+++ b/src/http/http_response_reader.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "http/http_limits.h"
+#include "http/http_message.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <optional>
+#include <string>
+
+namespace lycheefield {
+
+/// Reads the response to one request from the bytes of a connection.
+///
+/// Everything that is not a final response in the protocol is malformed, so that no caller of this class takes it for an answer.
+/// Included only by the sources of client connections, as it needs Beast. Not thread safe.
+class HttpResponseReader {
+public:
+    enum class State {
+        NeedsMore,
+        Done, ///< release() returns the response. Further bytes in the buffer belong to no request.
+        Malformed, ///< reason() tells why. The request may have run, and the connection can't be reused.
+    };
+
+    explicit HttpResponseReader(const HttpLimits&);
+
+    /// Parses the bytes in the buffer, and consumes those that need not be seen again.
+    State take(boost::beast::flat_buffer&);
+    /// Handles the orderly end of the connection, which ends a response that has no length.
+    State takeEnd();
+    /// Precondition: the last state was Done. Call once.
+    HttpResponse release();
+    /// Returns whether the connection may carry another request. Precondition: the last state was Done.
+    bool keepAlive() const;
+    /// Precondition: the last state was Malformed.
+    const std::string& reason() const { return m_reason; }
+
+private:
+    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+    /// Parses until the message or the buffer ends. Returns false when the bytes are malformed.
+    bool parse(boost::beast::flat_buffer&);
+    /// Returns whether the parsed head may be that of a response.
+    bool checkHead();
+    State fail(std::string reason);
+
+    HttpLimits m_limits;
+    std::optional<Parser> m_parser;
+    std::string m_reason;
+    bool m_isHeadChecked = false;
+};
+
+}
