--- a/src/http/http_response_reader.cpp
+++ b/src/http/http_response_reader.cpp
@@ -8,25 +8,41 @@
 
 namespace {
 
-/// The status codes of final responses; others are invalid (RFC 9110, section 15).
+/// Status codes outside the first interim and the last final one are invalid (RFC 9110, section 15).
+constexpr unsigned firstInterimStatus = 100;
 constexpr unsigned firstFinalStatus = 200;
 constexpr unsigned lastFinalStatus = 599;
+/// The interim response that ends HTTP on the connection. No request asks for it.
+constexpr unsigned switchingProtocols = 101;
 
 }
 
 HttpResponseReader::HttpResponseReader(const HttpLimits& limits)
     : m_limits(limits)
+{
+    startMessage();
+}
+
+void HttpResponseReader::startMessage()
 {
     m_parser.emplace();
     m_parser->header_limit(m_limits.maxHeaderBytes);
     m_parser->body_limit(m_limits.maxBodyBytes);
     m_parser->eager(true);
+    m_isHeadChecked = false;
 }
 
 HttpResponseReader::State HttpResponseReader::take(boost::beast::flat_buffer& buffer)
 {
     if (!parse(buffer))
         return State::Malformed;
+    while (m_parser->is_done() && isInterim()) {
+        if (m_parsedBytes > m_limits.maxHeaderBytes)
+            return fail("its interim responses are longer than a header may be");
+        startMessage();
+        if (!parse(buffer))
+            return State::Malformed;
+    }
     if (m_parser->is_done())
         return State::Done;
     // The parser leaves the bytes of a chunk's size line or trailer in the buffer until they end, without a limit of its own.
@@ -41,6 +57,7 @@
     while (buffer.size() > 0 && !m_parser->is_done() && !ec) {
         const auto n = m_parser->put(buffer.data(), ec);
         buffer.consume(n);
+        m_parsedBytes += n;
         if (n == 0)
             break;
     }
@@ -57,13 +74,18 @@
         return true;
     m_isHeadChecked = true;
     const auto status = m_parser->get().result_int();
-    if (status < firstFinalStatus || status > lastFinalStatus) {
-        fail("its status " + std::to_string(status) + " is not that of a final response");
+    if (status < firstInterimStatus || status > lastFinalStatus || status == switchingProtocols) {
+        fail("its status " + std::to_string(status) + " is not that of a response");
         return false;
     }
     return true;
 }
 
+bool HttpResponseReader::isInterim() const
+{
+    return m_parser->get().result_int() < firstFinalStatus;
+}
+
 HttpResponseReader::State HttpResponseReader::takeEnd()
 {
     if (!m_parser->is_header_done())
--- a/src/http/http_response_reader.h
+++ b/src/http/http_response_reader.h
@@ -7,12 +7,13 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
 namespace lycheefield {
 
-/// Reads the response to one request from the bytes of a connection.
+/// Reads the response to one request from the bytes of a connection. Interim responses (1xx) before it are skipped.
 ///
 /// Everything that is not a final response in the protocol is malformed, so that no caller of this class takes it for an answer.
 /// Included only by the sources of client connections, as it needs Beast. Not thread safe.
@@ -40,16 +41,20 @@
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+    void startMessage();
     /// Parses until the message or the buffer ends. Returns false when the bytes are malformed.
     bool parse(boost::beast::flat_buffer&);
     /// Returns whether the parsed head may be that of a response.
     bool checkHead();
+    /// Whether the parsed message is an interim response. Precondition: its head is complete.
+    bool isInterim() const;
     State fail(std::string reason);
 
     HttpLimits m_limits;
     std::optional<Parser> m_parser;
     std::string m_reason;
-    bool m_isHeadChecked = false;
+    std::uint64_t m_parsedBytes = 0; ///< Of interim responses and the final one.
+    bool m_isHeadChecked = false; ///< Of the message that is being parsed.
 };
 
 }
--- a/tests/adapter/broken_answers_test.cpp
+++ b/tests/adapter/broken_answers_test.cpp
@@ -97,4 +97,46 @@
     checkNeverDelivered(responses);
 }
 
+TEST_CASE("An interim response is never the answer" * doctest::test_suite("adapter"))
+{
+    std::vector<std::string> responses { "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: Upgrade\r\n\r\n" };
+    for (const std::string status : { "100", "102", "103", "199" }) {
+        responses.push_back("HTTP/1.1 " + status + " Interim\r\n\r\n");
+        responses.push_back("HTTP/1.1 " + status + " Interim\r\n" + signature + "\r\n");
+        responses.push_back("HTTP/1.1 " + status + " Interim\r\n" + signature + someBody);
+    }
+    checkNeverDelivered(responses);
+}
+
+TEST_CASE("The response that follows interim responses is the answer" * doctest::test_suite("adapter"))
+{
+    const std::string finalResponse = "HTTP/1.1 200 OK\r\n" + signature + someBody;
+    const std::string continuation = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string hints = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    BrokenAnswersFixture fixture({ { continuation + finalResponse }, { hints + finalResponse }, { continuation + hints + hints + finalResponse } });
+    for (const std::string number : { "0", "1", "2" }) {
+        CAPTURE(number);
+        const auto single = fixture.bytesFor("/l/" + number + "/1");
+        CHECK(single.starts_with("HTTP/1.1 200 OK\r\nLycheefield-Response-Stamp: s\r\n"));
+        CHECK(single.ends_with("\r\n\r\n0123456789abcdef"));
+        CHECK(single.find("Link") == std::string::npos);
+        const auto search = fixture.bytesFor("/s/" + number + "/1");
+        CHECK(search.starts_with("HTTP/1.1 200 OK\r\n"));
+        CHECK(search.find("Lycheefield-Part-Stamps: s, stamp-i-2\r\n") != std::string::npos);
+        // One server of each service has answered, on a connection that carries on.
+        const auto first = static_cast<std::size_t>(std::stoi(number)) * 4;
+        CHECK(fixture.servers[first].requests() + fixture.servers[first + 1].requests() == 1);
+        CHECK(fixture.servers[first].closedByPeer() + fixture.servers[first + 1].closedByPeer() == 0);
+    }
+}
+
+TEST_CASE("Interim responses without end never reach a caller" * doctest::test_suite("adapter"))
+{
+    const std::string continuation = "HTTP/1.1 100 Continue\r\n\r\n";
+    BrokenAnswersFixture fixture({ { continuation, continuation } });
+    CHECK(fixture.bytesFor("/l/0/1").starts_with("HTTP/1.1 502 Bad Gateway\r\n"));
+    fixture.runUntil([&] { return fixture.servers[0].closedByPeer() + fixture.servers[1].closedByPeer() == 2; });
+    CHECK(fixture.servers[0].requests() + fixture.servers[1].requests() == 2);
+}
+
 }
--- a/tests/http/http_response_reader_test.cpp
+++ b/tests/http/http_response_reader_test.cpp
@@ -60,6 +60,66 @@
     }
 }
 
+// Guards against an interim response that is taken for the answer, while the real one is thrown away.
+TEST_CASE("Interim responses are skipped, and the final response is read")
+{
+    const std::string finalResponse = "HTTP/1.1 200 OK\r\nX-Real: yes\r\nContent-Length: 2\r\n\r\n{}";
+    const std::string continuation = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string hints = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\nX-Real: no\r\n\r\n";
+    const auto checkFinal = [&](ReaderFixture& fixture) {
+        CHECK(fixture.reader.keepAlive());
+        CHECK(fixture.buffer.size() == 0);
+        const auto response = fixture.reader.release();
+        CHECK(response.status == 200);
+        CHECK(response.headers.find("X-Real") == "yes");
+        CHECK(response.headers.count("X-Real") == 1);
+        CHECK(response.body == "{}");
+    };
+    for (const auto& interim : { continuation, hints, continuation + hints + continuation, std::string("HTTP/1.1 199 Wait\r\n\r\n") }) {
+        CAPTURE(interim);
+        ReaderFixture together;
+        CHECK((together.take(interim + finalResponse) == State::Done));
+        checkFinal(together);
+        ReaderFixture byteByByte;
+        CHECK((byteByByte.takeOneByOne(interim + finalResponse) == State::Done));
+        checkFinal(byteByByte);
+        ReaderFixture apart;
+        CHECK((apart.take(interim) == State::NeedsMore));
+        CHECK((apart.take(finalResponse) == State::Done));
+        checkFinal(apart);
+    }
+}
+
+TEST_CASE("Interim responses that lead to no final response are malformed")
+{
+    const std::string continuation = "HTTP/1.1 100 Continue\r\n\r\n";
+    SUBCASE("The connection ends after an interim response")
+    {
+        ReaderFixture fixture;
+        CHECK((fixture.take(continuation) == State::NeedsMore));
+        CHECK((fixture.reader.takeEnd() == State::Malformed));
+    }
+    SUBCASE("The server switches protocols, for which no request asks")
+    {
+        checkMalformed("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: Upgrade\r\n\r\n");
+    }
+    SUBCASE("An interim response has a body")
+    {
+        ReaderFixture fixture;
+        CHECK((fixture.take("HTTP/1.1 100 Continue\r\nContent-Length: 5\r\n\r\nhello\r\n\r\n") == State::Malformed));
+    }
+    SUBCASE("They have no end")
+    {
+        ReaderFixture fixture;
+        auto state = State::NeedsMore;
+        std::size_t taken = 0;
+        for (; state == State::NeedsMore && taken <= HttpLimits().maxHeaderBytes; taken += continuation.size())
+            state = fixture.take(continuation);
+        CHECK((state == State::Malformed));
+        CHECK(taken > HttpLimits().maxHeaderBytes / 2);
+    }
+}
+
 TEST_SUITE_END();
 
 }
