--- a/src/http/http_response_reader.cpp
+++ b/src/http/http_response_reader.cpp
@@ -1,5 +1,6 @@
 #include "http/http_response_reader.h"
 
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 
 namespace lycheefield {
@@ -14,6 +15,8 @@
 constexpr unsigned lastFinalStatus = 599;
 /// The interim response that ends HTTP on the connection. No request asks for it.
 constexpr unsigned switchingProtocols = 101;
+/// HTTP/1.1, as the parser writes it.
+constexpr unsigned httpVersion = 11;
 
 }
 
@@ -78,9 +81,24 @@
         fail("its status " + std::to_string(status) + " is not that of a response");
         return false;
     }
+    if (!isInterim() && !hasKnownCoding()) {
+        fail("its body has a transfer coding other than chunked");
+        return false;
+    }
     return true;
 }
 
+bool HttpResponseReader::hasKnownCoding() const
+{
+    const auto& message = m_parser->get();
+    const auto fields = message.count(http::field::transfer_encoding);
+    if (fields == 0)
+        return true;
+    // HTTP/1.0 has no transfer codings (RFC 9112, section 6.1).
+    const bool isAllowed = fields == 1 && message.version() >= httpVersion;
+    return isAllowed && boost::beast::iequals(message[http::field::transfer_encoding], "chunked");
+}
+
 bool HttpResponseReader::isInterim() const
 {
     return m_parser->get().result_int() < firstFinalStatus;
--- a/src/http/http_response_reader.h
+++ b/src/http/http_response_reader.h
@@ -46,6 +46,8 @@
     bool parse(boost::beast::flat_buffer&);
     /// Returns whether the parsed head may be that of a response.
     bool checkHead();
+    /// Whether the body is coded in chunks alone, or not at all. Precondition: the head is complete.
+    bool hasKnownCoding() const;
     /// Whether the parsed message is an interim response. Precondition: its head is complete.
     bool isInterim() const;
     State fail(std::string reason);
--- a/tests/adapter/broken_answers_test.cpp
+++ b/tests/adapter/broken_answers_test.cpp
@@ -139,4 +139,13 @@
     CHECK(fixture.servers[0].requests() + fixture.servers[1].requests() == 2);
 }
 
+TEST_CASE("A body in a coding that was not asked for never reaches a caller" * doctest::test_suite("adapter"))
+{
+    std::vector<std::string> responses;
+    for (const std::string codings : { "gzip", "xchunked", "identity", "chunked, gzip", "gzip, chunked", "gzip\r\nTransfer-Encoding: chunked" })
+        responses.push_back("HTTP/1.1 200 OK\r\n" + signature + "Transfer-Encoding: " + codings + "\r\n\r\n10\r\n0123456789abcdef\r\n0\r\n\r\n");
+    responses.push_back("HTTP/1.1 200 OK\r\n" + signature + "Content-Encoding: gzip\r\n" + someBody);
+    checkNeverDelivered(responses);
+}
+
 }
--- a/tests/http/http_response_reader_test.cpp
+++ b/tests/http/http_response_reader_test.cpp
@@ -120,6 +120,32 @@
     }
 }
 
+// Guards against a body whose coding was not taken off: it is not the body that the server means.
+TEST_CASE("A response with another transfer coding than chunked is malformed")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunks = "\r\n5\r\nabcde\r\n0\r\n\r\n";
+    for (const auto* codings : { "gzip", "xchunked", "identity", "chunked, gzip", "gzip, chunked", "chunked, chunked", "chunked;q=1", "" })
+        checkMalformed(head + "Transfer-Encoding: " + codings + "\r\n" + chunks);
+    checkMalformed(head + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n" + chunks);
+    checkMalformed(head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n" + chunks);
+    SUBCASE("HTTP/1.0 has no transfer codings") { checkMalformed("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks); }
+    SUBCASE("A length besides leaves open where the body ends")
+    {
+        checkMalformed(head + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n" + chunks);
+        checkMalformed(head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n" + chunks);
+        checkMalformed(head + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef");
+    }
+    SUBCASE("Chunked is read in any case of letters")
+    {
+        for (const auto* coding : { "chunked", "Chunked", " CHUNKED\t" }) {
+            ReaderFixture fixture;
+            CHECK((fixture.take(head + "Transfer-Encoding: " + coding + "\r\n" + chunks) == State::Done));
+            CHECK(fixture.reader.release().body == "abcde");
+        }
+    }
+}
+
 TEST_SUITE_END();
 
 }
