--- a/src/platform/platform_connection.cpp
+++ b/src/platform/platform_connection.cpp
@@ -1,6 +1,7 @@
 #include "platform/platform_connection.h"
 
 #include "base/endpoint.h"
+#include "http/http_response_reader.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -18,8 +19,7 @@
 namespace http = beast::http;
 using boost::system::error_code;
 
-/// The parser leaves a chunk's size line and a trailer in the buffer until they end, without a limit of its own.
-constexpr std::size_t maxUnparsedBytes = 64ULL * 1024;
+constexpr std::size_t readBytes = 16ULL * 1024;
 
 http::verb verbOf(PlatformMethod method)
 {
@@ -38,9 +38,8 @@
 public:
     BeastConnection(const asio::any_io_executor& executor, ByteCount maxResponse)
         : m_stream(executor)
-        , m_maxResponse(maxResponse)
-        , m_buf(maxUnparsedBytes)
     {
+        m_limits.maxBodyBytes = maxResponse.value;
     }
 
     void connect(const Endpoint& endpoint, Duration timeout, ConnectHandler handler) override
@@ -99,22 +98,37 @@
         m_result.wasSent = sent > 0;
         if (ec)
             return fail();
-        m_parser.emplace();
-        m_parser->body_limit(m_maxResponse.value);
-        http::async_read(m_stream, m_buf, *m_parser, [self = shared_from_this()](error_code ec, std::size_t received) { self->onRead(ec, received); });
+        m_reader.emplace(m_limits);
+        readMore();
     }
 
-    void onRead(error_code ec, std::size_t received)
+    void readMore()
     {
-        m_result.bytesReceived = received;
-        if (ec)
+        m_stream.async_read_some(m_buf.prepare(readBytes), [self = shared_from_this()](error_code ec, std::size_t n) { self->onRead(ec, n); });
+    }
+
+    void onRead(error_code ec, std::size_t n)
+    {
+        m_buf.commit(n);
+        m_result.bytesReceived += n;
+        const bool isEnd = ec == asio::error::eof;
+        if (ec && !isEnd)
+            return fail();
+        switch (isEnd ? m_reader->takeEnd() : m_reader->take(m_buf)) {
+        case HttpResponseReader::State::NeedsMore:
+            return readMore();
+        case HttpResponseReader::State::Malformed:
             return fail();
-        m_isOpen = m_isOpen && m_parser->get().keep_alive();
+        case HttpResponseReader::State::Done:
+            break;
+        }
+        m_isOpen = m_isOpen && !isEnd && m_reader->keepAlive();
         m_stream.expires_never();
+        auto response = m_reader->release();
         m_result.hasResponse = true;
-        m_result.status = m_parser->get().result_int();
-        m_result.date = std::string(m_parser->get()[http::field::date]);
-        m_result.body = std::move(m_parser->get().body());
+        m_result.status = response.status;
+        m_result.date = std::string(response.headers.find("Date"));
+        m_result.body = std::move(response.body);
         finish();
     }
 
@@ -127,12 +141,12 @@
     void finish() { std::exchange(m_handler, nullptr)(std::move(m_result)); }
 
     beast::tcp_stream m_stream;
-    ByteCount m_maxResponse;
+    HttpLimits m_limits;
     beast::flat_buffer m_buf;
     std::string m_host;
     bool m_isOpen = false;
     http::request<http::string_body> m_request;
-    std::optional<http::response_parser<http::string_body>> m_parser;
+    std::optional<HttpResponseReader> m_reader; ///< Of the response to the exchange in flight.
     HttpExchangeResult m_result;
     ExchangeHandler m_handler;
 };
--- /dev/null
+++ b/tests/platform/broken_store_answers_test.cpp
@@ -0,0 +1,98 @@
+#include "base/clock.h"
+#include "platform/platform_connection.h"
+#include "support/raw_caller.h"
+#include "support/scripted_server.h"
+
+#include <boost/asio/strand.hpp>
+
+#include <doctest/doctest.h>
+
+#include <optional>
+
+namespace lycheefield {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration longTimeout = 10s;
+const std::string soundResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+
+/// A store that answers every call with the same bytes, and one connection to it.
+struct ConnectionFixture {
+    explicit ConnectionFixture(const ServerScript& script)
+        : server(io, script)
+        , connection(makePlatformConnection(boost::asio::make_strand(io), mebibytes(1)))
+    {
+        std::optional<bool> isConnected;
+        connection->connect(server.endpoint(), longTimeout, [&](bool it) { isConnected = it; });
+        runUntil(io, [&] { return isConnected.has_value(); });
+        REQUIRE(*isConnected);
+    }
+
+    HttpExchangeResult exchange()
+    {
+        std::optional<HttpExchangeResult> result;
+        connection->exchange({ PlatformMethod::Get, "/objects/servers", "" }, longTimeout, [&](HttpExchangeResult it) { result = std::move(it); });
+        io.restart();
+        runUntil(io, [&] { return result.has_value(); });
+        return *result;
+    }
+
+    boost::asio::io_context io { 1 };
+    ScriptedServer server;
+    std::shared_ptr<PlatformConnection> connection;
+};
+
+}
+
+TEST_SUITE_BEGIN("platform");
+
+// Guards against an answer of the store that is none: the system would act on state that the store does not hold.
+TEST_CASE("Bytes of the store that are no response in the protocol fail their call and end the connection")
+{
+    for (const std::string response : {
+             "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n{}",
+             "HTTP/1.1 777 Other\r\nContent-Length: 2\r\n\r\n{}",
+             "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+             "HTTP/1.1 100 Continue\r\n\r\n",
+             "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\n{}",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+             "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+             "HTTP/1.1 200 OK\r\nA b: c\r\nContent-Length: 2\r\n\r\n{}",
+             "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}",
+             "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{}",
+             "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n{}" }) {
+        CAPTURE(response);
+        ConnectionFixture fixture({ response, "", true });
+        const auto result = fixture.exchange();
+        CHECK_FALSE(result.hasResponse);
+        CHECK(result.wasSent);
+        CHECK_FALSE(fixture.connection->isOpen());
+    }
+}
+
+TEST_CASE("The store's response behind an interim response is read")
+{
+    ConnectionFixture fixture({ "HTTP/1.1 100 Continue\r\n\r\n" + soundResponse });
+    for (int i = 0; i < 2; ++i) {
+        const auto result = fixture.exchange();
+        CHECK(result.hasResponse);
+        CHECK(result.status == 200);
+        CHECK(result.body == "{}");
+        CHECK(fixture.connection->isOpen());
+    }
+}
+
+TEST_CASE("A response of the store that ends with its connection is read, and the connection is not used again")
+{
+    ConnectionFixture fixture({ "HTTP/1.1 200 OK\r\n\r\n{}", "", true });
+    const auto result = fixture.exchange();
+    CHECK(result.hasResponse);
+    CHECK(result.body == "{}");
+    CHECK_FALSE(fixture.connection->isOpen());
+}
+
+TEST_SUITE_END();
+
+}
