--- a/src/platform/platform_connection.cpp
+++ b/src/platform/platform_connection.cpp
@@ -74,7 +74,7 @@
         http::async_write(m_stream, m_request, [self = shared_from_this()](error_code ec, std::size_t sent) { self->onWritten(ec, sent); });
     }
 
-    bool isOpen() const override { return m_isOpen; }
+    bool isOpen() const override { return m_isOpen && !hasUnreadBytes(); }
 
     void close() override
     {
@@ -102,6 +102,13 @@
         readMore();
     }
 
+    /// Whether the store has sent bytes that belong to no call. The next call would take them for its response.
+    bool hasUnreadBytes() const
+    {
+        error_code ec;
+        return m_buf.size() > 0 || m_stream.socket().available(ec) > 0;
+    }
+
     void readMore()
     {
         m_stream.async_read_some(m_buf.prepare(readBytes), [self = shared_from_this()](error_code ec, std::size_t n) { self->onRead(ec, n); });
--- a/tests/platform/broken_store_answers_test.cpp
+++ b/tests/platform/broken_store_answers_test.cpp
@@ -93,6 +93,25 @@
     CHECK_FALSE(fixture.connection->isOpen());
 }
 
+// Guards against bytes that are taken for the response to the next call.
+TEST_CASE("A connection on which the store sent bytes after its response is not used again")
+{
+    SUBCASE("together with the response")
+    {
+        ConnectionFixture fixture({ soundResponse + soundResponse });
+        CHECK(fixture.exchange().hasResponse);
+        CHECK_FALSE(fixture.connection->isOpen());
+    }
+    SUBCASE("later, while no call is in progress")
+    {
+        ConnectionFixture fixture({ soundResponse, soundResponse });
+        CHECK(fixture.exchange().hasResponse);
+        const auto sent = fixture.server.bytesSent();
+        runUntil(fixture.io, [&] { return fixture.server.bytesSent() > sent + soundResponse.size(); });
+        CHECK_FALSE(fixture.connection->isOpen());
+    }
+}
+
 TEST_SUITE_END();
 
 }
