--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -34,6 +34,7 @@
 
 enum HttpStatus : unsigned int {
     Ok = 200,
+    FirstClientError = 400,
     NotFound = 404,
     Conflict = 409,
     Gone = 410,
@@ -41,7 +42,7 @@
     ServiceUnavailable = 503,
 };
 
-/// A 503 and every 4xx mean that nothing was done; after any other server error a write may have taken effect.
+/// A 503 and every 4xx mean that nothing was done; after any other status than 200 a write may have taken effect.
 StoreStatus statusOf(const HttpExchangeResult& result)
 {
     if (!result.hasResponse)
@@ -58,8 +59,10 @@
     case HttpStatus::ServiceUnavailable:
         return StoreStatus::Unavailable;
     default:
-        return result.status >= HttpStatus::FirstServerError ? StoreStatus::Lost : StoreStatus::Unavailable;
+        break;
     }
+    const bool isClientError = result.status >= HttpStatus::FirstClientError && result.status < HttpStatus::FirstServerError;
+    return isClientError ? StoreStatus::Unavailable : StoreStatus::Lost;
 }
 
 constexpr double burstSeconds = 0.5;
--- a/tests/platform/broken_store_answers_test.cpp
+++ b/tests/platform/broken_store_answers_test.cpp
@@ -1,4 +1,5 @@
 #include "base/clock.h"
+#include "platform/platform_client.h"
 #include "platform/platform_connection.h"
 #include "support/raw_caller.h"
 #include "support/scripted_server.h"
@@ -44,6 +45,21 @@
     std::shared_ptr<PlatformConnection> connection;
 };
 
+/// Returns how one call of this kind ends at a store that answers every call with the same bytes.
+StoreStatus statusOfCall(PlatformCallKind kind, const std::string& response)
+{
+    boost::asio::io_context io { 1 };
+    ScriptedServer server(io, { response, "", true });
+    PlatformClientSettings settings;
+    settings.endpoint = server.endpoint();
+    settings.callTimeout = longTimeout;
+    PlatformClient client(io.get_executor(), settings);
+    std::optional<StoreStatus> status;
+    client.call({ kind, "/objects/config/main", "{}" }, [&](const PlatformResponse& it) { status = it.status; });
+    runUntil(io, [&] { return status.has_value(); });
+    return *status;
+}
+
 }
 
 TEST_SUITE_BEGIN("platform");
@@ -112,6 +128,23 @@
     }
 }
 
+// Guards against a write that took effect and is taken for one that did not.
+TEST_CASE("Only a refusal of the store proves that a write did nothing")
+{
+    for (const auto kind : { PlatformCallKind::Write, PlatformCallKind::Create, PlatformCallKind::Report }) {
+        for (const auto* status : { "201", "204", "301", "304", "500", "502", "599", "000", "600", "999" }) {
+            CAPTURE(status);
+            CHECK((statusOfCall(kind, std::string("HTTP/1.1 ") + status + " Any\r\nContent-Length: 0\r\n\r\n") == StoreStatus::Lost));
+        }
+        CHECK((statusOfCall(kind, "HTTP/1.1 100 Continue\r\n\r\n") == StoreStatus::Lost));
+        for (const auto* status : { "400", "413", "429", "503" }) {
+            CAPTURE(status);
+            CHECK((statusOfCall(kind, std::string("HTTP/1.1 ") + status + " Any\r\nContent-Length: 0\r\n\r\n") == StoreStatus::Unavailable));
+        }
+        CHECK((statusOfCall(kind, soundResponse) == StoreStatus::Ok));
+    }
+}
+
 TEST_SUITE_END();
 
 }
