--- a/src/load/caller_connection.cpp
+++ b/src/load/caller_connection.cpp
@@ -1,5 +1,7 @@
 #include "load/caller_connection.h"
 
+#include "http/http_response_reader.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -16,8 +18,16 @@
 namespace http = boost::beast::http;
 
 constexpr std::uint64_t maxAnswerBytes = std::uint64_t(64) << 20;
+constexpr std::size_t readBytes = 16ULL * 1024;
 constexpr unsigned httpVersion = 11;
 
+HttpLimits answerLimits()
+{
+    HttpLimits limits;
+    limits.maxBodyBytes = maxAnswerBytes;
+    return limits;
+}
+
 class HttpCallerConnection final : public CallerConnection {
 public:
     HttpCallerConnection(asio::io_context& io, const Endpoint& endpoint, Duration timeout)
@@ -45,7 +55,12 @@
         connect();
     }
 
-    bool isUsable() const override { return m_isUsable; }
+    bool isUsable() const override
+    {
+        // Bytes after an answer belong to no request, and must not be taken for the next answer.
+        beast::error_code ec;
+        return m_isUsable && m_buffer.size() == 0 && m_stream.socket().available(ec) == 0;
+    }
 
 private:
     std::shared_ptr<HttpCallerConnection> self() { return std::static_pointer_cast<HttpCallerConnection>(shared_from_this()); }
@@ -73,21 +88,32 @@
 
     void read()
     {
-        m_parser.emplace();
-        m_parser->body_limit(maxAnswerBytes);
-        http::async_read(m_stream, m_buffer, *m_parser, [self = self()](beast::error_code ec, std::size_t) {
-            if (ec)
-                return self->fail();
-            self->finish();
-        });
+        m_reader.emplace(answerLimits());
+        readMore();
+    }
+
+    void readMore()
+    {
+        m_stream.async_read_some(m_buffer.prepare(readBytes), [self = self()](beast::error_code ec, std::size_t n) { self->onRead(ec, n); });
     }
 
-    void finish()
+    void onRead(beast::error_code ec, std::size_t n)
     {
-        const auto& response = m_parser->get();
-        m_isUsable = response.keep_alive();
-        const auto id = response["X-Request-Id"];
-        deliver({ true, response.result_int(), response.body(), { id.data(), id.size() } });
+        m_buffer.commit(n);
+        const bool isEnd = ec == asio::error::eof;
+        if (ec && !isEnd)
+            return fail();
+        switch (isEnd ? m_reader->takeEnd() : m_reader->take(m_buffer)) {
+        case HttpResponseReader::State::NeedsMore:
+            return readMore();
+        case HttpResponseReader::State::Malformed:
+            return fail();
+        case HttpResponseReader::State::Done:
+            break;
+        }
+        m_isUsable = !isEnd && m_reader->keepAlive();
+        auto response = m_reader->release();
+        deliver({ true, response.status, std::move(response.body), std::string(response.headers.find("X-Request-Id")) });
     }
 
     void fail()
@@ -110,7 +136,7 @@
     bool m_isUsable = true;
     beast::flat_buffer m_buffer;
     http::request<http::string_body> m_request;
-    std::optional<http::response_parser<http::string_body>> m_parser;
+    std::optional<HttpResponseReader> m_reader; ///< Of the answer to the request in flight.
     Handler m_handler;
 };
 
