--- a/tests/adapter/broken_answers_test.cpp
+++ b/tests/adapter/broken_answers_test.cpp
@@ -148,4 +148,25 @@
     checkNeverDelivered(responses);
 }
 
+// These were refused before; the cases guard that.
+TEST_CASE("A head or a trailer that is none never reaches a caller" * doctest::test_suite("adapter"))
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n" + signature;
+    const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n10\r\n0123456789abcdef\r\n0\r\n";
+    const std::vector<std::string> lines { "A b: c", "A\tb: c", "A\x01: c", "A\x7f: c", "A\x80: c", ": c", "A", "A(b): c", "Content-Length : 5", "A: c\x01", "A: c\x7f", std::string("A: c\0", 5), "A: b\rX: c" };
+    std::vector<std::string> responses;
+    for (const auto& it : lines) {
+        responses.push_back(ok + it + "\r\n" + someBody);
+        responses.push_back(chunked + it + "\r\n\r\n");
+    }
+    responses.push_back("HTTP/1.1 20 OK\r\n" + signature + someBody);
+    responses.push_back("HTTP/1.1 2000 OK\r\n" + signature + someBody);
+    responses.push_back("HTTP/2.0 200 OK\r\n" + signature + someBody);
+    responses.push_back("HTTP/1.1 -20 OK\r\n" + signature + someBody);
+    responses.push_back(ok + "Content-Length: -1\r\n\r\n0123456789abcdef");
+    responses.push_back(ok + "Content-Length: 16, 17\r\n\r\n0123456789abcdef");
+    responses.push_back(ok + "Content-Length: 99999999999\r\n\r\n0123456789abcdef");
+    checkNeverDelivered(responses);
+}
+
 }
