--- a/src/http/http_response_reader.cpp
+++ b/src/http/http_response_reader.cpp
@@ -3,6 +3,8 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <string_view>
+
 namespace lycheefield {
 
 namespace http = boost::beast::http;
@@ -18,6 +20,13 @@
 /// HTTP/1.1, as the parser writes it.
 constexpr unsigned httpVersion = 11;
 
+/// Whether a line continues the field of the line before it, which the parser allows and a gateway must not pass on (RFC 9112, section
+/// 5.2). Precondition: the bytes are whole lines of a head.
+bool hasFoldedLine(std::string_view head)
+{
+    return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
+}
+
 }
 
 HttpResponseReader::HttpResponseReader(const HttpLimits& limits)
@@ -31,8 +40,8 @@
     m_parser.emplace();
     m_parser->header_limit(m_limits.maxHeaderBytes);
     m_parser->body_limit(m_limits.maxBodyBytes);
-    m_parser->eager(true);
-    m_isHeadChecked = false;
+    // The head is parsed alone, so that it can be checked before its body.
+    m_parser->eager(false);
 }
 
 HttpResponseReader::State HttpResponseReader::take(boost::beast::flat_buffer& buffer)
@@ -58,24 +67,28 @@
 {
     boost::system::error_code ec;
     while (buffer.size() > 0 && !m_parser->is_done() && !ec) {
+        const bool isHead = !m_parser->is_header_done();
         const auto n = m_parser->put(buffer.data(), ec);
+        if (ec && ec != http::error::need_more) {
+            fail(ec.message());
+            return false;
+        }
+        if (isHead && hasFoldedLine({ static_cast<const char*>(buffer.data().data()), n })) {
+            fail("its head has a folded line");
+            return false;
+        }
         buffer.consume(n);
         m_parsedBytes += n;
+        if (isHead && m_parser->is_header_done() && !checkHead())
+            return false;
         if (n == 0)
             break;
     }
-    if (ec && ec != http::error::need_more) {
-        fail(ec.message());
-        return false;
-    }
-    return checkHead();
+    return true;
 }
 
 bool HttpResponseReader::checkHead()
 {
-    if (m_isHeadChecked || !m_parser->is_header_done())
-        return true;
-    m_isHeadChecked = true;
     const auto status = m_parser->get().result_int();
     if (status < firstInterimStatus || status > lastFinalStatus || status == switchingProtocols) {
         fail("its status " + std::to_string(status) + " is not that of a response");
@@ -85,6 +98,7 @@
         fail("its body has a transfer coding other than chunked");
         return false;
     }
+    m_parser->eager(true);
     return true;
 }
 
--- a/src/http/http_response_reader.h
+++ b/src/http/http_response_reader.h
@@ -44,7 +44,7 @@
     void startMessage();
     /// Parses until the message or the buffer ends. Returns false when the bytes are malformed.
     bool parse(boost::beast::flat_buffer&);
-    /// Returns whether the parsed head may be that of a response.
+    /// Returns whether the parsed head may be that of a response. Precondition: the head is complete.
     bool checkHead();
     /// Whether the body is coded in chunks alone, or not at all. Precondition: the head is complete.
     bool hasKnownCoding() const;
@@ -56,7 +56,6 @@
     std::optional<Parser> m_parser;
     std::string m_reason;
     std::uint64_t m_parsedBytes = 0; ///< Of interim responses and the final one.
-    bool m_isHeadChecked = false; ///< Of the message that is being parsed.
 };
 
 }
--- a/tests/adapter/broken_answers_test.cpp
+++ b/tests/adapter/broken_answers_test.cpp
@@ -153,7 +153,7 @@
 {
     const std::string ok = "HTTP/1.1 200 OK\r\n" + signature;
     const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n10\r\n0123456789abcdef\r\n0\r\n";
-    const std::vector<std::string> lines { "A b: c", "A\tb: c", "A\x01: c", "A\x7f: c", "A\x80: c", ": c", "A", "A(b): c", "Content-Length : 5", "A: c\x01", "A: c\x7f", std::string("A: c\0", 5), "A: b\rX: c" };
+    const std::vector<std::string> lines { "A b: c", " A: c", "A\tb: c", "A\x01: c", "A\x7f: c", "A\x80: c", ": c", "A", "A(b): c", "Content-Length : 5", "A: c\x01", "A: c\x7f", std::string("A: c\0", 5), "A: b\rX: c" };
     std::vector<std::string> responses;
     for (const auto& it : lines) {
         responses.push_back(ok + it + "\r\n" + someBody);
--- a/tests/http/http_response_reader_test.cpp
+++ b/tests/http/http_response_reader_test.cpp
@@ -146,6 +146,26 @@
     }
 }
 
+// Guards against a line that begins with a blank and becomes a part of the field before it, such as of a signature.
+TEST_CASE("A response with a folded line is malformed")
+{
+    for (const std::string fold : { "\r\n A: c", "\r\n\tA: c", "\r\n ", " \r\n  b" }) {
+        checkMalformed("HTTP/1.1 200 OK\r\nX-First: a" + fold + "\r\nContent-Length: 2\r\n\r\n{}");
+        checkMalformed("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Last: a" + fold + "\r\n\r\n{}");
+        checkMalformed("HTTP/1.1 103 Early Hints\r\nLink: a" + fold + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    }
+    SUBCASE("A body may hold what a folded line looks like")
+    {
+        const std::string body = "a\r\n b\r\n\tc";
+        const auto response = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n" + body;
+        ReaderFixture together;
+        CHECK((together.take(response) == State::Done));
+        CHECK(together.reader.release().body == body);
+        ReaderFixture byteByByte;
+        CHECK((byteByByte.takeOneByOne(response) == State::Done));
+    }
+}
+
 TEST_SUITE_END();
 
 }
