--- a/src/http/http_response_reader.cpp
+++ b/src/http/http_response_reader.cpp
@@ -99,9 +99,20 @@
         return false;
     }
     m_parser->eager(true);
+    copyHead();
     return true;
 }
 
+void HttpResponseReader::copyHead()
+{
+    // Now, because the parser adds the fields of a trailer to those of the head.
+    m_response = {};
+    m_response.contentType.clear();
+    m_response.status = m_parser->get().result_int();
+    for (const auto& field : m_parser->get())
+        m_response.headers.add({ field.name_string().data(), field.name_string().size() }, { field.value().data(), field.value().size() });
+}
+
 bool HttpResponseReader::hasKnownCoding() const
 {
     const auto& message = m_parser->get();
@@ -142,14 +153,8 @@
 
 HttpResponse HttpResponseReader::release()
 {
-    auto message = m_parser->release();
-    HttpResponse response;
-    response.status = message.result_int();
-    response.contentType.clear();
-    for (const auto& field : message)
-        response.headers.add({ field.name_string().data(), field.name_string().size() }, { field.value().data(), field.value().size() });
-    response.body = std::move(message.body());
-    return response;
+    m_response.body = std::move(m_parser->get().body());
+    return std::move(m_response);
 }
 
 }
--- a/src/http/http_response_reader.h
+++ b/src/http/http_response_reader.h
@@ -46,6 +46,8 @@
     bool parse(boost::beast::flat_buffer&);
     /// Returns whether the parsed head may be that of a response. Precondition: the head is complete.
     bool checkHead();
+    /// Sets the response's status and fields. Precondition: the head is complete, and nothing of the body has been parsed.
+    void copyHead();
     /// Whether the body is coded in chunks alone, or not at all. Precondition: the head is complete.
     bool hasKnownCoding() const;
     /// Whether the parsed message is an interim response. Precondition: its head is complete.
@@ -54,6 +56,7 @@
 
     HttpLimits m_limits;
     std::optional<Parser> m_parser;
+    HttpResponse m_response; ///< Without its body until release().
     std::string m_reason;
     std::uint64_t m_parsedBytes = 0; ///< Of interim responses and the final one.
 };
--- a/tests/adapter/broken_answers_test.cpp
+++ b/tests/adapter/broken_answers_test.cpp
@@ -169,4 +169,20 @@
     checkNeverDelivered(responses);
 }
 
+TEST_CASE("A trailer neither proves anything nor reaches a caller" * doctest::test_suite("adapter"))
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+    const std::string chunks = "\r\n10\r\n0123456789abcdef\r\n0\r\n";
+    BrokenAnswersFixture fixture({
+        { head + signature + chunks + "Lycheefield-Not-Executed: 1\r\nX-Other: 1\r\n\r\n" },
+        { head + chunks + signature + "\r\n" },
+    });
+    const auto received = fixture.bytesFor("/l/0/1");
+    CAPTURE(received);
+    CHECK(received.starts_with("HTTP/1.1 200 OK\r\nLycheefield-Response-Stamp: s\r\n"));
+    CHECK(received.find("Not-Executed") == std::string::npos);
+    CHECK(received.find("X-Other") == std::string::npos);
+    CHECK(fixture.bytesFor("/l/1/1").starts_with("HTTP/1.1 502 Bad Gateway\r\n"));
+}
+
 }
--- a/tests/http/http_response_reader_test.cpp
+++ b/tests/http/http_response_reader_test.cpp
@@ -166,6 +166,25 @@
     }
 }
 
+// Guards against a field behind the body that counts like one of the head: a proof that nothing ran, or a second signature.
+TEST_CASE("The fields of a trailer are not those of the head")
+{
+    const std::string response = "HTTP/1.1 200 OK\r\nX-Head: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX-Trailer: b\r\nX-Head: c\r\n\r\n";
+    ReaderFixture together;
+    CHECK((together.take(response) == State::Done));
+    ReaderFixture byteByByte;
+    CHECK((byteByByte.takeOneByOne(response) == State::Done));
+    for (auto* it : { &together, &byteByByte }) {
+        CHECK(it->reader.keepAlive());
+        CHECK(it->buffer.size() == 0);
+        const auto read = it->reader.release();
+        CHECK(read.body == "{}");
+        CHECK(read.headers.count("X-Trailer") == 0);
+        CHECK(read.headers.count("X-Head") == 1);
+        CHECK(read.headers.find("X-Head") == "a");
+    }
+}
+
 TEST_SUITE_END();
 
 }
