--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/daemon.h"
 
+#include "base/buffer_limit.h"
 #include "daemon/caller_api.h"
 #include "daemon/catalog_role.h"
 #include "daemon/claim_metrics.h"
@@ -15,6 +16,7 @@
 #include "daemon/relay_driver.h"
 #include "daemon/request_admin.h"
 #include "daemon/rules_role.h"
+#include "observe/buffer_metrics.h"
 #include "observe/handler_loop.h"
 #include "observe/log.h"
 #include "observe/metrics.h"
@@ -118,6 +120,7 @@
     {
         m_router.connect(m_entry, m_relay, m_network, [this](const Hello& from, PeerMessage message) { onControl(from, std::move(message)); });
         m_router.connectClaims([this](const InstanceName& peer) { m_claims->onLinkLost(peer); }, [this](const ClaimCall& call) { m_claims->onUndelivered(call); });
+        BufferLimit::ofProcess()->setMax(settings.instance.maxBuffered);
         registerMetrics();
         m_publisher.addListener([this] {
             m_relay.onTables();
@@ -252,6 +255,7 @@
 
     void registerMetrics()
     {
+        registerBufferMetrics(m_metrics);
         registerEntryMetrics(m_metrics, m_entry);
         registerRelayMetrics(m_metrics, m_relay);
         registerHttpMetrics(m_metrics, m_httpCounters);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,11 +1,13 @@
 #include "gateway/gateway.h"
 
+#include "base/buffer_limit.h"
 #include "gateway/computed_response.h"
 #include "gateway/forward_counters_metrics.h"
 #include "gateway/forward_driver.h"
 #include "gateway/key_admission.h"
 #include "gateway/known_servers.h"
 #include "gateway/port_opener.h"
+#include "observe/buffer_metrics.h"
 #include "observe/handler_loop.h"
 
 #include <boost/asio/post.hpp>
@@ -70,6 +72,7 @@
         m_driver.setDelegation(m_delegation, m_delegateChooser);
         m_quotas.setDelegation(m_delegation);
         m_driver.setQuotas(m_quotas);
+        BufferLimit::ofProcess()->setMax(settings.instance.maxBuffered);
         registerMetrics();
     }
 
@@ -253,10 +256,20 @@
         m_delegation.shareCrashes(m_driver.crashAnnouncements());
         m_servers.review();
         updateReadiness();
+        logEvictions();
         const auto untilReview = m_servers.nextReview() == never ? housekeepingPeriod : Duration(m_servers.nextReview() - m_clock->now());
         scheduleHousekeeping(std::clamp(untilReview, Duration(1), housekeepingPeriod));
     }
 
+    /// Logs whose connections were ended since the last call because all together buffered too much.
+    void logEvictions()
+    {
+        for (const auto& it : BufferLimit::ofProcess()->takeEvictions()) {
+            logState("connections ended; all together buffer too much",
+                { { "owner", it.owner }, { "connections", std::to_string(it.connections) }, { "bytes", std::to_string(it.bytes) }, { "owner_bytes", std::to_string(it.ownerBytes) } });
+        }
+    }
+
     void scheduleHousekeeping(Duration delay)
     {
         m_housekeeping.expires_after(delay);
@@ -322,6 +335,7 @@
     void registerMetrics()
     {
         registerForwardCounters(m_metrics, m_driver.counters());
+        registerBufferMetrics(m_metrics);
         m_metrics.gauge("lycheefield_ready", [this] { return isReady() ? 1 : 0; });
         m_metrics.gauge("lycheefield_store_reachable", [this] { return m_servers.isStoreReachable() ? 1 : 0; });
         m_metrics.gauge("lycheefield_configuration_version", [this] { return m_driver.routes() ? static_cast<double>(m_driver.routes()->version) : 0; });
--- a/src/gateway/process_setup.cpp
+++ b/src/gateway/process_setup.cpp
@@ -3,6 +3,7 @@
 #include "observe/log_text.h"
 
 #include <fcntl.h>
+#include <malloc.h>
 #include <unistd.h>
 
 #include <cstdlib>
@@ -13,6 +14,9 @@
 
 namespace {
 
+constexpr int mmapThresholdBytes = 256 * 1024;
+constexpr int trimThresholdBytes = 1024 * 1024;
+
 std::string textOfCurrentException()
 {
     try {
@@ -51,6 +55,13 @@
     }
 }
 
+void returnLargeBuffers()
+{
+    // A fixed threshold: by default it grows with the first large buffer that is freed, and the heap then keeps those that follow.
+    mallopt(M_MMAP_THRESHOLD, mmapThresholdBytes);
+    mallopt(M_TRIM_THRESHOLD, trimThresholdBytes);
+}
+
 void logProcessEnd(std::string_view why)
 {
     std::string line = "{\"event\":\"ended\",\"why\":";
--- a/src/gateway/process_setup.h
+++ b/src/gateway/process_setup.h
@@ -22,6 +22,9 @@
 /// lines would go to callers. Precondition: no other descriptor has been opened.
 void openStandardStreams();
 
+/// Makes freed memory of large buffers go back to the system at once, so that resident memory follows what is in use.
+void returnLargeBuffers();
+
 /// Writes the last log line of a process: why it ends. The line goes to standard error when standard output does not take it.
 void logProcessEnd(std::string_view why);
 
--- a/src/gateway/server_connections.cpp
+++ b/src/gateway/server_connections.cpp
@@ -105,9 +105,9 @@
     {
     }
 
-    void open(const boost::asio::any_io_executor& executor)
+    void open(const boost::asio::any_io_executor& executor, const ServiceName& service)
     {
-        m_http = openHttpConnection(executor, m_key.second, weak_from_this(), connectTimeout, responseLimits());
+        m_http = openHttpConnection(executor, m_key.second, weak_from_this(), connectTimeout, responseLimits(), service.value());
     }
 
     void assign(const SendServerRequest& request)
@@ -262,7 +262,7 @@
     const auto connection = std::make_shared<Connection>(weak_from_this(), key, m_executor, m_clock.now());
     m_busy.emplace(request.id, connection);
     connection->assign(request);
-    connection->open(m_executor);
+    connection->open(m_executor, request.server.service);
 }
 
 void ServerConnections::Impl::check(const CheckServer& check)
@@ -277,7 +277,7 @@
     ++m_count;
     const auto connection = std::make_shared<Connection>(weak_from_this(), key, m_executor, m_clock.now());
     m_checks.emplace(key, connection);
-    connection->open(m_executor);
+    connection->open(m_executor, check.server.service);
 }
 
 void ServerConnections::Impl::endCheck(const Connection& connection, ServerCheck result)
--- a/src/http/http_client_connection.cpp
+++ b/src/http/http_client_connection.cpp
@@ -39,13 +39,18 @@
         , m_timer(executor)
         , m_host(endpoint.toString())
         , m_events(std::move(events))
-        , m_limits(limits)
-        , m_buffer(limits.maxHeaderBytes + limits.maxBodyBytes + 2 * readBytes)
+        , m_limits(std::move(limits))
     {
     }
 
-    void connect(const Endpoint& endpoint, Duration timeout)
+    void connect(const Endpoint& endpoint, Duration timeout, const std::string& owner)
     {
+        m_charge.emplace(m_limits.buffers, owner.empty() ? m_host : owner, [weak = weak_from_this(), executor = m_socket.get_executor()] {
+            boost::asio::post(executor, [weak] {
+                if (const auto self = weak.lock())
+                    self->fail("the buffers of all connections together are full");
+            });
+        });
         boost::system::error_code ec;
         const auto address = boost::asio::ip::make_address(endpoint.address, ec);
         if (ec) {
@@ -128,8 +133,10 @@
             return;
         }
         parseMore();
-        if (!m_closed)
-            readMore();
+        if (m_closed)
+            return;
+        m_charge->set(m_inFlight ? m_reader->heldBytes() + m_buffer.size() : 0);
+        readMore();
     }
 
     void onReadError(const boost::system::error_code& ec)
@@ -159,7 +166,7 @@
     {
         m_inFlight = false;
         // If the response comes before the whole request is sent, the server may never read the rest of the request.
-        m_closing = m_hasSurplusBytes || m_writing || !m_reader->keepAlive();
+        m_closing = m_hasSurplusBytes || m_writing || !m_reader->keepAlive() || m_charge->isEvicted();
         auto response = m_reader->release();
         if (const auto events = m_events.lock())
             events->onResponse(std::move(response));
@@ -175,16 +182,27 @@
         boost::system::error_code ec;
         m_timer.cancel();
         m_socket.close(ec);
+        releaseBuffers();
         if (const auto events = m_events.lock())
             events->onLost(m_inFlight, reason);
     }
 
+    /// Frees what the connection holds at once, not only when its pending operations have ended.
+    void releaseBuffers()
+    {
+        m_reader.reset();
+        m_buffer.clear();
+        m_buffer.shrink_to_fit();
+        m_charge->set(0);
+    }
+
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
     std::string m_host;
     std::weak_ptr<HttpClientEvents> m_events;
     HttpLimits m_limits;
     boost::beast::flat_buffer m_buffer;
+    std::optional<BufferCharge> m_charge; ///< For the response to the request in flight.
     std::optional<HttpResponseReader> m_reader; ///< Of the response to the request in flight.
     std::string m_outgoing;
     bool m_inFlight = false;
@@ -198,10 +216,10 @@
 }
 
 std::shared_ptr<HttpClientConnection> openHttpConnection(
-    const boost::asio::any_io_executor& executor, const Endpoint& endpoint, std::weak_ptr<HttpClientEvents> events, Duration connectTimeout, HttpLimits limits)
+    const boost::asio::any_io_executor& executor, const Endpoint& endpoint, std::weak_ptr<HttpClientEvents> events, Duration connectTimeout, HttpLimits limits, const std::string& owner)
 {
-    auto connection = std::make_shared<BeastClientConnection>(executor, endpoint, std::move(events), limits);
-    connection->connect(endpoint, connectTimeout);
+    auto connection = std::make_shared<BeastClientConnection>(executor, endpoint, std::move(events), std::move(limits));
+    connection->connect(endpoint, connectTimeout, owner);
     return connection;
 }
 
--- a/src/http/http_client_connection.h
+++ b/src/http/http_client_connection.h
@@ -44,8 +44,9 @@
 
 /// Starts to connect to the endpoint, whose address must be an IP address. Errors, among them the time-out, are
 /// reported by onLost. A response above the limits is malformed. The connection holds the events object weakly.
+/// The bytes of responses are counted under the owner; when it is empty, under the endpoint.
 /// Precondition: the executor is a strand.
 std::shared_ptr<HttpClientConnection> openHttpConnection(
-    const boost::asio::any_io_executor&, const Endpoint&, std::weak_ptr<HttpClientEvents>, Duration connectTimeout, HttpLimits = {});
+    const boost::asio::any_io_executor&, const Endpoint&, std::weak_ptr<HttpClientEvents>, Duration connectTimeout, HttpLimits = {}, const std::string& owner = {});
 
 }
--- a/src/http/http_limits.h
+++ b/src/http/http_limits.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "base/buffer_limit.h"
 #include "base/time.h"
 
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 
 namespace lycheefield {
 
@@ -14,6 +16,8 @@
     std::uint64_t maxBodyBytes = 1024 * 1024;
     std::size_t maxPipelinedBytes = 64 * 1024; ///< Read ahead while a request is being handled.
     std::uint64_t maxBufferedBytes = 64 * 1024 * 1024; ///< Received bytes of requests that are not answered yet, of all connections together.
+    /// Limits the bytes of responses of all connections together, and ends those that hold too many.
+    std::shared_ptr<BufferLimit> buffers = BufferLimit::ofProcess();
     std::size_t maxConnections = 8192;
     Duration headerTimeout = std::chrono::seconds(5); ///< From the first byte of a message to the end of its header.
     Duration messageTimeout = std::chrono::seconds(10); ///< From the first byte of a message to its last.
--- a/src/http/http_response_reader.cpp
+++ b/src/http/http_response_reader.cpp
@@ -3,6 +3,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
 #include <string_view>
 
 namespace lycheefield {
@@ -49,7 +50,7 @@
     if (!parse(buffer))
         return State::Malformed;
     while (m_parser->is_done() && isInterim()) {
-        if (m_parsedBytes > m_limits.maxHeaderBytes)
+        if (m_headBytes > m_limits.maxHeaderBytes)
             return fail("its interim responses are longer than a header may be");
         startMessage();
         if (!parse(buffer))
@@ -78,7 +79,7 @@
             return false;
         }
         buffer.consume(n);
-        m_parsedBytes += n;
+        m_headBytes += isHead ? n : 0;
         if (isHead && m_parser->is_header_done() && !checkHead())
             return false;
         if (n == 0)
@@ -146,6 +147,14 @@
     return State::Malformed;
 }
 
+std::uint64_t HttpResponseReader::heldBytes() const
+{
+    // While a body grows, it is copied to twice its size.
+    constexpr std::uint64_t growth = 2;
+    const auto& body = m_parser->get().body();
+    return m_headBytes + std::min<std::uint64_t>(body.capacity(), growth * body.size());
+}
+
 bool HttpResponseReader::keepAlive() const
 {
     return m_parser->get().keep_alive();
--- a/src/http/http_response_reader.h
+++ b/src/http/http_response_reader.h
@@ -35,6 +35,8 @@
     HttpResponse release();
     /// Returns whether the connection may carry another request. Precondition: the last state was Done.
     bool keepAlive() const;
+    /// Returns the memory that the response takes so far. What is reserved for a body and not written yet takes none.
+    std::uint64_t heldBytes() const;
     /// Precondition: the last state was Malformed.
     const std::string& reason() const { return m_reason; }
 
@@ -58,7 +60,7 @@
     std::optional<Parser> m_parser;
     HttpResponse m_response; ///< Without its body until release().
     std::string m_reason;
-    std::uint64_t m_parsedBytes = 0; ///< Of interim responses and the final one.
+    std::uint64_t m_headBytes = 0; ///< Of interim responses and the final one.
 };
 
 }
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/buffer_limit.h"
 #include "base/endpoint.h"
 #include "base/ids.h"
 #include "base/time.h"
@@ -26,6 +27,7 @@
     std::uint32_t threads = 2;
     Routing routing = Routing::Relay;
     LogFormat logFormat = LogFormat::Text;
+    ByteCount maxBuffered = BufferLimit::defaultMax; ///< Of responses and frames, over all connections; see BufferLimit.
 
     friend bool operator==(const InstanceSettings&, const InstanceSettings&) = default;
 };
--- a/src/settings/setting_table.cpp
+++ b/src/settings/setting_table.cpp
@@ -42,6 +42,7 @@
                                 { "instance", "threads", fieldOf<section, &InstanceSettings::threads>, { "1", "256" }, "Threads that serve requests." },
                                 { "instance", "routing", fieldOf<section, &InstanceSettings::routing>, {}, "Path of legs to backend servers: through relay instances or direct." },
                                 { "instance", "log_format", fieldOf<section, &InstanceSettings::logFormat>, {}, "Format of log lines." },
+                                { "instance", "max_buffered", fieldOf<section, &InstanceSettings::maxBuffered>, { "1MiB", "65536MiB" }, "Most bytes of responses and frames that all connections together buffer; beyond it large ones are given up." },
                             });
 }
 
--- /dev/null
+++ b/tests/processes/response_memory_test.cpp
@@ -0,0 +1,188 @@
+#include "program_fixture.h"
+
+#include "support/raw_caller.h"
+#include "support/scripted_server.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <deque>
+#include <fstream>
+
+namespace lycheefield {
+
+namespace {
+
+constexpr std::size_t troubledRoutes = 10;
+constexpr std::size_t callersPerRoute = 12;
+constexpr std::uint64_t kibibyte = 1024;
+/// Half of the memory of the users' smallest machine, in KiB.
+constexpr std::uint64_t maxPeakKib = 130 * kibibyte;
+constexpr double minSoundShare = 0.99;
+
+/// Sends one request after the other on a connection, until it is told to stop.
+class SteadyCaller final : public HttpClientEvents, public std::enable_shared_from_this<SteadyCaller> {
+public:
+    void open(boost::asio::io_context& io, const Endpoint& endpoint) { m_connection = openHttpConnection(boost::asio::make_strand(io), endpoint, weak_from_this(), 5s); }
+    void onConnected() override { sendNext(); }
+    void onResponse(HttpResponse response) override
+    {
+        served += response.status == 200 ? 1 : 0;
+        sendNext();
+    }
+    void onLost(bool, const std::string&) override { }
+    void stop()
+    {
+        m_connection->close();
+    }
+
+    std::size_t sent = 0;
+    std::size_t served = 0;
+
+private:
+    void sendNext()
+    {
+        ++sent;
+        m_connection->send({ "GET", "/sound/1", { { "Host", "a.example" }, { "Lycheefield-Attempt-Id", "sound" }, { "Lycheefield-Deadline-Ms", "3000" } }, "" });
+    }
+
+    std::shared_ptr<HttpClientConnection> m_connection;
+};
+
+/// A gateway process in front of routes whose servers all answer with one script, and of a sound route.
+struct MemoryFixture : ProgramFixture {
+    explicit MemoryFixture(const ServerScript& script)
+        : sound(io, { "HTTP/1.1 200 OK\r\nLycheefield-Response-Stamp: s\r\nContent-Length: 16\r\n\r\n0123456789abcdef" })
+        , process(makeProcess("g1"))
+    {
+        std::string routes = route("sound");
+        std::string services = R"({"name":"sound","maxConns":200})";
+        addServer("sound", sound);
+        for (std::size_t i = 0; i < troubledRoutes; ++i) {
+            const auto name = "trouble" + std::to_string(i);
+            routes += "," + route(name);
+            services += R"(,{"name":")" + name + R"(","maxConns":200})";
+            for (int server = 0; server < 2; ++server) {
+                troubled.emplace_back(io, script);
+                addServer(name, troubled.back());
+            }
+        }
+        store.put("config", "main", R"({"version":2,"routes":[)" + routes + R"(],"services":[)" + services + "]}");
+        process.start();
+        REQUIRE(becomesReady(process));
+    }
+
+    static std::string route(const std::string& service)
+    {
+        return R"({"name":")" + service + R"(","host":"a.example","pathPrefix":"/)" + service + R"(/","routeType":"idempotent","timeoutMs":3000,"targetLatencyMs":1000,"priority":1,"service":")" + service + R"(","attempts":2})";
+    }
+
+    void addServer(const std::string& service, const ScriptedServer& server)
+    {
+        const auto name = "i-" + std::to_string(++m_servers);
+        store.put("servers", name, R"({"service":")" + service + R"(","address":")" + server.endpoint().toString() + R"(","zone":"a","version":"v1","slots":100,"state":"ready","warmupLeftMs":0,"sequence":1})");
+    }
+
+    /// Sends all requests to the servers in trouble at once, and one of the sound route after the other until all are answered.
+    void run()
+    {
+        for (std::size_t i = 0; i < troubledRoutes * callersPerRoute; ++i) {
+            callers.emplace_back(io, process.callers());
+            callers.back().send("GET /trouble" + std::to_string(i % troubledRoutes) + "/1 HTTP/1.1\r\nHost: a.example\r\nLycheefield-Attempt-Id: id" + std::to_string(i)
+                + "\r\nLycheefield-Deadline-Ms: 3000\r\nConnection: close\r\n\r\n");
+        }
+        for (auto& it : steady) {
+            it = std::make_shared<SteadyCaller>();
+            it->open(io, process.callers());
+        }
+        REQUIRE(waitUntil([&] { return std::all_of(callers.begin(), callers.end(), [](const auto& it) { return it.isClosed(); }); }));
+        for (auto& it : steady)
+            it->stop();
+    }
+
+    /// The greatest resident memory of the process so far.
+    std::uint64_t peakKib() const
+    {
+        std::ifstream status("/proc/" + std::to_string(process.pid()) + "/status");
+        for (std::string line; std::getline(status, line);) {
+            if (line.starts_with("VmHWM:"))
+                return std::stoull(line.substr(line.find(':') + 1));
+        }
+        return 0;
+    }
+
+    void checkSoundCallers()
+    {
+        std::size_t sent = 0;
+        std::size_t served = 0;
+        for (const auto& it : steady) {
+            sent += it->sent - 1; // The last request of each was not answered when its caller stopped.
+            served += it->served;
+        }
+        CHECK(sent > 100);
+        CHECK(static_cast<double>(served) >= minSoundShare * static_cast<double>(sent));
+    }
+
+    ScriptedServer sound;
+    std::deque<ScriptedServer> troubled;
+    GatewayProcess process;
+    std::deque<RawCaller> callers;
+    std::array<std::shared_ptr<SteadyCaller>, 4> steady;
+
+private:
+    int m_servers = 0;
+};
+
+}
+
+// Guards against servers in trouble that use up the memory of the machine, and with it end the requests of all callers.
+TEST_CASE("Bodies without end, of many servers at once, keep a gateway under half of the smallest machine's memory" * doctest::test_suite("processes"))
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nLycheefield-Response-Stamp: s\r\n";
+    const std::string bytes(64 * kibibyte, 'x');
+    ServerScript script;
+    SUBCASE("without a length") { script = { head + "\r\n", bytes }; }
+    SUBCASE("in chunks") { script = { head + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + bytes + "\r\n" }; }
+    SUBCASE("that end just before the length which they announce") { script = { head + "Content-Length: 4000000\r\n\r\n" + std::string(3900000, 'x'), "" }; }
+    MemoryFixture fixture(script);
+    fixture.run();
+    MESSAGE("peak of the resident memory, in KiB: ", fixture.peakKib());
+    CHECK(fixture.peakKib() < maxPeakKib);
+    // The log tells whose connections were ended.
+    CHECK(fixture.waitUntil([&] { return fixture.process.log().find(R"("event":"connections ended; all together buffer too much","owner":"trouble)") != std::string::npos; }));
+    CHECK(fixture.process.log().find(R"("owner":"sound")") == std::string::npos);
+    for (const auto& it : fixture.callers)
+        CHECK((it.received().starts_with("HTTP/1.1 502 ") || it.received().starts_with("HTTP/1.1 504 ")));
+    fixture.checkSoundCallers();
+    CHECK_FALSE(fixture.process.takeExitStatus());
+}
+
+TEST_CASE("A length that no server reaches takes no memory and ends no connection" * doctest::test_suite("processes"))
+{
+    MemoryFixture fixture({ "HTTP/1.1 200 OK\r\nLycheefield-Response-Stamp: s\r\nContent-Length: 8000000\r\n\r\nx" });
+    fixture.run();
+    MESSAGE("peak of the resident memory, in KiB: ", fixture.peakKib());
+    CHECK(fixture.peakKib() < maxPeakKib);
+    CHECK(fixture.process.log().find("all together buffer too much") == std::string::npos);
+    fixture.checkSoundCallers();
+}
+
+TEST_CASE("Whole answers that are too many for the memory are delivered whole or not at all" * doctest::test_suite("processes"))
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nLycheefield-Response-Stamp: s\r\nContent-Length: 4000000\r\n\r\n" + std::string(4000000, 'x');
+    MemoryFixture fixture({ answer });
+    fixture.run();
+    MESSAGE("peak of the resident memory, in KiB: ", fixture.peakKib());
+    CHECK(fixture.peakKib() < maxPeakKib);
+    std::size_t served = 0;
+    for (const auto& it : fixture.callers) {
+        const bool isServed = it.received().starts_with("HTTP/1.1 200 ");
+        served += isServed ? 1 : 0;
+        CHECK((isServed ? it.received().size() > 4000000 : it.received().starts_with("HTTP/1.1 50")));
+    }
+    MESSAGE("answers delivered: ", served);
+    CHECK(served > 0);
+    fixture.checkSoundCallers();
+}
+
+}
