--- a/src/http/http_server_session.cpp
+++ b/src/http/http_server_session.cpp
@@ -269,12 +269,32 @@
 {
     m_outgoing = formatResponse(response, keepAlive);
     m_writeStarted = m_context.clock->now();
+    chargeOutgoing();
     boost::asio::async_write(m_socket, boost::asio::buffer(m_outgoing),
         [self = shared_from_this(), keepAlive](const boost::system::error_code& ec, std::size_t) { self->onWritten(ec, keepAlive); });
 }
 
+void HttpServerSession::chargeOutgoing()
+{
+    m_charge.emplace(m_limits->buffers, "callers", [weak = weak_from_this(), number = m_requestNumber, executor = m_socket.get_executor()] {
+        boost::asio::post(executor, [weak, number] {
+            const auto self = weak.lock();
+            // By now the response may be written, and the next one be on its way.
+            if (self && self->m_requestNumber == number && self->m_writeStarted != never)
+                self->finish();
+        });
+    });
+    m_charge->set(m_outgoing.capacity());
+}
+
+void HttpServerSession::releaseOutgoing()
+{
+    m_charge.reset();
+}
+
 void HttpServerSession::onWritten(const boost::system::error_code& ec, bool keepAlive)
 {
+    releaseOutgoing();
     if (m_closed)
         return;
     m_writeStarted = never;
--- a/src/http/http_server_session.h
+++ b/src/http/http_server_session.h
@@ -69,6 +69,10 @@
     Duration networkTime();
     void continueIfExpected();
     void sendResponse(const HttpResponse&, bool keepAlive);
+    /// Counts the response that is being written among the buffers of all connections, which may end this one for it.
+    void chargeOutgoing();
+    /// Frees the response that has been written.
+    void releaseOutgoing();
     void onWritten(const boost::system::error_code&, bool keepAlive);
     void reportDisconnect();
     /// Shuts down sending, and discards received bytes until the caller disconnects or lingerTimeout passes.
@@ -88,6 +92,7 @@
     std::optional<HttpRequestReader> m_reader;
     std::function<void()> m_disconnectHandler;
     std::string m_outgoing;
+    std::optional<BufferCharge> m_charge; ///< For m_outgoing while it is being written.
     std::uint64_t m_buffered = 0; ///< See setBuffered().
     std::uint64_t m_requestNumber = 0;
     TimePoint m_messageStarted = never; ///< `never` unless a request has arrived in part.
--- a/tests/processes/response_memory_test.cpp
+++ b/tests/processes/response_memory_test.cpp
@@ -3,6 +3,8 @@
 #include "support/raw_caller.h"
 #include "support/scripted_server.h"
 
+#include <boost/asio/write.hpp>
+
 #include <doctest/doctest.h>
 
 #include <array>
@@ -49,6 +51,38 @@
     std::shared_ptr<HttpClientConnection> m_connection;
 };
 
+/// A caller that sends requests and reads an answer only when it is told to.
+class SilentCaller {
+public:
+    SilentCaller(boost::asio::io_context& io, const Endpoint& endpoint)
+        : m_socket(io)
+    {
+        m_socket.open(boost::asio::ip::tcp::v4());
+        m_socket.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+        m_socket.connect({ boost::asio::ip::make_address(endpoint.address), endpoint.port });
+    }
+
+    void send(const std::string& path)
+    {
+        boost::asio::write(m_socket, boost::asio::buffer("GET " + path + " HTTP/1.1\r\nHost: a.example\r\nLycheefield-Attempt-Id: id\r\nLycheefield-Deadline-Ms: 3000\r\n\r\n"));
+    }
+    /// Reads until so many bytes have arrived in all, or the connection has ended.
+    void read(std::size_t bytes)
+    {
+        m_socket.async_read_some(boost::asio::buffer(m_chunk), [this, bytes](const boost::system::error_code& ec, std::size_t n) {
+            received += n;
+            if (!ec && received < bytes)
+                read(bytes);
+        });
+    }
+
+    std::size_t received = 0;
+
+private:
+    boost::asio::ip::tcp::socket m_socket;
+    std::array<char, 65536> m_chunk {};
+};
+
 /// A gateway process in front of routes whose servers all answer with one script, and of a sound route.
 struct MemoryFixture : ProgramFixture {
     explicit MemoryFixture(const ServerScript& script)
@@ -101,16 +135,29 @@
     }
 
     /// The greatest resident memory of the process so far.
-    std::uint64_t peakKib() const
+    std::uint64_t peakKib() const { return statusOf("VmHWM:"); }
+    /// The resident memory of the process now.
+    std::uint64_t residentKib() const { return statusOf("VmRSS:"); }
+    std::uint64_t statusOf(std::string_view name) const
     {
         std::ifstream status("/proc/" + std::to_string(process.pid()) + "/status");
         for (std::string line; std::getline(status, line);) {
-            if (line.starts_with("VmHWM:"))
-                return std::stoull(line.substr(line.find(':') + 1));
+            if (line.starts_with(name))
+                return std::stoull(line.substr(name.size()));
         }
         return 0;
     }
 
+    /// The number of requests that the log says were answered.
+    std::size_t answered() const
+    {
+        const auto log = process.log();
+        std::size_t n = 0;
+        for (auto at = log.find("\"event\":\"answered\""); at != std::string::npos; at = log.find("\"event\":\"answered\"", at + 1))
+            ++n;
+        return n;
+    }
+
     void checkSoundCallers()
     {
         std::size_t sent = 0;
@@ -185,4 +232,29 @@
     fixture.checkSoundCallers();
 }
 
+TEST_CASE("Answers that wait for callers who do not read stay within the memory" * doctest::test_suite("processes"))
+{
+    constexpr std::size_t bodyBytes = 7000000;
+    MemoryFixture fixture({ "HTTP/1.1 200 OK\r\nLycheefield-Response-Stamp: s\r\nContent-Length: 7000000\r\n\r\n" + std::string(bodyBytes, 'x') });
+    std::deque<SilentCaller> silent;
+    const auto askNext = [&] {
+        silent.emplace_back(fixture.io, fixture.process.callers());
+        silent.back().send("/trouble" + std::to_string(silent.size() % troubledRoutes) + "/1");
+        REQUIRE(fixture.waitUntil([&] { return fixture.answered() >= silent.size(); }));
+    };
+
+    SUBCASE("Those of the largest answers are disconnected, and others are served")
+    {
+        for (int i = 0; i < 60; ++i)
+            askNext();
+        CHECK(fixture.waitUntil([&] { return fixture.process.log().find(R"("event":"connections ended; all together buffer too much","owner":"callers")") != std::string::npos; }));
+        fixture.run();
+        CHECK(fixture.process.log().find(R"("owner":"sound")") == std::string::npos);
+        fixture.checkSoundCallers();
+    }
+    MESSAGE("peak of the resident memory, in KiB: ", fixture.peakKib());
+    CHECK(fixture.peakKib() < maxPeakKib);
+    CHECK_FALSE(fixture.process.takeExitStatus());
+}
+
 }
