--- a/src/http/http_client_connection.cpp
+++ b/src/http/http_client_connection.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr std::size_t readBytes = 4 * 1024;
+/// The memory for requests that a connection keeps for its next one.
+constexpr std::size_t keptRequestBytes = 16 * 1024;
 
 std::string formatRequest(const HttpRequest& request, const std::string& host)
 {
@@ -82,6 +84,7 @@
         m_reader.emplace(m_limits);
         boost::asio::async_write(m_socket, boost::asio::buffer(m_outgoing), [self = shared_from_this()](const boost::system::error_code& ec, std::size_t) {
             self->m_writing = false;
+            self->releaseRequest();
             if (ec)
                 self->fail(ec.message());
         });
@@ -187,6 +190,14 @@
             events->onLost(m_inFlight, reason);
     }
 
+    /// Frees the request that has been written, unless it is small.
+    void releaseRequest()
+    {
+        m_outgoing.clear();
+        if (m_outgoing.capacity() > keptRequestBytes)
+            m_outgoing.shrink_to_fit();
+    }
+
     /// Frees what the connection holds at once, not only when its pending operations have ended.
     void releaseBuffers()
     {
--- a/src/http/http_server_session.cpp
+++ b/src/http/http_server_session.cpp
@@ -16,6 +16,8 @@
 
 /// How long the session reads on after its last response, so that a TCP reset does not discard that response.
 constexpr Duration lingerTimeout = std::chrono::seconds(2);
+/// The memory for responses that a connection keeps for its next one.
+constexpr std::size_t keptOutgoingBytes = 16 * 1024;
 constexpr unsigned unavailable = 503;
 /// In seconds.
 constexpr auto memoryRetryAfter = "1";
@@ -290,6 +292,9 @@
 void HttpServerSession::releaseOutgoing()
 {
     m_charge.reset();
+    m_outgoing.clear();
+    if (m_outgoing.capacity() > keptOutgoingBytes)
+        m_outgoing.shrink_to_fit();
 }
 
 void HttpServerSession::onWritten(const boost::system::error_code& ec, bool keepAlive)
--- a/tests/processes/response_memory_test.cpp
+++ b/tests/processes/response_memory_test.cpp
@@ -252,6 +252,15 @@
         CHECK(fixture.process.log().find(R"("owner":"sound")") == std::string::npos);
         fixture.checkSoundCallers();
     }
+    SUBCASE("A caller that has read its answer and keeps the connection costs nothing more")
+    {
+        for (int i = 0; i < 60; ++i) {
+            askNext();
+            silent.back().read(bodyBytes + 1);
+            REQUIRE(fixture.waitUntil([&] { return silent.back().received > bodyBytes; }));
+        }
+        CHECK(fixture.residentKib() < 32 * kibibyte);
+    }
     MESSAGE("peak of the resident memory, in KiB: ", fixture.peakKib());
     CHECK(fixture.peakKib() < maxPeakKib);
     CHECK_FALSE(fixture.process.takeExitStatus());
