--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -137,7 +137,7 @@
         request->mayHaveRun = true;
     if (isWaiting(leg)) {
         if (response.kind == ServerResponseKind::Failed)
-            leg.singleResponse = response.message;
+            keepFailure(*request, leg, response);
         // A full server may have capacity later.
         if (response.kind == ServerResponseKind::NotRun && ServerPool::isFull(response.load))
             std::erase(leg.tried, attempt.server);
@@ -145,6 +145,7 @@
             acceptPart(*request, leg, response);
         else
             onLegFailed(*request, attempt.leg, now, actions);
+        dropLargeFailure(*request, leg);
         review(*request, now, actions);
     }
     sendNextQueued(attempt.server->entry.service, now, actions);
@@ -365,6 +366,7 @@
     abandonAttempts(request, cancelAttempts, now, actions);
     for (std::size_t i = 0; i < request.legs.size(); ++i)
         dequeue(request, i);
+    setHeldBytes(request, 0);
     const auto number = request.request.number;
     m_dueTimes.erase({ request.due, number });
     m_requests.erase(number);
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -107,6 +107,8 @@
     TimePoint nextWake() const;
 
     std::size_t inFlight() const { return m_requests.size(); }
+    /// Returns the bytes of servers' responses that wait for the answers of their requests.
+    std::uint64_t heldBytes() const { return m_heldBytes; }
     const ForwardCounters& counters() const { return m_counters; }
     /// Returns the highest share of one service's last requests that left the zone.
     double highestLeftShare() const { return m_pool.highestLeftShare(); }
@@ -169,6 +171,8 @@
         TimePoint due = never;
         std::size_t done = 0;
         std::size_t missing = 0;
+        std::string mergedRecords; ///< The greatest records of the parts whose bodies are no longer kept.
+        std::size_t heldBytes = 0; ///< Of the records and responses that wait for the answer.
         Duration refusedWait {}; ///< Of a request that is refused early: the time after which a retry may be served.
         bool mayHaveRun = false;
         std::map<DelegationId, std::vector<std::size_t>> delegations; ///< The legs of each delegation, in the order of its shards.
@@ -286,6 +290,13 @@
     void onLegFailed(Request&, std::size_t leg, TimePoint, ForwardActions&);
     void endLeg(Request&, Leg&, LegStage);
     void acceptPart(Request&, Leg&, const ServerResponse&);
+    /// Keeps the server's failure, which is the answer if no other attempt is served.
+    void keepFailure(Request&, Leg&, const ServerResponse&);
+    /// Drops a large failure of a leg that goes on waiting for another attempt.
+    void dropLargeFailure(Request&, Leg&);
+    /// Keeps only the greatest records of all parts received so far, when the parts are much longer than the answer.
+    void mergeLargeParts(Request&);
+    void setHeldBytes(Request&, std::size_t);
     bool mayRunAgain(const Request&, const Leg&) const;
     Duration hedgeDelay(const Request&);
     /// Returns the longest hedge delay: a share of the time that the request has, so that the second server can answer in time.
@@ -327,6 +338,7 @@
     std::multimap<TimePoint, ServerEntry> m_dueChecks;
     CancelledAttempts m_cancelledAttempts;
     TimePoint m_end = never; ///< When all requests are answered because the process ends.
+    std::uint64_t m_heldBytes = 0; ///< Of all requests.
     std::uint64_t m_lastAttempt = 0;
     std::uint64_t m_lastDelegation = 0;
     std::unordered_map<DelegationId, RequestNumber> m_delegations;
--- a/src/forward/forward_engine_legs.cpp
+++ b/src/forward/forward_engine_legs.cpp
@@ -21,6 +21,10 @@
 constexpr double defaultLatencyShare = 0.2;
 /// A leg is shed when its expected latency exceeds this multiple of the time left until the answer.
 constexpr double shedFactor = 1.5;
+/// Parts of a search are merged early when they are longer than so many answers and than maxSmallHeldBytes.
+constexpr std::size_t maxHeldAnswers = 4;
+/// Responses that wait for the answer of their request may always take so many bytes.
+constexpr std::size_t maxSmallHeldBytes = 64 * 1024;
 /// Minimum Retry-After for a request that has not run.
 constexpr Duration minRetryAfter = 100ms;
 
@@ -202,10 +206,51 @@
     leg.stage = LegStage::Done;
     ++request.done;
     leg.signature = response.signature;
-    if (request.route().isSearch())
-        leg.body = response.message.body;
-    else
+    if (!request.route().isSearch()) {
         leg.singleResponse = response.message;
+        return;
+    }
+    leg.body = response.message.body;
+    setHeldBytes(request, request.heldBytes + leg.body.size());
+    mergeLargeParts(request);
+}
+
+void ForwardEngine::mergeLargeParts(Request& request)
+{
+    const auto topRecords = request.route().topRecords;
+    if (request.heldBytes <= std::max(maxSmallHeldBytes, maxHeldAnswers * topRecords * recordBytes))
+        return;
+    std::vector<std::string_view> parts { request.mergedRecords };
+    for (const auto& leg : request.legs)
+        parts.push_back(leg.body);
+    auto merged = greatestRecords(parts, topRecords);
+    for (auto& leg : request.legs)
+        std::string().swap(leg.body);
+    request.mergedRecords = std::move(merged);
+    setHeldBytes(request, request.mergedRecords.size());
+}
+
+void ForwardEngine::keepFailure(Request& request, Leg& leg, const ServerResponse& response)
+{
+    // A search has no use for it.
+    if (request.route().isSearch())
+        return;
+    leg.singleResponse = response.message;
+    setHeldBytes(request, response.message.body.size());
+}
+
+void ForwardEngine::dropLargeFailure(Request& request, Leg& leg)
+{
+    if (!isWaiting(leg) || !leg.singleResponse || leg.singleResponse->body.size() <= maxSmallHeldBytes)
+        return;
+    leg.singleResponse.reset();
+    setHeldBytes(request, 0);
+}
+
+void ForwardEngine::setHeldBytes(Request& request, std::size_t bytes)
+{
+    m_heldBytes = m_heldBytes - request.heldBytes + bytes;
+    request.heldBytes = bytes;
 }
 
 void ForwardEngine::onLegFailed(Request& request, std::size_t index, TimePoint now, ForwardActions& actions)
@@ -303,7 +348,7 @@
     answer.kind = ForwardAnswerKind::Search;
     answer.missingShards = request.legs.size() - request.done;
     answer.reason = answer.missingShards == 0 ? "complete" : "partial";
-    std::vector<std::string_view> parts;
+    std::vector<std::string_view> parts { request.mergedRecords };
     for (std::size_t i = 0; i < request.legs.size(); ++i) {
         auto& leg = request.legs[i];
         if (leg.stage != LegStage::Done)
--- a/src/gateway/forward_driver.h
+++ b/src/gateway/forward_driver.h
@@ -2,6 +2,7 @@
 
 #include "admission/configuration_freshness.h"
 #include "admission/credential_check.h"
+#include "base/buffer_limit.h"
 #include "base/clock.h"
 #include "forward/forward_engine.h"
 #include "forward/server_registry.h"
@@ -124,6 +125,7 @@
     {
         ForwardActions actions;
         call(m_parts.clock.now(), actions);
+        m_heldResponses.set(m_engine.heldBytes());
         execute(actions);
     }
     void execute(const ForwardActions&);
@@ -136,6 +138,7 @@
     boost::asio::steady_timer m_timer;
     TimePoint m_timerAt = never;
     ForwardEngine m_engine;
+    BufferCharge m_heldResponses { BufferLimit::ofProcess(), "requests in progress", nullptr };
     ServerConnections m_connections;
     std::shared_ptr<const RouteTable> m_routes;
     std::unordered_map<RequestNumber, PendingRequest> m_pending;
--- a/tests/forward/forward_test_bed.cpp
+++ b/tests/forward/forward_test_bed.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::uint64_t seed = 11;
 constexpr std::uint32_t maxServerConnections = 26;
+/// One record.
+const std::string usualBody(16, 'r');
 
 Route routeAt(const std::string& name)
 {
@@ -217,7 +219,7 @@
     response.kind = kind;
     response.signature = kind == ServerResponseKind::Served ? server.entry.name.value() : "";
     response.message.status = kind == ServerResponseKind::Served ? 200 : 500;
-    response.message.body = std::string(16, 'r');
+    response.message.body = usualBody;
     response.isLeaving = server.model.isLeaving;
     if (kind == ServerResponseKind::NotRun)
         response.retryAfter = server.model.retryAfter;
@@ -265,11 +267,17 @@
 }
 
 void ForwardTestBed::respond(ServerRequestId id, ServerResponseKind kind)
+{
+    respond(id, kind, usualBody);
+}
+
+void ForwardTestBed::respond(ServerRequestId id, ServerResponseKind kind, const std::string& body)
 {
     for (const auto& serverRequest : serverRequests()) {
         if (serverRequest.id != id)
             continue;
-        const auto response = responseOf(m_servers.at(serverRequest.server.name), kind);
+        auto response = responseOf(m_servers.at(serverRequest.server.name), kind);
+        response.message.body = body;
         forget(id);
         ForwardActions actions;
         m_engine.onResponse(id, response, m_now, actions);
--- a/tests/forward/forward_test_bed.h
+++ b/tests/forward/forward_test_bed.h
@@ -82,6 +82,8 @@
 
     /// Ends a server request in flight with a response.
     void respond(ServerRequestId, ServerResponseKind);
+    /// The same, with a body in place of the usual one.
+    void respond(ServerRequestId, ServerResponseKind, const std::string& body);
     void failServerRequest(ServerRequestId, ServerRequestFailure);
     /// Returns the server requests in flight, in the order of their ids.
     std::vector<SendServerRequest> serverRequests() const;
--- a/tests/processes/response_memory_test.cpp
+++ b/tests/processes/response_memory_test.cpp
@@ -101,7 +101,9 @@
                 addServer(name, troubled.back());
             }
         }
-        store.put("config", "main", R"({"version":2,"routes":[)" + routes + R"(],"services":[)" + services + "]}");
+        m_routes = routes;
+        m_services = services;
+        store.put("config", "main", R"({"version":2,"routes":[)" + m_routes + R"(],"services":[)" + m_services + "]}");
         process.start();
         REQUIRE(becomesReady(process));
     }
@@ -111,6 +113,17 @@
         return R"({"name":")" + service + R"(","host":"a.example","pathPrefix":"/)" + service + R"(/","routeType":"idempotent","timeoutMs":3000,"targetLatencyMs":1000,"priority":1,"service":")" + service + R"(","attempts":2})";
     }
 
+    /// Adds a route that searches the services in trouble and a service "silent", and waits until the gateway knows it.
+    void addSearch()
+    {
+        std::string shards = R"("silent")";
+        for (std::size_t i = 0; i < troubledRoutes; ++i)
+            shards += R"(,"trouble)" + std::to_string(i) + "\"";
+        const auto search = R"({"name":"search","host":"a.example","pathPrefix":"/search/","routeType":"idempotent","timeoutMs":3000,"targetLatencyMs":2500,"priority":1,"gather":[)" + shards + R"(],"topK":50,"minShardRatio":1,"attempts":1})";
+        store.put("config", "main", R"({"version":3,"routes":[)" + m_routes + "," + search + R"(],"services":[)" + m_services + R"(,{"name":"silent","maxConns":200}]})");
+        REQUIRE(waitUntil([&] { return process.log().find(R"("event":"configuration applied","version":"3")") != std::string::npos; }));
+    }
+
     void addServer(const std::string& service, const ScriptedServer& server)
     {
         const auto name = "i-" + std::to_string(++m_servers);
@@ -178,6 +191,8 @@
 
 private:
     int m_servers = 0;
+    std::string m_routes; ///< Those of single services, in JSON.
+    std::string m_services;
 };
 
 }
@@ -266,4 +281,27 @@
     CHECK_FALSE(fixture.process.takeExitStatus());
 }
 
+// Guards against parts that wait, whole, for a shard that does not answer.
+TEST_CASE("Large parts of searches that wait for another shard stay within the memory" * doctest::test_suite("processes"))
+{
+    constexpr std::size_t searches = 30;
+    const std::string part(2000000, 'x');
+    MemoryFixture fixture({ "HTTP/1.1 200 OK\r\nLycheefield-Response-Stamp: s\r\nContent-Length: 2000000\r\n\r\n" + part });
+    ScriptedServer silent(fixture.io, {});
+    fixture.addServer("silent", silent);
+    fixture.addSearch();
+    for (std::size_t i = 0; i < searches; ++i) {
+        fixture.callers.emplace_back(fixture.io, fixture.process.callers());
+        fixture.callers.back().send("GET /search/" + std::to_string(i) + " HTTP/1.1\r\nHost: a.example\r\nLycheefield-Attempt-Id: search" + std::to_string(i) + "\r\nLycheefield-Deadline-Ms: 3000\r\nConnection: close\r\n\r\n");
+        // Time for the gateway to read the parts, so that few are being received at once.
+        fixture.runFor(50ms);
+    }
+    REQUIRE(fixture.waitUntil([&] { return std::all_of(fixture.callers.begin(), fixture.callers.end(), [](const auto& it) { return it.isClosed(); }); }));
+    MESSAGE("peak of the resident memory, in KiB: ", fixture.peakKib());
+    CHECK(fixture.peakKib() < maxPeakKib);
+    for (const auto& it : fixture.callers)
+        CHECK(it.received().starts_with("HTTP/1.1 50"));
+    CHECK_FALSE(fixture.process.takeExitStatus());
+}
+
 }
