--- a/src/forward/forward_action.h
+++ b/src/forward/forward_action.h
@@ -29,6 +29,12 @@
     ServerRequestId id;
 };
 
+/// Keep nothing of the response to a server request, which goes on: no request needs the response any more. Its end is
+/// reported to the engine as usual.
+struct DiscardServerResponse {
+    ServerRequestId id;
+};
+
 /// What a check of a server has shown.
 enum class ServerCheck : std::uint8_t {
     Running,
@@ -103,7 +109,7 @@
     std::string detail; ///< The inputs of the decision as "key=value" pairs.
 };
 
-using ForwardAction = std::variant<SendServerRequest, CancelServerRequest, CheckServer, DelegateShards, CancelDelegation, GrantExtraAttempts, RequestExtraAttempts, AnnounceContentCrash, ReportContentCrash, DeliverForwardAnswer, LogForwardDecision>;
+using ForwardAction = std::variant<SendServerRequest, CancelServerRequest, DiscardServerResponse, CheckServer, DelegateShards, CancelDelegation, GrantExtraAttempts, RequestExtraAttempts, AnnounceContentCrash, ReportContentCrash, DeliverForwardAnswer, LogForwardDecision>;
 using ForwardActions = std::vector<ForwardAction>;
 
 }
--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -141,10 +141,12 @@
         // A full server may have capacity later.
         if (response.kind == ServerResponseKind::NotRun && ServerPool::isFull(response.load))
             std::erase(leg.tried, attempt.server);
-        if (response.kind == ServerResponseKind::Served)
+        if (response.kind == ServerResponseKind::Served) {
             acceptPart(*request, leg, response);
-        else
+            discardResponses(leg, actions);
+        } else {
             onLegFailed(*request, attempt.leg, now, actions);
+        }
         dropLargeFailure(*request, leg);
         review(*request, now, actions);
     }
@@ -322,6 +324,12 @@
     actions.emplace_back(CancelServerRequest { id });
 }
 
+void ForwardEngine::discardResponses(const Leg& leg, ForwardActions& actions)
+{
+    for (const auto& id : leg.inFlight)
+        actions.emplace_back(DiscardServerResponse { id });
+}
+
 void ForwardEngine::abandonAttempts(Request& request, bool cancelNow, TimePoint now, ForwardActions& actions)
 {
     for (auto& leg : request.legs) {
@@ -335,6 +343,8 @@
             const auto maxWait = std::max(minAbandonedTime, abandonedTargetLatencies * request.route().targetLatency);
             attempt.cancelAt = attempt.isIdempotent ? std::max(now, attempt.sentAt + maxWait) : std::max(now, request.deadline) + graceAfterDeadline;
             m_cancellations.emplace(attempt.cancelAt, id);
+            if (attempt.isUnserved)
+                actions.emplace_back(DiscardServerResponse { id });
         }
     }
 }
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -309,6 +309,8 @@
     void dequeue(const Request&, std::size_t leg);
     void forgetAttempt(ServerRequestId, TimePoint);
     void cancelAttempt(ServerRequestId, TimePoint, ForwardActions&);
+    /// Discards the responses to the leg's attempts in flight, as the leg needs none of them.
+    static void discardResponses(const Leg&, ForwardActions&);
     void abandonAttempts(Request&, bool cancelNow, TimePoint, ForwardActions&);
 
     void finish(Request&, TimePoint, ForwardActions&);
--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -319,6 +319,8 @@
             m_connections.send(*request);
         else if (const auto* cancelledRequest = std::get_if<CancelServerRequest>(&action))
             m_connections.cancel(cancelledRequest->id);
+        else if (const auto* discarded = std::get_if<DiscardServerResponse>(&action))
+            m_connections.discardResponse(discarded->id);
         else if (const auto* check = std::get_if<CheckServer>(&action))
             m_connections.check(*check);
         else if (const auto* shards = std::get_if<DelegateShards>(&action))
--- a/src/gateway/server_connections.cpp
+++ b/src/gateway/server_connections.cpp
@@ -64,6 +64,7 @@
     void check(const CheckServer&);
     void withdrawUnsent(const std::set<ZoneName>&);
     void cancel(ServerRequestId);
+    void discardResponse(ServerRequestId);
     void closeStale();
     std::size_t count() const { return m_count; }
     /// Removes and returns an idle connection to the server that may carry the request; null when there is none.
@@ -113,10 +114,18 @@
     void assign(const SendServerRequest& request)
     {
         m_request = request;
+        m_isResponseUnneeded = false;
         if (m_isAccepted)
             transmit();
     }
 
+    void discardResponse()
+    {
+        m_isResponseUnneeded = true;
+        if (m_isAccepted)
+            m_http->discardResponse();
+    }
+
     void close()
     {
         m_request.reset();
@@ -215,6 +224,8 @@
             return;
         const auto left = std::max(minTimeLeft, Duration(m_request->deadline - owner->m_clock.now()));
         m_http->send(owner->m_protocol.write(*m_request->message, { m_request->server.name, left, m_request->team }));
+        if (m_isResponseUnneeded)
+            m_http->discardResponse();
     }
 
     std::weak_ptr<Impl> m_owner;
@@ -228,6 +239,7 @@
     std::vector<std::string> m_refusedAttempts; ///< The attempts that the server refused on this connection. It may send a refusal twice, and late.
     bool m_isConnected = false;
     bool m_isAccepted = false; ///< The server has kept the connection open for a round trip: requests may be sent.
+    bool m_isResponseUnneeded = false; ///< To the current request.
     bool m_isClosed = false;
 };
 
@@ -315,6 +327,12 @@
     --m_count;
 }
 
+void ServerConnections::Impl::discardResponse(ServerRequestId id)
+{
+    if (const auto it = m_busy.find(id); it != m_busy.end())
+        it->second->discardResponse();
+}
+
 void ServerConnections::Impl::closeStaleOf(std::vector<ConnectionPtr>& idle, TimePoint now)
 {
     m_count -= std::erase_if(idle, [&](const ConnectionPtr& connection) {
@@ -374,6 +392,11 @@
     m_impl->cancel(id);
 }
 
+void ServerConnections::discardResponse(ServerRequestId id)
+{
+    m_impl->discardResponse(id);
+}
+
 void ServerConnections::closeStale()
 {
     m_impl->closeStale();
--- a/src/gateway/server_connections.h
+++ b/src/gateway/server_connections.h
@@ -44,6 +44,8 @@
     void withdrawUnsent(const std::set<ZoneName>&);
     /// Closes the request's connection, without a call of the events.
     void cancel(ServerRequestId);
+    /// Keeps nothing of the request's response while it arrives. The events are called as usual, with an empty body.
+    void discardResponse(ServerRequestId);
     /// Closes the connections that have been idle for as long as their server allows.
     void closeStale();
     std::size_t count() const;
--- a/src/http/http_client_connection.cpp
+++ b/src/http/http_client_connection.cpp
@@ -90,6 +90,14 @@
         });
     }
 
+    void discardResponse() override
+    {
+        if (!m_inFlight || m_closed)
+            return;
+        m_reader->discardBody();
+        chargeResponse();
+    }
+
     void close() override
     {
         m_events.reset();
@@ -138,10 +146,12 @@
         parseMore();
         if (m_closed)
             return;
-        m_charge->set(m_inFlight ? m_reader->heldBytes() + m_buffer.size() : 0);
+        chargeResponse();
         readMore();
     }
 
+    void chargeResponse() { m_charge->set(m_inFlight ? m_reader->heldBytes() + m_buffer.size() : 0); }
+
     void onReadError(const boost::system::error_code& ec)
     {
         if (m_inFlight && ec == boost::asio::error::eof && m_reader->takeEnd() == HttpResponseReader::State::Done)
--- a/src/http/http_client_connection.h
+++ b/src/http/http_client_connection.h
@@ -36,6 +36,8 @@
     /// Sends the request. Precondition: onConnected was called, and no request is in flight. Errors are reported
     /// by onLost, also when the connection has already ended.
     virtual void send(const HttpRequest&) = 0;
+    /// Keeps nothing of the body of the response in flight, which is reported without it. No effect without a request in flight.
+    virtual void discardResponse() = 0;
     /// Closes the connection. No event is reported afterwards.
     virtual void close() = 0;
     /// Returns whether the peer's address rejected the connection, so that no process accepts connections there.
--- a/src/http/http_response_reader.cpp
+++ b/src/http/http_response_reader.cpp
@@ -49,6 +49,8 @@
 {
     if (!parse(buffer))
         return State::Malformed;
+    if (m_isBodyDiscarded)
+        discardBody();
     while (m_parser->is_done() && isInterim()) {
         if (m_headBytes > m_limits.maxHeaderBytes)
             return fail("its interim responses are longer than a header may be");
@@ -130,6 +132,12 @@
     return m_parser->get().result_int() < firstFinalStatus;
 }
 
+void HttpResponseReader::discardBody()
+{
+    m_isBodyDiscarded = true;
+    std::string().swap(m_parser->get().body());
+}
+
 HttpResponseReader::State HttpResponseReader::takeEnd()
 {
     if (!m_parser->is_header_done())
--- a/src/http/http_response_reader.h
+++ b/src/http/http_response_reader.h
@@ -29,6 +29,8 @@
 
     /// Parses the bytes in the buffer, and consumes those that need not be seen again.
     State take(boost::beast::flat_buffer&);
+    /// Frees the part of the body that has been parsed, and keeps nothing of what follows.
+    void discardBody();
     /// Handles the orderly end of the connection, which ends a response that has no length.
     State takeEnd();
     /// Precondition: the last state was Done. Call once.
@@ -60,6 +62,7 @@
     std::optional<Parser> m_parser;
     HttpResponse m_response; ///< Without its body until release().
     std::string m_reason;
+    bool m_isBodyDiscarded = false;
     std::uint64_t m_headBytes = 0; ///< Of interim responses and the final one.
 };
 
--- a/tests/forward/forward_test_bed.h
+++ b/tests/forward/forward_test_bed.h
@@ -98,6 +98,8 @@
     ForwardEngine& engine() { return m_engine; }
     std::size_t arrivals(const std::string& name) const { return m_servers.at(ServerName(name)).arrivals; }
     std::size_t cancelledRequests() const { return m_cancelledRequests; }
+    /// Returns the server requests whose responses need not be kept.
+    const std::vector<ServerRequestId>& discardedResponses() const { return m_discardedResponses; }
 
 private:
     struct Server {
@@ -136,6 +138,7 @@
     std::map<RequestNumber, Outcome> m_outcomes;
     std::uint64_t m_lastRequest = 0;
     std::size_t m_cancelledRequests = 0;
+    std::vector<ServerRequestId> m_discardedResponses;
     std::vector<DelegateShards> m_delegations;
     std::size_t m_cancelledDelegations = 0;
     std::vector<DelegationId> m_grantedDelegations;
--- a/tests/forward/held_responses_test.cpp
+++ b/tests/forward/held_responses_test.cpp
@@ -95,6 +95,48 @@
     CHECK(bed.engine().heldBytes() == 0);
 }
 
+// Guards against bytes that are kept for callers who have their answer, or have gone.
+TEST_CASE("Responses that no request needs any more are discarded while they arrive")
+{
+    ForwardTestBed bed(settingsInZoneA());
+    bed.addServer("x", "x-a", "a", { .work = 10s });
+    bed.addServer("x", "x-b", "a", { .work = 10s });
+
+    SUBCASE("when the caller of a request leaves that must go on at its server")
+    {
+        const auto number = bed.start(bed.singleRoute("x", false));
+        const auto id = bed.serverRequests().front().id;
+        bed.disconnect(number);
+        CHECK(bed.cancelledRequests() == 0);
+        CHECK(bed.discardedResponses() == std::vector { id });
+    }
+    SUBCASE("when a hedge was served first")
+    {
+        const auto number = bed.start(bed.singleRoute("x", true));
+        bed.run(700ms);
+        REQUIRE(bed.serverRequests().size() == 2);
+        const auto first = bed.serverRequests().front().id;
+        bed.respond(bed.serverRequests().back().id, ServerResponseKind::Served);
+        REQUIRE(bed.answerTo(number));
+        CHECK(bed.discardedResponses() == std::vector { first });
+    }
+    SUBCASE("when one shard of a search was served, and others still run")
+    {
+        bed.addServer("y", "y-a", "a", { .work = 10s });
+        const auto number = bed.start(bed.searchRoute({ "x", "y" }));
+        bed.run(150ms);
+        std::vector<SendServerRequest> attempts;
+        for (const auto& it : bed.serverRequests()) {
+            if (it.server.service == ServiceName("x"))
+                attempts.push_back(it);
+        }
+        REQUIRE(attempts.size() == 2);
+        bed.respond(attempts.front().id, ServerResponseKind::Served);
+        CHECK_FALSE(bed.answerTo(number));
+        CHECK(bed.discardedResponses() == std::vector { attempts.back().id });
+    }
+}
+
 TEST_SUITE_END();
 
 }
--- a/tests/http/http_client_connection_test.cpp
+++ b/tests/http/http_client_connection_test.cpp
@@ -36,7 +36,7 @@
     ClientFixture()
         : acceptor(io, { boost::asio::ip::address_v4::loopback(), 0 })
         , peer(io)
-        , client(openHttpConnection(boost::asio::make_strand(io), { "127.0.0.1", acceptor.local_endpoint().port() }, events, 1s))
+        , client(openHttpConnection(boost::asio::make_strand(io), { "127.0.0.1", acceptor.local_endpoint().port() }, events, 1s, { .buffers = buffers }, "shard"))
     {
         acceptor.accept(peer);
         runUntil(io, [&] { return events->isConnected; });
@@ -54,6 +54,7 @@
 
     boost::asio::io_context io;
     std::shared_ptr<RecordedEvents> events = std::make_shared<RecordedEvents>();
+    std::shared_ptr<BufferLimit> buffers = std::make_shared<BufferLimit>();
     boost::asio::ip::tcp::acceptor acceptor;
     boost::asio::ip::tcp::socket peer;
     std::shared_ptr<HttpClientConnection> client;
@@ -197,6 +198,56 @@
     CHECK(events->responses.empty());
 }
 
+TEST_CASE_FIXTURE(ClientFixture, "A response that is discarded takes no memory, and the connection carries on")
+{
+    constexpr std::size_t half = 300000;
+    client->send(someRequest);
+    readRequest();
+    answer("HTTP/1.1 200 OK\r\nContent-Length: 600000\r\n\r\n");
+    const auto sendHalf = [&] {
+        answer(std::string(half, 'x'));
+        io.restart();
+        io.poll();
+    };
+    SUBCASE("from its middle on")
+    {
+        sendHalf();
+        CHECK(buffers->bytes() > half / 2);
+        client->discardResponse();
+        CHECK(buffers->bytes() < 1024);
+    }
+    SUBCASE("from its start on")
+    {
+        client->discardResponse();
+        sendHalf();
+        CHECK(buffers->peakBytes() < half / 10);
+    }
+    sendHalf();
+    runUntil(io, [&] { return events->responses.size() == 1; });
+    CHECK(events->responses[0].status == 200);
+    CHECK(events->responses[0].body.empty());
+    CHECK(buffers->bytes() == 0);
+    client->send(someRequest);
+    readRequest();
+    answer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    runUntil(io, [&] { return events->responses.size() == 2; });
+    CHECK(events->responses[1].body == "{}");
+    CHECK(events->losses == 0);
+}
+
+TEST_CASE_FIXTURE(ClientFixture, "A connection whose buffers are released for others ends as broken")
+{
+    client->send(someRequest);
+    readRequest();
+    answer("HTTP/1.1 200 OK\r\n\r\n" + std::string(100000, 'x'));
+    buffers->setMax(ByteCount { 50000 });
+    runUntil(io, [&] { return events->losses == 1; });
+    CHECK(events->bytesWritten);
+    CHECK(events->responses.empty());
+    CHECK(buffers->bytes() == 0);
+    CHECK(buffers->takeEvictions().at(0).owner == "shard");
+}
+
 TEST_CASE("A client connection that the server refuses reports that no request was sent")
 {
     boost::asio::io_context io;
