--- a/src/platform/platform_connection.cpp
+++ b/src/platform/platform_connection.cpp
@@ -51,6 +51,12 @@
             return;
         }
         m_host = endpoint.toString();
+        m_charge.emplace(m_limits.buffers, "store", [weak = weak_from_this(), executor = m_stream.get_executor()] {
+            asio::post(executor, [weak] {
+                if (const auto self = weak.lock())
+                    self->close();
+            });
+        });
         m_stream.expires_after(timeout);
         m_stream.async_connect(asio::ip::tcp::endpoint(address, endpoint.port),
             [self = shared_from_this(), handler = std::move(handler)](error_code ec) {
@@ -123,6 +129,7 @@
             return fail();
         switch (isEnd ? m_reader->takeEnd() : m_reader->take(m_buf)) {
         case HttpResponseReader::State::NeedsMore:
+            m_charge->set(m_reader->heldBytes() + m_buf.size());
             return readMore();
         case HttpResponseReader::State::Malformed:
             return fail();
@@ -145,7 +152,12 @@
         finish();
     }
 
-    void finish() { std::exchange(m_handler, nullptr)(std::move(m_result)); }
+    void finish()
+    {
+        m_reader.reset();
+        m_charge->set(0);
+        std::exchange(m_handler, nullptr)(std::move(m_result));
+    }
 
     beast::tcp_stream m_stream;
     HttpLimits m_limits;
@@ -153,6 +165,7 @@
     std::string m_host;
     bool m_isOpen = false;
     http::request<http::string_body> m_request;
+    std::optional<BufferCharge> m_charge; ///< For the response to the exchange in flight.
     std::optional<HttpResponseReader> m_reader; ///< Of the response to the exchange in flight.
     HttpExchangeResult m_result;
     ExchangeHandler m_handler;
--- a/tests/platform/broken_store_answers_test.cpp
+++ b/tests/platform/broken_store_answers_test.cpp
@@ -1,4 +1,4 @@
-#include "base/clock.h"
+#include "base/buffer_limit.h"
 #include "platform/platform_client.h"
 #include "platform/platform_connection.h"
 #include "support/raw_caller.h"
@@ -128,6 +128,36 @@
     }
 }
 
+// Guards against a store that takes the memory which callers' answers need: each of its connections may hold 16 MiB.
+TEST_CASE("Responses of the store count among the buffers of all connections")
+{
+    const auto buffers = BufferLimit::ofProcess();
+    const auto before = buffers->evictions();
+    const auto peakBefore = buffers->peakBytes();
+    buffers->setMax(mebibytes(2));
+    boost::asio::io_context io { 1 };
+    ScriptedServer server(io, { "HTTP/1.1 200 OK\r\n\r\n", std::string(64 * 1024, 'x') });
+    std::vector<std::shared_ptr<PlatformConnection>> connections;
+    std::size_t failed = 0;
+    for (int i = 0; i < 4; ++i) {
+        connections.push_back(makePlatformConnection(boost::asio::make_strand(io), mebibytes(16)));
+        connections.back()->connect(server.endpoint(), longTimeout, [&, connection = connections.back()](bool) {
+            connection->exchange({ PlatformMethod::Get, "/objects/servers", "" }, longTimeout, [&](const HttpExchangeResult& it) { failed += it.hasResponse ? 0 : 1; });
+        });
+    }
+    runUntil(io, [&] { return failed > 0; });
+    buffers->setMax(BufferLimit::defaultMax);
+    CHECK(buffers->evictions() >= before + failed);
+    // A body that grows doubles its memory.
+    CHECK(buffers->peakBytes() <= std::max(peakBefore, mebibytes(4).value));
+    for (const auto& it : connections)
+        it->close();
+    io.run_for(100ms);
+    CHECK(failed == connections.size());
+    connections.clear();
+    CHECK(buffers->bytes() == 0);
+}
+
 // Guards against a write that took effect and is taken for one that did not.
 TEST_CASE("Only a refusal of the store proves that a write did nothing")
 {
