--- a/src/wire/frame_session.cpp
+++ b/src/wire/frame_session.cpp
@@ -39,6 +39,7 @@
         boost::system::error_code ec;
         self->m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ec);
         self->m_started = self->m_clock->now();
+        self->startCharging();
         self->m_queue.push_front(self->m_self);
         self->writeMore();
         self->readMore();
@@ -56,6 +57,20 @@
     boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->finish(); });
 }
 
+void FrameSession::startCharging()
+{
+    m_charge.emplace(m_limits.buffers, "peers", [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->close();
+    });
+}
+
+void FrameSession::chargeReadBuffer()
+{
+    // What each idle session has is not charged: none would be freed for it.
+    m_charge->set(m_readBuffer.size() > initialReadBytes ? m_readBuffer.size() : 0);
+}
+
 void FrameSession::queue(PeerMessage message)
 {
     if (m_closed) {
@@ -77,8 +92,10 @@
 
 void FrameSession::readMore()
 {
-    if (m_readSize == m_readBuffer.size())
+    if (m_readSize == m_readBuffer.size()) {
         m_readBuffer.resize(m_readBuffer.size() * 2);
+        chargeReadBuffer();
+    }
     m_socket.async_read_some(boost::asio::buffer(m_readBuffer.data() + m_readSize, m_readBuffer.size() - m_readSize),
         [self = shared_from_this()](const boost::system::error_code& ec, std::size_t n) { self->onRead(ec, n); });
 }
@@ -119,6 +136,8 @@
     }
     std::memmove(m_readBuffer.data(), m_readBuffer.data() + offset, m_readSize - offset);
     m_readSize -= offset;
+    if (offset > 0)
+        shrinkReadBuffer();
     if (m_readSize == 0)
         m_frameStarted = never;
     else if (offset > 0 || m_frameStarted == never)
@@ -126,6 +145,15 @@
     return true;
 }
 
+void FrameSession::shrinkReadBuffer()
+{
+    if (m_readBuffer.size() == initialReadBytes || m_readSize >= initialReadBytes)
+        return;
+    m_readBuffer.resize(initialReadBytes);
+    m_readBuffer.shrink_to_fit();
+    chargeReadBuffer();
+}
+
 bool FrameSession::processFrame(std::string_view payload)
 {
     ++m_counters->framesIn;
--- a/src/wire/frame_session.h
+++ b/src/wire/frame_session.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/buffer_limit.h"
 #include "base/clock.h"
 #include "base/time.h"
 #include "wire/frame_codec.h"
@@ -37,6 +38,8 @@
 /// Limits of one session.
 struct FrameSessionLimits {
     FrameLimits frame;
+    /// Limits the bytes of frames that all connections together are receiving, and ends those that hold too many.
+    std::shared_ptr<BufferLimit> buffers = BufferLimit::ofProcess();
     std::size_t maxQueuedMessages = 65536;
     Duration helloTimeout = std::chrono::seconds(5); ///< From the start of the session to the peer's Hello.
     Duration frameTimeout = std::chrono::seconds(10); ///< From the first byte of a frame to its last.
@@ -80,6 +83,11 @@
     const std::optional<Hello>& peer() const { return m_peer; }
 
 private:
+    /// Counts the frame that is being received among the buffers of all connections, which may end this session for it.
+    void startCharging();
+    void chargeReadBuffer();
+    /// Frees the memory of a large frame that has been processed. Precondition: no read is pending.
+    void shrinkReadBuffer();
     void readMore();
     void onRead(const boost::system::error_code&, std::size_t);
     /// Returns false when the session has closed.
@@ -100,6 +108,7 @@
     std::shared_ptr<WireCounters> m_counters;
     FrameSessionLimits m_limits;
     std::optional<Hello> m_peer;
+    std::optional<BufferCharge> m_charge; ///< For m_readBuffer.
     std::vector<char> m_readBuffer;
     std::size_t m_readSize = 0;
     TimePoint m_frameStarted = never; ///< `never` while no frame is incomplete.
