--- a/src/load/caller_connection.cpp
+++ b/src/load/caller_connection.cpp
@@ -88,6 +88,13 @@
 
     void read()
     {
+        m_charge.emplace(BufferLimit::ofProcess(), "answers", [weak = weak_from_this(), executor = m_stream.get_executor()] {
+            asio::post(executor, [weak] {
+                const auto self = std::static_pointer_cast<HttpCallerConnection>(weak.lock());
+                if (self && self->m_charge && self->m_charge->isEvicted())
+                    self->m_stream.close();
+            });
+        });
         m_reader.emplace(answerLimits());
         readMore();
     }
@@ -105,6 +112,7 @@
             return fail();
         switch (isEnd ? m_reader->takeEnd() : m_reader->take(m_buffer)) {
         case HttpResponseReader::State::NeedsMore:
+            m_charge->set(m_reader->heldBytes() + m_buffer.size());
             return readMore();
         case HttpResponseReader::State::Malformed:
             return fail();
@@ -124,6 +132,7 @@
 
     void deliver(const Answer& answer)
     {
+        m_charge.reset();
         const auto handler = std::move(m_handler);
         m_handler = nullptr;
         handler(answer);
@@ -136,6 +145,7 @@
     bool m_isUsable = true;
     beast::flat_buffer m_buffer;
     http::request<http::string_body> m_request;
+    std::optional<BufferCharge> m_charge; ///< For the answer to the request in flight.
     std::optional<HttpResponseReader> m_reader; ///< Of the answer to the request in flight.
     Handler m_handler;
 };
--- a/src/platform/platform_connection.cpp
+++ b/src/platform/platform_connection.cpp
@@ -51,12 +51,6 @@
             return;
         }
         m_host = endpoint.toString();
-        m_charge.emplace(m_limits.buffers, "store", [weak = weak_from_this(), executor = m_stream.get_executor()] {
-            asio::post(executor, [weak] {
-                if (const auto self = weak.lock())
-                    self->close();
-            });
-        });
         m_stream.expires_after(timeout);
         m_stream.async_connect(asio::ip::tcp::endpoint(address, endpoint.port),
             [self = shared_from_this(), handler = std::move(handler)](error_code ec) {
@@ -104,10 +98,24 @@
         m_result.wasSent = sent > 0;
         if (ec)
             return fail();
+        startCharging();
         m_reader.emplace(m_limits);
         readMore();
     }
 
+    /// Counts the response that follows among the buffers of all connections, which may end this one for it.
+    void startCharging()
+    {
+        m_charge.emplace(m_limits.buffers, "store", [weak = weak_from_this(), executor = m_stream.get_executor()] {
+            asio::post(executor, [weak] {
+                const auto self = weak.lock();
+                // By now the response may be complete, and the next exchange be in flight.
+                if (self && self->m_charge && self->m_charge->isEvicted())
+                    self->close();
+            });
+        });
+    }
+
     /// Whether the store has sent bytes that belong to no call. The next call would take them for its response.
     bool hasUnreadBytes() const
     {
@@ -155,7 +163,7 @@
     void finish()
     {
         m_reader.reset();
-        m_charge->set(0);
+        m_charge.reset();
         std::exchange(m_handler, nullptr)(std::move(m_result));
     }
 
--- a/tests/load/broken_answers_test.cpp
+++ b/tests/load/broken_answers_test.cpp
@@ -1,3 +1,4 @@
+#include "base/buffer_limit.h"
 #include "load/caller_connection.h"
 #include "support/raw_caller.h"
 #include "support/scripted_server.h"
@@ -101,6 +102,26 @@
     CHECK(fixture.server.bytesSent() < 8 * 1024 * 1024);
 }
 
+TEST_CASE("Answers without end stay within the memory of all connections of the load tool")
+{
+    const auto buffers = BufferLimit::ofProcess();
+    buffers->setMax(mebibytes(4));
+    boost::asio::io_context io { 1 };
+    ScriptedServer server(io, { "HTTP/1.1 200 OK\r\n\r\n", std::string(64 * 1024, 'x') });
+    std::size_t answers = 0;
+    std::size_t failures = 0;
+    for (int i = 0; i < 8; ++i) {
+        const auto connection = CallerConnection::create(io, server.endpoint(), 10s);
+        connection->post("/v1/search", {}, "{}", [&](const CallerConnection::Answer& it) { ++(it.arrived ? answers : failures); });
+    }
+    runUntil(io, [&] { return answers + failures == 8; });
+    buffers->setMax(BufferLimit::defaultMax);
+    CHECK(failures == 8);
+    // A body that grows doubles its memory.
+    CHECK(buffers->peakBytes() <= mebibytes(8).value);
+    CHECK(buffers->evictions() >= 8);
+}
+
 TEST_SUITE_END();
 
 }
