--- a/src/base/buffer_limit.cpp
+++ b/src/base/buffer_limit.cpp
@@ -103,11 +103,12 @@
     double greatest = 0;
     for (const auto& [name, owner] : m_owners) {
         for (auto* it : owner.charges) {
-            const auto product = static_cast<double>(it->m_bytes) * static_cast<double>(owner.bytes);
-            if (it->m_isEvicted || !it->m_onEvict || product <= greatest)
+            const auto ownerBytes = static_cast<double>(owner.bytes);
+            const auto weight = static_cast<double>(it->m_bytes) * ownerBytes * ownerBytes;
+            if (it->m_isEvicted || !it->m_onEvict || weight <= greatest)
                 continue;
             chosen = it;
-            greatest = product;
+            greatest = weight;
         }
     }
     return chosen;
--- a/tests/base/buffer_limit_test.cpp
+++ b/tests/base/buffer_limit_test.cpp
@@ -62,6 +62,14 @@
         CHECK(evicted.size() == 1);
         CHECK_FALSE(charges.front().isEvicted());
     }
+    SUBCASE("however many connections it spreads its bytes over")
+    {
+        add("sound", 101);
+        for (int i = 0; i < 90; ++i)
+            add("troubled", 10);
+        CHECK(evicted.size() == 1);
+        CHECK_FALSE(charges.front().isEvicted());
+    }
     SUBCASE("and not a small one of an owner with more bytes")
     {
         for (int i = 0; i < 60; ++i)
