--- a/tests/processes/response_memory_test.cpp
+++ b/tests/processes/response_memory_test.cpp
@@ -86,7 +86,7 @@
 /// A gateway process in front of routes whose servers all answer with one script, and of a sound route.
 struct MemoryFixture : ProgramFixture {
     explicit MemoryFixture(const ServerScript& script)
-        : sound(io, { "HTTP/1.1 200 OK\r\nLycheefield-Response-Stamp: s\r\nContent-Length: 16\r\n\r\n0123456789abcdef" })
+        : sound(io, { "HTTP/1.1 200 OK\r\nLycheefield-Response-Stamp: s\r\nContent-Length: 500000\r\n\r\n" + std::string(500000, 's') })
         , process(makeProcess("g1"))
     {
         std::string routes = route("sound");
