--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -11,7 +11,7 @@
 class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
 public:
     Impl(boost::asio::io_context& io, HttpHandler& handler, std::shared_ptr<const Clock> clock, std::shared_ptr<HttpServerCounters> counters, HttpLimits limits)
-        : m_context { handler, std::move(clock), std::move(counters), std::make_shared<Snapshot<HttpLimits>>(limits), std::make_shared<std::atomic<bool>>(false), {} }
+        : m_context { handler, std::move(clock), std::move(counters), std::make_shared<Snapshot<HttpLimits>>(std::move(limits)), std::make_shared<std::atomic<bool>>(false), {} }
         , m_acceptLoop(std::make_shared<AcceptLoop>(io))
     {
     }
@@ -76,7 +76,7 @@
 
 HttpServer::HttpServer(
     boost::asio::io_context& io, HttpHandler& handler, std::shared_ptr<const Clock> clock, std::shared_ptr<HttpServerCounters> counters, HttpLimits limits)
-    : m_impl(std::make_shared<Impl>(io, handler, std::move(clock), std::move(counters), limits))
+    : m_impl(std::make_shared<Impl>(io, handler, std::move(clock), std::move(counters), std::move(limits)))
 {
 }
 
--- a/src/wire/frame_session.cpp
+++ b/src/wire/frame_session.cpp
@@ -26,7 +26,7 @@
     , m_events(std::move(events))
     , m_clock(std::move(clock))
     , m_counters(std::move(counters))
-    , m_limits(limits)
+    , m_limits(std::move(limits))
     , m_readBuffer(initialReadBytes)
 {
 }
--- a/tests/adapter/broken_answers_test.cpp
+++ b/tests/adapter/broken_answers_test.cpp
@@ -85,14 +85,26 @@
 const std::string signature = "Lycheefield-Response-Stamp: s\r\n";
 const std::string someBody = "Content-Length: 16\r\n\r\n0123456789abcdef";
 
+/// Returns a response of these fields, whole lines, and what ends its head.
+std::string responseOf(const std::string& status, const std::string& fields, const std::string& rest = "\r\n")
+{
+    return "HTTP/1.1 " + status + "\r\n" + fields + rest;
+}
+
+/// Returns a success whose body is coded as the Transfer-Encoding field says, or as that and the lines which follow it say.
+std::string codedResponse(const std::string& codings)
+{
+    return responseOf("200 OK", signature + "Transfer-Encoding: " + codings, "\r\n\r\n10\r\n0123456789abcdef\r\n0\r\n\r\n");
+}
+
 }
 
 TEST_CASE("A status that is none never reaches a caller" * doctest::test_suite("adapter"))
 {
     std::vector<std::string> responses;
-    for (const std::string status : { "000", "001", "099", "600", "777", "999" }) {
+    for (const std::string status : { "000 None", "001 None", "099 None", "600 Trouble", "777 Trouble", "999 Trouble" }) {
         for (const auto& field : { std::string(), signature, std::string("Lycheefield-Not-Executed: 1\r\n") })
-            responses.push_back("HTTP/1.1 " + status + " Trouble\r\n" + field + someBody);
+            responses.push_back(responseOf(status, field, someBody));
     }
     checkNeverDelivered(responses);
 }
@@ -100,10 +112,10 @@
 TEST_CASE("An interim response is never the answer" * doctest::test_suite("adapter"))
 {
     std::vector<std::string> responses { "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: Upgrade\r\n\r\n" };
-    for (const std::string status : { "100", "102", "103", "199" }) {
-        responses.push_back("HTTP/1.1 " + status + " Interim\r\n\r\n");
-        responses.push_back("HTTP/1.1 " + status + " Interim\r\n" + signature + "\r\n");
-        responses.push_back("HTTP/1.1 " + status + " Interim\r\n" + signature + someBody);
+    for (const std::string status : { "100 Continue", "102 Processing", "103 Early Hints", "199 Interim" }) {
+        responses.push_back(responseOf(status, ""));
+        responses.push_back(responseOf(status, signature));
+        responses.push_back(responseOf(status, signature, someBody));
     }
     checkNeverDelivered(responses);
 }
@@ -143,8 +155,8 @@
 {
     std::vector<std::string> responses;
     for (const std::string codings : { "gzip", "xchunked", "identity", "chunked, gzip", "gzip, chunked", "gzip\r\nTransfer-Encoding: chunked" })
-        responses.push_back("HTTP/1.1 200 OK\r\n" + signature + "Transfer-Encoding: " + codings + "\r\n\r\n10\r\n0123456789abcdef\r\n0\r\n\r\n");
-    responses.push_back("HTTP/1.1 200 OK\r\n" + signature + "Content-Encoding: gzip\r\n" + someBody);
+        responses.push_back(codedResponse(codings));
+    responses.push_back(responseOf("200 OK", signature + "Content-Encoding: gzip\r\n", someBody));
     checkNeverDelivered(responses);
 }
 
@@ -156,8 +168,8 @@
     const std::vector<std::string> lines { "A b: c", " A: c", "A\tb: c", "A\x01: c", "A\x7f: c", "A\x80: c", ": c", "A", "A(b): c", "Content-Length : 5", "A: c\x01", "A: c\x7f", std::string("A: c\0", 5), "A: b\rX: c" };
     std::vector<std::string> responses;
     for (const auto& it : lines) {
-        responses.push_back(ok + it + "\r\n" + someBody);
-        responses.push_back(chunked + it + "\r\n\r\n");
+        responses.push_back(responseOf("200 OK", signature, it).append("\r\n").append(someBody));
+        responses.push_back(std::string(chunked).append(it).append("\r\n\r\n"));
     }
     responses.push_back("HTTP/1.1 20 OK\r\n" + signature + someBody);
     responses.push_back("HTTP/1.1 2000 OK\r\n" + signature + someBody);
@@ -185,4 +197,54 @@
     CHECK(fixture.bytesFor("/l/1/1").starts_with("HTTP/1.1 502 Bad Gateway\r\n"));
 }
 
+TEST_CASE("What a delegate's servers send that is no answer is no part of the search that another instance answers" * doctest::test_suite("adapter"))
+{
+    const std::vector<std::string> responses { responseOf("777 Trouble", signature, someBody), responseOf("100 Continue", signature), codedResponse("gzip"), responseOf("200 OK", signature, " A: c\r\n" + someBody) };
+    GatewayFixture fixture;
+    std::deque<ScriptedServer> troubled;
+    std::vector<std::pair<std::string, std::string>> entries { { "i-2", fixture.serverY.entry("y") } };
+    std::string shards = R"("y")";
+    for (const auto& it : responses) {
+        troubled.emplace_back(fixture.io, ServerScript { it, "", true });
+        const auto service = "x" + std::to_string(troubled.size());
+        entries.emplace_back("i-" + service, R"({"service":")" + service + R"(","address":")" + troubled.back().endpoint().toString() + R"(","zone":"b","version":"v1","slots":2,"state":"ready","warmupLeftMs":0,"sequence":1})");
+        shards += ",\"" + service + "\"";
+    }
+    const auto search = R"({"version":3,"routes":[{"name":"s","host":"a.example","pathPrefix":"/s/","routeType":"idempotent","timeoutMs":5000,"targetLatencyMs":300,"priority":1,"gather":[)" + shards + R"(],"attempts":2,"topK":2,"minShardRatio":0.2}],"services":[],"limits":{}})";
+    for (const auto& [name, entry] : entries)
+        fixture.store.put("servers", name, entry);
+    fixture.store.put("config", "main", search);
+    fixture.startGateway();
+    fixture.waitUntilReady();
+    auto settings = fixture.settings;
+    settings.instance.name = InstanceName("g2");
+    settings.instance.zone = ZoneName("b");
+    Gateway delegate(settings, { fixture.callers, fixture.servers });
+    REQUIRE(delegate.listen());
+    const std::vector<Instance> instances { fixture.gateway->self(), delegate.self() };
+    ServerChanges servers { true, {}, {} };
+    for (const auto& [name, entry] : entries)
+        servers.listed.push_back(*decodeServer(ServerName(name), entry));
+    boost::asio::post(delegate.executor(), [&] {
+        delegate.onRoutes(decodeConfiguration(search).value());
+        delegate.onServers(servers);
+        delegate.onInstances(instances, true, false, BootClock().now());
+    });
+    std::thread thread([&] { delegate.run(); });
+    boost::asio::post(fixture.gateway->executor(), [&] { fixture.gateway->onInstances(instances, true, false, BootClock().now()); });
+    const auto isDelegated = [&] { return delegate.metrics().render().find("lycheefield_relay_calls_taken_total 0\n") == std::string::npos; };
+    constexpr int maxTries = 20;
+    for (int i = 0; i < maxTries && !isDelegated(); ++i) {
+        const auto number = std::to_string(i);
+        const auto response = fixture.fetch(fixture.endpoints.callers, requestTo("/s/" + number, "id" + number));
+        CHECK(response.status == 200);
+        CHECK(response.headers.find("Lycheefield-Part-Stamps") == "stamp-i-2");
+        CHECK(response.headers.find("Lycheefield-Missing-Parts") == "4");
+        CHECK(response.body == std::string(16, '2'));
+    }
+    CHECK(isDelegated());
+    delegate.stop();
+    thread.join();
+}
+
 }
--- a/tests/http/http_response_reader_test.cpp
+++ b/tests/http/http_response_reader_test.cpp
@@ -75,7 +75,8 @@
         CHECK(response.headers.count("X-Real") == 1);
         CHECK(response.body == "{}");
     };
-    for (const auto& interim : { continuation, hints, continuation + hints + continuation, std::string("HTTP/1.1 199 Wait\r\n\r\n") }) {
+    const auto several = continuation + hints + continuation;
+    for (const auto& interim : { continuation, hints, several, std::string("HTTP/1.1 199 Wait\r\n\r\n") }) {
         CAPTURE(interim);
         ReaderFixture together;
         CHECK((together.take(interim + finalResponse) == State::Done));
@@ -124,9 +125,10 @@
 TEST_CASE("A response with another transfer coding than chunked is malformed")
 {
     const std::string head = "HTTP/1.1 200 OK\r\n";
+    const auto coded = [](const std::string& codings) { return "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + codings + "\r\n\r\n5\r\nabcde\r\n0\r\n\r\n"; };
     const std::string chunks = "\r\n5\r\nabcde\r\n0\r\n\r\n";
     for (const auto* codings : { "gzip", "xchunked", "identity", "chunked, gzip", "gzip, chunked", "chunked, chunked", "chunked;q=1", "" })
-        checkMalformed(head + "Transfer-Encoding: " + codings + "\r\n" + chunks);
+        checkMalformed(coded(codings));
     checkMalformed(head + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n" + chunks);
     checkMalformed(head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n" + chunks);
     SUBCASE("HTTP/1.0 has no transfer codings") { checkMalformed("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks); }
@@ -140,7 +142,7 @@
     {
         for (const auto* coding : { "chunked", "Chunked", " CHUNKED\t" }) {
             ReaderFixture fixture;
-            CHECK((fixture.take(head + "Transfer-Encoding: " + coding + "\r\n" + chunks) == State::Done));
+            CHECK((fixture.take(coded(coding)) == State::Done));
             CHECK(fixture.reader.release().body == "abcde");
         }
     }
