--- a/src/http/http_response_reader.cpp
+++ b/src/http/http_response_reader.cpp
@@ -52,8 +52,6 @@
     if (m_isBodyDiscarded)
         discardBody();
     while (m_parser->is_done() && isInterim()) {
-        if (m_headBytes > m_limits.maxHeaderBytes)
-            return fail("its interim responses are longer than a header may be");
         startMessage();
         if (!parse(buffer))
             return State::Malformed;
@@ -92,6 +90,11 @@
 
 bool HttpResponseReader::checkHead()
 {
+    // The parser's own limit is not exact, and is for each head alone.
+    if (m_headBytes > m_limits.maxHeaderBytes) {
+        fail("its head, with the interim responses before it, is longer than a header may be");
+        return false;
+    }
     const auto status = m_parser->get().result_int();
     if (status < firstInterimStatus || status > lastFinalStatus || status == switchingProtocols) {
         fail("its status " + std::to_string(status) + " is not that of a response");
--- a/tests/http/backend_connection_test.cpp
+++ b/tests/http/backend_connection_test.cpp
@@ -76,11 +76,19 @@
 // Guards against a proof that a leg did not run, or a result, in bytes that are no answer.
 TEST_CASE("A relay takes nothing from a server's bytes that are no answer")
 {
-    for (const auto& [status, fields] : std::vector<std::pair<std::string, std::string>> {
-             { "000", legFields }, { "999", legFields }, { "101", legFields }, { "100", legFields }, { "703", "X-Reason: shed\r\n" }, { "200", legFields + "Transfer-Encoding: gzip\r\n" }, { "200", legFields + "A b: c\r\n" } }) {
-        CAPTURE(status);
-        CAPTURE(fields);
-        BackendFixture fixture({ "HTTP/1.1 " + status + " Any\r\n" + fields + "\r\n{}", "", true });
+    const auto responseOf = [](const std::string& status, const std::string& fields) { return "HTTP/1.1 " + status + "\r\n" + fields + "\r\n{}"; };
+    const std::vector<std::string> responses {
+        responseOf("000 None", legFields),
+        responseOf("999 Other", legFields),
+        responseOf("101 Switching Protocols", legFields),
+        responseOf("100 Continue", legFields),
+        responseOf("703 Other", "X-Reason: shed\r\n"),
+        responseOf("200 OK", legFields + "Transfer-Encoding: gzip\r\n"),
+        responseOf("200 OK", legFields + "A b: c\r\n"),
+    };
+    for (const auto& it : responses) {
+        CAPTURE(it);
+        BackendFixture fixture({ it, "", true });
         fixture.runLeg();
         CHECK_FALSE(fixture.events->response);
         CHECK(fixture.events->disconnected == true);
@@ -113,9 +121,10 @@
     }
     SUBCASE("not with a status that is none, or in an unknown coding")
     {
-        for (const std::string start : { "HTTP/1.1 000 None\r\n", "HTTP/1.1 600 Other\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n" }) {
-            CAPTURE(start);
-            BackendFixture fixture({ start + "\r\n" + healthBody, "", true });
+        for (std::string response : { "HTTP/1.1 000 None\r\n\r\n", "HTTP/1.1 600 Other\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n\r\n" }) {
+            CAPTURE(response);
+            response += healthBody;
+            BackendFixture fixture({ response, "", true });
             fixture.pollHealth();
             CHECK_FALSE(fixture.events->health);
         }
--- a/tests/http/http_response_reader_test.cpp
+++ b/tests/http/http_response_reader_test.cpp
@@ -187,6 +187,21 @@
     }
 }
 
+TEST_CASE("The limit of a head is the same however its bytes arrive, and includes the interim responses before it")
+{
+    const auto limit = HttpLimits().maxHeaderBytes;
+    const auto headOf = [](std::size_t bytes) {
+        const std::string start = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Long: ";
+        return start + std::string(bytes - start.size() - 4, 'x') + "\r\n\r\n";
+    };
+    CHECK((ReaderFixture().take(headOf(limit)) == State::Done));
+    CHECK((ReaderFixture().takeOneByOne(headOf(limit)) == State::Done));
+    checkMalformed(headOf(limit + 1));
+    const std::string continuation = "HTTP/1.1 100 Continue\r\n\r\n";
+    CHECK((ReaderFixture().take(continuation + headOf(limit - continuation.size())) == State::Done));
+    checkMalformed(continuation + headOf(limit - continuation.size() + 1));
+}
+
 TEST_SUITE_END();
 
 }
