--- a/src/base/buffer_limit.h
+++ b/src/base/buffer_limit.h
@@ -29,7 +29,7 @@
 /// slow receiver.
 ///
 /// Beyond the limit a connection is ended. It is the one for which the product of its own bytes and the square of all bytes of its
-/// owner is greatest. So an owner that fills the memory, such as a service in trouble, loses its largest messages, however many
+/// owner is greatest. So an owner that fills the memory, such as a faulty service, loses its largest messages, however many
 /// connections it spreads them over, while neither the small messages of a busy owner nor a large message of another one end before
 /// them. Thread safe.
 class BufferLimit {
--- a/tests/adapter/broken_answers_test.cpp
+++ b/tests/adapter/broken_answers_test.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-/// A gateway in front of services in trouble: for each script one service that is a route's only one and one that is a shard of
+/// A gateway in front of faulty services: for each script one service that is a route's only one and one that is a shard of
 /// a search, beside the sound shard y. Each has two servers, which answer every request with the script.
 struct BrokenAnswersFixture : GatewayFixture {
     explicit BrokenAnswersFixture(const std::vector<ServerScript>& scripts)
@@ -102,7 +102,7 @@
 TEST_CASE("A status that is none never reaches a caller" * doctest::test_suite("adapter"))
 {
     std::vector<std::string> responses;
-    for (const std::string status : { "000 None", "001 None", "099 None", "600 Trouble", "777 Trouble", "999 Trouble" }) {
+    for (const std::string status : { "000 None", "001 None", "099 None", "600 Other", "777 Other", "999 Other" }) {
         for (const auto& field : { std::string(), signature, std::string("Lycheefield-Not-Executed: 1\r\n") })
             responses.push_back(responseOf(status, field, someBody));
     }
@@ -199,15 +199,15 @@
 
 TEST_CASE("What a delegate's servers send that is no answer is no part of the search that another instance answers" * doctest::test_suite("adapter"))
 {
-    const std::vector<std::string> responses { responseOf("777 Trouble", signature, someBody), responseOf("100 Continue", signature), codedResponse("gzip"), responseOf("200 OK", signature, " A: c\r\n" + someBody) };
+    const std::vector<std::string> responses { responseOf("777 Other", signature, someBody), responseOf("100 Continue", signature), codedResponse("gzip"), responseOf("200 OK", signature, " A: c\r\n" + someBody) };
     GatewayFixture fixture;
-    std::deque<ScriptedServer> troubled;
+    std::deque<ScriptedServer> faulty;
     std::vector<std::pair<std::string, std::string>> entries { { "i-2", fixture.serverY.entry("y") } };
     std::string shards = R"("y")";
     for (const auto& it : responses) {
-        troubled.emplace_back(fixture.io, ServerScript { it, "", true });
-        const auto service = "x" + std::to_string(troubled.size());
-        entries.emplace_back("i-" + service, R"({"service":")" + service + R"(","address":")" + troubled.back().endpoint().toString() + R"(","zone":"b","version":"v1","slots":2,"state":"ready","warmupLeftMs":0,"sequence":1})");
+        faulty.emplace_back(fixture.io, ServerScript { it, "", true });
+        const auto service = "x" + std::to_string(faulty.size());
+        entries.emplace_back("i-" + service, R"({"service":")" + service + R"(","address":")" + faulty.back().endpoint().toString() + R"(","zone":"b","version":"v1","slots":2,"state":"ready","warmupLeftMs":0,"sequence":1})");
         shards += ",\"" + service + "\"";
     }
     const auto search = R"({"version":3,"routes":[{"name":"s","host":"a.example","pathPrefix":"/s/","routeType":"idempotent","timeoutMs":5000,"targetLatencyMs":300,"priority":1,"gather":[)" + shards + R"(],"attempts":2,"topK":2,"minShardRatio":0.2}],"services":[],"limits":{}})";
--- a/tests/base/buffer_limit_test.cpp
+++ b/tests/base/buffer_limit_test.cpp
@@ -58,7 +58,7 @@
     {
         add("sound", 150);
         for (int i = 0; i < 9; ++i)
-            add("troubled", 100);
+            add("faulty", 100);
         CHECK(evicted.size() == 1);
         CHECK_FALSE(charges.front().isEvicted());
     }
@@ -66,7 +66,7 @@
     {
         add("sound", 101);
         for (int i = 0; i < 90; ++i)
-            add("troubled", 10);
+            add("faulty", 10);
         CHECK(evicted.size() == 1);
         CHECK_FALSE(charges.front().isEvicted());
     }
@@ -74,8 +74,8 @@
     {
         for (int i = 0; i < 60; ++i)
             add("busy", 10);
-        add("troubled", 250);
-        add("troubled", 151);
+        add("faulty", 250);
+        add("faulty", 151);
         CHECK(evicted == std::vector<std::size_t> { 60 });
     }
     SUBCASE("once, however many bytes follow until it has ended")
--- a/tests/processes/response_memory_test.cpp
+++ b/tests/processes/response_memory_test.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-constexpr std::size_t troubledRoutes = 10;
+constexpr std::size_t faultyRoutes = 10;
 constexpr std::size_t callersPerRoute = 12;
 constexpr std::uint64_t kibibyte = 1024;
 /// Half of the memory of the users' smallest machine, in KiB.
@@ -92,13 +92,13 @@
         std::string routes = route("sound");
         std::string services = R"({"name":"sound","maxConns":200})";
         addServer("sound", sound);
-        for (std::size_t i = 0; i < troubledRoutes; ++i) {
-            const auto name = "trouble" + std::to_string(i);
+        for (std::size_t i = 0; i < faultyRoutes; ++i) {
+            const auto name = "faulty" + std::to_string(i);
             routes += "," + route(name);
             services += R"(,{"name":")" + name + R"(","maxConns":200})";
             for (int server = 0; server < 2; ++server) {
-                troubled.emplace_back(io, script);
-                addServer(name, troubled.back());
+                faulty.emplace_back(io, script);
+                addServer(name, faulty.back());
             }
         }
         m_routes = routes;
@@ -113,12 +113,12 @@
         return R"({"name":")" + service + R"(","host":"a.example","pathPrefix":"/)" + service + R"(/","routeType":"idempotent","timeoutMs":3000,"targetLatencyMs":1000,"priority":1,"service":")" + service + R"(","attempts":2})";
     }
 
-    /// Adds a route that searches the services in trouble and a service "silent", and waits until the gateway knows it.
+    /// Adds a route that searches the faulty services and a service "silent", and waits until the gateway knows it.
     void addSearch()
     {
         std::string shards = R"("silent")";
-        for (std::size_t i = 0; i < troubledRoutes; ++i)
-            shards += R"(,"trouble)" + std::to_string(i) + "\"";
+        for (std::size_t i = 0; i < faultyRoutes; ++i)
+            shards += R"(,"faulty)" + std::to_string(i) + "\"";
         const auto search = R"({"name":"search","host":"a.example","pathPrefix":"/search/","routeType":"idempotent","timeoutMs":3000,"targetLatencyMs":2500,"priority":1,"gather":[)" + shards + R"(],"topK":50,"minShardRatio":1,"attempts":1})";
         store.put("config", "main", R"({"version":3,"routes":[)" + m_routes + "," + search + R"(],"services":[)" + m_services + R"(,{"name":"silent","maxConns":200}]})");
         REQUIRE(waitUntil([&] { return process.log().find(R"("event":"configuration applied","version":"3")") != std::string::npos; }));
@@ -130,7 +130,7 @@
         store.put("servers", name, R"({"service":")" + service + R"(","address":")" + server.endpoint().toString() + R"(","zone":"a","version":"v1","slots":100,"state":"ready","warmupLeftMs":0,"sequence":1})");
     }
 
-    /// Sends waves of requests to the servers in trouble, all of a wave at once, while other callers use the sound route, until these have
+    /// Sends waves of requests to faulty servers, all of a wave at once, while other callers use the sound route, until these have
     /// sent enough.
     void run()
     {
@@ -147,9 +147,9 @@
 
     void runWave()
     {
-        for (std::size_t i = 0; i < troubledRoutes * callersPerRoute; ++i) {
+        for (std::size_t i = 0; i < faultyRoutes * callersPerRoute; ++i) {
             callers.emplace_back(io, process.callers());
-            callers.back().send("GET /trouble" + std::to_string(i % troubledRoutes) + "/1 HTTP/1.1\r\nHost: a.example\r\nLycheefield-Attempt-Id: id" + std::to_string(i)
+            callers.back().send("GET /faulty" + std::to_string(i % faultyRoutes) + "/1 HTTP/1.1\r\nHost: a.example\r\nLycheefield-Attempt-Id: id" + std::to_string(i)
                 + "\r\nLycheefield-Deadline-Ms: 3000\r\nConnection: close\r\n\r\n");
         }
         REQUIRE(waitUntil([&] { return std::all_of(callers.begin(), callers.end(), [](const auto& it) { return it.isClosed(); }); }));
@@ -194,7 +194,7 @@
     }
 
     ScriptedServer sound;
-    std::deque<ScriptedServer> troubled;
+    std::deque<ScriptedServer> faulty;
     GatewayProcess process;
     std::deque<RawCaller> callers;
     std::array<std::shared_ptr<SteadyCaller>, 4> steady;
@@ -207,7 +207,7 @@
 
 }
 
-// Guards against servers in trouble that use up the memory of the machine, and with it end the requests of all callers.
+// Guards against faulty servers that use up the memory of the machine, and with it end the requests of all callers.
 TEST_CASE("Bodies without end, of many servers at once, keep a gateway under half of the smallest machine's memory" * doctest::test_suite("processes"))
 {
     const std::string head = "HTTP/1.1 200 OK\r\nLycheefield-Response-Stamp: s\r\n";
@@ -221,7 +221,7 @@
     MESSAGE("peak of the resident memory, in KiB: ", fixture.peakKib());
     CHECK(fixture.peakKib() < maxPeakKib);
     // The log tells whose connections were ended.
-    CHECK(fixture.waitUntil([&] { return fixture.process.log().find(R"("event":"connections ended; all together buffer too much","owner":"trouble)") != std::string::npos; }));
+    CHECK(fixture.waitUntil([&] { return fixture.process.log().find(R"("event":"connections ended; all together buffer too much","owner":"faulty)") != std::string::npos; }));
     CHECK(fixture.process.log().find(R"("owner":"sound")") == std::string::npos);
     for (const auto& it : fixture.callers)
         CHECK(it.received().starts_with("HTTP/1.1 50"));
@@ -264,7 +264,7 @@
     std::deque<SilentCaller> silent;
     const auto askNext = [&] {
         silent.emplace_back(fixture.io, fixture.process.callers());
-        silent.back().send("/trouble" + std::to_string(silent.size() % troubledRoutes) + "/1");
+        silent.back().send("/faulty" + std::to_string(silent.size() % faultyRoutes) + "/1");
         REQUIRE(fixture.waitUntil([&] { return fixture.answered() >= silent.size(); }));
     };
 
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -18,7 +18,7 @@
     bool closes = false; ///< Closes the connection after the response.
 };
 
-/// A stand-in for a server in trouble: accepts connections and answers each request with the same bytes, whether or not they are
+/// A stand-in for a faulty server: accepts connections and answers each request with the same bytes, whether or not they are
 /// a response in the protocol. Everything runs on the thread that runs the io_context.
 class ScriptedServer {
 public:
