--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -78,19 +78,21 @@
 
     boost::asio::any_io_executor executor() { return m_strand; }
 
-    void onRoutes(RouteTable&& table)
+    void onRoutes(RouteTable&& table, const ChangeOrigin& origin)
     {
         const auto current = m_driver.routes();
+        const auto version = std::to_string(table.version);
+        if (current && table.version < current->version)
+            logState("configuration ignored; a later version is in force", { { "version", version }, { "in_force", std::to_string(current->version) }, { "from", origin.source() }, { "epoch", std::to_string(origin.epoch) }, { "revision", std::to_string(origin.revision) } });
         if (current && table.version <= current->version)
             return;
-        const auto version = std::to_string(table.version);
         const auto before = current ? std::to_string(current->version) : std::string("none");
         const auto routes = std::to_string(table.routes.size());
         table.callerLimits.maxConnections = maxCallerConnections();
         m_callerServer.setLimits(table.callerLimits);
         const auto teams = table.teams;
         m_driver.setRoutes(std::make_shared<const RouteTable>(std::move(table)));
-        logState("configuration applied", { { "version", version }, { "before", before }, { "routes", routes } });
+        logState("configuration applied", { { "version", version }, { "before", before }, { "routes", routes }, { "from", origin.source() }, { "epoch", std::to_string(origin.epoch) }, { "revision", std::to_string(origin.revision) } });
         if (teams)
             logState("teams applied", { { "teams", std::to_string(teams->teams().size()) }, { "keys_of_several_teams", std::to_string(teams->ambiguousKeys()) } });
         updateReadiness();
@@ -146,10 +148,10 @@
     bool requestStoreState(const std::string& prefix) { return m_delegation.requestStoreState(prefix); }
     void sendStoreState(const InstanceName& to, const StoreNews& state) { m_delegation.sendStoreState(to, state); }
 
-    void onNews(const StoreNews& news) override
+    void onNews(const InstanceName& from, const StoreNews& news) override
     {
         if (m_follower)
-            m_follower->onNews(news);
+            m_follower->onNews(from, news);
     }
 
     void onStateRequested(const InstanceName& from, const StoreStateRequest& request) override
@@ -394,9 +396,9 @@
     return m_impl->executor();
 }
 
-void Gateway::onRoutes(RouteTable table)
+void Gateway::onRoutes(RouteTable table, const ChangeOrigin& origin)
 {
-    m_impl->onRoutes(std::move(table));
+    m_impl->onRoutes(std::move(table), origin);
 }
 
 void Gateway::onConfigurationConfirmed(TimePoint sentAt)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "gateway/caller_protocol.h"
+#include "gateway/change_origin.h"
 #include "gateway/server_changes.h"
 #include "gateway/server_protocol.h"
 #include "membership/view.h"
@@ -31,7 +32,7 @@
 public:
     virtual ~StoreFollower() = default;
     /// Another instance sent what it read from the store.
-    virtual void onNews(const StoreNews&) = 0;
+    virtual void onNews(const InstanceName& from, const StoreNews&) = 0;
     /// 0: this instance watches the store. Otherwise its place among the instances of its zone, which query
     /// the store in turn when no news arrives. The first call means that the instances of the fleet are known.
     virtual void onRank(std::uint32_t) = 0;
@@ -73,7 +74,7 @@
     /// The strand on which all functions below except stop() must be called while run() runs.
     boost::asio::any_io_executor executor() const;
     /// Applies a configuration. A version that is not newer than the one in force is ignored.
-    void onRoutes(RouteTable);
+    void onRoutes(RouteTable, const ChangeOrigin& = {});
     /// Records that the configuration in force was the latest one when a call to the store was sent at that time, on the BootClock; the
     /// epoch is no proof. See AdmissionSettings::revocationLimit.
     void onConfigurationConfirmed(TimePoint sentAt);
--- a/src/gateway/search_delegation.cpp
+++ b/src/gateway/search_delegation.cpp
@@ -74,7 +74,7 @@
 {
     for (const auto& it : m_newsDistribution.recipientsOfNewsFrom(from))
         m_network.send(it, news);
-    m_parts.storeNews.onNews(news);
+    m_parts.storeNews.onNews(from, news);
 }
 
 TimePoint SearchDelegation::convertConfirmation(const Hello& from, const StoreNews& news)
--- a/src/gateway/search_delegation.h
+++ b/src/gateway/search_delegation.h
@@ -55,7 +55,7 @@
 public:
     virtual ~StoreNewsEvents() = default;
     /// Another instance announced changes, or answered a request for its state.
-    virtual void onNews(const StoreNews&) = 0;
+    virtual void onNews(const InstanceName& from, const StoreNews&) = 0;
     /// Another instance asks for the state that this one knows.
     virtual void onStateRequested(const InstanceName&, const StoreStateRequest&) = 0;
     /// The request for another instance's state could not be delivered.
--- a/src/gateway/server_changes.h
+++ b/src/gateway/server_changes.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 #include "forward/server_entry.h"
+#include "gateway/change_origin.h"
 
 #include <vector>
 
@@ -12,6 +13,7 @@
     bool isFullList = false; ///< `listed` is the complete list.
     std::vector<ServerEntry> listed;
     std::vector<ServerName> removed;
+    ChangeOrigin origin {};
 
     friend bool operator==(const ServerChanges&, const ServerChanges&) = default;
 };
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -1,5 +1,6 @@
 #include "platform/platform_client.h"
 
+#include "base/digits.h"
 #include "base/token_bucket.h"
 #include "platform/backoff.h"
 #include "platform/http_date.h"
@@ -240,7 +241,7 @@
     const bool isWatch = pending->call.kind == PlatformCallKind::Watch;
     if (!isWatch)
         ++m_poolSize;
-    auto connection = makePlatformConnection(m_strand, m_settings.maxResponse);
+    auto connection = makePlatformConnection(m_strand, m_settings.maxResponse, m_settings.epochHeader);
     m_busy.insert(connection);
     count([](auto& counters) { ++counters.connectionsOpened; });
     const auto timeout = std::min(m_settings.connectTimeout, timeLeft(*pending));
@@ -277,7 +278,7 @@
         return dispatch(pending);
     }
     recordStatus(status);
-    finish(pending, { status, std::move(result.body), parseHttpDate(result.date).value_or(0) });
+    finish(pending, { status, std::move(result.body), parseHttpDate(result.date).value_or(0), parseDigits(result.epoch) });
 }
 
 void PlatformClient::Impl::releaseConnection(const PendingCallPtr& pending, const ConnectionPtr& connection)
--- a/src/platform/platform_client.h
+++ b/src/platform/platform_client.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace lycheefield {
@@ -35,6 +36,7 @@
     StoreStatus status = StoreStatus::Unavailable;
     std::string body;
     std::int64_t respondedAt = 0; ///< The response's Date, in seconds since the Unix epoch; 0 when absent.
+    std::optional<std::uint64_t> epoch {}; ///< Of the store that responded; empty when the response names none that can be read.
 };
 
 /// HTTP client of the platform with keep-alive connections, time-outs, call budgets, counters, and a pause
--- a/src/platform/platform_client_settings.h
+++ b/src/platform/platform_client_settings.h
@@ -5,6 +5,7 @@
 #include "base/units.h"
 
 #include <cstdint>
+#include <string>
 
 namespace lycheefield {
 
@@ -21,6 +22,7 @@
     std::uint32_t maxWaitingCalls = 1000; ///< Calls that wait for a connection; further calls are refused.
     std::uint32_t readsPerSecond = 200; ///< Budget of reads, lists, watches and fetches of the instance list, together.
     std::uint32_t writesPerSecond = 150; ///< Budget of writes and reports.
+    std::string epochHeader; ///< Names the response header with the store's epoch; empty: the store names none.
     Duration initialBackoff = 20ms;
     Duration maxBackoff = 2s;
     std::uint32_t failuresBeforePause = 5; ///< Calls pause for the back-off after this many refusals in a row.
--- a/src/platform/platform_connection.cpp
+++ b/src/platform/platform_connection.cpp
@@ -36,8 +36,9 @@
 
 class BeastConnection final : public PlatformConnection, public std::enable_shared_from_this<BeastConnection> {
 public:
-    BeastConnection(const asio::any_io_executor& executor, ByteCount maxResponse)
+    BeastConnection(const asio::any_io_executor& executor, ByteCount maxResponse, std::string epochHeader)
         : m_stream(executor)
+        , m_epochHeader(std::move(epochHeader))
     {
         m_limits.maxBodyBytes = maxResponse.value;
     }
@@ -150,6 +151,8 @@
         m_result.hasResponse = true;
         m_result.status = response.status;
         m_result.date = std::string(response.headers.find("Date"));
+        if (!m_epochHeader.empty())
+            m_result.epoch = std::string(response.headers.find(m_epochHeader));
         m_result.body = std::move(response.body);
         finish();
     }
@@ -168,6 +171,7 @@
     }
 
     beast::tcp_stream m_stream;
+    std::string m_epochHeader;
     HttpLimits m_limits;
     beast::flat_buffer m_buf;
     std::string m_host;
@@ -181,9 +185,9 @@
 
 }
 
-std::shared_ptr<PlatformConnection> makePlatformConnection(const asio::any_io_executor& executor, ByteCount maxResponse)
+std::shared_ptr<PlatformConnection> makePlatformConnection(const asio::any_io_executor& executor, ByteCount maxResponse, const std::string& epochHeader)
 {
-    return std::make_shared<BeastConnection>(executor, maxResponse);
+    return std::make_shared<BeastConnection>(executor, maxResponse, epochHeader);
 }
 
 }
--- a/src/platform/platform_connection.h
+++ b/src/platform/platform_connection.h
@@ -34,6 +34,7 @@
     unsigned int status = 0;
     std::string body;
     std::string date; ///< The response's Date header.
+    std::string epoch; ///< The response's header with the store's epoch.
     std::uint64_t bytesSent = 0;
     std::uint64_t bytesReceived = 0;
 };
@@ -55,7 +56,7 @@
     virtual void close() = 0;
 };
 
-/// A response with a longer body than maxResponse fails its exchange and closes the connection.
-std::shared_ptr<PlatformConnection> makePlatformConnection(const boost::asio::any_io_executor&, ByteCount maxResponse);
+/// A response with a longer body than maxResponse fails its exchange and closes the connection. epochHeader: see PlatformClientSettings.
+std::shared_ptr<PlatformConnection> makePlatformConnection(const boost::asio::any_io_executor&, ByteCount maxResponse, const std::string& epochHeader = {});
 
 }
--- a/src/platform/store_watcher.cpp
+++ b/src/platform/store_watcher.cpp
@@ -1,5 +1,7 @@
 #include "platform/store_watcher.h"
 
+#include "observe/log.h"
+
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -58,6 +60,7 @@
         known.status = StoreStatus::Ok;
         if (self->m_isListed) {
             known.revision = self->m_revision;
+            known.epoch = self->m_epoch;
             known.confirmedAt = self->m_confirmedAt;
             for (const auto& [key, object] : self->m_objects)
                 known.changed.push_back(object);
@@ -126,6 +129,8 @@
     for (const auto& it : batch.removed)
         m_objects.erase(it);
     m_revision = std::max(m_revision, batch.revision);
+    if (m_epoch == 0)
+        m_epoch = batch.epoch;
     batch.confirmedAt = m_confirmedAt;
     m_handler(batch);
 }
@@ -135,6 +140,7 @@
     WatchBatch changes;
     changes.status = StoreStatus::Ok;
     changes.revision = list.revision;
+    changes.epoch = list.epoch;
     std::set<std::string> listed;
     for (const auto& it : list.changed) {
         listed.insert(it.key);
@@ -207,6 +213,7 @@
     if (m_isStopped)
         return;
     if (batch.status == StoreStatus::HistoryExpired) {
+        logRegression(batch);
         m_isListed = false;
         callStore();
         return;
@@ -214,12 +221,27 @@
     if (batch.status != StoreStatus::Ok)
         return onFailedCall(batch);
     m_backoff.onSuccess();
+    logRegression(batch);
     if (m_isListCall)
         onList(batch);
     else
         onChanges(batch);
 }
 
+void StoreWatcher::logRegression(const WatchBatch& batch)
+{
+    const bool isOfOtherEpoch = m_epoch > 0 && batch.epoch != m_epoch;
+    const bool isLower = batch.status == StoreStatus::Ok && batch.revision < m_calledRevision;
+    if (!isOfOtherEpoch && !isLower) {
+        m_isRegressionLogged = m_isRegressionLogged && batch.status != StoreStatus::Ok;
+        return;
+    }
+    if (std::exchange(m_isRegressionLogged, true))
+        return;
+    logChange(LogLevel::Warning, "store responded from another epoch or with a lower revision than known",
+        { { "objects", m_prefix }, { "known_epoch", std::to_string(m_epoch) }, { "epoch", std::to_string(batch.epoch) }, { "known_revision", std::to_string(m_calledRevision) }, { "revision", std::to_string(batch.revision) } });
+}
+
 void StoreWatcher::onFailedCall(const WatchBatch& batch)
 {
     m_handler(batch);
--- a/src/platform/store_watcher.h
+++ b/src/platform/store_watcher.h
@@ -80,6 +80,8 @@
     /// Records that nothing later than the known state existed when the last call was sent. Precondition: the response was a list, or
     /// without changes.
     void confirm(const WatchBatch& response);
+    /// Logs a response from another epoch of the store, or of a lower revision than the one that was known when it was asked for.
+    void logRegression(const WatchBatch&);
     /// Returns the time up to which a response without changes proves that no change was missed.
     TimePoint provenByNoChange(TimePoint now) const;
 
@@ -92,6 +94,8 @@
     bool m_isListed = false;
     bool m_isStopped = false;
     std::uint64_t m_revision = 0;
+    std::uint64_t m_epoch = 0; ///< Of the store that gave m_revision.
+    bool m_isRegressionLogged = false; ///< Since the last response that was no regression.
     std::map<std::string, StoredObject> m_objects; ///< The objects that exist as of m_revision, by key.
     AnnounceHandler m_announceHandler;
     WatchSchedule m_schedule;
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -266,6 +266,10 @@
             body.__set_removed(news.removed);
         if (news.confirmedAt != TimePoint {})
             body.__set_confirmedAtMicros(news.confirmedAt.time_since_epoch().count());
+        if (news.epoch > 0) {
+            body.__set_fromEpoch(toSigned(news.fromEpoch));
+            body.__set_epoch(toSigned(news.epoch));
+        }
         out.__set_storeNews(body);
     }
     void operator()(const lycheefield::StoreStateRequest& request) const
--- a/src/wire/convert_from.cpp
+++ b/src/wire/convert_from.cpp
@@ -235,6 +235,8 @@
         out.changed.push_back({ reader.name(it.key, "key"), ObjectVersion { Reader::number(it.version) }, std::move(it.value) });
     out.removed = std::move(in.removed);
     out.confirmedAt = TimePoint(Duration(in.confirmedAtMicros));
+    out.fromEpoch = Reader::number(in.fromEpoch);
+    out.epoch = Reader::number(in.epoch);
     return out;
 }
 
--- a/src/wire/inner.thrift
+++ b/src/wire/inner.thrift
@@ -209,6 +209,8 @@
     5: optional list<StoreObject> changed
     6: optional list<string> removed
     7: optional i64 confirmedAtMicros = 0 // On the sender's clock, by which a receiver that knows that clock judges the age.
+    8: optional i64 fromEpoch = 0 // Of fromRevision; an epoch of the store ends when it comes back from an older copy.
+    9: optional i64 epoch = 0 // Of revision.
 }
 
 struct QuotaWish {
@@ -268,4 +270,5 @@
     20: optional QuotaReply quotaReply
     21: optional ClockCall clockCall
     22: optional ClockReply clockReply
+    23: optional i64 sentAtMicros // When the frame was written, on the sender's clock.
 }
--- a/src/wire/store_news.h
+++ b/src/wire/store_news.h
@@ -21,6 +21,8 @@
     std::vector<std::string> removed; ///< Keys of removed objects.
     TimePoint currentAsOf {}; ///< Sent on the wire as an age.
     TimePoint confirmedAt {}; ///< On the sender's clock: when the call was sent whose response showed that there was no later change; the epoch when none did.
+    std::uint64_t fromEpoch = 0; ///< Of the store when it gave fromRevision.
+    std::uint64_t epoch = 0; ///< Of the store when it gave revision.
 
     friend bool operator==(const StoreNews&, const StoreNews&) = default;
 };
