--- a/src/gateway/server_changes.h
+++ b/src/gateway/server_changes.h
@@ -14,6 +14,7 @@
     std::vector<ServerEntry> listed;
     std::vector<ServerName> removed;
     ChangeOrigin origin {};
+    bool isNewEpoch = false; ///< The first list since the store came back from an older copy: what it lost is written again.
 
     friend bool operator==(const ServerChanges&, const ServerChanges&) = default;
 };
--- a/src/platform/object_store.h
+++ b/src/platform/object_store.h
@@ -18,6 +18,7 @@
     std::vector<StoredObject> changed {};
     std::vector<std::string> removed {}; ///< Keys of removed objects; only from a watch.
     bool isFullList = false; ///< True for a list: an object missing from it has been removed. Set by StoreWatcher.
+    bool isNewEpoch = false; ///< True for the first list of a later epoch of the store than the one known before. Set by StoreWatcher.
     std::uint64_t epoch = 0; ///< Of the store when it gave that revision; 0 when the store names none.
     InstanceName announcedBy {}; ///< The instance that announced the batch; empty: this instance read it from the store.
     TimePoint confirmedAt {}; ///< Sending time of the latest call whose response shows that nothing later than this batch existed when the call was sent; the epoch when there was none. Set by StoreWatcher.
