--- a/src/gateway/search_delegation.cpp
+++ b/src/gateway/search_delegation.cpp
@@ -51,9 +51,6 @@
     m_chooser.onPeers(instances);
     m_newsDistribution.onPeers(instances);
     m_network.closeLinksToRemovedPeers();
-    const auto view = m_view.read();
-    m_peerClocks.keepOnly(*view);
-    std::erase_if(m_unconvertedProofs, [&](const auto& it) { return !view->find(it.first); });
 }
 
 void SearchDelegation::announceNews(const StoreNews& news)
@@ -62,42 +59,13 @@
         m_network.send(it, news);
 }
 
-void SearchDelegation::onNews(const Hello& from, const StoreNews& news)
-{
-    auto converted = news;
-    if (news.confirmedAt != TimePoint {})
-        converted.confirmedAt = convertConfirmation(from, news);
-    distribute(from.instance, converted);
-}
-
-void SearchDelegation::distribute(const InstanceName& from, const StoreNews& news)
+void SearchDelegation::onNews(const InstanceName& from, const StoreNews& news)
 {
     for (const auto& it : m_newsDistribution.recipientsOfNewsFrom(from))
         m_network.send(it, news);
     m_parts.storeNews.onNews(from, news);
 }
 
-TimePoint SearchDelegation::convertConfirmation(const Hello& from, const StoreNews& news)
-{
-    const auto now = m_parts.clock->now();
-    if (m_peerClocks.ask(from.instance, from.life, now))
-        m_network.send(from.instance, ClockCall { now });
-    const auto converted = m_peerClocks.toOwn(from.instance, from.life, news.confirmedAt, now);
-    if (converted)
-        return *converted;
-    if (news.revision > 0)
-        m_unconvertedProofs[from.instance] = { from.life, { news.prefix, news.revision, news.revision, {}, {}, news.currentAsOf, news.confirmedAt } };
-    return {};
-}
-
-void SearchDelegation::onClockReply(const Hello& from, const ClockReply& reply)
-{
-    m_peerClocks.onAnswer(from.instance, from.life, reply.sentAt, reply.now, m_parts.clock->now());
-    const auto waiting = m_unconvertedProofs.extract(from.instance);
-    if (waiting && waiting.mapped().life == from.life)
-        onNews(from, waiting.mapped().proof);
-}
-
 bool SearchDelegation::requestStoreState(const std::string& prefix)
 {
     const auto sources = m_newsDistribution.stateSources();
@@ -267,12 +235,11 @@
 
 void SearchDelegation::onPeerMessage(const Hello& from, PeerMessage message)
 {
-    boost::asio::dispatch(m_parts.strand, [this, peer = from, message = std::move(message)]() mutable { receive(peer, message); });
+    boost::asio::dispatch(m_parts.strand, [this, peer = from.instance, message = std::move(message)]() mutable { receive(peer, message); });
 }
 
-void SearchDelegation::receive(const Hello& hello, PeerMessage& message)
+void SearchDelegation::receive(const InstanceName& from, PeerMessage& message)
 {
-    const auto& from = hello.instance;
     if (const auto* call = std::get_if<SearchCall>(&message))
         onCall(from, *call);
     else if (const auto* note = std::get_if<SearchNote>(&message))
@@ -280,13 +247,9 @@
     else if (auto* response = std::get_if<SearchReply>(&message))
         onResponse(from, *response);
     else if (const auto* news = std::get_if<StoreNews>(&message))
-        onNews(hello, *news);
+        onNews(from, *news);
     else if (const auto* request = std::get_if<StoreStateRequest>(&message))
         m_parts.storeNews.onStateRequested(from, *request);
-    else if (const auto* clock = std::get_if<ClockCall>(&message))
-        m_network.reply(from, ClockReply { clock->sentAt, m_parts.clock->now() });
-    else if (const auto* clockReply = std::get_if<ClockReply>(&message))
-        onClockReply(hello, *clockReply);
     else if (const auto* crash = std::get_if<AnnounceCrash>(&message))
         m_parts.events.onCrashAnnounced({ crash->fingerprint, crash->crashes, crash->quarantine, crash->location.server, crash->service });
     else if (m_quotaEvents)
@@ -303,7 +266,8 @@
 
 void SearchDelegation::onCall(const InstanceName& from, const SearchCall& call)
 {
-    const bool isAccepted = m_parts.events.canRun(call);
+    // A call that was on its way for long leaves its servers no time.
+    const bool isAccepted = call.deadline > m_parts.clock->now() && m_parts.events.canRun(call);
     m_network.reply(from, SearchNote { call.sequence, isAccepted ? SearchNoteKind::Taken : SearchNoteKind::Declined });
     if (!isAccepted)
         return;
--- a/src/gateway/search_delegation.h
+++ b/src/gateway/search_delegation.h
@@ -5,7 +5,6 @@
 #include "forward/delegate_chooser.h"
 #include "forward/forward_action.h"
 #include "gateway/news_distribution.h"
-#include "membership/peer_clocks.h"
 #include "observe/decision_log.h"
 #include "observe/metrics.h"
 #include "wire/asio_peer_network.h"
@@ -150,19 +149,9 @@
         std::unique_ptr<boost::asio::steady_timer> timer;
     };
 
-    /// A proof whose time is on the clock of that process.
-    struct UnconvertedProof {
-        ProcessLife life;
-        StoreNews proof; ///< Without changes.
-    };
-
-    void onNews(const Hello& from, const StoreNews&);
-    /// Passes news whose confirmedAt is on this instance's clock to the instances that hear it from this one, and to the follower.
-    void distribute(const InstanceName& from, const StoreNews&);
-    /// Converts the time of the sender's proof to this instance's clock. While the sender's clock is unknown, the proof waits for it.
-    TimePoint convertConfirmation(const Hello& from, const StoreNews&);
-    void onClockReply(const Hello& from, const ClockReply&);
-    void receive(const Hello& from, PeerMessage&);
+    /// Passes news to the instances that hear it from this one, and to the follower.
+    void onNews(const InstanceName& from, const StoreNews&);
+    void receive(const InstanceName& from, PeerMessage&);
     void receiveQuotaMessage(const InstanceName& from, const PeerMessage&);
     void onNote(const InstanceName& from, const SearchNote&);
     void onResponse(const InstanceName& from, SearchReply&);
@@ -185,8 +174,6 @@
     Snapshot<MembershipView> m_view;
     AsioPeerNetwork m_network;
     std::unordered_map<DelegationId, Delegation> m_delegations;
-    PeerClocks m_peerClocks;
-    std::map<InstanceName, UnconvertedProof> m_unconvertedProofs; ///< The latest one of each instance whose clock is not known yet.
     Counter& m_sentCount;
     Counter& m_failedCount;
     Counter& m_acceptedCount;
--- a/src/wire/clock_message.h
+++ b/src/wire/clock_message.h
@@ -4,7 +4,7 @@
 
 namespace lycheefield {
 
-/// Asks another instance for its clock.
+/// Asks another instance for its clock. The frame of any message tells it; this one is sent when there is nothing else to send.
 struct ClockCall {
     TimePoint sentAt {}; ///< On the caller's clock; returned with the answer.
 
--- a/src/wire/convert_from.cpp
+++ b/src/wire/convert_from.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include <algorithm>
+
 namespace lycheefield::wire {
 
 namespace {
@@ -12,8 +14,9 @@
 /// Converts the values of one envelope and records the first field that is out of range.
 class Reader {
 public:
-    Reader(TimePoint now, const FrameLimits& limits)
-        : m_now(now)
+    Reader(const SendTime& sent, std::int64_t sentAtMicros, const FrameLimits& limits)
+        : m_sent(sent)
+        , m_sentAtMicros(sentAtMicros)
         , m_limits(limits)
     {
     }
@@ -37,9 +40,25 @@
         return Duration(micros);
     }
 
-    TimePoint deadline(std::int64_t micros, const char* field) { return m_now + duration(micros, field); }
+    /// Converts the time that was left until a deadline when the frame was sent.
+    TimePoint deadline(std::int64_t micros, const char* field) { return m_sent.startOfLimits() + duration(micros, field); }
+
+    /// Converts the time for which a thing still held when the frame was sent to that for which it holds now.
+    Duration timeLeft(std::int64_t micros, const char* field) { return std::max(Duration {}, duration(micros, field) - (m_sent.latest - m_sent.earliest.value_or(m_sent.latest))); }
+
+    /// Converts an age; the epoch if it is not known when the frame was sent.
+    TimePoint timeBefore(std::int64_t micros, const char* field)
+    {
+        const auto age = duration(micros, field);
+        return m_sent.earliest ? *m_sent.earliest - age : TimePoint {};
+    }
 
-    TimePoint timeBefore(std::int64_t micros, const char* field) { return m_now - duration(micros, field); }
+    /// Converts a time on the sender's clock; the epoch stands for no time, and for any time if it is not known when the frame was sent.
+    TimePoint senderTime(std::int64_t micros) const
+    {
+        const bool isKnown = micros != 0 && m_sent.earliest;
+        return isKnown ? std::min(m_sent.latest, *m_sent.earliest + Duration(micros - m_sentAtMicros)) : TimePoint {};
+    }
 
     template <typename Enum>
     Enum enumValue(std::int32_t value, Enum last, const char* field)
@@ -65,7 +84,8 @@
             m_badField = field;
     }
 
-    TimePoint m_now;
+    SendTime m_sent;
+    std::int64_t m_sentAtMicros; ///< On the sender's clock.
     const FrameLimits& m_limits;
     std::string m_badField;
 };
@@ -234,7 +254,7 @@
     for (auto& it : in.changed)
         out.changed.push_back({ reader.name(it.key, "key"), ObjectVersion { Reader::number(it.version) }, std::move(it.value) });
     out.removed = std::move(in.removed);
-    out.confirmedAt = TimePoint(Duration(in.confirmedAtMicros));
+    out.confirmedAt = reader.senderTime(in.confirmedAtMicros);
     out.fromEpoch = Reader::number(in.fromEpoch);
     out.epoch = Reader::number(in.epoch);
     return out;
@@ -322,7 +342,7 @@
         return fromWire(in.servers, reader);
     if (set.crash) {
         AnnounceCrash crash { Fingerprint(Reader::number(in.crash.fingerprint)), reader.count(in.crash.crashes, "crashes"),
-            reader.duration(in.crash.quarantineMicros, "quarantineMicros") };
+            reader.timeLeft(in.crash.quarantineMicros, "quarantineMicros") };
         if (in.crash.__isset.server)
             crash.location = { ServerName(reader.name(in.crash.server, "server")), ShardNumber(reader.count(in.crash.shard, "shard")) };
         if (in.crash.__isset.serviceName)
@@ -362,14 +382,14 @@
 
 }
 
-Result<PeerMessage> fromEnvelope(Envelope& in, TimePoint now, const FrameLimits& limits)
+Result<PeerMessage> fromEnvelope(Envelope& in, const SendTime& sent, const FrameLimits& limits)
 {
     const int n = countBodies(in);
     if (n == 0)
         return Error { ErrorKind::NotFound, "frame has no message of a kind that this release knows; the frame is skipped", "no action needed during an upgrade; otherwise run the same release on all instances" };
     if (n > 1)
         return Error { ErrorKind::InvalidInput, "frame has " + std::to_string(n) + " messages, expected 1", "run the same release on all instances" };
-    Reader reader(now, limits);
+    Reader reader(sent, in.sentAtMicros, limits);
     PeerMessage message = readBody(in, reader);
     if (reader.failed())
         return Error { ErrorKind::InvalidInput, "field " + reader.badField() + " of a frame is out of range", "run the same release on all instances" };
--- a/src/wire/frame_codec.cpp
+++ b/src/wire/frame_codec.cpp
@@ -10,6 +10,7 @@
 
 #include <exception>
 #include <memory>
+#include <optional>
 
 namespace lycheefield {
 
@@ -47,6 +48,46 @@
     return envelope;
 }
 
+/// Decodes the payload, and checks its length and the version of the protocol.
+Result<wire::Envelope> decodeEnvelope(std::string_view payload, const FrameLimits& limits)
+{
+    if (payload.empty() || payload.size() > limits.maxFrameBytes)
+        return malformedFrame("frame of " + std::to_string(payload.size()) + " bytes is empty or exceeds the size limit");
+    auto envelope = readEnvelope(payload, limits);
+    if (!envelope)
+        return envelope.error();
+    if (envelope.value().protocolVersion != innerProtocolVersion) {
+        return malformedFrame("frame has protocol version " + std::to_string(envelope.value().protocolVersion) + ", expected "
+            + std::to_string(innerProtocolVersion));
+    }
+    return envelope;
+}
+
+TimePoint timeOf(std::int64_t micros)
+{
+    return TimePoint(Duration(micros));
+}
+
+std::optional<FrameTimes> timesOf(const wire::Envelope& envelope)
+{
+    const auto& set = envelope.__isset;
+    if (!set.sentAtMicros)
+        return std::nullopt;
+    FrameTimes times { timeOf(envelope.sentAtMicros) };
+    if (set.echoSentAtMicros && set.echoReadAtMicros)
+        times.echo = { timeOf(envelope.echoSentAtMicros), timeOf(envelope.echoReadAtMicros) };
+    return times;
+}
+
+void setTimes(const FrameTimes& times, wire::Envelope& out)
+{
+    out.__set_sentAtMicros(times.sentAt.time_since_epoch().count());
+    if (!times.echo)
+        return;
+    out.__set_echoSentAtMicros(times.echo->sentAt.time_since_epoch().count());
+    out.__set_echoReadAtMicros(times.echo->readAt.time_since_epoch().count());
+}
+
 }
 
 std::uint32_t decodeFrameHeader(const std::array<unsigned char, frameHeaderBytes>& header)
@@ -54,11 +95,12 @@
     return boost::endian::load_big_u32(header.data());
 }
 
-std::string encodeFrame(const PeerMessage& message, TimePoint now)
+std::string encodeFrame(const PeerMessage& message, const FrameTimes& times)
 {
     wire::Envelope envelope;
     envelope.protocolVersion = innerProtocolVersion;
-    wire::toEnvelope(message, now, envelope);
+    setTimes(times, envelope);
+    wire::toEnvelope(message, times.sentAt, envelope);
     auto buf = std::make_shared<TMemoryBuffer>();
     Protocol protocol(buf);
     envelope.write(&protocol);
@@ -72,18 +114,20 @@
     return out;
 }
 
+Result<PeerMessage> decodeFrame(std::string_view payload, PeerClock& clock, TimePoint now, const FrameLimits& limits)
+{
+    auto envelope = decodeEnvelope(payload, limits);
+    if (!envelope)
+        return envelope.error();
+    return wire::fromEnvelope(envelope.value(), clock.onFrame(timesOf(envelope.value()), now), limits);
+}
+
 Result<PeerMessage> decodeFrame(std::string_view payload, TimePoint now, const FrameLimits& limits)
 {
-    if (payload.empty() || payload.size() > limits.maxFrameBytes)
-        return malformedFrame("frame of " + std::to_string(payload.size()) + " bytes is empty or exceeds the size limit");
-    auto envelope = readEnvelope(payload, limits);
+    auto envelope = decodeEnvelope(payload, limits);
     if (!envelope)
         return envelope.error();
-    if (envelope.value().protocolVersion != innerProtocolVersion) {
-        return malformedFrame("frame has protocol version " + std::to_string(envelope.value().protocolVersion) + ", expected "
-            + std::to_string(innerProtocolVersion));
-    }
-    return wire::fromEnvelope(envelope.value(), now, limits);
+    return wire::fromEnvelope(envelope.value(), { now, now, now }, limits);
 }
 
 }
--- a/src/wire/frame_session.cpp
+++ b/src/wire/frame_session.cpp
@@ -157,7 +157,8 @@
 bool FrameSession::processFrame(std::string_view payload)
 {
     ++m_counters->framesIn;
-    auto message = decodeFrame(payload, m_clock->now(), m_limits.frame);
+    const auto now = m_clock->now();
+    auto message = decodeFrame(payload, m_peerClock, now, m_limits.frame);
     if (!message && message.error().kind == ErrorKind::NotFound) {
         ++m_counters->skippedFrames;
         return true;
@@ -169,6 +170,10 @@
         return false;
     }
     if (!isHello) {
+        if (m_peerClock.needsProbe(now))
+            queue(ClockCall { now });
+        if (m_closed || processClockMessage(message.value()))
+            return !m_closed;
         m_events->onMessage(*this, std::move(message.value()));
         return !m_closed;
     }
@@ -180,12 +185,20 @@
     return !m_closed;
 }
 
+bool FrameSession::processClockMessage(const PeerMessage& message)
+{
+    const auto* call = std::get_if<ClockCall>(&message);
+    if (call)
+        queue(ClockReply { call->sentAt, m_clock->now() });
+    return call || std::holds_alternative<ClockReply>(message);
+}
+
 void FrameSession::writeMore()
 {
     m_writeBuffer.clear();
     const auto now = m_clock->now();
     while (!m_queue.empty() && m_writeBuffer.size() < writeBatchBytes) {
-        m_writeBuffer += encodeFrame(m_queue.front(), now);
+        m_writeBuffer += encodeFrame(m_queue.front(), m_peerClock.timesFor(now));
         m_queue.pop_front();
         ++m_counters->framesOut;
     }
--- a/src/wire/frame_session.h
+++ b/src/wire/frame_session.h
@@ -64,7 +64,8 @@
 /// One connection to or from a peer. Both ends send frames with a length prefix, and a Hello first.
 ///
 /// A session keeps itself alive while it reads or writes. Messages that are queued during a write go
-/// out together in the next write. Public methods are thread safe.
+/// out together in the next write. The session learns the peer's clock from the frames of both directions, so that times in
+/// messages count from when their frames were sent. Public methods are thread safe.
 class FrameSession : public std::enable_shared_from_this<FrameSession> {
 public:
     using Socket = boost::asio::ip::tcp::socket;
@@ -93,6 +94,8 @@
     /// Returns false when the session has closed.
     bool processFrames();
     bool processFrame(std::string_view payload);
+    /// Answers a message about the clocks, which is no matter of the session's owner. Returns false for any other message.
+    bool processClockMessage(const PeerMessage&);
     void queue(PeerMessage);
     void writeMore();
     void onWritten(const boost::system::error_code&, std::size_t);
@@ -108,6 +111,7 @@
     std::shared_ptr<WireCounters> m_counters;
     FrameSessionLimits m_limits;
     std::optional<Hello> m_peer;
+    PeerClock m_peerClock;
     std::optional<BufferCharge> m_charge; ///< For m_readBuffer.
     std::vector<char> m_readBuffer;
     std::size_t m_readSize = 0;
--- a/src/wire/inner.thrift
+++ b/src/wire/inner.thrift
@@ -271,4 +271,6 @@
     21: optional ClockCall clockCall
     22: optional ClockReply clockReply
     23: optional i64 sentAtMicros // When the frame was written, on the sender's clock.
+    24: optional i64 echoSentAtMicros // sentAtMicros of the latest frame that the sender has read from the receiver.
+    25: optional i64 echoReadAtMicros // When it read that frame, on the sender's clock.
 }
--- a/src/wire/store_news.h
+++ b/src/wire/store_news.h
@@ -19,8 +19,8 @@
     std::uint64_t revision = 0;
     std::vector<StoredObject> changed;
     std::vector<std::string> removed; ///< Keys of removed objects.
-    TimePoint currentAsOf {}; ///< Sent on the wire as an age.
-    TimePoint confirmedAt {}; ///< On the sender's clock: when the call was sent whose response showed that there was no later change; the epoch when none did.
+    TimePoint currentAsOf {}; ///< On the clock of the process that holds the news, like confirmedAt; the epoch when no time is known.
+    TimePoint confirmedAt {}; ///< When the call was sent whose response showed that there was no later change; the epoch when none did.
     std::uint64_t fromEpoch = 0; ///< Of the store when it gave fromRevision.
     std::uint64_t epoch = 0; ///< Of the store when it gave revision.
 
--- a/tests/gateway/freshness_fleet_test.cpp
+++ b/tests/gateway/freshness_fleet_test.cpp
@@ -1,7 +1,7 @@
 #include "admission/configuration_freshness.h"
 #include "gateway/news_distribution.h"
-#include "membership/peer_clocks.h"
 #include "platform/watch_schedule.h"
+#include "wire/peer_clock.h"
 
 #include <doctest/doctest.h>
 
@@ -11,6 +11,7 @@
 #include <memory>
 #include <random>
 #include <utility>
+#include <vector>
 
 namespace lycheefield {
 
@@ -21,6 +22,14 @@
 constexpr Duration limit = 5s;
 constexpr Duration tick = 5ms;
 
+/// A connection to another process.
+struct Session {
+    ProcessLife life; ///< Of the process at the other end.
+    PeerClock clock;
+    bool isOpen = false; ///< Both ends have introduced themselves.
+    std::vector<std::function<void()>> waiting; ///< What is sent once it is open.
+};
+
 /// One instance: the watcher's rules for calls and proofs, with the real schedule, clocks, distribution and freshness.
 struct Node {
     explicit Node(Instance self)
@@ -35,8 +44,7 @@
         instance.life = life;
         clockOffset = offset;
         freshness = std::make_unique<ConfigurationFreshness>(limit);
-        clocks = {};
-        unconverted.clear();
+        sessions.clear();
         confirmedAt = provenAt = calledAt = {};
         isCalling = false;
     }
@@ -46,8 +54,7 @@
     WatchSchedule schedule;
     NewsDistribution distribution;
     std::unique_ptr<ConfigurationFreshness> freshness = std::make_unique<ConfigurationFreshness>(limit);
-    PeerClocks clocks;
-    std::map<InstanceName, std::pair<ProcessLife, TimePoint>> unconverted;
+    std::map<InstanceName, Session> sessions;
     std::uint64_t version = 1;
     TimePoint calledAt {}, provenAt {}, confirmedAt {}, pausedUntil {}, cutUntil {}, nextCall {};
     bool isCalling = false;
@@ -193,41 +200,74 @@
         node.freshness->confirm(node.confirmedAt);
     }
 
+    /// Returns the connection to the process that runs there now; a new one after a restart.
+    static Session& sessionOf(Node& node, const Node& peer)
+    {
+        auto& session = node.sessions[peer.instance.name];
+        if (session.life != peer.instance.life)
+            session = { peer.instance.life, {}, false, {} };
+        return session;
+    }
+
+    /// Sends one frame. The receiver may have nothing else to send, and then sends one for the clocks alone.
+    void transmit(Node& from, Node& to, std::function<void(const FrameTimes&, const SendTime&)> handler)
+    {
+        const auto times = sessionOf(from, to).clock.timesFor(clockOf(from));
+        deliver(&from, &to, [this, &from, &to, life = from.instance.life, times, handler = std::move(handler)] {
+            if (from.instance.life != life)
+                return;
+            auto& clock = sessionOf(to, from).clock;
+            const auto sent = clock.onFrame(times, clockOf(to));
+            if (clock.needsProbe(clockOf(to)))
+                transmit(to, from, [](const FrameTimes&, const SendTime&) {});
+            handler(times, sent);
+        });
+    }
+
+    /// Runs the action when both processes have introduced themselves.
+    void whenOpen(Node& from, Node& to, std::function<void()> action)
+    {
+        auto& session = sessionOf(from, to);
+        if (session.isOpen)
+            return action();
+        session.waiting.push_back(std::move(action));
+        if (session.waiting.size() > 1)
+            return;
+        transmit(from, to, [this, &from, &to](const FrameTimes&, const SendTime&) {
+            transmit(to, from, [this, &from, &to](const FrameTimes&, const SendTime&) {
+                auto& opened = sessionOf(from, to);
+                opened.isOpen = true;
+                for (const auto& it : std::exchange(opened.waiting, {}))
+                    it();
+            });
+        });
+    }
+
     void send(Node& node, const std::vector<InstanceName>& recipients)
     {
         for (const auto& it : recipients) {
             auto& to = *m_nodes.at(it);
-            deliver(&node, &to, [this, &node, &to, life = node.instance.life, version = node.version, proof = node.confirmedAt, age = clockOf(node) - node.provenAt] {
-                to.version = std::max(to.version, version);
-                // The age of what lay in a buffer is not known: it looks young.
-                to.provenAt = std::max(to.provenAt, clockOf(to) - age);
-                onProof(to, node, life, proof);
-                send(to, to.distribution.recipientsOfNewsFrom(node.instance.name));
+            whenOpen(node, to, [this, &node, &to, version = node.version, proof = node.confirmedAt, proven = node.provenAt] {
+                transmit(node, to, [this, &node, &to, version, proof, proven](const FrameTimes& times, const SendTime& sent) { onNews(to, node, { version, proof, proven }, times, sent); });
             });
         }
     }
 
-    void onProof(Node& node, Node& from, ProcessLife life, TimePoint proof)
-    {
-        if (proof == TimePoint {})
-            return;
-        const auto& peer = from.instance.name;
-        if (const auto now = clockOf(node); node.clocks.ask(peer, life, now))
-            deliver(&node, &from, [this, &node, &from, now] { answerClock(node, from, now); });
-        if (const auto own = node.clocks.toOwn(peer, life, proof, clockOf(node)))
-            confirm(node, *own);
-        else
-            node.unconverted[peer] = { life, proof };
-    }
+    struct News {
+        std::uint64_t version = 0;
+        TimePoint confirmedAt, provenAt; ///< On the sender's clock.
+    };
 
-    void answerClock(Node& asking, Node& peer, TimePoint askedAt)
+    void onNews(Node& node, const Node& from, const News& news, const FrameTimes& times, const SendTime& sent)
     {
-        deliver(&peer, &asking, [this, &asking, &peer, askedAt, life = peer.instance.life, theirs = clockOf(peer)] {
-            asking.clocks.onAnswer(peer.instance.name, life, askedAt, theirs, clockOf(asking));
-            const auto waiting = asking.unconverted.extract(peer.instance.name);
-            if (waiting && waiting.mapped().first == life)
-                onProof(asking, peer, life, waiting.mapped().second);
-        });
+        node.version = std::max(node.version, news.version);
+        const auto toOwn = [&](TimePoint theirs) { return *sent.earliest - (times.sentAt - theirs); };
+        if (sent.earliest) {
+            node.provenAt = std::max(node.provenAt, toOwn(news.provenAt));
+            if (news.confirmedAt != TimePoint {})
+                confirm(node, toOwn(news.confirmedAt));
+        }
+        send(node, node.distribution.recipientsOfNewsFrom(from.instance.name));
     }
 
     std::mt19937 m_random;
--- a/tests/wire/search_codec_test.cpp
+++ b/tests/wire/search_codec_test.cpp
@@ -113,12 +113,67 @@
         REQUIRE(decoded);
         CHECK(std::get<StoreNews>(decoded.value()).currentAsOf <= receivedAt - std::chrono::hours(1));
     }
-    SUBCASE("Store news carry the time of their confirmation on the sender's clock")
+    SUBCASE("Store news carry the time of their confirmation on the sender's clock, and it is read on the receiver's")
     {
-        StoreNews news { "config/", 10, 10, {}, {}, sentAt, TimePoint(123456789us) };
+        StoreNews news { "config/", 10, 10, {}, {}, sentAt, sentAt - 1234567us };
         const auto decoded = roundTrip(news);
         REQUIRE(decoded);
-        CHECK(std::get<StoreNews>(decoded.value()).confirmedAt == TimePoint(123456789us));
+        CHECK(std::get<StoreNews>(decoded.value()).confirmedAt == receivedAt - 1234567us);
+    }
+    SUBCASE("Store news carry the epochs of their revisions")
+    {
+        StoreNews news { "config/", 10, 10, {}, {}, sentAt, {}, 3, 4 };
+        const auto decoded = roundTrip(news);
+        REQUIRE(decoded);
+        news.currentAsOf = receivedAt;
+        CHECK(std::get<StoreNews>(decoded.value()) == news);
+    }
+}
+
+TEST_CASE("Times in a message count from when its frame was sent, however long it was on its way" * doctest::test_suite("wire"))
+{
+    constexpr Duration delay = 6s;
+    const auto readAt = sentAt + delay;
+    PeerClock reader;
+    reader.timesFor(sentAt - 1s);
+    const auto read = [&](const PeerMessage& message) {
+        const auto frame = encodeFrame(message, { sentAt, FrameEcho { sentAt - 1s, sentAt - 1s } });
+        return decodeFrame(std::string_view(frame).substr(frameHeaderBytes), reader, readAt).value();
+    };
+    // The clocks may have drifted apart by this since the echo.
+    constexpr Duration drift = 8ms;
+
+    SUBCASE("the age of a proof")
+    {
+        const auto news = std::get<StoreNews>(read(StoreNews { "servers/", 10, 14, {}, {}, sentAt - 250ms, sentAt - 500ms }));
+        CHECK(news.currentAsOf <= sentAt - 250ms);
+        CHECK(news.currentAsOf >= sentAt - 250ms - drift);
+        CHECK(news.confirmedAt <= sentAt - 500ms);
+        CHECK(news.confirmedAt >= sentAt - 500ms - drift);
+    }
+    SUBCASE("the deadline of a delegated search")
+    {
+        const auto search = std::get<SearchCall>(read(call()));
+        CHECK(search.deadline >= call().deadline);
+        CHECK(search.deadline <= call().deadline + SendTime::deadlineTolerance);
+        CHECK(search.answerBy <= call().answerBy + SendTime::deadlineTolerance);
+    }
+    SUBCASE("the end of a quarantine, so that instances that repeat it to each other do not prolong it")
+    {
+        const auto crash = std::get<AnnounceCrash>(read(AnnounceCrash { Fingerprint(1), 3, 60s }));
+        CHECK(crash.quarantine <= 60s - delay);
+        CHECK(crash.quarantine >= 60s - delay - drift);
+    }
+    SUBCASE("a frame of an earlier release names no sending time: its proof counts for nothing, its deadline from its reading")
+    {
+        PeerClock unknown;
+        const auto readUnknown = [&](const PeerMessage& message) {
+            const auto frame = encodeFrame(message, sentAt);
+            return decodeFrame(std::string_view(frame).substr(frameHeaderBytes), unknown, readAt).value();
+        };
+        CHECK(std::get<StoreNews>(readUnknown(StoreNews { "servers/", 10, 14, {}, {}, sentAt, sentAt })).currentAsOf == TimePoint {});
+        CHECK(std::get<StoreNews>(readUnknown(StoreNews { "servers/", 10, 14, {}, {}, sentAt, sentAt })).confirmedAt == TimePoint {});
+        CHECK(std::get<SearchCall>(readUnknown(call())).deadline == readAt + 800ms);
     }
 }
 
