--- a/src/platform/object_store.h
+++ b/src/platform/object_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/ids.h"
+#include "base/store_revision.h"
 #include "base/stored_object.h"
 #include "base/time.h"
 
@@ -14,14 +15,13 @@
 /// only those that changed after the given revision.
 struct WatchBatch {
     StoreStatus status = StoreStatus::Unavailable;
-    std::uint64_t revision = 0;
+    StoreRevision revision; ///< Of a failed call: its epoch alone, 0 when the response names none.
     std::vector<StoredObject> changed {};
     std::vector<std::string> removed {}; ///< Keys of removed objects; only from a watch.
-    bool isFullList = false; ///< True for a list: an object missing from it has been removed. Set by StoreWatcher.
-    bool isNewEpoch = false; ///< True for the first list of a later epoch of the store than the one known before. Set by StoreWatcher.
-    std::uint64_t epoch = 0; ///< Of the store when it gave that revision; 0 when the store names none.
+    bool isFullList = false; ///< True for a list: an object missing from it has been removed. Set by WatchEngine.
+    bool isNewEpoch = false; ///< True for the first list of a later epoch of the store than the one known before. Set by WatchEngine.
     InstanceName announcedBy {}; ///< The instance that announced the batch; empty: this instance read it from the store.
-    TimePoint confirmedAt {}; ///< Sending time of the latest call whose response shows that nothing later than this batch existed when the call was sent; the epoch when there was none. Set by StoreWatcher.
+    TimePoint confirmedAt {}; ///< Sending time of the latest call whose response shows that nothing later than this batch existed when the call was sent; the epoch when there was none. Set by WatchEngine.
 };
 
 /// The platform's object API. Calls return at once; each handler runs exactly once, on the
