--- a/src/platform/http_object_store.cpp
+++ b/src/platform/http_object_store.cpp
@@ -63,7 +63,7 @@
     const auto* objects = parsed->if_contains("objects");
     if (!revision || !objects || !objects->is_array())
         return std::nullopt;
-    WatchBatch batch { StoreStatus::Ok, *revision, {} };
+    WatchBatch batch { StoreStatus::Ok, { 0, *revision } };
     for (const auto& it : objects->get_array()) {
         auto object = toObject(it);
         if (!object)
@@ -77,8 +77,8 @@
 WatchBatch readBatch(const PlatformResponse& response)
 {
     if (response.status != StoreStatus::Ok)
-        return WatchBatch { response.status, 0, {} };
-    return toBatch(response.body).value_or(WatchBatch { StoreStatus::Lost, 0, {} });
+        return WatchBatch { response.status };
+    return toBatch(response.body).value_or(WatchBatch { StoreStatus::Lost });
 }
 
 }
--- a/src/platform/object_store.h
+++ b/src/platform/object_store.h
@@ -15,7 +15,7 @@
 /// only those that changed after the given revision.
 struct WatchBatch {
     StoreStatus status = StoreStatus::Unavailable;
-    StoreRevision revision; ///< Of a failed call: its epoch alone, 0 when the response names none.
+    StoreRevision revision {}; ///< Of a failed call: its epoch alone, 0 when the response names none.
     std::vector<StoredObject> changed {};
     std::vector<std::string> removed {}; ///< Keys of removed objects; only from a watch.
     bool isFullList = false; ///< True for a list: an object missing from it has been removed. Set by WatchEngine.
--- a/src/platform/store_watcher.h
+++ b/src/platform/store_watcher.h
@@ -1,16 +1,14 @@
 #pragma once
 
 #include "base/clock.h"
-#include "base/random_source.h"
-#include "platform/backoff.h"
 #include "platform/object_store.h"
-#include "platform/watch_schedule.h"
+#include "platform/watch_engine.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
-#include <map>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -36,9 +34,9 @@
     StoreWatcher(const boost::asio::any_io_executor&, std::shared_ptr<ObjectStore>, std::string prefix, Handler, Backoff);
 
     /// Runs on the executor after each successful watch, and after each list but the first, unless an announcement has
-    /// already brought a later revision. An instance that knew all changes up to fromRevision and applies the batch
+    /// already brought a later revision. An instance that knew all changes up to `from` and applies the batch
     /// knows all changes that the store had at currentAsOf.
-    using AnnounceHandler = std::function<void(const WatchBatch&, std::uint64_t fromRevision, TimePoint currentAsOf)>;
+    using AnnounceHandler = std::function<void(const WatchBatch&, StoreRevision from, TimePoint currentAsOf)>;
 
     /// Precondition: start() has not been called.
     void setAnnounceHandler(AnnounceHandler handler) { m_announceHandler = std::move(handler); }
@@ -48,7 +46,7 @@
     /// Applies changes that another instance announced. A batch that leaves a gap after the revision known here
     /// is dropped, and the watcher calls the store for the missing changes. A batch from revision 0 is a list; one that is
     /// older than the schedule allows is dropped. The batch's confirmedAt must be on this instance's clock.
-    void onAnnouncement(const WatchBatch&, std::uint64_t fromRevision, TimePoint currentAsOf);
+    void onAnnouncement(const WatchBatch&, StoreRevision from, TimePoint currentAsOf);
 
     /// Lists the objects, unless another instance's state has made that needless, then watches.
     void start();
@@ -60,55 +58,31 @@
     void stop();
 
 private:
-    void callStore();
-    void scheduleCall(Duration);
-    void onBatch(const WatchBatch&);
-    /// Records that the store may hold changes that are not known here.
-    void markBehind();
-    void onFailedCall(const WatchBatch&);
-    /// Handles the response to a list. What it tells beyond the known state is announced, so that others need not list.
-    void onList(const WatchBatch&);
-    /// Handles the response to a watch.
-    void onChanges(const WatchBatch&);
-    /// Passes the batch to the handler. A batch that is not newer than the known state is passed without its changes.
-    void deliver(WatchBatch, bool isNewer);
-    /// Returns the changes that lead from the known state to that of the list.
-    WatchBatch changesSinceKnown(const WatchBatch& list) const;
-    void applyAnnouncement(const WatchBatch&, std::uint64_t fromRevision, TimePoint currentAsOf);
-    /// Returns when the store is to be called next; a time in the past means now.
-    TimePoint nextCallAt() const;
-    /// Records that nothing later than the known state existed when the last call was sent. Precondition: the response was a list, or
-    /// without changes.
-    void confirm(const WatchBatch& response);
-    /// Logs a response from another epoch of the store, or of a lower revision than the one that was known when it was asked for.
-    void logRegression(const WatchBatch&);
-    /// Returns the time up to which a response without changes proves that no change was missed.
-    TimePoint provenByNoChange(TimePoint now) const;
+    using Event = std::function<void(TimePoint now, WatchActions&)>;
+
+    /// Posts the event to the strand.
+    void post(Event);
+    /// Passes the event to the engine, executes the actions and sets the timer.
+    void run(const Event&);
+    void execute(const ListObjects&);
+    void execute(const WatchObjects&);
+    void execute(const DeliverBatch&);
+    void execute(const AnnounceBatch&);
+    void execute(const LogWatchChange&);
+    /// Returns the handler of the response to the call in flight.
+    ObjectStore::ListHandler responseHandler();
+    /// Sets the timer for the engine's next wake, unless it is set for that.
+    void setTimer(TimePoint now);
 
     boost::asio::strand<boost::asio::any_io_executor> m_strand;
     boost::asio::steady_timer m_timer;
     std::shared_ptr<ObjectStore> m_store;
     std::string m_prefix;
     Handler m_handler;
-    Backoff m_backoff;
-    bool m_isListed = false;
-    bool m_isStopped = false;
-    std::uint64_t m_revision = 0;
-    std::uint64_t m_epoch = 0; ///< Of the store that gave m_revision.
-    bool m_isRegressionLogged = false; ///< Since the last response that was no regression.
-    std::map<std::string, StoredObject> m_objects; ///< The objects that exist as of m_revision, by key.
     AnnounceHandler m_announceHandler;
-    WatchSchedule m_schedule;
-    TimePoint m_calledAt {};
-    TimePoint m_provenAt {}; ///< Latest time for which all changes are known to have been seen.
-    TimePoint m_confirmedAt {}; ///< Unlike m_provenAt it never includes time that a call waited: it is when a call was sent.
-    std::uint64_t m_calledRevision = 0; ///< The known revision when the last call was sent.
-    TimePoint m_announcedAt {}; ///< When another instance last announced changes that follow on the known state.
-    Duration m_requestedWait {}; ///< Of the watch in flight.
-    bool m_isCallInFlight = false;
-    bool m_isListCall = false; ///< Whether the last call was a list; another instance's state may arrive while it is in flight.
-    bool m_isBehind = false; ///< The store may hold changes not seen yet: a response may be truncated, or an announcement was missed.
-    TimePoint m_behindSince {}; ///< An announcement that proves a later state makes the call for the missing changes needless.
+    WatchEngine m_engine;
+    bool m_isStopped = false;
+    TimePoint m_timerAt = never; ///< When the timer fires.
     BootClock m_clock; ///< Counts the time of a suspension, so that announcements received before the suspension go stale.
 };
 
--- a/src/platform/watch_engine.h
+++ b/src/platform/watch_engine.h
@@ -59,42 +59,22 @@
     void callIfDue(TimePoint now, WatchActions&);
     /// Returns when the store is to be called by the schedule; a time in the past means now.
     TimePoint scheduledCallAt() const;
-    /// Whether the response belongs to an earlier epoch than one that is known to exist, or names none although others did.
-    bool isOfEarlierEpoch(const StoreRevision&) const;
-    /// Whether the response is of an earlier state than the one that was known when the call was sent, in the same epoch.
-    bool isLowerThanAtCall(const WatchBatch&) const;
     /// Handles a response that can't be used, with a pause before the call is repeated.
     void onFailedCall(const WatchBatch&, TimePoint now, WatchActions&);
-    void onExpiredHistory(const WatchBatch&, TimePoint now, WatchActions&);
     /// Handles the response to a list. What it tells beyond the known state is announced, so that others need not list.
     void onList(const WatchBatch&, TimePoint now, WatchActions&);
     /// Handles the response to a watch.
     void onChanges(const WatchBatch&, TimePoint now, WatchActions&);
-    /// Replaces the state by that of the list, whatever the known revision is.
-    void adopt(WatchBatch list, WatchActions&);
-    /// Applies changes that follow on the known state.
-    void apply(const WatchBatch&);
-    /// Appends the delivery of the batch, with the proof that holds for it.
-    void deliver(WatchBatch, WatchActions&) const;
-    /// Handles changes that another instance announced from the epoch that is known here.
-    void applyDifference(const WatchBatch&, StoreRevision from, TimePoint currentAsOf, TimePoint now, WatchActions&);
-    /// Handles changes that lead to another epoch, or back in a store that names none.
-    void crossEpoch(const WatchBatch&, StoreRevision from, TimePoint currentAsOf, TimePoint now, WatchActions&);
-    /// Takes another instance's state.
-    void applyState(const WatchBatch&, TimePoint currentAsOf, TimePoint now, WatchActions&);
-    /// Takes the proof of an announcement of the known revision.
-    void takeProof(const WatchBatch&, TimePoint currentAsOf);
+    /// Applies the batch and appends its delivery. A batch that is not newer than the known state is delivered without its changes.
+    void deliver(WatchBatch, bool isNewer, WatchActions&);
     /// Records that the store may hold changes that are not known here, to be read at that time at the latest.
     void markBehind(TimePoint callAt, TimePoint now);
-    /// Records that the known state may have been lost by the store: only a list can tell, and proofs no longer count.
-    void distrustState(TimePoint callAt, TimePoint now);
     /// Returns the changes that lead from the known objects to those of the list.
     WatchBatch changesTo(const WatchBatch& list) const;
     /// Returns the time up to which a response without changes proves that no change was missed.
     TimePoint provenByNoChange(TimePoint now) const;
     /// Logs a response from another epoch, or of a lower revision than the one that was known when it was asked for.
     void logRegression(const WatchBatch&, WatchActions&);
-    void logNewEpoch(const WatchBatch&, WatchActions&) const;
 
     std::string m_prefix;
     Backoff m_backoff;
@@ -102,11 +82,8 @@
     Call m_call;
     bool m_isStarted = false;
     bool m_isListed = false;
-    bool m_mustList = false; ///< No watch can follow on the known state.
-    bool m_hasExpired = false; ///< The history had gone at a call since the last successful watch.
     bool m_isRegressionLogged = false; ///< Since the last response that was no regression.
     bool m_isBehind = false; ///< The store may hold changes not seen yet: a response may be truncated, or an announcement was missed.
-    std::uint64_t m_latestEpoch = 0; ///< The latest one that a response or an announcement named.
     StoreRevision m_revision;
     std::map<std::string, StoredObject> m_objects; ///< The objects that exist as of m_revision, by key.
     TimePoint m_provenAt {}; ///< Latest time for which all changes are known to have been seen.
--- a/tests/platform/store_watcher_test.cpp
+++ b/tests/platform/store_watcher_test.cpp
@@ -86,7 +86,7 @@
     {
         WatchBatch batch;
         batch.status = StoreStatus::Ok;
-        batch.revision = 10;
+        batch.revision.number = 10;
         return batch;
     }
 
@@ -99,11 +99,16 @@
     ListHandler completeWatch;
 };
 
+StoreRevision revision(std::uint64_t number)
+{
+    return { 0, number };
+}
+
 WatchBatch change(std::uint64_t revision, const std::string& key)
 {
     WatchBatch batch;
     batch.status = StoreStatus::Ok;
-    batch.revision = revision;
+    batch.revision.number = revision;
     batch.changed.push_back({ key, ObjectVersion { revision }, "value" });
     return batch;
 }
@@ -123,7 +128,7 @@
                 seen.push_back(it.key);
         },
         Backoff(1ms, 2ms, std::make_unique<SeededRandom>(7)));
-    watcher->setAnnounceHandler([&](const WatchBatch&, std::uint64_t, TimePoint) { ++announced; });
+    watcher->setAnnounceHandler([&](const WatchBatch&, StoreRevision, TimePoint) { ++announced; });
     const BootClock clock;
     const auto runReadyHandlers = [&] {
         context.restart();
@@ -137,19 +142,19 @@
         runReadyHandlers();
         CHECK(store->lists == 1);
         CHECK(store->requestedWaits.empty());
-        watcher->onAnnouncement(change(12, "servers/x"), 9, clock.now());
+        watcher->onAnnouncement(change(12, "servers/x"), revision(9), clock.now());
         runReadyHandlers();
         CHECK(seen == std::vector<std::string> { "servers/x" });
 
         SUBCASE("The watcher drops the changes of an announcement older than its revision")
         {
-            watcher->onAnnouncement(change(11, "servers/old"), 9, clock.now());
+            watcher->onAnnouncement(change(11, "servers/old"), revision(9), clock.now());
             runReadyHandlers();
             CHECK(seen.size() == 1);
         }
         SUBCASE("The watcher drops an announcement after a gap and calls the store for the missing changes at once")
         {
-            watcher->onAnnouncement(change(20, "servers/y"), 15, clock.now());
+            watcher->onAnnouncement(change(20, "servers/y"), revision(15), clock.now());
             runReadyHandlers();
             CHECK(seen.size() == 1);
             context.restart();
@@ -165,7 +170,7 @@
                 CHECK(store->requestedWaits.back() < 100ms);
                 WatchBatch noChanges;
                 noChanges.status = StoreStatus::Ok;
-                noChanges.revision = 14;
+                noChanges.revision.number = 14;
                 store->completeWatch(noChanges);
                 runReadyHandlers();
                 CHECK(store->requestedWaits.size() == 2);
@@ -198,7 +203,7 @@
         watcher->start();
         runReadyHandlers();
         REQUIRE(store->requestedWaits.size() == 1);
-        watcher->onAnnouncement(change(15, "servers/new"), 10, clock.now());
+        watcher->onAnnouncement(change(15, "servers/new"), revision(10), clock.now());
         runReadyHandlers();
         store->completeWatch(change(14, "servers/older"));
         runReadyHandlers();
@@ -214,7 +219,7 @@
 {
     WatchBatch batch;
     batch.status = StoreStatus::Ok;
-    batch.revision = revision;
+    batch.revision.number = revision;
     batch.changed = objects;
     return batch;
 }
@@ -248,7 +253,7 @@
     std::vector<Announcement> announced;
     auto watcher = std::make_shared<StoreWatcher>(
         context.get_executor(), store, "servers/", [&](const WatchBatch& batch) { seen.push_back(batch); }, Backoff(1ms, 2ms, std::make_unique<SeededRandom>(7)));
-    watcher->setAnnounceHandler([&](const WatchBatch& batch, std::uint64_t fromRevision, TimePoint) { announced.push_back({ batch, fromRevision }); });
+    watcher->setAnnounceHandler([&](const WatchBatch& batch, StoreRevision from, TimePoint) { announced.push_back({ batch, from.number }); });
     const BootClock clock;
     const auto runReadyHandlers = [&] {
         context.restart();
@@ -271,14 +276,14 @@
         CHECK(store->lists == 2);
         REQUIRE(announced.size() == 1);
         CHECK(announced[0].fromRevision == 10);
-        CHECK(announced[0].batch.revision == 20);
+        CHECK(announced[0].batch.revision.number == 20);
         CHECK(changedKeys(announced[0].batch) == std::vector<std::string> { "servers/c" });
         CHECK(announced[0].batch.removed == std::vector<std::string> { "servers/a" });
     }
     SUBCASE("An instance that starts takes the state of another one and does not list")
     {
         watcher->setSchedule({ hour, 1s, hour, {}, {}, hour });
-        watcher->onAnnouncement(batchOf(30, { object("servers/a", 4) }), 0, clock.now());
+        watcher->onAnnouncement(batchOf(30, { object("servers/a", 4) }), revision(0), clock.now());
         watcher->start();
         runReadyHandlers();
         CHECK(store->lists == 0);
@@ -287,16 +292,16 @@
 
         SUBCASE("and passes the state on to the next one, with the changes since")
         {
-            watcher->onAnnouncement(change(31, "servers/b"), 30, clock.now());
+            watcher->onAnnouncement(change(31, "servers/b"), revision(30), clock.now());
             WatchBatch known;
             watcher->state([&](const WatchBatch& batch, TimePoint) { known = batch; });
             runReadyHandlers();
-            CHECK(known.revision == 31);
+            CHECK(known.revision.number == 31);
             CHECK(changedKeys(known) == std::vector<std::string> { "servers/a", "servers/b" });
         }
         SUBCASE("and a list of an earlier revision does not bring removed objects back")
         {
-            watcher->onAnnouncement(batchOf(29, { object("servers/old", 3) }), 0, clock.now());
+            watcher->onAnnouncement(batchOf(29, { object("servers/old", 3) }), revision(0), clock.now());
             runReadyHandlers();
             CHECK(seen.back().changed.empty());
             CHECK_FALSE(seen.back().isFullList);
@@ -305,7 +310,7 @@
     SUBCASE("State older than the silence allows is followed by a call to the store for the changes since")
     {
         watcher->setSchedule({ 1s, 1s, 1s, {}, {}, 10s });
-        watcher->onAnnouncement(batchOf(30, { object("servers/a", 4) }), 0, clock.now() - 5s);
+        watcher->onAnnouncement(batchOf(30, { object("servers/a", 4) }), revision(0), clock.now() - 5s);
         watcher->start();
         runReadyHandlers();
         CHECK(store->lists == 0);
@@ -314,7 +319,7 @@
     SUBCASE("State of an instance that could not reach the store for long is not taken, so that no server that left is used")
     {
         watcher->setSchedule({ 1s, 1s, 1s, {}, {}, 10s });
-        watcher->onAnnouncement(batchOf(30, { object("servers/left", 4) }), 0, clock.now() - 60s);
+        watcher->onAnnouncement(batchOf(30, { object("servers/left", 4) }), revision(0), clock.now() - 60s);
         watcher->start();
         runReadyHandlers();
         CHECK(store->lists == 1);
@@ -326,10 +331,10 @@
         WatchBatch known;
         watcher->state([&](const WatchBatch& batch, TimePoint) { known = batch; });
         watcher->setSchedule({ hour, 1s, hour });
-        watcher->onAnnouncement(batchOf(0, {}), 0, clock.now());
+        watcher->onAnnouncement(batchOf(0, {}), revision(0), clock.now());
         watcher->start();
         runReadyHandlers();
-        CHECK(known.revision == 0);
+        CHECK(known.revision.number == 0);
         CHECK(store->lists == 1);
     }
     SUBCASE("A list that was slower than the state of another instance is dropped when it is older")
@@ -338,7 +343,7 @@
         watcher->setSchedule({ hour, 1s, hour, {}, {}, hour });
         watcher->start();
         runReadyHandlers();
-        watcher->onAnnouncement(batchOf(30, { object("servers/a", 4) }), 0, clock.now());
+        watcher->onAnnouncement(batchOf(30, { object("servers/a", 4) }), revision(0), clock.now());
         runReadyHandlers();
         store->completeList(batchOf(20, { object("servers/old", 3) }));
         runReadyHandlers();
@@ -362,8 +367,8 @@
     SUBCASE("Changes that keep coming leave no proof, but the instances that hear of them do not all call the store")
     {
         watcher->setSchedule({ 10s, 10s, 10s, {}, {}, 20s });
-        watcher->onAnnouncement(batchOf(30, { object("servers/a", 4) }), 0, clock.now() - 15s);
-        watcher->onAnnouncement(change(31, "servers/x"), 30, clock.now() - 15s);
+        watcher->onAnnouncement(batchOf(30, { object("servers/a", 4) }), revision(0), clock.now() - 15s);
+        watcher->onAnnouncement(change(31, "servers/x"), revision(30), clock.now() - 15s);
         watcher->start();
         runReadyHandlers();
         CHECK(store->requestedWaits.empty());
@@ -372,9 +377,9 @@
     SUBCASE("Without a proof for too long an instance calls the store although it hears of changes")
     {
         watcher->setSchedule({ 10s, 10s, 10s, {}, {}, hour });
-        watcher->onAnnouncement(batchOf(30, { object("servers/a", 4) }), 0, clock.now() - 25s);
+        watcher->onAnnouncement(batchOf(30, { object("servers/a", 4) }), revision(0), clock.now() - 25s);
         watcher->setSchedule({ 10s, 10s, 10s, {}, {}, 20s });
-        watcher->onAnnouncement(change(31, "servers/x"), 30, clock.now() - 60s);
+        watcher->onAnnouncement(change(31, "servers/x"), revision(30), clock.now() - 60s);
         watcher->start();
         runReadyHandlers();
         CHECK(store->requestedRevisions == std::vector<std::uint64_t> { 31 });
@@ -384,8 +389,8 @@
         watcher->setSchedule({ hour, 1s, hour, hour });
         watcher->start();
         runReadyHandlers();
-        watcher->onAnnouncement(change(20, "servers/y"), 15, clock.now());
-        watcher->onAnnouncement(batchOf(21, { object("servers/x", 12), object("servers/y", 20) }), 10, clock.now() + 1s);
+        watcher->onAnnouncement(change(20, "servers/y"), revision(15), clock.now());
+        watcher->onAnnouncement(batchOf(21, { object("servers/x", 12), object("servers/y", 20) }), revision(10), clock.now() + 1s);
         runReadyHandlers();
         CHECK(store->requestedWaits.empty());
         CHECK(changedKeys(seen.back()).size() == 2);
@@ -403,7 +408,7 @@
     TimePoint announced;
     auto watcher = std::make_shared<StoreWatcher>(
         context.get_executor(), store, "config/", [&](const WatchBatch& batch) { confirmed = batch.confirmedAt; }, Backoff(1ms, 2ms, std::make_unique<SeededRandom>(7)));
-    watcher->setAnnounceHandler([&](const WatchBatch& batch, std::uint64_t, TimePoint) { announced = batch.confirmedAt; });
+    watcher->setAnnounceHandler([&](const WatchBatch& batch, StoreRevision, TimePoint) { announced = batch.confirmedAt; });
     const BootClock clock;
     const auto runReadyHandlers = [&] {
         context.restart();
@@ -442,10 +447,10 @@
     {
         auto news = change(12, "config/main");
         news.confirmedAt = clock.now() + 1h;
-        watcher->onAnnouncement(news, 11, clock.now());
+        watcher->onAnnouncement(news, revision(11), clock.now());
         runReadyHandlers();
         CHECK(confirmed == ofList);
-        watcher->onAnnouncement(news, 10, clock.now());
+        watcher->onAnnouncement(news, revision(10), clock.now());
         runReadyHandlers();
         CHECK(confirmed == news.confirmedAt);
         WatchBatch known;
@@ -461,7 +466,7 @@
         runReadyHandlers();
         const auto before = store->requestedWaits.size();
         store->completeWatch(batchOf(10, {}));
-        watcher->onAnnouncement(batchOf(11, {}), 10, clock.now());
+        watcher->onAnnouncement(batchOf(11, {}), revision(10), clock.now());
         context.restart();
         while (store->requestedWaits.size() == before && context.run_one() > 0) { }
         CHECK(store->requestedWaits.size() == before + 1);
