--- a/src/platform/watch_engine.cpp
+++ b/src/platform/watch_engine.cpp
@@ -21,6 +21,18 @@
 constexpr int retrySilenceFactor = 4;
 /// The store honours a requested wait below this limit; a longer watch may end before its wait is over.
 constexpr Duration maxHonouredWait = std::chrono::seconds(5);
+/// The store counts its epochs one by one. One that is further ahead, or as large as this, was not read correctly; taken
+/// for true it would make all later responses look old.
+constexpr std::uint64_t maxEpochStep = 1'000'000;
+constexpr std::uint64_t maxEpoch = std::uint64_t(1) << 53U;
+
+WatchBatch batchWithoutChanges(const WatchBatch& batch)
+{
+    auto reduced = batch;
+    reduced.changed.clear();
+    reduced.removed.clear();
+    return reduced;
+}
 
 }
 
@@ -61,23 +73,30 @@
 {
     WatchBatch known;
     known.status = StoreStatus::Ok;
-    if (!m_isListed)
+    if (!m_isListed || m_mustList)
         return known;
     known.revision = m_revision;
     known.confirmedAt = m_confirmedAt;
-    for (const auto& [key, object] : m_objects)
-        known.changed.push_back(object);
+    known.changed = objects();
     return known;
 }
 
-TimePoint WatchEngine::scheduledCallAt() const
+std::vector<StoredObject> WatchEngine::objects() const
 {
-    if (!m_isListed)
-        return {};
-    if (m_isBehind)
-        return m_missingDueAt;
-    const bool isFailing = m_backoff.failures() > toleratedFailures;
-    const auto maxSilence = isFailing ? std::max(m_schedule.maxSilence, m_schedule.maxSilenceAfterFailure) : m_schedule.maxSilence;
+    std::vector<StoredObject> all;
+    for (const auto& [key, object] : m_objects)
+        all.push_back(object);
+    return all;
+}
+
+bool WatchEngine::isFailing() const
+{
+    return m_backoff.failures() > toleratedFailures;
+}
+
+TimePoint WatchEngine::silenceEndsAt() const
+{
+    const auto maxSilence = isFailing() ? std::max(m_schedule.maxSilence, m_schedule.maxSilenceAfterFailure) : m_schedule.maxSilence;
     // While changes keep coming, no response proves that there are no more, but a further call would not read them sooner
     // than the instance that announces them.
     const auto announced = std::min(m_announcedAt + std::min(m_schedule.wait, maxSilence), m_provenAt + m_schedule.maxUnproven);
@@ -89,13 +108,20 @@
     return needsProof ? std::min(heard, std::max(m_confirmedAt + m_schedule.maxUnconfirmed, m_call.at + m_schedule.wait)) : heard;
 }
 
+TimePoint WatchEngine::scheduledCallAt() const
+{
+    if (!m_isListed || m_mustList)
+        return {};
+    return m_isBehind ? m_missingDueAt : silenceEndsAt();
+}
+
 void WatchEngine::callIfDue(TimePoint now, WatchActions& actions)
 {
     if (nextWake() > now)
         return;
     const bool wasBehind = std::exchange(m_isBehind, false);
     const bool isShort = wasBehind || m_backoff.failures() > 0 || m_schedule.maxSilence > Duration {};
-    m_call = { true, !m_isListed, now, m_revision, isShort ? minWait : m_schedule.wait };
+    m_call = { true, !m_isListed || m_mustList, wasBehind, now, m_revision, isShort ? minWait : m_schedule.wait };
     if (m_call.isList)
         actions.emplace_back(ListObjects {});
     else
@@ -105,116 +131,258 @@
 void WatchEngine::onResponse(const WatchBatch& response, TimePoint now, WatchActions& actions)
 {
     m_call.isInFlight = false;
-    if (response.status == StoreStatus::HistoryExpired) {
+    const bool isExpired = response.status == StoreStatus::HistoryExpired;
+    if (isExpired || response.status == StoreStatus::Ok)
         logRegression(response, actions);
-        m_isListed = false;
-        return callIfDue(now, actions);
-    }
-    if (response.status != StoreStatus::Ok)
-        return onFailedCall(response, now, actions);
-    m_backoff.onSuccess();
-    logRegression(response, actions);
-    if (m_call.isList)
+    if (isExpired)
+        onExpiredHistory(response, now);
+    else if (!isUsable(response))
+        onFailedCall(response, now, actions);
+    else if (m_call.isList)
         onList(response, now, actions);
     else
         onChanges(response, now, actions);
     callIfDue(now, actions);
 }
 
+bool WatchEngine::isLowerThanAtCall(const StoreRevision& revision) const
+{
+    return revision.epoch == m_call.known.epoch && revision.number < m_call.known.number;
+}
+
+bool WatchEngine::isCurrentOrLater(std::uint64_t epoch) const
+{
+    const bool isPlausible = epoch < maxEpoch && (m_latestEpoch == 0 || epoch <= m_latestEpoch + maxEpochStep);
+    return epoch >= m_latestEpoch && isPlausible;
+}
+
+bool WatchEngine::isUsable(const WatchBatch& response) const
+{
+    const auto& revision = response.revision;
+    if (response.status != StoreStatus::Ok || !isCurrentOrLater(revision.epoch))
+        return false;
+    // Only a store that names no epochs goes back within one.
+    return revision.epoch == 0 || !isLowerThanAtCall(revision);
+}
+
 void WatchEngine::onFailedCall(const WatchBatch& response, TimePoint now, WatchActions& actions)
 {
-    actions.emplace_back(DeliverBatch { response });
-    m_notBefore = now + std::max(m_backoff.onFailure(), m_schedule.retryPause);
+    WatchBatch failed;
+    failed.status = response.status == StoreStatus::Ok ? StoreStatus::Lost : response.status;
+    actions.emplace_back(DeliverBatch { failed });
+    const auto delay = m_backoff.onFailure();
+    m_notBefore = now + std::max(delay, m_schedule.retryPause);
+}
+
+void WatchEngine::onExpiredHistory(const WatchBatch& response, TimePoint now)
+{
+    const bool isKnown = isCurrentOrLater(response.revision.epoch);
+    if (isKnown && response.revision.epoch > m_revision.epoch)
+        distrustState(response.revision.epoch);
+    m_mustList = true;
+    // A store whose history goes again and again is not called without pauses.
+    if (std::exchange(m_hasExpired, true) || !isKnown)
+        m_notBefore = now + m_backoff.onFailure();
 }
 
 void WatchEngine::onList(const WatchBatch& response, TimePoint now, WatchActions& actions)
 {
+    if (!m_hasExpired)
+        m_backoff.onSuccess();
+    const bool isOtherEpoch = response.revision.epoch > m_revision.epoch || isLowerThanAtCall(response.revision);
+    if (!isOtherEpoch && response.revision < m_revision) {
+        // Another instance has announced a later revision while the call was in flight.
+        m_mustList = false;
+        return deliver(batchWithoutChanges(response), actions);
+    }
     const auto from = m_revision;
     auto changes = changesTo(response);
+    adopt(response, isOtherEpoch, actions);
     m_provenAt = std::max(m_provenAt, provenByNoChange(now));
-    if (response.revision >= m_call.known)
-        m_confirmedAt = std::max(m_confirmedAt, m_call.at);
+    m_confirmedAt = std::max(m_confirmedAt, m_call.at);
     changes.confirmedAt = m_confirmedAt;
-    m_isListed = true;
-    const bool isNewer = response.revision >= from;
     auto list = response;
-    list.isFullList = isNewer;
-    deliver(std::move(list), isNewer, actions);
-    if (from.number > 0 && isNewer)
-        actions.emplace_back(AnnounceBatch { changes, from, m_provenAt });
+    list.isFullList = true;
+    list.isNewEpoch = isOtherEpoch && from.number > 0;
+    deliver(std::move(list), actions);
+    if (from.number > 0)
+        actions.emplace_back(AnnounceBatch { std::move(changes), from, m_provenAt });
 }
 
 void WatchEngine::onChanges(const WatchBatch& response, TimePoint now, WatchActions& actions)
 {
-    const auto changes = response.changed.size() + response.removed.size();
-    if (changes == 0) {
+    m_backoff.onSuccess();
+    if (response.revision.epoch > m_revision.epoch || isLowerThanAtCall(response.revision))
+        return distrustState(response.revision.epoch);
+    m_hasExpired = false;
+    const auto count = response.changed.size() + response.removed.size();
+    // Another instance may have announced a later revision while the call was in flight, or the state of another epoch.
+    const bool isNewer = m_call.known.epoch == m_revision.epoch && m_call.known <= m_revision && response.revision >= m_revision;
+    if (isNewer && count == 0) {
         m_provenAt = std::max(m_provenAt, provenByNoChange(now));
-        if (response.revision >= m_call.known)
-            m_confirmedAt = std::max(m_confirmedAt, m_call.at);
+        m_confirmedAt = std::max(m_confirmedAt, m_call.at);
     }
+    if (!isNewer)
+        return deliver(batchWithoutChanges(response), actions);
     const auto from = m_revision;
-    // Another instance may have announced a later revision while the call was in flight.
-    const bool isNewer = response.revision >= m_revision;
-    deliver(response, isNewer, actions);
-    if (isNewer) {
-        auto announced = response;
-        announced.confirmedAt = m_confirmedAt;
-        actions.emplace_back(AnnounceBatch { announced, from, m_provenAt });
-    }
-    if (changes == 0)
+    apply(response);
+    deliver(response, actions);
+    auto announced = response;
+    announced.confirmedAt = m_confirmedAt;
+    actions.emplace_back(AnnounceBatch { std::move(announced), from, m_provenAt });
+    if (count > 0)
+        readFurther(count, now);
+}
+
+void WatchEngine::readFurther(std::size_t changes, TimePoint now)
+{
+    markBehind(now, now);
+    if (changes > truncationThreshold)
         return;
     // The instance that watches all the time may announce the proof meanwhile.
     const bool isWatching = m_schedule.maxSilence == Duration {};
-    const bool mayBeTruncated = changes > truncationThreshold;
-    const auto pause = isWatching ? coalescingTime : std::max(coalescingTime, std::min(m_schedule.wait, m_schedule.maxSilence / 2));
-    markBehind({}, now);
-    m_notBefore = mayBeTruncated ? now : now + pause;
+    m_notBefore = now + (isWatching ? coalescingTime : std::max(coalescingTime, std::min(m_schedule.wait, m_schedule.maxSilence / 2)));
 }
 
 void WatchEngine::onAnnouncement(const WatchBatch& batch, StoreRevision from, TimePoint currentAsOf, TimePoint now, WatchActions& actions)
 {
-    const bool isList = from.number == 0 && batch.revision.number > 0;
+    const bool isBack = batch.revision < from;
+    const bool isMalformed = batch.revision.number == 0 || (isBack && from.epoch > 0);
+    if (isMalformed || !isCurrentOrLater(batch.revision.epoch))
+        return;
+    if (from.number == 0)
+        applyState(batch, currentAsOf, now, actions);
+    else if (!m_isListed)
+        m_latestEpoch = batch.revision.epoch;
+    else if (batch.revision.epoch > m_revision.epoch || isBack)
+        crossEpoch(batch, from, currentAsOf, now, actions);
+    else
+        applyDifference(batch, from, currentAsOf, now, actions);
+    callIfDue(now, actions);
+}
+
+void WatchEngine::applyState(const WatchBatch& batch, TimePoint currentAsOf, TimePoint now, WatchActions& actions)
+{
+    const bool isOtherEpoch = batch.revision.epoch > m_revision.epoch;
     // An instance that could not reach the store for long may still list servers that left.
-    const bool isOutdated = isList && now - currentAsOf > m_schedule.maxUnproven;
-    if (isOutdated || (!m_isListed && !isList))
+    if (currentAsOf == TimePoint {} || now - currentAsOf > m_schedule.maxUnproven) {
+        if (m_isListed && isOtherEpoch)
+            distrustAfterGap(batch.revision.epoch, now);
         return;
-    if (from > m_revision) {
-        markBehind(now + m_schedule.gapPause, now);
-        return callIfDue(now, actions);
     }
-    m_provenAt = std::max(m_provenAt, currentAsOf);
-    m_confirmedAt = std::max(m_confirmedAt, batch.confirmedAt);
-    if (!isList)
-        m_announcedAt = now;
-    m_isBehind = m_isBehind && m_provenAt <= m_behindSince;
+    if (batch.revision <= m_revision) {
+        takeProof(batch, currentAsOf);
+        return deliver(batchWithoutChanges(batch), actions);
+    }
+    const bool wasListed = m_isListed;
+    adopt(batch, isOtherEpoch, actions);
+    takeProof(batch, currentAsOf);
+    auto list = batch;
+    list.isFullList = true;
+    list.isNewEpoch = wasListed && isOtherEpoch;
+    deliver(std::move(list), actions);
+}
+
+void WatchEngine::crossEpoch(const WatchBatch& batch, StoreRevision from, TimePoint currentAsOf, TimePoint now, WatchActions& actions)
+{
+    // The state at one revision is the same everywhere. At any other one, changes that the store has lost would stay.
+    if (from != m_revision) {
+        const bool wentBackToo = batch.revision.epoch == m_revision.epoch && batch.revision >= m_revision;
+        return wentBackToo ? markBehind(now + m_schedule.gapPause, now) : distrustAfterGap(batch.revision.epoch, now);
+    }
+    logNewEpoch(batch, actions);
+    forgetProofs();
+    apply(batch);
+    m_mustList = false;
+    takeProof(batch, currentAsOf);
+    auto list = batch;
+    list.changed = objects();
+    list.removed.clear();
+    list.isFullList = true;
+    list.isNewEpoch = true;
+    deliver(std::move(list), actions);
+}
+
+void WatchEngine::applyDifference(const WatchBatch& batch, StoreRevision from, TimePoint currentAsOf, TimePoint now, WatchActions& actions)
+{
     const bool isNewer = batch.revision > m_revision;
-    m_isListed = true;
-    auto news = batch;
-    news.isFullList = isList && isNewer;
-    deliver(std::move(news), isNewer, actions);
+    // A difference from an earlier epoch tells nothing of what differs from the state that is known in this one.
+    const bool isGap = from > m_revision || (from.epoch < m_revision.epoch && isNewer);
+    if (isGap)
+        return markBehind(now + m_schedule.gapPause, now);
+    takeProof(batch, currentAsOf);
+    m_isBehind = m_isBehind && m_provenAt <= m_behindSince;
+    if (!isNewer)
+        return deliver(batchWithoutChanges(batch), actions);
+    m_announcedAt = now;
+    apply(batch);
+    deliver(batch, actions);
 }
 
-void WatchEngine::markBehind(TimePoint callAt, TimePoint now)
+void WatchEngine::takeProof(const WatchBatch& batch, TimePoint currentAsOf)
 {
-    if (std::exchange(m_isBehind, true))
+    // What is older than the known state proves nothing: a store that names no epochs may have gone back.
+    if (batch.revision < m_revision || currentAsOf == TimePoint {})
         return;
-    m_behindSince = now;
-    m_missingDueAt = callAt;
+    m_provenAt = std::max(m_provenAt, currentAsOf);
+    m_confirmedAt = std::max(m_confirmedAt, batch.confirmedAt);
 }
 
-void WatchEngine::deliver(WatchBatch batch, bool isNewer, WatchActions& actions)
+void WatchEngine::markBehind(TimePoint callAt, TimePoint now)
 {
-    if (!isNewer) {
-        batch.changed.clear();
-        batch.removed.clear();
+    if (!std::exchange(m_isBehind, true)) {
+        m_behindSince = now;
+        m_missingDueAt = callAt;
     }
-    if (batch.isFullList)
-        m_objects.clear();
+    m_missingDueAt = std::min(m_missingDueAt, callAt);
+}
+
+void WatchEngine::forgetProofs()
+{
+    m_provenAt = {};
+    m_confirmedAt = {};
+    m_announcedAt = {};
+}
+
+void WatchEngine::distrustState(std::uint64_t latestEpoch)
+{
+    m_latestEpoch = std::max(m_latestEpoch, latestEpoch);
+    m_mustList = true;
+    forgetProofs();
+}
+
+void WatchEngine::distrustAfterGap(std::uint64_t latestEpoch, TimePoint now)
+{
+    // No later than the call that was due anyway.
+    const auto callAt = std::min(now + m_schedule.gapPause, std::max(now, scheduledCallAt()));
+    distrustState(latestEpoch);
+    m_notBefore = std::max(m_notBefore, callAt);
+}
+
+void WatchEngine::adopt(const WatchBatch& list, bool isOtherEpoch, WatchActions& actions)
+{
+    if (isOtherEpoch && m_isListed)
+        logNewEpoch(list, actions);
+    if (isOtherEpoch)
+        forgetProofs();
+    m_objects.clear();
+    m_isListed = true;
+    m_mustList = false;
+    apply(list);
+}
+
+void WatchEngine::apply(const WatchBatch& batch)
+{
     for (const auto& it : batch.changed)
         m_objects.insert_or_assign(it.key, it);
     for (const auto& it : batch.removed)
         m_objects.erase(it);
-    m_revision = std::max(m_revision, batch.revision);
+    m_revision = batch.revision;
+    m_latestEpoch = std::max(m_latestEpoch, m_revision.epoch);
+}
+
+void WatchEngine::deliver(WatchBatch batch, WatchActions& actions) const
+{
     batch.confirmedAt = m_confirmedAt;
     actions.emplace_back(DeliverBatch { std::move(batch) });
 }
@@ -227,7 +395,8 @@
     std::set<std::string> listed;
     for (const auto& it : list.changed) {
         listed.insert(it.key);
-        if (it.version.value > m_revision.number)
+        const auto known = m_objects.find(it.key);
+        if (known == m_objects.end() || known->second != it)
             changes.changed.push_back(it);
     }
     for (const auto& [key, object] : m_objects) {
@@ -246,17 +415,27 @@
 
 void WatchEngine::logRegression(const WatchBatch& response, WatchActions& actions)
 {
-    const auto& known = m_call.known;
-    const bool isOfOtherEpoch = m_revision.epoch > 0 && response.revision.epoch != m_revision.epoch;
-    const bool isLower = response.status == StoreStatus::Ok && response.revision.number < known.number;
-    if (!isOfOtherEpoch && !isLower) {
-        m_isRegressionLogged = m_isRegressionLogged && response.status != StoreStatus::Ok;
+    const auto& revision = response.revision;
+    const bool isOk = response.status == StoreStatus::Ok;
+    // The list of a later epoch has a line of its own.
+    const bool isOfLaterEpoch = m_revision.epoch > 0 && revision.epoch > m_revision.epoch && !(isOk && m_call.isList);
+    const bool isLower = isOk && isLowerThanAtCall(revision);
+    if (isCurrentOrLater(revision.epoch) && !isOfLaterEpoch && !isLower) {
+        m_isRegressionLogged = m_isRegressionLogged && !isOk;
         return;
     }
     if (std::exchange(m_isRegressionLogged, true))
         return;
+    const auto& known = m_call.known;
     actions.emplace_back(LogWatchChange { LogLevel::Warning, "store responded from another epoch or with a lower revision than known",
-        { { "objects", m_prefix }, { "known_epoch", std::to_string(m_revision.epoch) }, { "epoch", std::to_string(response.revision.epoch) }, { "known_revision", std::to_string(known.number) }, { "revision", std::to_string(response.revision.number) } } });
+        { { "objects", m_prefix }, { "known_epoch", std::to_string(m_latestEpoch) }, { "epoch", std::to_string(revision.epoch) }, { "known_revision", std::to_string(known.number) }, { "revision", std::to_string(revision.number) } } });
+}
+
+void WatchEngine::logNewEpoch(const WatchBatch& batch, WatchActions& actions) const
+{
+    const auto from = batch.announcedBy.value().empty() ? std::string("store") : batch.announcedBy.value();
+    actions.emplace_back(LogWatchChange { LogLevel::Warning, "state of another epoch of the store replaces the known one",
+        { { "objects", m_prefix }, { "from", from }, { "known_epoch", std::to_string(m_revision.epoch) }, { "epoch", std::to_string(batch.revision.epoch) }, { "known_revision", std::to_string(m_revision.number) }, { "revision", std::to_string(batch.revision.number) } } });
 }
 
 }
