--- a/src/platform/watch_engine.cpp
+++ b/src/platform/watch_engine.cpp
@@ -112,7 +112,7 @@
 {
     if (!m_isListed || m_mustList)
         return {};
-    return m_isBehind ? m_missingDueAt : silenceEndsAt();
+    return m_isBehind ? std::min(silenceEndsAt(), m_missingDueAt) : silenceEndsAt();
 }
 
 void WatchEngine::callIfDue(TimePoint now, WatchActions& actions)
@@ -171,7 +171,9 @@
     failed.status = response.status == StoreStatus::Ok ? StoreStatus::Lost : response.status;
     actions.emplace_back(DeliverBatch { failed });
     const auto delay = m_backoff.onFailure();
-    m_notBefore = now + std::max(delay, m_schedule.retryPause);
+    m_notBefore = now + (isFailing() ? std::max(delay, m_schedule.retryPause) : delay);
+    if (m_call.wasBehind && !isFailing())
+        markBehind(now, now);
 }
 
 void WatchEngine::onExpiredHistory(const WatchBatch& response, TimePoint now)
