--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include "gateway/forward_counters_metrics.h"
 #include "gateway/forward_driver.h"
 #include "gateway/key_admission.h"
+#include "gateway/known_configuration.h"
 #include "gateway/known_servers.h"
 #include "gateway/port_opener.h"
 #include "observe/buffer_metrics.h"
@@ -63,6 +64,7 @@
         , m_readiness([this] { return HttpResponse { isReady() ? ok : unavailable, "text/plain", isReady() ? "ready\n" : "not ready\n" }; })
         , m_metricsPage([this] { return HttpResponse { ok, "text/plain; version=0.0.4", m_metrics.render() }; })
         , m_callerServer(m_io, m_driver, m_clock, m_callerCounters, { .maxConnections = maxCallerConnections() })
+        , m_configuration(maxCallerConnections(), *m_clock, m_driver, m_callerServer, m_log)
         , m_readinessServer(m_io, m_readiness, m_clock, m_probeCounters)
         , m_metricsServer(m_io, m_metricsPage, m_clock, m_probeCounters)
         , m_signals(m_strand, SIGTERM, SIGINT, SIGHUP)
@@ -80,21 +82,7 @@
 
     void onRoutes(RouteTable&& table, const ChangeOrigin& origin)
     {
-        const auto current = m_driver.routes();
-        const auto version = std::to_string(table.version);
-        if (current && table.version < current->version)
-            logState("configuration ignored; a later version is in force", { { "version", version }, { "in_force", std::to_string(current->version) }, { "from", origin.source() }, { "epoch", std::to_string(origin.epoch) }, { "revision", std::to_string(origin.revision) } });
-        if (current && table.version <= current->version)
-            return;
-        const auto before = current ? std::to_string(current->version) : std::string("none");
-        const auto routes = std::to_string(table.routes.size());
-        table.callerLimits.maxConnections = maxCallerConnections();
-        m_callerServer.setLimits(table.callerLimits);
-        const auto teams = table.teams;
-        m_driver.setRoutes(std::make_shared<const RouteTable>(std::move(table)));
-        logState("configuration applied", { { "version", version }, { "before", before }, { "routes", routes }, { "from", origin.source() }, { "epoch", std::to_string(origin.epoch) }, { "revision", std::to_string(origin.revision) } });
-        if (teams)
-            logState("teams applied", { { "teams", std::to_string(teams->teams().size()) }, { "keys_of_several_teams", std::to_string(teams->ambiguousKeys()) } });
+        m_configuration.apply(std::move(table), origin);
         updateReadiness();
     }
 
@@ -372,6 +360,7 @@
     std::shared_ptr<HttpServerCounters> m_callerCounters = std::make_shared<HttpServerCounters>();
     std::shared_ptr<HttpServerCounters> m_probeCounters = std::make_shared<HttpServerCounters>();
     HttpServer m_callerServer;
+    KnownConfiguration m_configuration;
     HttpServer m_readinessServer;
     HttpServer m_metricsServer;
     boost::asio::signal_set m_signals;
