--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "base/buffer_limit.h"
 #include "gateway/computed_response.h"
+#include "gateway/followed_states.h"
 #include "gateway/forward_counters_metrics.h"
 #include "gateway/forward_driver.h"
 #include "gateway/key_admission.h"
@@ -59,6 +60,7 @@
         , m_delegation({ m_io, m_strand, m_clock, m_driver, m_metrics, m_log, *this }, m_delegateChooser, settings.instance.name, settings.instance.zone)
         , m_quotas(m_strand, *m_clock, m_driver, m_metrics, settings.instance.name, settings.admission)
         , m_servers(settings.gateway.renewalPeriod, settings.gateway.zoneDrainLimit, *m_clock, m_driver, m_log)
+        , m_states(*m_clock, m_log, m_metrics)
         , m_loop(m_io, m_metrics, [this](std::string_view why) { logState("handler threw an exception; its request ends, others continue", { { "why", why } }); })
         , m_ports(m_strand, *m_clock, *this)
         , m_readiness([this] { return HttpResponse { isReady() ? ok : unavailable, "text/plain", isReady() ? "ready\n" : "not ready\n" }; })
@@ -75,6 +77,7 @@
         m_quotas.setDelegation(m_delegation);
         m_driver.setQuotas(m_quotas);
         BufferLimit::ofProcess()->setMax(settings.instance.maxBuffered);
+        followStates();
         registerMetrics();
     }
 
@@ -92,6 +95,8 @@
         updateReadiness();
     }
 
+    void onStateProof(FollowedObjects objects, const StateProof& proof) { m_states.record(objects, proof); }
+
     void onServers(const ServerChanges& changes)
     {
         m_servers.apply(changes);
@@ -230,6 +235,13 @@
 
     void logState(std::string_view event, std::initializer_list<LineField> fields) { m_log.write(LineImportance::State, m_clock->now(), event, fields); }
 
+    void followStates()
+    {
+        m_states.follow(FollowedObjects::Configuration, m_settings.gateway.configurationLimit);
+        m_states.follow(FollowedObjects::Servers, m_settings.gateway.serversLimit);
+        m_states.follow(FollowedObjects::ZoneDrains, m_settings.gateway.zoneDrainLimit);
+    }
+
     void updateReadiness()
     {
         const bool canAdmitKeys = m_keyAdmission.update(m_driver.routes().get());
@@ -245,6 +257,7 @@
         m_driver.closeStaleConnections();
         m_delegation.shareCrashes(m_driver.crashAnnouncements());
         m_servers.review();
+        m_states.review();
         updateReadiness();
         logEvictions();
         const auto untilReview = m_servers.nextReview() == never ? housekeepingPeriod : Duration(m_servers.nextReview() - m_clock->now());
@@ -353,6 +366,7 @@
     QuarantineStore* m_quarantineStore = nullptr;
     Endpoint m_inner;
     KnownServers m_servers;
+    FollowedStates m_states;
     HandlerLoop m_loop;
     PortOpener m_ports;
     ComputedResponse m_readiness;
@@ -395,6 +409,11 @@
     m_impl->onConfigurationConfirmed(sentAt);
 }
 
+void Gateway::onStateProof(FollowedObjects objects, const StateProof& proof)
+{
+    m_impl->onStateProof(objects, proof);
+}
+
 void Gateway::onServers(const ServerChanges& changes)
 {
     m_impl->onServers(changes);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,8 +3,10 @@
 #include "base/error.h"
 #include "gateway/caller_protocol.h"
 #include "gateway/change_origin.h"
+#include "gateway/followed_objects.h"
 #include "gateway/server_changes.h"
 #include "gateway/server_protocol.h"
+#include "gateway/state_proof.h"
 #include "membership/view.h"
 #include "observe/metrics.h"
 #include "query/crash_news.h"
@@ -78,6 +80,8 @@
     /// Records that the configuration in force was the latest one when a call to the store was sent at that time, on the BootClock; the
     /// epoch is no proof. See AdmissionSettings::revocationLimit.
     void onConfigurationConfirmed(TimePoint sentAt);
+    /// Records up to when and to which revision all changes of these objects are known. Called after the changes themselves.
+    void onStateProof(FollowedObjects, const StateProof&);
     void onServers(const ServerChanges&);
     /// Replaces the zones whose servers get no new work. While the settings follow drains, no server gets work before the first
     /// call, for no longer than their limit.
--- a/src/platform/object_store.h
+++ b/src/platform/object_store.h
@@ -21,6 +21,7 @@
     bool isNewEpoch = false; ///< True for the first list of a later epoch of the store than the one known before. Set by StoreWatcher.
     std::uint64_t epoch = 0; ///< Of the store when it gave that revision; 0 when the store names none.
     InstanceName announcedBy {}; ///< The instance that announced the batch; empty: this instance read it from the store.
+    TimePoint provenAt {}; ///< Latest time for which all changes are known to have been seen. Set by StoreWatcher.
     TimePoint confirmedAt {}; ///< Sending time of the latest call whose response shows that nothing later than this batch existed when the call was sent; the epoch when there was none. Set by StoreWatcher.
 };
 
--- a/src/platform/store_watcher.cpp
+++ b/src/platform/store_watcher.cpp
@@ -132,6 +132,7 @@
     if (m_epoch == 0)
         m_epoch = batch.epoch;
     batch.confirmedAt = m_confirmedAt;
+    batch.provenAt = m_provenAt;
     m_handler(batch);
 }
 
--- a/tests/adapter/end_to_end_test.cpp
+++ b/tests/adapter/end_to_end_test.cpp
@@ -27,6 +27,15 @@
         fixture.startGateway();
         fixture.waitUntilReady();
 
+        SUBCASE("the metrics show the age of the proof and the store's revision for each kind of objects that is followed")
+        {
+            const auto page = fixture.metricsPage();
+            CHECK(page.find("lycheefield_store_revision{objects=\"configuration\"} 5") != std::string::npos);
+            CHECK(page.find("lycheefield_store_revision{objects=\"servers\"} 5") != std::string::npos);
+            CHECK(page.find("lycheefield_store_epoch{objects=\"servers\"} 0") != std::string::npos);
+            CHECK(page.find("lycheefield_proof_age_seconds{objects=\"servers\"} ") != std::string::npos);
+            CHECK(page.find("objects=\"zone_drains\"") == std::string::npos);
+        }
         SUBCASE("a search is sent to every shard and the results are merged")
         {
             const auto response = fixture.fetch(fixture.endpoints.callers, requestTo("/s/1?q=2", "id1"));
--- a/tests/adapter/gateway_fixture.h
+++ b/tests/adapter/gateway_fixture.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <future>
 #include <optional>
 #include <stdexcept>
 #include <thread>
@@ -165,6 +166,14 @@
         while (fetch(endpoints.readiness, requestTo("/ready", "probe")).status != 200) { }
     }
 
+    /// Returns the metrics' page, rendered on the gateway's thread.
+    std::string metricsPage()
+    {
+        std::promise<std::string> page;
+        boost::asio::post(gateway->executor(), [&] { page.set_value(gateway->metrics().render()); });
+        return page.get_future().get();
+    }
+
     boost::asio::io_context io { 1 };
     standin::PublishedStoreServer store;
     FakeBackend serverX;
