--- a/src/forward/server_registry.cpp
+++ b/src/forward/server_registry.cpp
@@ -19,6 +19,7 @@
         listed.insert(it.name);
         changed = put(it, now) || changed;
     }
+    std::erase_if(m_doubted, [&](const auto& it) { return !listed.contains(it.first); });
     std::vector<ServerName> absent;
     for (const auto& [name, entry] : m_servers) {
         if (!listed.contains(name) && !m_missing.contains(name))
@@ -29,12 +30,39 @@
     return changed;
 }
 
+bool ServerRegistry::replaceAllOfNewEpoch(const std::vector<ServerEntry>& entries, TimePoint now)
+{
+    extendGrace(now + returnGrace);
+    for (const auto& it : entries)
+        doubtIfRemoved(it, now);
+    return replaceAll(entries, now);
+}
+
+void ServerRegistry::extendGrace(TimePoint until)
+{
+    m_graceUntil = std::max(m_graceUntil, until);
+    for (auto& [name, end] : m_missing)
+        end = std::max(end, m_graceUntil);
+}
+
+void ServerRegistry::doubtIfRemoved(const ServerEntry& entry, TimePoint now)
+{
+    const auto removed = m_removed.find(entry.name);
+    if (removed == m_removed.end() || entry.startedAt > removed->second.startedAt)
+        return;
+    // The store tells no change of the sequence alone, so the copy may list a higher one than was known before the removal.
+    if (entry.isNewerThan(removed->second))
+        removed->second = entry;
+    m_doubted.insert_or_assign(entry.name, Doubt { removed->second, now + doubtPeriod() });
+}
+
 bool ServerRegistry::put(const ServerEntry& entry, TimePoint)
 {
     if (const auto removed = m_removed.find(entry.name); removed != m_removed.end()) {
         if (!entry.isNewerThan(removed->second))
             return false;
         m_removed.erase(removed);
+        m_doubted.erase(entry.name);
     }
     m_missing.erase(entry.name);
     if (const auto known = m_servers.find(entry.name); known != m_servers.end() && known->second.isNewerThan(entry))
@@ -48,6 +76,7 @@
 
 bool ServerRegistry::remove(const ServerName& name, TimePoint now)
 {
+    m_doubted.erase(name);
     const auto it = m_servers.find(name);
     if (it == m_servers.end())
         return false;
@@ -75,6 +104,8 @@
         m_unreachableSince = now;
     for (auto& [name, until] : m_missing)
         until = never;
+    for (auto& [name, doubt] : m_doubted)
+        doubt.until = never;
 }
 
 void ServerRegistry::recordStoreReachable(TimePoint now)
@@ -86,11 +117,28 @@
     m_graceUntil = wasShort ? std::max(m_graceUntil, now) : now + returnGrace;
     for (auto& [name, until] : m_missing)
         until = m_graceUntil;
+    for (auto& [name, doubt] : m_doubted)
+        doubt.until = now + doubtPeriod();
 }
 
-bool ServerRegistry::expire(TimePoint now)
+bool ServerRegistry::endDoubts(TimePoint now)
 {
     bool changed = false;
+    for (auto it = m_doubted.begin(); it != m_doubted.end();) {
+        if (it->second.until > now) {
+            ++it;
+            continue;
+        }
+        m_removed.erase(it->first);
+        changed = put(it->second.last, now) || changed;
+        it = m_doubted.erase(it);
+    }
+    return changed;
+}
+
+bool ServerRegistry::expire(TimePoint now)
+{
+    bool changed = endDoubts(now);
     for (auto it = m_missing.begin(); it != m_missing.end();) {
         if (it->second > now) {
             ++it;
@@ -110,6 +158,8 @@
     TimePoint next = never;
     for (const auto& [name, until] : m_missing)
         next = std::min(next, until);
+    for (const auto& [name, doubt] : m_doubted)
+        next = std::min(next, doubt.until);
     return next;
 }
 
--- a/src/forward/server_registry.h
+++ b/src/forward/server_registry.h
@@ -25,6 +25,10 @@
 
     /// Replaces all entries by the store's list. Returns true if the servers changed.
     bool replaceAll(const std::vector<ServerEntry>&, TimePoint);
+    /// Replaces all entries by the first list since the store came back from an older copy. Servers that are missing from it are kept for returnGrace. A
+    /// removed server that the copy lists gets no work until its entry is renewed, or is still listed when the store would have removed that of a
+    /// server that has ended. Returns true if the servers changed.
+    bool replaceAllOfNewEpoch(const std::vector<ServerEntry>&, TimePoint);
     /// Adds or updates one entry, unless the known entry is more recent. Returns true if the servers
     /// changed.
     bool put(const ServerEntry&, TimePoint);
@@ -43,11 +47,32 @@
     TimePoint nextExpiry() const;
 
     const std::map<ServerName, ServerEntry>& servers() const { return m_servers; }
+    /// Servers that are kept without an entry.
+    std::size_t missing() const { return m_missing.size(); }
+    /// Removed servers that an older copy of the store lists.
+    std::size_t doubted() const { return m_doubted.size(); }
 
 private:
     bool isStoreSettled(TimePoint now) const { return !m_isStoreUnreachable && now >= m_graceUntil; }
 
     void rememberRemoved(const ServerEntry&);
+    /// Keeps the missing servers until that time at least.
+    void extendGrace(TimePoint until);
+    /// Holds a removed server back that an older copy of the store lists.
+    void doubtIfRemoved(const ServerEntry&, TimePoint);
+    /// Takes the doubted servers that are still listed at the end of their time. Returns true if the servers changed.
+    bool endDoubts(TimePoint);
+    /// The time in which the store removes the entry of a server that has ended, and tells it here.
+    Duration doubtPeriod() const { return missedRenewals * m_renewalPeriod + returnGrace; }
+
+    /// The store removes an entry that misses this many renewals.
+    static constexpr int missedRenewals = 3;
+
+    /// A removed server that an older copy of the store lists.
+    struct Doubt {
+        ServerEntry last; ///< The latest one that is known.
+        TimePoint until; ///< Then an entry that is still listed is that of a living server.
+    };
 
     /// Removed servers whose last entries are remembered, so that a late report does not restore a removed server.
     static constexpr std::size_t maxRemoved = 4096;
@@ -56,6 +81,7 @@
     std::map<ServerName, ServerEntry> m_removed;
     std::map<ServerName, ServerEntry> m_servers;
     std::map<ServerName, TimePoint> m_missing; ///< Ends of the grace periods of servers without an entry, which are still in m_servers.
+    std::map<ServerName, Doubt> m_doubted;
     bool m_isStoreUnreachable = false;
     TimePoint m_unreachableSince {};
     TimePoint m_graceUntil {};
--- a/src/gateway/known_servers.cpp
+++ b/src/gateway/known_servers.cpp
@@ -24,10 +24,22 @@
     return changed;
 }
 
+bool KnownServers::take(const ServerChanges& changes, TimePoint now)
+{
+    if (!changes.isFullList)
+        return putAll(changes.listed, now);
+    if (!changes.isNewEpoch)
+        return m_registry.replaceAll(changes.listed, now);
+    const bool changed = m_registry.replaceAllOfNewEpoch(changes.listed, now);
+    logState("store came back from an older copy; servers that it lacks are kept for a while",
+        { { "epoch", std::to_string(changes.origin.epoch) }, { "revision", std::to_string(changes.origin.revision) }, { "from", changes.origin.source() }, { "listed", std::to_string(changes.listed.size()) }, { "kept", std::to_string(m_registry.missing()) }, { "held_back", std::to_string(m_registry.doubted()) } });
+    return changed;
+}
+
 void KnownServers::apply(const ServerChanges& changes)
 {
     const auto now = m_clock.now();
-    bool changed = changes.isFullList ? m_registry.replaceAll(changes.listed, now) : putAll(changes.listed, now);
+    bool changed = take(changes, now);
     for (const auto& it : changes.removed)
         changed = m_registry.remove(it, now) || changed;
     m_isListed = true;
--- a/src/gateway/known_servers.h
+++ b/src/gateway/known_servers.h
@@ -36,6 +36,8 @@
 private:
     /// Adds or updates the entries. Returns whether the servers changed.
     bool putAll(const std::vector<ServerEntry>&, TimePoint);
+    /// Adds or replaces the listed entries. Returns whether the servers changed.
+    bool take(const ServerChanges&, TimePoint);
     /// Passes the servers to the driver, unless they are held.
     void publish();
     void logState(std::string_view event, std::initializer_list<LineField> fields) { m_log.write(LineImportance::State, m_clock.now(), event, fields); }
