--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -103,9 +103,9 @@
         updateReadiness();
     }
 
-    void onDrainedZones(const std::set<ZoneName>& zones)
+    void onDrainedZones(const std::set<ZoneName>& zones, bool isNewEpoch)
     {
-        m_servers.setDrainedZones(zones);
+        m_servers.setDrainedZones(zones, isNewEpoch);
         updateReadiness();
     }
 
@@ -419,9 +419,9 @@
     m_impl->onServers(changes);
 }
 
-void Gateway::onDrainedZones(const std::set<ZoneName>& zones)
+void Gateway::onDrainedZones(const std::set<ZoneName>& zones, bool isNewEpoch)
 {
-    m_impl->onDrainedZones(zones);
+    m_impl->onDrainedZones(zones, isNewEpoch);
 }
 
 void Gateway::onStoreReachable(bool isReachable)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -84,8 +84,8 @@
     void onStateProof(FollowedObjects, const StateProof&);
     void onServers(const ServerChanges&);
     /// Replaces the zones whose servers get no new work. While the settings follow drains, no server gets work before the first
-    /// call, for no longer than their limit.
-    void onDrainedZones(const std::set<ZoneName>&);
+    /// call, for no longer than their limit. isNewEpoch: see ServerChanges.
+    void onDrainedZones(const std::set<ZoneName>&, bool isNewEpoch = false);
     /// Whether the last call to the platform's store succeeded.
     void onStoreReachable(bool isReachable);
     /// Sets the receiver of other instances' news. Preconditions: called before run(); the follower outlives run().
--- a/src/gateway/known_servers.cpp
+++ b/src/gateway/known_servers.cpp
@@ -49,15 +49,22 @@
         publish();
 }
 
-void KnownServers::setDrainedZones(const std::set<ZoneName>& zones)
+void KnownServers::setDrainedZones(const std::set<ZoneName>& zones, bool isNewEpoch)
 {
     const auto now = m_clock.now();
-    logZoneDrains(m_drains.replaceAll(zones, now), m_registry.servers(), now, m_log);
-    m_driver.setDrainedZones(zones);
+    if (isNewEpoch)
+        m_drains.recordNewEpoch(now + ServerRegistry::returnGrace);
+    publishDrains(m_drains.replaceAll(zones, now), now);
     if (m_isHeld)
         publish();
 }
 
+void KnownServers::publishDrains(const ZoneDrainChange& change, TimePoint now)
+{
+    logZoneDrains(change, m_registry.servers(), now, m_log);
+    m_driver.setDrainedZones(m_drains.zones());
+}
+
 void KnownServers::setStoreReachable(bool isReachable)
 {
     if (isReachable == m_isStoreReachable)
@@ -75,7 +82,10 @@
 
 void KnownServers::review()
 {
-    if (m_registry.expire(m_clock.now()) || m_isHeld)
+    const auto now = m_clock.now();
+    if (m_drains.nextExpiry() <= now)
+        publishDrains(m_drains.expire(now), now);
+    if (m_registry.expire(now) || m_isHeld)
         publish();
 }
 
--- a/src/gateway/known_servers.h
+++ b/src/gateway/known_servers.h
@@ -7,6 +7,7 @@
 #include "observe/decision_log.h"
 #include "placement/zone_drains.h"
 
+#include <algorithm>
 #include <set>
 
 namespace lycheefield {
@@ -18,14 +19,14 @@
     KnownServers(Duration renewalPeriod, Duration zoneDrainLimit, const Clock&, ForwardDriver&, DecisionLog&);
 
     void apply(const ServerChanges&);
-    /// Replaces the zones whose servers get no new work.
-    void setDrainedZones(const std::set<ZoneName>&);
+    /// Replaces the zones whose servers get no new work. isNewEpoch: see ServerChanges; drains that are known here and not listed are kept for a while.
+    void setDrainedZones(const std::set<ZoneName>&, bool isNewEpoch);
     /// Records whether the last call to the store succeeded.
     void setStoreReachable(bool);
     /// Ends grace periods and the wait for the first list of drains if they are over. Must be called no later than nextReview().
     void review();
     /// Returns when review() must run next; `never` when nothing is scheduled.
-    TimePoint nextReview() const { return m_registry.nextExpiry(); }
+    TimePoint nextReview() const { return std::min(m_registry.nextExpiry(), m_drains.nextExpiry()); }
 
     /// Returns whether a list of servers is known and its servers may get work.
     bool mayGetWork() const { return m_isListed && !m_isHeld; }
@@ -38,6 +39,8 @@
     bool putAll(const std::vector<ServerEntry>&, TimePoint);
     /// Adds or replaces the listed entries. Returns whether the servers changed.
     bool take(const ServerChanges&, TimePoint);
+    /// Logs the change of the drains and passes those in force to the driver.
+    void publishDrains(const ZoneDrainChange&, TimePoint);
     /// Passes the servers to the driver, unless they are held.
     void publish();
     void logState(std::string_view event, std::initializer_list<LineField> fields) { m_log.write(LineImportance::State, m_clock.now(), event, fields); }
--- a/src/placement/zone_drains.cpp
+++ b/src/placement/zone_drains.cpp
@@ -1,5 +1,7 @@
 #include "placement/zone_drains.h"
 
+#include <algorithm>
+
 namespace lycheefield {
 
 ZoneDrains::ZoneDrains(Duration limit)
@@ -11,13 +13,12 @@
 ZoneDrainChange ZoneDrains::replaceAll(const std::set<ZoneName>& zones, TimePoint now)
 {
     m_isKnown = true;
-    ZoneDrainChange change;
+    m_missing.clear();
     for (const auto& [zone, since] : m_since) {
         if (!zones.contains(zone))
-            change.ended.push_back({ zone, now - since });
+            m_missing.insert(zone);
     }
-    for (const auto& it : change.ended)
-        m_since.erase(it.zone);
+    auto change = expire(now);
     for (const auto& it : zones) {
         if (m_since.emplace(it, now).second)
             change.begun.push_back(it);
@@ -25,6 +26,33 @@
     return change;
 }
 
+void ZoneDrains::recordNewEpoch(TimePoint keptUntil)
+{
+    m_keptUntil = std::max(m_keptUntil, keptUntil);
+}
+
+ZoneDrainChange ZoneDrains::expire(TimePoint now)
+{
+    ZoneDrainChange change;
+    if (now < m_keptUntil)
+        return change;
+    for (const auto& zone : m_missing) {
+        const auto it = m_since.find(zone);
+        change.ended.push_back({ zone, now - it->second });
+        m_since.erase(it);
+    }
+    m_missing.clear();
+    return change;
+}
+
+std::set<ZoneName> ZoneDrains::zones() const
+{
+    std::set<ZoneName> zones;
+    for (const auto& [zone, since] : m_since)
+        zones.insert(zone);
+    return zones;
+}
+
 void ZoneDrains::recordServersKnown(TimePoint now)
 {
     if (m_waitEnds == never)
--- a/src/placement/zone_drains.h
+++ b/src/placement/zone_drains.h
@@ -37,16 +37,26 @@
 
     /// Replaces the list and returns what has changed.
     ZoneDrainChange replaceAll(const std::set<ZoneName>&, TimePoint);
+    /// Records that the store came back from an older copy: until then a drain that the list lacks is kept, as the operator writes again what was lost.
+    void recordNewEpoch(TimePoint keptUntil);
+    /// Ends the drains that the list still lacks at the end of that time, and returns what has changed.
+    ZoneDrainChange expire(TimePoint);
+    /// Returns when expire must run next; `never` when no drain is kept without being listed.
+    TimePoint nextExpiry() const { return m_missing.empty() ? never : m_keptUntil; }
     /// Starts the wait for a first list of the drains. Only the first call counts.
     void recordServersKnown(TimePoint);
     /// Returns whether servers may get work: the drains are known, or the wait for them has ended.
     bool mayUseServers(TimePoint now) const;
+    /// Returns the zones whose drains are in force.
+    std::set<ZoneName> zones() const;
     std::size_t count() const { return m_since.size(); }
 
 private:
     Duration m_limit;
     bool m_isKnown;
     TimePoint m_waitEnds = never;
+    TimePoint m_keptUntil {};
+    std::set<ZoneName> m_missing; ///< Drains in force that the list lacks.
     std::map<ZoneName, TimePoint> m_since; ///< The drained zones, and when this process learned of each drain.
 };
 
--- a/tests/placement/zone_drains_test.cpp
+++ b/tests/placement/zone_drains_test.cpp
@@ -27,6 +27,34 @@
     {
         CHECK(ZoneDrains(Duration {}).mayUseServers(now));
     }
+    SUBCASE("The store comes back from an older copy, and its list lacks a drain that was in force")
+    {
+        ZoneDrains drains(5s);
+        drains.replaceAll({ a, b }, now);
+        drains.recordNewEpoch(now + 12s);
+        CHECK(drains.replaceAll({ b }, now + 10s) == ZoneDrainChange {});
+        CHECK(drains.zones() == std::set { a, b });
+        CHECK(drains.nextExpiry() == now + 12s);
+
+        SUBCASE("The drain goes on when the operator has written it again")
+        {
+            CHECK(drains.replaceAll({ a, b }, now + 11s) == ZoneDrainChange {});
+            CHECK(drains.nextExpiry() == never);
+            CHECK(drains.expire(now + 1min) == ZoneDrainChange {});
+            CHECK(drains.zones() == std::set { a, b });
+        }
+        SUBCASE("The drain ends when the list still lacks it after the grace period")
+        {
+            CHECK(drains.expire(now + 11999ms) == ZoneDrainChange {});
+            CHECK(drains.expire(now + 12s) == ZoneDrainChange { {}, { { a, 12s } } });
+            CHECK(drains.zones() == std::set { b });
+        }
+        SUBCASE("A later list ends it when the grace period is over")
+        {
+            CHECK(drains.replaceAll({ b }, now + 13s) == ZoneDrainChange { {}, { { a, 13s } } });
+            CHECK(drains.nextExpiry() == never);
+        }
+    }
     SUBCASE("A list replaces the one before, and tells what began and what ended")
     {
         ZoneDrains drains(5s);
