--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include "gateway/key_admission.h"
 #include "gateway/known_configuration.h"
 #include "gateway/known_servers.h"
+#include "gateway/planned_stop.h"
 #include "gateway/port_opener.h"
 #include "observe/buffer_metrics.h"
 #include "observe/handler_loop.h"
@@ -25,12 +26,7 @@
 
 namespace {
 
-/// Requests still in flight this long before the stop limit are answered with the parts received so far.
-constexpr Duration finishBeforeLimit = std::chrono::milliseconds(1000);
-/// The time for the last answers to reach their callers.
-constexpr Duration answerFlushTime = std::chrono::milliseconds(200);
 constexpr Duration housekeepingPeriod = std::chrono::seconds(1);
-constexpr Duration drainCheckPeriod = std::chrono::milliseconds(100);
 /// Callers may use this share of the descriptors; the rest is for servers, the store, other instances and readiness checks.
 constexpr std::size_t callerDescriptorDivisor = 2;
 constexpr unsigned ok = 200;
@@ -71,7 +67,7 @@
         , m_metricsServer(m_io, m_metricsPage, m_clock, m_probeCounters)
         , m_signals(m_strand, SIGTERM, SIGINT, SIGHUP)
         , m_housekeeping(m_strand)
-        , m_drainTimer(m_strand)
+        , m_stop(m_strand, *m_clock, m_driver, m_callerServer, { settings.gateway.stopLimit, settings.drain.balancerLag }, [this] { endRun(); })
     {
         m_driver.setDelegation(m_delegation, m_delegateChooser);
         m_quotas.setDelegation(m_delegation);
@@ -200,16 +196,12 @@
 
     void beginStop(std::string_view why)
     {
-        if (std::exchange(m_isStopping, true))
+        if (m_stop.isBegun())
             return;
         m_ports.cancel();
-        m_stopStartedAt = m_clock->now();
         logState("stopping", { { "why", why }, { "in_flight", std::to_string(m_driver.inFlight()) } });
+        m_stop.begin();
         updateReadiness();
-        m_driver.declineDelegations();
-        m_driver.setEnd(m_stopStartedAt + m_settings.gateway.stopLimit - finishBeforeLimit);
-        m_callerServer.closeAfterResponses();
-        checkStop();
     }
 
 private:
@@ -245,7 +237,7 @@
     void updateReadiness()
     {
         const bool canAdmitKeys = m_keyAdmission.update(m_driver.routes().get());
-        const bool isReady = m_driver.routes() && m_servers.mayGetWork() && canAdmitKeys && m_ports.areRequiredOpen() && !m_isStopping;
+        const bool isReady = m_driver.routes() && m_servers.mayGetWork() && canAdmitKeys && m_ports.areRequiredOpen() && !m_stop.isBegun();
         if (m_isReady.exchange(isReady) != isReady)
             logState(isReady ? "ready" : "not ready", {});
     }
@@ -295,41 +287,7 @@
         });
     }
 
-    /// Goes on serving for the balancer's lag, then stops once no request is in flight or the stop limit is near.
-    void checkStop()
-    {
-        // Scheduled first, so that an exception does not end the checks.
-        m_drainTimer.expires_after(drainCheckPeriod);
-        m_drainTimer.async_wait([this](const boost::system::error_code& ec) {
-            if (!ec)
-                checkStop();
-        });
-        const auto now = m_clock->now();
-        const auto since = now - m_stopStartedAt;
-        const bool isLast = since >= m_settings.gateway.stopLimit - finishBeforeLimit;
-        if (isLast)
-            m_driver.finishAll();
-        if (m_driver.inFlight() > 0)
-            m_idleSince = never;
-        else if (m_idleSince == never)
-            m_idleSince = now;
-        const bool isIdle = m_idleSince != never && now - m_idleSince >= answerFlushTime;
-        if (m_isClosing && isIdle)
-            return stop();
-        if (!m_isClosing && (isLast || (since >= m_settings.drain.balancerLag && isIdle)))
-            stopAcceptingCallers();
-    }
-
-    /// Closes idle connections and accepts no new ones. Requests read by then are still answered.
-    void stopAcceptingCallers()
-    {
-        m_isClosing = true;
-        m_idleSince = never;
-        m_callerServer.stopListening();
-        m_callerServer.beginDrain();
-    }
-
-    void stop()
+    void endRun()
     {
         logState("stopped", { { "in_flight", std::to_string(m_driver.inFlight()) } });
         m_io.stop();
@@ -379,12 +337,8 @@
     HttpServer m_metricsServer;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_housekeeping;
-    boost::asio::steady_timer m_drainTimer;
+    PlannedStop m_stop;
     std::atomic<bool> m_isReady { false };
-    bool m_isStopping = false;
-    bool m_isClosing = false; ///< New connections are not accepted any more.
-    TimePoint m_stopStartedAt {};
-    TimePoint m_idleSince = never; ///< While stopping: start of the current time without requests in flight; `never` while one is in flight.
 };
 
 Gateway::Gateway(const Settings& settings, GatewayProtocols protocols)
