--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,10 +2,13 @@
 
 #include "base/buffer_limit.h"
 #include "gateway/computed_response.h"
+#include "gateway/followed_states.h"
 #include "gateway/forward_counters_metrics.h"
 #include "gateway/forward_driver.h"
 #include "gateway/key_admission.h"
+#include "gateway/known_configuration.h"
 #include "gateway/known_servers.h"
+#include "gateway/planned_stop.h"
 #include "gateway/port_opener.h"
 #include "observe/buffer_metrics.h"
 #include "observe/handler_loop.h"
@@ -23,12 +26,7 @@
 
 namespace {
 
-/// Requests still in flight this long before the stop limit are answered with the parts received so far.
-constexpr Duration finishBeforeLimit = std::chrono::milliseconds(1000);
-/// The time for the last answers to reach their callers.
-constexpr Duration answerFlushTime = std::chrono::milliseconds(200);
 constexpr Duration housekeepingPeriod = std::chrono::seconds(1);
-constexpr Duration drainCheckPeriod = std::chrono::milliseconds(100);
 /// Callers may use this share of the descriptors; the rest is for servers, the store, other instances and readiness checks.
 constexpr std::size_t callerDescriptorDivisor = 2;
 constexpr unsigned ok = 200;
@@ -58,21 +56,24 @@
         , m_delegation({ m_io, m_strand, m_clock, m_driver, m_metrics, m_log, *this }, m_delegateChooser, settings.instance.name, settings.instance.zone)
         , m_quotas(m_strand, *m_clock, m_driver, m_metrics, settings.instance.name, settings.admission)
         , m_servers(settings.gateway.renewalPeriod, settings.gateway.zoneDrainLimit, *m_clock, m_driver, m_log)
+        , m_states(*m_clock, m_log, m_metrics)
         , m_loop(m_io, m_metrics, [this](std::string_view why) { logState("handler threw an exception; its request ends, others continue", { { "why", why } }); })
         , m_ports(m_strand, *m_clock, *this)
         , m_readiness([this] { return HttpResponse { isReady() ? ok : unavailable, "text/plain", isReady() ? "ready\n" : "not ready\n" }; })
         , m_metricsPage([this] { return HttpResponse { ok, "text/plain; version=0.0.4", m_metrics.render() }; })
         , m_callerServer(m_io, m_driver, m_clock, m_callerCounters, { .maxConnections = maxCallerConnections() })
+        , m_configuration(maxCallerConnections(), *m_clock, m_driver, m_callerServer, m_log)
         , m_readinessServer(m_io, m_readiness, m_clock, m_probeCounters)
         , m_metricsServer(m_io, m_metricsPage, m_clock, m_probeCounters)
         , m_signals(m_strand, SIGTERM, SIGINT, SIGHUP)
         , m_housekeeping(m_strand)
-        , m_drainTimer(m_strand)
+        , m_stop(m_strand, *m_clock, m_driver, m_callerServer, { settings.gateway.stopLimit, settings.drain.balancerLag }, [this] { endRun(); })
     {
         m_driver.setDelegation(m_delegation, m_delegateChooser);
         m_quotas.setDelegation(m_delegation);
         m_driver.setQuotas(m_quotas);
         BufferLimit::ofProcess()->setMax(settings.instance.maxBuffered);
+        followStates();
         registerMetrics();
     }
 
@@ -80,21 +81,7 @@
 
     void onRoutes(RouteTable&& table, const ChangeOrigin& origin)
     {
-        const auto current = m_driver.routes();
-        const auto version = std::to_string(table.version);
-        if (current && table.version < current->version)
-            logState("configuration ignored; a later version is in force", { { "version", version }, { "in_force", std::to_string(current->version) }, { "from", origin.source() }, { "epoch", std::to_string(origin.epoch) }, { "revision", std::to_string(origin.revision) } });
-        if (current && table.version <= current->version)
-            return;
-        const auto before = current ? std::to_string(current->version) : std::string("none");
-        const auto routes = std::to_string(table.routes.size());
-        table.callerLimits.maxConnections = maxCallerConnections();
-        m_callerServer.setLimits(table.callerLimits);
-        const auto teams = table.teams;
-        m_driver.setRoutes(std::make_shared<const RouteTable>(std::move(table)));
-        logState("configuration applied", { { "version", version }, { "before", before }, { "routes", routes }, { "from", origin.source() }, { "epoch", std::to_string(origin.epoch) }, { "revision", std::to_string(origin.revision) } });
-        if (teams)
-            logState("teams applied", { { "teams", std::to_string(teams->teams().size()) }, { "keys_of_several_teams", std::to_string(teams->ambiguousKeys()) } });
+        m_configuration.apply(std::move(table), origin);
         updateReadiness();
     }
 
@@ -104,15 +91,17 @@
         updateReadiness();
     }
 
+    void onStateProof(FollowedObjects objects, const StateProof& proof) { m_states.record(objects, proof); }
+
     void onServers(const ServerChanges& changes)
     {
         m_servers.apply(changes);
         updateReadiness();
     }
 
-    void onDrainedZones(const std::set<ZoneName>& zones)
+    void onDrainedZones(const std::set<ZoneName>& zones, bool isNewEpoch)
     {
-        m_servers.setDrainedZones(zones);
+        m_servers.setDrainedZones(zones, isNewEpoch);
         updateReadiness();
     }
 
@@ -207,16 +196,12 @@
 
     void beginStop(std::string_view why)
     {
-        if (std::exchange(m_isStopping, true))
+        if (m_stop.isBegun())
             return;
         m_ports.cancel();
-        m_stopStartedAt = m_clock->now();
         logState("stopping", { { "why", why }, { "in_flight", std::to_string(m_driver.inFlight()) } });
+        m_stop.begin();
         updateReadiness();
-        m_driver.declineDelegations();
-        m_driver.setEnd(m_stopStartedAt + m_settings.gateway.stopLimit - finishBeforeLimit);
-        m_callerServer.closeAfterResponses();
-        checkStop();
     }
 
 private:
@@ -242,10 +227,17 @@
 
     void logState(std::string_view event, std::initializer_list<LineField> fields) { m_log.write(LineImportance::State, m_clock->now(), event, fields); }
 
+    void followStates()
+    {
+        m_states.follow(FollowedObjects::Configuration, m_settings.gateway.configurationLimit);
+        m_states.follow(FollowedObjects::Servers, m_settings.gateway.serversLimit);
+        m_states.follow(FollowedObjects::ZoneDrains, m_settings.gateway.zoneDrainLimit);
+    }
+
     void updateReadiness()
     {
         const bool canAdmitKeys = m_keyAdmission.update(m_driver.routes().get());
-        const bool isReady = m_driver.routes() && m_servers.mayGetWork() && canAdmitKeys && m_ports.areRequiredOpen() && !m_isStopping;
+        const bool isReady = m_driver.routes() && m_servers.mayGetWork() && canAdmitKeys && m_ports.areRequiredOpen() && !m_stop.isBegun();
         if (m_isReady.exchange(isReady) != isReady)
             logState(isReady ? "ready" : "not ready", {});
     }
@@ -257,6 +249,7 @@
         m_driver.closeStaleConnections();
         m_delegation.shareCrashes(m_driver.crashAnnouncements());
         m_servers.review();
+        m_states.review();
         updateReadiness();
         logEvictions();
         const auto untilReview = m_servers.nextReview() == never ? housekeepingPeriod : Duration(m_servers.nextReview() - m_clock->now());
@@ -294,41 +287,7 @@
         });
     }
 
-    /// Goes on serving for the balancer's lag, then stops once no request is in flight or the stop limit is near.
-    void checkStop()
-    {
-        // Scheduled first, so that an exception does not end the checks.
-        m_drainTimer.expires_after(drainCheckPeriod);
-        m_drainTimer.async_wait([this](const boost::system::error_code& ec) {
-            if (!ec)
-                checkStop();
-        });
-        const auto now = m_clock->now();
-        const auto since = now - m_stopStartedAt;
-        const bool isLast = since >= m_settings.gateway.stopLimit - finishBeforeLimit;
-        if (isLast)
-            m_driver.finishAll();
-        if (m_driver.inFlight() > 0)
-            m_idleSince = never;
-        else if (m_idleSince == never)
-            m_idleSince = now;
-        const bool isIdle = m_idleSince != never && now - m_idleSince >= answerFlushTime;
-        if (m_isClosing && isIdle)
-            return stop();
-        if (!m_isClosing && (isLast || (since >= m_settings.drain.balancerLag && isIdle)))
-            stopAcceptingCallers();
-    }
-
-    /// Closes idle connections and accepts no new ones. Requests read by then are still answered.
-    void stopAcceptingCallers()
-    {
-        m_isClosing = true;
-        m_idleSince = never;
-        m_callerServer.stopListening();
-        m_callerServer.beginDrain();
-    }
-
-    void stop()
+    void endRun()
     {
         logState("stopped", { { "in_flight", std::to_string(m_driver.inFlight()) } });
         m_io.stop();
@@ -365,6 +324,7 @@
     QuarantineStore* m_quarantineStore = nullptr;
     Endpoint m_inner;
     KnownServers m_servers;
+    FollowedStates m_states;
     HandlerLoop m_loop;
     PortOpener m_ports;
     ComputedResponse m_readiness;
@@ -372,16 +332,13 @@
     std::shared_ptr<HttpServerCounters> m_callerCounters = std::make_shared<HttpServerCounters>();
     std::shared_ptr<HttpServerCounters> m_probeCounters = std::make_shared<HttpServerCounters>();
     HttpServer m_callerServer;
+    KnownConfiguration m_configuration;
     HttpServer m_readinessServer;
     HttpServer m_metricsServer;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_housekeeping;
-    boost::asio::steady_timer m_drainTimer;
+    PlannedStop m_stop;
     std::atomic<bool> m_isReady { false };
-    bool m_isStopping = false;
-    bool m_isClosing = false; ///< New connections are not accepted any more.
-    TimePoint m_stopStartedAt {};
-    TimePoint m_idleSince = never; ///< While stopping: start of the current time without requests in flight; `never` while one is in flight.
 };
 
 Gateway::Gateway(const Settings& settings, GatewayProtocols protocols)
@@ -406,14 +363,19 @@
     m_impl->onConfigurationConfirmed(sentAt);
 }
 
+void Gateway::onStateProof(FollowedObjects objects, const StateProof& proof)
+{
+    m_impl->onStateProof(objects, proof);
+}
+
 void Gateway::onServers(const ServerChanges& changes)
 {
     m_impl->onServers(changes);
 }
 
-void Gateway::onDrainedZones(const std::set<ZoneName>& zones)
+void Gateway::onDrainedZones(const std::set<ZoneName>& zones, bool isNewEpoch)
 {
-    m_impl->onDrainedZones(zones);
+    m_impl->onDrainedZones(zones, isNewEpoch);
 }
 
 void Gateway::onStoreReachable(bool isReachable)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,8 +3,10 @@
 #include "base/error.h"
 #include "gateway/caller_protocol.h"
 #include "gateway/change_origin.h"
+#include "gateway/followed_objects.h"
 #include "gateway/server_changes.h"
 #include "gateway/server_protocol.h"
+#include "gateway/state_proof.h"
 #include "membership/view.h"
 #include "observe/metrics.h"
 #include "query/crash_news.h"
@@ -78,10 +80,12 @@
     /// Records that the configuration in force was the latest one when a call to the store was sent at that time, on the BootClock; the
     /// epoch is no proof. See AdmissionSettings::revocationLimit.
     void onConfigurationConfirmed(TimePoint sentAt);
+    /// Records up to when and to which revision all changes of these objects are known. Called after the changes themselves.
+    void onStateProof(FollowedObjects, const StateProof&);
     void onServers(const ServerChanges&);
     /// Replaces the zones whose servers get no new work. While the settings follow drains, no server gets work before the first
-    /// call, for no longer than their limit.
-    void onDrainedZones(const std::set<ZoneName>&);
+    /// call, for no longer than their limit. isNewEpoch: see ServerChanges.
+    void onDrainedZones(const std::set<ZoneName>&, bool isNewEpoch = false);
     /// Whether the last call to the platform's store succeeded.
     void onStoreReachable(bool isReachable);
     /// Sets the receiver of other instances' news. Preconditions: called before run(); the follower outlives run().
--- a/src/platform/object_store.h
+++ b/src/platform/object_store.h
@@ -21,6 +21,7 @@
     bool isFullList = false; ///< True for a list: an object missing from it has been removed. Set by WatchEngine.
     bool isNewEpoch = false; ///< True for the first list of a later epoch of the store than the one known before. Set by WatchEngine.
     InstanceName announcedBy {}; ///< The instance that announced the batch; empty: this instance read it from the store.
+    TimePoint provenAt {}; ///< Latest time for which all changes are known to have been seen. Set by WatchEngine.
     TimePoint confirmedAt {}; ///< Sending time of the latest call whose response shows that nothing later than this batch existed when the call was sent; the epoch when there was none. Set by WatchEngine.
 };
 
--- a/src/platform/watch_engine.cpp
+++ b/src/platform/watch_engine.cpp
@@ -385,6 +385,7 @@
 
 void WatchEngine::deliver(WatchBatch batch, WatchActions& actions) const
 {
+    batch.provenAt = m_provenAt;
     batch.confirmedAt = m_confirmedAt;
     actions.emplace_back(DeliverBatch { std::move(batch) });
 }
