--- a/tests/cli/fake_access.h
+++ b/tests/cli/fake_access.h
@@ -30,7 +30,7 @@
     WatchBatch list(const std::string& prefix) override
     {
         const auto response = m_store.list(prefix, m_now);
-        return { standin::toStoreStatus(response), response.revision, response.objects };
+        return { standin::toStoreStatus(response), StoreRevision { 0, response.revision }, response.objects };
     }
     std::optional<std::vector<Instance>> instances() override { return listed; }
     std::optional<HttpResponse> call(const Instance& instance, const HttpRequest& request) override
