--- a/src/wire/convert_from.cpp
+++ b/src/wire/convert_from.cpp
@@ -53,10 +53,13 @@
         return m_sent.earliest ? *m_sent.earliest - age : TimePoint {};
     }
 
-    /// Converts a time on the sender's clock; the epoch stands for no time, and for any time if it is not known when the frame was sent.
-    TimePoint senderTime(std::int64_t micros) const
+    /// Converts a time on the sender's clock that was past when the frame was sent; the epoch stands for no time, and for any time if it is
+    /// not known when the frame was sent.
+    TimePoint senderTime(std::int64_t micros, const char* field)
     {
-        const bool isKnown = micros != 0 && m_sent.earliest;
+        if (micros < 0)
+            fail(field);
+        const bool isKnown = micros > 0 && micros <= m_sentAtMicros && m_sent.earliest;
         return isKnown ? std::min(m_sent.latest, *m_sent.earliest + Duration(micros - m_sentAtMicros)) : TimePoint {};
     }
 
@@ -254,7 +257,7 @@
     for (auto& it : in.changed)
         out.changed.push_back({ reader.name(it.key, "key"), ObjectVersion { Reader::number(it.version) }, std::move(it.value) });
     out.removed = std::move(in.removed);
-    out.confirmedAt = reader.senderTime(in.confirmedAtMicros);
+    out.confirmedAt = reader.senderTime(in.confirmedAtMicros, "confirmedAtMicros");
     out.fromEpoch = Reader::number(in.fromEpoch);
     out.epoch = Reader::number(in.epoch);
     return out;
--- a/src/wire/frame_codec.cpp
+++ b/src/wire/frame_codec.cpp
@@ -63,19 +63,24 @@
     return envelope;
 }
 
-TimePoint timeOf(std::int64_t micros)
+/// Returns the time of a clock; empty if no clock can show it.
+std::optional<TimePoint> timeOf(std::int64_t micros, const FrameLimits& limits)
 {
-    return TimePoint(Duration(micros));
+    return micros >= 0 && micros <= limits.maxClock.count() ? std::optional(TimePoint(Duration(micros))) : std::nullopt;
 }
 
-std::optional<FrameTimes> timesOf(const wire::Envelope& envelope)
+/// Returns the times that the frame carries; none if its sending time is missing or can't be one.
+std::optional<FrameTimes> timesOf(const wire::Envelope& envelope, const FrameLimits& limits)
 {
     const auto& set = envelope.__isset;
-    if (!set.sentAtMicros)
+    const auto sentAt = set.sentAtMicros ? timeOf(envelope.sentAtMicros, limits) : std::nullopt;
+    if (!sentAt)
         return std::nullopt;
-    FrameTimes times { timeOf(envelope.sentAtMicros) };
-    if (set.echoSentAtMicros && set.echoReadAtMicros)
-        times.echo = { timeOf(envelope.echoSentAtMicros), timeOf(envelope.echoReadAtMicros) };
+    FrameTimes times { *sentAt };
+    const auto echoSentAt = set.echoSentAtMicros ? timeOf(envelope.echoSentAtMicros, limits) : std::nullopt;
+    const auto echoReadAt = set.echoReadAtMicros ? timeOf(envelope.echoReadAtMicros, limits) : std::nullopt;
+    if (echoSentAt && echoReadAt)
+        times.echo = { *echoSentAt, *echoReadAt };
     return times;
 }
 
@@ -119,7 +124,7 @@
     auto envelope = decodeEnvelope(payload, limits);
     if (!envelope)
         return envelope.error();
-    return wire::fromEnvelope(envelope.value(), clock.onFrame(timesOf(envelope.value()), now), limits);
+    return wire::fromEnvelope(envelope.value(), clock.onFrame(timesOf(envelope.value(), limits), now), limits);
 }
 
 Result<PeerMessage> decodeFrame(std::string_view payload, TimePoint now, const FrameLimits& limits)
--- a/src/wire/frame_codec.h
+++ b/src/wire/frame_codec.h
@@ -18,6 +18,7 @@
     std::uint32_t maxFrameBytes = 16U * 1024 * 1024;
     std::uint32_t maxListItems = 8192; ///< Elements in one list of a message, such as legs, results, digests or lines.
     Duration maxBudget = std::chrono::hours(1); ///< Longest duration in a message, such as the time left until a deadline.
+    Duration maxClock = std::chrono::years(100); ///< Latest time on a peer's clock, counted from the start of its machine.
 
     friend bool operator==(const FrameLimits&, const FrameLimits&) = default;
 };
--- a/src/wire/frame_session.cpp
+++ b/src/wire/frame_session.cpp
@@ -170,10 +170,12 @@
         return false;
     }
     if (!isHello) {
+        if (processClockMessage(message.value()))
+            return !m_closed;
         if (m_peerClock.needsProbe(now))
             queue(ClockCall { now });
-        if (m_closed || processClockMessage(message.value()))
-            return !m_closed;
+        if (m_closed)
+            return false;
         m_events->onMessage(*this, std::move(message.value()));
         return !m_closed;
     }
--- a/tests/wire/frame_codec_test.cpp
+++ b/tests/wire/frame_codec_test.cpp
@@ -6,6 +6,9 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <cstdint>
+#include <limits>
+
 using namespace lycheefield;
 using namespace std::chrono_literals;
 
@@ -201,6 +204,54 @@
     }
 }
 
+TEST_CASE("The decoder takes no time that no clock can show")
+{
+    wire::Envelope envelope;
+    envelope.protocolVersion = innerProtocolVersion;
+    wire::StoreNews news;
+    news.prefix = "config/";
+    news.ageMicros = 5;
+    news.__set_confirmedAtMicros(7);
+    envelope.__set_storeNews(news);
+    PeerClock clock;
+    clock.timesFor(receivedAt - 1s);
+    const auto decoded = [&] { return std::get<StoreNews>(decodeFrame(encodeEnvelope(envelope), clock, receivedAt).value()); };
+
+    SUBCASE("A frame of an earlier release has no sending time: its times tell nothing")
+    {
+        CHECK(decoded().confirmedAt == TimePoint {});
+        CHECK(decoded().currentAsOf == TimePoint {});
+    }
+    SUBCASE("A sending time out of range counts as none")
+    {
+        for (const auto micros : { std::numeric_limits<std::int64_t>::min(), std::int64_t(-1), std::numeric_limits<std::int64_t>::max() }) {
+            CAPTURE(micros);
+            envelope.__set_sentAtMicros(micros);
+            envelope.__set_echoSentAtMicros(1);
+            envelope.__set_echoReadAtMicros(1);
+            CHECK(decoded().currentAsOf == TimePoint {});
+        }
+    }
+    SUBCASE("An echo out of range counts as none")
+    {
+        envelope.__set_sentAtMicros(100);
+        envelope.__set_echoSentAtMicros(std::numeric_limits<std::int64_t>::min());
+        envelope.__set_echoReadAtMicros(std::numeric_limits<std::int64_t>::max());
+        CHECK(decoded().currentAsOf == TimePoint {});
+    }
+    SUBCASE("A confirmation after the sending of its frame counts as none, one before the machine's start is rejected")
+    {
+        envelope.__set_sentAtMicros(100);
+        envelope.__set_echoSentAtMicros((receivedAt - 1s).time_since_epoch().count());
+        envelope.__set_echoReadAtMicros(50);
+        CHECK(decoded().confirmedAt > receivedAt - 2s);
+        envelope.storeNews.__set_confirmedAtMicros(101);
+        CHECK(decoded().confirmedAt == TimePoint {});
+        envelope.storeNews.__set_confirmedAtMicros(-1);
+        CHECK((decodeFrame(encodeEnvelope(envelope), clock, receivedAt).error().kind == ErrorKind::InvalidInput));
+    }
+}
+
 TEST_CASE("The decoder tolerates frames of a newer release with the same protocol version")
 {
     SUBCASE("An unknown field in a frame is skipped")
