--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -253,7 +253,9 @@
         body.fromRevision = toSigned(news.fromRevision);
         body.revision = toSigned(news.revision);
         // A receiver refuses frames with longer times; no state is current that long.
-        body.ageMicros = std::clamp<std::int64_t>((now - news.currentAsOf).count(), 0, FrameLimits().maxBudget.count());
+        const auto maxAge = FrameLimits().maxBudget;
+        const auto age = news.currentAsOf == TimePoint {} ? maxAge : Duration(now - news.currentAsOf);
+        body.ageMicros = std::clamp(age, Duration {}, maxAge).count();
         std::vector<StoreObject> changed(news.changed.size());
         for (std::size_t i = 0; i < changed.size(); ++i) {
             changed[i].key = news.changed[i].key;
--- a/src/wire/convert_from.cpp
+++ b/src/wire/convert_from.cpp
@@ -5,8 +5,6 @@
 
 #include <algorithm>
 
-#include <algorithm>
-
 namespace lycheefield::wire {
 
 namespace {
--- a/src/wire/peer_clock.cpp
+++ b/src/wire/peer_clock.cpp
@@ -17,8 +17,9 @@
         return { std::nullopt, now, now };
     if (times->echo)
         learn(*times->echo, times->sentAt, now);
+    correct(times->sentAt, now);
     m_latestRead = { times->sentAt, now };
-    const auto assumed = m_offset ? std::min(now, times->sentAt + *m_offset) : now;
+    const auto assumed = m_offset ? std::min(now, times->sentAt + *m_offset + drift(now)) : now;
     return { toOwn(times->sentAt, now), now, assumed };
 }
 
@@ -35,9 +36,24 @@
     m_learnedAt = echo.sentAt;
 }
 
+void PeerClock::correct(TimePoint theirs, TimePoint now)
+{
+    // Such as when this machine's clock stood still.
+    const bool isRefuted = m_offset && theirs + *m_offset - drift(now) > now;
+    if (!isRefuted)
+        return;
+    m_offset = now - theirs;
+    m_learnedAt = now;
+}
+
+Duration PeerClock::drift(TimePoint now) const
+{
+    return scaled(now - m_learnedAt, maxDrift);
+}
+
 std::optional<Duration> PeerClock::offset(TimePoint now) const
 {
-    return m_offset ? std::optional(*m_offset - scaled(now - m_learnedAt, maxDrift)) : std::nullopt;
+    return m_offset ? std::optional(*m_offset - drift(now)) : std::nullopt;
 }
 
 std::optional<TimePoint> PeerClock::toOwn(TimePoint theirs, TimePoint now) const
@@ -49,10 +65,9 @@
 FrameTimes PeerClock::timesFor(TimePoint now)
 {
     m_writtenAt = now;
-    if (!m_latestRead || (m_hasEchoed && now - m_echoedAt < echoPeriod))
+    if (!m_latestRead || (m_echoed && m_latestRead->readAt - m_echoed->readAt < echoPeriod))
         return { now };
-    m_hasEchoed = true;
-    m_echoedAt = now;
+    m_echoed = m_latestRead;
     return { now, m_latestRead };
 }
 
--- a/src/wire/peer_clock.h
+++ b/src/wire/peer_clock.h
@@ -31,7 +31,7 @@
 
     std::optional<TimePoint> earliest {}; ///< However the clocks may have drifted apart. Empty while the sender's clock is unknown.
     TimePoint latest {}; ///< When the frame was read.
-    TimePoint assumed {}; ///< Between the two: as if the clocks had not drifted apart.
+    TimePoint assumed {}; ///< No earlier than the frame was sent if the frames of the clocks' bound took no time, however the clocks may have drifted apart.
 
     /// Returns the time from which a time limit in the frame counts.
     TimePoint startOfLimits() const { return std::min(latest, assumed + deadlineTolerance); }
@@ -62,12 +62,16 @@
     static constexpr Duration looseProbePeriod = std::chrono::seconds(1);
     /// A bound is loose if both frames of its echo together were on the way for longer than this.
     static constexpr Duration looseTransit = std::chrono::milliseconds(100);
-    /// The shortest time between two echoes to the peer.
+    /// The shortest time between the reading of two frames that are echoed.
     static constexpr Duration echoPeriod = std::chrono::seconds(1);
 
 private:
     /// Returns the lower bound of what is to be added to the peer's times.
     std::optional<Duration> offset(TimePoint now) const;
+    /// Returns by how much the clocks may have drifted apart since the offset was learned.
+    Duration drift(TimePoint now) const;
+    /// Lowers an offset by which a frame that was read now would have been sent later than now.
+    void correct(TimePoint theirs, TimePoint now);
     void learn(const FrameEcho&, TimePoint theirs, TimePoint now);
 
     std::optional<Duration> m_offset; ///< As of m_learnedAt.
@@ -75,8 +79,7 @@
     Duration m_transit {}; ///< Of the latest echo and the frame that it echoes, together.
     std::optional<FrameEcho> m_latestRead;
     TimePoint m_writtenAt {}; ///< When the last frame was written.
-    TimePoint m_echoedAt {}; ///< When an echo was last written.
-    bool m_hasEchoed = false;
+    std::optional<FrameEcho> m_echoed; ///< The last echo that was written.
 };
 
 }
--- a/tests/wire/peer_link_test.cpp
+++ b/tests/wire/peer_link_test.cpp
@@ -144,6 +144,42 @@
     }
 }
 
+TEST_CASE_FIXTURE(PeersFixture, "A message counts from when it was written, however late it is read")
+{
+    const auto latestNews = [&] { return std::get<StoreNews>(b.handler.messages.back().second); };
+    const auto sendNews = [&](Duration onTheWay) {
+        const auto n = b.handler.messages.size();
+        const auto written = a.counters->framesOut.load();
+        a.network.send(b.hello.instance, StoreNews { "config/", 1, 1, {}, {}, clock->now() });
+        while (a.counters->framesOut == written)
+            io.run_one();
+        clock->advance(onTheWay);
+        runUntil(io, [&] { return b.handler.messages.size() == n + 1; });
+        io.poll();
+    };
+    checkRoundTrip();
+    sendNews(0s);
+    CHECK(latestNews().currentAsOf <= clock->now());
+    CHECK(latestNews().currentAsOf > clock->now() - 1ms);
+
+    SUBCASE("once")
+    {
+        sendNews(6s);
+        CHECK(latestNews().currentAsOf <= clock->now() - 6s);
+    }
+    SUBCASE("in a stream that goes one way only, whose reader asks for the clock")
+    {
+        const auto framesOfReader = b.counters->framesOut.load();
+        for (int i = 0; i < 60; ++i) {
+            sendNews(0s);
+            CHECK(latestNews().currentAsOf > clock->now() - 25ms);
+            clock->advance(1s);
+        }
+        runUntil(io, [&] { return b.counters->framesOut >= framesOfReader + 5; });
+        CHECK(b.counters->framesOut <= framesOfReader + 6);
+    }
+}
+
 TEST_CASE_FIXTURE(PeersFixture, "An instance with another name at the peer's address receives no message")
 {
     Instance wrong = b.instance();
