--- a/tests/support/fault_link.cpp
+++ b/tests/support/fault_link.cpp
@@ -184,6 +184,8 @@
         return lane.pieces.empty() ? due : std::max(due, lane.pieces.back().due);
     }
 
+    const Endpoint& target() const { return m_target; }
+
     void stop()
     {
         boost::system::error_code ec;
@@ -251,6 +253,11 @@
     return m_impl->own;
 }
 
+const Endpoint& FaultLink::target() const
+{
+    return m_impl->target();
+}
+
 void FaultLink::setFaults(const LinkFaults& faults)
 {
     m_impl->faults = faults;
--- a/tests/support/fault_link.h
+++ b/tests/support/fault_link.h
@@ -27,6 +27,7 @@
 
     /// The endpoint to connect to in place of the target.
     const Endpoint& endpoint() const;
+    const Endpoint& target() const;
     void setFaults(const LinkFaults&);
     /// Resets every open connection.
     void reset();
