--- a/src/base/stored_object.h
+++ b/src/base/stored_object.h
@@ -16,6 +16,7 @@
     ObjectVersion version;
     std::string value;
     std::int64_t respondedAt = 0; ///< Seconds since the Unix epoch by the store's clock; 0 when the response has no time. Ignored by operator==.
+    std::uint64_t epoch = 0; ///< Of the store that responded to the read or write; 0 when it named none. Ignored by operator==.
 
     friend bool operator==(const StoredObject& a, const StoredObject& b) { return a.key == b.key && a.version == b.version && a.value == b.value; }
 };
--- a/tests/adapter/published_store_test.cpp
+++ b/tests/adapter/published_store_test.cpp
@@ -1,11 +1,15 @@
 #include "published_store.h"
 
+#include "wire_names.h"
+
 #include "platform/store_watcher.h"
 #include "standin/published_store.h"
 
 #include <doctest/doctest.h>
 
+#include <map>
 #include <optional>
+#include <utility>
 
 namespace lycheefield {
 
@@ -25,6 +29,7 @@
         settings.callTimeout = 5s;
         settings.connectTimeout = 5s;
         settings.watchTimeout = 20ms;
+        settings.epochHeader = wire::storeEpoch;
         store = std::make_shared<PublishedStore>(std::make_shared<PlatformClient>(io.get_executor(), settings), metrics);
     }
 
@@ -66,6 +71,44 @@
     CHECK(fixture.metrics.counter(R"(lycheefield_store_calls_total{objects="servers",call="list"})").value() == 3);
 }
 
+TEST_CASE("A list whose pages are of different epochs of the store fails" * doctest::test_suite("adapter"))
+{
+    StoreFixture fixture;
+    for (const auto* it : { "a", "b", "c" })
+        fixture.server.put("servers", it, "{}");
+    std::optional<WatchBatch> batch;
+    fixture.store->list("servers/", [&](WatchBatch it) { batch = std::move(it); });
+    fixture.runUntil([&] { return fixture.server.calls() == 1; });
+    fixture.server.setNamesEpoch(false);
+    fixture.runUntil([&] { return batch.has_value(); });
+    CHECK(batch->status == StoreStatus::Lost);
+    CHECK(batch->changed.empty());
+}
+
+TEST_CASE("Reads and writes tell the store's epoch with the object" * doctest::test_suite("adapter"))
+{
+    StoreFixture fixture;
+    std::optional<StoredObject> object;
+    const auto handler = [&](StoreStatus, const StoredObject& it) { object = it; };
+    const auto epochOf = [&] {
+        fixture.runUntil([&] { return object.has_value(); });
+        return std::exchange(object, {})->epoch;
+    };
+    fixture.store->write("gateways/g1", {}, "{}", handler);
+    CHECK(epochOf() == 1);
+    fixture.store->write("gateways/g1", {}, "{}", handler);
+    CHECK(epochOf() == 1);
+    fixture.server.saveCopy();
+    fixture.server.restoreCopy();
+    fixture.store->read("gateways/g1", handler);
+    CHECK(epochOf() == 2);
+    fixture.store->read("gateways/none", handler);
+    CHECK(epochOf() == 2);
+    fixture.server.setNamesEpoch(false);
+    fixture.store->read("gateways/g1", handler);
+    CHECK(epochOf() == 0);
+}
+
 TEST_CASE("One odd entry of another writer hides neither the list nor the changes of the others" * doctest::test_suite("adapter"))
 {
     const auto nested = std::string(200, '[') + std::string(200, ']');
@@ -172,4 +215,46 @@
     watcher->stop();
 }
 
+TEST_CASE("A StoreWatcher follows the store when it comes back from an older copy" * doctest::test_suite("adapter"))
+{
+    for (const int lostChanges : { 2, 20 }) {
+        for (const bool namesEpoch : { true, false }) {
+            CAPTURE(lostChanges);
+            CAPTURE(namesEpoch);
+            // Of a store that names no epochs nothing tells that revisions are given out again.
+            if (!namesEpoch && lostChanges == 2)
+                continue;
+            StoreFixture fixture;
+            fixture.server.setFaults({ .pageSize = 100 });
+            fixture.server.setNamesEpoch(namesEpoch);
+            fixture.server.put("servers", "kept", "{}");
+            fixture.server.saveCopy();
+            for (int i = 0; i < lostChanges; ++i)
+                fixture.server.put("servers", "lost", std::to_string(i));
+            std::map<std::string, std::string> known;
+            int newEpochs = 0;
+            auto watcher = std::make_shared<StoreWatcher>(
+                fixture.io.get_executor(), fixture.store, "servers/", [&](const WatchBatch& batch) {
+                    newEpochs += batch.isNewEpoch ? 1 : 0;
+                    if (batch.isFullList)
+                        known.clear();
+                    for (const auto& it : batch.changed)
+                        known[it.key] = it.value;
+                },
+                Backoff(1ms, 2ms, std::make_unique<SeededRandom>(7)));
+            watcher->start();
+            fixture.runUntil([&] { return known.size() == 2; });
+
+            fixture.server.restoreCopy();
+            for (const auto* it : { "changed", "changed again" })
+                fixture.server.put("servers", "new", "\"" + std::string(it) + "\"");
+            const auto calls = fixture.server.calls();
+            fixture.runUntil([&] { return known.contains("servers/new") || fixture.server.calls() > calls + 100; });
+            CHECK(known == std::map<std::string, std::string> { { "servers/kept", "{}" }, { "servers/new", "\"changed again\"" } });
+            CHECK(newEpochs == 1);
+            watcher->stop();
+        }
+    }
+}
+
 }
