--- a/src/platform/object_store.h
+++ b/src/platform/object_store.h
@@ -18,9 +18,11 @@
     StoreRevision revision {}; ///< Of a failed call: its epoch alone, 0 when the response names none.
     std::vector<StoredObject> changed {};
     std::vector<std::string> removed {}; ///< Keys of removed objects; only from a watch.
+    std::uint64_t mixedUpTo = 0; ///< Of a list that was read in parts while the store changed: the number up to which it may hold changes after its revision; 0: none.
     bool isFullList = false; ///< True for a list: an object missing from it has been removed. Set by WatchEngine.
     bool isNewEpoch = false; ///< True for the first list of a later epoch of the store than the one known before. Set by WatchEngine.
     InstanceName announcedBy {}; ///< The instance that announced the batch; empty: this instance read it from the store.
+    TimePoint provenAt {}; ///< Latest time for which all changes are known to have been seen. Set by WatchEngine.
     TimePoint confirmedAt {}; ///< Sending time of the latest call whose response shows that nothing later than this batch existed when the call was sent; the epoch when there was none. Set by WatchEngine.
 };
 
--- a/src/platform/watch_engine.cpp
+++ b/src/platform/watch_engine.cpp
@@ -73,7 +73,7 @@
 {
     WatchBatch known;
     known.status = StoreStatus::Ok;
-    if (!m_isListed || m_mustList)
+    if (!m_isListed || m_mustList || !isExact())
         return known;
     known.revision = m_revision;
     known.confirmedAt = m_confirmedAt;
@@ -198,6 +198,7 @@
         return deliver(batchWithoutChanges(response), actions);
     }
     const auto from = m_revision;
+    const bool canAnnounce = from.number > 0 && (!isOtherEpoch || isExact());
     auto changes = changesTo(response);
     adopt(response, isOtherEpoch, actions);
     m_provenAt = std::max(m_provenAt, provenByNoChange(now));
@@ -207,7 +208,7 @@
     list.isFullList = true;
     list.isNewEpoch = isOtherEpoch && from.number > 0;
     deliver(std::move(list), actions);
-    if (from.number > 0)
+    if (canAnnounce)
         actions.emplace_back(AnnounceBatch { std::move(changes), from, m_provenAt });
 }
 
@@ -288,13 +289,14 @@
 void WatchEngine::crossEpoch(const WatchBatch& batch, StoreRevision from, TimePoint currentAsOf, TimePoint now, WatchActions& actions)
 {
     // The state at one revision is the same everywhere. At any other one, changes that the store has lost would stay.
-    if (from != m_revision) {
+    if (from != m_revision || !isExact()) {
         const bool wentBackToo = batch.revision.epoch == m_revision.epoch && batch.revision >= m_revision;
         return wentBackToo ? markBehind(now + m_schedule.gapPause, now) : distrustAfterGap(batch.revision.epoch, now);
     }
     logNewEpoch(batch, actions);
     forgetProofs();
     apply(batch);
+    m_mixedUpTo = 0;
     m_mustList = false;
     takeProof(batch, currentAsOf);
     auto list = batch;
@@ -368,6 +370,7 @@
     if (isOtherEpoch)
         forgetProofs();
     m_objects.clear();
+    m_mixedUpTo = list.mixedUpTo;
     m_isListed = true;
     m_mustList = false;
     apply(list);
@@ -385,6 +388,7 @@
 
 void WatchEngine::deliver(WatchBatch batch, WatchActions& actions) const
 {
+    batch.provenAt = m_provenAt;
     batch.confirmedAt = m_confirmedAt;
     actions.emplace_back(DeliverBatch { std::move(batch) });
 }
--- a/src/platform/watch_engine.h
+++ b/src/platform/watch_engine.h
@@ -39,7 +39,7 @@
     TimePoint nextWake() const;
 
     /// Returns all objects that are known, as a list; a batch of revision 0 when none was listed yet, or when the store is known to have
-    /// a later epoch or to have dropped the history since.
+    /// a later epoch or to have dropped the history since, or when the list was read while the store changed.
     WatchBatch state() const;
     /// Returns the latest time for which all changes are known to have been seen; the epoch when there is none.
     TimePoint provenAt() const { return m_provenAt; }
@@ -92,6 +92,8 @@
     void distrustState(std::uint64_t latestEpoch);
     /// The same, with a pause before the list, so that not all instances list at once.
     void distrustAfterGap(std::uint64_t latestEpoch, TimePoint now);
+    /// Whether the known objects are those of m_revision.
+    bool isExact() const { return m_revision.number >= m_mixedUpTo; }
     /// Replaces the known state, whatever its revision is.
     void adopt(const WatchBatch& list, bool isOtherEpoch, WatchActions&);
     /// Applies changes that follow on the known state.
@@ -120,6 +122,7 @@
     bool m_isBehind = false; ///< The store may hold changes not seen yet: a response may be truncated, or an announcement was missed.
     std::uint64_t m_latestEpoch = 0; ///< The latest one that a usable response or an announcement named.
     StoreRevision m_revision;
+    std::uint64_t m_mixedUpTo = 0; ///< The objects may hold changes up to this number although m_revision is lower.
     std::map<std::string, StoredObject> m_objects; ///< The objects that exist as of m_revision, by key.
     TimePoint m_provenAt {}; ///< Latest time for which all changes are known to have been seen.
     TimePoint m_confirmedAt {}; ///< Unlike m_provenAt it never includes time that a call waited: it is when a call was sent.
--- a/tests/adapter/published_store_test.cpp
+++ b/tests/adapter/published_store_test.cpp
@@ -85,6 +85,30 @@
     CHECK(batch->changed.empty());
 }
 
+TEST_CASE("A list that is read while the store changes tells up to which revision it may hold changes" * doctest::test_suite("adapter"))
+{
+    StoreFixture fixture;
+    for (const auto* it : { "a", "b", "c" })
+        fixture.server.put("servers", it, "{}");
+    const auto before = fixture.server.revision();
+    std::optional<WatchBatch> batch;
+    fixture.store->list("servers/", [&](WatchBatch it) { batch = std::move(it); });
+    SUBCASE("with a change between two pages")
+    {
+        fixture.runUntil([&] { return fixture.server.calls() == 1; });
+        fixture.server.put("servers", "d", "{}");
+        fixture.runUntil([&] { return batch.has_value(); });
+        CHECK(batch->revision.number == before);
+        CHECK(batch->mixedUpTo == before + 1);
+    }
+    SUBCASE("without one")
+    {
+        fixture.runUntil([&] { return batch.has_value(); });
+        CHECK(batch->revision.number == before);
+        CHECK(batch->mixedUpTo == 0);
+    }
+}
+
 TEST_CASE("Reads and writes tell the store's epoch with the object" * doctest::test_suite("adapter"))
 {
     StoreFixture fixture;
--- a/tests/platform/watch_engine_test.cpp
+++ b/tests/platform/watch_engine_test.cpp
@@ -302,6 +302,37 @@
     }
 }
 
+TEST_CASE("A list whose pages were read while the store changed is not the state at one revision, until a watch has read on")
+{
+    auto mixed = batchOf({ 4, 500 }, oldObjects);
+    mixed.mixedUpTo = 503;
+    EngineRun run(quiet, mixed);
+    const auto difference = batchOf(newRevision, { object("d", 280) }, { "servers/c" });
+    CHECK(run.engine.state().revision == StoreRevision {});
+
+    SUBCASE("A difference to a later epoch from that revision is not applied")
+    {
+        run.announce(difference, { 4, 500 }, run.now);
+        CHECK(run.delivered.size() == 1);
+        run.advance(1s);
+        REQUIRE(run.isListing);
+
+        SUBCASE("and none is announced")
+        {
+            run.respond(batchOf(newRevision, { object("d", 280) }));
+            CHECK(run.known() == std::vector<std::string> { "servers/d" });
+            CHECK(run.announced.empty());
+        }
+    }
+    SUBCASE("A difference from a revision that holds all of the list is applied")
+    {
+        run.announce(batchOf({ 4, 503 }, { object("x", 503) }), { 4, 499 }, run.now);
+        CHECK(run.known().size() == 4);
+        run.announce(difference, { 4, 503 }, run.now);
+        CHECK(run.known() == std::vector<std::string> { "servers/a", "servers/b", "servers/d", "servers/x" });
+    }
+}
+
 TEST_CASE("An announcement whose age is unknown gives its changes and no proof")
 {
     EngineRun run(quiet, batchOf(oldRevision, oldObjects));
