--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -250,8 +250,8 @@
     {
         StoreNews body;
         body.prefix = news.prefix;
-        body.fromRevision = toSigned(news.fromRevision);
-        body.revision = toSigned(news.revision);
+        body.fromRevision = toSigned(news.from.number);
+        body.revision = toSigned(news.revision.number);
         // A receiver refuses frames with longer times; no state is current that long.
         body.ageMicros = std::clamp<std::int64_t>((now - news.currentAsOf).count(), 0, FrameLimits().maxBudget.count());
         std::vector<StoreObject> changed(news.changed.size());
@@ -266,9 +266,9 @@
             body.__set_removed(news.removed);
         if (news.confirmedAt != TimePoint {})
             body.__set_confirmedAtMicros(news.confirmedAt.time_since_epoch().count());
-        if (news.epoch > 0) {
-            body.__set_fromEpoch(toSigned(news.fromEpoch));
-            body.__set_epoch(toSigned(news.epoch));
+        if (news.revision.epoch > 0) {
+            body.__set_fromEpoch(toSigned(news.from.epoch));
+            body.__set_epoch(toSigned(news.revision.epoch));
         }
         out.__set_storeNews(body);
     }
--- a/src/wire/convert_from.cpp
+++ b/src/wire/convert_from.cpp
@@ -248,15 +248,13 @@
 {
     lycheefield::StoreNews out;
     out.prefix = reader.name(in.prefix, "prefix");
-    out.fromRevision = Reader::number(in.fromRevision);
-    out.revision = Reader::number(in.revision);
+    out.from = { Reader::number(in.fromEpoch), Reader::number(in.fromRevision) };
+    out.revision = { Reader::number(in.epoch), Reader::number(in.revision) };
     out.currentAsOf = reader.timeBefore(in.ageMicros, "ageMicros");
     for (auto& it : in.changed)
         out.changed.push_back({ reader.name(it.key, "key"), ObjectVersion { Reader::number(it.version) }, std::move(it.value) });
     out.removed = std::move(in.removed);
     out.confirmedAt = reader.senderTime(in.confirmedAtMicros);
-    out.fromEpoch = Reader::number(in.fromEpoch);
-    out.epoch = Reader::number(in.epoch);
     return out;
 }
 
--- a/tests/wire/search_codec_test.cpp
+++ b/tests/wire/search_codec_test.cpp
@@ -101,7 +101,7 @@
     }
     SUBCASE("Store news carry their time as an age")
     {
-        StoreNews news { "servers/", 10, 14, { { "servers/a", ObjectVersion { 12 }, "{}" } }, { "servers/b" }, sentAt - 250ms };
+        StoreNews news { "servers/", { 0, 10 }, { 0, 14 }, { { "servers/a", ObjectVersion { 12 }, "{}" } }, { "servers/b" }, sentAt - 250ms };
         const auto decoded = roundTrip(news);
         REQUIRE(decoded);
         news.currentAsOf = receivedAt - 250ms;
@@ -109,20 +109,20 @@
     }
     SUBCASE("Store news of an instance that has heard nothing yet are as old as its clock, and still read")
     {
-        const auto decoded = roundTrip(StoreNews { "servers/", 0, 0, {}, {}, sentAt - std::chrono::hours(30) });
+        const auto decoded = roundTrip(StoreNews { "servers/", {}, {}, {}, {}, sentAt - std::chrono::hours(30) });
         REQUIRE(decoded);
         CHECK(std::get<StoreNews>(decoded.value()).currentAsOf <= receivedAt - std::chrono::hours(1));
     }
     SUBCASE("Store news carry the time of their confirmation on the sender's clock, and it is read on the receiver's")
     {
-        StoreNews news { "config/", 10, 10, {}, {}, sentAt, sentAt - 1234567us };
+        StoreNews news { "config/", { 0, 10 }, { 0, 10 }, {}, {}, sentAt, sentAt - 1234567us };
         const auto decoded = roundTrip(news);
         REQUIRE(decoded);
         CHECK(std::get<StoreNews>(decoded.value()).confirmedAt == receivedAt - 1234567us);
     }
     SUBCASE("Store news carry the epochs of their revisions")
     {
-        StoreNews news { "config/", 10, 10, {}, {}, sentAt, {}, 3, 4 };
+        StoreNews news { "config/", { 3, 10 }, { 4, 10 }, {}, {}, sentAt };
         const auto decoded = roundTrip(news);
         REQUIRE(decoded);
         news.currentAsOf = receivedAt;
@@ -145,7 +145,7 @@
 
     SUBCASE("the age of a proof")
     {
-        const auto news = std::get<StoreNews>(read(StoreNews { "servers/", 10, 14, {}, {}, sentAt - 250ms, sentAt - 500ms }));
+        const auto news = std::get<StoreNews>(read(StoreNews { "servers/", { 0, 10 }, { 0, 14 }, {}, {}, sentAt - 250ms, sentAt - 500ms }));
         CHECK(news.currentAsOf <= sentAt - 250ms);
         CHECK(news.currentAsOf >= sentAt - 250ms - drift);
         CHECK(news.confirmedAt <= sentAt - 500ms);
@@ -171,8 +171,8 @@
             const auto frame = encodeFrame(message, sentAt);
             return decodeFrame(std::string_view(frame).substr(frameHeaderBytes), unknown, readAt).value();
         };
-        CHECK(std::get<StoreNews>(readUnknown(StoreNews { "servers/", 10, 14, {}, {}, sentAt, sentAt })).currentAsOf == TimePoint {});
-        CHECK(std::get<StoreNews>(readUnknown(StoreNews { "servers/", 10, 14, {}, {}, sentAt, sentAt })).confirmedAt == TimePoint {});
+        CHECK(std::get<StoreNews>(readUnknown(StoreNews { "servers/", { 0, 10 }, { 0, 14 }, {}, {}, sentAt, sentAt })).currentAsOf == TimePoint {});
+        CHECK(std::get<StoreNews>(readUnknown(StoreNews { "servers/", { 0, 10 }, { 0, 14 }, {}, {}, sentAt, sentAt })).confirmedAt == TimePoint {});
         CHECK(std::get<SearchCall>(readUnknown(call())).deadline == readAt + 800ms);
     }
 }
