--- a/src/platform/store_watcher.h
+++ b/src/platform/store_watcher.h
@@ -17,7 +17,7 @@
 /// Follows all objects below a prefix: lists them once, then watches from the revision of the list.
 ///
 /// After an error the watcher continues from the same revision, so no change is skipped, however long the
-/// outage was. When the store has dropped its history, the watcher lists again. Other instances that follow
+/// outage was. When the store has dropped its history, or has come back from an older copy, the watcher lists again. Other instances that follow
 /// the same prefix may announce the changes that they saw; by its schedule the watcher may then call the store only
 /// after a silence, a time in which neither a response nor an announcement proved that the
 /// state of the watcher is current.
