--- a/tests/platform/watch_engine_test.cpp
+++ b/tests/platform/watch_engine_test.cpp
@@ -266,6 +266,29 @@
             CHECK(run.watch->after == newRevision);
         }
     }
+    SUBCASE("what was proven in the earlier epoch does not count for what replaces it")
+    {
+        auto news = batchOf(newRevision, { object("d", 280) });
+        news.confirmedAt = provenBefore - 700ms;
+        SUBCASE("as a state") { run.announce(news, {}, provenBefore - 500ms); }
+        SUBCASE("as a difference") { run.announce(news, oldRevision, provenBefore - 500ms); }
+        CHECK(run.engine.revision() == newRevision);
+        CHECK(run.engine.provenAt() == provenBefore - 500ms);
+        CHECK(run.delivered.back().provenAt == provenBefore - 500ms);
+        CHECK(run.delivered.back().confirmedAt == provenBefore - 700ms);
+    }
+    SUBCASE("one that an instance hears before its first list tells it the epoch that the list must have")
+    {
+        EngineRun starting(quiet);
+        starting.announce(batchOf(newRevision), { 5, 299 }, starting.now);
+        starting.start();
+        starting.respond(batchOf(oldRevision, oldObjects));
+        CHECK(starting.known().empty());
+        starting.advance(1s);
+        starting.respond(batchOf(newRevision, oldObjects));
+        CHECK(starting.known().size() == 3);
+        CHECK_FALSE(starting.delivered.back().isNewEpoch);
+    }
     SUBCASE("a difference from any other revision is not applied: the engine lists after its pause, and its proofs do not count")
     {
         for (const StoreRevision from : { StoreRevision { 4, 499 }, StoreRevision { 4, 501 }, StoreRevision { 5, 299 } }) {
