--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -133,6 +133,8 @@
             m_quarantineStore->keep(news);
     }
 
+    std::vector<CrashNews> crashAnnouncements() const { return m_driver.crashAnnouncements(); }
+
     void announceNews(const StoreNews& news) { m_delegation.announceNews(news); }
     bool requestStoreState(const std::string& prefix) { return m_delegation.requestStoreState(prefix); }
     void sendStoreState(const InstanceName& to, const StoreNews& state) { m_delegation.sendStoreState(to, state); }
@@ -403,6 +405,11 @@
     m_impl->onQuarantines(quarantines);
 }
 
+std::vector<CrashNews> Gateway::crashAnnouncements() const
+{
+    return m_impl->crashAnnouncements();
+}
+
 void Gateway::announceNews(const StoreNews& news)
 {
     m_impl->announceNews(news);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -94,6 +94,8 @@
     void setQuarantineStore(QuarantineStore&);
     /// Applies quarantines that were kept by earlier processes or other instances.
     void onQuarantines(const std::vector<CrashNews>&);
+    /// Returns the contents that this instance knows as suspect or quarantined.
+    std::vector<CrashNews> crashAnnouncements() const;
     /// Sends other instances what this one read from the store.
     void announceNews(const StoreNews&);
     /// Asks an instance of this zone for the state of the store that it knows; it answers with news from revision 0.
--- a/src/gateway/instance_census.cpp
+++ b/src/gateway/instance_census.cpp
@@ -11,6 +11,8 @@
         const auto changedAt = isUnchanged ? known->second.changedAt : now;
         current[it.instance.name] = { it.version, changedAt, now - changedAt < staleAfterPeriods * refreshPeriod, it.instance };
     }
+    if (now < m_keptUntil)
+        current.merge(m_known);
     m_known = std::move(current);
 }
 
--- a/src/gateway/instance_census.h
+++ b/src/gateway/instance_census.h
@@ -5,6 +5,7 @@
 #include "base/time.h"
 #include "membership/view.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -31,6 +32,9 @@
 
     /// Processes a list of all instances' objects.
     void onList(const std::vector<InstanceSighting>&, TimePoint);
+    /// Records that the store came back from an older copy: until then an instance is counted whose object is missing, as each writes again what was
+    /// lost.
+    void recordNewEpoch(TimePoint keptUntil) { m_keptUntil = std::max(m_keptUntil, keptUntil); }
     /// The instances whose objects are not stale.
     std::vector<Instance> alive() const;
 
@@ -45,6 +49,7 @@
         Instance instance;
     };
 
+    TimePoint m_keptUntil {};
     std::map<InstanceName, KnownInstance> m_known;
 };
 
--- a/tests/adapter/quarantine_feed_test.cpp
+++ b/tests/adapter/quarantine_feed_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 
@@ -21,6 +22,11 @@
         object); }
     void write(const std::string& key, ObjectVersion expected, const std::string& value, ObjectHandler handler) override
     {
+        ++writes;
+        if (holdsWrites) {
+            heldWrite = std::move(handler);
+            return;
+        }
         if (isDown)
             return handler(StoreStatus::Unavailable, {});
         if (expected != object.version)
@@ -32,6 +38,9 @@
     void watch(const std::string&, std::uint64_t, Duration, ListHandler) override { }
 
     StoredObject object;
+    int writes = 0;
+    ObjectHandler heldWrite;
+    bool holdsWrites = false; ///< The next write is kept in `heldWrite` and not executed.
     bool isDown = false;
     bool losesResponses = false;
 };
@@ -126,6 +135,74 @@
     }
 }
 
+TEST_CASE("The store comes back from an older copy, which lacks quarantines" * doctest::test_suite("adapter"))
+{
+    FeedFixture fixture;
+    fixture.start();
+    fixture.feed->keep({ Fingerprint(7), 3, 1h, {} });
+    fixture.run();
+    const auto old = fixture.store->object;
+    fixture.feed->keep({ Fingerprint(8), 3, 1h, {} });
+    fixture.run();
+    REQUIRE(fixture.kept().size() == 2);
+    const std::vector<CrashNews> known { { Fingerprint(7), 3, 1h, {} }, { Fingerprint(8), 3, 1h, {} }, { Fingerprint(9), 3, 1h, {} }, { Fingerprint(10), 2, 0h, ServerName("s1") } };
+    fixture.store->writes = 0;
+
+    SUBCASE("What the process knows and the store lost is written again, also what another process had kept; what is only suspect is not")
+    {
+        SUBCASE("The copy has some") { fixture.store->object = old; }
+        SUBCASE("The copy has none") { fixture.store->object = {}; }
+        fixture.feed->onNewEpoch(known, 0s);
+        fixture.run();
+        CHECK(fixture.kept().size() == 3);
+        CHECK(fixture.store->writes == 1);
+
+        SUBCASE("An instance that finds all kept writes nothing")
+        {
+            fixture.feed->onNewEpoch(known, 0s);
+            fixture.run();
+            CHECK(fixture.store->writes == 1);
+        }
+    }
+    SUBCASE("Until the object is read again, no version from before is used")
+    {
+        // Another content was written under a version that was given out before.
+        fixture.store->object.value = encodeQuarantines({ { Fingerprint(11), 3, unixMillis() + 60'000 } });
+        fixture.feed->onNewEpoch({}, 1min);
+        fixture.feed->keep({ Fingerprint(9), 3, 1h, {} });
+        fixture.run();
+        const auto kept = fixture.kept();
+        CHECK(std::any_of(kept.begin(), kept.end(), [](const auto& it) { return it.content == Fingerprint(11); }));
+        CHECK(kept.size() == 4);
+    }
+    SUBCASE("A write that was sent before and is answered afterwards counts for nothing")
+    {
+        fixture.store->holdsWrites = true;
+        fixture.feed->keep({ Fingerprint(9), 3, 1h, {} });
+        fixture.run();
+        fixture.store->holdsWrites = false;
+        fixture.store->object = old;
+        fixture.feed->onNewEpoch({}, 1min);
+        fixture.store->heldWrite(StoreStatus::Ok, { "", { 3 }, "" });
+        fixture.run();
+        CHECK(fixture.kept().size() == 3);
+    }
+    SUBCASE("Two instances that write what is lost at the same time need no third write")
+    {
+        fixture.store->object = old;
+        fixture.store->holdsWrites = true;
+        fixture.feed->onNewEpoch(known, 0s);
+        fixture.run();
+        fixture.store->holdsWrites = false;
+        const auto end = unixMillis() + 3'600'000;
+        fixture.store->object = { "", { 5 }, encodeQuarantines({ { Fingerprint(7), 3, end }, { Fingerprint(8), 3, end }, { Fingerprint(9), 3, end } }) };
+        fixture.store->heldWrite(StoreStatus::Conflict, fixture.store->object);
+        fixture.run();
+        CHECK(fixture.store->writes == 1);
+        CHECK(fixture.kept().size() == 3);
+    }
+}
+
 TEST_CASE("An unreadable object of quarantines counts as empty" * doctest::test_suite("adapter"))
 {
     CHECK(decodeQuarantines(R"({"contents":[{"content":"5","crashes":3,"endsAt":18446744073709551615}]})").empty());
--- a/tests/gateway/instance_census_test.cpp
+++ b/tests/gateway/instance_census_test.cpp
@@ -32,6 +32,22 @@
             CHECK(census.alive().size() == 3);
         }
     }
+    SUBCASE("an instance whose object an older copy of the store lacks is counted until it has had the time to write it again")
+    {
+        census.recordNewEpoch(start + 20s);
+        census.onList({ sighting("a", 1) }, start + 19s);
+        CHECK(census.alive().size() == 3);
+        SUBCASE("it wrote it")
+        {
+            census.onList({ sighting("a", 1), sighting("b", 7), sighting("c", 8) }, start + 20s);
+            CHECK(census.alive().size() == 3);
+        }
+        SUBCASE("it didn't")
+        {
+            census.onList({ sighting("a", 1) }, start + 20s);
+            CHECK(census.alive().size() == 1);
+        }
+    }
     SUBCASE("an instance whose object was deleted is not counted")
     {
         census.onList({ sighting("a", 1) }, start + 1s);
