--- a/tests/http/http_response_reader_test.cpp
+++ b/tests/http/http_response_reader_test.cpp
@@ -60,6 +60,14 @@
     }
 }
 
+TEST_CASE("A response whose status is no number of three digits is malformed")
+{
+    for (const auto* status : { "", "0", "20", "2000", "00200", "2OO", "+20", "-20", "2e2", "0x2" }) {
+        CAPTURE(status);
+        checkMalformed(std::string("HTTP/1.1 ") + status + " Trouble\r\nContent-Length: 0\r\n\r\n");
+    }
+}
+
 // Guards against an interim response that is taken for the answer, while the real one is thrown away.
 TEST_CASE("Interim responses are skipped, and the final response is read")
 {
