--- a/tests/wire/peer_link_test.cpp
+++ b/tests/wire/peer_link_test.cpp
@@ -150,7 +150,7 @@
     const auto sendNews = [&](Duration onTheWay) {
         const auto n = b.handler.messages.size();
         const auto written = a.counters->framesOut.load();
-        a.network.send(b.hello.instance, StoreNews { "config/", 1, 1, {}, {}, clock->now() });
+        a.network.send(b.hello.instance, StoreNews { "config/", { 1, 1 }, { 1, 1 }, {}, {}, clock->now() });
         while (a.counters->framesOut == written)
             io.run_one();
         clock->advance(onTheWay);
