--- a/src/gateway/followed_states.cpp
+++ b/src/gateway/followed_states.cpp
@@ -1,7 +1,7 @@
 #include "gateway/followed_states.h"
 
 #include <chrono>
-#include <string>
+#include <sstream>
 
 namespace lycheefield {
 
@@ -48,6 +48,22 @@
         logChange(objects, state);
 }
 
+std::string FollowedStates::ageText(FollowedObjects objects) const
+{
+    const auto it = m_states.find(objects);
+    return it == m_states.end() ? "none" : msText(it->second.age(m_clock.now()));
+}
+
+std::string FollowedStates::revisionText(FollowedObjects objects) const
+{
+    const auto it = m_states.find(objects);
+    if (it == m_states.end())
+        return "none";
+    std::ostringstream text;
+    text << it->second.revision();
+    return text.str();
+}
+
 void FollowedStates::logChange(FollowedObjects objects, StateFreshness& state)
 {
     const auto now = m_clock.now();
--- a/src/gateway/followed_states.h
+++ b/src/gateway/followed_states.h
@@ -7,6 +7,7 @@
 #include "observe/metrics.h"
 
 #include <map>
+#include <string>
 
 namespace lycheefield {
 
@@ -24,6 +25,10 @@
     void record(FollowedObjects, const StateProof&);
     /// Must be called periodically, also while no proofs come.
     void review();
+    /// Returns the age of the latest proof in whole milliseconds, for log lines; "none" for objects that are not followed.
+    std::string ageText(FollowedObjects) const;
+    /// Returns the known revision of the store, for log lines; "none" for objects that are not followed.
+    std::string revisionText(FollowedObjects) const;
 
 private:
     void logChange(FollowedObjects, StateFreshness&);
--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -61,7 +61,7 @@
     const auto* route = m_routes->find(message.headers.find("Host"), message.path());
     if (!route) {
         m_noRoute.add();
-        return refuse(exchange, fields.attemptId, { notFound, {}, "no route in version " + std::to_string(m_routes->version) });
+        return refuseWithoutRoute(exchange, fields.attemptId);
     }
     const auto decision = checkCredential(*m_routes, *route, fields.key, m_parts.freshness.isFresh(now));
     if (decision.verdict != CredentialVerdict::Admitted)
@@ -260,6 +260,15 @@
     exchange->respond(m_parts.callers.write(refusal));
 }
 
+void ForwardDriver::refuseWithoutRoute(const std::shared_ptr<HttpExchange>& exchange, const std::string& attemptId)
+{
+    const EarlyRefusal refusal { notFound, {}, "no route in version " + std::to_string(m_routes->version) };
+    constexpr auto objects = FollowedObjects::Configuration;
+    m_parts.log.write(LineImportance::Failure, m_parts.clock.now(), "request refused",
+        { { "request", attemptId }, { "status", std::to_string(refusal.status) }, { "reason", refusal.reason }, { "revision", m_parts.states.revisionText(objects) }, { "proof_age_ms", m_parts.states.ageText(objects) } });
+    exchange->respond(m_parts.callers.write(refusal));
+}
+
 void ForwardDriver::refuseCredential(const std::shared_ptr<HttpExchange>& exchange, const std::string& attemptId, const CredentialDecision& decision)
 {
     const bool isUnknown = decision.verdict == CredentialVerdict::Unknown;
--- a/src/gateway/forward_driver.h
+++ b/src/gateway/forward_driver.h
@@ -7,6 +7,7 @@
 #include "forward/forward_engine.h"
 #include "forward/server_registry.h"
 #include "gateway/caller_protocol.h"
+#include "gateway/followed_states.h"
 #include "gateway/quota_driver.h"
 #include "gateway/search_delegation.h"
 #include "gateway/server_connections.h"
@@ -35,6 +36,7 @@
     Metrics& metrics;
     DecisionLog& log;
     const ConfigurationFreshness& freshness;
+    const FollowedStates& states;
 };
 
 /// Runs a ForwardEngine: passes callers' requests to the engine, executes the actions that the engine
@@ -117,6 +119,8 @@
     void cancelRequest(RequestNumber);
     void onRequest(HttpRequest&&, const std::shared_ptr<HttpExchange>&);
     void refuse(const std::shared_ptr<HttpExchange>&, const std::string& attemptId, const EarlyRefusal&);
+    /// Refuses a request that no route of the configuration in force allows, and logs how recent that configuration is.
+    void refuseWithoutRoute(const std::shared_ptr<HttpExchange>&, const std::string& attemptId);
     /// Refuses a request that the decision does not admit. The log line names the team and never the key.
     void refuseCredential(const std::shared_ptr<HttpExchange>&, const std::string& attemptId, const CredentialDecision&);
     /// Calls the engine and executes the actions that it returns.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -51,12 +51,12 @@
         , m_log(settings.gateway.logLinesPerSecond)
         , m_freshness(settings.admission.revocationLimit)
         , m_keyAdmission(m_freshness, *m_clock, m_log, m_metrics)
-        , m_driver({ m_strand, *m_clock, protocols.callers, protocols.servers, m_metrics, m_log, m_freshness }, forwardSettings(settings))
+        , m_states(*m_clock, m_log, m_metrics)
+        , m_driver({ m_strand, *m_clock, protocols.callers, protocols.servers, m_metrics, m_log, m_freshness, m_states }, forwardSettings(settings))
         , m_delegateChooser(settings.instance.name, settings.instance.zone)
         , m_delegation({ m_io, m_strand, m_clock, m_driver, m_metrics, m_log, *this }, m_delegateChooser, settings.instance.name, settings.instance.zone)
         , m_quotas(m_strand, *m_clock, m_driver, m_metrics, settings.instance.name, settings.admission)
         , m_servers(settings.gateway.renewalPeriod, settings.gateway.zoneDrainLimit, *m_clock, m_driver, m_log)
-        , m_states(*m_clock, m_log, m_metrics)
         , m_loop(m_io, m_metrics, [this](std::string_view why) { logState("handler threw an exception; its request ends, others continue", { { "why", why } }); })
         , m_ports(m_strand, *m_clock, *this)
         , m_readiness([this] { return HttpResponse { isReady() ? ok : unavailable, "text/plain", isReady() ? "ready\n" : "not ready\n" }; })
@@ -318,6 +318,7 @@
     DecisionLog m_log;
     ConfigurationFreshness m_freshness;
     KeyAdmission m_keyAdmission;
+    FollowedStates m_states;
     ForwardDriver m_driver;
     DelegateChooser m_delegateChooser;
     SearchDelegation m_delegation;
@@ -326,7 +327,6 @@
     QuarantineStore* m_quarantineStore = nullptr;
     Endpoint m_inner;
     KnownServers m_servers;
-    FollowedStates m_states;
     HandlerLoop m_loop;
     PortOpener m_ports;
     ComputedResponse m_readiness;
--- a/src/gateway/state_freshness.cpp
+++ b/src/gateway/state_freshness.cpp
@@ -12,7 +12,8 @@
 
 void StateFreshness::record(const StateProof& proof)
 {
-    m_known.provenAt = std::max(m_known.provenAt, proof.provenAt);
+    const bool isNewEpoch = proof.revision.epoch > m_known.revision.epoch;
+    m_known.provenAt = isNewEpoch ? proof.provenAt : std::max(m_known.provenAt, proof.provenAt);
     m_known.revision = std::max(m_known.revision, proof.revision);
 }
 
--- a/src/gateway/state_freshness.h
+++ b/src/gateway/state_freshness.h
@@ -21,7 +21,8 @@
     /// Precondition: limit > 0.
     StateFreshness(Duration limit, TimePoint startedAt);
 
-    /// Records a proof. One that is older, or of an earlier revision, than what is known takes nothing back.
+    /// Records a proof. One that is older, or of an earlier revision, than what is known takes nothing back; one of a later epoch of the store
+    /// replaces what was proven before.
     void record(const StateProof&);
     /// Returns what has changed since the last review.
     Change review(TimePoint now);
