--- a/src/platform/object_store.h
+++ b/src/platform/object_store.h
@@ -20,6 +20,7 @@
     std::vector<std::string> removed {}; ///< Keys of removed objects; only from a watch.
     std::uint64_t mixedUpTo = 0; ///< Of a list that was read in parts while the store changed: the number up to which it may hold changes after its revision; 0: none.
     bool isFullList = false; ///< True for a list: an object missing from it has been removed. Set by WatchEngine.
+    bool isComparison = false; ///< Of an announced batch: made by comparing two lists, so it does not name an object that came and went between them. Set by WatchEngine.
     bool isNewEpoch = false; ///< True for the first list of a later epoch of the store than the one known before. Set by WatchEngine.
     InstanceName announcedBy {}; ///< The instance that announced the batch; empty: this instance read it from the store.
     TimePoint provenAt {}; ///< Latest time for which all changes are known to have been seen. Set by WatchEngine.
--- a/src/platform/watch_engine.cpp
+++ b/src/platform/watch_engine.cpp
@@ -198,7 +198,7 @@
         return deliver(batchWithoutChanges(response), actions);
     }
     const auto from = m_revision;
-    const bool canAnnounce = from.number > 0 && (!isOtherEpoch || isExact());
+    const bool canAnnounce = from.number > 0 && isExact();
     auto changes = changesTo(response);
     adopt(response, isOtherEpoch, actions);
     m_provenAt = std::max(m_provenAt, provenByNoChange(now));
@@ -310,9 +310,10 @@
 void WatchEngine::applyDifference(const WatchBatch& batch, StoreRevision from, TimePoint currentAsOf, TimePoint now, WatchActions& actions)
 {
     const bool isNewer = batch.revision > m_revision;
-    // A difference from an earlier epoch tells nothing of what differs from the state that is known in this one.
-    const bool isGap = from > m_revision || (from.epoch < m_revision.epoch && isNewer);
-    if (isGap)
+    // Neither a difference from an earlier epoch nor one of two lists names all that differs from another state than that at `from`.
+    const bool holdsOnlyThere = batch.isComparison || from.epoch < m_revision.epoch;
+    const bool isThere = from == m_revision && isExact();
+    if (from > m_revision || (isNewer && holdsOnlyThere && !isThere))
         return markBehind(now + m_schedule.gapPause, now);
     takeProof(batch, currentAsOf);
     m_isBehind = m_isBehind && m_provenAt <= m_behindSince;
@@ -398,6 +399,7 @@
     WatchBatch changes;
     changes.status = StoreStatus::Ok;
     changes.revision = list.revision;
+    changes.isComparison = true;
     std::set<std::string> listed;
     for (const auto& it : list.changed) {
         listed.insert(it.key);
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -270,6 +270,8 @@
             body.__set_fromEpoch(toSigned(news.from.epoch));
             body.__set_epoch(toSigned(news.revision.epoch));
         }
+        if (news.isComparison)
+            body.__set_isComparison(true);
         out.__set_storeNews(body);
     }
     void operator()(const lycheefield::StoreStateRequest& request) const
--- a/src/wire/convert_from.cpp
+++ b/src/wire/convert_from.cpp
@@ -255,6 +255,7 @@
         out.changed.push_back({ reader.name(it.key, "key"), ObjectVersion { Reader::number(it.version) }, std::move(it.value) });
     out.removed = std::move(in.removed);
     out.confirmedAt = reader.senderTime(in.confirmedAtMicros);
+    out.isComparison = in.isComparison;
     return out;
 }
 
--- a/src/wire/inner.thrift
+++ b/src/wire/inner.thrift
@@ -211,6 +211,7 @@
     7: optional i64 confirmedAtMicros = 0 // On the sender's clock, by which a receiver that knows that clock judges the age.
     8: optional i64 fromEpoch = 0 // Of fromRevision; an epoch of the store ends when it comes back from an older copy.
     9: optional i64 epoch = 0 // Of revision.
+    10: optional bool isComparison = false // Made by comparing two lists: for those that know exactly fromRevision.
 }
 
 struct QuotaWish {
--- a/tests/platform/watch_engine_test.cpp
+++ b/tests/platform/watch_engine_test.cpp
@@ -325,6 +325,40 @@
     }
 }
 
+TEST_CASE("What two lists differ in is no news for an instance that knows a state between them, so that no object stays that came and went")
+{
+    EngineRun watching({ Duration {}, 1s, hour }, batchOf({ 4, 490 }, { object("a", 10) }));
+    watching.respond(failure(StoreStatus::HistoryExpired, 4));
+    watching.respond(batchOf({ 4, 510 }, { object("a", 10), object("d", 505) }));
+    REQUIRE(watching.announced.size() == 1);
+    const auto& news = watching.announced[0];
+
+    SUBCASE("An instance that knows exactly the first list applies it")
+    {
+        EngineRun run(quiet, batchOf({ 4, 490 }, { object("a", 10) }));
+        run.announce(news.batch, news.from, run.now);
+        CHECK(run.known() == std::vector<std::string> { "servers/a", "servers/d" });
+    }
+    SUBCASE("An instance that knows more calls the store")
+    {
+        EngineRun run(quiet, batchOf({ 4, 500 }, { object("a", 10), object("left", 495) }));
+        const auto provenBefore = run.engine.provenAt();
+        run.announce(news.batch, news.from, run.now + 1ms);
+        CHECK(run.delivered.size() == 1);
+        CHECK(run.engine.provenAt() == provenBefore);
+        run.advance(1s);
+        REQUIRE(run.watch);
+        CHECK(run.watch->after == StoreRevision { 4, 500 });
+    }
+    SUBCASE("An instance that knows the second list takes the proof")
+    {
+        EngineRun run(quiet, batchOf({ 4, 510 }, { object("a", 10), object("d", 505) }));
+        run.announce(news.batch, news.from, run.now + 1ms);
+        CHECK(run.engine.provenAt() == run.now + 1ms);
+        CHECK_FALSE(run.isCalling());
+    }
+}
+
 TEST_CASE("A list whose pages were read while the store changed is not the state at one revision, until a watch has read on")
 {
     auto mixed = batchOf({ 4, 500 }, oldObjects);
--- a/tests/wire/search_codec_test.cpp
+++ b/tests/wire/search_codec_test.cpp
@@ -120,9 +120,9 @@
         REQUIRE(decoded);
         CHECK(std::get<StoreNews>(decoded.value()).confirmedAt == receivedAt - 1234567us);
     }
-    SUBCASE("Store news carry the epochs of their revisions")
+    SUBCASE("Store news carry the epochs of their revisions, and whether they compare two lists")
     {
-        StoreNews news { "config/", { 3, 10 }, { 4, 10 }, {}, {}, sentAt };
+        StoreNews news { "config/", { 3, 10 }, { 4, 10 }, {}, {}, sentAt, {}, true };
         const auto decoded = roundTrip(news);
         REQUIRE(decoded);
         news.currentAsOf = receivedAt;
