--- a/src/platform/watch_engine.cpp
+++ b/src/platform/watch_engine.cpp
@@ -103,7 +103,6 @@
     const auto heard = std::max(m_provenAt + maxSilence, announced);
     if (m_schedule.maxSilence == Duration {})
         return std::min(heard, m_call.at + retrySilenceFactor * maxSilence);
-    // Announcements that piled up during a pause of this process look younger than they are.
     const bool needsProof = m_schedule.maxUnconfirmed > Duration {};
     return needsProof ? std::min(heard, std::max(m_confirmedAt + m_schedule.maxUnconfirmed, m_call.at + m_schedule.wait)) : heard;
 }
@@ -121,7 +120,7 @@
         return;
     const bool wasBehind = std::exchange(m_isBehind, false);
     const bool isShort = wasBehind || m_backoff.failures() > 0 || m_schedule.maxSilence > Duration {};
-    m_call = { true, !m_isListed || m_mustList, wasBehind, now, m_revision, isShort ? minWait : m_schedule.wait };
+    m_call = { true, !m_isListed || m_mustList, wasBehind, now, m_revision, isShort ? minWait : m_schedule.wait, m_latestEpoch };
     if (m_call.isList)
         actions.emplace_back(ListObjects {});
     else
@@ -132,8 +131,10 @@
 {
     m_call.isInFlight = false;
     const bool isExpired = response.status == StoreStatus::HistoryExpired;
-    if (isExpired || response.status == StoreStatus::Ok)
+    if (isExpired || response.status == StoreStatus::Ok) {
         logRegression(response, actions);
+        reviewEpoch(response, now, actions);
+    }
     if (isExpired)
         onExpiredHistory(response, now);
     else if (!isUsable(response))
@@ -145,6 +146,20 @@
     callIfDue(now, actions);
 }
 
+void WatchEngine::reviewEpoch(const WatchBatch& response, TimePoint now, WatchActions& actions)
+{
+    const auto epoch = response.revision.epoch;
+    if (isCurrentOrLater(epoch))
+        return m_otherEpoch.clear();
+    if (epoch >= maxEpoch || m_call.latestEpoch != m_latestEpoch || !m_otherEpoch.record(epoch, now))
+        return;
+    actions.emplace_back(LogWatchChange { LogLevel::Warning, "store keeps naming another epoch than the latest one known; it is believed from now on",
+        { { "objects", m_prefix }, { "known_epoch", std::to_string(m_latestEpoch) }, { "epoch", std::to_string(epoch) } } });
+    m_latestEpoch = epoch;
+    m_mustList = true;
+    forgetProofs();
+}
+
 bool WatchEngine::isLowerThanAtCall(const StoreRevision& revision) const
 {
     return revision.epoch == m_call.known.epoch && revision.number < m_call.known.number;
@@ -191,7 +206,7 @@
 {
     if (!m_hasExpired)
         m_backoff.onSuccess();
-    const bool isOtherEpoch = response.revision.epoch > m_revision.epoch || isLowerThanAtCall(response.revision);
+    const bool isOtherEpoch = response.revision.epoch != m_revision.epoch || isLowerThanAtCall(response.revision);
     if (!isOtherEpoch && response.revision < m_revision) {
         // Another instance has announced a later revision while the call was in flight.
         m_mustList = false;
@@ -215,7 +230,7 @@
 void WatchEngine::onChanges(const WatchBatch& response, TimePoint now, WatchActions& actions)
 {
     m_backoff.onSuccess();
-    if (response.revision.epoch > m_revision.epoch || isLowerThanAtCall(response.revision))
+    if (response.revision.epoch != m_revision.epoch || isLowerThanAtCall(response.revision))
         return distrustState(response.revision.epoch);
     m_hasExpired = false;
     const auto count = response.changed.size() + response.removed.size();
--- a/src/platform/watch_engine.h
+++ b/src/platform/watch_engine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "platform/backoff.h"
+#include "platform/epoch_evidence.h"
 #include "platform/watch_action.h"
 #include "platform/watch_schedule.h"
 
@@ -54,8 +55,11 @@
         TimePoint at {};
         StoreRevision known {}; ///< The known revision when the call was sent.
         Duration wait {};
+        std::uint64_t latestEpoch = 0; ///< The latest epoch known when the call was sent.
     };
 
+    /// Takes the epoch of a response that can't be used for the store's if the store keeps naming it.
+    void reviewEpoch(const WatchBatch& response, TimePoint now, WatchActions&);
     /// Calls the store if that is due.
     void callIfDue(TimePoint now, WatchActions&);
     /// Returns when the store is to be called by the schedule; a time in the past means now.
@@ -121,6 +125,7 @@
     bool m_isRegressionLogged = false; ///< Since the last response that was no regression.
     bool m_isBehind = false; ///< The store may hold changes not seen yet: a response may be truncated, or an announcement was missed.
     std::uint64_t m_latestEpoch = 0; ///< The latest one that a usable response or an announcement named.
+    EpochEvidence m_otherEpoch; ///< From responses to calls that were sent when m_latestEpoch was known.
     StoreRevision m_revision;
     std::uint64_t m_mixedUpTo = 0; ///< The objects may hold changes up to this number although m_revision is lower.
     std::map<std::string, StoredObject> m_objects; ///< The objects that exist as of m_revision, by key.
--- a/src/platform/watch_schedule.h
+++ b/src/platform/watch_schedule.h
@@ -30,8 +30,7 @@
 /// retry slowly.
 ///
 /// With a proofLimit every instance holds a proof younger than it, counted from the sending of the call that gave the proof, while the
-/// store responds: also when the first instance ends, and after a pause of the process, during which announcements have piled up
-/// whose age is unknown. In calm running a proof is at most a third of the limit old, so that an outage of the store
+/// store responds: also when the first instance ends, and after a pause of the process, during which announcements have piled up. In calm running a proof is at most a third of the limit old, so that an outage of the store
 /// of more than half the limit leaves every proof valid. This costs calls of the first instance only.
 WatchSchedule watchScheduleForRank(std::uint32_t rank, Duration limit, Duration proofLimit = {});
 
