--- a/tests/soak/soak_backend.h
+++ b/tests/soak/soak_backend.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "crashing_requests.h"
-#include "fault_link.h"
 #include "guarantee_checker.h"
 
 #include "base/clock.h"
 #include "base/random_source.h"
 #include "http/http_server.h"
+#include "support/fault_link.h"
 
 #include <boost/asio/steady_timer.hpp>
 
--- a/tests/soak/fault_link.cpp
+++ b/tests/support/fault_link.cpp
@@ -1,14 +1,18 @@
-#include "fault_link.h"
+#include "support/fault_link.h"
+
+#include "base/clock.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
+#include <deque>
 #include <set>
 #include <utility>
 
-namespace lycheefield::soak {
+namespace lycheefield {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -16,6 +20,8 @@
 namespace {
 
 constexpr std::size_t readBytes = 16U * 1024;
+/// Of one direction; more is read once some has been written.
+constexpr std::size_t maxBytesUnderWay = 16U * 1024 * 1024;
 constexpr Duration blockCheckPeriod = std::chrono::milliseconds(20);
 
 }
@@ -31,18 +37,47 @@
         own = { "127.0.0.1", m_acceptor.local_endpoint().port() };
     }
 
+    /// Bytes that were read and are to be written at that time.
+    struct Piece {
+        TimePoint due;
+        std::string bytes;
+    };
+    /// One direction of a tunnel.
+    struct Lane {
+        explicit Lane(asio::io_context& io)
+            : timer(io)
+        {
+        }
+        asio::steady_timer timer;
+        std::array<char, readBytes> buf {};
+        std::deque<Piece> pieces; ///< The first one may be being written.
+        std::size_t bytes = 0;
+        bool isReading = false;
+        bool isWriting = false;
+        bool isEnded = false; ///< The source has closed the connection.
+    };
+
     struct Tunnel : std::enable_shared_from_this<Tunnel> {
         Tunnel(std::shared_ptr<Impl> link, tcp::socket accepted)
             : owner(std::move(link))
             , client(std::move(accepted))
             , server(owner->m_io)
+            , forward(owner->m_io)
+            , backward(owner->m_io)
         {
         }
         std::shared_ptr<Impl> owner;
         tcp::socket client;
         tcp::socket server;
+        Lane forward;
+        Lane backward;
         bool isStalled = false;
 
+        Lane& lane(bool isForward) { return isForward ? forward : backward; }
+        tcp::socket& source(bool isForward) { return isForward ? client : server; }
+        tcp::socket& destination(bool isForward) { return isForward ? server : client; }
+        bool isBlocked(bool isForward) const { return isStalled || (isForward ? owner->faults.blocksForward : owner->faults.blocksBackward); }
+
         void end()
         {
             boost::system::error_code ec;
@@ -50,6 +85,8 @@
                 socket->set_option(asio::socket_base::linger(true, 0), ec);
                 socket->close(ec);
             }
+            forward.timer.cancel();
+            backward.timer.cancel();
             owner->m_tunnels.erase(shared_from_this());
         }
     };
@@ -89,33 +126,64 @@
 
     static void pump(const std::shared_ptr<Tunnel>& tunnel, bool isForward)
     {
-        auto buf = std::make_shared<std::array<char, readBytes>>();
-        (isForward ? tunnel->client : tunnel->server).async_read_some(asio::buffer(*buf), [tunnel, isForward, buf](const boost::system::error_code& ec, std::size_t n) {
-            if (ec)
-                return tunnel->end();
-            forward(tunnel, isForward, buf, n, tunnel->owner->faults.delay);
+        auto& lane = tunnel->lane(isForward);
+        const bool readsAhead = tunnel->owner->faults.delay > Duration {} && !tunnel->isBlocked(isForward);
+        const bool hasRoom = lane.pieces.empty() || (readsAhead && lane.bytes < maxBytesUnderWay);
+        if (lane.isReading || lane.isEnded || !hasRoom)
+            return;
+        lane.isReading = true;
+        tunnel->source(isForward).async_read_some(asio::buffer(lane.buf), [tunnel, isForward, &lane](const boost::system::error_code& ec, std::size_t n) {
+            lane.isReading = false;
+            lane.isEnded = static_cast<bool>(ec);
+            if (n > 0)
+                lane.pieces.push_back({ tunnel->owner->dueAfter(lane), std::string(lane.buf.data(), n) });
+            lane.bytes += n;
+            pump(tunnel, isForward);
+            flush(tunnel, isForward);
         });
     }
 
-    static void forward(const std::shared_ptr<Tunnel>& tunnel, bool isForward, const std::shared_ptr<std::array<char, readBytes>>& buf, std::size_t n, Duration delay)
+    static void flush(const std::shared_ptr<Tunnel>& tunnel, bool isForward)
     {
-        const auto& faults = tunnel->owner->faults;
-        const bool isBlocked = tunnel->isStalled || (isForward ? faults.blocksForward : faults.blocksBackward);
-        if (isBlocked || delay > Duration {}) {
-            auto timer = std::make_shared<asio::steady_timer>(tunnel->owner->m_io, isBlocked ? blockCheckPeriod : delay);
-            timer->async_wait([timer, tunnel, isForward, buf, n](const boost::system::error_code&) {
-                if (tunnel->client.is_open())
-                    forward(tunnel, isForward, buf, n, {});
-            });
+        auto& lane = tunnel->lane(isForward);
+        if (lane.isWriting || !tunnel->client.is_open())
             return;
-        }
-        asio::async_write(isForward ? tunnel->server : tunnel->client, asio::buffer(*buf, n), [tunnel, isForward, buf](const boost::system::error_code& ec, std::size_t) {
+        if (lane.pieces.empty())
+            return lane.isEnded ? tunnel->end() : void();
+        const auto now = tunnel->owner->m_clock.now();
+        if (tunnel->isBlocked(isForward))
+            return flushAfter(tunnel, isForward, blockCheckPeriod);
+        if (lane.pieces.front().due > now)
+            return flushAfter(tunnel, isForward, lane.pieces.front().due - now);
+        lane.isWriting = true;
+        asio::async_write(tunnel->destination(isForward), asio::buffer(lane.pieces.front().bytes), [tunnel, isForward, &lane](const boost::system::error_code& ec, std::size_t n) {
             if (ec)
                 return tunnel->end();
+            lane.isWriting = false;
+            lane.bytes -= n;
+            lane.pieces.pop_front();
             pump(tunnel, isForward);
+            flush(tunnel, isForward);
         });
     }
 
+    static void flushAfter(const std::shared_ptr<Tunnel>& tunnel, bool isForward, Duration pause)
+    {
+        auto& timer = tunnel->lane(isForward).timer;
+        timer.expires_after(pause);
+        timer.async_wait([tunnel, isForward](const boost::system::error_code& ec) {
+            if (!ec)
+                flush(tunnel, isForward);
+        });
+    }
+
+    /// Returns when bytes that arrive now are due; not before those that arrived earlier.
+    TimePoint dueAfter(const Lane& lane) const
+    {
+        const auto due = m_clock.now() + faults.delay;
+        return lane.pieces.empty() ? due : std::max(due, lane.pieces.back().due);
+    }
+
     void stop()
     {
         boost::system::error_code ec;
@@ -162,6 +230,7 @@
     asio::io_context& m_io;
     Endpoint m_target;
     std::string m_ownAddress;
+    SteadyClock m_clock;
     tcp::acceptor m_acceptor;
     std::set<std::shared_ptr<Tunnel>> m_tunnels;
 };
--- a/tests/soak/fault_link.h
+++ b/tests/support/fault_link.h
@@ -6,12 +6,13 @@
 #include <boost/asio/io_context.hpp>
 
 #include <memory>
+#include <string>
 
-namespace lycheefield::soak {
+namespace lycheefield {
 
 /// Faults of a link.
 struct LinkFaults {
-    Duration delay {}; ///< Added to every chunk in either direction.
+    Duration delay {}; ///< Added to the bytes that arrive, in either direction. Bytes keep their order, and many may be under way at once.
     bool blocksForward = false; ///< No bytes reach the target.
     bool blocksBackward = false; ///< No bytes come back from the target.
     bool refusesConnections = false; ///< New connections are reset.
