--- a/src/forward/server_registry.cpp
+++ b/src/forward/server_registry.cpp
@@ -53,7 +53,7 @@
     // The store tells no change of the sequence alone, so the copy may list a higher one than was known before the removal.
     if (entry.isNewerThan(removed->second))
         removed->second = entry;
-    m_doubted.insert_or_assign(entry.name, Doubt { removed->second, now + doubtPeriod() });
+    m_doubted.insert_or_assign(entry.name, Doubt { removed->second, now, now + doubtPeriod(), now + maxDoubtPeriods * doubtPeriod() });
 }
 
 bool ServerRegistry::put(const ServerEntry& entry, TimePoint)
@@ -104,8 +104,6 @@
         m_unreachableSince = now;
     for (auto& [name, until] : m_missing)
         until = never;
-    for (auto& [name, doubt] : m_doubted)
-        doubt.until = never;
 }
 
 void ServerRegistry::recordStoreReachable(TimePoint now)
@@ -117,12 +115,23 @@
     m_graceUntil = wasShort ? std::max(m_graceUntil, now) : now + returnGrace;
     for (auto& [name, until] : m_missing)
         until = m_graceUntil;
-    for (auto& [name, doubt] : m_doubted)
-        doubt.until = now + doubtPeriod();
+    extendDoubts(wasShort, now);
+}
+
+void ServerRegistry::extendDoubts(bool wasShort, TimePoint now)
+{
+    for (auto& [name, doubt] : m_doubted) {
+        const auto outage = now - std::max(m_unreachableSince, doubt.since);
+        doubt.latest += outage;
+        doubt.until = std::min(wasShort ? doubt.until + outage : now + doubtPeriod(), doubt.latest);
+    }
 }
 
 bool ServerRegistry::endDoubts(TimePoint now)
 {
+    // During an outage nothing tells whether a server lives.
+    if (m_isStoreUnreachable)
+        return false;
     bool changed = false;
     for (auto it = m_doubted.begin(); it != m_doubted.end();) {
         if (it->second.until > now) {
@@ -158,6 +167,8 @@
     TimePoint next = never;
     for (const auto& [name, until] : m_missing)
         next = std::min(next, until);
+    if (m_isStoreUnreachable)
+        return next;
     for (const auto& [name, doubt] : m_doubted)
         next = std::min(next, doubt.until);
     return next;
--- a/src/forward/server_registry.h
+++ b/src/forward/server_registry.h
@@ -60,6 +60,8 @@
     void extendGrace(TimePoint until);
     /// Holds a removed server back that an older copy of the store lists.
     void doubtIfRemoved(const ServerEntry&, TimePoint);
+    /// Moves the ends of doubts after an outage: a short one adds itself, after a longer one the period begins again.
+    void extendDoubts(bool wasShort, TimePoint);
     /// Takes the doubted servers that are still listed at the end of their time. Returns true if the servers changed.
     bool endDoubts(TimePoint);
     /// The time in which the store removes the entry of a server that has ended, and tells it here.
@@ -67,11 +69,15 @@
 
     /// The store removes an entry that misses this many renewals.
     static constexpr int missedRenewals = 3;
+    /// Outages begin the period of a doubt again until it has lasted this many periods without them.
+    static constexpr int maxDoubtPeriods = 3;
 
     /// A removed server that an older copy of the store lists.
     struct Doubt {
         ServerEntry last; ///< The latest one that is known.
-        TimePoint until; ///< Then an entry that is still listed is that of a living server.
+        TimePoint since; ///< When the copy was read.
+        TimePoint until; ///< Then an entry that is still listed is that of a living server. Outages move it.
+        TimePoint latest; ///< The latest `until`. Outages move it by themselves only.
     };
 
     /// Removed servers whose last entries are remembered, so that a late report does not restore a removed server.
--- a/tests/forward/server_registry_epoch_test.cpp
+++ b/tests/forward/server_registry_epoch_test.cpp
@@ -146,6 +146,41 @@
             CHECK(registry.expire(back + 1min + 3 * renewal + grace));
             CHECK(registry.servers().contains(name));
         }
+        SUBCASE("An outage that is shorter than a renewal period adds no more than itself")
+        {
+            registry.recordStoreUnreachable(back + 4s);
+            CHECK(registry.nextExpiry() == never);
+            registry.recordStoreReachable(back + 4s + 50ms);
+            const auto until = back + 3 * renewal + grace + 50ms;
+            CHECK(registry.nextExpiry() == until);
+            CHECK_FALSE(registry.expire(until - 1ms));
+            CHECK(registry.expire(until));
+        }
+        SUBCASE("However often calls fail, it is away for three times the period at most, not counting the outages")
+        {
+            Duration outage {};
+            SUBCASE("short outages") { outage = 50ms; }
+            SUBCASE("long outages") { outage = renewal; }
+            CAPTURE(outage.count());
+            Duration reachable {};
+            for (auto now = back; now < back + 2min && !registry.expire(now); now += 4s + outage) {
+                reachable += 4s;
+                registry.recordStoreUnreachable(now + 4s);
+                CHECK_FALSE(registry.expire(now + 4s));
+                registry.recordStoreReachable(now + 4s + outage);
+            }
+            CHECK(registry.servers().contains(name));
+            CHECK(reachable <= 3 * (3 * renewal + grace) + 4s);
+        }
+    }
+    SUBCASE("Of an outage that began before the copy was read, only the rest counts")
+    {
+        registry.remove(name, start + 1s);
+        registry.recordStoreUnreachable(back - 500ms);
+        registry.replaceAllOfNewEpoch({ entryOf("s1", 5), entryOf("s2", 5) }, back);
+        CHECK(registry.nextExpiry() == never);
+        registry.recordStoreReachable(back + 100ms);
+        CHECK(registry.nextExpiry() == back + 100ms + 3 * renewal + grace);
     }
     SUBCASE("A server that was draining when it was removed stays draining, should its entry of the copy last")
     {
