--- a/src/forward/server_registry.cpp
+++ b/src/forward/server_registry.cpp
@@ -48,7 +48,7 @@
 void ServerRegistry::doubtIfRemoved(const ServerEntry& entry, TimePoint now)
 {
     const auto removed = m_removed.find(entry.name);
-    if (removed == m_removed.end() || entry.startedAt > removed->second.startedAt)
+    if (removed == m_removed.end() || entry.startedAt != removed->second.startedAt)
         return;
     // The store tells no change of the sequence alone, so the copy may list a higher one than was known before the removal.
     if (entry.isNewerThan(removed->second))
@@ -59,6 +59,8 @@
 bool ServerRegistry::put(const ServerEntry& entry, TimePoint)
 {
     if (const auto removed = m_removed.find(entry.name); removed != m_removed.end()) {
+        if (entry.startedAt < removed->second.startedAt)
+            m_doubted.erase(entry.name);
         if (!entry.isNewerThan(removed->second))
             return false;
         m_removed.erase(removed);
--- a/src/forward/server_registry.h
+++ b/src/forward/server_registry.h
@@ -58,7 +58,7 @@
     void rememberRemoved(const ServerEntry&);
     /// Keeps the missing servers until that time at least.
     void extendGrace(TimePoint until);
-    /// Holds a removed server back that an older copy of the store lists.
+    /// Holds a removed server back whose process an older copy of the store lists. The entry of an earlier process shows no living one.
     void doubtIfRemoved(const ServerEntry&, TimePoint);
     /// Moves the ends of doubts after an outage: a short one adds itself, after a longer one the period begins again.
     void extendDoubts(bool wasShort, TimePoint);
--- a/tests/forward/server_registry_epoch_test.cpp
+++ b/tests/forward/server_registry_epoch_test.cpp
@@ -121,6 +121,14 @@
             CHECK_FALSE(registry.expire(back + 1min));
             CHECK_FALSE(registry.servers().contains(name));
         }
+        SUBCASE("It stays away when its entry is replaced by that of an earlier process")
+        {
+            const auto earlier = entryOf("s1", 50, false, 500);
+            SUBCASE("by a change") { CHECK_FALSE(registry.put(earlier, back + 1s)); }
+            SUBCASE("by a second older copy") { CHECK_FALSE(registry.replaceAllOfNewEpoch({ earlier, entryOf("s2", 5) }, back + 1s)); }
+            CHECK_FALSE(registry.expire(back + 1min));
+            CHECK_FALSE(registry.servers().contains(name));
+        }
         SUBCASE("It stays away when a later list lacks it")
         {
             registry.replaceAll({ entryOf("s2", 5) }, back + 1s);
@@ -190,6 +198,21 @@
         CHECK(registry.expire(back + 1min));
         CHECK(registry.servers().at(name).isDraining);
     }
+    SUBCASE("A removed process is not brought back by the entry of an earlier one of that name")
+    {
+        registry.put(entryOf("s1", 1, false, 2000), start + 1s);
+        registry.remove(name, start + 2s);
+        CHECK_FALSE(registry.replaceAllOfNewEpoch({ entryOf("s1", 50, false, 1000), entryOf("s2", 5) }, back));
+        CHECK(registry.doubted() == 0);
+        CHECK_FALSE(registry.expire(back + 1min));
+        CHECK_FALSE(registry.servers().contains(name));
+
+        SUBCASE("Its next process is taken at once")
+        {
+            CHECK(registry.put(entryOf("s1", 1, false, 3000), back + 1s));
+            CHECK(registry.servers().contains(name));
+        }
+    }
     SUBCASE("A removed server whose new process the copy lists is taken at once")
     {
         registry.remove(name, start + 1s);
