--- a/tests/forward/server_registry_epoch_test.cpp
+++ b/tests/forward/server_registry_epoch_test.cpp
@@ -121,6 +121,14 @@
             CHECK_FALSE(registry.expire(back + 1min));
             CHECK_FALSE(registry.servers().contains(name));
         }
+        SUBCASE("It stays away when its entry is replaced by that of an earlier process")
+        {
+            const auto earlier = entryOf("s1", 50, false, 500);
+            SUBCASE("by a change") { CHECK_FALSE(registry.put(earlier, back + 1s)); }
+            SUBCASE("by a second older copy") { CHECK_FALSE(registry.replaceAllOfNewEpoch({ earlier, entryOf("s2", 5) }, back + 1s)); }
+            CHECK_FALSE(registry.expire(back + 1min));
+            CHECK_FALSE(registry.servers().contains(name));
+        }
         SUBCASE("It stays away when a later list lacks it")
         {
             registry.replaceAll({ entryOf("s2", 5) }, back + 1s);
@@ -146,6 +154,41 @@
             CHECK(registry.expire(back + 1min + 3 * renewal + grace));
             CHECK(registry.servers().contains(name));
         }
+        SUBCASE("An outage that is shorter than a renewal period adds no more than itself")
+        {
+            registry.recordStoreUnreachable(back + 4s);
+            CHECK(registry.nextExpiry() == never);
+            registry.recordStoreReachable(back + 4s + 50ms);
+            const auto until = back + 3 * renewal + grace + 50ms;
+            CHECK(registry.nextExpiry() == until);
+            CHECK_FALSE(registry.expire(until - 1ms));
+            CHECK(registry.expire(until));
+        }
+        SUBCASE("However often calls fail, it is away for three times the period at most, not counting the outages")
+        {
+            Duration outage {};
+            SUBCASE("short outages") { outage = 50ms; }
+            SUBCASE("long outages") { outage = renewal; }
+            CAPTURE(outage.count());
+            Duration reachable {};
+            for (auto now = back; now < back + 2min && !registry.expire(now); now += 4s + outage) {
+                reachable += 4s;
+                registry.recordStoreUnreachable(now + 4s);
+                CHECK_FALSE(registry.expire(now + 4s));
+                registry.recordStoreReachable(now + 4s + outage);
+            }
+            CHECK(registry.servers().contains(name));
+            CHECK(reachable <= 3 * (3 * renewal + grace) + 4s);
+        }
+    }
+    SUBCASE("Of an outage that began before the copy was read, only the rest counts")
+    {
+        registry.remove(name, start + 1s);
+        registry.recordStoreUnreachable(back - 500ms);
+        registry.replaceAllOfNewEpoch({ entryOf("s1", 5), entryOf("s2", 5) }, back);
+        CHECK(registry.nextExpiry() == never);
+        registry.recordStoreReachable(back + 100ms);
+        CHECK(registry.nextExpiry() == back + 100ms + 3 * renewal + grace);
     }
     SUBCASE("A server that was draining when it was removed stays draining, should its entry of the copy last")
     {
@@ -155,6 +198,21 @@
         CHECK(registry.expire(back + 1min));
         CHECK(registry.servers().at(name).isDraining);
     }
+    SUBCASE("A removed process is not brought back by the entry of an earlier one of that name")
+    {
+        registry.put(entryOf("s1", 1, false, 2000), start + 1s);
+        registry.remove(name, start + 2s);
+        CHECK_FALSE(registry.replaceAllOfNewEpoch({ entryOf("s1", 50, false, 1000), entryOf("s2", 5) }, back));
+        CHECK(registry.doubted() == 0);
+        CHECK_FALSE(registry.expire(back + 1min));
+        CHECK_FALSE(registry.servers().contains(name));
+
+        SUBCASE("Its next process is taken at once")
+        {
+            CHECK(registry.put(entryOf("s1", 1, false, 3000), back + 1s));
+            CHECK(registry.servers().contains(name));
+        }
+    }
     SUBCASE("A removed server whose new process the copy lists is taken at once")
     {
         registry.remove(name, start + 1s);
