--- a/tests/soak/process_faults.cpp
+++ b/tests/soak/process_faults.cpp
@@ -56,13 +56,13 @@
     // The program can take care of signals from its first statement on.
     if (!node.process->holdsOrCatchesSignals())
         return runAfter(1ms, [this, &node] { signalWhileStarting(node); });
-    ++m_faults["reload while starting"];
+    countFault("reload while starting", node.process->name());
     node.process->signal(SIGHUP);
 }
 
 void SoakTestBed::restartInGrace(Node& node)
 {
-    ++m_faults["restart beside the stopping process"];
+    countFault("restart beside the stopping process", node.process->name());
     node.isExpectedToRun = false;
     node.disturbedUntil = never;
     node.process->signal(SIGTERM);
@@ -78,7 +78,7 @@
 
 void SoakTestBed::openManyConnections(Node& node, Duration time)
 {
-    ++m_faults["more connections than descriptors"];
+    countFault("more connections than descriptors", node.process->name());
     const auto sockets = std::make_shared<std::vector<boost::asio::ip::tcp::socket>>();
     sockets->reserve(maxDescriptors);
     const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address(node.process->callers().address), node.process->callers().port);
@@ -119,32 +119,32 @@
     case 9:
         return pauseRepeatedly(node, 1 + m_random.below(12));
     case 0:
-        ++m_faults["kill"];
+        countFault("kill", node.process->name());
         return stopNode(node, SIGKILL);
     case 1:
-        ++m_faults["terminate"];
+        countFault("terminate", node.process->name());
         return stopNode(node, SIGTERM);
     case 2:
-        ++m_faults["reload"];
+        countFault("reload", node.process->name());
         return node.process->signal(SIGHUP);
     case 3:
-        ++m_faults["pause"];
+        countFault("pause", node.process->name());
         return applyFault(
             node, time, [&] { node.process->signal(SIGSTOP); }, [&] { node.process->resume(); });
     case 4:
-        ++m_faults["store link blocked one way"];
+        countFault("store link blocked one way", node.process->name());
         return applyFault(
             node, time, [&] { node.storeLink->setFaults({ {}, false, true, false }); }, [&] { node.storeLink->setFaults({}); });
     case 5:
-        ++m_faults["store link refuses"];
+        countFault("store link refuses", node.process->name());
         return applyFault(
             node, time, [&] { node.storeLink->setFaults({ {}, false, false, true }); node.storeLink->reset(); }, [&] { node.storeLink->setFaults({}); });
     case 6:
-        ++m_faults["store link delayed"];
+        countFault("store link delayed", node.process->name());
         return applyFault(
             node, time, [&] { node.storeLink->setFaults({ 150ms, false, false, false }); }, [&] { node.storeLink->setFaults({}); });
     default:
-        ++m_faults["store link stalled permanently"];
+        countFault("store link stalled permanently", node.process->name());
         node.storeLink->stall();
         node.disturbedUntil = m_clock.now();
     }
@@ -154,7 +154,7 @@
 {
     if (times == 0 || !node.process->isRunning() || !node.isExpectedToRun)
         return;
-    ++m_faults["repeated short pauses"];
+    countFault("repeated short pauses", node.process->name());
     applyFault(
         node, randomDuration(20ms, 150ms), [&] { node.process->signal(SIGSTOP); },
         [this, &node, times] {
--- a/tests/soak/soak_test_bed.cpp
+++ b/tests/soak/soak_test_bed.cpp
@@ -19,9 +19,6 @@
 constexpr std::size_t topRecords = 5;
 constexpr std::size_t maxRuns = 2;
 constexpr std::size_t minShards = 15;
-constexpr Duration settlingTime = 4s; ///< Time from the end of a fault until the guarantees with a time bound hold again.
-constexpr Duration drainLimit = 3s; ///< Time from the drain mark after which the server must get no more requests.
-constexpr Duration applyLimit = 3s; ///< Time from publication until a configuration must be in force.
 constexpr Duration recoveryTime = 12s;
 constexpr Duration faultPhase = 8s;
 constexpr Duration calmPhase = 9s;
@@ -30,11 +27,12 @@
 constexpr std::size_t callerAddresses = 4; ///< From which a crashing request comes to each gateway.
 constexpr double limitPerSecond = 5; ///< That a server advertises in a calm phase.
 constexpr double minServedAfterRecovery = 0.9; ///< Share of the requests sent after the recovery time.
-const std::vector<std::string> storeFaultNames { "store busy", "store silent", "store sends rubbish", "store drops its history", "store drops its history" };
-const std::vector<std::string> storeRubbish { R"({"items\)", R"({"items":[{"meta":7}],"atRev":"x"})", "[[[[", "{}" };
-const std::vector<std::string> zones { "a", "b", "c" };
 
-std::set<std::string> shardNames()
+}
+
+const std::vector<std::string> SoakTestBed::zones { "a", "b", "c" };
+
+std::set<std::string> SoakTestBed::shardNames()
 {
     std::set<std::string> names;
     for (std::size_t i = 0; i < shardCount; ++i)
@@ -42,8 +40,6 @@
     return names;
 }
 
-}
-
 /// A caller with one connection and one request at a time. The connection is reused until the gateway closes it.
 class SoakTestBed::Caller final : public HttpClientEvents, public std::enable_shared_from_this<Caller> {
 public:
@@ -118,7 +114,8 @@
     , m_random(m_settings.seed)
     , m_checker(shardNames(), topRecords, maxRuns, minShards)
     , m_store(m_io)
-    , m_storeEndpoint(m_store.listen().value())
+    , m_peerLinks(m_io)
+    , m_faultLog(m_settings.folder + "/faults.log")
 {
     m_store.setFaults({ .pageSize = 500 });
     std::size_t place = 0;
@@ -132,8 +129,9 @@
     publishConfiguration();
     for (std::size_t i = 0; i < m_settings.gateways; ++i) {
         auto node = std::make_unique<Node>();
-        node->storeLink = std::make_unique<FaultLink>(m_io, m_storeEndpoint);
-        node->process = std::make_unique<GatewayProcess>(m_settings.program, m_settings.folder, "g" + std::to_string(i), zones[i % zones.size()], node->storeLink->endpoint(), GatewayProcessOptions { .settings = "[gateway]\nzone_drain_limit = 3000ms\n", .maxDescriptors = maxDescriptors });
+        const auto name = "g" + std::to_string(i);
+        node->storeLink = std::make_unique<FaultLink>(m_io, storeEndpointFor(name));
+        node->process = std::make_unique<GatewayProcess>(m_settings.program, m_settings.folder, name, zones[i % zones.size()], node->storeLink->endpoint(), GatewayProcessOptions { .settings = "[gateway]\nzone_drain_limit = 3000ms\n", .maxDescriptors = maxDescriptors });
         node->process->start();
         for (std::size_t n = 0; n < callerAddresses; ++n)
             node->callerLinks.push_back(std::make_unique<FaultLink>(m_io, node->process->callers(), "127.0.0." + std::to_string(2 + n)));
@@ -143,6 +141,14 @@
 
 SoakTestBed::~SoakTestBed() = default;
 
+Endpoint SoakTestBed::storeEndpointFor(const std::string& gateway)
+{
+    const auto rewrite = [this, gateway](const std::string& kind, const std::string& name, const std::string& spec) {
+        return kind == "gateways" ? m_peerLinks.entryFor(gateway, name, spec) : spec;
+    };
+    return m_store.listenFor(rewrite).value();
+}
+
 void SoakTestBed::addBackend(const std::string& service, std::size_t number, const std::string& zone)
 {
     const auto name = service + "-" + std::to_string(number);
@@ -150,21 +156,6 @@
     m_store.put("servers", name, m_backends.back()->entry(false));
 }
 
-void SoakTestBed::publishConfiguration()
-{
-    std::string shards;
-    std::string services = R"({"name":"orders","maxConns":200})";
-    for (const auto& it : shardNames()) {
-        shards += (shards.empty() ? "\"" : ",\"") + it + "\"";
-        services += R"(,{"name":")" + it + R"(","maxConns":200})";
-    }
-    m_store.put("config", "main",
-        R"({"version":)" + std::to_string(m_version) + R"(,"routes":[{"name":"s","host":"a.example","pathPrefix":"/s/","routeType":"idempotent","timeoutMs":2500,"targetLatencyMs":200,"priority":0,"gather":[)"
-            + shards + R"(],"attempts":2,"topK":5,"minShardRatio":0.75},{"name":"o","host":"a.example","pathPrefix":"/o/","routeType":"non_idempotent","timeoutMs":2500,"targetLatencyMs":400,"priority":1,"service":"orders","attempts":2},{"name":"v","host":"a.example","pathPrefix":"/v)"
-            + std::to_string(m_version) + R"(/","routeType":"non_idempotent","timeoutMs":2500,"targetLatencyMs":400,"priority":1,"service":"orders","attempts":2}],"services":[)"
-            + services + R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
-}
-
 Duration SoakTestBed::randomDuration(Duration min, Duration max)
 {
     return min + Duration(static_cast<Duration::rep>(m_random.below(static_cast<std::uint64_t>((max - min).count()))));
@@ -182,72 +173,27 @@
     m_io.run_for(time);
 }
 
-bool SoakTestBed::isUndisturbed(const Node& node) const
-{
-    const auto now = m_clock.now();
-    return node.disturbedUntil != never && m_storeDisturbedUntil != never && now > node.disturbedUntil + settlingTime && now > m_storeDisturbedUntil + settlingTime;
-}
-
-bool SoakTestBed::areAllUndisturbed() const
+void SoakTestBed::countFault(const std::string& fault, const std::string& detail)
 {
-    return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto& it) { return isUndisturbed(*it); });
+    ++m_faults[fault];
+    // Like at_us in the logs of the gateways.
+    m_faultLog << "{\"at_us\":" << m_clock.now().time_since_epoch().count() << R"(,"fault":")" << fault << R"(","detail":")" << detail << "\"}" << std::endl;
 }
 
-void SoakTestBed::injectStoreFault()
+bool SoakTestBed::isUndisturbed(const Node& node) const
 {
-    const auto time = randomDuration(300ms, 5s);
-    m_storeDisturbedUntil = never;
-    const auto kind = m_random.below(5);
-    ++m_faults[storeFaultNames.at(kind)];
-    if (kind < 2)
-        m_store.setFaults({ .isBusy = kind == 0, .isSilent = kind == 1, .pageSize = 500 });
-    else if (kind == 2)
-        m_store.setFaults({ .rubbish = storeRubbish.at(m_random.below(storeRubbish.size())), .pageSize = 500 });
-    else
-        m_store.forgetHistory();
-    // The entry of a server may lapse during an outage; the server registers again soon after the outage.
-    auto& lapsed = *m_backends[m_random.below(m_backends.size())];
-    const bool lapses = lapsed.drainDeadline == never && kind < 2;
-    if (lapses)
-        m_store.remove("servers", lapsed.name());
-    runAfter(time, [this, &lapsed, lapses] {
-        m_store.setFaults({ .pageSize = 500 });
-        m_storeDisturbedUntil = m_clock.now();
-        if (lapses)
-            runAfter(randomDuration(100ms, 1800ms), [this, &lapsed] { m_store.put("servers", lapsed.name(), lapsed.entry(lapsed.drainDeadline != never)); });
-    });
+    const auto now = m_clock.now();
+    return node.disturbedUntil != never && m_storeDisturbedUntil != never && now > node.disturbedUntil + settlingTime && now > m_storeDisturbedUntil + settlingTime;
 }
 
-void SoakTestBed::drain(SoakBackend& server)
+bool SoakTestBed::hasSoundPeers(const Node& node) const
 {
-    if (server.drainDeadline != never || !areAllUndisturbed())
-        return;
-    ++m_faults["drain"];
-    m_store.put("servers", server.name(), server.entry(true));
-    server.drainDeadline = m_clock.now() + drainLimit;
-    runAfter(drainLimit + 1500ms, [this, &server] {
-        server.drainDeadline = never;
-        m_store.put("servers", server.name(), server.entry(false));
-    });
+    return node.peerFaults == 0 && m_clock.now() > node.peersDisturbedUntil + settlingTime;
 }
 
-void SoakTestBed::drainZone(const std::string& zone)
+bool SoakTestBed::areAllUndisturbed() const
 {
-    if (!areAllUndisturbed())
-        return;
-    ++m_faults["drain of a zone"];
-    m_store.put("evacuations", zone, "{}");
-    const auto setDeadlines = [this, zone](TimePoint deadline) {
-        for (const auto& it : m_backends) {
-            if (it->zone() == zone)
-                it->zoneDrainDeadline = deadline;
-        }
-    };
-    setDeadlines(m_clock.now() + drainLimit);
-    runAfter(drainLimit + 1400ms, [this, zone, setDeadlines] {
-        setDeadlines(never);
-        m_store.remove("evacuations", zone);
-    });
+    return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto& it) { return isUndisturbed(*it); });
 }
 
 void SoakTestBed::injectServerFault()
@@ -261,32 +207,32 @@
     runAfter(time, clearFaults);
     switch (m_random.below(10)) {
     case 0:
-        ++m_faults["server fails"];
+        countFault("server fails");
         return server.setFaults({ 5ms, 0.5, 0, 0 });
     case 1:
-        ++m_faults["server refuses"];
+        countFault("server refuses");
         return server.setFaults({ 5ms, 0, 0.7, 0 });
     case 2:
-        ++m_faults["server loses responses"];
+        countFault("server loses responses");
         return server.setFaults({ 5ms, 0, 0, 0.3 });
     case 3:
-        ++m_faults["server slow"];
+        countFault("server slow");
         return server.setFaults({ 300ms, 0, 0, 0 });
     case 8:
     case 9:
-        ++m_faults["server crashes by itself"];
+        countFault("server crashes by itself");
         return server.crash();
     case 4:
-        ++m_faults["server link blocked"];
+        countFault("server link blocked");
         return server.link().setFaults({ {}, m_random.below(2) == 0, true, false });
     case 5:
-        ++m_faults["server link reset"];
+        countFault("server link reset");
         return server.link().reset();
     case 6:
-        ++m_faults["server link stalled permanently"];
+        countFault("server link stalled permanently");
         return server.link().stall();
     default:
-        ++m_faults["server refuses connections"];
+        countFault("server refuses connections");
         server.link().setFaults({ {}, false, false, true });
         server.link().reset();
     }
@@ -338,20 +284,6 @@
     caller->open();
 }
 
-void SoakTestBed::probeConfiguration(std::uint64_t added, std::uint64_t dropped)
-{
-    for (const auto& it : m_nodes) {
-        if (!isUndisturbed(*it) || !it->isExpectedToRun)
-            continue;
-        for (const auto version : { added, dropped }) {
-            auto request = newRequest(*it, false, "/v" + std::to_string(version) + "/");
-            request.isRouted = version == added;
-            ++m_faults["probe of a changed configuration"];
-            sendRequest(*it, request);
-        }
-    }
-}
-
 void SoakTestBed::sendCrashing()
 {
     if (!m_isSending)
@@ -362,7 +294,7 @@
     const auto content = std::to_string(m_crashingSent++ / crashingPerContent);
     request.target = (isSearch ? "/s/crash" : "/o/crash") + content;
     request.body = isSearch ? "" : "crash";
-    m_crashing.onSent(request, isUndisturbed(*node) && node->isExpectedToRun, m_clock.now());
+    m_crashing.onSent(request, isUndisturbed(*node) && hasSoundPeers(*node) && node->isExpectedToRun, m_clock.now());
     m_checker.onSent(request);
     const auto caller = std::make_shared<Caller>(*this, *node);
     caller->send(request);
@@ -398,8 +330,10 @@
     m_isSending = true;
     sendNext();
     sendCrashing();
-    const auto end = m_clock.now() + m_settings.duration;
+    injectPeerFault();
+    auto end = m_clock.now() + m_settings.duration;
     while (m_clock.now() < end) {
+        m_isInjectingPeerFaults = m_random.below(3) > 0;
         m_isInjecting = true;
         injectFault();
         runFor(faultPhase);
@@ -407,17 +341,21 @@
         auto& limited = *m_backends[m_random.below(m_backends.size())];
         limited.setLimit(limitPerSecond);
         runFor(calmPhase / 2);
-        ++m_faults["limit"];
+        countFault("limit");
         limited.checkLimit();
-        drain(*m_backends[m_random.below(m_backends.size())]);
-        drainZone(zones[m_version % zones.size()]);
-        const auto before = m_version;
-        m_version += 1 + m_random.below(5);
-        publishConfiguration();
-        runAfter(applyLimit, [this, added = m_version, before] { probeConfiguration(added, before); });
+        changeStore();
         runFor(calmPhase / 2);
         limited.setLimit(std::nullopt);
+        if (m_random.below(2) == 0)
+            continue;
+        // Without other faults the changes concern all gateways.
+        m_isInjectingPeerFaults = true;
+        changeStore();
+        runFor(faultPhase);
+        end += faultPhase;
     }
+    m_isInjectingPeerFaults = false;
+    m_peerLinks.clearFaults();
     runFor(recoveryTime);
     const auto before = m_lastRequestNumber;
     const auto served = successesDuring(3s);
