--- a/src/gateway/instance_census.h
+++ b/src/gateway/instance_census.h
@@ -15,7 +15,8 @@
 /// One instance's object in the store, as a list returned it.
 struct InstanceSighting {
     Instance instance;
-    ObjectVersion version; ///< Changes with each refresh of the object.
+    ObjectVersion version; ///< Rises with each refresh of the object, but is given out again after the store came back from an older copy.
+    std::uint64_t refreshes = 0; ///< By the process that wrote the object; 0 when the object doesn't tell it.
 
     friend bool operator==(const InstanceSighting&, const InstanceSighting&) = default;
 };
@@ -44,11 +45,16 @@
 
     struct KnownInstance {
         ObjectVersion version;
+        std::uint64_t refreshes = 0; ///< The most that any object of this process told.
         TimePoint changedAt {};
         bool isAlive = true;
         Instance instance;
     };
 
+    /// An object of an older copy of the store has another version too, so a change of it shows no life by itself.
+    static bool isRefreshed(const KnownInstance&, const InstanceSighting&);
+    static KnownInstance update(const KnownInstance&, const InstanceSighting&, TimePoint);
+
     TimePoint m_keptUntil {};
     std::map<InstanceName, KnownInstance> m_known;
 };
--- a/tests/adapter/decode_test.cpp
+++ b/tests/adapter/decode_test.cpp
@@ -85,4 +85,11 @@
     }
 }
 
+TEST_CASE("The refreshes of an instance's object are 0 when it doesn't tell them" * doctest::test_suite("adapter"))
+{
+    CHECK(decodeRefreshes(encodeInstance({}, 7)) == 7);
+    for (const auto* text : { "", "[1]", "{}", R"({"refreshes":-1})", R"({"refreshes":"7"})", R"({"refreshes":99999999999999999999})" })
+        CHECK(decodeRefreshes(text) == 0);
+}
+
 }
--- a/tests/adapter/instance_feed_test.cpp
+++ b/tests/adapter/instance_feed_test.cpp
@@ -96,6 +96,7 @@
     {
         startAgain({});
         CHECK(store->expectedVersions(2) == std::vector<std::uint64_t> { 0, 0 });
+        CHECK(decodeRefreshes(store->object().value) == 2);
         CHECK(decodeInstance(settings.instance.name, store->object().value).inner.port != 0);
     }
     SUBCASE("The copy holds an older object, and its version was given out before")
--- a/tests/gateway/instance_census_test.cpp
+++ b/tests/gateway/instance_census_test.cpp
@@ -10,10 +10,11 @@
 {
     InstanceCensus census;
     const TimePoint start { 1s };
-    const auto sighting = [](const char* name, std::uint64_t version) {
+    const auto sighting = [](const char* name, std::uint64_t version, std::uint64_t refreshes = 0, std::uint64_t life = 1) {
         Instance instance;
         instance.name = InstanceName(name);
-        return InstanceSighting { instance, ObjectVersion { version } };
+        instance.life = ProcessLife(life);
+        return InstanceSighting { instance, ObjectVersion { version }, refreshes };
     };
     CHECK(census.alive().empty());
     census.onList({ sighting("a", 1), sighting("b", 2), sighting("c", 3) }, start);
@@ -48,6 +49,61 @@
             CHECK(census.alive().size() == 1);
         }
     }
+    SUBCASE("an older copy of the store lists lower versions, which show no refresh by themselves")
+    {
+        const auto period = InstanceCensus::refreshPeriod;
+        census.onList({ sighting("a", 10), sighting("b", 11), sighting("c", 12) }, start + period);
+        census.onList({ sighting("a", 20), sighting("b", 11), sighting("c", 12) }, start + 4 * period);
+        CHECK(census.alive().size() == 1);
+        census.onList({ sighting("a", 9), sighting("b", 8), sighting("c", 7) }, start + 4 * period + 1s);
+        CHECK(census.alive().size() == 1);
+
+        SUBCASE("a refresh after it counts, also with a version that was given out before")
+        {
+            census.onList({ sighting("a", 9), sighting("b", 11), sighting("c", 7) }, start + 5 * period);
+            CHECK(census.alive().size() == 2);
+        }
+        SUBCASE("a running instance is counted over it")
+        {
+            census.onList({ sighting("a", 12), sighting("b", 8), sighting("c", 7) }, start + 5 * period);
+            census.onList({ sighting("a", 12), sighting("b", 8), sighting("c", 7) }, start + 8 * period - 1ms);
+            CHECK(census.alive().size() == 1);
+            census.onList({ sighting("a", 12), sighting("b", 8), sighting("c", 7) }, start + 8 * period);
+            CHECK(census.alive().empty());
+        }
+    }
+    SUBCASE("objects that tell their refreshes are judged by these, whatever versions an older copy of the store gives out again")
+    {
+        const auto period = InstanceCensus::refreshPeriod;
+        const auto stale = start + 4 * period;
+        census.onList({ sighting("a", 10, 5), sighting("b", 11, 5), sighting("c", 12, 5) }, start + period);
+        census.onList({ sighting("a", 20, 6), sighting("b", 11, 5), sighting("c", 12, 5) }, stale);
+        CHECK(census.alive().size() == 1);
+
+        SUBCASE("objects of the copy, and those of the copy with other versions, show no life")
+        {
+            census.onList({ sighting("a", 9, 5), sighting("b", 8, 4), sighting("c", 7, 3) }, stale + 1s);
+            CHECK(census.alive().size() == 1);
+            census.onList({ sighting("a", 9, 5), sighting("b", 30, 4), sighting("c", 30, 5) }, stale + 2s);
+            CHECK(census.alive().size() == 1);
+        }
+        SUBCASE("a refresh counts at a lower version, and at the version that was known")
+        {
+            census.onList({ sighting("a", 9, 5), sighting("b", 10, 6), sighting("c", 12, 6) }, stale + 1s);
+            CHECK(census.alive().size() == 3);
+        }
+        SUBCASE("a new process counts")
+        {
+            census.onList({ sighting("a", 20, 6), sighting("b", 10, 1, 2), sighting("c", 12, 5) }, stale + 1s);
+            CHECK(census.alive().size() == 2);
+        }
+        SUBCASE("the count of refreshes that was known before the copy stays known")
+        {
+            census.onList({ sighting("a", 20, 6), sighting("b", 8, 2), sighting("c", 12, 5) }, stale + 1s);
+            census.onList({ sighting("a", 20, 6), sighting("b", 9, 5), sighting("c", 12, 5) }, stale + 2s);
+            CHECK(census.alive().size() == 1);
+        }
+    }
     SUBCASE("an instance whose object was deleted is not counted")
     {
         census.onList({ sighting("a", 1) }, start + 1s);
