--- a/src/gateway/known_servers.cpp
+++ b/src/gateway/known_servers.cpp
@@ -53,7 +53,7 @@
 {
     const auto now = m_clock.now();
     if (isNewEpoch)
-        m_drains.recordNewEpoch(now + ServerRegistry::returnGrace);
+        m_drains.recordNewEpoch(now);
     publishDrains(m_drains.replaceAll(zones, now), now);
     if (m_isHeld)
         publish();
--- a/src/placement/zone_drains.cpp
+++ b/src/placement/zone_drains.cpp
@@ -26,9 +26,9 @@
     return change;
 }
 
-void ZoneDrains::recordNewEpoch(TimePoint keptUntil)
+void ZoneDrains::recordNewEpoch(TimePoint now)
 {
-    m_keptUntil = std::max(m_keptUntil, keptUntil);
+    m_keptUntil = std::max(m_keptUntil, now + keptInNewEpoch);
 }
 
 ZoneDrainChange ZoneDrains::expire(TimePoint now)
--- a/src/placement/zone_drains.h
+++ b/src/placement/zone_drains.h
@@ -32,13 +32,18 @@
 /// requests would turn the loss of one list into an outage. Performs no I/O. Not thread safe.
 class ZoneDrains {
 public:
+    /// After the store came back from an older copy. The platform promises no time within which the operator writes a lost drain again; work in a
+    /// drained zone is worse than a zone that stays without it for so long.
+    static constexpr Duration keptInNewEpoch = std::chrono::seconds(30);
+
     /// limit: longest time until a drain must be in force; zero: drains are not followed, and no zone is ever drained.
     explicit ZoneDrains(Duration limit);
 
     /// Replaces the list and returns what has changed.
     ZoneDrainChange replaceAll(const std::set<ZoneName>&, TimePoint);
-    /// Records that the store came back from an older copy: until then a drain that the list lacks is kept, as the operator writes again what was lost.
-    void recordNewEpoch(TimePoint keptUntil);
+    /// Records that the store came back from an older copy: for keptInNewEpoch a drain that the list lacks is kept, as the operator writes again what
+    /// was lost.
+    void recordNewEpoch(TimePoint);
     /// Ends the drains that the list still lacks at the end of that time, and returns what has changed.
     ZoneDrainChange expire(TimePoint);
     /// Returns when expire must run next; `never` when no drain is kept without being listed.
