--- a/src/placement/zone_drains.cpp
+++ b/src/placement/zone_drains.cpp
@@ -14,9 +14,10 @@
 {
     m_isKnown = true;
     m_missing.clear();
+    std::erase_if(m_unconfirmed, [&](const auto& it) { return zones.contains(it); });
     for (const auto& [zone, since] : m_since) {
         if (!zones.contains(zone))
-            m_missing.insert(zone);
+            m_missing.emplace(zone, m_unconfirmed.contains(zone) ? m_keptUntil : now);
     }
     auto change = expire(now);
     for (const auto& it : zones) {
@@ -29,22 +30,31 @@
 void ZoneDrains::recordNewEpoch(TimePoint now)
 {
     m_keptUntil = std::max(m_keptUntil, now + keptInNewEpoch);
+    m_unconfirmed = zones();
 }
 
 ZoneDrainChange ZoneDrains::expire(TimePoint now)
 {
     ZoneDrainChange change;
-    if (now < m_keptUntil)
-        return change;
-    for (const auto& zone : m_missing) {
+    for (const auto& [zone, until] : m_missing) {
+        if (until > now)
+            continue;
         const auto it = m_since.find(zone);
         change.ended.push_back({ zone, now - it->second });
         m_since.erase(it);
     }
-    m_missing.clear();
+    std::erase_if(m_missing, [&](const auto& it) { return it.second <= now; });
     return change;
 }
 
+TimePoint ZoneDrains::nextExpiry() const
+{
+    TimePoint next = never;
+    for (const auto& [zone, until] : m_missing)
+        next = std::min(next, until);
+    return next;
+}
+
 std::set<ZoneName> ZoneDrains::zones() const
 {
     std::set<ZoneName> zones;
--- a/src/placement/zone_drains.h
+++ b/src/placement/zone_drains.h
@@ -41,13 +41,13 @@
 
     /// Replaces the list and returns what has changed.
     ZoneDrainChange replaceAll(const std::set<ZoneName>&, TimePoint);
-    /// Records that the store came back from an older copy: for keptInNewEpoch a drain that the list lacks is kept, as the operator writes again what
-    /// was lost.
+    /// Records that the store came back from an older copy: for keptInNewEpoch a drain that no list has had since is kept, as the operator writes
+    /// again what was lost.
     void recordNewEpoch(TimePoint);
     /// Ends the drains that the list still lacks at the end of that time, and returns what has changed.
     ZoneDrainChange expire(TimePoint);
     /// Returns when expire must run next; `never` when no drain is kept without being listed.
-    TimePoint nextExpiry() const { return m_missing.empty() ? never : m_keptUntil; }
+    TimePoint nextExpiry() const;
     /// Starts the wait for a first list of the drains. Only the first call counts.
     void recordServersKnown(TimePoint);
     /// Returns whether servers may get work: the drains are known, or the wait for them has ended.
@@ -61,7 +61,8 @@
     bool m_isKnown;
     TimePoint m_waitEnds = never;
     TimePoint m_keptUntil {};
-    std::set<ZoneName> m_missing; ///< Drains in force that the list lacks.
+    std::set<ZoneName> m_unconfirmed; ///< Drains of earlier epochs that no list of the latest one has had.
+    std::map<ZoneName, TimePoint> m_missing; ///< Drains in force that the list lacks, and their ends.
     std::map<ZoneName, TimePoint> m_since; ///< The drained zones, and when this process learned of each drain.
 };
 
--- a/tests/placement/zone_drains_test.cpp
+++ b/tests/placement/zone_drains_test.cpp
@@ -50,6 +50,20 @@
             CHECK(drains.expire(until) == ZoneDrainChange { {}, { { a, 40s } } });
             CHECK(drains.zones() == std::set { b });
         }
+        SUBCASE("Drains that the new epoch has listed end with their entries")
+        {
+            const ZoneName c("c");
+            drains.replaceAll({ a, b, c }, now + 12s);
+            CHECK(drains.replaceAll({ b, c }, now + 13s) == ZoneDrainChange { {}, { { a, 13s } } });
+            CHECK(drains.replaceAll({}, now + 14s) == ZoneDrainChange { {}, { { b, 14s }, { c, 2s } } });
+        }
+        SUBCASE("A second older copy may lack them again")
+        {
+            drains.replaceAll({ a, b }, now + 12s);
+            drains.recordNewEpoch(now + 13s);
+            CHECK(drains.replaceAll({ b }, now + 13s) == ZoneDrainChange {});
+            CHECK(drains.nextExpiry() == until + 3s);
+        }
         SUBCASE("A later list ends it when that time is over")
         {
             CHECK(drains.replaceAll({ b }, until + 1s) == ZoneDrainChange { {}, { { a, 41s } } });
