--- a/src/forward/server_registry.cpp
+++ b/src/forward/server_registry.cpp
@@ -17,9 +17,9 @@
     bool changed = false;
     for (const auto& it : entries) {
         listed.insert(it.name);
-        changed = put(it, now) || changed;
+        changed = put(it) || changed;
     }
-    std::erase_if(m_doubted, [&](const auto& it) { return !listed.contains(it.first); });
+    std::erase_if(m_heldBack, [&](const auto& it) { return !listed.contains(it.first); });
     std::vector<ServerName> absent;
     for (const auto& [name, entry] : m_servers) {
         if (!listed.contains(name) && !m_missing.contains(name))
@@ -34,7 +34,7 @@
 {
     extendGrace(now + returnGrace);
     for (const auto& it : entries)
-        doubtIfRemoved(it, now);
+        holdBackIfRemoved(it, now);
     return replaceAll(entries, now);
 }
 
@@ -45,7 +45,7 @@
         end = std::max(end, m_graceUntil);
 }
 
-void ServerRegistry::doubtIfRemoved(const ServerEntry& entry, TimePoint now)
+void ServerRegistry::holdBackIfRemoved(const ServerEntry& entry, TimePoint now)
 {
     const auto removed = m_removed.find(entry.name);
     if (removed == m_removed.end() || entry.startedAt != removed->second.startedAt)
@@ -53,18 +53,18 @@
     // The store tells no change of the sequence alone, so the copy may list a higher one than was known before the removal.
     if (entry.isNewerThan(removed->second))
         removed->second = entry;
-    m_doubted.insert_or_assign(entry.name, Doubt { removed->second, now, now + doubtPeriod(), now + maxDoubtPeriods * doubtPeriod() });
+    m_heldBack.insert_or_assign(entry.name, HeldBack { removed->second, now, now + heldBackPeriod(), now + maxHeldBackPeriods * heldBackPeriod() });
 }
 
-bool ServerRegistry::put(const ServerEntry& entry, TimePoint)
+bool ServerRegistry::put(const ServerEntry& entry)
 {
     if (const auto removed = m_removed.find(entry.name); removed != m_removed.end()) {
         if (entry.startedAt < removed->second.startedAt)
-            m_doubted.erase(entry.name);
+            m_heldBack.erase(entry.name);
         if (!entry.isNewerThan(removed->second))
             return false;
         m_removed.erase(removed);
-        m_doubted.erase(entry.name);
+        m_heldBack.erase(entry.name);
     }
     m_missing.erase(entry.name);
     if (const auto known = m_servers.find(entry.name); known != m_servers.end() && known->second.isNewerThan(entry))
@@ -78,7 +78,7 @@
 
 bool ServerRegistry::remove(const ServerName& name, TimePoint now)
 {
-    m_doubted.erase(name);
+    m_heldBack.erase(name);
     const auto it = m_servers.find(name);
     if (it == m_servers.end())
         return false;
@@ -117,39 +117,39 @@
     m_graceUntil = wasShort ? std::max(m_graceUntil, now) : now + returnGrace;
     for (auto& [name, until] : m_missing)
         until = m_graceUntil;
-    extendDoubts(wasShort, now);
+    extendHeldBack(wasShort, now);
 }
 
-void ServerRegistry::extendDoubts(bool wasShort, TimePoint now)
+void ServerRegistry::extendHeldBack(bool wasShort, TimePoint now)
 {
-    for (auto& [name, doubt] : m_doubted) {
-        const auto outage = now - std::max(m_unreachableSince, doubt.since);
-        doubt.latest += outage;
-        doubt.until = std::min(wasShort ? doubt.until + outage : now + doubtPeriod(), doubt.latest);
+    for (auto& [name, it] : m_heldBack) {
+        const auto outage = now - std::max(m_unreachableSince, it.since);
+        it.latest += outage;
+        it.until = std::min(wasShort ? it.until + outage : now + heldBackPeriod(), it.latest);
     }
 }
 
-bool ServerRegistry::endDoubts(TimePoint now)
+bool ServerRegistry::takeHeldBack(TimePoint now)
 {
     // During an outage nothing tells whether a server lives.
     if (m_isStoreUnreachable)
         return false;
     bool changed = false;
-    for (auto it = m_doubted.begin(); it != m_doubted.end();) {
+    for (auto it = m_heldBack.begin(); it != m_heldBack.end();) {
         if (it->second.until > now) {
             ++it;
             continue;
         }
         m_removed.erase(it->first);
-        changed = put(it->second.last, now) || changed;
-        it = m_doubted.erase(it);
+        changed = put(it->second.last) || changed;
+        it = m_heldBack.erase(it);
     }
     return changed;
 }
 
 bool ServerRegistry::expire(TimePoint now)
 {
-    bool changed = endDoubts(now);
+    bool changed = takeHeldBack(now);
     for (auto it = m_missing.begin(); it != m_missing.end();) {
         if (it->second > now) {
             ++it;
@@ -171,8 +171,8 @@
         next = std::min(next, until);
     if (m_isStoreUnreachable)
         return next;
-    for (const auto& [name, doubt] : m_doubted)
-        next = std::min(next, doubt.until);
+    for (const auto& [name, it] : m_heldBack)
+        next = std::min(next, it.until);
     return next;
 }
 
--- a/src/forward/server_registry.h
+++ b/src/forward/server_registry.h
@@ -31,7 +31,7 @@
     bool replaceAllOfNewEpoch(const std::vector<ServerEntry>&, TimePoint);
     /// Adds or updates one entry, unless the known entry is more recent. Returns true if the servers
     /// changed.
-    bool put(const ServerEntry&, TimePoint);
+    bool put(const ServerEntry&);
     /// Handles an entry that was deleted or that no longer names a usable server. Returns true if the
     /// servers changed.
     bool remove(const ServerName&, TimePoint);
@@ -50,7 +50,7 @@
     /// Servers that are kept without an entry.
     std::size_t missing() const { return m_missing.size(); }
     /// Removed servers that an older copy of the store lists.
-    std::size_t doubted() const { return m_doubted.size(); }
+    std::size_t heldBack() const { return m_heldBack.size(); }
 
 private:
     bool isStoreSettled(TimePoint now) const { return !m_isStoreUnreachable && now >= m_graceUntil; }
@@ -59,21 +59,21 @@
     /// Keeps the missing servers until that time at least.
     void extendGrace(TimePoint until);
     /// Holds a removed server back whose process an older copy of the store lists. The entry of an earlier process shows no living one.
-    void doubtIfRemoved(const ServerEntry&, TimePoint);
-    /// Moves the ends of doubts after an outage: a short one adds itself, after a longer one the period begins again.
-    void extendDoubts(bool wasShort, TimePoint);
-    /// Takes the doubted servers that are still listed at the end of their time. Returns true if the servers changed.
-    bool endDoubts(TimePoint);
+    void holdBackIfRemoved(const ServerEntry&, TimePoint);
+    /// Moves the ends of the servers held back after an outage: a short one adds itself, after a longer one the period begins again.
+    void extendHeldBack(bool wasShort, TimePoint);
+    /// Takes the servers held back that are still listed at the end of their time. Returns true if the servers changed.
+    bool takeHeldBack(TimePoint);
     /// The time in which the store removes the entry of a server that has ended, and tells it here.
-    Duration doubtPeriod() const { return missedRenewals * m_renewalPeriod + returnGrace; }
+    Duration heldBackPeriod() const { return missedRenewals * m_renewalPeriod + returnGrace; }
 
     /// The store removes an entry that misses this many renewals.
     static constexpr int missedRenewals = 3;
-    /// Outages begin the period of a doubt again until it has lasted this many periods without them.
-    static constexpr int maxDoubtPeriods = 3;
+    /// Outages begin the period of a server held back again until it has lasted this many periods without them.
+    static constexpr int maxHeldBackPeriods = 3;
 
     /// A removed server that an older copy of the store lists.
-    struct Doubt {
+    struct HeldBack {
         ServerEntry last; ///< The latest one that is known.
         TimePoint since; ///< When the copy was read.
         TimePoint until; ///< Then an entry that is still listed is that of a living server. Outages move it.
@@ -87,7 +87,7 @@
     std::map<ServerName, ServerEntry> m_removed;
     std::map<ServerName, ServerEntry> m_servers;
     std::map<ServerName, TimePoint> m_missing; ///< Ends of the grace periods of servers without an entry, which are still in m_servers.
-    std::map<ServerName, Doubt> m_doubted;
+    std::map<ServerName, HeldBack> m_heldBack;
     bool m_isStoreUnreachable = false;
     TimePoint m_unreachableSince {};
     TimePoint m_graceUntil {};
--- a/src/gateway/known_servers.cpp
+++ b/src/gateway/known_servers.cpp
@@ -16,23 +16,23 @@
 {
 }
 
-bool KnownServers::putAll(const std::vector<ServerEntry>& entries, TimePoint now)
+bool KnownServers::putAll(const std::vector<ServerEntry>& entries)
 {
     bool changed = false;
     for (const auto& it : entries)
-        changed = m_registry.put(it, now) || changed;
+        changed = m_registry.put(it) || changed;
     return changed;
 }
 
 bool KnownServers::take(const ServerChanges& changes, TimePoint now)
 {
     if (!changes.isFullList)
-        return putAll(changes.listed, now);
+        return putAll(changes.listed);
     if (!changes.isNewEpoch)
         return m_registry.replaceAll(changes.listed, now);
     const bool changed = m_registry.replaceAllOfNewEpoch(changes.listed, now);
     logState("store came back from an older copy; servers that it lacks are kept for a while",
-        { { "epoch", std::to_string(changes.origin.epoch) }, { "revision", std::to_string(changes.origin.revision) }, { "from", changes.origin.source() }, { "listed", std::to_string(changes.listed.size()) }, { "kept", std::to_string(m_registry.missing()) }, { "held_back", std::to_string(m_registry.doubted()) } });
+        { { "epoch", std::to_string(changes.origin.epoch) }, { "revision", std::to_string(changes.origin.revision) }, { "from", changes.origin.source() }, { "listed", std::to_string(changes.listed.size()) }, { "kept", std::to_string(m_registry.missing()) }, { "held_back", std::to_string(m_registry.heldBack()) } });
     return changed;
 }
 
--- a/src/gateway/known_servers.h
+++ b/src/gateway/known_servers.h
@@ -36,7 +36,7 @@
 
 private:
     /// Adds or updates the entries. Returns whether the servers changed.
-    bool putAll(const std::vector<ServerEntry>&, TimePoint);
+    bool putAll(const std::vector<ServerEntry>&);
     /// Adds or replaces the listed entries. Returns whether the servers changed.
     bool take(const ServerChanges&, TimePoint);
     /// Logs the change of the drains and passes those in force to the driver.
--- a/tests/forward/server_registry_epoch_test.cpp
+++ b/tests/forward/server_registry_epoch_test.cpp
@@ -41,7 +41,7 @@
 
         SUBCASE("It stays once its entry is back")
         {
-            registry.put(entryOf("s1", 6), back + 1s);
+            registry.put(entryOf("s1", 6));
             CHECK_FALSE(registry.expire(back + 1min));
             CHECK(registry.servers().contains(name));
         }
@@ -74,7 +74,7 @@
     }
     SUBCASE("A draining server that the copy calls ready stays draining")
     {
-        registry.put(entryOf("s1", 9, true), start + 1s);
+        registry.put(entryOf("s1", 9, true));
         registry.replaceAllOfNewEpoch({ entryOf("s1", 8), entryOf("s2", 5) }, back);
         CHECK(registry.servers().at(name).isDraining);
         registry.expire(back + 1min);
@@ -82,13 +82,13 @@
 
         SUBCASE("A new process of that name is used")
         {
-            CHECK(registry.put(entryOf("s1", 1, false, 2000), back + 1s));
+            CHECK(registry.put(entryOf("s1", 1, false, 2000)));
             CHECK_FALSE(registry.servers().at(name).isDraining);
         }
     }
     SUBCASE("A draining server that the copy lacks is removed at once")
     {
-        registry.put(entryOf("s1", 9, true), start + 1s);
+        registry.put(entryOf("s1", 9, true));
         CHECK(registry.replaceAllOfNewEpoch({ entryOf("s2", 5) }, back));
         CHECK_FALSE(registry.servers().contains(name));
     }
@@ -102,17 +102,17 @@
         CAPTURE(sequence);
         CHECK_FALSE(registry.replaceAllOfNewEpoch({ entryOf("s1", sequence), entryOf("s2", 5) }, back));
         CHECK_FALSE(registry.servers().contains(name));
-        CHECK(registry.doubted() == 1);
+        CHECK(registry.heldBack() == 1);
 
         SUBCASE("It is taken again when it renews its entry")
         {
-            CHECK(registry.put(entryOf("s1", sequence + 1), back + 1s));
+            CHECK(registry.put(entryOf("s1", sequence + 1)));
             CHECK(registry.servers().contains(name));
-            CHECK(registry.doubted() == 0);
+            CHECK(registry.heldBack() == 0);
         }
         SUBCASE("A new process of that name is taken at once")
         {
-            CHECK(registry.put(entryOf("s1", 1, false, 2000), back + 1s));
+            CHECK(registry.put(entryOf("s1", 1, false, 2000)));
             CHECK(registry.servers().contains(name));
         }
         SUBCASE("It stays away when its entry is removed again")
@@ -124,7 +124,7 @@
         SUBCASE("It stays away when its entry is replaced by that of an earlier process")
         {
             const auto earlier = entryOf("s1", 50, false, 500);
-            SUBCASE("by a change") { CHECK_FALSE(registry.put(earlier, back + 1s)); }
+            SUBCASE("by a change") { CHECK_FALSE(registry.put(earlier)); }
             SUBCASE("by a second older copy") { CHECK_FALSE(registry.replaceAllOfNewEpoch({ earlier, entryOf("s2", 5) }, back + 1s)); }
             CHECK_FALSE(registry.expire(back + 1min));
             CHECK_FALSE(registry.servers().contains(name));
@@ -192,7 +192,7 @@
     }
     SUBCASE("A server that was draining when it was removed stays draining, should its entry of the copy last")
     {
-        registry.put(entryOf("s1", 9, true), start + 1s);
+        registry.put(entryOf("s1", 9, true));
         registry.remove(name, start + 2s);
         CHECK_FALSE(registry.replaceAllOfNewEpoch({ entryOf("s1", 8), entryOf("s2", 5) }, back));
         CHECK(registry.expire(back + 1min));
@@ -200,16 +200,16 @@
     }
     SUBCASE("A removed process is not brought back by the entry of an earlier one of that name")
     {
-        registry.put(entryOf("s1", 1, false, 2000), start + 1s);
+        registry.put(entryOf("s1", 1, false, 2000));
         registry.remove(name, start + 2s);
         CHECK_FALSE(registry.replaceAllOfNewEpoch({ entryOf("s1", 50, false, 1000), entryOf("s2", 5) }, back));
-        CHECK(registry.doubted() == 0);
+        CHECK(registry.heldBack() == 0);
         CHECK_FALSE(registry.expire(back + 1min));
         CHECK_FALSE(registry.servers().contains(name));
 
         SUBCASE("Its next process is taken at once")
         {
-            CHECK(registry.put(entryOf("s1", 1, false, 3000), back + 1s));
+            CHECK(registry.put(entryOf("s1", 1, false, 3000)));
             CHECK(registry.servers().contains(name));
         }
     }
--- a/tests/forward/server_registry_test.cpp
+++ b/tests/forward/server_registry_test.cpp
@@ -36,12 +36,12 @@
 
         SUBCASE("A late report of the old process does not restore the removed server")
         {
-            CHECK_FALSE(registry.put(entryOf("s1"), start + 2s));
+            CHECK_FALSE(registry.put(entryOf("s1")));
             CHECK(registry.servers().size() == 1);
         }
         SUBCASE("A report of a new process with the same name restores the server")
         {
-            CHECK(registry.put(entryOf("s1", 0, 2000), start + 2s));
+            CHECK(registry.put(entryOf("s1", 0, 2000)));
             CHECK(registry.servers().size() == 2);
         }
     }
@@ -49,8 +49,8 @@
     {
         auto draining = entryOf("s1", 5);
         draining.isDraining = true;
-        CHECK(registry.put(draining, start + 1s));
-        CHECK_FALSE(registry.put(entryOf("s1", 4), start + 2s));
+        CHECK(registry.put(draining));
+        CHECK_FALSE(registry.put(entryOf("s1", 4)));
         CHECK(registry.servers().at(name).isDraining);
     }
     SUBCASE("The registry keeps a server whose entry expired while the store was unreachable")
@@ -63,7 +63,7 @@
 
         SUBCASE("The server stays when its entry reappears within the grace period")
         {
-            registry.put(entryOf("s1", 9), start + 10s);
+            registry.put(entryOf("s1", 9));
             CHECK_FALSE(registry.expire(start + 20s));
             CHECK(registry.servers().contains(name));
         }
@@ -120,7 +120,7 @@
     {
         auto draining = entryOf("s1", 5);
         draining.isDraining = true;
-        registry.put(draining, start);
+        registry.put(draining);
         registry.recordStoreUnreachable(start);
         CHECK(registry.remove(name, start + 1s));
     }
