--- a/tests/adapter/end_to_end_admission_test.cpp
+++ b/tests/adapter/end_to_end_admission_test.cpp
@@ -19,7 +19,7 @@
         fixture.waitUntilReady();
         CHECK(fixture.fetch(fixture.endpoints.callers, lookup).status == 200);
         fixture.store.put("evacuations", "a", "{}");
-        while (fixture.fetch(fixture.endpoints.callers, lookup).status != 503) { }
+        fixture.fetchUntil(503, fixture.endpoints.callers, lookup);
         CHECK(fixture.gateway->metrics().render().find("lycheefield_drained_zones 2\n") != std::string::npos);
         const auto requests = fixture.serverX.requests.size();
         const auto refusal = fixture.fetch(fixture.endpoints.callers, lookup);
@@ -27,7 +27,7 @@
         CHECK_FALSE(refusal.headers.find("Retry-After").empty());
         CHECK(fixture.serverX.requests.size() == requests);
         fixture.store.remove("evacuations", "a");
-        while (fixture.fetch(fixture.endpoints.callers, lookup).status != 200) { }
+        fixture.fetchUntil(200, fixture.endpoints.callers, lookup);
     }
     SUBCASE("A drain that began before it started: no request reaches the zone")
     {
--- a/tests/adapter/end_to_end_test.cpp
+++ b/tests/adapter/end_to_end_test.cpp
@@ -69,7 +69,7 @@
         SUBCASE("a removed route gets 404 once the newer configuration version is in force, and an older version written later does not restore the route")
         {
             fixture.store.put("config", "main", "{\"version\":4,\"routes\":[]}");
-            while (fixture.fetch(fixture.endpoints.callers, requestTo("/s/1", "id4")).status != 404) { }
+            fixture.fetchUntil(404, fixture.endpoints.callers, requestTo("/s/1", "id4"));
             fixture.store.put("config", "main", configuration);
             fixture.store.put("config", "main", "{\"version\":5,\"routes\":[]}");
             CHECK(fixture.fetch(fixture.endpoints.callers, requestTo("/s/1", "id5")).status == 404);
@@ -183,7 +183,7 @@
         std::thread thread([&] { other.run(); });
         CHECK(becomesQuarantined(endpoints.callers));
         boost::asio::post(other.executor(), [&] { other.onServers({ false, { *decodeServer(ServerName("i-4"), replacement.entry("x")) }, {} }); });
-        while (fixture.fetch(endpoints.callers, requestTo("/l/other", "other")).status != 200) { }
+        fixture.fetchUntil(200, endpoints.callers, requestTo("/l/other", "other"));
         CHECK(isQuarantined(endpoints.callers, "again"));
         other.stop();
         thread.join();
--- a/tests/adapter/gateway_fixture.h
+++ b/tests/adapter/gateway_fixture.h
@@ -155,17 +155,27 @@
     {
         const auto caller = std::make_shared<Caller>();
         caller->open(io, endpoint);
-        runUntil([&] { return caller->isConnected; });
+        runUntil([&] { return caller->isConnected || caller->isLost; });
+        if (!caller->isConnected)
+            throw std::runtime_error("a caller can't connect to the gateway");
         caller->send(request);
         runUntil([&] { return caller->response.has_value() || caller->isLost; });
         return caller->response.value();
     }
 
-    void waitUntilReady()
+    /// Repeats the request until the response has the status.
+    void fetchUntil(unsigned status, const Endpoint& endpoint, const HttpRequest& request)
     {
-        while (fetch(endpoints.readiness, requestTo("/ready", "probe")).status != 200) { }
+        // Each try opens a connection, and the machine's ports are limited.
+        constexpr Duration pause = std::chrono::milliseconds(5);
+        while (fetch(endpoint, request).status != status) {
+            io.restart();
+            io.run_for(pause);
+        }
     }
 
+    void waitUntilReady() { fetchUntil(200, endpoints.readiness, requestTo("/ready", "probe")); }
+
     /// Returns the metrics' page, rendered on the gateway's thread.
     std::string metricsPage()
     {
