--- a/src/wire/peer_clock.h
+++ b/src/wire/peer_clock.h
@@ -31,7 +31,7 @@
 
     std::optional<TimePoint> earliest {}; ///< However the clocks may have drifted apart. Empty while the sender's clock is unknown.
     TimePoint latest {}; ///< When the frame was read.
-    TimePoint assumed {}; ///< No earlier than the frame was sent if the frames of the clocks' bound took no time, however the clocks may have drifted apart.
+    TimePoint assumed {}; ///< For time limits: between the two, with the allowance for drift added instead of taken off.
 
     /// Returns the time from which a time limit in the frame counts.
     TimePoint startOfLimits() const { return std::min(latest, assumed + deadlineTolerance); }
--- a/src/wire/store_news.h
+++ b/src/wire/store_news.h
@@ -19,8 +19,8 @@
     StoreRevision revision {};
     std::vector<StoredObject> changed;
     std::vector<std::string> removed; ///< Keys of removed objects.
-    TimePoint currentAsOf {}; ///< On the clock of the process that holds the news, like confirmedAt; the epoch when no time is known.
-    TimePoint confirmedAt {}; ///< When the call was sent whose response showed that there was no later change; the epoch when none did.
+    TimePoint currentAsOf {}; ///< On the clock of the process that holds the news, like confirmedAt; TimePoint {} when no time is known.
+    TimePoint confirmedAt {}; ///< When the call was sent whose response showed that there was no later change; TimePoint {} when none did.
     bool isComparison = false; ///< Made by comparing two lists, so it holds only for a receiver that knows exactly the state at `from`.
 
     friend bool operator==(const StoreNews&, const StoreNews&) = default;
