--- a/tests/adapter/quarantine_feed_test.cpp
+++ b/tests/adapter/quarantine_feed_test.cpp
@@ -17,9 +17,12 @@
 /// A store of one object that answers at once.
 class OneObjectStore final : public ObjectStore {
 public:
-    void read(const std::string& key, ObjectHandler handler) override { handler(isDown ? StoreStatus::Unavailable : object.value.empty() ? StoreStatus::NotFound
-                                                                                                                                         : StoreStatus::Ok,
-        object); }
+    void read(const std::string& key, ObjectHandler handler) override
+    {
+        ++reads;
+        const auto found = object.value.empty() ? StoreStatus::NotFound : StoreStatus::Ok;
+        handler(isDown ? StoreStatus::Unavailable : found, object);
+    }
     void write(const std::string& key, ObjectVersion expected, const std::string& value, ObjectHandler handler) override
     {
         ++writes;
@@ -38,6 +41,7 @@
     void watch(const std::string&, std::uint64_t, Duration, ListHandler) override { }
 
     StoredObject object;
+    int reads = 0;
     int writes = 0;
     ObjectHandler heldWrite;
     bool holdsWrites = false; ///< The next write is kept in `heldWrite` and not executed.
@@ -72,6 +76,14 @@
         io.restart();
         while (!isReached() && io.run_one() > 0) { }
     }
+    /// Tells the feed of a new epoch, and runs until it has read the object for it and done what follows.
+    void beginEpoch(const std::vector<CrashNews>& inMemory)
+    {
+        const auto reads = store->reads;
+        feed->onNewEpoch(inMemory, 0s);
+        runUntil([&] { return store->reads > reads; });
+        run();
+    }
     std::vector<KeptQuarantine> kept() const { return decodeQuarantines(store->object.value); }
 
     boost::asio::io_context io;
@@ -174,15 +186,13 @@
     {
         SUBCASE("The copy has some") { fixture.store->object = old; }
         SUBCASE("The copy has none") { fixture.store->object = {}; }
-        fixture.feed->onNewEpoch(known, 0s);
-        fixture.run();
+        fixture.beginEpoch(known);
         CHECK(fixture.kept().size() == 3);
         CHECK(fixture.store->writes == 1);
 
         SUBCASE("An instance that finds all kept writes nothing")
         {
-            fixture.feed->onNewEpoch(known, 0s);
-            fixture.run();
+            fixture.beginEpoch(known);
             CHECK(fixture.store->writes == 1);
         }
     }
@@ -226,8 +236,7 @@
     {
         fixture.store->object = old;
         fixture.store->holdsWrites = true;
-        fixture.feed->onNewEpoch(known, 0s);
-        fixture.run();
+        fixture.beginEpoch(known);
         fixture.store->holdsWrites = false;
         const auto end = unixMillis() + 3'600'000;
         fixture.store->object = { "", { 5 }, encodeQuarantines({ { Fingerprint(7), 3, end }, { Fingerprint(8), 3, end }, { Fingerprint(9), 3, end } }) };
