--- a/src/forward/forward_request.cpp
+++ b/src/forward/forward_request.cpp
@@ -33,6 +33,8 @@
         return "withdrawn";
     case ServerRequestFailure::NotConnected:
         return "not_connected";
+    case ServerRequestFailure::NoLocalResources:
+        return "no_local_resources";
     case ServerRequestFailure::ConnectionRejected:
         return "turned_away";
     case ServerRequestFailure::Broken:
--- a/src/forward/forward_request.h
+++ b/src/forward/forward_request.h
@@ -65,7 +65,8 @@
 
 /// Why a server request ended without a response.
 enum class ServerRequestFailure : std::uint8_t {
-    NotConnected, ///< No connection could be opened. The request did not run.
+    NotConnected, ///< The server did not take a connection. The request did not run.
+    NoLocalResources, ///< This machine had no descriptor, port or memory for a connection, which says nothing of the server. The request did not run.
     Withdrawn, ///< The request was withdrawn before anything was sent, because its server may get no work any more. It did not run.
     ConnectionRejected, ///< The server, at its connection limit, closed a new connection before anything was sent. The request did not run.
     Broken, ///< The connection broke after some of the request was sent; the request may have run.
--- a/src/gateway/server_connections.cpp
+++ b/src/gateway/server_connections.cpp
@@ -201,10 +201,19 @@
             return;
         const auto id = std::exchange(m_request, std::nullopt)->id;
         owner->removeBusy(id);
-        owner->m_events.onFailed(id, bytesWritten ? ServerRequestFailure::Broken : (m_isConnected ? ServerRequestFailure::ConnectionRejected : ServerRequestFailure::NotConnected));
+        owner->m_events.onFailed(id, failureOf(bytesWritten));
     }
 
 private:
+    ServerRequestFailure failureOf(bool bytesWritten) const
+    {
+        if (bytesWritten)
+            return ServerRequestFailure::Broken;
+        if (m_isConnected)
+            return ServerRequestFailure::ConnectionRejected;
+        return m_http->lackedResources() ? ServerRequestFailure::NoLocalResources : ServerRequestFailure::NotConnected;
+    }
+
     /// Makes the connection available for later requests until the allowance ends.
     void becomeIdle(Duration allowance)
     {
--- a/src/http/http_client_connection.cpp
+++ b/src/http/http_client_connection.cpp
@@ -19,6 +19,13 @@
 /// The memory for requests that a connection keeps for its next one.
 constexpr std::size_t keptRequestBytes = 16 * 1024;
 
+bool isLackOfResources(const boost::system::error_code& ec)
+{
+    namespace errc = boost::system::errc;
+    return ec == errc::too_many_files_open || ec == errc::too_many_files_open_in_system || ec == errc::address_not_available || ec == errc::no_buffer_space
+        || ec == errc::not_enough_memory;
+}
+
 std::string formatRequest(const HttpRequest& request, const std::string& host)
 {
     std::string out;
@@ -106,6 +113,8 @@
 
     bool wasRejected() const override { return m_wasRejected; }
 
+    bool lackedResources() const override { return m_lackedResources; }
+
 private:
     void onConnected(const boost::system::error_code& ec)
     {
@@ -114,6 +123,7 @@
             return;
         if (ec) {
             m_wasRejected = ec == boost::asio::error::connection_refused || ec == boost::asio::error::connection_reset;
+            m_lackedResources = isLackOfResources(ec);
             fail(ec.message());
             return;
         }
@@ -232,6 +242,7 @@
     bool m_closing = false; ///< The connection closes once the current response is delivered.
     bool m_closed = false;
     bool m_wasRejected = false;
+    bool m_lackedResources = false;
 };
 
 }
--- a/src/http/http_client_connection.h
+++ b/src/http/http_client_connection.h
@@ -42,6 +42,9 @@
     virtual void close() = 0;
     /// Returns whether the peer's address rejected the connection, so that no process accepts connections there.
     virtual bool wasRejected() const = 0;
+    /// Returns whether no connection was opened because this machine or process had no descriptor, port or memory for it. The
+    /// peer was not asked then.
+    virtual bool lackedResources() const = 0;
 };
 
 /// Starts to connect to the endpoint, whose address must be an IP address. Errors, among them the time-out, are
--- a/src/platform/http_object_store.cpp
+++ b/src/platform/http_object_store.cpp
@@ -76,9 +76,14 @@
 /// A response that can't be parsed does not tell what the call did, hence Lost.
 WatchBatch readBatch(const PlatformResponse& response)
 {
-    if (response.status != StoreStatus::Ok)
-        return WatchBatch { response.status };
-    return toBatch(response.body).value_or(WatchBatch { StoreStatus::Lost });
+    if (response.status == StoreStatus::Ok) {
+        if (auto batch = toBatch(response.body))
+            return std::move(*batch);
+    }
+    WatchBatch failed;
+    failed.status = response.status == StoreStatus::Ok ? StoreStatus::Lost : response.status;
+    failed.why = response.status == StoreStatus::Ok ? "malformed response" : response.why;
+    return failed;
 }
 
 }
--- a/src/platform/object_store.h
+++ b/src/platform/object_store.h
@@ -25,6 +25,7 @@
     InstanceName announcedBy {}; ///< The instance that announced the batch; empty: this instance read it from the store.
     TimePoint provenAt {}; ///< Latest time for which all changes are known to have been seen. Set by WatchEngine.
     TimePoint confirmedAt {}; ///< Sending time of the latest call whose response shows that nothing later than this batch existed when the call was sent; the epoch when there was none. Set by WatchEngine.
+    std::string why {}; ///< Of a failed call: why it failed, for logs.
 };
 
 /// The platform's object API. Calls return at once; each handler runs exactly once, on the
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -66,6 +66,13 @@
     return isClientError ? StoreStatus::Unavailable : StoreStatus::Lost;
 }
 
+PlatformResponse unsent(std::string why)
+{
+    PlatformResponse response;
+    response.why = std::move(why);
+    return response;
+}
+
 constexpr double burstSeconds = 0.5;
 
 TokenBucket makeBudget(std::uint32_t callsPerSecond)
@@ -138,6 +145,7 @@
     void startNextWaitingCall();
     void recordStatus(StoreStatus);
     void finish(const PendingCallPtr&, PlatformResponse);
+    void finishUnsent(const PendingCallPtr&, std::string why);
     void deliver(Handler, PlatformResponse);
     void doStop();
 
@@ -164,15 +172,15 @@
 {
     const auto now = m_clock.now();
     if (m_isStopped)
-        return deliver(std::move(handler), {});
+        return deliver(std::move(handler), unsent("the client is stopped"));
     if (now < m_pausedUntil) {
         count([](auto& counters) { ++counters.refusedByPause; });
-        return deliver(std::move(handler), {});
+        return deliver(std::move(handler), unsent("calls pause after failures in a row"));
     }
     auto& budget = isWrite(call.kind) ? m_writes : m_reads;
     if (!budget.take(now)) {
         count([](auto& counters) { ++counters.refusedByBudget; });
-        return deliver(std::move(handler), {});
+        return deliver(std::move(handler), unsent("the call budget is used up"));
     }
     auto pending = std::make_shared<PendingCall>();
     const auto timeout = call.timeout == Duration {} ? m_settings.callTimeout : call.timeout;
@@ -226,12 +234,12 @@
 void PlatformClient::Impl::enqueue(const PendingCallPtr& pending)
 {
     if (m_waiting.size() >= m_settings.maxWaitingCalls)
-        return finish(pending, {});
+        return finishUnsent(pending, "too many calls wait for a connection");
     pending->waitTimer = std::make_unique<asio::steady_timer>(m_strand, timeLeft(*pending));
     pending->waitTimer->async_wait([self = shared_from_this(), pending](const boost::system::error_code& ec) {
         if (ec || std::erase(self->m_waiting, pending) == 0)
             return;
-        self->finish(pending, {});
+        self->finishUnsent(pending, "no connection was free in time");
     });
     m_waiting.push_back(pending);
 }
@@ -250,7 +258,7 @@
             return self->run(pending, connection, false);
         self->recordStatus(StoreStatus::Unavailable);
         self->releaseConnection(pending, connection);
-        self->finish(pending, {});
+        self->finishUnsent(pending, connection->failure());
     });
 }
 
@@ -278,7 +286,10 @@
         return dispatch(pending);
     }
     recordStatus(status);
-    finish(pending, { status, std::move(result.body), parseHttpDate(result.date).value_or(0), parseDigits(result.epoch) });
+    PlatformResponse response { status, std::move(result.body), parseHttpDate(result.date).value_or(0), parseDigits(result.epoch) };
+    if (status != StoreStatus::Ok)
+        response.why = result.hasResponse ? "status " + std::to_string(result.status) : connection->failure();
+    finish(pending, std::move(response));
 }
 
 void PlatformClient::Impl::releaseConnection(const PendingCallPtr& pending, const ConnectionPtr& connection)
@@ -327,6 +338,11 @@
     deliver(std::move(pending->handler), std::move(response));
 }
 
+void PlatformClient::Impl::finishUnsent(const PendingCallPtr& pending, std::string why)
+{
+    finish(pending, unsent(std::move(why)));
+}
+
 void PlatformClient::Impl::deliver(Handler handler, PlatformResponse response)
 {
     asio::post(m_executor, [handler = std::move(handler), response = std::move(response)]() mutable { handler(std::move(response)); });
@@ -344,7 +360,7 @@
     const auto waiting = std::exchange(m_waiting, {});
     for (const auto& pending : waiting) {
         pending->waitTimer->cancel();
-        finish(pending, {});
+        finishUnsent(pending, "the client is stopped");
     }
 }
 
--- a/src/platform/platform_client.h
+++ b/src/platform/platform_client.h
@@ -37,6 +37,7 @@
     std::string body;
     std::int64_t respondedAt = 0; ///< The response's Date, in seconds since the Unix epoch; 0 when absent.
     std::optional<std::uint64_t> epoch {}; ///< Of the store that responded; empty when the response names none that can be read.
+    std::string why {}; ///< Why the status is not Ok, for logs.
 };
 
 /// HTTP client of the platform with keep-alive connections, time-outs, call budgets, counters, and a pause
--- a/src/platform/platform_connection.cpp
+++ b/src/platform/platform_connection.cpp
@@ -48,6 +48,7 @@
         error_code ec;
         const auto address = asio::ip::make_address(endpoint.address, ec);
         if (ec) {
+            m_failure = ec.message();
             asio::post(m_stream.get_executor(), [handler = std::move(handler)] { handler(false); });
             return;
         }
@@ -75,6 +76,8 @@
         http::async_write(m_stream, m_request, [self = shared_from_this()](error_code ec, std::size_t sent) { self->onWritten(ec, sent); });
     }
 
+    const std::string& failure() const override { return m_failure; }
+
     bool isOpen() const override { return m_isOpen && !hasUnreadBytes(); }
 
     void close() override
@@ -89,7 +92,9 @@
     void onConnected(error_code ec)
     {
         m_isOpen = !ec;
-        if (!ec)
+        if (ec)
+            m_failure = "connect: " + ec.message();
+        else
             m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
     }
 
@@ -98,7 +103,7 @@
         m_result.bytesSent = sent;
         m_result.wasSent = sent > 0;
         if (ec)
-            return fail();
+            return fail("write: " + ec.message());
         startCharging();
         m_reader.emplace(m_limits);
         readMore();
@@ -135,13 +140,13 @@
         m_result.bytesReceived += n;
         const bool isEnd = ec == asio::error::eof;
         if (ec && !isEnd)
-            return fail();
+            return fail("read: " + ec.message());
         switch (isEnd ? m_reader->takeEnd() : m_reader->take(m_buf)) {
         case HttpResponseReader::State::NeedsMore:
             m_charge->set(m_reader->heldBytes() + m_buf.size());
             return readMore();
         case HttpResponseReader::State::Malformed:
-            return fail();
+            return fail("malformed response: " + m_reader->reason());
         case HttpResponseReader::State::Done:
             break;
         }
@@ -157,8 +162,9 @@
         finish();
     }
 
-    void fail()
+    void fail(std::string why)
     {
+        m_failure = std::move(why);
         close();
         finish();
     }
@@ -175,6 +181,7 @@
     HttpLimits m_limits;
     beast::flat_buffer m_buf;
     std::string m_host;
+    std::string m_failure;
     bool m_isOpen = false;
     http::request<http::string_body> m_request;
     std::optional<BufferCharge> m_charge; ///< For the response to the exchange in flight.
--- a/src/platform/platform_connection.h
+++ b/src/platform/platform_connection.h
@@ -50,6 +50,8 @@
     virtual void connect(const Endpoint&, Duration timeout, ConnectHandler) = 0;
     /// Precondition: connected, and no exchange in flight.
     virtual void exchange(const HttpExchange&, Duration timeout, ExchangeHandler) = 0;
+    /// Why the last operation failed, for logs; empty when none has.
+    virtual const std::string& failure() const = 0;
     /// False once the last response or an error has ended the connection.
     virtual bool isOpen() const = 0;
     /// Aborts the operation in flight, whose handler is called with a failure.
--- a/src/platform/watch_engine.cpp
+++ b/src/platform/watch_engine.cpp
@@ -39,6 +39,7 @@
 WatchEngine::WatchEngine(std::string prefix, Backoff backoff)
     : m_prefix(std::move(prefix))
     , m_backoff(std::move(backoff))
+    , m_failureLog(m_prefix)
 {
 }
 
@@ -135,14 +136,20 @@
         logRegression(response, actions);
         reviewEpoch(response, now, actions);
     }
-    if (isExpired)
+    if (isExpired) {
         onExpiredHistory(response, now);
-    else if (!isUsable(response))
+    } else if (!isUsable(response)) {
+        // A response that can't be used for its revision has a line of its own.
+        if (response.status != StoreStatus::Ok)
+            m_failureLog.onFailure(response.why, m_call.at, now, actions);
         onFailedCall(response, now, actions);
-    else if (m_call.isList)
-        onList(response, now, actions);
-    else
-        onChanges(response, now, actions);
+    } else {
+        m_failureLog.onSuccess(now, actions);
+        if (m_call.isList)
+            onList(response, now, actions);
+        else
+            onChanges(response, now, actions);
+    }
     callIfDue(now, actions);
 }
 
--- a/src/platform/watch_engine.h
+++ b/src/platform/watch_engine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "platform/backoff.h"
+#include "platform/call_failure_log.h"
 #include "platform/epoch_evidence.h"
 #include "platform/watch_action.h"
 #include "platform/watch_schedule.h"
@@ -125,6 +126,7 @@
     bool m_isRegressionLogged = false; ///< Since the last response that was no regression.
     bool m_isBehind = false; ///< The store may hold changes not seen yet: a response may be truncated, or an announcement was missed.
     std::uint64_t m_latestEpoch = 0; ///< The latest one that a usable response or an announcement named.
+    CallFailureLog m_failureLog;
     EpochEvidence m_otherEpoch; ///< From responses to calls that were sent when m_latestEpoch was known.
     StoreRevision m_revision;
     std::uint64_t m_mixedUpTo = 0; ///< The objects may hold changes up to this number although m_revision is lower.
