--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "base/buffer_limit.h"
 #include "gateway/computed_response.h"
+#include "gateway/descriptor_budget.h"
 #include "gateway/followed_states.h"
 #include "gateway/forward_counters_metrics.h"
 #include "gateway/forward_driver.h"
@@ -16,8 +17,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
-#include <sys/resource.h>
-
 #include <algorithm>
 #include <csignal>
 #include <utility>
@@ -27,20 +26,9 @@
 namespace {
 
 constexpr Duration housekeepingPeriod = std::chrono::seconds(1);
-/// Callers may use this share of the descriptors; the rest is for servers, the store, other instances and readiness checks.
-constexpr std::size_t callerDescriptorDivisor = 2;
 constexpr unsigned ok = 200;
 constexpr unsigned unavailable = 503;
 
-std::size_t maxCallerConnections()
-{
-    const auto most = HttpLimits().maxConnections;
-    rlimit descriptors {};
-    if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0 || descriptors.rlim_cur == RLIM_INFINITY)
-        return most;
-    return std::clamp<std::size_t>(descriptors.rlim_cur / callerDescriptorDivisor, 1, most);
-}
-
 }
 
 class Gateway::Impl final : public StoreNewsEvents, public PortEvents {
@@ -61,8 +49,8 @@
         , m_ports(m_strand, *m_clock, *this)
         , m_readiness([this] { return HttpResponse { isReady() ? ok : unavailable, "text/plain", isReady() ? "ready\n" : "not ready\n" }; })
         , m_metricsPage([this] { return HttpResponse { ok, "text/plain; version=0.0.4", m_metrics.render() }; })
-        , m_callerServer(m_io, m_driver, m_clock, m_callerCounters, { .maxConnections = maxCallerConnections() })
-        , m_configuration(maxCallerConnections(), *m_clock, m_driver, m_callerServer, m_log)
+        , m_callerServer(m_io, m_driver, m_clock, m_callerCounters, { .maxConnections = m_descriptors.forCallers() })
+        , m_configuration(m_descriptors.forCallers(), *m_clock, m_driver, m_callerServer, m_log)
         , m_readinessServer(m_io, m_readiness, m_clock, m_probeCounters)
         , m_metricsServer(m_io, m_metricsPage, m_clock, m_probeCounters)
         , m_signals(m_strand, SIGTERM, SIGINT, SIGHUP)
@@ -185,7 +173,7 @@
             return readiness.error();
         if (const Endpoint metrics { own.callers.address, own.metricsPort }; metrics.port != 0)
             m_ports.openOptional("metrics", [this, metrics] { return m_metricsServer.listen(metrics); });
-        logState("started", { { "instance", m_settings.instance.name.value() }, { "zone", m_settings.instance.zone.value() }, { "callers", m_settings.gateway.callers.toString() }, { "caller_connections", std::to_string(maxCallerConnections()) }, { "settings_adjusted", adjustedKeys() } });
+        logState("started", { { "instance", m_settings.instance.name.value() }, { "zone", m_settings.instance.zone.value() }, { "callers", m_settings.gateway.callers.toString() }, { "caller_connections", std::to_string(m_descriptors.forCallers()) }, { "settings_adjusted", adjustedKeys() } });
         return GatewayEndpoints { callers.value(), readiness.value(), m_inner };
     }
 
@@ -311,6 +299,7 @@
     }
 
     const Settings m_settings;
+    const DescriptorBudget m_descriptors = DescriptorBudget::ofProcess();
     boost::asio::io_context m_io { 1 };
     boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
     std::shared_ptr<const Clock> m_clock = std::make_shared<BootClock>();
