--- a/src/daemon/request_admin.cpp
+++ b/src/daemon/request_admin.cpp
@@ -1,11 +1,11 @@
 #include "daemon/request_admin.h"
 
+#include "daemon/packed_response.h"
 #include "daemon/trace_tree.h"
 #include "observe/trace_store.h"
 
 #include <boost/json.hpp>
 
-#include <charconv>
 #include <optional>
 
 namespace lycheefield {
@@ -48,23 +48,6 @@
     return textResponse(404, "the instance that took this request keeps nothing of it any more");
 }
 
-/// Encodes an HTTP response as the payload of a response to a peer: the status, a space, the body.
-std::string pack(const HttpResponse& response)
-{
-    return std::to_string(response.status) + " " + response.body;
-}
-
-HttpResponse unpack(const std::string& payload)
-{
-    unsigned status = 0;
-    const auto [end, ec] = std::from_chars(payload.data(), payload.data() + payload.size(), status);
-    if (ec != std::errc() || end == payload.data() + payload.size() || *end != ' ')
-        return textResponse(502, "the instance that took this request gave no answer that can be read");
-    const auto body = payload.substr(static_cast<std::size_t>(end - payload.data()) + 1);
-    const bool isJson = !body.empty() && body.front() == '{';
-    return { status, isJson ? "application/json" : "text/plain", body };
-}
-
 }
 
 RequestAdmin::RequestAdmin(InstanceName self, EntryDriver& entry, const RequestLog& log, const SharedTables& tables, PeerCalls& calls)
@@ -89,7 +72,7 @@
         return;
     }
     m_calls.call(instance->name, std::string(nameOf(verb)), id.toString(), [done = std::move(done)](const std::optional<std::string>& payload) {
-        done(payload ? unpack(*payload) : textResponse(504, "the instance that took this request did not answer in time"));
+        done(payload ? unpackResponse(*payload) : textResponse(504, "the instance that took this request did not answer in time"));
     });
 }
 
@@ -98,14 +81,14 @@
     const auto known = verbOf(verb);
     const auto id = RequestId::parse(argument);
     if (!known || !id) {
-        respond(pack(textResponse(400, "no such question")));
+        respond(packResponse(textResponse(400, "no such question")));
         return;
     }
     if (!m_entry.isOurs(*id)) {
-        respond(pack(textResponse(404, "the process that took this request is not running any more")));
+        respond(packResponse(textResponse(404, "the process that took this request is not running any more")));
         return;
     }
-    handleLocally(*known, *id, [respond](const HttpResponse& response) { respond(pack(response)); });
+    handleLocally(*known, *id, [respond](const HttpResponse& response) { respond(packResponse(response)); });
 }
 
 void RequestAdmin::handleLocally(RequestVerb verb, const RequestId& id, const Done& done)
