--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,14 +4,13 @@
 #include "gateway/computed_response.h"
 #include "gateway/descriptor_budget.h"
 #include "gateway/followed_states.h"
-#include "gateway/forward_counters_metrics.h"
 #include "gateway/forward_driver.h"
+#include "gateway/gateway_metrics.h"
 #include "gateway/key_admission.h"
 #include "gateway/known_configuration.h"
 #include "gateway/known_servers.h"
 #include "gateway/planned_stop.h"
 #include "gateway/port_opener.h"
-#include "observe/buffer_metrics.h"
 #include "observe/handler_loop.h"
 
 #include <boost/asio/post.hpp>
@@ -62,7 +61,8 @@
         m_driver.setQuotas(m_quotas);
         BufferLimit::ofProcess()->setMax(settings.instance.maxBuffered);
         followStates();
-        registerMetrics();
+        registerGatewayMetrics(m_metrics, { m_driver, m_servers, m_log, m_callerCounters, [this] { return isReady(); } });
+        registerDescriptorMetrics(m_metrics, m_descriptors);
     }
 
     boost::asio::any_io_executor executor() { return m_strand; }
@@ -283,21 +283,6 @@
         m_io.stop();
     }
 
-    void registerMetrics()
-    {
-        registerForwardCounters(m_metrics, m_driver.counters());
-        registerBufferMetrics(m_metrics);
-        m_metrics.gauge("lycheefield_ready", [this] { return isReady() ? 1 : 0; });
-        m_metrics.gauge("lycheefield_store_reachable", [this] { return m_servers.isStoreReachable() ? 1 : 0; });
-        m_metrics.gauge("lycheefield_configuration_version", [this] { return m_driver.routes() ? static_cast<double>(m_driver.routes()->version) : 0; });
-        m_metrics.gauge("lycheefield_servers", [this] { return static_cast<double>(m_servers.count()); });
-        m_metrics.gauge("lycheefield_drained_zones", [this] { return static_cast<double>(m_servers.drainedZones()); });
-        m_metrics.gauge("lycheefield_server_connections", [this] { return static_cast<double>(m_driver.serverConnections()); });
-        m_metrics.gauge("lycheefield_requests_leaving_zone_share", [this] { return m_driver.highestLeftShare(); });
-        m_metrics.gauge("lycheefield_requests_in_flight", [this] { return static_cast<double>(m_driver.inFlight()); });
-        m_metrics.count("lycheefield_log_lines_left_out_total", [this] { return m_log.droppedLines(); });
-    }
-
     const Settings m_settings;
     const DescriptorBudget m_descriptors = DescriptorBudget::ofProcess();
     boost::asio::io_context m_io { 1 };
