--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -1,5 +1,6 @@
 #include "observe/metrics.h"
 
+#include <limits>
 #include <sstream>
 
 namespace lycheefield {
@@ -81,6 +82,7 @@
 {
     const std::lock_guard lock(m_mutex);
     std::ostringstream out;
+    out.precision(std::numeric_limits<double>::digits10);
     std::string last;
     for (const auto& [name, counter] : m_counters) {
         writeType(out, last, name, "counter");
--- a/tests/gateway/gateway_metrics_test.cpp
+++ b/tests/gateway/gateway_metrics_test.cpp
@@ -23,7 +23,7 @@
     {
         registerDescriptorMetrics(metrics, DescriptorBudget::divide(DescriptorBudget::unlimited));
         CHECK(metrics.render().starts_with("# TYPE lycheefield_descriptor_limit gauge\n"
-                                           "lycheefield_descriptor_limit 1.84467e+19\n"));
+                                           "lycheefield_descriptor_limit 1.84467440737096e+19\n"));
     }
 }
 
--- a/tests/observe/observe_test.cpp
+++ b/tests/observe/observe_test.cpp
@@ -79,6 +79,16 @@
         CHECK(first != std::string::npos);
         CHECK(text.find("# TYPE lycheefield_legs_total", first + 1) == std::string::npos);
     }
+    SUBCASE("Gauges of large whole numbers are rendered with all digits")
+    {
+        metrics.gauge("lycheefield_store_revision", [] { return 123456789012345.0; });
+        metrics.gauge("lycheefield_descriptor_limit", [] { return 1048576.0; });
+        metrics.gauge("lycheefield_share", [] { return 0.1; });
+        const auto page = metrics.render();
+        CHECK(page.find("lycheefield_store_revision 123456789012345\n") != std::string::npos);
+        CHECK(page.find("lycheefield_descriptor_limit 1048576\n") != std::string::npos);
+        CHECK(page.find("lycheefield_share 0.1\n") != std::string::npos);
+    }
     SUBCASE("The quantiles of uniformly distributed durations are close to the exact values")
     {
         const auto values = metrics.latency("lycheefield_search_seconds").values();
