One function writes a time as whole milliseconds

Change: formatMilliseconds in base, beside the other formats of quantities, in place of three copies (state of followed objects, age of the configuration, deadline of the load generator's requests). No change of behaviour.

--- a/src/admission/configuration_freshness.cpp
+++ b/src/admission/configuration_freshness.cpp
@@ -1,5 +1,7 @@
 #include "admission/configuration_freshness.h"
 
+#include "base/quantity_text.h"
+
 #include <algorithm>
 
 namespace lycheefield {
@@ -39,7 +41,7 @@
 std::string ConfigurationFreshness::ageText(TimePoint now) const
 {
     const auto current = age(now);
-    return current == Duration::max() ? "none" : std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(current).count());
+    return current == Duration::max() ? "none" : formatMilliseconds(current);
 }
 
 }
--- a/src/base/quantity_text.cpp
+++ b/src/base/quantity_text.cpp
@@ -95,6 +95,11 @@
     return formatScaled(static_cast<std::uint64_t>(duration.count()), durationUnits);
 }
 
+std::string formatMilliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 namespace {
 
 /// Parses a share in fraction notation, such as "0.25".
--- a/src/base/quantity_text.h
+++ b/src/base/quantity_text.h
@@ -19,6 +19,8 @@
 /// The same, or a decimal number with a unit, rounded to microseconds. For settings that a program fills in.
 std::optional<Duration> parseDecimalDuration(std::string_view);
 std::string formatDuration(Duration);
+/// Returns the number of milliseconds, truncated and without a unit, for fields of logs and messages whose name says the unit. It is not parsed here.
+std::string formatMilliseconds(Duration);
 
 /// Decimal number from 0 to 100 with up to six decimal places and a percent sign, or a fraction from 0 to 1.
 std::optional<Share> parseShare(std::string_view);
--- a/src/gateway/followed_states.cpp
+++ b/src/gateway/followed_states.cpp
@@ -1,19 +1,12 @@
 #include "gateway/followed_states.h"
 
+#include "base/quantity_text.h"
+
 #include <chrono>
 #include <sstream>
 
 namespace lycheefield {
 
-namespace {
-
-std::string msText(Duration duration)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
-}
-
 FollowedStates::FollowedStates(const Clock& clock, DecisionLog& log, Metrics& metrics)
     : m_clock(clock)
     , m_log(log)
@@ -51,7 +44,7 @@
 std::string FollowedStates::ageText(FollowedObjects objects) const
 {
     const auto it = m_states.find(objects);
-    return it == m_states.end() ? "none" : msText(it->second.age(m_clock.now()));
+    return it == m_states.end() ? "none" : formatMilliseconds(it->second.age(m_clock.now()));
 }
 
 std::string FollowedStates::revisionText(FollowedObjects objects) const
@@ -72,7 +65,7 @@
         return;
     const bool isBehind = change == StateFreshness::Change::FellBehind;
     m_log.write(LineImportance::State, now, isBehind ? "state not proven current within its limit; the known state stays in force" : "state proven current again",
-        { { "objects", nameOf(objects) }, { "proof_age_ms", msText(state.age(now)) }, { "limit_ms", msText(state.limit()) }, { "revision", std::to_string(state.revision().number) }, { "epoch", std::to_string(state.revision().epoch) } });
+        { { "objects", nameOf(objects) }, { "proof_age_ms", formatMilliseconds(state.age(now)) }, { "limit_ms", formatMilliseconds(state.limit()) }, { "revision", std::to_string(state.revision().number) }, { "epoch", std::to_string(state.revision().epoch) } });
 }
 
 }
--- a/src/load/load_runner.cpp
+++ b/src/load/load_runner.cpp
@@ -1,5 +1,6 @@
 #include "load/load_runner.h"
 
+#include "base/quantity_text.h"
 #include "load/answer_check.h"
 #include "load/call_history.h"
 #include "load/caller_connection.h"
@@ -161,7 +162,7 @@
     {
         CallerConnection::Headers headers;
         if (requestClass.deadline.count())
-            headers.emplace_back("X-Deadline-Ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(requestClass.deadline).count()));
+            headers.emplace_back("X-Deadline-Ms", formatMilliseconds(requestClass.deadline));
         if (requestClass.kind == RequestKind::Record)
             headers.emplace_back("X-Record-Key", nonce);
         if (requestClass.kind == RequestKind::Order)
