--- a/tests/processes/fleet_fixture.cpp
+++ b/tests/processes/fleet_fixture.cpp
@@ -1,5 +1,6 @@
 #include "fleet_fixture.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -39,9 +40,11 @@
 
 }
 
-CountingServer::CountingServer(boost::asio::io_context& io, std::string name, std::string zone)
-    : m_name(std::move(name))
+CountingServer::CountingServer(boost::asio::io_context& io, std::string name, std::string zone, std::string service)
+    : m_io(io)
+    , m_name(std::move(name))
     , m_zone(std::move(zone))
+    , m_service(std::move(service))
     , m_server(io, *this, std::make_shared<SteadyClock>(), std::make_shared<HttpServerCounters>())
     , m_endpoint(m_server.listen({ "127.0.0.1", 0 }).value())
 {
@@ -52,15 +55,37 @@
     const std::string id(request.headers.find("Lycheefield-Attempt-Id"));
     const auto dash = id.find('-');
     m_requests.emplace_back(id.substr(0, dash), TimePoint(Duration(std::stoll(id.substr(dash + 1)))));
+    if (m_answerTime == Duration {})
+        return answer(*exchange, id);
+    hold(std::move(exchange), id);
+}
+
+void CountingServer::hold(std::shared_ptr<HttpExchange> exchange, const std::string& id)
+{
+    const auto number = m_requests.size();
+    auto& held = m_held.emplace(number, HeldRequest { std::move(exchange), boost::asio::steady_timer(m_io, m_answerTime) }).first->second;
+    // Posted, as the function belongs to the exchange that it ends.
+    held.exchange->onDisconnect([this, number] { boost::asio::post(m_io, [this, number] { m_held.erase(number); }); });
+    held.timer.async_wait([this, number, id](const boost::system::error_code& ec) {
+        const auto it = m_held.find(number);
+        if (ec || it == m_held.end())
+            return;
+        answer(*it->second.exchange, id);
+        m_held.erase(it);
+    });
+}
+
+void CountingServer::answer(HttpExchange& exchange, const std::string& id) const
+{
     HttpResponse response { 200, "text/plain", "done" };
     response.headers.add("Lycheefield-Response-Stamp", m_name);
     response.headers.add("Lycheefield-Attempt-Id", id);
-    exchange->respond(std::move(response));
+    exchange.respond(std::move(response));
 }
 
 std::string CountingServer::entry(bool isDraining)
 {
-    return R"({"service":"x","address":")" + m_endpoint.toString() + R"(","zone":")" + m_zone + R"(","version":"v1","slots":16,"state":")" + (isDraining ? "draining" : "ready")
+    return R"({"service":")" + m_service + R"(","address":")" + m_endpoint.toString() + R"(","zone":")" + m_zone + R"(","version":"v1","slots":16,"state":")" + (isDraining ? "draining" : "ready")
         + R"(","warmupLeftMs":0,"sequence":)" + std::to_string(++m_sequence) + "}";
 }
 
--- a/tests/processes/fleet_fixture.h
+++ b/tests/processes/fleet_fixture.h
@@ -12,12 +12,16 @@
 
 namespace lycheefield {
 
-/// A stand-in for a server that answers every request at once and notes when the callers sent them.
+/// A stand-in for a server that answers every request after the same time, at first at once, and notes when the callers sent them.
 class CountingServer final : public HttpHandler {
 public:
-    CountingServer(boost::asio::io_context&, std::string name, std::string zone);
+    CountingServer(boost::asio::io_context&, std::string name, std::string zone, std::string service = "x");
 
     void handle(HttpRequest, std::shared_ptr<HttpExchange>) override;
+    /// Sets the time from a request to its answer, for later requests.
+    void setAnswerTime(Duration time) { m_answerTime = time; }
+    /// Whether a request waits for its answer. One whose connection was closed does not.
+    bool holdsRequests() const { return !m_held.empty(); }
     /// The next version of its entry in the store.
     std::string entry(bool isDraining);
     const std::string& name() const { return m_name; }
@@ -28,12 +32,25 @@
     std::map<std::string, TimePoint> lastSent() const;
 
 private:
+    /// A request that waits for its answer.
+    struct HeldRequest {
+        std::shared_ptr<HttpExchange> exchange;
+        boost::asio::steady_timer timer;
+    };
+
+    void hold(std::shared_ptr<HttpExchange>, const std::string& id);
+    void answer(HttpExchange&, const std::string& id) const;
+
+    boost::asio::io_context& m_io;
     std::string m_name;
     std::string m_zone;
+    std::string m_service;
+    Duration m_answerTime {};
     HttpServer m_server;
     Endpoint m_endpoint;
     std::uint64_t m_sequence = 0;
     std::vector<std::pair<std::string, TimePoint>> m_requests; ///< The gateway, and when the caller sent the request.
+    std::map<std::uint64_t, HeldRequest> m_held; ///< By the number of the request.
 };
 
 /// A caller of one gateway. On each turn it sends one request on a lasting route and one on the newest route.
--- a/tests/processes/program_fixture.h
+++ b/tests/processes/program_fixture.h
@@ -38,12 +38,16 @@
     std::string path;
 };
 
-/// The status of one response to a request for readiness; empty when there is none.
+/// The status of one response to a request for readiness; empty when there is none. The connection is closed after it.
 class ReadinessProbe final : public HttpClientEvents, public std::enable_shared_from_this<ReadinessProbe> {
 public:
     void send(boost::asio::io_context& io, const Endpoint& endpoint) { m_connection = openHttpConnection(boost::asio::make_strand(io), endpoint, weak_from_this(), 1s); }
     void onConnected() override { m_connection->send({ "GET", "/ready", {}, "" }); }
-    void onResponse(HttpResponse response) override { status = response.status; }
+    void onResponse(HttpResponse response) override
+    {
+        status = response.status;
+        m_connection->close();
+    }
     void onLost(bool, const std::string&) override { isLost = true; }
 
     std::optional<unsigned> status;
