--- a/src/forward/forward_action.cpp
+++ b/src/forward/forward_action.cpp
@@ -9,6 +9,8 @@
         return "running";
     case ServerCheck::Ended:
         return "ended";
+    case ServerCheck::NotMade:
+        return "not made";
     case ServerCheck::Unreachable:
         break;
     }
--- a/src/forward/forward_action.h
+++ b/src/forward/forward_action.h
@@ -40,6 +40,7 @@
     Running,
     Ended, ///< The server's address rejects connections.
     Unreachable, ///< The connection could not be opened for another reason: the server may run behind a network fault.
+    NotMade, ///< This machine had no descriptor, port or memory for the connection. Nothing is known of the server.
 };
 
 std::string_view toString(ServerCheck);
--- a/src/forward/forward_engine.cpp
+++ b/src/forward/forward_engine.cpp
@@ -196,7 +196,7 @@
     forgetAttempt(id, now);
     if (failure == ServerRequestFailure::ConnectionRejected)
         ServerPool::recordFull(*attempt.server, now);
-    else if (failure != ServerRequestFailure::Withdrawn)
+    else if (failure != ServerRequestFailure::Withdrawn && failure != ServerRequestFailure::NoLocalResources)
         ServerPool::recordFailure(*attempt.server, now);
     if (failure == ServerRequestFailure::Broken)
         recordCrash(attempt, now);
--- a/src/forward/forward_engine.h
+++ b/src/forward/forward_engine.h
@@ -336,7 +336,7 @@
     std::unordered_map<ServiceName, ExtraAttemptBudget> m_budgets;
     std::map<std::string, RouteTimes> m_times;
     CrashEvidence m_evidence;
-    std::set<ServerName> m_checkedServers; ///< The servers whose checks are due or in progress.
+    std::map<ServerName, ServerEntry> m_checkedServers; ///< The servers whose checks are due or in progress.
     std::multimap<TimePoint, ServerEntry> m_dueChecks;
     CancelledAttempts m_cancelledAttempts;
     TimePoint m_end = never; ///< When all requests are answered because the process ends.
--- a/src/forward/forward_engine_crashes.cpp
+++ b/src/forward/forward_engine_crashes.cpp
@@ -13,6 +13,8 @@
 /// From a broken connection until the check whether its server still runs. A process that ends closes its sockets one after
 /// the other, and the one that accepts connections may be the last.
 constexpr Duration checkDelay = 50ms;
+/// From a check that this machine could not make to the next one.
+constexpr Duration checkRetryDelay = 250ms;
 /// A server that crashed is expected back within this time.
 constexpr Duration serverRestartTime = 4s;
 
@@ -28,7 +30,7 @@
 {
     const auto& entry = attempt.server->entry;
     m_evidence.recordCrash(attempt.content, crashedAttempt(attempt), now);
-    if (m_checkedServers.insert(entry.name).second)
+    if (m_checkedServers.try_emplace(entry.name, entry).second)
         m_dueChecks.emplace(now + checkDelay, entry);
 }
 
@@ -46,13 +48,18 @@
     for (const auto& it : m_cancelledAttempts.takeDueChecks(now)) {
         if (m_pool.isDrained(it->entry.zone))
             m_cancelledAttempts.forgetChecked(it->entry.name);
-        else if (m_checkedServers.insert(it->entry.name).second)
+        else if (m_checkedServers.try_emplace(it->entry.name, it->entry).second)
             actions.emplace_back(CheckServer { it->entry, true });
     }
 }
 
 void ForwardEngine::onServerChecked(const ServerName& server, ServerCheck check, TimePoint now, ForwardActions& actions)
 {
+    const auto checked = m_checkedServers.find(server);
+    if (checked != m_checkedServers.end() && check == ServerCheck::NotMade) {
+        m_dueChecks.emplace(now + checkRetryDelay, checked->second);
+        return;
+    }
     m_checkedServers.erase(server);
     if (check == ServerCheck::Ended) {
         for (const auto& it : m_cancelledAttempts.take(server))
--- a/tests/forward/forward_test_bed.cpp
+++ b/tests/forward/forward_test_bed.cpp
@@ -327,7 +327,7 @@
         } else if (const auto* discard = std::get_if<DiscardServerResponse>(&action)) {
             m_discardedResponses.push_back(discard->id);
         } else if (const auto* check = std::get_if<CheckServer>(&action)) {
-            callAndExecute([&](ForwardActions& more) { m_engine.onServerChecked(check->server.name, m_serversSurvive ? ServerCheck::Running : ServerCheck::Ended, m_now, more); });
+            callAndExecute([&](ForwardActions& more) { m_engine.onServerChecked(check->server.name, m_serverCheck, m_now, more); });
         } else if (const auto* delegation = std::get_if<DelegateShards>(&action)) {
             m_delegations.push_back(*delegation);
         } else if (std::get_if<CancelDelegation>(&action)) {
--- a/tests/forward/forward_test_bed.h
+++ b/tests/forward/forward_test_bed.h
@@ -57,7 +57,9 @@
     /// Breaks the connections of all server requests in flight at once, as servers do that crash.
     void crashServersInFlight();
     /// Sets whether servers whose connections break still run; by default they have crashed.
-    void setServersSurvive(bool survive) { m_serversSurvive = survive; }
+    void setServersSurvive(bool survive) { m_serverCheck = survive ? ServerCheck::Running : ServerCheck::Ended; }
+    /// Sets what every check of a server shows.
+    void setServerCheck(ServerCheck check) { m_serverCheck = check; }
     const std::vector<ReportContentCrash>& reportedCrashes() const { return m_reportedCrashes; }
     /// Sets the network time between the instance and the callers of later requests.
     void setNetworkTime(Duration time) { m_networkTime = time; }
@@ -129,7 +131,7 @@
     Duration m_networkTime {};
     Fingerprint m_content { 1 };
     TeamName m_team;
-    bool m_serversSurvive = false;
+    ServerCheck m_serverCheck = ServerCheck::Ended;
     std::vector<ReportContentCrash> m_reportedCrashes;
     SeededRandom m_random { 7 };
     TimePoint m_now { std::chrono::seconds(100) };
