--- a/src/daemon/relay_worker.cpp
+++ b/src/daemon/relay_worker.cpp
@@ -169,6 +169,12 @@
     runOnStrand([&](RelayEngine& engine, TimePoint now, RelayActions& actions) { engine.onConnectionLost(server, id, bytesWritten, now, actions); });
 }
 
+void RelayWorker::onBackendNotOpened(const ServerName& server, ConnectionId id)
+{
+    m_connections.erase(id);
+    runOnStrand([&](RelayEngine& engine, TimePoint now, RelayActions& actions) { engine.onConnectionNotOpened(server, id, now, actions); });
+}
+
 void RelayWorker::onBackendHealth(const ServerName& server, const HealthReport& report)
 {
     runOnStrand([&](RelayEngine& engine, TimePoint now, RelayActions& actions) { engine.onHealth(server, report, now, actions); });
--- a/src/daemon/relay_worker.h
+++ b/src/daemon/relay_worker.h
@@ -51,6 +51,7 @@
     void onBackendConnected(const ServerName&, ConnectionId) override;
     void onBackendResponse(const ServerName&, ConnectionId, const LegResponse&) override;
     void onBackendDisconnected(const ServerName&, ConnectionId, bool bytesWritten) override;
+    void onBackendNotOpened(const ServerName&, ConnectionId) override;
     void onBackendHealth(const ServerName&, const HealthReport&) override;
 
 private:
--- a/src/dispatch/connection_pool.cpp
+++ b/src/dispatch/connection_pool.cpp
@@ -8,6 +8,8 @@
 
 constexpr auto initialRetryDelay = 20ms;
 constexpr std::uint32_t maxRetryDoublings = 6;
+/// Descriptors become free at any time, whatever the number of attempts before.
+constexpr auto localRetryDelay = 50ms;
 constexpr std::uint32_t controlConnections = 1;
 
 }
@@ -33,6 +35,7 @@
     --m_opening;
     m_idle.insert(m_idle.begin(), id);
     m_consecutiveRefusals = 0;
+    m_lacksResources = false;
     m_retryAt = never;
     ++m_counters.opened;
     return true;
@@ -51,9 +54,19 @@
     --m_opening;
     m_retryAt = now + initialRetryDelay * (1U << std::min(m_consecutiveRefusals, maxRetryDoublings));
     ++m_consecutiveRefusals;
+    m_lacksResources = false;
     return true;
 }
 
+void ConnectionPool::onNotOpened(ConnectionId id, TimePoint now)
+{
+    if (m_states.erase(id) == 0)
+        return;
+    --m_opening;
+    m_retryAt = now + localRetryDelay;
+    m_lacksResources = true;
+}
+
 ConnectionId ConnectionPool::takeIdle()
 {
     const auto id = m_idle.back();
@@ -89,8 +102,8 @@
             return;
         m_retryAt = never;
     }
-    // After a refusal, one connection at a time probes whether the server accepts connections again.
-    if (m_consecutiveRefusals > 0)
+    // After a failure, one connection at a time probes whether connections can be opened again.
+    if (m_consecutiveRefusals > 0 || m_lacksResources)
         wanted = std::min(wanted, openCount() + 1);
     while (size() < wanted) {
         const ConnectionId id(++m_counters.lastId);
--- a/src/dispatch/connection_pool.h
+++ b/src/dispatch/connection_pool.h
@@ -24,8 +24,8 @@
 };
 
 /// The connections of one relay to one server. Their number, including those being opened, never
-/// exceeds the limit. Each refused connection doubles the wait before the next one is opened. Not
-/// thread safe.
+/// exceeds the limit. Each refused connection doubles the wait before the next one is opened; one that
+/// this process lacked the resources to open does not. Not thread safe.
 class ConnectionPool {
 public:
     ConnectionPool(ServerName server, ConnectionCounters& counters)
@@ -44,6 +44,9 @@
     /// Removes a connection. Returns true when the server refused it, that is, it had not been open.
     bool onLost(ConnectionId, TimePoint);
 
+    /// Removes a connection that this process had no descriptor, port or memory to open. The server did not refuse it.
+    void onNotOpened(ConnectionId, TimePoint);
+
     bool hasIdle() const { return !m_idle.empty(); }
     /// Returns the most recently used idle connection and marks it busy. Precondition: hasIdle().
     ConnectionId takeIdle();
@@ -52,11 +55,13 @@
 
     /// Opens connections until `wanted` are open or being opened; closes idle ones beyond that number.
     void resize(std::uint32_t wanted, TimePoint, RelayActions&);
-    /// When resize() may next open a connection after a refusal; `never` when no wait is in force.
+    /// When resize() may next open a connection after one that was not opened; `never` when no wait is in force.
     TimePoint retryAt() const { return m_retryAt; }
 
     std::uint32_t size() const { return static_cast<std::uint32_t>(m_states.size()); }
     std::uint32_t openCount() const { return size() - m_opening; }
+    /// True when no connection is open, and this process lacked the resources for the last one that it tried to open.
+    bool lacksResources() const { return m_lacksResources && openCount() == 0; }
     /// Connections refused since one was last opened.
     std::uint32_t consecutiveRefusals() const { return m_consecutiveRefusals; }
 
@@ -76,6 +81,7 @@
     std::uint32_t m_opening = 0;
     std::uint32_t m_limit = 0;
     std::uint32_t m_consecutiveRefusals = 0;
+    bool m_lacksResources = false;
     TimePoint m_retryAt = never;
 };
 
--- a/src/dispatch/relay_action.h
+++ b/src/dispatch/relay_action.h
@@ -9,7 +9,7 @@
 
 namespace lycheefield {
 
-/// Opens one more connection to a server; the caller reports the outcome by onConnected or onConnectionLost.
+/// Opens one more connection to a server; the caller reports the outcome by onConnected, onConnectionLost or onConnectionNotOpened.
 struct OpenConnection {
     ServerName server;
     ConnectionId connection;
--- a/src/dispatch/relay_engine.cpp
+++ b/src/dispatch/relay_engine.cpp
@@ -43,6 +43,7 @@
     void onEntryDisconnected(const InstanceName&, TimePoint, RelayActions&) override;
     void onConnected(const ServerName&, ConnectionId, TimePoint, RelayActions&) override;
     void onConnectionLost(const ServerName&, ConnectionId, bool bytesWritten, TimePoint, RelayActions&) override;
+    void onConnectionNotOpened(const ServerName&, ConnectionId, TimePoint, RelayActions&) override;
     void onLegResponse(const ServerName&, ConnectionId, const LegResponse&, TimePoint, RelayActions&) override;
     void onHealth(const ServerName&, const HealthReport&, TimePoint, RelayActions&) override;
     void onCrashAnnounced(const AnnounceCrash&, TimePoint) override;
@@ -221,6 +222,11 @@
     callRelay(name, [&](auto& relay) { relay.onConnectionLost(id, bytesWritten, now, actions); });
 }
 
+void StandardRelayEngine::onConnectionNotOpened(const ServerName& name, ConnectionId id, TimePoint now, RelayActions& actions)
+{
+    callRelay(name, [&](auto& relay) { relay.onConnectionNotOpened(id, now, actions); });
+}
+
 void StandardRelayEngine::onLegResponse(const ServerName& name, ConnectionId id, const LegResponse& response, TimePoint now, RelayActions& actions)
 {
     if (!callRelay(name, [&](auto& relay) { relay.onLegResponse(id, response, now, actions); }))
--- a/src/dispatch/relay_engine.h
+++ b/src/dispatch/relay_engine.h
@@ -91,6 +91,8 @@
     /// Records that a connection could not be opened, or was closed. With a leg in flight, bytesWritten
     /// tells whether any byte of the leg was written to the connection.
     virtual void onConnectionLost(const ServerName&, ConnectionId, bool bytesWritten, TimePoint, RelayActions&) = 0;
+    /// Records that this process had no descriptor, port or memory to open a connection. It says nothing about the server.
+    virtual void onConnectionNotOpened(const ServerName&, ConnectionId, TimePoint, RelayActions&) = 0;
     virtual void onLegResponse(const ServerName&, ConnectionId, const LegResponse&, TimePoint, RelayActions&) = 0;
     virtual void onHealth(const ServerName&, const HealthReport&, TimePoint, RelayActions&) = 0;
     /// Applies another relay's announcement about content that was running when a server crashed.
--- a/src/dispatch/server_relay.cpp
+++ b/src/dispatch/server_relay.cpp
@@ -71,6 +71,8 @@
         return resultFor(leg, LegOutcome::Refused, "the server is draining and takes no new legs; choose another replica");
     if (m_pool.limit() == 0)
         return resultFor(leg, LegOutcome::Refused, "the server's connection cap leaves no work connection for this relay; raise the cap");
+    if (m_pool.lacksResources())
+        return resultFor(leg, LegOutcome::NotHeld, "this relay's process lacks descriptors, ports or memory for a connection to the server; send the leg to another relay");
     if (leg.deadline() <= now)
         return resultFor(leg, LegOutcome::Expired, "the deadline had passed when the leg arrived; send it with a later deadline");
     if (m_shared.settings.admission && !canFinishInTime(leg, now))
--- a/src/dispatch/server_relay.h
+++ b/src/dispatch/server_relay.h
@@ -40,6 +40,7 @@
     void onEntryDisconnected(const InstanceName&, TimePoint, RelayActions&);
     void onConnected(ConnectionId, TimePoint, RelayActions&);
     void onConnectionLost(ConnectionId, bool bytesWritten, TimePoint, RelayActions&);
+    void onConnectionNotOpened(ConnectionId, TimePoint, RelayActions&);
     void onLegResponse(ConnectionId, const LegResponse&, TimePoint, RelayActions&);
     void onHealth(const HealthReport&, TimePoint, RelayActions&);
     void onTimer(TimePoint, RelayActions&);
--- a/src/dispatch/server_relay_events.cpp
+++ b/src/dispatch/server_relay_events.cpp
@@ -54,6 +54,14 @@
     dispatch(now, actions);
 }
 
+void ServerRelay::onConnectionNotOpened(ConnectionId id, TimePoint now, RelayActions& actions)
+{
+    m_pool.onNotOpened(id, now);
+    if (m_pool.lacksResources())
+        refuseWaiting(LegOutcome::NotHeld, "this relay's process lacks descriptors, ports or memory for a connection to the server; send the leg to another relay", now, actions);
+    dispatch(now, actions);
+}
+
 void ServerRelay::recordCrash(const RunningLeg& running, TimePoint now, RelayActions& actions)
 {
     ++m_shared.counters.crashes;
--- a/src/http/backend_connection.cpp
+++ b/src/http/backend_connection.cpp
@@ -69,7 +69,12 @@
 
     void onLost(bool bytesWritten, const std::string&) override
     {
-        if (const auto events = m_events.lock())
+        const auto events = m_events.lock();
+        if (!events)
+            return;
+        if (m_connection->lackedResources())
+            events->onBackendNotOpened(m_server, m_id);
+        else
             events->onBackendDisconnected(m_server, m_id, bytesWritten);
     }
 
--- a/src/http/backend_connection.h
+++ b/src/http/backend_connection.h
@@ -21,6 +21,9 @@
     virtual void onBackendResponse(const ServerName&, ConnectionId, const LegResponse&) = 0;
     /// The connection could not be opened, or has ended. Called at most once, and never after close().
     virtual void onBackendDisconnected(const ServerName&, ConnectionId, bool bytesWritten) = 0;
+    /// This process had no descriptor, port or memory to open the connection, so that the server was not asked. Called in place of
+    /// onBackendDisconnected().
+    virtual void onBackendNotOpened(const ServerName&, ConnectionId) = 0;
     virtual void onBackendHealth(const ServerName&, const HealthReport&) = 0;
 };
 
--- a/tests/base/accept_loop_test.cpp
+++ b/tests/base/accept_loop_test.cpp
@@ -1,42 +1,16 @@
 #include "base/accept_loop.h"
+#include "support/no_free_descriptors.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <doctest/doctest.h>
 
-#include <sys/resource.h>
-#include <unistd.h>
-
 #include <new>
 #include <vector>
 
 using namespace lycheefield;
 using namespace std::chrono_literals;
 
-namespace {
-
-/// While it exists, the process can open no further descriptor.
-class NoFreeDescriptors {
-public:
-    NoFreeDescriptors()
-    {
-        getrlimit(RLIMIT_NOFILE, &m_before);
-        // dup() returns the lowest free number, and the limit is on the numbers.
-        const int lowestFree = dup(STDERR_FILENO);
-        ::close(lowestFree);
-        const rlimit none { static_cast<rlim_t>(lowestFree), m_before.rlim_max };
-        setrlimit(RLIMIT_NOFILE, &none);
-    }
-    ~NoFreeDescriptors() { setrlimit(RLIMIT_NOFILE, &m_before); }
-    NoFreeDescriptors(const NoFreeDescriptors&) = delete;
-    NoFreeDescriptors& operator=(const NoFreeDescriptors&) = delete;
-
-private:
-    rlimit m_before {};
-};
-
-}
-
 TEST_SUITE_BEGIN("base");
 
 // Guards against a process that uses a whole core to repeat an accept that fails.
--- a/tests/dispatch/server_policies_test.cpp
+++ b/tests/dispatch/server_policies_test.cpp
@@ -134,6 +134,67 @@
     REQUIRE(relay.take<ReturnResult>().size() == 1);
 }
 
+// Guards against a relay that takes a shortage of its own process for a failure of its servers.
+TEST_CASE("A connection that the relay's process lacks the resources to open says nothing about the server" * doctest::test_suite("dispatch"))
+{
+    RelayFixture relay;
+    relay.addServer("s0");
+    relay.publish({ "self" });
+    const auto failAll = [&] {
+        const auto opened = relay.take<OpenConnection>();
+        for (const auto& it : opened)
+            relay.engine().onConnectionNotOpened(it.server, it.connection, relay.now(), relay.actions());
+        return opened.size();
+    };
+
+    SUBCASE("Attempts go on at the same pace, one at a time")
+    {
+        CHECK(failAll() == RelayFixture::slots);
+        for (int i = 0; i < 100; ++i) {
+            relay.run(50ms);
+            CHECK(failAll() == 1);
+        }
+        CHECK(relay.take<AnnounceServerState>().empty());
+    }
+    SUBCASE("Legs go to another relay, and run here once a connection is open")
+    {
+        relay.send(relay.order(1, "s0"));
+        CHECK(relay.take<ReturnResult>().empty());
+        failAll();
+        relay.send(relay.order(2, "s0"));
+        const auto returned = relay.take<ReturnResult>();
+        REQUIRE(returned.size() == 2);
+        for (const auto& it : returned)
+            CHECK(outcomeOf(it) == "not-held");
+        relay.run(50ms);
+        relay.connectAll();
+        relay.send(relay.order(3, "s0"));
+        CHECK(relay.take<SendLeg>().size() == 1);
+        CHECK(relay.take<AnnounceServerState>().empty());
+    }
+    SUBCASE("Legs wait for the connections that are open")
+    {
+        const auto opened = relay.take<OpenConnection>();
+        REQUIRE(opened.size() == 2);
+        relay.engine().onConnected(opened[0].server, opened[0].connection, relay.now(), relay.actions());
+        relay.engine().onConnectionNotOpened(opened[1].server, opened[1].connection, relay.now(), relay.actions());
+        for (std::uint64_t i = 0; i < 2; ++i)
+            relay.send(relay.order(i, "s0"));
+        const auto sent = relay.take<SendLeg>();
+        REQUIRE(sent.size() == 1);
+        relay.respond(sent[0]);
+        CHECK(relay.take<SendLeg>().size() == 1);
+    }
+    SUBCASE("A server that refuses connections afterwards counts as draining")
+    {
+        failAll();
+        relay.run(50ms);
+        for (const auto& it : relay.take<OpenConnection>())
+            relay.engine().onConnectionLost(it.server, it.connection, false, relay.now(), relay.actions());
+        CHECK(relay.take<AnnounceServerState>().size() == 1);
+    }
+}
+
 TEST_CASE("The relay takes at most half of the servers out of use on health reports alone" * doctest::test_suite("dispatch"))
 {
     RelayFixture relay;
--- a/tests/http/backend_connection_test.cpp
+++ b/tests/http/backend_connection_test.cpp
@@ -20,11 +20,13 @@
     void onBackendConnected(const ServerName&, ConnectionId) override { isConnected = true; }
     void onBackendResponse(const ServerName&, ConnectionId, const LegResponse& it) override { response = it; }
     void onBackendDisconnected(const ServerName&, ConnectionId, bool wereBytesWritten) override { disconnected = wereBytesWritten; }
+    void onBackendNotOpened(const ServerName&, ConnectionId) override { wasNotOpened = true; }
     void onBackendHealth(const ServerName&, const HealthReport& it) override { health = it; }
 
     bool isConnected = false;
     std::optional<LegResponse> response;
     std::optional<bool> disconnected; ///< Whether bytes were written before.
+    bool wasNotOpened = false;
     std::optional<HealthReport> health;
 };
 
