--- a/src/http/backend_connection.cpp
+++ b/src/http/backend_connection.cpp
@@ -15,6 +15,8 @@
 constexpr Duration connectTimeout = std::chrono::seconds(1);
 constexpr Duration initialBackoff = std::chrono::milliseconds(100);
 constexpr Duration maxBackoff = std::chrono::seconds(5);
+/// Pause after a connection that this process lacked the resources to open. They become free at any time, so the pause stays the same.
+constexpr Duration localRetryDelay = std::chrono::milliseconds(50);
 /// Maximum number of cancellations that wait for the control connection. The oldest are dropped first, as their legs have probably ended.
 constexpr std::size_t maxPendingCancels = 256;
 /// A response with a larger body ends its connection.
@@ -146,8 +148,12 @@
         m_isConnected = m_requestInFlight = m_healthPollInFlight = false;
         if (m_closed)
             return;
-        m_timer.expires_after(m_backoff);
-        m_backoff = std::min(maxBackoff, m_backoff * 2);
+        if (m_connection->lackedResources()) {
+            m_timer.expires_after(localRetryDelay);
+        } else {
+            m_timer.expires_after(m_backoff);
+            m_backoff = std::min(maxBackoff, m_backoff * 2);
+        }
         m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code& ec) {
             const auto self = weak.lock();
             if (!ec && self && !self->m_closed)
--- a/src/http/backend_connection.h
+++ b/src/http/backend_connection.h
@@ -36,8 +36,8 @@
     virtual void close() = 0;
 };
 
-/// Control connection to a server, for cancellations and health polls. Reconnects with exponential
-/// back-off until close() is called. Not thread safe: call the methods on its executor.
+/// Control connection to a server, for cancellations and health polls. Reconnects until close() is
+/// called, with exponential back-off unless this process itself lacked the resources to connect. Not thread safe: call the methods on its executor.
 class BackendControl {
 public:
     virtual ~BackendControl() = default;
--- a/tests/http/backend_connection_test.cpp
+++ b/tests/http/backend_connection_test.cpp
@@ -1,8 +1,10 @@
 #include "base/clock.h"
 #include "http/backend_connection.h"
+#include "support/no_free_descriptors.h"
 #include "support/raw_caller.h"
 #include "support/scripted_server.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
 #include <doctest/doctest.h>
@@ -133,6 +135,26 @@
     }
 }
 
+// Guards against a relay that is blind for seconds because its own process lacked descriptors before.
+TEST_CASE("However long a relay lacked descriptors, it asks for a server's health soon after one is free")
+{
+    BackendFixture fixture({ soundHealth });
+    std::shared_ptr<BackendControl> control;
+    {
+        const NoFreeDescriptors none;
+        control = fixture.connector->openControl(boost::asio::make_strand(fixture.io), fixture.server, fixture.events);
+        control->pollHealth();
+        fixture.io.run_for(800ms);
+    }
+    CHECK(fixture.standin.connections() == 0);
+    bool isLate = false;
+    boost::asio::steady_timer late(fixture.io, 500ms);
+    late.async_wait([&](const boost::system::error_code& ec) { isLate = !ec; });
+    runUntil(fixture.io, [&] { return fixture.events->health || isLate; });
+    CHECK_FALSE(isLate);
+    control->close();
+}
+
 TEST_SUITE_END();
 
 }
