--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -1,5 +1,6 @@
 #include "wire/peer_link.h"
 
+#include "base/local_resources.h"
 #include "wire/gateway_handshake.h"
 
 #include <boost/asio/post.hpp>
@@ -13,6 +14,8 @@
 constexpr Duration connectTimeout = std::chrono::seconds(1);
 constexpr Duration initialBackoff = std::chrono::milliseconds(20);
 constexpr Duration maxBackoff = std::chrono::seconds(2);
+/// Pause after a connection that this process lacked the resources to open. They become free at any time, so the pause stays the same.
+constexpr Duration localRetryDelay = std::chrono::milliseconds(50);
 
 }
 
@@ -100,7 +103,10 @@
         return;
     if (ec || !m_connecting) {
         m_connecting.reset();
-        backOff();
+        if (isLackOfResources(ec))
+            pause(localRetryDelay);
+        else
+            backOff();
         return;
     }
     m_session = std::make_shared<FrameSession>(
@@ -148,14 +154,19 @@
 }
 
 void PeerLink::backOff()
+{
+    pause(m_backoff);
+    m_backoff = std::min(maxBackoff, m_backoff * 2);
+}
+
+void PeerLink::pause(Duration mean)
 {
     m_state = State::Backoff;
     returnWaiting();
     if (m_closed)
         return;
-    const auto jitter = Duration(m_random.below(static_cast<std::uint64_t>(m_backoff.count())));
-    m_timer.expires_after(m_backoff / 2 + jitter);
-    m_backoff = std::min(maxBackoff, m_backoff * 2);
+    const auto jitter = Duration(m_random.below(static_cast<std::uint64_t>(mean.count())));
+    m_timer.expires_after(mean / 2 + jitter);
     m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
         if (!ec && self->m_state == State::Backoff)
             self->m_state = State::Idle;
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -22,7 +22,8 @@
     std::optional<Endpoint> crossZoneGateway; ///< Connections to peers in other zones go through this gateway.
 };
 
-/// The outgoing connection to one peer, opened on demand, with exponential back-off after failures.
+/// The outgoing connection to one peer, opened on demand, with exponential back-off after failures. A connection that
+/// this process lacked the descriptors, ports or memory to open is no failure of the peer, and the pause after it doesn't grow.
 ///
 /// Messages wait while the link connects. A message is returned through PeerHandler::onUndelivered if the
 /// connection fails before any byte of the message was written, the queue is full, the link backs off or the
@@ -58,6 +59,8 @@
     void onConnected(const boost::system::error_code&);
     void returnWaiting();
     void backOff();
+    /// Returns the waiting messages and opens no connection for a time around the mean.
+    void pause(Duration mean);
     void reportUndelivered(std::vector<PeerMessage>);
 
     PeerContext m_context;
--- a/tests/wire/peer_link_test.cpp
+++ b/tests/wire/peer_link_test.cpp
@@ -1,7 +1,10 @@
+#include "support/no_free_descriptors.h"
 #include "support/raw_caller.h"
 #include "support/virtual_clock.h"
 #include "wire/asio_peer_network.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <doctest/doctest.h>
 
 #include <utility>
@@ -180,6 +183,38 @@
     }
 }
 
+// Guards against an instance that stays cut off from its peers for seconds because its own process lacked descriptors before.
+TEST_CASE_FIXTURE(PeersFixture, "A link goes on with its attempts at the same pace while its process lacks descriptors")
+{
+    constexpr int manyAttempts = 15;
+    int attempts = 0;
+    const auto findRoute = [&] {
+        ++attempts;
+        return std::optional(PeerRoute { b.endpoint, std::nullopt });
+    };
+    const auto link = std::make_shared<PeerLink>(PeerContext { io, a.hello, clock, a.counters, testLimits(), std::nullopt }, b.hello.instance, findRoute, a.handler);
+    bool isLate = false;
+    boost::asio::steady_timer late(io, 5s);
+    late.async_wait([&](const boost::system::error_code& ec) { isLate = !ec; });
+    const auto sendOne = [&] {
+        link->send(RuleRequest {});
+        io.run_one_for(5ms);
+    };
+    {
+        const NoFreeDescriptors none;
+        while (attempts < manyAttempts && !isLate)
+            sendOne();
+        CHECK_FALSE(isLate);
+        CHECK(b.handler.messages.empty());
+        CHECK_FALSE(a.handler.undelivered.empty());
+    }
+    while (b.handler.messages.empty() && !isLate)
+        sendOne();
+    CHECK_FALSE(b.handler.messages.empty());
+    link->close();
+    io.poll();
+}
+
 TEST_CASE_FIXTURE(PeersFixture, "An instance with another name at the peer's address receives no message")
 {
     Instance wrong = b.instance();
