--- a/src/base/local_resources.cpp
+++ b/src/base/local_resources.cpp
@@ -2,6 +2,10 @@
 
 #include <boost/system/errc.hpp>
 
+#include <sys/resource.h>
+
+#include <algorithm>
+
 namespace lycheefield {
 
 bool isLackOfResources(const boost::system::error_code& ec)
@@ -11,4 +15,12 @@
         || ec == errc::not_enough_memory;
 }
 
+std::size_t shareOfDescriptors(std::size_t divisor, std::size_t most)
+{
+    rlimit descriptors {};
+    if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0 || descriptors.rlim_cur == RLIM_INFINITY)
+        return most;
+    return std::clamp<std::size_t>(descriptors.rlim_cur / divisor, 1, most);
+}
+
 }
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -1,10 +1,12 @@
 #include "base/random_source.h"
 #include "http/http_server.h"
+#include "http/probe_limits.h"
 #include "support/raw_caller.h"
 #include "support/virtual_clock.h"
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <vector>
 
 using namespace lycheefield;
@@ -437,4 +439,30 @@
     CHECK(counters->connections == 50);
 }
 
+// Guards against a process whose descriptors are all taken by connections to its readiness or metrics port.
+TEST_CASE("Connections to a port for readiness checks take few descriptors, and idle ones make room for a check" * doctest::test_suite("http"))
+{
+    boost::asio::io_context io;
+    DeferringHandler handler;
+    const auto clock = std::make_shared<VirtualClock>();
+    const auto counters = std::make_shared<HttpServerCounters>();
+    auto limits = probeLimits();
+    limits.checkInterval = 1ms;
+    HttpServer server(io, handler, clock, counters, limits);
+    const auto endpoint = server.listen({ "127.0.0.1", 0 }).value();
+    constexpr std::uint64_t opened = 200;
+    std::vector<std::unique_ptr<RawCaller>> idle;
+    for (std::uint64_t i = 0; i < opened; ++i)
+        idle.push_back(std::make_unique<RawCaller>(io, endpoint));
+    runUntil(io, [&] { return counters->connections + counters->overConnectionLimit == opened; });
+    CHECK(counters->connections <= 64);
+    CHECK(counters->connections >= 1);
+
+    clock->advance(16s);
+    runUntil(io, [&] { return std::all_of(idle.begin(), idle.end(), [](const auto& it) { return it->isClosed(); }); });
+    RawCaller check(io, endpoint);
+    check.send("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n");
+    runUntil(io, [&] { return check.count("HTTP/1.1 200") == 1; });
+}
+
 TEST_SUITE_END();
