--- a/src/wire/peer_server.cpp
+++ b/src/wire/peer_server.cpp
@@ -1,5 +1,7 @@
 #include "wire/peer_server.h"
 
+#include "base/local_resources.h"
+
 #include <utility>
 
 namespace lycheefield {
@@ -8,6 +10,9 @@
 
 /// Maximum number of incoming connections; every other instance opens one.
 constexpr std::size_t maxPeerSessions = 2048;
+/// Maximum number of incoming connections whose peer has not sent its Hello, which a peer sends as soon as it is connected.
+constexpr std::size_t maxSessionsWithoutHello = 64;
+constexpr std::size_t sessionsWithoutHelloDivisor = 16;
 
 }
 
@@ -31,6 +36,11 @@
     if (m_sessions.size() >= maxPeerSessions)
         return;
     m_sessions.insert(session);
+    m_withoutHello.push_back(session);
+    if (m_withoutHello.size() > shareOfDescriptors(sessionsWithoutHelloDivisor, maxSessionsWithoutHello)) {
+        m_withoutHello.front()->close();
+        m_withoutHello.pop_front();
+    }
     session->start();
 }
 
@@ -60,6 +70,7 @@
     std::shared_ptr<FrameSession> replacedSession;
     {
         const std::lock_guard lock(m_mutex);
+        m_withoutHello.remove(session.shared_from_this());
         auto& current = m_sessionByPeer[hello.instance];
         replacedSession = std::move(current);
         current = session.shared_from_this();
@@ -83,6 +94,7 @@
     {
         const std::lock_guard lock(m_mutex);
         m_sessions.erase(self);
+        m_withoutHello.remove(self);
         if (session.peer()) {
             const auto it = m_sessionByPeer.find(session.peer()->instance);
             wasCurrent = it != m_sessionByPeer.end() && it->second == self;
--- a/src/wire/peer_server.h
+++ b/src/wire/peer_server.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <list>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -12,7 +13,8 @@
 
 namespace lycheefield {
 
-/// Accepts connections from peers. Public methods are thread safe.
+/// Accepts connections from peers. Of those whose peer has not sent its Hello yet it holds few, and closes the oldest for a new one.
+/// Public methods are thread safe.
 class PeerServer : public FrameSessionEvents, public std::enable_shared_from_this<PeerServer> {
 public:
     /// Precondition: the handler outlives the server.
@@ -37,6 +39,7 @@
     std::mutex m_mutex;
     std::map<InstanceName, std::shared_ptr<FrameSession>> m_sessionByPeer;
     std::set<std::shared_ptr<FrameSession>> m_sessions;
+    std::list<std::shared_ptr<FrameSession>> m_withoutHello; ///< The oldest first.
     bool m_closed = false;
 };
 
--- a/tests/wire/peer_link_test.cpp
+++ b/tests/wire/peer_link_test.cpp
@@ -7,6 +7,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -287,6 +288,24 @@
     checkRoundTrip();
 }
 
+// Guards against a process whose descriptors are all taken by connections that never send a Hello.
+TEST_CASE_FIXTURE(PeersFixture, "Of many connections without a Hello the oldest are closed at once, and peers still connect")
+{
+    constexpr std::size_t opened = 200;
+    constexpr std::size_t mostOpen = 64;
+    std::vector<std::unique_ptr<RawCaller>> silent;
+    for (std::size_t i = 0; i < opened; ++i)
+        silent.push_back(std::make_unique<RawCaller>(io, b.endpoint));
+    const auto isClosed = [](const auto& it) { return it->isClosed(); };
+    bool isLate = false;
+    boost::asio::steady_timer late(io, 5s);
+    late.async_wait([&](const boost::system::error_code& ec) { isLate = !ec; });
+    runUntil(io, [&] { return isLate || std::all_of(silent.begin(), silent.begin() + (opened - mostOpen), isClosed); });
+    CHECK_FALSE(isLate);
+    CHECK_FALSE(silent.back()->isClosed());
+    checkRoundTrip();
+}
+
 TEST_CASE_FIXTURE(PeersFixture, "A new connection from a peer replaces the old one")
 {
     RawCaller first(io, b.endpoint);
