--- a/src/load/caller_connection.cpp
+++ b/src/load/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "load/caller_connection.h"
 
+#include "base/local_resources.h"
 #include "http/http_response_reader.h"
 
 #include <boost/asio/io_context.hpp>
@@ -70,7 +71,7 @@
         const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(m_endpoint.address), m_endpoint.port);
         m_stream.async_connect(endpoint, [self = self()](beast::error_code ec) {
             if (ec)
-                return self->fail();
+                return self->fail(isLackOfResources(ec));
             self->m_isConnected = true;
             self->m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
             self->write();
@@ -124,10 +125,12 @@
         deliver({ true, response.status, std::move(response.body), std::string(response.headers.find("X-Request-Id")) });
     }
 
-    void fail()
+    void fail(bool wasNotSent = false)
     {
         m_isUsable = false;
-        deliver({});
+        Answer answer;
+        answer.wasNotSent = wasNotSent;
+        deliver(answer);
     }
 
     void deliver(const Answer& answer)
--- a/src/load/caller_connection.h
+++ b/src/load/caller_connection.h
@@ -26,6 +26,7 @@
         unsigned status = 0;
         std::string body;
         std::string requestId; ///< X-Request-Id of the answer.
+        bool wasNotSent = false; ///< The load tool itself had no descriptor, port or memory to connect; the instance was not asked.
     };
     using Handler = std::function<void(const Answer&)>;
     using Headers = std::vector<std::pair<std::string, std::string>>;
--- a/src/load/load_runner.cpp
+++ b/src/load/load_runner.cpp
@@ -177,6 +177,9 @@
             const auto checked = checkAnswer(answer.status, answer.body, body);
             observation.outcome = checked.outcome;
             observation.why = checked.why;
+        } else if (answer.wasNotSent) {
+            observation.outcome = LoadOutcome::NotSent;
+            observation.why = "no descriptor, port or memory";
         } else {
             observation.outcome = LoadOutcome::Cut;
             observation.why = "no answer";
