--- a/src/admission/keeper_backoff.cpp
+++ b/src/admission/keeper_backoff.cpp
@@ -8,6 +8,7 @@
 
 constexpr Duration initialBackoff = std::chrono::milliseconds(250);
 constexpr std::uint32_t maxDoublings = 4;
+constexpr Duration pauseAfterNotSent = std::chrono::milliseconds(50);
 
 }
 
@@ -30,6 +31,14 @@
     ++failures.count;
 }
 
+void KeeperBackoff::recordNotSent(const InstanceName& name, TimePoint now)
+{
+    auto& failures = m_failures[name];
+    failures.avoidUntil = std::max(failures.avoidUntil, now + pauseAfterNotSent);
+    // The next call needs a new connection, so its answer isn't expected as soon as after an answer.
+    failures.count = std::max(failures.count, 1U);
+}
+
 void KeeperBackoff::keepOnly(const std::set<InstanceName>& names)
 {
     std::erase_if(m_failures, [&](const auto& it) { return !names.contains(it.first); });
--- a/src/admission/keeper_backoff.h
+++ b/src/admission/keeper_backoff.h
@@ -17,6 +17,8 @@
     bool hasAnswered(const InstanceName&) const;
     void recordAnswer(const InstanceName& name) { m_failures[name] = {}; }
     void recordFailure(const InstanceName&, TimePoint);
+    /// Records that this process lacked the resources to send a call. The pause before the next one doesn't grow.
+    void recordNotSent(const InstanceName&, TimePoint);
     /// Forgets all other instances.
     void keepOnly(const std::set<InstanceName>&);
 
--- a/src/admission/quota_engine.cpp
+++ b/src/admission/quota_engine.cpp
@@ -238,6 +238,17 @@
     askAll(now, actions);
 }
 
+void QuotaEngine::onNotSent(std::uint64_t sequence, TimePoint now, QuotaActions& actions)
+{
+    observe(now);
+    if (const auto it = m_calls.find(sequence); it != m_calls.end()) {
+        const auto call = std::move(m_calls.extract(it).mapped());
+        m_backoff.recordNotSent(call.instance, now);
+        passOver(call.teams, now, actions);
+    }
+    askAll(now, actions);
+}
+
 void QuotaEngine::onTimer(TimePoint now, QuotaActions& actions)
 {
     observe(now);
--- a/src/admission/quota_engine.h
+++ b/src/admission/quota_engine.h
@@ -41,6 +41,8 @@
     void onReply(const InstanceName& from, const QuotaReply&, TimePoint, QuotaActions&);
     /// A call was not delivered.
     void onUndelivered(std::uint64_t sequence, TimePoint, QuotaActions&);
+    /// This process lacked the resources to send a call, which says nothing about the instance that it was for.
+    void onNotSent(std::uint64_t sequence, TimePoint, QuotaActions&);
     void onTimer(TimePoint, QuotaActions&);
     /// When onTimer() is due.
     TimePoint nextWake() const;
--- a/src/daemon/peer_router.cpp
+++ b/src/daemon/peer_router.cpp
@@ -102,7 +102,7 @@
         m_claimLinkLost(peer);
 }
 
-void PeerRouter::onUndelivered(const InstanceName& to, PeerMessage message)
+void PeerRouter::onUndelivered(const InstanceName& to, PeerMessage message, UndeliveredReason)
 {
     if (const auto* call = std::get_if<ClaimCall>(&message); call && m_undeliveredClaim)
         m_undeliveredClaim(*call);
--- a/src/daemon/peer_router.h
+++ b/src/daemon/peer_router.h
@@ -40,7 +40,7 @@
 
     void onPeerMessage(const Hello& from, PeerMessage) override;
     void onLinkLost(const InstanceName&) override;
-    void onUndelivered(const InstanceName& to, PeerMessage) override;
+    void onUndelivered(const InstanceName& to, PeerMessage, UndeliveredReason) override;
     void onPeerDisconnected(const InstanceName&) override;
 
 private:
--- a/src/gateway/quota_driver.cpp
+++ b/src/gateway/quota_driver.cpp
@@ -62,9 +62,10 @@
     callEngine([&](TimePoint now, QuotaActions& actions) { m_engine.onReply(from, reply, now, actions); });
 }
 
-void QuotaDriver::onQuotaCallUndelivered(std::uint64_t sequence)
+void QuotaDriver::onQuotaCallUndelivered(std::uint64_t sequence, UndeliveredReason reason)
 {
-    callEngine([&](TimePoint now, QuotaActions& actions) { m_engine.onUndelivered(sequence, now, actions); });
+    const bool lacksResources = reason == UndeliveredReason::NoLocalResources;
+    callEngine([&](TimePoint now, QuotaActions& actions) { lacksResources ? m_engine.onNotSent(sequence, now, actions) : m_engine.onUndelivered(sequence, now, actions); });
 }
 
 void QuotaDriver::execute(const QuotaActions& actions)
--- a/src/gateway/quota_driver.h
+++ b/src/gateway/quota_driver.h
@@ -39,7 +39,7 @@
     void onCancel(RequestNumber number, const TeamName& team) { m_engine.onCancel(number, team); }
     void onQuotaCall(const InstanceName& from, const QuotaCall&) override;
     void onQuotaReply(const InstanceName& from, const QuotaReply&) override;
-    void onQuotaCallUndelivered(std::uint64_t sequence) override;
+    void onQuotaCallUndelivered(std::uint64_t sequence, UndeliveredReason) override;
 
 private:
     /// Calls the engine and executes the actions that it returns.
--- a/src/gateway/search_delegation.cpp
+++ b/src/gateway/search_delegation.cpp
@@ -315,17 +315,18 @@
     });
 }
 
-void SearchDelegation::onUndelivered(const InstanceName& to, PeerMessage message)
+void SearchDelegation::onUndelivered(const InstanceName& to, PeerMessage message, UndeliveredReason reason)
 {
     if (const auto* request = std::get_if<StoreStateRequest>(&message))
         boost::asio::post(m_parts.strand, [this, request = *request] { m_parts.storeNews.onStateRequestFailed(request); });
     if (const auto* call = std::get_if<QuotaCall>(&message); call && m_quotaEvents)
-        boost::asio::post(m_parts.strand, [this, sequence = call->sequence] { m_quotaEvents->onQuotaCallUndelivered(sequence); });
+        boost::asio::post(m_parts.strand, [this, reason, sequence = call->sequence] { m_quotaEvents->onQuotaCallUndelivered(sequence, reason); });
     const auto* call = std::get_if<SearchCall>(&message);
     if (!call)
         return;
-    boost::asio::post(m_parts.strand, [this, to, id = DelegationId(call->sequence)] {
-        m_chooser.recordNoConfirmation(to, m_parts.clock->now());
+    boost::asio::post(m_parts.strand, [this, to, reason, id = DelegationId(call->sequence)] {
+        if (reason != UndeliveredReason::NoLocalResources)
+            m_chooser.recordNoConfirmation(to, m_parts.clock->now());
         fail(id, "the request was not delivered", false);
     });
 }
--- a/src/gateway/search_delegation.h
+++ b/src/gateway/search_delegation.h
@@ -70,7 +70,7 @@
     virtual void onQuotaCall(const InstanceName& from, const QuotaCall&) = 0;
     virtual void onQuotaReply(const InstanceName& from, const QuotaReply&) = 0;
     /// A call of this instance was not delivered.
-    virtual void onQuotaCallUndelivered(std::uint64_t sequence) = 0;
+    virtual void onQuotaCallUndelivered(std::uint64_t sequence, UndeliveredReason) = 0;
 };
 
 /// The dependencies of a SearchDelegation. All of them outlive the SearchDelegation.
@@ -133,7 +133,7 @@
 
     void onPeerMessage(const Hello& from, PeerMessage) override;
     void onLinkLost(const InstanceName&) override;
-    void onUndelivered(const InstanceName& to, PeerMessage) override;
+    void onUndelivered(const InstanceName& to, PeerMessage, UndeliveredReason) override;
     void onPeerDisconnected(const InstanceName&) override;
 
 private:
--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -44,7 +44,7 @@
         self->m_connecting.reset();
         if (self->m_session)
             self->m_session->close();
-        self->returnWaiting();
+        self->returnWaiting(UndeliveredReason::NoConnection);
     });
 }
 
@@ -56,7 +56,8 @@
     }
     const bool isFull = m_waiting.size() >= m_context.limits.maxQueuedMessages;
     if (m_closed || isFull || m_state == State::Backoff) {
-        m_handler.onUndelivered(m_peer, std::move(message));
+        const bool isPaused = !m_closed && m_state == State::Backoff;
+        m_handler.onUndelivered(m_peer, std::move(message), isPaused ? m_pauseReason : UndeliveredReason::NoConnection);
         return;
     }
     m_waiting.push_back(std::move(message));
@@ -104,7 +105,7 @@
     if (ec || !m_connecting) {
         m_connecting.reset();
         if (isLackOfResources(ec))
-            pause(localRetryDelay);
+            pause(localRetryDelay, UndeliveredReason::NoLocalResources);
         else
             backOff();
         return;
@@ -136,7 +137,7 @@
 void PeerLink::onClosed(FrameSession& session, std::vector<PeerMessage> unsent)
 {
     std::erase_if(unsent, [](const PeerMessage& it) { return std::holds_alternative<Hello>(it); });
-    reportUndelivered(std::move(unsent));
+    reportUndelivered(std::move(unsent), UndeliveredReason::NoConnection);
     if (m_session.get() != &session)
         return;
     const bool wasConnected = m_state == State::Connected;
@@ -146,23 +147,24 @@
         m_handler.onLinkLost(m_peer);
 }
 
-void PeerLink::returnWaiting()
+void PeerLink::returnWaiting(UndeliveredReason reason)
 {
     auto waiting = std::move(m_waiting);
     m_waiting.clear();
-    reportUndelivered(std::move(waiting));
+    reportUndelivered(std::move(waiting), reason);
 }
 
 void PeerLink::backOff()
 {
-    pause(m_backoff);
+    pause(m_backoff, UndeliveredReason::NoConnection);
     m_backoff = std::min(maxBackoff, m_backoff * 2);
 }
 
-void PeerLink::pause(Duration mean)
+void PeerLink::pause(Duration mean, UndeliveredReason reason)
 {
     m_state = State::Backoff;
-    returnWaiting();
+    m_pauseReason = reason;
+    returnWaiting(reason);
     if (m_closed)
         return;
     const auto jitter = Duration(m_random.below(static_cast<std::uint64_t>(mean.count())));
@@ -173,10 +175,10 @@
     });
 }
 
-void PeerLink::reportUndelivered(std::vector<PeerMessage> messages)
+void PeerLink::reportUndelivered(std::vector<PeerMessage> messages, UndeliveredReason reason)
 {
     for (auto& it : messages)
-        m_handler.onUndelivered(m_peer, std::move(it));
+        m_handler.onUndelivered(m_peer, std::move(it), reason);
 }
 
 }
--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -57,11 +57,11 @@
     void connect();
     void onFirstHop(const PeerRoute&, const boost::system::error_code&);
     void onConnected(const boost::system::error_code&);
-    void returnWaiting();
+    void returnWaiting(UndeliveredReason);
     void backOff();
     /// Returns the waiting messages and opens no connection for a time around the mean.
-    void pause(Duration mean);
-    void reportUndelivered(std::vector<PeerMessage>);
+    void pause(Duration mean, UndeliveredReason);
+    void reportUndelivered(std::vector<PeerMessage>, UndeliveredReason);
 
     PeerContext m_context;
     InstanceName m_peer;
@@ -75,6 +75,7 @@
     SeededRandom m_random;
     Duration m_backoff;
     State m_state = State::Idle;
+    UndeliveredReason m_pauseReason = UndeliveredReason::NoConnection; ///< In the state Backoff.
     bool m_closed = false;
 };
 
--- a/tests/admission/quota_engine_test.cpp
+++ b/tests/admission/quota_engine_test.cpp
@@ -185,6 +185,20 @@
         asker.request();
         CHECK(asker.count<RefuseRequest>() == 1);
     }
+    SUBCASE("calls that its own process lacked the resources to send make it avoid no keeper for long")
+    {
+        for (int i = 0; i < 10; ++i) {
+            asker.actions.clear();
+            asker.engine->onNotSent(asker.call.sequence, asker.now, asker.actions);
+            REQUIRE(asker.asks(asker.ranked[1]));
+            asker.actions.clear();
+            asker.engine->onNotSent(asker.call.sequence, asker.now, asker.actions);
+            CHECK(asker.count<AskKeeper>() == 0);
+            asker.now += 1s;
+            asker.request();
+            REQUIRE(asker.asks(asker.ranked[0]));
+        }
+    }
     SUBCASE("a request whose caller has left uses no permit")
     {
         asker.engine->onCancel(RequestNumber(1), asker.team);
--- a/tests/wire/peer_link_test.cpp
+++ b/tests/wire/peer_link_test.cpp
@@ -21,12 +21,17 @@
 public:
     void onPeerMessage(const Hello& from, PeerMessage message) override { messages.emplace_back(from.instance, std::move(message)); }
     void onLinkLost(const InstanceName& peer) override { lostLinks.push_back(peer); }
-    void onUndelivered(const InstanceName& to, PeerMessage message) override { undelivered.emplace_back(to, std::move(message)); }
+    void onUndelivered(const InstanceName& to, PeerMessage message, UndeliveredReason reason) override
+    {
+        undelivered.emplace_back(to, std::move(message));
+        reasons.push_back(reason);
+    }
     void onPeerDisconnected(const InstanceName& peer) override { disconnectedPeers.push_back(peer); }
 
     std::vector<std::pair<InstanceName, PeerMessage>> messages;
     std::vector<InstanceName> lostLinks;
     std::vector<std::pair<InstanceName, PeerMessage>> undelivered;
+    std::vector<UndeliveredReason> reasons; ///< For each undelivered message.
     std::vector<InstanceName> disconnectedPeers;
 };
 
@@ -138,6 +143,7 @@
         runUntil(io, [&] { return a.handler.undelivered.size() == 1; });
         CHECK(a.handler.undelivered[0].first == b.hello.instance);
         CHECK(std::get<RuleRequest>(a.handler.undelivered[0].second).haveRevision == RuleRevision(1));
+        CHECK((a.handler.reasons[0] == UndeliveredReason::NoConnection));
         CHECK(a.handler.lostLinks.size() == 1);
     }
     SUBCASE("A message to an instance that is not in the view is returned as undelivered")
@@ -208,6 +214,7 @@
         CHECK_FALSE(isLate);
         CHECK(b.handler.messages.empty());
         CHECK_FALSE(a.handler.undelivered.empty());
+        CHECK(std::all_of(a.handler.reasons.begin(), a.handler.reasons.end(), [](auto it) { return it == UndeliveredReason::NoLocalResources; }));
     }
     while (b.handler.messages.empty() && !isLate)
         sendOne();
--- a/tests/wire/peer_memory_test.cpp
+++ b/tests/wire/peer_memory_test.cpp
@@ -18,7 +18,7 @@
 public:
     void onPeerMessage(const Hello&, PeerMessage) override { ++messages; }
     void onLinkLost(const InstanceName&) override { }
-    void onUndelivered(const InstanceName&, PeerMessage) override { }
+    void onUndelivered(const InstanceName&, PeerMessage, UndeliveredReason) override { }
     void onPeerDisconnected(const InstanceName&) override { }
 
     std::size_t messages = 0;
