--- a/src/wire/peer_link.h
+++ b/src/wire/peer_link.h
@@ -22,7 +22,8 @@
     std::optional<Endpoint> crossZoneGateway; ///< Connections to peers in other zones go through this gateway.
 };
 
-/// The outgoing connection to one peer, opened on demand, with exponential back-off after failures.
+/// The outgoing connection to one peer, opened on demand, with exponential back-off after failures. A connection that
+/// this process lacked the descriptors, ports or memory to open is no failure of the peer, and the pause after it doesn't grow.
 ///
 /// Messages wait while the link connects. A message is returned through PeerHandler::onUndelivered if the
 /// connection fails before any byte of the message was written, the queue is full, the link backs off or the
@@ -56,9 +57,11 @@
     void connect();
     void onFirstHop(const PeerRoute&, const boost::system::error_code&);
     void onConnected(const boost::system::error_code&);
-    void returnWaiting();
+    void returnWaiting(UndeliveredReason);
     void backOff();
-    void reportUndelivered(std::vector<PeerMessage>);
+    /// Returns the waiting messages and opens no connection for a time around the mean.
+    void pause(Duration mean, UndeliveredReason);
+    void reportUndelivered(std::vector<PeerMessage>, UndeliveredReason);
 
     PeerContext m_context;
     InstanceName m_peer;
@@ -72,6 +75,7 @@
     SeededRandom m_random;
     Duration m_backoff;
     State m_state = State::Idle;
+    UndeliveredReason m_pauseReason = UndeliveredReason::NoConnection; ///< In the state Backoff.
     bool m_closed = false;
 };
 
--- a/tests/wire/peer_link_test.cpp
+++ b/tests/wire/peer_link_test.cpp
@@ -1,9 +1,13 @@
+#include "support/no_free_descriptors.h"
 #include "support/raw_caller.h"
 #include "support/virtual_clock.h"
 #include "wire/asio_peer_network.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -17,12 +21,17 @@
 public:
     void onPeerMessage(const Hello& from, PeerMessage message) override { messages.emplace_back(from.instance, std::move(message)); }
     void onLinkLost(const InstanceName& peer) override { lostLinks.push_back(peer); }
-    void onUndelivered(const InstanceName& to, PeerMessage message) override { undelivered.emplace_back(to, std::move(message)); }
+    void onUndelivered(const InstanceName& to, PeerMessage message, UndeliveredReason reason) override
+    {
+        undelivered.emplace_back(to, std::move(message));
+        reasons.push_back(reason);
+    }
     void onPeerDisconnected(const InstanceName& peer) override { disconnectedPeers.push_back(peer); }
 
     std::vector<std::pair<InstanceName, PeerMessage>> messages;
     std::vector<InstanceName> lostLinks;
     std::vector<std::pair<InstanceName, PeerMessage>> undelivered;
+    std::vector<UndeliveredReason> reasons; ///< For each undelivered message.
     std::vector<InstanceName> disconnectedPeers;
 };
 
@@ -134,6 +143,7 @@
         runUntil(io, [&] { return a.handler.undelivered.size() == 1; });
         CHECK(a.handler.undelivered[0].first == b.hello.instance);
         CHECK(std::get<RuleRequest>(a.handler.undelivered[0].second).haveRevision == RuleRevision(1));
+        CHECK((a.handler.reasons[0] == UndeliveredReason::NoConnection));
         CHECK(a.handler.lostLinks.size() == 1);
     }
     SUBCASE("A message to an instance that is not in the view is returned as undelivered")
@@ -180,6 +190,39 @@
     }
 }
 
+// Guards against an instance that stays cut off from its peers for seconds because its own process lacked descriptors before.
+TEST_CASE_FIXTURE(PeersFixture, "A link goes on with its attempts at the same pace while its process lacks descriptors")
+{
+    constexpr int manyAttempts = 15;
+    int attempts = 0;
+    const auto findRoute = [&] {
+        ++attempts;
+        return std::optional(PeerRoute { b.endpoint, std::nullopt });
+    };
+    const auto link = std::make_shared<PeerLink>(PeerContext { io, a.hello, clock, a.counters, testLimits(), std::nullopt }, b.hello.instance, findRoute, a.handler);
+    bool isLate = false;
+    boost::asio::steady_timer late(io, 5s);
+    late.async_wait([&](const boost::system::error_code& ec) { isLate = !ec; });
+    const auto sendOne = [&] {
+        link->send(RuleRequest {});
+        io.run_one_for(5ms);
+    };
+    {
+        const NoFreeDescriptors none;
+        while (attempts < manyAttempts && !isLate)
+            sendOne();
+        CHECK_FALSE(isLate);
+        CHECK(b.handler.messages.empty());
+        CHECK_FALSE(a.handler.undelivered.empty());
+        CHECK(std::all_of(a.handler.reasons.begin(), a.handler.reasons.end(), [](auto it) { return it == UndeliveredReason::NoLocalResources; }));
+    }
+    while (b.handler.messages.empty() && !isLate)
+        sendOne();
+    CHECK_FALSE(b.handler.messages.empty());
+    link->close();
+    io.poll();
+}
+
 TEST_CASE_FIXTURE(PeersFixture, "An instance with another name at the peer's address receives no message")
 {
     Instance wrong = b.instance();
@@ -252,6 +295,24 @@
     checkRoundTrip();
 }
 
+// Guards against a process whose descriptors are all taken by connections that never send a Hello.
+TEST_CASE_FIXTURE(PeersFixture, "Of many connections without a Hello the oldest are closed at once, and peers still connect")
+{
+    constexpr std::size_t opened = 200;
+    constexpr std::size_t mostOpen = 64;
+    std::vector<std::unique_ptr<RawCaller>> silent;
+    for (std::size_t i = 0; i < opened; ++i)
+        silent.push_back(std::make_unique<RawCaller>(io, b.endpoint));
+    const auto isClosed = [](const auto& it) { return it->isClosed(); };
+    bool isLate = false;
+    boost::asio::steady_timer late(io, 5s);
+    late.async_wait([&](const boost::system::error_code& ec) { isLate = !ec; });
+    runUntil(io, [&] { return isLate || std::all_of(silent.begin(), silent.begin() + (opened - mostOpen), isClosed); });
+    CHECK_FALSE(isLate);
+    CHECK_FALSE(silent.back()->isClosed());
+    checkRoundTrip();
+}
+
 TEST_CASE_FIXTURE(PeersFixture, "A new connection from a peer replaces the old one")
 {
     RawCaller first(io, b.endpoint);
