--- a/src/http/http_client_connection.cpp
+++ b/src/http/http_client_connection.cpp
@@ -1,6 +1,7 @@
 #include "http/http_client_connection.h"
 
 #include "http/http_response_reader.h"
+#include "http/lack_of_resources.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -19,13 +20,6 @@
 /// The memory for requests that a connection keeps for its next one.
 constexpr std::size_t keptRequestBytes = 16 * 1024;
 
-bool isLackOfResources(const boost::system::error_code& ec)
-{
-    namespace errc = boost::system::errc;
-    return ec == errc::too_many_files_open || ec == errc::too_many_files_open_in_system || ec == errc::address_not_available || ec == errc::no_buffer_space
-        || ec == errc::not_enough_memory;
-}
-
 std::string formatRequest(const HttpRequest& request, const std::string& host)
 {
     std::string out;
--- a/src/platform/backoff.cpp
+++ b/src/platform/backoff.cpp
@@ -15,12 +15,17 @@
 Duration Backoff::onFailure()
 {
     ++m_failures;
-    const Duration half = m_currentMax / 2;
-    const Duration delay = half + Duration(static_cast<Duration::rep>(m_random->below(static_cast<std::uint64_t>(half.count()) + 1)));
+    const auto delay = draw(m_currentMax);
     m_currentMax = std::min(m_max, m_currentMax * 2);
     return delay;
 }
 
+Duration Backoff::draw(Duration longest)
+{
+    const Duration half = longest / 2;
+    return half + Duration(static_cast<Duration::rep>(m_random->below(static_cast<std::uint64_t>(half.count()) + 1)));
+}
+
 void Backoff::onSuccess()
 {
     m_failures = 0;
--- a/src/platform/backoff.h
+++ b/src/platform/backoff.h
@@ -16,11 +16,15 @@
 
     /// Returns the delay before the next retry.
     Duration onFailure();
+    /// Returns a delay as after a first failure, and counts no failure.
+    Duration firstDelay() { return draw(m_initial); }
     void onSuccess();
     /// Failures since the last success.
     unsigned int failures() const { return m_failures; }
 
 private:
+    Duration draw(Duration longest);
+
     Duration m_initial;
     Duration m_max;
     Duration m_currentMax;
--- a/src/platform/http_object_store.cpp
+++ b/src/platform/http_object_store.cpp
@@ -83,6 +83,7 @@
     WatchBatch failed;
     failed.status = response.status == StoreStatus::Ok ? StoreStatus::Lost : response.status;
     failed.why = response.status == StoreStatus::Ok ? "malformed response" : response.why;
+    failed.cause = response.cause;
     return failed;
 }
 
--- a/src/platform/object_store.h
+++ b/src/platform/object_store.h
@@ -4,6 +4,7 @@
 #include "base/store_revision.h"
 #include "base/stored_object.h"
 #include "base/time.h"
+#include "platform/failure_cause.h"
 
 #include <functional>
 #include <string>
@@ -26,6 +27,7 @@
     TimePoint provenAt {}; ///< Latest time for which all changes are known to have been seen. Set by WatchEngine.
     TimePoint confirmedAt {}; ///< Sending time of the latest call whose response shows that nothing later than this batch existed when the call was sent; the epoch when there was none. Set by WatchEngine.
     std::string why {}; ///< Of a failed call: why it failed, for logs.
+    FailureCause cause = FailureCause::Store; ///< Of a failed call.
 };
 
 /// The platform's object API. Calls return at once; each handler runs exactly once, on the
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -66,10 +66,11 @@
     return isClientError ? StoreStatus::Unavailable : StoreStatus::Lost;
 }
 
-PlatformResponse unsent(std::string why)
+PlatformResponse unsent(std::string why, FailureCause cause = FailureCause::Store)
 {
     PlatformResponse response;
     response.why = std::move(why);
+    response.cause = cause;
     return response;
 }
 
@@ -145,7 +146,7 @@
     void startNextWaitingCall();
     void recordStatus(StoreStatus);
     void finish(const PendingCallPtr&, PlatformResponse);
-    void finishUnsent(const PendingCallPtr&, std::string why);
+    void finishUnsent(const PendingCallPtr&, std::string why, FailureCause = FailureCause::Store);
     void deliver(Handler, PlatformResponse);
     void doStop();
 
@@ -256,9 +257,11 @@
     connection->connect(m_settings.endpoint, timeout, [self = shared_from_this(), pending, connection](bool isConnected) {
         if (isConnected)
             return self->run(pending, connection, false);
-        self->recordStatus(StoreStatus::Unavailable);
+        const auto cause = connection->lackedResources() ? FailureCause::LocalResources : FailureCause::Store;
+        if (cause == FailureCause::Store)
+            self->recordStatus(StoreStatus::Unavailable);
         self->releaseConnection(pending, connection);
-        self->finishUnsent(pending, connection->failure());
+        self->finishUnsent(pending, connection->failure(), cause);
     });
 }
 
@@ -338,9 +341,9 @@
     deliver(std::move(pending->handler), std::move(response));
 }
 
-void PlatformClient::Impl::finishUnsent(const PendingCallPtr& pending, std::string why)
+void PlatformClient::Impl::finishUnsent(const PendingCallPtr& pending, std::string why, FailureCause cause)
 {
-    finish(pending, unsent(std::move(why)));
+    finish(pending, unsent(std::move(why), cause));
 }
 
 void PlatformClient::Impl::deliver(Handler handler, PlatformResponse response)
--- a/src/platform/platform_client.h
+++ b/src/platform/platform_client.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/stored_object.h"
+#include "platform/failure_cause.h"
 #include "platform/platform_client_settings.h"
 #include "platform/platform_counters.h"
 
@@ -38,6 +39,7 @@
     std::int64_t respondedAt = 0; ///< The response's Date, in seconds since the Unix epoch; 0 when absent.
     std::optional<std::uint64_t> epoch {}; ///< Of the store that responded; empty when the response names none that can be read.
     std::string why {}; ///< Why the status is not Ok, for logs.
+    FailureCause cause = FailureCause::Store; ///< Of a status that is not Ok.
 };
 
 /// HTTP client of the platform with keep-alive connections, time-outs, call budgets, counters, and a pause
@@ -45,7 +47,7 @@
 ///
 /// A call that fails before any byte was written to a connection ends as Unavailable, a call that fails later
 /// as Lost. The client retries nothing but a read, list or fetch on a reused connection that the platform had
-/// closed.
+/// closed. A call for which this process or machine lacked resources is no refusal and begins no pause.
 class PlatformClient {
 public:
     using Handler = std::function<void(PlatformResponse)>;
--- a/src/platform/platform_connection.cpp
+++ b/src/platform/platform_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "base/endpoint.h"
 #include "http/http_response_reader.h"
+#include "http/lack_of_resources.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -78,6 +79,8 @@
 
     const std::string& failure() const override { return m_failure; }
 
+    bool lackedResources() const override { return m_lackedResources; }
+
     bool isOpen() const override { return m_isOpen && !hasUnreadBytes(); }
 
     void close() override
@@ -92,6 +95,7 @@
     void onConnected(error_code ec)
     {
         m_isOpen = !ec;
+        m_lackedResources = isLackOfResources(ec);
         if (ec)
             m_failure = "connect: " + ec.message();
         else
@@ -183,6 +187,7 @@
     std::string m_host;
     std::string m_failure;
     bool m_isOpen = false;
+    bool m_lackedResources = false;
     http::request<http::string_body> m_request;
     std::optional<BufferCharge> m_charge; ///< For the response to the exchange in flight.
     std::optional<HttpResponseReader> m_reader; ///< Of the response to the exchange in flight.
--- a/src/platform/platform_connection.h
+++ b/src/platform/platform_connection.h
@@ -52,6 +52,8 @@
     virtual void exchange(const HttpExchange&, Duration timeout, ExchangeHandler) = 0;
     /// Why the last operation failed, for logs; empty when none has.
     virtual const std::string& failure() const = 0;
+    /// Returns whether connect() failed because this process or machine had no descriptor, port or memory for the connection.
+    virtual bool lackedResources() const = 0;
     /// False once the last response or an error has ended the connection.
     virtual bool isOpen() const = 0;
     /// Aborts the operation in flight, whose handler is called with a failure.
--- a/src/platform/watch_engine.cpp
+++ b/src/platform/watch_engine.cpp
@@ -14,8 +14,6 @@
 constexpr Duration coalescingTime = std::chrono::milliseconds(250);
 /// A response with more changes than this may be truncated, so the store is called again at once.
 constexpr std::size_t truncationThreshold = 16;
-/// After more failures in a row than this the calls pause and the announcements of others are awaited. One lost packet fails one call.
-constexpr std::uint32_t toleratedFailures = 1;
 /// An instance that should watch all the time but whose calls fail retries after this multiple of the silence
 /// that it tolerates, whatever others announce.
 constexpr int retrySilenceFactor = 4;
@@ -38,7 +36,7 @@
 
 WatchEngine::WatchEngine(std::string prefix, Backoff backoff)
     : m_prefix(std::move(prefix))
-    , m_backoff(std::move(backoff))
+    , m_retry(std::move(backoff))
     , m_failureLog(m_prefix)
 {
 }
@@ -90,14 +88,9 @@
     return all;
 }
 
-bool WatchEngine::isFailing() const
-{
-    return m_backoff.failures() > toleratedFailures;
-}
-
 TimePoint WatchEngine::silenceEndsAt() const
 {
-    const auto maxSilence = isFailing() ? std::max(m_schedule.maxSilence, m_schedule.maxSilenceAfterFailure) : m_schedule.maxSilence;
+    const auto maxSilence = m_retry.isFailing() ? std::max(m_schedule.maxSilence, m_schedule.maxSilenceAfterFailure) : m_schedule.maxSilence;
     // While changes keep coming, no response proves that there are no more, but a further call would not read them sooner
     // than the instance that announces them.
     const auto announced = std::min(m_announcedAt + std::min(m_schedule.wait, maxSilence), m_provenAt + m_schedule.maxUnproven);
@@ -120,8 +113,8 @@
     if (nextWake() > now)
         return;
     const bool wasBehind = std::exchange(m_isBehind, false);
-    const bool isShort = wasBehind || m_backoff.failures() > 0 || m_schedule.maxSilence > Duration {};
-    m_call = { true, !m_isListed || m_mustList, wasBehind, now, m_revision, isShort ? minWait : m_schedule.wait, m_latestEpoch };
+    const bool isShort = wasBehind || m_retry.hasFailed() || m_schedule.maxSilence > Duration {};
+    m_call = { true, !m_isListed || m_mustList, wasBehind, now, m_revision, isShort ? minWait : m_schedule.wait, m_latestEpoch, m_call.at };
     if (m_call.isList)
         actions.emplace_back(ListObjects {});
     else
@@ -192,9 +185,11 @@
     WatchBatch failed;
     failed.status = response.status == StoreStatus::Ok ? StoreStatus::Lost : response.status;
     actions.emplace_back(DeliverBatch { failed });
-    const auto delay = m_backoff.onFailure();
-    m_notBefore = now + (isFailing() ? std::max(delay, m_schedule.retryPause) : delay);
-    if (m_call.wasBehind && !isFailing())
+    m_notBefore = now + m_retry.onFailure(response, m_schedule.retryPause);
+    const bool wasSent = response.cause == FailureCause::Store;
+    if (!wasSent)
+        m_call.at = m_call.previousAt;
+    if (m_call.wasBehind && (!wasSent || !m_retry.isFailing()))
         markBehind(now, now);
 }
 
@@ -206,13 +201,13 @@
     m_mustList = true;
     // A store whose history goes again and again is not called without pauses.
     if (std::exchange(m_hasExpired, true) || !isKnown)
-        m_notBefore = now + m_backoff.onFailure();
+        m_notBefore = now + m_retry.onFailure(response, {});
 }
 
 void WatchEngine::onList(const WatchBatch& response, TimePoint now, WatchActions& actions)
 {
     if (!m_hasExpired)
-        m_backoff.onSuccess();
+        m_retry.onSuccess();
     const bool isOtherEpoch = response.revision.epoch != m_revision.epoch || isLowerThanAtCall(response.revision);
     if (!isOtherEpoch && response.revision < m_revision) {
         // Another instance has announced a later revision while the call was in flight.
@@ -236,7 +231,7 @@
 
 void WatchEngine::onChanges(const WatchBatch& response, TimePoint now, WatchActions& actions)
 {
-    m_backoff.onSuccess();
+    m_retry.onSuccess();
     if (response.revision.epoch != m_revision.epoch || isLowerThanAtCall(response.revision))
         return distrustState(response.revision.epoch);
     m_hasExpired = false;
--- a/src/platform/watch_engine.h
+++ b/src/platform/watch_engine.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/backoff.h"
 #include "platform/call_failure_log.h"
+#include "platform/call_retry.h"
 #include "platform/epoch_evidence.h"
 #include "platform/watch_action.h"
 #include "platform/watch_schedule.h"
@@ -57,6 +57,7 @@
         StoreRevision known {}; ///< The known revision when the call was sent.
         Duration wait {};
         std::uint64_t latestEpoch = 0; ///< The latest epoch known when the call was sent.
+        TimePoint previousAt {}; ///< When the call before it was sent.
     };
 
     /// Takes the epoch of a response that can't be used for the store's if the store keeps naming it.
@@ -67,7 +68,6 @@
     TimePoint scheduledCallAt() const;
     /// Returns when the store is to be called although nothing is known to be missing.
     TimePoint silenceEndsAt() const;
-    bool isFailing() const;
     /// Whether the revision is lower than the one that was known when the call was sent, in the same epoch.
     bool isLowerThanAtCall(const StoreRevision&) const;
     /// Whether no later epoch is known. False for an epoch that can't have been read correctly.
@@ -116,7 +116,7 @@
     void logNewEpoch(const WatchBatch&, WatchActions&) const;
 
     std::string m_prefix;
-    Backoff m_backoff;
+    CallRetry m_retry;
     WatchSchedule m_schedule;
     Call m_call;
     bool m_isStarted = false;
