--- a/src/platform/call_retry.cpp
+++ b/src/platform/call_retry.cpp
@@ -22,6 +22,8 @@
 Duration CallRetry::onFailure(const WatchBatch& failed, Duration storePause)
 {
     m_hasFailed = true;
+    if (failed.cause == FailureCause::ClientPause)
+        return failed.pauseLeft;
     if (failed.cause == FailureCause::LocalResources)
         return m_backoff.firstDelay();
     const auto delay = m_backoff.onFailure();
--- a/src/platform/http_object_store.cpp
+++ b/src/platform/http_object_store.cpp
@@ -84,6 +84,7 @@
     failed.status = response.status == StoreStatus::Ok ? StoreStatus::Lost : response.status;
     failed.why = response.status == StoreStatus::Ok ? "malformed response" : response.why;
     failed.cause = response.cause;
+    failed.pauseLeft = response.pauseLeft;
     return failed;
 }
 
--- a/src/platform/object_store.h
+++ b/src/platform/object_store.h
@@ -28,6 +28,7 @@
     TimePoint confirmedAt {}; ///< Sending time of the latest call whose response shows that nothing later than this batch existed when the call was sent; the epoch when there was none. Set by WatchEngine.
     std::string why {}; ///< Of a failed call: why it failed, for logs.
     FailureCause cause = FailureCause::Store; ///< Of a failed call.
+    Duration pauseLeft {}; ///< Of a call that failed for the client's pause: the time until the client sends calls again.
 };
 
 /// The platform's object API. Calls return at once; each handler runs exactly once, on the
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -2,7 +2,7 @@
 
 #include "base/digits.h"
 #include "base/token_bucket.h"
-#include "platform/backoff.h"
+#include "platform/call_pause.h"
 #include "platform/http_date.h"
 #include "platform/platform_connection.h"
 
@@ -92,7 +92,7 @@
         , m_settings(settings)
         , m_reads(makeBudget(settings.readsPerSecond))
         , m_writes(makeBudget(settings.writesPerSecond))
-        , m_backoff(settings.initialBackoff, settings.maxBackoff, std::make_unique<SeededRandom>(systemSeed()))
+        , m_pause(settings.failuresBeforePause, Backoff(settings.initialBackoff, settings.maxBackoff, std::make_unique<SeededRandom>(systemSeed())))
     {
     }
 
@@ -158,8 +158,7 @@
     SteadyClock m_clock;
     TokenBucket m_reads;
     TokenBucket m_writes;
-    Backoff m_backoff;
-    TimePoint m_pausedUntil {};
+    CallPause m_pause;
     bool m_isStopped = false;
     std::uint32_t m_poolSize = 0; ///< Pooled connections: opening, busy and idle ones.
     std::vector<ConnectionPtr> m_idle;
@@ -174,9 +173,11 @@
     const auto now = m_clock.now();
     if (m_isStopped)
         return deliver(std::move(handler), unsent("the client is stopped"));
-    if (now < m_pausedUntil) {
+    if (const auto left = m_pause.left(now); left > Duration {}) {
         count([](auto& counters) { ++counters.refusedByPause; });
-        return deliver(std::move(handler), unsent("calls pause after failures in a row"));
+        auto refused = unsent("calls pause after failures in a row", FailureCause::ClientPause);
+        refused.pauseLeft = left;
+        return deliver(std::move(handler), std::move(refused));
     }
     auto& budget = isWrite(call.kind) ? m_writes : m_reads;
     if (!budget.take(now)) {
@@ -321,13 +322,10 @@
 
 void PlatformClient::Impl::recordStatus(StoreStatus status)
 {
-    if (status != StoreStatus::Unavailable) {
-        m_backoff.onSuccess();
-        return;
-    }
-    const auto delay = m_backoff.onFailure();
-    if (m_backoff.failures() >= m_settings.failuresBeforePause)
-        m_pausedUntil = m_clock.now() + delay;
+    if (status == StoreStatus::Unavailable)
+        m_pause.onRefusal(m_clock.now());
+    else
+        m_pause.onSuccess();
 }
 
 void PlatformClient::Impl::finish(const PendingCallPtr& pending, PlatformResponse response)
--- a/src/platform/platform_client.h
+++ b/src/platform/platform_client.h
@@ -40,6 +40,7 @@
     std::optional<std::uint64_t> epoch {}; ///< Of the store that responded; empty when the response names none that can be read.
     std::string why {}; ///< Why the status is not Ok, for logs.
     FailureCause cause = FailureCause::Store; ///< Of a status that is not Ok.
+    Duration pauseLeft {}; ///< With cause ClientPause: the time until the client sends calls again.
 };
 
 /// HTTP client of the platform with keep-alive connections, time-outs, call budgets, counters, and a pause
