--- a/src/platform/platform_connection.cpp
+++ b/src/platform/platform_connection.cpp
@@ -81,7 +81,7 @@
 
     bool lackedResources() const override { return m_lackedResources; }
 
-    bool isOpen() const override { return m_isOpen && !hasUnreadBytes(); }
+    bool isOpen() const override { return m_isOpen && isIdle(); }
 
     void close() override
     {
@@ -96,10 +96,13 @@
     {
         m_isOpen = !ec;
         m_lackedResources = isLackOfResources(ec);
-        if (ec)
+        if (ec) {
             m_failure = "connect: " + ec.message();
-        else
-            m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+            return;
+        }
+        m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+        // isIdle() reads without waiting.
+        m_stream.socket().non_blocking(true, ec);
     }
 
     void onWritten(error_code ec, std::size_t sent)
@@ -126,11 +129,14 @@
         });
     }
 
-    /// Whether the store has sent bytes that belong to no call. The next call would take them for its response.
-    bool hasUnreadBytes() const
+    /// Whether the store has neither ended the connection nor sent bytes that belong to no call. The next call would be lost, or take the
+    /// bytes for its response.
+    bool isIdle() const
     {
+        char byte = 0;
         error_code ec;
-        return m_buf.size() > 0 || m_stream.socket().available(ec) > 0;
+        m_stream.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+        return m_buf.size() == 0 && ec == asio::error::would_block;
     }
 
     void readMore()
@@ -180,7 +186,7 @@
         std::exchange(m_handler, nullptr)(std::move(m_result));
     }
 
-    beast::tcp_stream m_stream;
+    mutable beast::tcp_stream m_stream; ///< Mutable because isIdle() peeks, which takes no bytes.
     std::string m_epochHeader;
     HttpLimits m_limits;
     beast::flat_buffer m_buf;
