--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -143,6 +143,7 @@
     void run(const PendingCallPtr&, const ConnectionPtr&, bool isReused);
     void onResult(const PendingCallPtr&, const ConnectionPtr&, bool isReused, HttpExchangeResult);
     void releaseConnection(const PendingCallPtr&, const ConnectionPtr&);
+    void closeIdleConnections();
     void startNextWaitingCall();
     void recordStatus(StoreStatus);
     void finish(const PendingCallPtr&, PlatformResponse);
@@ -282,6 +283,9 @@
         counters.bytesSent += result.bytesSent;
         counters.bytesReceived += result.bytesReceived;
     });
+    // Connections that have been idle as long may have no peer any more either.
+    if (isReused && !result.hasResponse)
+        closeIdleConnections();
     releaseConnection(pending, connection);
     const auto status = statusOf(result);
     const bool mayRetry = isReused && !result.hasResponse && !isWrite(pending->call.kind) && !pending->wasRetried && timeLeft(*pending) > Duration {};
@@ -310,6 +314,14 @@
     startNextWaitingCall();
 }
 
+void PlatformClient::Impl::closeIdleConnections()
+{
+    for (const auto& connection : m_idle)
+        connection->close();
+    m_poolSize -= static_cast<std::uint32_t>(m_idle.size());
+    m_idle.clear();
+}
+
 void PlatformClient::Impl::startNextWaitingCall()
 {
     if (m_waiting.empty() || (m_idle.empty() && m_poolSize >= m_settings.maxConnections))
@@ -352,9 +364,7 @@
 void PlatformClient::Impl::doStop()
 {
     m_isStopped = true;
-    for (const auto& connection : m_idle)
-        connection->close();
-    m_idle.clear();
+    closeIdleConnections();
     const auto busy = m_busy;
     for (const auto& connection : busy)
         connection->close();
