--- a/tests/adapter/published_store_test.cpp
+++ b/tests/adapter/published_store_test.cpp
@@ -4,6 +4,8 @@
 
 #include "platform/store_watcher.h"
 #include "standin/published_store.h"
+#include "support/no_free_descriptors.h"
+#include "support/scripted_server.h"
 
 #include <doctest/doctest.h>
 
@@ -85,6 +87,38 @@
     CHECK(batch->changed.empty());
 }
 
+// Guards against a list that begins again and again at once: each page costs the store a call.
+TEST_CASE("A list of which pages were sent before a descriptor lacked has failed at the store" * doctest::test_suite("adapter"))
+{
+    const std::string page = R"({"items":[{"meta":{"name":"a","revision":1},"spec":{}}],"atRev":1,"hasMore":true})";
+    boost::asio::io_context io { 1 };
+    ScriptedServer server(io, { "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " + std::to_string(page.size()) + "\r\n\r\n" + page, "", true });
+    PlatformClientSettings settings;
+    settings.endpoint = server.endpoint();
+    Metrics metrics;
+    PublishedStore store(std::make_shared<PlatformClient>(io.get_executor(), settings), metrics);
+    std::optional<WatchBatch> batch;
+    const auto list = [&](std::size_t requestsBefore) {
+        store.list("servers/", [&](WatchBatch it) { batch = std::move(it); });
+        while (server.requests() < requestsBefore)
+            io.run_one();
+        const NoFreeDescriptors none;
+        while (!batch)
+            io.run_one();
+        return batch->cause;
+    };
+    SUBCASE("after the first page")
+    {
+        CHECK(list(1) == FailureCause::Store);
+        CHECK(batch->why.find("Too many open files") != std::string::npos);
+    }
+    SUBCASE("before it, nothing was sent")
+    {
+        io.poll();
+        CHECK(list(0) == FailureCause::LocalResources);
+    }
+}
+
 TEST_CASE("A list that is read while the store changes tells up to which revision it may hold changes" * doctest::test_suite("adapter"))
 {
     StoreFixture fixture;
--- a/tests/support/no_free_descriptors.h
+++ b/tests/support/no_free_descriptors.h
@@ -5,16 +5,14 @@
 
 namespace lycheefield {
 
-/// While it exists, the process can open no further descriptor.
+/// While it exists, the process can open no descriptor, not even in place of one that it closes. Precondition: the standard streams are open.
 class NoFreeDescriptors {
 public:
     NoFreeDescriptors()
     {
         getrlimit(RLIMIT_NOFILE, &m_before);
-        // dup() returns the lowest free number, and the limit is on the numbers.
-        const int lowestFree = dup(STDERR_FILENO);
-        ::close(lowestFree);
-        const rlimit none { static_cast<rlim_t>(lowestFree), m_before.rlim_max };
+        // The limit is on the numbers, of which the standard streams have the lowest.
+        const rlimit none { STDERR_FILENO + 1, m_before.rlim_max };
         setrlimit(RLIMIT_NOFILE, &none);
     }
     ~NoFreeDescriptors() { setrlimit(RLIMIT_NOFILE, &m_before); }
