--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -2,7 +2,7 @@
 
 #include "base/digits.h"
 #include "base/token_bucket.h"
-#include "platform/backoff.h"
+#include "platform/call_pause.h"
 #include "platform/http_date.h"
 #include "platform/platform_connection.h"
 
@@ -66,10 +66,11 @@
     return isClientError ? StoreStatus::Unavailable : StoreStatus::Lost;
 }
 
-PlatformResponse unsent(std::string why)
+PlatformResponse unsent(std::string why, FailureCause cause = FailureCause::Store)
 {
     PlatformResponse response;
     response.why = std::move(why);
+    response.cause = cause;
     return response;
 }
 
@@ -91,7 +92,7 @@
         , m_settings(settings)
         , m_reads(makeBudget(settings.readsPerSecond))
         , m_writes(makeBudget(settings.writesPerSecond))
-        , m_backoff(settings.initialBackoff, settings.maxBackoff, std::make_unique<SeededRandom>(systemSeed()))
+        , m_pause(settings.failuresBeforePause, Backoff(settings.initialBackoff, settings.maxBackoff, std::make_unique<SeededRandom>(systemSeed())))
     {
     }
 
@@ -142,10 +143,11 @@
     void run(const PendingCallPtr&, const ConnectionPtr&, bool isReused);
     void onResult(const PendingCallPtr&, const ConnectionPtr&, bool isReused, HttpExchangeResult);
     void releaseConnection(const PendingCallPtr&, const ConnectionPtr&);
+    void closeIdleConnections();
     void startNextWaitingCall();
     void recordStatus(StoreStatus);
     void finish(const PendingCallPtr&, PlatformResponse);
-    void finishUnsent(const PendingCallPtr&, std::string why);
+    void finishUnsent(const PendingCallPtr&, std::string why, FailureCause = FailureCause::Store);
     void deliver(Handler, PlatformResponse);
     void doStop();
 
@@ -157,8 +159,7 @@
     SteadyClock m_clock;
     TokenBucket m_reads;
     TokenBucket m_writes;
-    Backoff m_backoff;
-    TimePoint m_pausedUntil {};
+    CallPause m_pause;
     bool m_isStopped = false;
     std::uint32_t m_poolSize = 0; ///< Pooled connections: opening, busy and idle ones.
     std::vector<ConnectionPtr> m_idle;
@@ -173,9 +174,11 @@
     const auto now = m_clock.now();
     if (m_isStopped)
         return deliver(std::move(handler), unsent("the client is stopped"));
-    if (now < m_pausedUntil) {
+    if (const auto left = m_pause.left(now); left > Duration {}) {
         count([](auto& counters) { ++counters.refusedByPause; });
-        return deliver(std::move(handler), unsent("calls pause after failures in a row"));
+        auto refused = unsent("calls pause after failures in a row", FailureCause::ClientPause);
+        refused.pauseLeft = left;
+        return deliver(std::move(handler), std::move(refused));
     }
     auto& budget = isWrite(call.kind) ? m_writes : m_reads;
     if (!budget.take(now)) {
@@ -256,9 +259,11 @@
     connection->connect(m_settings.endpoint, timeout, [self = shared_from_this(), pending, connection](bool isConnected) {
         if (isConnected)
             return self->run(pending, connection, false);
-        self->recordStatus(StoreStatus::Unavailable);
+        const auto cause = connection->lackedResources() ? FailureCause::LocalResources : FailureCause::Store;
+        if (cause == FailureCause::Store)
+            self->recordStatus(StoreStatus::Unavailable);
         self->releaseConnection(pending, connection);
-        self->finishUnsent(pending, connection->failure());
+        self->finishUnsent(pending, connection->failure(), cause);
     });
 }
 
@@ -278,6 +283,9 @@
         counters.bytesSent += result.bytesSent;
         counters.bytesReceived += result.bytesReceived;
     });
+    // Connections that have been idle as long may have no peer any more either.
+    if (isReused && !result.hasResponse)
+        closeIdleConnections();
     releaseConnection(pending, connection);
     const auto status = statusOf(result);
     const bool mayRetry = isReused && !result.hasResponse && !isWrite(pending->call.kind) && !pending->wasRetried && timeLeft(*pending) > Duration {};
@@ -306,6 +314,14 @@
     startNextWaitingCall();
 }
 
+void PlatformClient::Impl::closeIdleConnections()
+{
+    for (const auto& connection : m_idle)
+        connection->close();
+    m_poolSize -= static_cast<std::uint32_t>(m_idle.size());
+    m_idle.clear();
+}
+
 void PlatformClient::Impl::startNextWaitingCall()
 {
     if (m_waiting.empty() || (m_idle.empty() && m_poolSize >= m_settings.maxConnections))
@@ -318,13 +334,10 @@
 
 void PlatformClient::Impl::recordStatus(StoreStatus status)
 {
-    if (status != StoreStatus::Unavailable) {
-        m_backoff.onSuccess();
-        return;
-    }
-    const auto delay = m_backoff.onFailure();
-    if (m_backoff.failures() >= m_settings.failuresBeforePause)
-        m_pausedUntil = m_clock.now() + delay;
+    if (status == StoreStatus::Unavailable)
+        m_pause.onRefusal(m_clock.now());
+    else
+        m_pause.onSuccess();
 }
 
 void PlatformClient::Impl::finish(const PendingCallPtr& pending, PlatformResponse response)
@@ -338,9 +351,9 @@
     deliver(std::move(pending->handler), std::move(response));
 }
 
-void PlatformClient::Impl::finishUnsent(const PendingCallPtr& pending, std::string why)
+void PlatformClient::Impl::finishUnsent(const PendingCallPtr& pending, std::string why, FailureCause cause)
 {
-    finish(pending, unsent(std::move(why)));
+    finish(pending, unsent(std::move(why), cause));
 }
 
 void PlatformClient::Impl::deliver(Handler handler, PlatformResponse response)
@@ -351,9 +364,7 @@
 void PlatformClient::Impl::doStop()
 {
     m_isStopped = true;
-    for (const auto& connection : m_idle)
-        connection->close();
-    m_idle.clear();
+    closeIdleConnections();
     const auto busy = m_busy;
     for (const auto& connection : busy)
         connection->close();
