--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 #include "gateway/known_servers.h"
 #include "gateway/planned_stop.h"
 #include "gateway/port_opener.h"
+#include "http/probe_limits.h"
 #include "observe/handler_loop.h"
 
 #include <boost/asio/post.hpp>
@@ -50,8 +51,8 @@
         , m_metricsPage([this] { return HttpResponse { ok, "text/plain; version=0.0.4", m_metrics.render() }; })
         , m_callerServer(m_io, m_driver, m_clock, m_callerCounters, { .maxConnections = m_descriptors.forCallers() })
         , m_configuration(m_descriptors.forCallers(), *m_clock, m_driver, m_callerServer, m_log)
-        , m_readinessServer(m_io, m_readiness, m_clock, m_probeCounters)
-        , m_metricsServer(m_io, m_metricsPage, m_clock, m_probeCounters)
+        , m_readinessServer(m_io, m_readiness, m_clock, m_probeCounters, probeLimits())
+        , m_metricsServer(m_io, m_metricsPage, m_clock, m_probeCounters, probeLimits())
         , m_signals(m_strand, SIGTERM, SIGINT, SIGHUP)
         , m_housekeeping(m_strand)
         , m_stop(m_strand, *m_clock, m_driver, m_callerServer, { settings.gateway.stopLimit, settings.drain.balancerLag }, [this] { endRun(); })
