--- a/src/gateway/connection_queue.cpp
+++ b/src/gateway/connection_queue.cpp
@@ -36,6 +36,16 @@
         m_requests.erase(requests);
 }
 
+std::vector<ServerConnectionPtr> ConnectionQueue::queuedUntil(TimePoint time) const
+{
+    std::vector<ServerConnectionPtr> queued;
+    for (const auto& it : m_all) {
+        if (it.since <= time)
+            queued.push_back(it.connection);
+    }
+    return queued;
+}
+
 ServerConnectionPtr ConnectionQueue::firstRequestTo(const ServerKey& server) const
 {
     const auto it = m_requests.find(server);
--- a/src/gateway/connection_queue.h
+++ b/src/gateway/connection_queue.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <vector>
 
 namespace lycheefield {
 
@@ -24,6 +25,8 @@
     const ServerConnectionPtr& first() const { return m_all.front().connection; }
     /// How long the first connection has been queued. Precondition: the queue isn't empty.
     Duration longestWait(TimePoint now) const { return now - m_all.front().since; }
+    /// Returns the connections that were queued at that time or before.
+    std::vector<ServerConnectionPtr> queuedUntil(TimePoint) const;
     /// Returns the first connection to the server that carries a request; null when there is none.
     ServerConnectionPtr firstRequestTo(const ServerKey&) const;
 
--- a/src/gateway/descriptor_budget.cpp
+++ b/src/gateway/descriptor_budget.cpp
@@ -10,14 +10,14 @@
 
 namespace {
 
-constexpr std::uint64_t eighths = 8;
-constexpr std::uint64_t callerEighths = 4;
-constexpr std::uint64_t serverEighths = 3;
+constexpr std::uint64_t sixteenths = 16;
+constexpr std::uint64_t callerSixteenths = 8;
+constexpr std::uint64_t serverSixteenths = 5;
 
-/// Returns the number of eighths of the limit, rounded down. Doesn't overflow.
+/// Returns the number of sixteenths of the limit, rounded down. Doesn't overflow.
 std::uint64_t share(std::uint64_t limit, std::uint64_t numerator)
 {
-    return limit / eighths * numerator + limit % eighths * numerator / eighths;
+    return limit / sixteenths * numerator + limit % sixteenths * numerator / sixteenths;
 }
 
 }
@@ -36,8 +36,8 @@
     const std::uint64_t most = HttpLimits().maxConnections;
     if (limit == unlimited)
         return { unlimited, most, most, most };
-    const auto callers = std::clamp(share(limit, callerEighths), least, most);
-    const auto servers = std::clamp(share(limit, serverEighths), least, most);
+    const auto callers = std::clamp(share(limit, callerSixteenths), least, most);
+    const auto servers = std::clamp(share(limit, serverSixteenths), least, most);
     const auto used = callers + servers;
     return { limit, callers, servers, limit > used ? limit - used : least };
 }
--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -307,9 +307,9 @@
 void ForwardDriver::setServers(const std::map<ServerName, ServerEntry>& servers)
 {
     m_engine.onServers(servers, m_parts.clock.now());
-    m_connections.withdrawWaiting([&](const ServerName& name) {
+    m_connections.withdrawWaiting([&](const ServerName& name, const Endpoint& endpoint) {
         const auto it = servers.find(name);
-        return it != servers.end() && !it->second.isDraining;
+        return it != servers.end() && !it->second.isDraining && it->second.endpoint == endpoint;
     });
 }
 
--- a/src/gateway/server_connection.cpp
+++ b/src/gateway/server_connection.cpp
@@ -60,8 +60,6 @@
 void ServerConnection::moveRequestTo(ServerConnection& other)
 {
     other.assign(*std::exchange(m_request, std::nullopt));
-    if (m_isResponseUnneeded)
-        other.discardResponse();
 }
 
 void ServerConnection::discardResponse()
--- a/src/gateway/server_connections.cpp
+++ b/src/gateway/server_connections.cpp
@@ -3,6 +3,7 @@
 #include "gateway/connection_queue.h"
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <map>
@@ -15,6 +16,10 @@
 
 /// A connection that becomes idle serves the next request for its own server, unless the first one in the queue has waited for longer.
 constexpr Duration maxOvertakenTime = std::chrono::milliseconds(100);
+/// A request that has waited for longer ends: it might go to another server, or be refused while its caller can still come back. It is
+/// shorter than the time after which a server that has not responded counts as silent.
+constexpr Duration maxQueueTime = std::chrono::milliseconds(250);
+constexpr Duration queueReviewPeriod = std::chrono::milliseconds(50);
 
 }
 
@@ -26,6 +31,7 @@
         , m_protocol(protocol)
         , m_events(events)
         , m_maxConnections(maxConnections)
+        , m_queueTimer(executor)
         , m_opened(metrics.counter("lycheefield_server_connections_opened_total"))
         , m_reused(metrics.counter("lycheefield_server_connections_reused_total"))
         , m_unusable(metrics.counter("lycheefield_server_replies_unusable_total"))
@@ -37,7 +43,7 @@
     void send(const SendServerRequest&);
     void check(const CheckServer&);
     void withdrawUnsent(const std::set<ZoneName>&);
-    void withdrawWaiting(const std::function<bool(const ServerName&)>& mayServe);
+    void withdrawWaiting(const std::function<bool(const ServerName&, const Endpoint&)>& mayServe);
     void cancel(ServerRequestId);
     void discardResponse(ServerRequestId);
     void closeStale();
@@ -59,16 +65,19 @@
     void closeStaleOf(std::vector<ServerConnectionPtr>&, TimePoint);
     /// Records that an opened connection is closed.
     void forget(const ServerConnection&);
-    /// Ends the requests, which no server has seen, as withdrawn.
-    void withdraw(const std::vector<ServerRequestId>&);
+    /// Ends the requests, which no server has seen.
+    void end(const std::vector<ServerRequestId>&, ServerRequestFailure);
+    /// Ends the requests and checks that have waited for too long, and sets the timer if others wait.
+    void endOverdue();
+    void setQueueTimer();
     /// Ends the connection, whether it is opened or waits for that.
     void drop(const ServerConnectionPtr&);
     /// Lets the queue go on after a connection has become idle or is closed. Posted, so that a connection that closes right after its
     /// response is not used.
     void serveQueueLater();
     void serveQueue();
-    /// Whether a request may be sent before the first connection of the queue is opened. A check is not overtaken.
-    bool mayOvertakeFirst() const;
+    /// Whether a request to the server may be sent before the first connection of the queue is opened. A check is not overtaken.
+    bool mayOvertakeFirst(const ServerKey&) const;
     /// Sends queued requests for the server on its idle connections.
     void reuseIdle(const ServerKey&);
     /// Reports the result of the check if the connection was opened for one that is in progress.
@@ -79,6 +88,7 @@
     const ServerProtocol& m_protocol;
     ServerRequestEvents& m_events;
     std::size_t m_maxConnections;
+    boost::asio::steady_timer m_queueTimer;
     Counter& m_opened;
     Counter& m_reused;
     Counter& m_unusable;
@@ -91,6 +101,7 @@
     std::vector<ServerKey> m_freed; ///< Servers of connections that have become idle since the queue was served.
     std::size_t m_count = 0; ///< Connections that are opened and not closed.
     bool m_isServingPosted = false;
+    bool m_isQueueTimerSet = false;
 };
 
 void ServerConnections::Impl::send(const SendServerRequest& request)
@@ -109,6 +120,7 @@
         return;
     m_waits.add();
     m_queue.push(connection, m_clock.now());
+    setQueueTimer();
 }
 
 void ServerConnections::Impl::check(const CheckServer& check)
@@ -122,8 +134,10 @@
     const auto connection = makeConnection(check.server);
     m_checks.emplace(key, connection);
     // A check that waits for long might find the server's next process.
-    if (!openWithinLimit(connection))
-        m_queue.pushFirst(connection, m_clock.now());
+    if (openWithinLimit(connection))
+        return;
+    m_queue.pushFirst(connection, m_clock.now());
+    setQueueTimer();
 }
 
 bool ServerConnections::Impl::openWithinLimit(const ServerConnectionPtr& connection)
@@ -180,7 +194,7 @@
 void ServerConnections::Impl::serveQueue()
 {
     for (const auto& server : std::exchange(m_freed, {})) {
-        if (mayOvertakeFirst())
+        if (mayOvertakeFirst(server))
             reuseIdle(server);
     }
     while (!m_queue.isEmpty()) {
@@ -191,9 +205,41 @@
     }
 }
 
-bool ServerConnections::Impl::mayOvertakeFirst() const
+bool ServerConnections::Impl::mayOvertakeFirst(const ServerKey& server) const
+{
+    if (m_queue.isEmpty() || !m_queue.first()->request())
+        return false;
+    return m_queue.first()->key() == server || m_queue.longestWait(m_clock.now()) <= maxOvertakenTime;
+}
+
+void ServerConnections::Impl::setQueueTimer()
 {
-    return !m_queue.isEmpty() && m_queue.first()->request() && m_queue.longestWait(m_clock.now()) <= maxOvertakenTime;
+    if (std::exchange(m_isQueueTimerSet, true))
+        return;
+    m_queueTimer.expires_after(queueReviewPeriod);
+    m_queueTimer.async_wait([weak = weak_from_this()](const boost::system::error_code& ec) {
+        const auto self = weak.lock();
+        if (ec || !self)
+            return;
+        self->m_isQueueTimerSet = false;
+        self->endOverdue();
+    });
+}
+
+void ServerConnections::Impl::endOverdue()
+{
+    std::vector<ServerRequestId> overdue;
+    for (const auto& it : m_queue.queuedUntil(m_clock.now() - maxQueueTime)) {
+        if (it->request()) {
+            overdue.push_back(it->request()->id);
+            continue;
+        }
+        m_queue.erase(it);
+        endCheck(*it, ServerCheck::NotMade);
+    }
+    end(overdue, ServerRequestFailure::NoLocalResources);
+    if (!m_queue.isEmpty())
+        setQueueTimer();
 }
 
 void ServerConnections::Impl::reuseIdle(const ServerKey& server)
@@ -226,27 +272,28 @@
         if (connection->isUnsentTo(zones))
             withdrawn.push_back(id);
     }
-    withdraw(withdrawn);
+    m_withdrawn.add(withdrawn.size());
+    end(withdrawn, ServerRequestFailure::Withdrawn);
 }
 
-void ServerConnections::Impl::withdrawWaiting(const std::function<bool(const ServerName&)>& mayServe)
+void ServerConnections::Impl::withdrawWaiting(const std::function<bool(const ServerName&, const Endpoint&)>& mayServe)
 {
     if (m_queue.isEmpty())
         return;
     std::vector<ServerRequestId> withdrawn;
     for (const auto& [id, connection] : m_busy) {
-        if (!connection->isOpened() && !mayServe(connection->key().first))
+        if (!connection->isOpened() && !mayServe(connection->key().first, connection->key().second))
             withdrawn.push_back(id);
     }
-    withdraw(withdrawn);
+    m_withdrawn.add(withdrawn.size());
+    end(withdrawn, ServerRequestFailure::Withdrawn);
 }
 
-void ServerConnections::Impl::withdraw(const std::vector<ServerRequestId>& withdrawn)
+void ServerConnections::Impl::end(const std::vector<ServerRequestId>& requests, ServerRequestFailure failure)
 {
-    for (const auto& id : withdrawn) {
+    for (const auto& id : requests) {
         cancel(id);
-        m_withdrawn.add();
-        boost::asio::post(m_executor, [self = shared_from_this(), id] { self->m_events.onFailed(id, ServerRequestFailure::Withdrawn); });
+        boost::asio::post(m_executor, [self = shared_from_this(), id, failure] { self->m_events.onFailed(id, failure); });
     }
 }
 
@@ -270,8 +317,13 @@
 
 void ServerConnections::Impl::discardResponse(ServerRequestId id)
 {
-    if (const auto it = m_busy.find(id); it != m_busy.end())
+    const auto it = m_busy.find(id);
+    if (it == m_busy.end())
+        return;
+    if (it->second->isOpened())
         it->second->discardResponse();
+    else
+        end({ id }, ServerRequestFailure::Withdrawn);
 }
 
 void ServerConnections::Impl::closeStaleOf(std::vector<ServerConnectionPtr>& idle, TimePoint now)
@@ -355,7 +407,7 @@
     m_impl->withdrawUnsent(zones);
 }
 
-void ServerConnections::withdrawWaiting(const std::function<bool(const ServerName&)>& mayServe)
+void ServerConnections::withdrawWaiting(const std::function<bool(const ServerName&, const Endpoint&)>& mayServe)
 {
     m_impl->withdrawWaiting(mayServe);
 }
--- a/src/gateway/server_connections.h
+++ b/src/gateway/server_connections.h
@@ -28,7 +28,8 @@
 ///
 /// A connection that received anything but the one expected response is closed and never reused.
 /// Never more connections are open than allowed, so that they leave descriptors for the store and the other instances: a request beyond the
-/// limit takes the place of the connection that has been idle for longest, and waits while none is idle.
+/// limit takes the place of the connection that has been idle for longest, and waits for a short time while none is idle. If it has waited in vain
+/// it ends for lack of local resources.
 /// Not thread safe: every call is made on the executor.
 class ServerConnections {
 public:
@@ -46,10 +47,11 @@
     /// Withdraws the requests to servers of these zones whose connections are still being opened; each of them ends as not connected.
     void withdrawUnsent(const std::set<ZoneName>&);
     /// Withdraws the requests that wait for a connection to one of the servers that mayServe() rejects; each of them ends as withdrawn.
-    void withdrawWaiting(const std::function<bool(const ServerName&)>& mayServe);
+    void withdrawWaiting(const std::function<bool(const ServerName&, const Endpoint&)>& mayServe);
     /// Closes the request's connection, without a call of the events.
     void cancel(ServerRequestId);
-    /// Keeps nothing of the request's response while it arrives. The events are called as usual, with an empty body.
+    /// Keeps nothing of the request's response while it arrives. The events are called as usual, with an empty body. A request that still waits
+    /// for a connection ends as withdrawn.
     void discardResponse(ServerRequestId);
     /// Closes the connections that have been idle for as long as their server allows.
     void closeStale();
--- a/src/http/probe_limits.cpp
+++ b/src/http/probe_limits.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::size_t maxProbeConnections = 64;
-constexpr std::size_t probeDescriptorDivisor = 32;
+constexpr std::size_t probeDescriptorDivisor = 64;
 constexpr Duration probeIdleTimeout = std::chrono::seconds(15);
 
 }
--- a/src/wire/peer_server.cpp
+++ b/src/wire/peer_server.cpp
@@ -12,7 +12,7 @@
 constexpr std::size_t maxPeerSessions = 2048;
 /// Maximum number of incoming connections whose peer has not sent its Hello, which a peer sends as soon as it is connected.
 constexpr std::size_t maxSessionsWithoutHello = 64;
-constexpr std::size_t sessionsWithoutHelloDivisor = 16;
+constexpr std::size_t sessionsWithoutHelloDivisor = 32;
 
 }
 
