--- a/src/platform/call_failure_log.cpp
+++ b/src/platform/call_failure_log.cpp
@@ -1,5 +1,6 @@
 #include "platform/call_failure_log.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -7,6 +8,9 @@
 
 namespace {
 
+/// Reasons of one series that are logged. A store may give another one with each response.
+constexpr std::size_t maxReasons = 8;
+
 std::string msText(Duration duration)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -23,15 +27,17 @@
 {
     if (m_failures++ == 0)
         m_failingSince = sentAt;
-    else if (why == m_lastReason)
+    const bool isKnown = std::find(m_reasons.begin(), m_reasons.end(), why) != m_reasons.end();
+    if (isKnown || m_reasons.size() >= maxReasons)
         return;
-    m_lastReason = why;
+    m_reasons.push_back(why);
     actions.emplace_back(LogWatchChange { LogLevel::Warning, "call to the store failed; repeated after a pause",
         { { "objects", m_objects }, { "why", why }, { "took_ms", msText(now - sentAt) }, { "failures", std::to_string(m_failures) } } });
 }
 
 void CallFailureLog::onSuccess(TimePoint now, WatchActions& actions)
 {
+    m_reasons.clear();
     const auto failures = std::exchange(m_failures, 0);
     if (failures == 0)
         return;
--- a/src/platform/call_failure_log.h
+++ b/src/platform/call_failure_log.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace lycheefield {
 
@@ -15,14 +16,14 @@
     /// objects: names the objects that the calls ask for.
     explicit CallFailureLog(std::string objects);
 
-    /// Records a failed call that was sent at that time, and appends a log line unless the last one gave the same reason.
+    /// Records a failed call that was sent at that time, and appends a log line if the series has none with the reason and not too many with others.
     void onFailure(const std::string& why, TimePoint sentAt, TimePoint now, WatchActions&);
     /// Records a successful call, and appends a log line if calls before it failed.
     void onSuccess(TimePoint now, WatchActions&);
 
 private:
     std::string m_objects;
-    std::string m_lastReason;
+    std::vector<std::string> m_reasons; ///< Those of the series that were logged.
     std::uint64_t m_failures = 0; ///< In a row.
     TimePoint m_failingSince {}; ///< When the first call of the series was sent.
 };
--- a/tests/platform/call_failure_log_test.cpp
+++ b/tests/platform/call_failure_log_test.cpp
@@ -38,6 +38,21 @@
         CHECK(fieldOf("why") == "connect: Too many open files");
         CHECK(fieldOf("failures") == "2");
     }
+    SUBCASE("Two reasons in turn are told once each")
+    {
+        for (int i = 0; i < 10; ++i) {
+            failWith("calls pause after failures in a row");
+            failWith("connect: timed out");
+        }
+        CHECK(run.logged.size() == 2);
+    }
+    SUBCASE("Reasons that differ each time are told a few times")
+    {
+        for (int i = 0; i < 100; ++i)
+            failWith("malformed response " + std::to_string(i));
+        CHECK(run.logged.size() > 4);
+        CHECK(run.logged.size() < 20);
+    }
     SUBCASE("A response ends the series")
     {
         failWith("status 503");
