--- a/src/platform/call_failure_log.cpp
+++ b/src/platform/call_failure_log.cpp
@@ -2,10 +2,18 @@
 
 #include "base/quantity_text.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace lycheefield {
 
+namespace {
+
+/// Reasons of one series that are logged. A store may give another one with each response.
+constexpr std::size_t maxReasons = 8;
+
+}
+
 CallFailureLog::CallFailureLog(std::string objects)
     : m_objects(std::move(objects))
 {
@@ -15,15 +23,17 @@
 {
     if (m_failures++ == 0)
         m_failingSince = sentAt;
-    else if (why == m_lastReason)
+    const bool isKnown = std::find(m_reasons.begin(), m_reasons.end(), why) != m_reasons.end();
+    if (isKnown || m_reasons.size() >= maxReasons)
         return;
-    m_lastReason = why;
+    m_reasons.push_back(why);
     actions.emplace_back(LogWatchChange { LogLevel::Warning, "call to the store failed; repeated after a pause",
         { { "objects", m_objects }, { "why", why }, { "took_ms", formatMilliseconds(now - sentAt) }, { "failures", std::to_string(m_failures) } } });
 }
 
 void CallFailureLog::onSuccess(TimePoint now, WatchActions& actions)
 {
+    m_reasons.clear();
     const auto failures = std::exchange(m_failures, 0);
     if (failures == 0)
         return;
