--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -120,6 +120,7 @@
     {
         m_router.connect(m_entry, m_relay, m_network, [this](const Hello& from, PeerMessage message) { onControl(from, std::move(message)); });
         m_router.connectClaims([this](const InstanceName& peer) { m_claims->onLinkLost(peer); }, [this](const ClaimCall& call) { m_claims->onUndelivered(call); });
+        m_router.connectMembership([this](const InstanceName& peer) { m_membership->onNotSent(peer); });
         BufferLimit::ofProcess()->setMax(settings.instance.maxBuffered);
         registerMetrics();
         m_publisher.addListener([this] {
--- a/src/daemon/membership_role.cpp
+++ b/src/daemon/membership_role.cpp
@@ -57,6 +57,11 @@
     });
 }
 
+void MembershipRole::onNotSent(const InstanceName& to)
+{
+    handle([to](MembershipRole& self, TimePoint, MembershipActions&) { self.m_engine.onNotSent(to); });
+}
+
 void MembershipRole::onRules(RuleRevision revision)
 {
     handle([revision](MembershipRole& self, TimePoint, MembershipActions& actions) { self.m_engine.setRuleRevision(revision, actions); });
--- a/src/daemon/membership_role.h
+++ b/src/daemon/membership_role.h
@@ -34,6 +34,8 @@
     /// Publishes the first view and starts the engine. Precondition: called once.
     void start(RevisionHandler);
     void onGossip(const InstanceName& from, GossipMessage);
+    /// Records that this process lacked the resources to send gossip to the peer.
+    void onNotSent(const InstanceName& to);
     /// Records the revision of the rules that this instance applies, for announcement to peers.
     void onRules(RuleRevision);
     /// Records that the store responded.
--- a/src/daemon/peer_router.cpp
+++ b/src/daemon/peer_router.cpp
@@ -102,10 +102,12 @@
         m_claimLinkLost(peer);
 }
 
-void PeerRouter::onUndelivered(const InstanceName& to, PeerMessage message, UndeliveredReason)
+void PeerRouter::onUndelivered(const InstanceName& to, PeerMessage message, UndeliveredReason reason)
 {
     if (const auto* call = std::get_if<ClaimCall>(&message); call && m_undeliveredClaim)
         m_undeliveredClaim(*call);
+    if (reason == UndeliveredReason::NoLocalResources && std::holds_alternative<GossipMessage>(message) && m_unsentGossip)
+        m_unsentGossip(to);
     const auto* work = std::get_if<WorkOrder>(&message);
     if (!work)
         return;
--- a/src/daemon/peer_router.h
+++ b/src/daemon/peer_router.h
@@ -21,6 +21,9 @@
     /// Called when no byte of the call was sent.
     using UndeliveredClaimHandler = std::function<void(const ClaimCall&)>;
 
+    /// Called when this process lacked the resources to send gossip to a peer.
+    using UnsentGossipHandler = std::function<void(const InstanceName&)>;
+
     explicit PeerRouter(InstanceName self)
         : m_self(std::move(self))
     {
@@ -32,6 +35,9 @@
     /// Sets the handlers of claims. To be called once, before the first message.
     void connectClaims(LinkLostHandler onLinkLost, UndeliveredClaimHandler onUndelivered);
 
+    /// Sets the handler of membership. To be called once, before the first message.
+    void connectMembership(UnsentGossipHandler handler) { m_unsentGossip = std::move(handler); }
+
     void sendWork(const InstanceName& relay, WorkOrder) override;
     void sendCancel(const InstanceName& relay, const LegKey&) override;
     void returnResult(const InstanceName& entry, LegResult) override;
@@ -51,6 +57,7 @@
     OtherHandler m_other;
     LinkLostHandler m_claimLinkLost;
     UndeliveredClaimHandler m_undeliveredClaim;
+    UnsentGossipHandler m_unsentGossip;
 };
 
 }
--- a/src/membership/membership_engine.cpp
+++ b/src/membership/membership_engine.cpp
@@ -152,6 +152,12 @@
     send(to, std::move(response), actions);
 }
 
+void MembershipEngine::onNotSent(const InstanceName& to)
+{
+    if (m_probe && m_probe->target == to)
+        m_probe.reset();
+}
+
 void MembershipEngine::onTimer(TimePoint now, MembershipActions& actions)
 {
     if (now > m_nextProbe + pausePeriods * m_settings.probePeriod)
--- a/src/membership/membership_engine.h
+++ b/src/membership/membership_engine.h
@@ -43,6 +43,8 @@
     void onListed(const std::vector<Instance>&, TimePoint, MembershipActions&);
     /// Merges the digests of a peer's message, and handles the probe, probe request or response in it.
     void onMessage(const InstanceName& from, const GossipMessage&, TimePoint, MembershipActions&);
+    /// Records that this process lacked the resources to send a message to the member, which is no evidence against the member.
+    void onNotSent(const InstanceName& to);
     /// Precondition: called at nextTimer(), or later if the process was paused.
     void onTimer(TimePoint, MembershipActions&);
     /// Records that the store responded.
