--- a/tests/soak/soak_test_bed.cpp
+++ b/tests/soak/soak_test_bed.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/strand.hpp>
 
 #include <csignal>
-#include <iostream>
 #include <set>
 
 namespace lycheefield::soak {
@@ -176,8 +175,13 @@
 void SoakTestBed::countFault(const std::string& fault, const std::string& detail)
 {
     ++m_faults[fault];
+    logEvent(fault, detail);
+}
+
+void SoakTestBed::logEvent(const std::string& event, const std::string& detail)
+{
     // Like at_us in the logs of the gateways.
-    m_faultLog << "{\"at_us\":" << m_clock.now().time_since_epoch().count() << R"(,"fault":")" << fault << R"(","detail":")" << detail << "\"}" << std::endl;
+    m_faultLog << "{\"at_us\":" << m_clock.now().time_since_epoch().count() << R"(,"fault":")" << event << R"(","detail":")" << detail << "\"}" << std::endl;
 }
 
 bool SoakTestBed::isUndisturbed(const Node& node) const
@@ -326,6 +330,8 @@
 bool SoakTestBed::run()
 {
     watchProcesses();
+    watchLoop(m_clock.now());
+    watchDescriptors();
     runFor(4s);
     m_isSending = true;
     sendNext();
@@ -370,12 +376,7 @@
     m_checker.checkAll();
     m_crashing.check(m_checker);
     m_faults["crash by a request"] = m_crashing.crashes();
-    std::cout << "seed=" << m_settings.seed << " requests=" << m_lastRequestNumber << " answered=" << m_checker.answers() << " served=" << m_checker.successes()
-              << " checks=" << m_checker.checks() << " broken=" << m_checker.violations().size() << '\n';
-    for (const auto& [name, n] : m_faults)
-        std::cout << "  fault " << name << ": " << n << '\n';
-    for (const auto& [violation, n] : m_checker.violations())
-        std::cout << "  BROKEN " << n << " times: " << violation << '\n';
+    printSummary();
     return m_checker.violations().empty();
 }
 
--- a/tests/soak/soak_test_bed.h
+++ b/tests/soak/soak_test_bed.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "guarantee_checker.h"
+#include "loop_lateness.h"
 #include "peer_links.h"
 #include "soak_backend.h"
 #include "soak_limits.h"
@@ -47,6 +48,9 @@
         TimePoint peersDisturbedUntil {}; ///< End of the last fault of a link with another gateway. Only with peerFaults == 0.
         std::size_t peerFaults = 0; ///< Active faults of links with other gateways.
         bool isExpectedToRun = true; ///< An exit while true is a violation.
+        std::size_t peakDescriptors = 0;
+        std::size_t peakUndisturbedDescriptors = 0; ///< While the guarantees with a time bound held.
+        bool hasFewDescriptors = false; ///< Free ones, when they were last counted.
     };
     class Caller;
 
@@ -92,6 +96,11 @@
     void stopNode(Node&, int signal);
     /// Restarts processes that have ended; an unexpected end is a violation.
     void watchProcesses();
+    /// Notices when the loop runs late, which no check excuses. dueAt: when this call was due.
+    void watchLoop(TimePoint dueAt);
+    /// Counts the open descriptors of the gateways.
+    void watchDescriptors();
+    void printSummary() const;
     void startNode(Node&);
     /// Sends SIGHUP before the process has set its handlers, or soon after.
     void signalWhileStarting(Node&);
@@ -110,6 +119,8 @@
     void probeConfiguration(const std::string& reason, Node&, std::uint64_t added, std::uint64_t dropped);
     /// Counts the fault, and writes it with the detail to the file faults.log beside the logs of the gateways.
     void countFault(const std::string&, const std::string& detail = {});
+    /// Writes the event to that file without counting it.
+    void logEvent(const std::string&, const std::string& detail);
     /// Whether the process, its link to the store and the store have had no fault for so long that the configuration and drains must be in force.
     /// The links to other gateways don't matter for these.
     bool isUndisturbed(const Node&) const;
@@ -137,6 +148,8 @@
     std::vector<std::shared_ptr<Caller>> m_callers;
     std::map<std::string, std::size_t> m_faults;
     std::ofstream m_faultLog;
+    LoopLateness m_lateness;
+    Duration m_processorTime {}; ///< Used when watchLoop() ran last.
     TimePoint m_storeDisturbedUntil {};
     bool m_isCopySaved = false; ///< The store will come back from the copy.
     std::set<std::string> m_writtenServers; ///< Since the copy was saved.
