--- a/tests/soak/process_faults.cpp
+++ b/tests/soak/process_faults.cpp
@@ -109,7 +109,10 @@
     if (!node.process->isRunning() || !node.isExpectedToRun)
         return;
     const auto time = randomDuration(200ms, 4s);
-    switch (m_random.below(13)) {
+    switch (m_random.below(15)) {
+    case 13:
+    case 14:
+        return burstSearches(node, 1 + m_random.below(maxBursts));
     case 10:
     case 11:
         return restartInGrace(node);
--- a/tests/soak/soak_test_bed.h
+++ b/tests/soak/soak_test_bed.h
@@ -108,6 +108,11 @@
     void restartInGrace(Node&);
     /// Opens as many connections as the process may have descriptors.
     void openManyConnections(Node&, Duration);
+    /// Sends the gateway many searches within a short time, `times` times, at times while servers are slow. The gateway counts as undisturbed,
+    /// because the load of callers excuses no late configuration or drain.
+    void burstSearches(Node&, std::uint64_t times);
+    /// Makes about half of all servers slow for that time.
+    void slowDownServers(Duration);
     void applyFault(Node&, Duration, const std::function<void()>& begin, const std::function<void()>& end);
     void sendNext();
     void send(Node&);
@@ -132,6 +137,7 @@
 
     /// Of each gateway process.
     static constexpr std::size_t maxDescriptors = 512;
+    static constexpr std::uint64_t maxBursts = 4; ///< In a row.
     static const std::vector<std::string> zones;
     static std::set<std::string> shardNames();
 
--- a/tests/soak/store_changes.cpp
+++ b/tests/soak/store_changes.cpp
@@ -52,6 +52,11 @@
     drain(*m_backends[m_random.below(m_backends.size())]);
     drainZone(zones[m_version % zones.size()]);
     publishNextConfiguration();
+    // The change must be in force in time whatever the callers send.
+    if (m_random.below(2) == 0)
+        return;
+    auto& node = *m_nodes[m_random.below(m_nodes.size())];
+    runAfter(randomDuration(0ms, applyLimit / 2), [this, &node] { burstSearches(node, 1 + m_random.below(maxBursts)); });
 }
 
 void SoakTestBed::publishConfiguration()
