--- a/tests/soak/soak_backend.cpp
+++ b/tests/soak/soak_backend.cpp
@@ -3,6 +3,8 @@
 #include "base/clock.h"
 #include "forward/record_merge.h"
 
+#include <iostream>
+
 namespace lycheefield::soak {
 
 namespace {
@@ -64,17 +66,27 @@
     m_arrivals.clear();
 }
 
-void SoakBackend::countForLimit()
+void SoakBackend::countForLimit(const std::string& id)
 {
     const auto now = SteadyClock().now();
     if (!m_limit || now < m_limitCheckedFrom)
         return;
-    m_arrivals.push_back(now);
-    while (m_arrivals.front() < now - limitWindow)
+    m_arrivals.push_back({ now, id });
+    while (m_arrivals.front().at < now - limitWindow)
         m_arrivals.pop_front();
     const auto allowed = limitFactor * *m_limit * std::chrono::duration<double>(limitWindow).count() + limitExtra;
-    if (static_cast<double>(m_arrivals.size()) > allowed)
-        m_checker.fail("a server got more requests than the limit that it advertises allows");
+    if (static_cast<double>(m_arrivals.size()) <= allowed)
+        return;
+    m_checker.fail("a server got more requests than the limit that it advertises allows");
+    printArrivals();
+}
+
+void SoakBackend::printArrivals() const
+{
+    std::cerr << "violation: " << m_name << " got more requests than its limit allows, at_us and request:";
+    for (const auto& it : m_arrivals)
+        std::cerr << ' ' << it.at.time_since_epoch().count() << ' ' << it.id;
+    std::cerr << '\n';
 }
 
 void SoakBackend::crash()
@@ -107,7 +119,7 @@
         response.headers.add("Lycheefield-Not-Executed", "1");
         return exchange->respond(std::move(response));
     }
-    countForLimit();
+    countForLimit(std::string(request.headers.find("Lycheefield-Attempt-Id")));
     if (SteadyClock().now() > zoneDrainDeadline)
         m_checker.fail("a server received a request after the limit on the drain of its zone had passed");
     if (CrashingRequests::isOne(request))
--- a/tests/soak/soak_backend.h
+++ b/tests/soak/soak_backend.h
@@ -53,7 +53,9 @@
     HttpResponse run(const HttpRequest&);
     /// Runs a request that crashes the server some time later.
     void runCrashing(const HttpRequest&, const std::shared_ptr<HttpExchange>&);
-    void countForLimit();
+    void countForLimit(const std::string& id);
+    /// Writes which requests came within the window, for the trace.
+    void printArrivals() const;
 
     boost::asio::io_context& m_io;
     std::string m_service;
@@ -68,7 +70,11 @@
     bool m_isDown = false;
     std::optional<double> m_limit;
     TimePoint m_limitCheckedFrom = never;
-    std::deque<TimePoint> m_arrivals; ///< Of the last seconds, while the limit is checked.
+    struct Arrival {
+        TimePoint at;
+        std::string id; ///< Of the request.
+    };
+    std::deque<Arrival> m_arrivals; ///< Of the last seconds, while the limit is checked.
     std::uint64_t m_runs = 0;
     mutable std::uint64_t m_sequence = 0;
 };
--- a/tests/soak/soak_test_bed.cpp
+++ b/tests/soak/soak_test_bed.cpp
@@ -347,7 +347,7 @@
         auto& limited = *m_backends[m_random.below(m_backends.size())];
         limited.setLimit(limitPerSecond);
         runFor(calmPhase / 2);
-        countFault("limit");
+        countFault("limit", limited.name());
         limited.checkLimit();
         changeStore();
         runFor(calmPhase / 2);
