--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,22 +2,21 @@
 
 #include "base/buffer_limit.h"
 #include "gateway/computed_response.h"
+#include "gateway/descriptor_budget.h"
 #include "gateway/followed_states.h"
-#include "gateway/forward_counters_metrics.h"
 #include "gateway/forward_driver.h"
+#include "gateway/gateway_metrics.h"
 #include "gateway/key_admission.h"
 #include "gateway/known_configuration.h"
 #include "gateway/known_servers.h"
 #include "gateway/planned_stop.h"
 #include "gateway/port_opener.h"
-#include "observe/buffer_metrics.h"
+#include "http/probe_limits.h"
 #include "observe/handler_loop.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 
-#include <sys/resource.h>
-
 #include <algorithm>
 #include <csignal>
 #include <utility>
@@ -27,20 +26,9 @@
 namespace {
 
 constexpr Duration housekeepingPeriod = std::chrono::seconds(1);
-/// Callers may use this share of the descriptors; the rest is for servers, the store, other instances and readiness checks.
-constexpr std::size_t callerDescriptorDivisor = 2;
 constexpr unsigned ok = 200;
 constexpr unsigned unavailable = 503;
 
-std::size_t maxCallerConnections()
-{
-    const auto most = HttpLimits().maxConnections;
-    rlimit descriptors {};
-    if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0 || descriptors.rlim_cur == RLIM_INFINITY)
-        return most;
-    return std::clamp<std::size_t>(descriptors.rlim_cur / callerDescriptorDivisor, 1, most);
-}
-
 }
 
 class Gateway::Impl final : public StoreNewsEvents, public PortEvents {
@@ -52,7 +40,7 @@
         , m_freshness(settings.admission.revocationLimit)
         , m_keyAdmission(m_freshness, *m_clock, m_log, m_metrics)
         , m_states(*m_clock, m_log, m_metrics)
-        , m_driver({ m_strand, *m_clock, protocols.callers, protocols.servers, m_metrics, m_log, m_freshness, m_states }, forwardSettings(settings))
+        , m_driver({ m_strand, *m_clock, protocols.callers, protocols.servers, m_metrics, m_log, m_freshness, m_states, m_descriptors.forServers() }, forwardSettings(settings))
         , m_delegateChooser(settings.instance.name, settings.instance.zone)
         , m_delegation({ m_io, m_strand, m_clock, m_driver, m_metrics, m_log, *this }, m_delegateChooser, settings.instance.name, settings.instance.zone)
         , m_quotas(m_strand, *m_clock, m_driver, m_metrics, settings.instance.name, settings.admission)
@@ -61,10 +49,10 @@
         , m_ports(m_strand, *m_clock, *this)
         , m_readiness([this] { return HttpResponse { isReady() ? ok : unavailable, "text/plain", isReady() ? "ready\n" : "not ready\n" }; })
         , m_metricsPage([this] { return HttpResponse { ok, "text/plain; version=0.0.4", m_metrics.render() }; })
-        , m_callerServer(m_io, m_driver, m_clock, m_callerCounters, { .maxConnections = maxCallerConnections() })
-        , m_configuration(maxCallerConnections(), *m_clock, m_driver, m_callerServer, m_log)
-        , m_readinessServer(m_io, m_readiness, m_clock, m_probeCounters)
-        , m_metricsServer(m_io, m_metricsPage, m_clock, m_probeCounters)
+        , m_callerServer(m_io, m_driver, m_clock, m_callerCounters, { .maxConnections = m_descriptors.forCallers() })
+        , m_configuration(m_descriptors.forCallers(), *m_clock, m_driver, m_callerServer, m_log)
+        , m_readinessServer(m_io, m_readiness, m_clock, m_probeCounters, probeLimits())
+        , m_metricsServer(m_io, m_metricsPage, m_clock, m_probeCounters, probeLimits())
         , m_signals(m_strand, SIGTERM, SIGINT, SIGHUP)
         , m_housekeeping(m_strand)
         , m_stop(m_strand, *m_clock, m_driver, m_callerServer, { settings.gateway.stopLimit, settings.drain.balancerLag }, [this] { endRun(); })
@@ -74,7 +62,8 @@
         m_driver.setQuotas(m_quotas);
         BufferLimit::ofProcess()->setMax(settings.instance.maxBuffered);
         followStates();
-        registerMetrics();
+        registerGatewayMetrics(m_metrics, { m_driver, m_servers, m_log, m_callerCounters, [this] { return isReady(); } });
+        registerDescriptorMetrics(m_metrics, m_descriptors);
     }
 
     boost::asio::any_io_executor executor() { return m_strand; }
@@ -185,7 +174,7 @@
             return readiness.error();
         if (const Endpoint metrics { own.callers.address, own.metricsPort }; metrics.port != 0)
             m_ports.openOptional("metrics", [this, metrics] { return m_metricsServer.listen(metrics); });
-        logState("started", { { "instance", m_settings.instance.name.value() }, { "zone", m_settings.instance.zone.value() }, { "callers", m_settings.gateway.callers.toString() }, { "caller_connections", std::to_string(maxCallerConnections()) }, { "settings_adjusted", adjustedKeys() } });
+        logState("started", { { "instance", m_settings.instance.name.value() }, { "zone", m_settings.instance.zone.value() }, { "callers", m_settings.gateway.callers.toString() }, { "caller_connections", std::to_string(m_descriptors.forCallers()) }, { "settings_adjusted", adjustedKeys() } });
         return GatewayEndpoints { callers.value(), readiness.value(), m_inner };
     }
 
@@ -254,6 +243,7 @@
         m_states.review();
         updateReadiness();
         logEvictions();
+        logConnectionShortage();
         const auto untilReview = m_servers.nextReview() == never ? housekeepingPeriod : Duration(m_servers.nextReview() - m_clock->now());
         scheduleHousekeeping(std::clamp(untilReview, Duration(1), housekeepingPeriod));
     }
@@ -267,6 +257,16 @@
         }
     }
 
+    /// Logs that requests wait because the connections to servers have reached their limit, and when none does any more.
+    void logConnectionShortage()
+    {
+        const auto waiting = m_driver.waitingForConnections();
+        if (std::exchange(m_isShortOfConnections, waiting > 0) == (waiting > 0))
+            return;
+        logState(waiting > 0 ? "requests wait for a connection to a server; all that are allowed are in use" : "no request waits for a connection to a server any more",
+            { { "waiting", std::to_string(waiting) }, { "allowed", std::to_string(m_descriptors.forServers()) } });
+    }
+
     void scheduleHousekeeping(Duration delay)
     {
         m_housekeeping.expires_after(delay);
@@ -295,22 +295,8 @@
         m_io.stop();
     }
 
-    void registerMetrics()
-    {
-        registerForwardCounters(m_metrics, m_driver.counters());
-        registerBufferMetrics(m_metrics);
-        m_metrics.gauge("lycheefield_ready", [this] { return isReady() ? 1 : 0; });
-        m_metrics.gauge("lycheefield_store_reachable", [this] { return m_servers.isStoreReachable() ? 1 : 0; });
-        m_metrics.gauge("lycheefield_configuration_version", [this] { return m_driver.routes() ? static_cast<double>(m_driver.routes()->version) : 0; });
-        m_metrics.gauge("lycheefield_servers", [this] { return static_cast<double>(m_servers.count()); });
-        m_metrics.gauge("lycheefield_drained_zones", [this] { return static_cast<double>(m_servers.drainedZones()); });
-        m_metrics.gauge("lycheefield_server_connections", [this] { return static_cast<double>(m_driver.serverConnections()); });
-        m_metrics.gauge("lycheefield_requests_leaving_zone_share", [this] { return m_driver.highestLeftShare(); });
-        m_metrics.gauge("lycheefield_requests_in_flight", [this] { return static_cast<double>(m_driver.inFlight()); });
-        m_metrics.count("lycheefield_log_lines_left_out_total", [this] { return m_log.droppedLines(); });
-    }
-
     const Settings m_settings;
+    const DescriptorBudget m_descriptors = DescriptorBudget::ofProcess();
     boost::asio::io_context m_io { 1 };
     boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
     std::shared_ptr<const Clock> m_clock = std::make_shared<BootClock>();
@@ -341,6 +327,7 @@
     boost::asio::steady_timer m_housekeeping;
     PlannedStop m_stop;
     std::atomic<bool> m_isReady { false };
+    bool m_isShortOfConnections = false;
 };
 
 Gateway::Gateway(const Settings& settings, GatewayProtocols protocols)
--- a/src/load/load_runner.cpp
+++ b/src/load/load_runner.cpp
@@ -1,5 +1,6 @@
 #include "load/load_runner.h"
 
+#include "base/quantity_text.h"
 #include "load/answer_check.h"
 #include "load/call_history.h"
 #include "load/caller_connection.h"
@@ -161,7 +162,7 @@
     {
         CallerConnection::Headers headers;
         if (requestClass.deadline.count())
-            headers.emplace_back("X-Deadline-Ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(requestClass.deadline).count()));
+            headers.emplace_back("X-Deadline-Ms", formatMilliseconds(requestClass.deadline));
         if (requestClass.kind == RequestKind::Record)
             headers.emplace_back("X-Record-Key", nonce);
         if (requestClass.kind == RequestKind::Order)
@@ -177,6 +178,9 @@
             const auto checked = checkAnswer(answer.status, answer.body, body);
             observation.outcome = checked.outcome;
             observation.why = checked.why;
+        } else if (answer.wasNotSent) {
+            observation.outcome = LoadOutcome::NotSent;
+            observation.why = "no descriptor, port or memory";
         } else {
             observation.outcome = LoadOutcome::Cut;
             observation.why = "no answer";
--- a/src/platform/call_failure_log.cpp
+++ b/src/platform/call_failure_log.cpp
@@ -1,19 +1,11 @@
 #include "platform/call_failure_log.h"
 
-#include <chrono>
+#include "base/quantity_text.h"
+
 #include <utility>
 
 namespace lycheefield {
 
-namespace {
-
-std::string msText(Duration duration)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
-}
-
 CallFailureLog::CallFailureLog(std::string objects)
     : m_objects(std::move(objects))
 {
@@ -27,7 +19,7 @@
         return;
     m_lastReason = why;
     actions.emplace_back(LogWatchChange { LogLevel::Warning, "call to the store failed; repeated after a pause",
-        { { "objects", m_objects }, { "why", why }, { "took_ms", msText(now - sentAt) }, { "failures", std::to_string(m_failures) } } });
+        { { "objects", m_objects }, { "why", why }, { "took_ms", formatMilliseconds(now - sentAt) }, { "failures", std::to_string(m_failures) } } });
 }
 
 void CallFailureLog::onSuccess(TimePoint now, WatchActions& actions)
@@ -36,7 +28,7 @@
     if (failures == 0)
         return;
     actions.emplace_back(LogWatchChange { LogLevel::Info, "calls to the store succeed again",
-        { { "objects", m_objects }, { "failures", std::to_string(failures) }, { "after_ms", msText(now - m_failingSince) } } });
+        { { "objects", m_objects }, { "failures", std::to_string(failures) }, { "after_ms", formatMilliseconds(now - m_failingSince) } } });
 }
 
 }
--- a/src/platform/platform_connection.cpp
+++ b/src/platform/platform_connection.cpp
@@ -1,6 +1,7 @@
 #include "platform/platform_connection.h"
 
 #include "base/endpoint.h"
+#include "base/local_resources.h"
 #include "http/http_response_reader.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -78,7 +79,9 @@
 
     const std::string& failure() const override { return m_failure; }
 
-    bool isOpen() const override { return m_isOpen && !hasUnreadBytes(); }
+    bool lackedResources() const override { return m_lackedResources; }
+
+    bool isOpen() const override { return m_isOpen && isIdle(); }
 
     void close() override
     {
@@ -92,10 +95,14 @@
     void onConnected(error_code ec)
     {
         m_isOpen = !ec;
-        if (ec)
+        m_lackedResources = isLackOfResources(ec);
+        if (ec) {
             m_failure = "connect: " + ec.message();
-        else
-            m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+            return;
+        }
+        m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ec);
+        // isIdle() reads without waiting.
+        m_stream.socket().non_blocking(true, ec);
     }
 
     void onWritten(error_code ec, std::size_t sent)
@@ -122,11 +129,14 @@
         });
     }
 
-    /// Whether the store has sent bytes that belong to no call. The next call would take them for its response.
-    bool hasUnreadBytes() const
+    /// Whether the store has neither ended the connection nor sent bytes that belong to no call. The next call would be lost, or take the
+    /// bytes for its response.
+    bool isIdle() const
     {
+        char byte = 0;
         error_code ec;
-        return m_buf.size() > 0 || m_stream.socket().available(ec) > 0;
+        m_stream.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+        return m_buf.size() == 0 && ec == asio::error::would_block;
     }
 
     void readMore()
@@ -176,13 +186,14 @@
         std::exchange(m_handler, nullptr)(std::move(m_result));
     }
 
-    beast::tcp_stream m_stream;
+    mutable beast::tcp_stream m_stream; ///< Mutable because isIdle() peeks, which takes no bytes.
     std::string m_epochHeader;
     HttpLimits m_limits;
     beast::flat_buffer m_buf;
     std::string m_host;
     std::string m_failure;
     bool m_isOpen = false;
+    bool m_lackedResources = false;
     http::request<http::string_body> m_request;
     std::optional<BufferCharge> m_charge; ///< For the response to the exchange in flight.
     std::optional<HttpResponseReader> m_reader; ///< Of the response to the exchange in flight.
--- a/src/wire/peer_link.cpp
+++ b/src/wire/peer_link.cpp
@@ -1,5 +1,6 @@
 #include "wire/peer_link.h"
 
+#include "base/local_resources.h"
 #include "wire/gateway_handshake.h"
 
 #include <boost/asio/post.hpp>
@@ -13,6 +14,8 @@
 constexpr Duration connectTimeout = std::chrono::seconds(1);
 constexpr Duration initialBackoff = std::chrono::milliseconds(20);
 constexpr Duration maxBackoff = std::chrono::seconds(2);
+/// Pause after a connection that this process lacked the resources to open. They become free at any time, so the pause stays the same.
+constexpr Duration localRetryDelay = std::chrono::milliseconds(50);
 
 }
 
@@ -41,7 +44,7 @@
         self->m_connecting.reset();
         if (self->m_session)
             self->m_session->close();
-        self->returnWaiting();
+        self->returnWaiting(UndeliveredReason::NoConnection);
     });
 }
 
@@ -53,7 +56,8 @@
     }
     const bool isFull = m_waiting.size() >= m_context.limits.maxQueuedMessages;
     if (m_closed || isFull || m_state == State::Backoff) {
-        m_handler.onUndelivered(m_peer, std::move(message));
+        const bool isPaused = !m_closed && m_state == State::Backoff;
+        m_handler.onUndelivered(m_peer, std::move(message), isPaused ? m_pauseReason : UndeliveredReason::NoConnection);
         return;
     }
     m_waiting.push_back(std::move(message));
@@ -100,7 +104,10 @@
         return;
     if (ec || !m_connecting) {
         m_connecting.reset();
-        backOff();
+        if (isLackOfResources(ec))
+            pause(localRetryDelay, UndeliveredReason::NoLocalResources);
+        else
+            backOff();
         return;
     }
     m_session = std::make_shared<FrameSession>(
@@ -130,7 +137,7 @@
 void PeerLink::onClosed(FrameSession& session, std::vector<PeerMessage> unsent)
 {
     std::erase_if(unsent, [](const PeerMessage& it) { return std::holds_alternative<Hello>(it); });
-    reportUndelivered(std::move(unsent));
+    reportUndelivered(std::move(unsent), UndeliveredReason::NoConnection);
     if (m_session.get() != &session)
         return;
     const bool wasConnected = m_state == State::Connected;
@@ -140,32 +147,38 @@
         m_handler.onLinkLost(m_peer);
 }
 
-void PeerLink::returnWaiting()
+void PeerLink::returnWaiting(UndeliveredReason reason)
 {
     auto waiting = std::move(m_waiting);
     m_waiting.clear();
-    reportUndelivered(std::move(waiting));
+    reportUndelivered(std::move(waiting), reason);
 }
 
 void PeerLink::backOff()
+{
+    pause(m_backoff, UndeliveredReason::NoConnection);
+    m_backoff = std::min(maxBackoff, m_backoff * 2);
+}
+
+void PeerLink::pause(Duration mean, UndeliveredReason reason)
 {
     m_state = State::Backoff;
-    returnWaiting();
+    m_pauseReason = reason;
+    returnWaiting(reason);
     if (m_closed)
         return;
-    const auto jitter = Duration(m_random.below(static_cast<std::uint64_t>(m_backoff.count())));
-    m_timer.expires_after(m_backoff / 2 + jitter);
-    m_backoff = std::min(maxBackoff, m_backoff * 2);
+    const auto jitter = Duration(m_random.below(static_cast<std::uint64_t>(mean.count())));
+    m_timer.expires_after(mean / 2 + jitter);
     m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
         if (!ec && self->m_state == State::Backoff)
             self->m_state = State::Idle;
     });
 }
 
-void PeerLink::reportUndelivered(std::vector<PeerMessage> messages)
+void PeerLink::reportUndelivered(std::vector<PeerMessage> messages, UndeliveredReason reason)
 {
     for (auto& it : messages)
-        m_handler.onUndelivered(m_peer, std::move(it));
+        m_handler.onUndelivered(m_peer, std::move(it), reason);
 }
 
 }
