--- a/tests/processes/burst_fixture.cpp
+++ b/tests/processes/burst_fixture.cpp
@@ -238,7 +238,7 @@
 {
     std::size_t late = 0;
     for (const auto* it : m_draining) {
-        for (const auto& [caller, n] : it->requestsSentAfter(m_changedAt + limit))
+        for (const auto& [caller, n] : it->requestsAfter(m_changedAt + limit))
             late += n;
     }
     return late;
--- a/tests/processes/fleet_fixture.cpp
+++ b/tests/processes/fleet_fixture.cpp
@@ -54,7 +54,7 @@
 {
     const std::string id(request.headers.find("Lycheefield-Attempt-Id"));
     const auto dash = id.find('-');
-    m_requests.emplace_back(id.substr(0, dash), TimePoint(Duration(std::stoll(id.substr(dash + 1)))));
+    m_requests.push_back({ id.substr(0, dash), TimePoint(Duration(std::stoll(id.substr(dash + 1)))), m_clock.now() });
     if (m_answerTime == Duration {})
         return answer(*exchange, id);
     hold(std::move(exchange), id);
@@ -89,19 +89,19 @@
         + R"(","warmupLeftMs":0,"sequence":)" + std::to_string(++m_sequence) + "}";
 }
 
-std::map<std::string, std::size_t> CountingServer::requestsSentAfter(TimePoint time) const
+std::map<std::string, std::size_t> CountingServer::requestsAfter(TimePoint time) const
 {
     std::map<std::string, std::size_t> counts;
-    for (const auto& [gateway, sentAt] : m_requests)
-        counts[gateway] += sentAt > time ? 1 : 0;
+    for (const auto& it : m_requests)
+        counts[it.gateway] += it.arrivedAt > time ? 1 : 0;
     return counts;
 }
 
 std::map<std::string, TimePoint> CountingServer::lastSent() const
 {
     std::map<std::string, TimePoint> last;
-    for (const auto& [gateway, sentAt] : m_requests)
-        last[gateway] = sentAt;
+    for (const auto& it : m_requests)
+        last[it.gateway] = it.sentAt;
     return last;
 }
 
@@ -326,7 +326,7 @@
     std::size_t reached = 0;
     outcome.report += name + " in zone " + m_gateways[n].process->zone() + ": route " + (probe.servedAt ? "after " + inMillis(*probe.servedAt - begin) : "not served");
     for (const auto* it : m_draining) {
-        reached += it->requestsSentAfter(begin + limit)[name];
+        reached += it->requestsAfter(begin + limit)[name];
         const auto last = it->lastSent();
         if (const auto sent = last.find(name); sent != last.end() && sent->second > begin)
             outcome.report += ", last to " + it->name() + " after " + inMillis(sent->second - begin);
--- a/tests/processes/fleet_fixture.h
+++ b/tests/processes/fleet_fixture.h
@@ -12,7 +12,7 @@
 
 namespace lycheefield {
 
-/// A stand-in for a server that answers every request after the same time, at first at once, and notes when the callers sent them.
+/// A stand-in for a server that answers every request after the same time, at first at once, and notes when they were sent and arrived.
 class CountingServer final : public HttpHandler {
 public:
     CountingServer(boost::asio::io_context&, std::string name, std::string zone, std::string service = "x");
@@ -26,12 +26,17 @@
     std::string entry(bool isDraining);
     const std::string& name() const { return m_name; }
     const std::string& zone() const { return m_zone; }
-    /// Requests, by gateway, that callers sent later than that.
-    std::map<std::string, std::size_t> requestsSentAfter(TimePoint) const;
+    /// Requests, by gateway, that arrived later than that, whenever their callers sent them.
+    std::map<std::string, std::size_t> requestsAfter(TimePoint) const;
     /// When the last request was sent, by gateway.
     std::map<std::string, TimePoint> lastSent() const;
 
 private:
+    struct ReceivedRequest {
+        std::string gateway;
+        TimePoint sentAt; ///< By the caller.
+        TimePoint arrivedAt;
+    };
     /// A request that waits for its answer.
     struct HeldRequest {
         std::shared_ptr<HttpExchange> exchange;
@@ -49,7 +54,8 @@
     HttpServer m_server;
     Endpoint m_endpoint;
     std::uint64_t m_sequence = 0;
-    std::vector<std::pair<std::string, TimePoint>> m_requests; ///< The gateway, and when the caller sent the request.
+    SteadyClock m_clock;
+    std::vector<ReceivedRequest> m_requests;
     std::map<std::uint64_t, HeldRequest> m_held; ///< By the number of the request.
 };
 
