--- a/src/gateway/descriptor_budget.h
+++ b/src/gateway/descriptor_budget.h
@@ -9,7 +9,7 @@
 /// Division of the process's descriptors between their owners. Immutable, so copies may be read on any thread.
 ///
 /// Callers and backend servers open connections at the pace of the traffic. A bound on each keeps the rest free for the store, other instances, readiness
-/// checks and files: an instance that can't open a connection to the store misses changes of its configuration. Of the rest, a third at most goes to
+/// checks and files: an instance that can't open a connection to the store misses changes of its configuration. Of the rest, a half at most goes to
 /// connections that anybody may open: those to the readiness and metrics ports, and those of peers that have not said who they are.
 class DescriptorBudget {
 public:
--- a/src/wire/peer_server.cpp
+++ b/src/wire/peer_server.cpp
@@ -11,8 +11,7 @@
 /// Maximum number of incoming connections; every other instance opens one.
 constexpr std::size_t maxPeerSessions = 2048;
 /// Maximum number of incoming connections whose peer has not sent its Hello, which a peer sends as soon as it is connected.
-constexpr std::size_t maxSessionsWithoutHello = 64;
-constexpr std::size_t sessionsWithoutHelloDivisor = 32;
+constexpr std::size_t sessionsWithoutHelloDivisor = 16;
 
 }
 
@@ -37,7 +36,7 @@
         return;
     m_sessions.insert(session);
     m_withoutHello.push_back(session);
-    if (m_withoutHello.size() > shareOfDescriptors(sessionsWithoutHelloDivisor, maxSessionsWithoutHello)) {
+    if (m_withoutHello.size() > shareOfDescriptors(sessionsWithoutHelloDivisor, maxPeerSessions)) {
         m_withoutHello.front()->close();
         m_withoutHello.pop_front();
     }
--- a/tests/gateway/descriptor_budget_test.cpp
+++ b/tests/gateway/descriptor_budget_test.cpp
@@ -1,6 +1,7 @@
 #include "gateway/descriptor_budget.h"
 
 #include "http/http_limits.h"
+#include "support/descriptor_limit.h"
 
 #include <doctest/doctest.h>
 
@@ -17,22 +18,6 @@
     return budget.forCallers() + budget.forServers() + budget.rest();
 }
 
-class DescriptorLimit {
-public:
-    explicit DescriptorLimit(rlim_t limit)
-    {
-        REQUIRE(getrlimit(RLIMIT_NOFILE, &m_before) == 0);
-        const rlimit changed { limit, m_before.rlim_max };
-        REQUIRE(setrlimit(RLIMIT_NOFILE, &changed) == 0);
-    }
-    ~DescriptorLimit() { setrlimit(RLIMIT_NOFILE, &m_before); }
-    DescriptorLimit(const DescriptorLimit&) = delete;
-    DescriptorLimit& operator=(const DescriptorLimit&) = delete;
-
-private:
-    rlimit m_before {};
-};
-
 }
 
 TEST_CASE("The process's descriptors are divided between callers, backend servers and the rest" * doctest::test_suite("gateway"))
--- a/tests/wire/peer_link_test.cpp
+++ b/tests/wire/peer_link_test.cpp
@@ -1,3 +1,4 @@
+#include "support/descriptor_limit.h"
 #include "support/no_free_descriptors.h"
 #include "support/raw_caller.h"
 #include "support/virtual_clock.h"
@@ -299,7 +300,8 @@
 TEST_CASE_FIXTURE(PeersFixture, "Of many connections without a Hello the oldest are closed at once, and peers still connect")
 {
     constexpr std::size_t opened = 200;
-    constexpr std::size_t mostOpen = 64;
+    constexpr std::size_t mostOpen = 64; // A sixteenth of the descriptors.
+    const DescriptorLimit limit(1024);
     std::vector<std::unique_ptr<RawCaller>> silent;
     for (std::size_t i = 0; i < opened; ++i)
         silent.push_back(std::make_unique<RawCaller>(io, b.endpoint));
