--- a/tests/soak/soak_backend.cpp
+++ b/tests/soak/soak_backend.cpp
@@ -4,6 +4,7 @@
 #include "forward/record_merge.h"
 
 #include <iostream>
+#include <utility>
 
 namespace lycheefield::soak {
 
@@ -64,6 +65,7 @@
     m_limit = limit;
     m_limitCheckedFrom = never;
     m_arrivals.clear();
+    m_hasPrintedArrivals = false;
 }
 
 void SoakBackend::countForLimit(const std::string& id)
@@ -81,8 +83,10 @@
     printArrivals();
 }
 
-void SoakBackend::printArrivals() const
+void SoakBackend::printArrivals()
 {
+    if (std::exchange(m_hasPrintedArrivals, true))
+        return;
     std::cerr << "violation: " << m_name << " got more requests than its limit allows, at_us and request:";
     for (const auto& it : m_arrivals)
         std::cerr << ' ' << it.at.time_since_epoch().count() << ' ' << it.id;
--- a/tests/soak/soak_backend.h
+++ b/tests/soak/soak_backend.h
@@ -54,8 +54,8 @@
     /// Runs a request that crashes the server some time later.
     void runCrashing(const HttpRequest&, const std::shared_ptr<HttpExchange>&);
     void countForLimit(const std::string& id);
-    /// Writes which requests came within the window, for the trace.
-    void printArrivals() const;
+    /// Writes which requests came within the window, for the trace; once for each limit.
+    void printArrivals();
 
     boost::asio::io_context& m_io;
     std::string m_service;
@@ -75,6 +75,7 @@
         std::string id; ///< Of the request.
     };
     std::deque<Arrival> m_arrivals; ///< Of the last seconds, while the limit is checked.
+    bool m_hasPrintedArrivals = false; ///< Since the limit was set.
     std::uint64_t m_runs = 0;
     mutable std::uint64_t m_sequence = 0;
 };
