--- a/tests/adapter/gateway_fixture.h
+++ b/tests/adapter/gateway_fixture.h
@@ -78,6 +78,8 @@
         m_connection->send(request);
     }
 
+    void close() { m_connection->close(); }
+
     std::optional<HttpResponse> response;
     bool isConnected = false;
     bool isLost = false;
@@ -160,7 +162,10 @@
             throw std::runtime_error("a caller can't connect to the gateway");
         caller->send(request);
         runUntil([&] { return caller->response.has_value() || caller->isLost; });
-        return caller->response.value();
+        if (!caller->response)
+            throw std::runtime_error("a caller got no response from the gateway");
+        caller->close();
+        return std::move(*caller->response);
     }
 
     /// Repeats the request until the response has the status.
