--- a/tests/support/fault_link.cpp
+++ b/tests/support/fault_link.cpp
@@ -32,9 +32,13 @@
         : m_io(io)
         , m_target(std::move(target))
         , m_ownAddress(std::move(ownAddress))
-        , m_acceptor(io, { asio::ip::address_v4::loopback(), 0 })
+        , m_reservedPort(io, tcp::v4())
+        , m_acceptor(io)
     {
-        own = { "127.0.0.1", m_acceptor.local_endpoint().port() };
+        m_reservedPort.set_option(tcp::acceptor::reuse_address(true));
+        m_reservedPort.bind({ asio::ip::address_v4::loopback(), 0 });
+        own = { "127.0.0.1", m_reservedPort.local_endpoint().port() };
+        listen();
     }
 
     /// Bytes that were read and are to be written at that time.
@@ -91,6 +95,14 @@
         }
     };
 
+    void listen()
+    {
+        m_acceptor.open(tcp::v4());
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+        m_acceptor.bind({ asio::ip::address_v4::loopback(), own.port });
+        m_acceptor.listen();
+    }
+
     void accept()
     {
         m_acceptor.async_accept([self = shared_from_this()](const boost::system::error_code& ec, tcp::socket socket) {
@@ -189,6 +201,7 @@
     void stop()
     {
         boost::system::error_code ec;
+        m_reservedPort.close(ec);
         m_acceptor.close(ec);
         resetAll();
     }
@@ -205,16 +218,12 @@
         boost::system::error_code ec;
         m_acceptor.close(ec);
         resetAll();
-        // The port stays bound, so that no other process takes it, and without a listener it refuses connections.
-        const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), own.port);
-        m_acceptor.open(endpoint.protocol());
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true));
-        m_acceptor.bind(endpoint);
         auto timer = std::make_shared<asio::steady_timer>(m_io, downTime);
         timer->async_wait([self = shared_from_this(), timer](const boost::system::error_code&) {
-            if (!self->m_acceptor.is_open())
+            const bool isStopped = !self->m_reservedPort.is_open();
+            if (isStopped || self->m_acceptor.is_open())
                 return;
-            self->m_acceptor.listen();
+            self->listen();
             self->accept();
         });
     }
@@ -233,6 +242,7 @@
     Endpoint m_target;
     std::string m_ownAddress;
     SteadyClock m_clock;
+    tcp::acceptor m_reservedPort; ///< Bound and never listening, so that no other process takes the port while connections are refused.
     tcp::acceptor m_acceptor;
     std::set<std::shared_ptr<Tunnel>> m_tunnels;
 };
