--- a/review/standin-2/kit.h
+++ b/review/standin-2/kit.h
@@ -241,12 +241,17 @@
             std::thread([this] { run(); }).detach();
     }
     int port() const { return m_port; }
-    bool isOpen() const { return m_fd >= 0; }
+    /// Refuses connections from now on.
+    void stop()
+    {
+        m_isStopped = true;
+        shutdown(m_fd, SHUT_RDWR);
+    }
 
 private:
     void run()
     {
-        while (true) {
+        while (!m_isStopped) {
             const int fd = accept4(m_fd, nullptr, nullptr, SOCK_CLOEXEC);
             if (fd < 0)
                 continue;
@@ -257,6 +262,7 @@
     }
     int m_port;
     int m_fd;
+    std::atomic<bool> m_isStopped { false };
     std::function<void(int)> m_handler;
 };
 
