--- a/review/standin-2/kit.h
+++ b/review/standin-2/kit.h
@@ -270,7 +270,9 @@
 /// address of its own, at which the store can turn it away.
 class Store {
 public:
-    enum Mode { Serves, Busy, Resets };
+    enum Mode { Serves,
+        Busy,
+        Resets };
 
     /// Returns the port for one caller.
     int open(std::shared_ptr<std::atomic<int>> mode, std::function<void(const std::string& method, const std::string& target)> onCall = {})
