--- a/review/standin-2/kit.h
+++ b/review/standin-2/kit.h
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -103,11 +104,16 @@
     return fd;
 }
 
-inline int freePort(const std::string& ip)
+/// Returns so many different free ports.
+inline std::vector<int> freePorts(const std::string& ip, std::size_t n)
 {
-    int port = 0;
-    close(listenOn(ip, port));
-    return port;
+    std::vector<int> ports(n, 0);
+    std::vector<int> sockets;
+    for (auto& it : ports)
+        sockets.push_back(listenOn(ip, it));
+    for (const int it : sockets)
+        close(it);
+    return ports;
 }
 
 inline int connectTo(const std::string& ip, int port)
@@ -467,7 +473,8 @@
     std::vector<std::unique_ptr<Listener>> m_listeners;
 };
 
-/// A program that runs as a child process. Its output goes to a file.
+/// A program that runs as a child process, and ends with this one. Its output goes to a file. Started by the main thread only, as the
+/// kernel ends the child with the thread that started it.
 class Process {
 public:
     Process(const std::string& program, const std::map<std::string, std::string>& variables, const std::string& output)
@@ -475,6 +482,7 @@
         m_pid = fork();
         if (m_pid != 0)
             return;
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int fd = open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(fd, 1);
         dup2(fd, 2);
@@ -569,9 +577,10 @@
 
     void assignPorts()
     {
-        front = freePort(ip);
-        ready = freePort(ip);
-        inner = freePort(ip);
+        const auto ports = freePorts(ip, 3);
+        front = ports[0];
+        ready = ports[1];
+        inner = ports[2];
     }
     void start(const std::string& folder, std::map<std::string, std::string> values)
     {
