--- a/review/standin-2/kit.h
+++ b/review/standin-2/kit.h
@@ -302,6 +302,22 @@
         if (node)
             change(kind, name, node.mapped(), true);
     }
+    /// Keeps a copy of all objects for restore().
+    void keepCopy()
+    {
+        const Lock lock(m_mutex);
+        m_copy = m_objects;
+        m_copyRevision = m_revision;
+    }
+    /// Comes back from the copy: what was written since is gone, revisions go back, and the era rises.
+    void restore()
+    {
+        const Lock lock(m_mutex);
+        m_objects = m_copy;
+        m_revision = m_copyRevision;
+        std::erase_if(m_events, [this](const Event& it) { return it.revision > m_revision; });
+        ++m_era;
+    }
     bool has(const std::string& kind, const std::string& name)
     {
         const Lock lock(m_mutex);
@@ -370,7 +386,7 @@
                 return resetAndClose(fd);
             sleepFor(0.004);
             const auto text = json::serialize(body);
-            std::string out = "HTTP/1.1 " + std::to_string(status) + " x\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
+            std::string out = "HTTP/1.1 " + std::to_string(status) + " x\r\nStore-Era: " + std::to_string(m_era) + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
             if (!sendAll(fd, out))
                 break;
         }
@@ -468,7 +484,10 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::uint64_t m_revision = 100;
+    std::atomic<std::uint64_t> m_era { 1 };
+    std::uint64_t m_copyRevision = 0;
     std::map<std::string, std::map<std::string, Object>> m_objects;
+    std::map<std::string, std::map<std::string, Object>> m_copy;
     std::vector<Event> m_events;
     std::vector<std::unique_ptr<Listener>> m_listeners;
 };
