--- a/review/standin-2/kit.h
+++ b/review/standin-2/kit.h
@@ -21,7 +21,6 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
-#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <iostream>
@@ -634,24 +633,13 @@
     }
 };
 
-/// A new folder for settings and logs. remove() keeps it if KEEP is set.
+/// The temporary folder for settings and logs. run.sh names it, and removes it at the end.
 class Folder {
 public:
-    Folder()
-    {
-        char path[] = "/tmp/review-XXXXXX";
-        m_path = mkdtemp(path);
-    }
-    void remove() const
-    {
-        std::error_code ec;
-        if (!getenv("KEEP"))
-            std::filesystem::remove_all(m_path, ec);
-    }
     const std::string& path() const { return m_path; }
 
 private:
-    std::string m_path;
+    std::string m_path { getenv("REVIEW_FOLDER") ? getenv("REVIEW_FOLDER") : "/tmp" };
 };
 
 /// Ends the program at once: the stand-ins' threads still use what destructors would destroy.
--- a/review/standin-2/quota_fleet.h
+++ b/review/standin-2/quota_fleet.h
@@ -160,8 +160,9 @@
     static constexpr int added = 3; ///< The gateway that is added.
     static constexpr int formerKeeper = 2; ///< The gateway that grants the tenant's requests before that one is added.
 
-    explicit Fleet(const std::string& folderOfCase)
-        : record(folderOfCase + "/record.txt")
+    /// recordPath: the path of the case's record.txt.
+    explicit Fleet(const std::string& recordPath)
+        : record(recordPath)
     {
         for (int i = 0; i < 3; ++i) {
             const auto id = "i-server-" + std::to_string(i);
@@ -220,7 +221,6 @@
         record.line("the gateways aren't ready; the case can't run", true);
         for (auto& it : gateways)
             it.process.reset();
-        m_folder.remove();
         finish(2);
     }
 
@@ -255,7 +255,6 @@
         char text[160];
         std::snprintf(text, sizeof(text), "most requests in %.0f s: %d, from %.2f s after the start of edge-a-2; limit %.1f: %s", quotaWindowS, most, from - startedAt, limit, most > limit ? "QUOTA broken" : "held");
         record.line(text, true);
-        m_folder.remove();
         finish(most > limit ? 1 : 0);
     }
 
