--- a/src/admission/quota_engine.h
+++ b/src/admission/quota_engine.h
@@ -50,6 +50,9 @@
     const QuotaCounters& counters() const { return m_client.m_counters; }
     /// Whether this instance grants permits from the team's quota; for tests and logs.
     QuotaRole roleFor(const TeamName&) const;
+    /// The roles of this instance, for logs. A role begins to grant at grantsFrom().
+    const std::unordered_map<TeamName, QuotaRole>& roles() const { return m_roles; }
+    TimePoint grantsFrom() const { return m_grantsFrom; }
 
 private:
     enum class Choice : std::uint8_t {
--- a/src/admission/quota_keeper.cpp
+++ b/src/admission/quota_keeper.cpp
@@ -24,6 +24,19 @@
 
 }
 
+std::string_view toString(QuotaRole role)
+{
+    switch (role) {
+    case QuotaRole::None:
+        return "none";
+    case QuotaRole::Keeper:
+        return "keeper";
+    case QuotaRole::Standby:
+        return "standby";
+    }
+    return "unknown";
+}
+
 void QuotaKeeper::setRole(const TeamName& team, QuotaRole role, TimePoint grantsFrom)
 {
     if (role == QuotaRole::None)
--- a/src/admission/quota_keeper.h
+++ b/src/admission/quota_keeper.h
@@ -7,6 +7,7 @@
 #include "base/time.h"
 
 #include <cstdint>
+#include <string_view>
 #include <unordered_map>
 
 namespace lycheefield {
@@ -18,6 +19,8 @@
     Standby, ///< Grants a part of the slack to instances that don't reach the keeper.
 };
 
+std::string_view toString(QuotaRole);
+
 /// Grants the permits of the teams whose quotas this instance keeps or stands by for.
 ///
 /// A permit leaves the bucket when it is granted. A bucket starts empty, so that two processes that keep a quota one after the other grant
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -43,7 +43,7 @@
         , m_driver({ m_strand, *m_clock, protocols.callers, protocols.servers, m_metrics, m_log, m_freshness, m_states, m_descriptors.forServers() }, forwardSettings(settings))
         , m_delegateChooser(settings.instance.name, settings.instance.zone)
         , m_delegation({ m_io, m_strand, m_clock, m_driver, m_metrics, m_log, *this }, m_delegateChooser, settings.instance.name, settings.instance.zone)
-        , m_quotas(m_strand, *m_clock, m_driver, m_metrics, settings.instance.name, settings.admission)
+        , m_quotas(m_strand, *m_clock, m_driver, m_metrics, m_log, settings.instance.name, settings.admission)
         , m_servers(settings.gateway.renewalPeriod, settings.gateway.zoneDrainLimit, *m_clock, m_driver, m_log)
         , m_loop(m_io, m_metrics, [this](std::string_view why) { logState("handler threw an exception; its request ends, others continue", { { "why", why } }); })
         , m_ports(m_strand, *m_clock, *this)
--- a/src/gateway/quota_driver.cpp
+++ b/src/gateway/quota_driver.cpp
@@ -4,9 +4,10 @@
 
 namespace lycheefield {
 
-QuotaDriver::QuotaDriver(boost::asio::strand<boost::asio::io_context::executor_type>& strand, const Clock& clock, QuotaDecisionEvents& events, Metrics& metrics, const InstanceName& self, const AdmissionSettings& settings)
+QuotaDriver::QuotaDriver(boost::asio::strand<boost::asio::io_context::executor_type>& strand, const Clock& clock, QuotaDecisionEvents& events, Metrics& metrics, DecisionLog& log, const InstanceName& self, const AdmissionSettings& settings)
     : m_clock(clock)
     , m_events(events)
+    , m_log(log)
     , m_engine(self, settings)
     , m_timer(strand)
 {
@@ -26,15 +27,36 @@
 void QuotaDriver::setTeams(const TeamDirectory* teams)
 {
     callEngine([&](TimePoint now, QuotaActions& actions) { m_engine.setTeams(teams ? teams->teams() : std::vector<Team>(), now, actions); });
+    logRoles();
     connectToKeepers();
 }
 
 void QuotaDriver::setInstances(const std::vector<Instance>& instances, bool hadPredecessor, TimePoint askedAt)
 {
     callEngine([&](TimePoint now, QuotaActions&) { m_engine.setInstances(instances, hadPredecessor, askedAt, now); });
+    logRoles();
     connectToKeepers();
 }
 
+void QuotaDriver::logRoles()
+{
+    const auto now = m_clock.now();
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(std::max(Duration {}, m_engine.grantsFrom() - now));
+    const auto write = [&](const TeamName& team, QuotaRole role) {
+        m_log.write(LineImportance::State, now, "quota role changed", { { "team", team.value() }, { "role", toString(role) }, { "grants_in_ms", std::to_string(wait.count()) } });
+    };
+    for (const auto& [team, role] : m_loggedRoles) {
+        if (!m_engine.roles().contains(team))
+            write(team, QuotaRole::None);
+    }
+    for (const auto& [team, role] : m_engine.roles()) {
+        const auto known = m_loggedRoles.find(team);
+        if (known == m_loggedRoles.end() || known->second != role)
+            write(team, role);
+    }
+    m_loggedRoles = m_engine.roles();
+}
+
 void QuotaDriver::connectToKeepers()
 {
     if (!m_delegation || !m_engine.hasQuotas())
--- a/src/gateway/quota_driver.h
+++ b/src/gateway/quota_driver.h
@@ -3,6 +3,7 @@
 #include "admission/quota_engine.h"
 #include "base/clock.h"
 #include "gateway/search_delegation.h"
+#include "observe/decision_log.h"
 #include "observe/metrics.h"
 #include "routing/team_directory.h"
 
@@ -11,6 +12,7 @@
 #include <boost/asio/strand.hpp>
 
 #include <set>
+#include <unordered_map>
 
 namespace lycheefield {
 
@@ -25,8 +27,8 @@
 /// Runs a QuotaEngine: exchanges its messages with the other instances and reports its decisions. All functions are called on the strand.
 class QuotaDriver final : public QuotaMessageEvents {
 public:
-    /// Preconditions: strand, clock, events and metrics outlive the driver.
-    QuotaDriver(boost::asio::strand<boost::asio::io_context::executor_type>&, const Clock&, QuotaDecisionEvents&, Metrics&, const InstanceName& self, const AdmissionSettings&);
+    /// Preconditions: strand, clock, events, metrics and log outlive the driver.
+    QuotaDriver(boost::asio::strand<boost::asio::io_context::executor_type>&, const Clock&, QuotaDecisionEvents&, Metrics&, DecisionLog&, const InstanceName& self, const AdmissionSettings&);
 
     /// Lets the driver exchange messages. Precondition: called before any request; the delegation outlives the driver's use.
     void setDelegation(SearchDelegation&);
@@ -51,16 +53,20 @@
         execute(actions);
     }
     void execute(const QuotaActions&);
+    /// Logs which roles this instance has gained or lost since the last call.
+    void logRoles();
     /// Opens connections to the instances that keep quotas, so that no request waits for one.
     void connectToKeepers();
     void setTimer();
 
     const Clock& m_clock;
     QuotaDecisionEvents& m_events;
+    DecisionLog& m_log;
     SearchDelegation* m_delegation = nullptr;
     QuotaEngine m_engine;
     boost::asio::steady_timer m_timer;
     TimePoint m_timerAt = never;
+    std::unordered_map<TeamName, QuotaRole> m_loggedRoles;
     std::set<InstanceName> m_connected; ///< Keepers to which a connection has been opened.
 };
 
