--- a/src/wire/asio_peer_network.cpp
+++ b/src/wire/asio_peer_network.cpp
@@ -55,12 +55,15 @@
 
 void AsioPeerNetwork::reply(const InstanceName& to, PeerMessage message)
 {
-    m_server->reply(to, std::move(message));
+    if (const auto session = m_server->sessionOf(to))
+        session->send(std::move(message));
 }
 
 void AsioPeerNetwork::sendOnAnyConnection(const InstanceName& to, PeerMessage message)
 {
-    if (!m_server->reply(to, std::move(message)))
+    if (const auto session = m_server->sessionOf(to))
+        session->send(std::move(message));
+    else
         send(to, std::move(message));
 }
 
--- a/src/wire/peer_server.cpp
+++ b/src/wire/peer_server.cpp
@@ -43,18 +43,11 @@
     session->start();
 }
 
-bool PeerServer::reply(const InstanceName& to, PeerMessage&& message)
+std::shared_ptr<FrameSession> PeerServer::sessionOf(const InstanceName& peer)
 {
-    std::shared_ptr<FrameSession> session;
-    {
-        const std::lock_guard lock(m_mutex);
-        const auto it = m_sessionByPeer.find(to);
-        if (it == m_sessionByPeer.end())
-            return false;
-        session = it->second;
-    }
-    session->send(std::move(message));
-    return true;
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_sessionByPeer.find(peer);
+    return it == m_sessionByPeer.end() ? nullptr : it->second;
 }
 
 void PeerServer::close()
--- a/src/wire/peer_server.h
+++ b/src/wire/peer_server.h
@@ -23,8 +23,8 @@
     /// Listens on the endpoint; port 0 lets the kernel choose. Returns the bound endpoint. Call until it succeeds once.
     Result<Endpoint> listen(const Endpoint&);
     /// Sends over the peer's newest connection; drops the message when there is none.
-    /// Returns whether there is a connection that the peer opened.
-    bool reply(const InstanceName& to, PeerMessage&&);
+    /// Returns the newest connection that the peer opened; null when there is none.
+    std::shared_ptr<FrameSession> sessionOf(const InstanceName& peer);
     void close();
 
     bool onHello(FrameSession&, const Hello&) override;
