--- a/src/forward/server_pool.cpp
+++ b/src/forward/server_pool.cpp
@@ -73,13 +73,16 @@
     ++m_shareVersion;
     for (const auto& [name, entry] : entries) {
         const auto it = m_servers.find(name);
-        const bool isSameLife = it != m_servers.end() && it->second->entry.startedAt == entry.startedAt && it->second->entry.endpoint == entry.endpoint;
-        auto state = isSameLife ? it->second : std::make_shared<TrackedServer>();
-        if (!isSameLife || state->entry != entry) {
+        auto state = it != m_servers.end() && it->second->isOfProcess(entry) ? it->second : m_unlisted.take(entry);
+        const bool isKnown = state != nullptr;
+        if (!isKnown)
+            state = std::make_shared<TrackedServer>();
+        if (!isKnown || state->entry != entry) {
             state->listedAt = now;
             state->warmUntil = std::max(state->warmUntil, now + entry.warmupLeft);
         }
         state->entry = entry;
+        state->isListed = true;
         state->isInDrainedZone = isDrained(entry.zone);
         state->isInZone = entry.zone == m_settings.zone;
         state->zoneCost = costOf(entry.zone);
@@ -88,8 +91,10 @@
     }
     for (const auto& [name, state] : m_servers) {
         const auto it = servers.find(name);
-        if (it == servers.end() || it->second != state)
-            state->isListed = false;
+        if (it != servers.end() && it->second == state)
+            continue;
+        state->isListed = false;
+        m_unlisted.add(state);
     }
     m_servers = std::move(servers);
     std::erase_if(m_spills, [&](const auto& it) { return !m_byService.contains(it.first); });
@@ -398,7 +403,7 @@
 
 void ServerPool::markReplaced(TrackedServer& server)
 {
-    server.isListed = false;
+    server.isReplaced = true;
 }
 
 }
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -7,6 +7,7 @@
 #include "forward/server_choice.h"
 #include "forward/server_entry.h"
 #include "forward/server_rate_limit.h"
+#include "forward/unlisted_servers.h"
 #include "placement/reported_slowdown.h"
 #include "placement/zone_spill.h"
 
@@ -26,6 +27,7 @@
 struct TrackedServer {
     ServerEntry entry;
     bool isListed = true; ///< False once the server's entry is removed; the server then gets no new work.
+    bool isReplaced = false; ///< Another server has its address.
     bool isInDrainedZone = false; ///< Its zone gets no new work.
     bool isLeaving = false; ///< The server's own responses say that it leaves.
     bool isInZone = true; ///< In this instance's zone.
@@ -52,13 +54,15 @@
     ServerRateLimit warmupLimit; ///< This instance's share of what the server takes while it warms up.
     std::uint64_t warmupShareVersion = 0; ///< Of the inputs from which that share was computed.
 
+    /// Whether the process that wrote the entry is the one that this state is about.
+    bool isOfProcess(const ServerEntry& other) const { return entry.startedAt == other.startedAt && entry.endpoint == other.endpoint; }
     /// Returns the time until the server may be sent a request, given its limit, its warm-up and its Retry-After.
     Duration untilAllowed(TimePoint now) const
     {
         const auto warmup = now < warmUntil ? std::min(warmupLimit.untilAllowed(now), Duration(warmUntil - now)) : Duration {};
         return std::max({ rateLimit.untilAllowed(now), warmup, Duration(retryNotBefore - now), Duration {} });
     }
-    bool takesNewWork() const { return isListed && !isLeaving && !entry.isDraining && !isInDrainedZone; }
+    bool takesNewWork() const { return isListed && !isReplaced && !isLeaving && !entry.isDraining && !isInDrainedZone; }
 };
 
 using TrackedServerPtr = std::shared_ptr<TrackedServer>;
@@ -90,8 +94,8 @@
 public:
     ServerPool(const ForwardSettings&, RandomSource&);
 
-    /// Replaces the servers that may get work. The state of a listed server is kept while the server's endpoint
-    /// and start time are the same.
+    /// Replaces the servers that may get work. The state of a server is kept while its endpoint and start time are the same, also while
+    /// its entry is missing.
     void update(const std::map<ServerName, ServerEntry>&, TimePoint);
     /// Sets the zones whose servers get no new work.
     void setDrainedZones(const std::set<ZoneName>&);
@@ -206,6 +210,7 @@
     std::uint64_t m_shareVersion = 1; ///< Changes with each input of the shares.
     TimePoint m_nextShareChange = never;
     std::map<ServerName, TrackedServerPtr> m_servers;
+    UnlistedServers m_unlisted;
     std::unordered_map<ServiceName, std::vector<TrackedServerPtr>> m_byService;
     std::unordered_map<ServiceName, ZoneSpill> m_spills; ///< Of the services whose requests left the zone or wanted to.
     std::vector<ZoneSpillChange> m_spillChanges;
--- a/tests/forward/forward_test_bed.cpp
+++ b/tests/forward/forward_test_bed.cpp
@@ -75,11 +75,19 @@
     publish();
 }
 
+void ForwardTestBed::setListed(const std::string& name, bool isListed)
+{
+    m_servers.at(ServerName(name)).isListed = isListed;
+    publish();
+}
+
 void ForwardTestBed::publish()
 {
     std::map<ServerName, ServerEntry> entries;
-    for (const auto& [name, server] : m_servers)
-        entries.emplace(name, server.entry);
+    for (const auto& [name, server] : m_servers) {
+        if (server.isListed)
+            entries.emplace(name, server.entry);
+    }
     m_engine.onServers(entries, m_now);
 }
 
--- a/tests/forward/forward_test_bed.h
+++ b/tests/forward/forward_test_bed.h
@@ -40,6 +40,8 @@
     /// Replaces the server's process by a new one under the same name, and lists it.
     void restartServer(const std::string& name);
     ServerModel& model(const std::string& name) { return m_servers.at(ServerName(name)).model; }
+    /// Removes the server's entry, or puts it back, while its process goes on.
+    void setListed(const std::string& name, bool isListed);
     void publish();
     /// Drains these zones and no others.
     void drainZones(const std::set<ZoneName>& zones) { m_engine.setDrainedZones(zones); }
@@ -106,6 +108,7 @@
 private:
     struct Server {
         ServerEntry entry;
+        bool isListed = true;
         ServerModel model;
         std::vector<std::pair<TimePoint, SendServerRequest>> running;
         std::deque<SendServerRequest> waiting;
--- a/tests/forward/server_notice_test.cpp
+++ b/tests/forward/server_notice_test.cpp
@@ -32,6 +32,26 @@
         CHECK(testBed.answerTo(refused)->kind == ForwardAnswerKind::NotRun);
         CHECK(testBed.arrivals("o1") == 1);
     }
+    // Case 8 of the review: the mark was dropped with the entry, and a late heartbeat put the entry back.
+    SUBCASE("An entry that is removed and then put back by a late heartbeat does not bring it back")
+    {
+        testBed.setListed("o1", false);
+        testBed.run(5s);
+        testBed.setListed("o1", true);
+        const auto refused = testBed.start(route);
+        REQUIRE(testBed.answerTo(refused));
+        CHECK(testBed.answerTo(refused)->kind == ForwardAnswerKind::NotRun);
+        CHECK(testBed.arrivals("o1") == 1);
+
+        SUBCASE("But a new process under its name gets work")
+        {
+            testBed.setListed("o1", false);
+            testBed.restartServer("o1");
+            testBed.setListed("o1", true);
+            testBed.start(route);
+            CHECK(testBed.arrivals("o1") == 1);
+        }
+    }
     SUBCASE("An update of its entry does not bring it back, and a new process under its name does")
     {
         testBed.publish();
