--- a/tests/soak/soak_test_bed.cpp
+++ b/tests/soak/soak_test_bed.cpp
@@ -375,6 +375,7 @@
     runFor(4s);
     m_checker.checkAll();
     m_crashing.check(m_checker);
+    checkQuotaRoles();
     m_faults["crash by a request"] = m_crashing.crashes();
     printSummary();
     return m_checker.violations().empty();
--- a/tests/soak/soak_test_bed.h
+++ b/tests/soak/soak_test_bed.h
@@ -61,6 +61,9 @@
     /// Drains a server and a zone and publishes a configuration. The store may lose that later.
     void changeStore();
     void publishConfiguration();
+    /// The configuration's teams, whose quotas the gateways keep. The routes are public, so that no request needs a permit.
+    static std::string teams();
+    void checkQuotaRoles();
     /// Publishes a later configuration, and probes it when it must be in force.
     void publishNextConfiguration();
     void runFor(Duration);
--- a/tests/soak/store_changes.cpp
+++ b/tests/soak/store_changes.cpp
@@ -1,9 +1,18 @@
+#include "quota_role_log.h"
 #include "soak_test_bed.h"
 
+#include <sstream>
+
 namespace lycheefield::soak {
 
 using namespace std::chrono_literals;
 
+namespace {
+
+constexpr std::size_t teamCount = 8;
+
+}
+
 void SoakTestBed::writeEntry(SoakBackend& server)
 {
     m_writtenServers.insert(server.name());
@@ -59,6 +68,26 @@
     runAfter(randomDuration(0ms, applyLimit / 2), [this, &node] { burstSearches(node, 1 + m_random.below(maxBursts)); });
 }
 
+std::string SoakTestBed::teams()
+{
+    std::string teams;
+    for (std::size_t i = 0; i < teamCount; ++i)
+        teams += (i == 0 ? "" : ",") + std::string(R"({"name":"team)") + std::to_string(i) + R"(","apiKeys":["key)" + std::to_string(i) + R"("],"ratePerS":20,"burst":10,"priority":1})";
+    return teams;
+}
+
+void SoakTestBed::checkQuotaRoles()
+{
+    QuotaRoleLog roles;
+    for (const auto& it : m_nodes) {
+        std::istringstream log(it->process->log());
+        roles.add(it->process->name(), log);
+    }
+    m_faults["role for a team's quota gained"] = roles.gains();
+    if (roles.overlaps() > 0)
+        m_checker.fail("two gateways had the role for a team's quota at the same time");
+}
+
 void SoakTestBed::publishConfiguration()
 {
     std::string shards;
@@ -69,9 +98,9 @@
     }
     m_store.put("config", "main",
         R"({"version":)" + std::to_string(m_version) + R"(,"routes":[{"name":"s","host":"a.example","pathPrefix":"/s/","routeType":"idempotent","timeoutMs":2500,"targetLatencyMs":200,"priority":0,"gather":[)"
-            + shards + R"(],"attempts":2,"topK":5,"minShardRatio":0.75},{"name":"o","host":"a.example","pathPrefix":"/o/","routeType":"non_idempotent","timeoutMs":2500,"targetLatencyMs":400,"priority":1,"service":"orders","attempts":2},{"name":"v","host":"a.example","pathPrefix":"/v)"
-            + std::to_string(m_version) + R"(/","routeType":"non_idempotent","timeoutMs":2500,"targetLatencyMs":400,"priority":1,"service":"orders","attempts":2}],"services":[)"
-            + services + R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
+            + shards + R"(],"attempts":2,"topK":5,"minShardRatio":0.75,"public":true},{"name":"o","host":"a.example","pathPrefix":"/o/","routeType":"non_idempotent","timeoutMs":2500,"targetLatencyMs":400,"priority":1,"service":"orders","attempts":2,"public":true},{"name":"v","host":"a.example","pathPrefix":"/v)"
+            + std::to_string(m_version) + R"(/","routeType":"non_idempotent","timeoutMs":2500,"targetLatencyMs":400,"priority":1,"service":"orders","attempts":2,"public":true}],"services":[)"
+            + services + R"(],"tenants":[)" + teams() + R"(],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
 }
 
 void SoakTestBed::publishNextConfiguration()
