--- a/src/placement/zone_drains.cpp
+++ b/src/placement/zone_drains.cpp
@@ -14,10 +14,11 @@
 {
     m_isKnown = true;
     m_missing.clear();
-    std::erase_if(m_unconfirmed, [&](const auto& it) { return zones.contains(it); });
+    std::erase_if(m_unconfirmed, [&](const auto& it) { return zones.contains(it.first); });
     for (const auto& [zone, since] : m_since) {
+        const auto kept = m_unconfirmed.find(zone);
         if (!zones.contains(zone))
-            m_missing.emplace(zone, m_unconfirmed.contains(zone) ? m_keptUntil : now);
+            m_missing.emplace(zone, kept == m_unconfirmed.end() ? now : kept->second);
     }
     auto change = expire(now);
     for (const auto& it : zones) {
@@ -29,8 +30,8 @@
 
 void ZoneDrains::recordNewEpoch(TimePoint now)
 {
-    m_keptUntil = std::max(m_keptUntil, now + keptInNewEpoch);
-    m_unconfirmed = zones();
+    for (const auto& it : zones())
+        m_unconfirmed.emplace(it, now + keptInNewEpoch);
 }
 
 ZoneDrainChange ZoneDrains::expire(TimePoint now)
@@ -41,6 +42,7 @@
             continue;
         const auto it = m_since.find(zone);
         change.ended.push_back({ zone, now - it->second });
+        m_unconfirmed.erase(zone);
         m_since.erase(it);
     }
     std::erase_if(m_missing, [&](const auto& it) { return it.second <= now; });
--- a/src/placement/zone_drains.h
+++ b/src/placement/zone_drains.h
@@ -42,7 +42,7 @@
     /// Replaces the list and returns what has changed.
     ZoneDrainChange replaceAll(const std::set<ZoneName>&, TimePoint);
     /// Records that the store came back from an older copy: for keptInNewEpoch a drain that no list has had since is kept, as the operator writes
-    /// again what was lost.
+    /// again what was lost. A further return doesn't prolong that time.
     void recordNewEpoch(TimePoint);
     /// Ends the drains that the list still lacks at the end of that time, and returns what has changed.
     ZoneDrainChange expire(TimePoint);
@@ -60,8 +60,7 @@
     Duration m_limit;
     bool m_isKnown;
     TimePoint m_waitEnds = never;
-    TimePoint m_keptUntil {};
-    std::set<ZoneName> m_unconfirmed; ///< Drains of earlier epochs that no list of the latest one has had.
+    std::map<ZoneName, TimePoint> m_unconfirmed; ///< Drains that no list has had since the store came back, and until when they are kept.
     std::map<ZoneName, TimePoint> m_missing; ///< Drains in force that the list lacks, and their ends.
     std::map<ZoneName, TimePoint> m_since; ///< The drained zones, and when this process learned of each drain.
 };
--- a/tests/placement/zone_drains_test.cpp
+++ b/tests/placement/zone_drains_test.cpp
@@ -64,6 +64,15 @@
             CHECK(drains.replaceAll({ b }, now + 13s) == ZoneDrainChange {});
             CHECK(drains.nextExpiry() == until + 3s);
         }
+        // Otherwise a zone stayed without work long after its drain had ended, while the store came back again and again.
+        SUBCASE("Further returns of the store, whose lists lack it too, don't begin that time anew")
+        {
+            drains.recordNewEpoch(now + 20s);
+            CHECK(drains.replaceAll({ b }, now + 20s) == ZoneDrainChange {});
+            drains.recordNewEpoch(now + 30s);
+            CHECK(drains.replaceAll({ b }, now + 30s) == ZoneDrainChange {});
+            CHECK(drains.nextExpiry() == until);
+        }
         SUBCASE("A later list ends it when that time is over")
         {
             CHECK(drains.replaceAll({ b }, until + 1s) == ZoneDrainChange { {}, { { a, 41s } } });
--- a/tests/soak/soak_test_bed.h
+++ b/tests/soak/soak_test_bed.h
@@ -160,6 +160,7 @@
     LoopLateness m_lateness;
     Duration m_processorTime {}; ///< Used when watchLoop() ran last.
     TimePoint m_storeDisturbedUntil {};
+    TimePoint m_storeRestoredAt {}; ///< When the store came back from an older copy last.
     bool m_isCopySaved = false; ///< The store will come back from the copy.
     std::set<std::string> m_writtenServers; ///< Since the copy was saved.
     std::set<std::string> m_lapsedServers;
--- a/tests/soak/store_faults.cpp
+++ b/tests/soak/store_faults.cpp
@@ -87,6 +87,7 @@
     runAfter(outage, [this, probed, version = m_version] {
         m_store.setFaults({ .pageSize = pageSize });
         m_store.restoreCopy();
+        m_storeRestoredAt = m_clock.now();
         m_isCopySaved = false;
         writeAgain(m_random.below(2) == 0);
         if (m_version == version)
