--- a/src/admission/quota_engine.cpp
+++ b/src/admission/quota_engine.cpp
@@ -18,6 +18,10 @@
 constexpr Duration stallGrace = 12ms;
 /// After a standby's denial for longer, the keeper may answer again.
 constexpr Duration maxStandbyDenial = 1s;
+/// An instance with an older list uses no permits of its own, as it may lack instances that use some.
+constexpr Duration maxOwnListAge = 110s;
+/// A list may be a copy from some seconds before it was asked for.
+constexpr Duration maxCopyAge = 10s;
 constexpr Duration tick = 1s;
 /// Without an event for this time, in spite of the ticks, the process was paused.
 constexpr Duration minPause = 3s;
@@ -107,6 +111,9 @@
     m_wasPaused = m_wasPaused && !(listing.isLatest && listing.askedAt >= m_resumedAt);
     m_instances = listing.instances;
     m_rankedRevision = listing.revision;
+    m_listedAt = listing.askedAt;
+    if (listing.holdsSelf)
+        m_listedSince = std::min(m_listedSince, now);
     // A resignation ends with the process.
     std::erase_if(m_resigned, [&](const auto& it) { return std::none_of(m_instances.begin(), m_instances.end(), [&](const auto& listed) { return listed.name == it.first && listed.life == it.second; }); });
     const auto wanted = rank();
@@ -240,12 +247,13 @@
         return;
     }
     ++m_client.m_counters.fallback;
-    m_client.fallBack(team, ownPermits(team), now, actions);
+    m_client.fallBack(team, ownPermits(team, now), now, actions);
 }
 
-double QuotaEngine::ownPermits(const TeamName& team) const
+double QuotaEngine::ownPermits(const TeamName& team, TimePoint now) const
 {
-    if (m_ranking.instances() == 0)
+    const bool isListedByAll = m_listedSince != never && now >= m_listedSince + maxOwnListAge + maxCopyAge;
+    if (!isListedByAll || now >= m_listedAt + maxOwnListAge || m_ranking.instances() == 0)
         return 0;
     const auto all = m_client.limitsOf(team).ownPermits;
     const auto share = all / static_cast<double>(m_ranking.instances());
--- a/src/admission/quota_engine.h
+++ b/src/admission/quota_engine.h
@@ -101,7 +101,8 @@
     void applyReply(const Call&, const QuotaReply&, TimePoint, QuotaActions&);
     void fail(std::uint64_t sequence, TimePoint, QuotaActions&);
     void passOver(const std::vector<AskedTeam>&, TimePoint, QuotaActions&);
-    double ownPermits(const TeamName&) const;
+    /// Zero unless each list that another instance may use permits of its own by holds this one, so that all shares add up.
+    double ownPermits(const TeamName&, TimePoint) const;
 
     InstanceName m_self;
     QuotaClient m_client;
@@ -112,6 +113,8 @@
     std::vector<ReportRole> m_roleChanges; ///< Not yet reported.
     std::vector<Instance> m_instances;
     StoreRevision m_rankedRevision; ///< Of the list by which the instances are ranked.
+    TimePoint m_listedAt {}; ///< When that list was asked for.
+    TimePoint m_listedSince = never; ///< When the first list came that holds this process.
     std::map<InstanceName, ProcessLife> m_resigned;
     std::unordered_map<TeamName, InstanceName> m_lastGranters; ///< Of keepers' grants.
     std::map<std::uint64_t, Call> m_calls; ///< By sequence, and so nearly by deadline.
--- a/tests/admission/quota_engine_test.cpp
+++ b/tests/admission/quota_engine_test.cpp
@@ -19,7 +19,7 @@
     std::vector<Instance> instances;
     std::vector<InstanceName> ranked; ///< Keeper, standby, and an instance without a role.
     std::unique_ptr<QuotaEngine> engine;
-    TimePoint now { 100s };
+    TimePoint now { 1000s };
     QuotaActions actions;
     std::uint64_t requests = 0;
 
@@ -35,6 +35,9 @@
             ranked[ranking.rankOf(team, it.name)] = it.name;
         engine = std::make_unique<QuotaEngine>(ranked[2], AdmissionSettings(), 1);
         engine->setTeams({ { team, 0, 10, 20 } }, now, actions);
+        // It has been listed for long, so that all others count it.
+        const auto listedAt = now - 2min;
+        engine->setInstances(latestListing(instances, listedAt), listedAt, actions);
         engine->setInstances(latestListing(instances, now), now, actions);
     }
     void request()
@@ -188,6 +191,30 @@
         asker.request();
         CHECK(asker.count<RefuseRequest>() == 1);
     }
+    // Its share and those of the others added up to more than all of them while they counted fewer instances.
+    SUBCASE("an instance that others may not count yet, or that has no list for long, uses no permit of its own")
+    {
+        QuotaEngine added(asker.ranked[2], AdmissionSettings(), 2);
+        const auto admits = [&] {
+            QuotaActions actions;
+            added.onRequest(RequestNumber(++asker.requests), asker.team, asker.now, actions);
+            for (std::size_t i = 0; i < actions.size(); ++i) {
+                if (const auto* asked = std::get_if<AskKeeper>(&actions[i]))
+                    added.onUndelivered(asked->call.sequence, asker.now, actions);
+            }
+            return std::any_of(actions.begin(), actions.end(), [](const auto& it) { return std::holds_alternative<AdmitRequest>(it); });
+        };
+        QuotaActions actions;
+        added.setTeams({ { asker.team, 0, 10, 20 } }, asker.now, actions);
+        added.setInstances(latestListing(asker.instances, asker.now), asker.now, actions);
+        asker.now += 100s;
+        added.setInstances(latestListing(asker.instances, asker.now), asker.now, actions);
+        CHECK(!admits());
+        asker.now += 30s;
+        CHECK(admits());
+        asker.now += 100s;
+        CHECK(!admits());
+    }
     SUBCASE("calls that its own process lacked the resources to send make it avoid no keeper for long")
     {
         for (int i = 0; i < 10; ++i) {
