--- a/src/admission/quota_client.cpp
+++ b/src/admission/quota_client.cpp
@@ -109,12 +109,12 @@
     return std::exchange(m_unasked, {});
 }
 
-void QuotaClient::appendWishes(const TeamName& team, TimePoint now, std::vector<QuotaWish>& wishes) const
+void QuotaClient::appendWishes(const TeamName& team, bool isForKeeper, TimePoint now, std::vector<QuotaWish>& wishes) const
 {
     const auto& state = m_teams.at(team);
-    wishes.push_back({ team, static_cast<std::uint32_t>(state.waiting.size()) });
+    wishes.push_back({ team, static_cast<std::uint32_t>(state.waiting.size()), isForKeeper });
     if (const auto ahead = askAhead(state, now); ahead > 0)
-        wishes.push_back({ team, ahead });
+        wishes.push_back({ team, ahead, isForKeeper });
 }
 
 void QuotaClient::admit(RequestNumber number, QuotaActions& actions)
--- a/src/admission/quota_client.h
+++ b/src/admission/quota_client.h
@@ -44,7 +44,7 @@
     /// Returns the teams that have to be asked for since the last call.
     std::vector<TeamName> takeUnasked();
     /// Appends what to ask for the team.
-    void appendWishes(const TeamName&, TimePoint, std::vector<QuotaWish>&) const;
+    void appendWishes(const TeamName&, bool isForKeeper, TimePoint, std::vector<QuotaWish>&) const;
     /// A keeper granted permits in reply to a call that was sent then.
     void onGrant(const QuotaGrant&, TimePoint sentAt, TimePoint, QuotaActions&);
     /// No keeper answers for the team: this instance uses permits of its own. perWindow: the most in one window.
--- a/src/admission/quota_engine.cpp
+++ b/src/admission/quota_engine.cpp
@@ -22,6 +22,8 @@
 constexpr Duration maxOwnListAge = 110s;
 /// A list may be a copy from some seconds before it was asked for.
 constexpr Duration maxCopyAge = 10s;
+/// A call for the keeper shows that the caller's list is another one only if the list here is older than this.
+constexpr Duration minHintAge = 1s;
 constexpr Duration tick = 1s;
 /// Without an event for this time, in spite of the ticks, the process was paused.
 constexpr Duration minPause = 3s;
@@ -266,7 +268,7 @@
 {
     QuotaCall call { ++m_lastSequence, {} };
     for (const auto& it : teams)
-        m_client.appendWishes(it.team, now, call.wishes);
+        m_client.appendWishes(it.team, it.choice != Choice::Standby, now, call.wishes);
     m_client.m_counters.asked += teams.size();
     const auto timeout = m_backoff.hasAnswered(instance) ? replyTimeout : firstReplyTimeout;
     Call sent { instance, now, now + timeout, false, std::move(teams) };
@@ -281,6 +283,10 @@
     observe(now);
     m_claims.onSignOfLife(from, now);
     actions.emplace_back(AnswerCall { from, answerFor(call, now) });
+    if (!isNamedByLaterList(call, now))
+        return;
+    m_claims.requireListing();
+    flushClaims(now, actions);
 }
 
 QuotaReply QuotaEngine::answerFor(const QuotaCall& call, TimePoint now)
@@ -288,6 +294,13 @@
     return m_wasPaused ? QuotaReply { call.sequence, {} } : m_keeper.answer(call, now);
 }
 
+bool QuotaEngine::isNamedByLaterList(const QuotaCall& call, TimePoint now) const
+{
+    if (now < m_listedAt + minHintAge)
+        return false;
+    return std::any_of(call.wishes.begin(), call.wishes.end(), [&](const auto& it) { return it.isForKeeper && m_client.contains(it.team) && !m_claims.has({ it.team, QuotaRole::Keeper }, now); });
+}
+
 void QuotaEngine::onReply(const InstanceName& from, const QuotaReply& reply, TimePoint now, QuotaActions& actions)
 {
     observe(now);
--- a/src/admission/quota_engine.h
+++ b/src/admission/quota_engine.h
@@ -98,6 +98,8 @@
     void choose(const TeamName&, Choice from, TimePoint, AskedByInstance&, QuotaActions&);
     void send(const InstanceName&, std::vector<AskedTeam>, TimePoint, QuotaActions&);
     QuotaReply answerFor(const QuotaCall&, TimePoint);
+    /// Whether the caller takes this instance for a keeper that it isn't, by a list that this one should read too.
+    bool isNamedByLaterList(const QuotaCall&, TimePoint) const;
     void applyReply(const Call&, const QuotaReply&, TimePoint, QuotaActions&);
     void fail(std::uint64_t sequence, TimePoint, QuotaActions&);
     void passOver(const std::vector<AskedTeam>&, TimePoint, QuotaActions&);
--- a/src/admission/quota_keeper.cpp
+++ b/src/admission/quota_keeper.cpp
@@ -125,7 +125,7 @@
     QuotaReply reply { call.sequence, {} };
     for (const auto& wish : call.wishes) {
         const auto it = m_quotas.find(wish.team);
-        if (it == m_quotas.end())
+        if (it == m_quotas.end() || (wish.isForKeeper && !it->second.keeper))
             continue;
         auto& quota = it->second.keeper ? *it->second.keeper : *it->second.standby;
         if (quota.capacity() < 1)
--- a/src/admission/quota_message.h
+++ b/src/admission/quota_message.h
@@ -13,6 +13,7 @@
 struct QuotaWish {
     TeamName team;
     std::uint32_t requests = 0;
+    bool isForKeeper = false; ///< An instance that only stands by answers as if it didn't know the team.
 
     friend bool operator==(const QuotaWish&, const QuotaWish&) = default;
 };
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -298,6 +298,8 @@
             QuotaWish wish;
             wish.team = it.team.value();
             wish.requests = toSigned(it.requests);
+            if (it.isForKeeper)
+                wish.__set_isForKeeper(true);
             body.wishes.push_back(std::move(wish));
         }
         out.__set_quotaCall(body);
--- a/src/wire/convert_from.cpp
+++ b/src/wire/convert_from.cpp
@@ -274,7 +274,7 @@
     lycheefield::QuotaCall out;
     out.sequence = Reader::number(in.sequence);
     for (auto& it : in.wishes)
-        out.wishes.push_back({ TeamName(reader.name(it.team, "team")), reader.count(it.requests, "requests") });
+        out.wishes.push_back({ TeamName(reader.name(it.team, "team")), reader.count(it.requests, "requests"), it.isForKeeper });
     return out;
 }
 
--- a/src/wire/inner.thrift
+++ b/src/wire/inner.thrift
@@ -217,6 +217,7 @@
 struct QuotaWish {
     1: required string team
     2: required i32 requests
+    3: optional bool isForKeeper = false // An instance that only stands by gives no grant.
 }
 
 // Asks the instance that keeps the quotas of these teams for permits.
--- a/tests/admission/quota_engine_test.cpp
+++ b/tests/admission/quota_engine_test.cpp
@@ -82,7 +82,7 @@
     Asker asker;
     asker.request();
     REQUIRE(asker.asks(asker.ranked[0]));
-    CHECK(asker.call.wishes == std::vector<QuotaWish> { { asker.team, 1 } });
+    CHECK(asker.call.wishes == std::vector<QuotaWish> { { asker.team, 1, true } });
 
     SUBCASE("requests that come meanwhile wait without another call, which follows for all of them")
     {
--- a/tests/admission/quota_fleet_test.cpp
+++ b/tests/admission/quota_fleet_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace lycheefield;
 
 TEST_SUITE_BEGIN("quota");
@@ -29,4 +31,29 @@
     }
 }
 
+TEST_CASE("while instances are added or stopped calmly a team's quota stays used")
+{
+    constexpr std::uint64_t seeds = 40;
+    constexpr double minShare = 0.99;
+    constexpr double minShareOfHotTeam = 0.95;
+    for (const auto fault : { QuotaFault::InstancesAdded, QuotaFault::PlannedStops }) {
+        for (const auto demand : { QuotaDemand::Even, QuotaDemand::Hot }) {
+            double admitted = 0;
+            double allowed = 0;
+            double worst = 1;
+            for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+                QuotaFleet fleet(fault, demand, seed);
+                fleet.run();
+                admitted += static_cast<double>(fleet.admitted());
+                allowed += static_cast<double>(fleet.allowed());
+                worst = std::min(worst, fleet.worstShare());
+            }
+            CAPTURE(toString(fault));
+            CAPTURE(toString(demand));
+            CHECK(admitted >= minShare * allowed);
+            CHECK(worst >= (demand == QuotaDemand::Hot ? minShareOfHotTeam : 0.9));
+        }
+    }
+}
+
 TEST_SUITE_END();
--- a/tests/admission/quota_keeper_test.cpp
+++ b/tests/admission/quota_keeper_test.cpp
@@ -92,6 +92,8 @@
         keeper.start({ team, QuotaRole::Standby }, quotaLimitsOf({ team, 0, 10, 20 }, settings), {}, start);
         CHECK(ask(100, start + 60s).permits == 3);
         CHECK(ask(100, start + 65s).permits == 3);
+        // Otherwise callers took its few permits for the keeper's, while another instance still had that role.
+        CHECK(keeper.answer({ 1, { { team, 1, true } } }, start + 70s).grants.empty());
     }
     SUBCASE("a standby without slack grants nothing and tells so")
     {
--- a/tests/wire/search_codec_test.cpp
+++ b/tests/wire/search_codec_test.cpp
@@ -188,7 +188,7 @@
     }
     SUBCASE("quota messages keep their teams and numbers")
     {
-        const QuotaCall call { 9, { { TeamName("desk"), 12 }, { TeamName("vans"), 0 } } };
+        const QuotaCall call { 9, { { TeamName("desk"), 12, true }, { TeamName("vans"), 0 } } };
         const QuotaReply reply { 9, { { TeamName("desk"), 10, 300ms, 25ms }, { TeamName("vans"), 0, 0ms, 0ms } } };
         CHECK(std::get<QuotaCall>(roundTrip(call).value()) == call);
         CHECK(std::get<QuotaReply>(roundTrip(reply).value()) == reply);
