--- a/src/admission/quota_engine.cpp
+++ b/src/admission/quota_engine.cpp
@@ -102,7 +102,7 @@
         m_claims.giveUp(it, now);
         m_lastGranters.erase(it);
     }
-    m_claims.setWanted(wantedRoles());
+    m_claims.setWanted(resigned(), wantedRoles());
     flushClaims(now, actions);
 }
 
@@ -119,10 +119,7 @@
     // A resignation ends with the process.
     std::erase_if(m_resigned, [&](const auto& it) { return std::none_of(m_instances.begin(), m_instances.end(), [&](const auto& listed) { return listed.name == it.first && listed.life == it.second; }); });
     const auto wanted = rank();
-    std::set<InstanceName> resigned;
-    for (const auto& [name, life] : m_resigned)
-        resigned.insert(name);
-    m_claims.setListing(listing, resigned, wanted, now);
+    m_claims.setListing(listing, resigned(), wanted, now);
     flushClaims(now, actions);
 }
 
@@ -135,6 +132,14 @@
     return wantedRoles();
 }
 
+std::set<InstanceName> QuotaEngine::resigned() const
+{
+    std::set<InstanceName> names;
+    for (const auto& [name, life] : m_resigned)
+        names.insert(name);
+    return names;
+}
+
 std::set<TeamRole> QuotaEngine::wantedRoles() const
 {
     std::set<TeamRole> wanted;
@@ -169,7 +174,8 @@
 {
     observe(now);
     m_resigned[from] = resignation.life;
-    m_claims.setWanted(rank());
+    const auto wanted = rank();
+    m_claims.setWanted(resigned(), wanted);
     flushClaims(now, actions);
 }
 
@@ -178,7 +184,7 @@
     observe(now);
     m_isResigning = true;
     const bool hasRoles = m_claims.hasAny();
-    m_claims.setWanted({});
+    m_claims.setWanted(resigned(), {});
     for (const auto& it : hasRoles ? m_claims.others() : std::vector<InstanceName>())
         actions.emplace_back(AnnounceResignation { it });
     flushClaims(now, actions);
--- a/src/admission/quota_engine.h
+++ b/src/admission/quota_engine.h
@@ -90,6 +90,7 @@
     void flushClaims(TimePoint, QuotaActions&);
     /// Ranks the instances without those that have resigned. Returns the roles that this one is to have.
     std::set<TeamRole> rank();
+    std::set<InstanceName> resigned() const;
     std::set<TeamRole> wantedRoles() const;
     /// The instance to turn to for this role; null: there is none.
     const InstanceName* instanceFor(const TeamRole&, TimePoint) const;
--- a/src/admission/role_claims.cpp
+++ b/src/admission/role_claims.cpp
@@ -80,7 +80,7 @@
     // A copy from before this process started may lack what an earlier process of this instance has answered.
     if (listing.isLatest || m_seen)
         m_seen = { listing.revision, hashOf(listing.instances) };
-    setWanted(wanted);
+    setWanted(resigned, wanted);
     const bool isMissing = listing.isLatest && !listing.holdsSelf && m_basis && listing.revision.epoch == m_basis->revision.epoch;
     if (isMissing)
         giveUpAll(now);
@@ -101,9 +101,9 @@
     wakeBy(now);
 }
 
-void RoleClaims::setWanted(const std::set<TeamRole>& wanted)
+void RoleClaims::setWanted(const std::set<InstanceName>& resigned, const std::set<TeamRole>& wanted)
 {
-    m_wanted = wanted;
+    m_resigned = resigned;
     // A role that another instance is to have is kept until that one claims it.
     std::erase_if(m_claims, [&](const auto& it) { return !it.second.isHeld && !wanted.contains(it.first); });
     for (auto& [role, claim] : m_claims)
@@ -113,7 +113,7 @@
 
 void RoleClaims::claim(const TeamRole& role, const Basis& earlier, TimePoint now)
 {
-    if (!m_fences.admits(role, m_basis->revision, m_self, now)) {
+    if (!admits(role, m_basis->revision, m_self, now)) {
         m_needsListing = true;
         return;
     }
@@ -136,6 +136,19 @@
     complete(role, claim, now);
 }
 
+bool RoleClaims::admits(const TeamRole& role, const StoreRevision& revision, const InstanceName& claimant, TimePoint now) const
+{
+    if (m_fences.admits(role, revision, claimant, now))
+        return true;
+    const auto* fence = m_fences.find(role, now);
+    if (revision != fence->revision)
+        return false;
+    // The list that named the other claimant names this one too, as the other one is about to end or is not to have the role any longer.
+    const auto own = m_claims.find(role);
+    const bool isGivenUp = fence->claimant == m_self && own != m_claims.end() && own->second.isHeld && !own->second.isWanted;
+    return isGivenUp || m_resigned.contains(fence->claimant);
+}
+
 void RoleClaims::await(Claim& claim, const InstanceName& name, TimePoint now)
 {
     // One that is awaited already had no list to act on since then that lacks this instance.
@@ -175,13 +188,13 @@
 RoleAnswer RoleClaims::answer(const InstanceName& from, const TeamRole& role, const RoleClaim& claim, TimePoint now)
 {
     RoleAnswer answer { role, RoleVerdict::Free, {}, m_fences.claimants(role, from, now) };
-    if (!m_fences.admits(role, claim.revision, from, now)) {
+    const auto own = m_claims.find(role);
+    const bool isHeld = own != m_claims.end() && own->second.isHeld;
+    if (!admits(role, claim.revision, from, now)) {
         answer.verdict = RoleVerdict::Outdated;
         return answer;
     }
     m_fences.record(role, { claim.revision, from, now });
-    const auto own = m_claims.find(role);
-    const bool isHeld = own != m_claims.end() && own->second.isHeld;
     if (own != m_claims.end())
         m_claims.erase(own);
     if (isHeld) {
--- a/src/admission/role_claims.h
+++ b/src/admission/role_claims.h
@@ -51,8 +51,8 @@
 
     /// Sets the roles that this instance is to have by the listing. resigned: instances in it that are about to end.
     void setListing(const InstanceListing&, const std::set<InstanceName>& resigned, const std::set<TeamRole>& wanted, TimePoint);
-    /// Changes the wanted roles, by the listing that was set last.
-    void setWanted(const std::set<TeamRole>&);
+    /// Changes the instances that are about to end and the wanted roles, by the listing that was set last.
+    void setWanted(const std::set<InstanceName>& resigned, const std::set<TeamRole>&);
 
     /// Gives up the roles for a team that is no longer known.
     void giveUp(const TeamName&, TimePoint);
@@ -125,6 +125,8 @@
     static bool isGrowth(const Basis& earlier, const Basis& later);
     /// Claims the role by the present basis.
     void claim(const TeamRole&, const Basis& earlier, TimePoint);
+    /// Whether the role may be claimed by the list of that revision, as far as this process knows.
+    bool admits(const TeamRole&, const StoreRevision&, const InstanceName& claimant, TimePoint) const;
     void await(Claim&, const InstanceName&, TimePoint);
     void complete(const TeamRole&, Claim&, TimePoint);
     RoleAnswer answer(const InstanceName& from, const TeamRole&, const RoleClaim&, TimePoint);
@@ -140,7 +142,7 @@
     std::optional<Basis> m_basis;
     std::optional<Seen> m_seen; ///< Empty: this process has read no latest list yet.
     bool m_needsListing = false;
-    std::set<TeamRole> m_wanted;
+    std::set<InstanceName> m_resigned;
     std::map<TeamRole, Claim> m_claims;
     std::map<InstanceName, Peer> m_peers; ///< To which claims are to be sent.
     std::uint64_t m_lastSequence;
--- a/tests/admission/quota_fleet.cpp
+++ b/tests/admission/quota_fleet.cpp
@@ -60,7 +60,7 @@
     , m_demand(demand)
     , m_random(seed)
     , m_requestTime(fault == QuotaFault::ListsLate || fault == QuotaFault::StoreRestored || fault == QuotaFault::Several ? longRequestTime : requestTime)
-    , m_store(m_now)
+    , m_store(m_now, seed / quotaFaults % 2 == 0)
 {
     for (std::size_t i = 0; i < teamCount; ++i) {
         TeamRecord team;
--- a/tests/admission/quota_store.cpp
+++ b/tests/admission/quota_store.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// Others write to the store too, so that its revision rises.
+/// The time between two writes of others.
 constexpr Duration otherWrites = std::chrono::milliseconds(5);
 
 }
@@ -47,7 +47,7 @@
     const auto after = std::find_if(m_states.begin(), m_states.end(), [&](const State& it) { return it.since > time; });
     const auto& state = after == m_states.begin() ? *after : *std::prev(after);
     auto nodes = state.nodes;
-    if (time > state.since)
+    if (!m_isQuiet && time > state.since)
         nodes.revision.number += static_cast<std::uint64_t>((time - state.since) / otherWrites);
     return nodes;
 }
--- a/tests/admission/quota_store.h
+++ b/tests/admission/quota_store.h
@@ -21,7 +21,12 @@
 /// The platform's store in a test: gives out copies from some seconds ago, and can come back from one.
 class QuotaStore {
 public:
-    explicit QuotaStore(TimePoint now) { m_states.push_back({ now, { { 1, 1 }, {} } }); }
+    /// isQuiet: nobody else writes to it, so that its revision rises with the nodes' writes only.
+    QuotaStore(TimePoint now, bool isQuiet)
+        : m_isQuiet(isQuiet)
+    {
+        m_states.push_back({ now, { { 1, 1 }, {} } });
+    }
 
     void write(std::size_t node, std::uint64_t life, TimePoint);
     void remove(std::size_t node, TimePoint);
@@ -40,6 +45,7 @@
 
     void change(StoredNodes, TimePoint);
 
+    bool m_isQuiet;
     std::deque<State> m_states;
 };
 
--- a/tests/admission/role_claims_test.cpp
+++ b/tests/admission/role_claims_test.cpp
@@ -34,6 +34,7 @@
 struct Processes {
     std::map<InstanceName, std::unique_ptr<Process>> running;
     std::set<InstanceName> cutOff;
+    std::set<InstanceName> resigned;
     TimePoint now { 1000s };
     std::uint64_t epoch = 1;
     std::uint64_t starts = 0;
@@ -56,7 +57,7 @@
         auto listing = latestListing(instances, now);
         listing.revision.epoch = epoch;
         listing.holdsSelf = names.contains(name);
-        running.at(InstanceName(name))->claims.setListing(listing, {}, isWanted ? std::set<TeamRole> { keeper } : std::set<TeamRole>(), now);
+        running.at(InstanceName(name))->claims.setListing(listing, resigned, isWanted ? std::set<TeamRole> { keeper } : std::set<TeamRole>(), now);
         exchange();
     }
     void pass(Duration time)
@@ -175,6 +176,24 @@
         CHECK(fleet.holders() == "c");
         CHECK(fleet.running.at(InstanceName("c"))->permits == 7);
     }
+    // Otherwise a quiet store, whose revision doesn't rise, left the team without a keeper after a planned stop.
+    SUBCASE("a process that is about to end hands the role over by the list on which it rests itself, to one successor only")
+    {
+        fleet.list("c", { "a", "b", "c" }, true);
+        const auto listedAt = fleet.now;
+        fleet.running.at(InstanceName("c"))->claims.setWanted({}, {});
+        for (const auto* it : { "a", "b" })
+            fleet.running.at(InstanceName(it))->claims.setWanted({ InstanceName("c") }, {});
+        fleet.resigned = { InstanceName("c") };
+        fleet.pass(1s);
+        const auto now = std::exchange(fleet.now, listedAt);
+        fleet.list("a", { "a", "b", "c" }, true);
+        CHECK(fleet.holders() == "a");
+        fleet.list("b", { "a", "b", "c" }, true);
+        fleet.now = now;
+        fleet.pass(3s);
+        CHECK(fleet.holders() == "a");
+    }
     SUBCASE("a process that ended without a word is waited for until its lists have ended")
     {
         fleet.running.erase(InstanceName("c"));
