--- a/src/admission/role_claims.cpp
+++ b/src/admission/role_claims.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <bit>
+#include <cstddef>
+#include <iterator>
 #include <utility>
 
 namespace lycheefield {
@@ -18,6 +20,8 @@
 constexpr Duration minResend = 100ms;
 constexpr Duration maxResend = 2s;
 constexpr double resendGrowth = 1.5;
+/// Far below the number of items that a message may have.
+constexpr std::ptrdiff_t maxRolesInClaim = 1000;
 
 }
 
@@ -119,13 +123,15 @@
     }
     const auto [it, isNew] = m_claims.try_emplace(role);
     auto& claim = it->second;
-    if (isNew)
+    if (isNew || !claim.revision)
         claim.firstSequence = m_lastSequence + 1;
     claim.answered.clear();
     // One that the list no longer holds has not refreshed its object for longer than its roles last, unless the store has lost the object.
     const bool isSameEpoch = earlier.revision.epoch == m_basis->revision.epoch;
     std::erase_if(claim.awaited, [&](const auto& it) { return isSameEpoch && earlier.others.contains(it.first) && !m_basis->others.contains(it.first); });
-    const bool asksAll = isNew || !isGrowth(earlier, *m_basis);
+    // Those that an earlier list had in addition are asked only if the role was claimed by that list too.
+    const bool asksAll = claim.revision != earlier.revision || !isGrowth(earlier, *m_basis);
+    claim.revision = m_basis->revision;
     for (const auto& [name, member] : m_basis->others) {
         if (asksAll || !earlier.others.contains(name))
             await(claim, name, now);
@@ -167,7 +173,8 @@
 
 void RoleClaims::complete(const TeamRole& role, Claim& claim, TimePoint now)
 {
-    if (!claim.awaited.empty() || !claim.isWanted || now >= m_basis->validUntil)
+    const bool isClaimed = claim.isWanted && claim.revision == m_basis->revision;
+    if (!isClaimed || !claim.awaited.empty() || now >= m_basis->validUntil)
         return;
     if (!claim.isHeld)
         gain(role, claim, {}, now);
@@ -258,7 +265,7 @@
         m_needsListing = true;
         return;
     }
-    if (answer.verdict == RoleVerdict::Released && !claim.isHeld && now < m_basis->validUntil)
+    if (answer.verdict == RoleVerdict::Released && !claim.isHeld && claim.revision && now < m_basis->validUntil)
         gain(answer.role, claim, answer.credit, now);
     const auto awaited = claim.awaited.find(from);
     if (awaited != claim.awaited.end() && sequence >= awaited->second.firstSequence) {
@@ -286,7 +293,10 @@
         }
         m_events.onRoleLost(role, now);
         m_needsListing = m_needsListing || claim.isWanted;
-        it = m_claims.erase(it);
+        // Others may have gained the role without an answer from here. Those that are awaited already had time to answer since they were first asked.
+        claim.isHeld = false;
+        claim.revision.reset();
+        it = claim.isWanted ? std::next(it) : m_claims.erase(it);
     }
     updateWake();
 }
@@ -320,12 +330,15 @@
     for (auto& [name, peer] : m_peers) {
         if (now < peer.dueAt)
             continue;
-        auto roles = rolesAwaitedFrom(name);
+        const auto roles = rolesAwaitedFrom(name);
         const bool isRepeat = peer.backoff > minResend;
         peer.dueAt = roles.empty() ? never : now + peer.backoff;
         peer.backoff = std::min(maxResend, scaled(peer.backoff, resendGrowth));
-        if (!roles.empty())
-            due.push_back({ name, { ++m_lastSequence, m_basis->revision, m_basis->membersHash, std::move(roles) }, isRepeat });
+        for (auto from = roles.begin(); from != roles.end();) {
+            const auto end = from + std::min<std::ptrdiff_t>(maxRolesInClaim, roles.end() - from);
+            due.push_back({ name, { ++m_lastSequence, m_basis->revision, m_basis->membersHash, { from, end } }, isRepeat });
+            from = end;
+        }
     }
     if (now >= m_wake)
         updateWake();
--- a/src/admission/role_claims.h
+++ b/src/admission/role_claims.h
@@ -111,6 +111,7 @@
         bool isHeld = false;
         TimePoint heldUntil {};
         std::uint64_t firstSequence = 0;
+        std::optional<StoreRevision> revision; ///< Of the last list by which the role was claimed; empty: all have to be asked again.
         std::map<InstanceName, Awaited> awaited; ///< Whose answers the present listing still needs.
         std::set<InstanceName> answered; ///< Since the present listing.
     };
--- a/src/gateway/quota_driver.cpp
+++ b/src/gateway/quota_driver.cpp
@@ -6,6 +6,13 @@
 
 namespace lycheefield {
 
+namespace {
+
+/// Lines about roles that change at the same time; a fleet may have thousands of teams.
+constexpr std::uint32_t maxRoleLines = 200;
+
+}
+
 QuotaDriver::QuotaDriver(boost::asio::strand<boost::asio::io_context::executor_type>& strand, const Clock& clock, QuotaDecisionEvents& events, Metrics& metrics, DecisionLog& log, const InstanceName& self, const AdmissionSettings& settings)
     : m_clock(clock)
     , m_events(events)
@@ -93,6 +100,7 @@
 
 void QuotaDriver::execute(const QuotaActions& actions)
 {
+    m_roleLinesLeft = maxRoleLines;
     for (const auto& action : actions)
         std::visit([this](const auto& it) { execute(it); }, action);
     setTimer();
@@ -141,6 +149,10 @@
 
 void QuotaDriver::execute(const ReportRole& report)
 {
+    if (m_roleLinesLeft == 0)
+        return;
+    if (--m_roleLinesLeft == 0)
+        return m_log.write(LineImportance::State, m_clock.now(), "quota roles changed; further ones are not listed", {});
     const auto level = std::to_string(static_cast<std::int64_t>(report.credit.level));
     m_log.write(LineImportance::State, m_clock.now(), report.isGained ? "quota role gained" : "quota role lost",
         { { "team", report.role.team.value() }, { "role", toString(report.role.role) }, { "permits", level } });
--- a/src/gateway/quota_driver.h
+++ b/src/gateway/quota_driver.h
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
+#include <cstdint>
 #include <set>
 
 namespace lycheefield {
@@ -89,6 +90,7 @@
     QuotaEngine m_engine;
     boost::asio::steady_timer m_timer;
     TimePoint m_timerAt = never;
+    std::uint32_t m_roleLinesLeft = 0; ///< Of the actions being executed.
     std::set<InstanceName> m_connected; ///< Keepers to which a connection has been opened.
 };
 
--- a/tests/admission/role_claims_test.cpp
+++ b/tests/admission/role_claims_test.cpp
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 using namespace lycheefield;
 using namespace std::chrono_literals;
@@ -206,6 +207,19 @@
         fleet.pass(3s);
         CHECK(fleet.holders() == "a");
     }
+    SUBCASE("a role that ended for lack of a list is claimed from all again, as another process may have it by then")
+    {
+        fleet.cutOff.insert(InstanceName("c"));
+        for (int i = 0; i < 13; ++i) {
+            fleet.pass(10s);
+            fleet.list("a", { "a", "b", "c" }, true);
+        }
+        REQUIRE(fleet.holders() == "a");
+        fleet.cutOff = { InstanceName("a") };
+        fleet.list("c", { "a", "b", "c" }, true);
+        fleet.pass(5s);
+        CHECK(fleet.holders() == "a");
+    }
     SUBCASE("of two added at once, the one with the later list keeps the role, whoever claims first")
     {
         fleet.start("x");
@@ -223,4 +237,25 @@
     }
 }
 
+TEST_CASE("a claim of very many roles is sent in parts, as a message may not hold them all")
+{
+    constexpr std::size_t teams = 2500;
+    Processes fleet;
+    auto& process = fleet.start("a");
+    std::set<TeamRole> roles;
+    for (std::size_t i = 0; i < teams; ++i)
+        roles.insert({ TeamName("team" + std::to_string(i)), QuotaRole::Keeper });
+    std::vector<Instance> instances(2);
+    instances[0].name = InstanceName("a");
+    instances[1].name = InstanceName("b");
+    process.claims.setListing(latestListing(instances, fleet.now), {}, roles, fleet.now);
+    const auto due = process.claims.takeDue(fleet.now);
+    std::set<TeamRole> claimed;
+    for (const auto& it : due) {
+        CHECK(it.claim.roles.size() <= 1000);
+        claimed.insert(it.claim.roles.begin(), it.claim.roles.end());
+    }
+    CHECK(claimed == roles);
+}
+
 TEST_SUITE_END();
