--- a/src/admission/role_claims.cpp
+++ b/src/admission/role_claims.cpp
@@ -18,6 +18,8 @@
 constexpr Duration permitTime = 2s;
 /// An answer takes a round trip, and perhaps a new connection.
 constexpr Duration minResend = 100ms;
+/// A message that comes so soon after a claim doesn't show that the claim was lost.
+constexpr Duration minAnswerTime = 30ms;
 constexpr Duration maxResend = 2s;
 constexpr double resendGrowth = 1.5;
 /// Far below the number of items that a message may have.
@@ -159,7 +161,7 @@
 {
     // One that is awaited already had no list to act on since then that lacks this instance.
     claim.awaited.try_emplace(name, Awaited { now + roleLifetime + permitTime, m_lastSequence + 1 });
-    m_peers[name] = { now, minResend };
+    m_peers[name] = { now, minResend, {}, false };
     wakeBy(now);
 }
 
@@ -249,9 +251,9 @@
 void RoleClaims::onSignOfLife(const InstanceName& from, TimePoint now)
 {
     const auto peer = m_peers.find(from);
-    if (peer == m_peers.end() || peer->second.backoff <= 2 * minResend)
+    if (peer == m_peers.end() || now < peer->second.sentAt + minAnswerTime)
         return;
-    peer->second = { now, minResend };
+    peer->second = { now, minResend, {}, false };
     wakeBy(now);
 }
 
@@ -331,12 +333,13 @@
         if (now < peer.dueAt)
             continue;
         const auto roles = rolesAwaitedFrom(name);
-        const bool isRepeat = peer.backoff > minResend;
+        const bool usesOwnConnection = std::exchange(peer.usesOwnConnection, !peer.usesOwnConnection);
+        peer.sentAt = now;
         peer.dueAt = roles.empty() ? never : now + peer.backoff;
         peer.backoff = std::min(maxResend, scaled(peer.backoff, resendGrowth));
         for (auto from = roles.begin(); from != roles.end();) {
             const auto end = from + std::min<std::ptrdiff_t>(maxRolesInClaim, roles.end() - from);
-            due.push_back({ name, { ++m_lastSequence, m_basis->revision, m_basis->membersHash, { from, end } }, isRepeat });
+            due.push_back({ name, { ++m_lastSequence, m_basis->revision, m_basis->membersHash, { from, end } }, usesOwnConnection });
             from = end;
         }
     }
--- a/src/admission/role_claims.h
+++ b/src/admission/role_claims.h
@@ -27,7 +27,7 @@
 struct OutgoingClaim {
     InstanceName to;
     RoleClaim claim;
-    bool isRepeat = false; ///< An earlier one wasn't answered, perhaps because its connection is broken.
+    bool usesOwnConnection = false; ///< The last one wasn't answered, perhaps as it went out on a broken connection that the other instance had opened.
 
     friend bool operator==(const OutgoingClaim&, const OutgoingClaim&) = default;
 };
@@ -118,6 +118,8 @@
     struct Peer {
         TimePoint dueAt {};
         Duration backoff {};
+        TimePoint sentAt {};
+        bool usesOwnConnection = false; ///< Of the next claim; every second one does.
     };
 
     static std::uint64_t hashOf(const std::vector<Instance>&);
--- a/src/gateway/quota_driver.cpp
+++ b/src/gateway/quota_driver.cpp
@@ -121,11 +121,10 @@
 
 void QuotaDriver::execute(const SendClaim& action)
 {
-    const auto& [to, claim, isRepeat] = action.claim;
+    const auto& [to, claim, usesOwnConnection] = action.claim;
     if (!m_delegation)
         return;
-    // A connection that the other instance opened may be broken without a sign of it.
-    if (isRepeat && m_delegation->isPeer(to))
+    if (usesOwnConnection && m_delegation->isPeer(to))
         m_delegation->send(to, claim);
     else
         m_delegation->sendOnAnyConnection(to, claim);
