--- a/src/admission/quota_engine.cpp
+++ b/src/admission/quota_engine.cpp
@@ -19,7 +19,7 @@
 /// After a standby's denial for longer, the keeper may answer again.
 constexpr Duration maxStandbyDenial = 1s;
 /// An instance with an older list uses no permits of its own, as it may lack instances that use some.
-constexpr Duration maxOwnListAge = 110s;
+constexpr Duration maxOwnListAge = RoleClaims::roleLifetime;
 /// A list may be a copy from some seconds before it was asked for.
 constexpr Duration maxCopyAge = 10s;
 /// A call for the keeper shows that the caller's list is another one only if the list here is older than this.
@@ -183,10 +183,12 @@
 {
     observe(now);
     m_isResigning = true;
-    const bool hasRoles = m_claims.hasAny();
     m_claims.setWanted(resigned(), {});
-    for (const auto& it : hasRoles ? m_claims.others() : std::vector<InstanceName>())
-        actions.emplace_back(AnnounceResignation { it });
+    // Also without a role: it may be the next in line for one.
+    for (const auto& it : m_instances) {
+        if (hasQuotas() && it.name != m_self)
+            actions.emplace_back(AnnounceResignation { it.name });
+    }
     flushClaims(now, actions);
 }
 
--- a/src/admission/role_claims.cpp
+++ b/src/admission/role_claims.cpp
@@ -40,16 +40,6 @@
     return it != m_claims.end() && it->second.isHeld && now < it->second.heldUntil;
 }
 
-std::vector<InstanceName> RoleClaims::others() const
-{
-    std::vector<InstanceName> names;
-    if (m_basis) {
-        for (const auto& [name, member] : m_basis->others)
-            names.push_back(name);
-    }
-    return names;
-}
-
 std::uint64_t RoleClaims::hashOf(const std::vector<Instance>& instances)
 {
     std::uint64_t hash = 0;
@@ -96,7 +86,7 @@
     if (!canClaim)
         return;
     m_needsListing = false;
-    Basis basis { listing.revision, hashOf(listing.instances), membersOf(listing, resigned, m_self), std::min(listing.askedAt + roleLifetime, listing.listedUntil) };
+    Basis basis { listing.revision, hashOf(listing.instances), membersOf(listing, resigned, m_self), listing.askedAt, std::min(listing.askedAt + roleLifetime, listing.listedUntil) };
     const auto earlier = m_basis ? std::exchange(*m_basis, std::move(basis)) : m_basis.emplace(std::move(basis));
     for (const auto& it : wanted)
         claim(it, earlier, now);
@@ -128,22 +118,32 @@
     if (isNew || !claim.revision)
         claim.firstSequence = m_lastSequence + 1;
     claim.answered.clear();
-    // One that the list no longer holds has not refreshed its object for longer than its roles last, unless the store has lost the object.
-    const bool isSameEpoch = earlier.revision.epoch == m_basis->revision.epoch;
-    std::erase_if(claim.awaited, [&](const auto& it) { return isSameEpoch && earlier.others.contains(it.first) && !m_basis->others.contains(it.first); });
-    // Those that an earlier list had in addition are asked only if the role was claimed by that list too.
-    const bool asksAll = claim.revision != earlier.revision || !isGrowth(earlier, *m_basis);
+    // A wait rests on lists that have held this instance ever since, one after the other: the silent instance has read them too, or none.
+    const bool isContinued = claim.revision == earlier.revision && earlier.revision.epoch == m_basis->revision.epoch && now < earlier.validUntil;
+    if (isContinued)
+        endWaits(claim, earlier);
+    else
+        claim.awaited.clear();
+    const bool asksAll = !isContinued || !isGrowth(earlier, *m_basis);
     claim.revision = m_basis->revision;
     for (const auto& [name, member] : m_basis->others) {
         if (asksAll || !earlier.others.contains(name))
             await(claim, name, now);
     }
-    for (const auto& it : claim.isHeld ? std::vector<InstanceName>() : m_fences.claimants(role, m_self, now))
+    const bool asksClaimants = !isContinued && !claim.isHeld;
+    for (const auto& it : asksClaimants ? m_fences.claimants(role, m_self, now) : std::vector<InstanceName>())
         await(claim, it, now);
     m_fences.record(role, { m_basis->revision, m_self, now });
     complete(role, claim, now);
 }
 
+void RoleClaims::endWaits(Claim& claim, const Basis& earlier) const
+{
+    // One that the list no longer holds has not refreshed its object for longer than its roles last.
+    const auto isDropped = [&](const InstanceName& name) { return earlier.others.contains(name) && !m_basis->others.contains(name); };
+    std::erase_if(claim.awaited, [&](const auto& it) { return isDropped(it.first) || m_basis->askedAt >= it.second.lapsesAt; });
+}
+
 bool RoleClaims::admits(const TeamRole& role, const StoreRevision& revision, const InstanceName& claimant, TimePoint now) const
 {
     if (m_fences.admits(role, revision, claimant, now))
@@ -159,7 +159,6 @@
 
 void RoleClaims::await(Claim& claim, const InstanceName& name, TimePoint now)
 {
-    // One that is awaited already had no list to act on since then that lacks this instance.
     claim.awaited.try_emplace(name, Awaited { now + roleLifetime + permitTime, m_lastSequence + 1 });
     m_peers[name] = { now, minResend, {}, false };
     wakeBy(now);
@@ -287,23 +286,23 @@
         return;
     for (auto it = m_claims.begin(); it != m_claims.end();) {
         auto& [role, claim] = *it;
-        std::erase_if(claim.awaited, [&](const auto& awaited) { return now >= awaited.second.lapsesAt; });
-        complete(role, claim, now);
+        const bool isWaitOver = std::any_of(claim.awaited.begin(), claim.awaited.end(), [&](const auto& awaited) { return now >= awaited.second.lapsesAt; });
+        m_needsListing = m_needsListing || (claim.isWanted && isWaitOver);
         if (!claim.isHeld || now < claim.heldUntil) {
             ++it;
             continue;
         }
         m_events.onRoleLost(role, now);
         m_needsListing = m_needsListing || claim.isWanted;
-        // Others may have gained the role without an answer from here. Those that are awaited already had time to answer since they were first asked.
+        // Others may have gained the role without an answer from here.
         claim.isHeld = false;
         claim.revision.reset();
         it = claim.isWanted ? std::next(it) : m_claims.erase(it);
     }
-    updateWake();
+    updateWake(now);
 }
 
-void RoleClaims::updateWake()
+void RoleClaims::updateWake(TimePoint now)
 {
     m_wake = never;
     for (const auto& [name, peer] : m_peers)
@@ -312,7 +311,7 @@
         if (claim.isHeld)
             wakeBy(claim.heldUntil);
         for (const auto& [name, awaited] : claim.awaited)
-            wakeBy(awaited.lapsesAt);
+            wakeBy(now < awaited.lapsesAt ? awaited.lapsesAt : never);
     }
 }
 
@@ -344,7 +343,7 @@
         }
     }
     if (now >= m_wake)
-        updateWake();
+        updateWake(now);
     return due;
 }
 
--- a/src/admission/role_claims.h
+++ b/src/admission/role_claims.h
@@ -35,7 +35,8 @@
 /// Decides which roles this process has, so that no two processes of the fleet have the same one at the same time.
 ///
 /// A process that a list names for a role claims it from all instances in the list. It gains the role as soon as the process that has it
-/// gives it up, or all have answered that they don't. One that doesn't answer is waited for until each list that it may act on has ended.
+/// gives it up, or all have answered that they don't. One that doesn't answer is waited for until each list that it may act on has ended, as a
+/// list shows that was asked for afterwards; the wait starts again when the store's epoch changes or this process is without a list.
 /// A process whose object has left the store in the same epoch gives up its roles, as others don't ask it any more.
 /// A role rests on the list by which it was claimed and ends with it (roleLifetime) unless a later list confirms it; instances that the later list
 /// has in addition are asked first.
@@ -77,8 +78,6 @@
     void requireListing() { m_needsListing = true; }
     /// The latest claim of the role that this process knows of; null: none.
     const RoleFence* claimOf(const TeamRole& role, TimePoint now) const { return m_fences.find(role, now); }
-    /// The other instances in the listing by which this process claims.
-    std::vector<InstanceName> others() const;
 
     /// A role ends so long after the list on which it rests was asked for: before others, who count an instance for 180 s after its last refresh, drop it.
     static constexpr Duration roleLifetime = std::chrono::seconds(110);
@@ -95,6 +94,7 @@
         StoreRevision revision;
         std::uint64_t membersHash = 0;
         std::map<InstanceName, Member> others;
+        TimePoint askedAt {};
         TimePoint validUntil {};
     };
     /// The last listing, whether this process claims by it or not.
@@ -130,6 +130,8 @@
     void claim(const TeamRole&, const Basis& earlier, TimePoint);
     /// Whether the role may be claimed by the list of that revision, as far as this process knows.
     bool admits(const TeamRole&, const StoreRevision&, const InstanceName& claimant, TimePoint) const;
+    /// Ends the waits for silent instances that can't have the role by now.
+    void endWaits(Claim&, const Basis& earlier) const;
     void await(Claim&, const InstanceName&, TimePoint);
     void complete(const TeamRole&, Claim&, TimePoint);
     RoleAnswer answer(const InstanceName& from, const TeamRole&, const RoleClaim&, TimePoint);
@@ -137,7 +139,7 @@
     void gain(const TeamRole&, Claim&, const QuotaCredit&, TimePoint);
     std::vector<TeamRole> rolesAwaitedFrom(const InstanceName&) const;
     void wakeBy(TimePoint time) { m_wake = std::min(m_wake, time); }
-    void updateWake();
+    void updateWake(TimePoint);
 
     InstanceName m_self;
     RoleEvents& m_events;
--- a/src/wire/peer_server.h
+++ b/src/wire/peer_server.h
@@ -22,7 +22,6 @@
 
     /// Listens on the endpoint; port 0 lets the kernel choose. Returns the bound endpoint. Call until it succeeds once.
     Result<Endpoint> listen(const Endpoint&);
-    /// Sends over the peer's newest connection; drops the message when there is none.
     /// Returns the newest connection that the peer opened; null when there is none.
     std::shared_ptr<FrameSession> sessionOf(const InstanceName& peer);
     void close();
--- a/tests/admission/quota_engine_test.cpp
+++ b/tests/admission/quota_engine_test.cpp
@@ -247,6 +247,15 @@
     }
 }
 
+// Otherwise the team had no keeper when the ones before it in the ranking stopped too: nobody knew that the next in line had gone.
+TEST_CASE("an instance without a role resigns too")
+{
+    Asker asker;
+    asker.actions.clear();
+    asker.engine->resign(asker.now, asker.actions);
+    CHECK(asker.count<AnnounceResignation>() == 2);
+}
+
 TEST_CASE("a keeper grants only while no other instance can")
 {
     Asker asker;
@@ -310,6 +319,8 @@
             list(latestListing(asker.instances, now));
         }
         pass(3s);
+        CHECK(permits() == -1);
+        list(latestListing(asker.instances, now));
         CHECK(permits() >= 0);
     }
     SUBCASE("a list that may be old, or doesn't hold the process, gives it no role")
--- a/tests/admission/role_claims_test.cpp
+++ b/tests/admission/role_claims_test.cpp
@@ -205,6 +205,37 @@
         }
         CHECK(fleet.holders().empty());
         fleet.pass(3s);
+        CHECK(fleet.holders().empty());
+        // Only a list that was read afterwards shows that the store has not lost this process meanwhile.
+        fleet.list("a", { "a", "b", "c" }, true);
+        CHECK(fleet.holders() == "a");
+    }
+    // Otherwise the silent process could act on lists that lack this one, or have gained the role by the same wait.
+    SUBCASE("a wait for a silent process starts again")
+    {
+        fleet.running.erase(InstanceName("c"));
+        fleet.list("a", { "a", "b", "c" }, true);
+
+        SUBCASE("when the store has come back from an older copy")
+        {
+            for (int i = 0; i < 10; ++i) {
+                fleet.pass(10s);
+                fleet.list("a", { "a", "b", "c" }, true);
+            }
+            fleet.epoch = 2;
+        }
+        SUBCASE("when this process has been without a list")
+        {
+            fleet.pass(300s);
+        }
+        fleet.list("a", { "a", "b", "c" }, true);
+        for (int i = 0; i < 11; ++i) {
+            fleet.pass(10s);
+            fleet.list("a", { "a", "b", "c" }, true);
+            CHECK(fleet.holders().empty());
+        }
+        fleet.pass(3s);
+        fleet.list("a", { "a", "b", "c" }, true);
         CHECK(fleet.holders() == "a");
     }
     SUBCASE("a role that ended for lack of a list is claimed from all again, as another process may have it by then")
