--- a/tests/adapter/instance_feed_test.cpp
+++ b/tests/adapter/instance_feed_test.cpp
@@ -72,6 +72,18 @@
 
 }
 
+// A first list that failed was repeated 1.5 s later, and all keepers of a fleet that had been restarted waited for that instance.
+TEST_CASE("A first list of the instances that fails is repeated soon, and later ones at their period" * doctest::test_suite("adapter"))
+{
+    using namespace std::chrono_literals;
+    CHECK(countDelay(0, 1) == 100ms);
+    CHECK(countDelay(0, 3) == 400ms);
+    CHECK(countDelay(0, 1000) == 1500ms);
+    CHECK(countDelay(1, 0) == 1500ms);
+    CHECK(countDelay(2, 0) == 10s);
+    CHECK(countDelay(2, 5) == 10s);
+}
+
 TEST_CASE("An instance writes its object again when the store comes back from an older copy" * doctest::test_suite("adapter"))
 {
     const WireCallers callers;
