--- a/review/standin-3/kit.h
+++ b/review/standin-3/kit.h
@@ -304,13 +304,25 @@
 /// The platform's metadata store, as PROTOCOL.md describes it, with the header Store-Era and the return from a copy.
 class Store {
 public:
-    Store()
-        : m_listener("127.0.0.1", [this](int fd) { serve(fd); })
+    /// A way to the store: an address of its own, so that the store can turn away who uses it.
+    struct Door {
+        std::unique_ptr<Listener> listener;
+        std::atomic<bool> isBusy { false }; ///< Every call gets 503.
+        std::atomic<std::size_t> calls { 0 };
+        std::atomic<std::size_t> longWatches { 0 }; ///< Watches that may wait for half a second or longer.
+    };
+
+    explicit Store(std::size_t doors = 1)
     {
-        m_listener.open();
+        for (std::size_t i = 0; i < doors; ++i) {
+            auto& door = *m_doors.emplace_back(std::make_unique<Door>());
+            door.listener = std::make_unique<Listener>("127.0.0.1", [this, &door](int fd) { serve(door, fd); });
+            door.listener->open();
+        }
     }
 
-    std::string endpoint() const { return m_listener.endpoint(); }
+    std::string endpoint(std::size_t n = 0) const { return m_doors[n]->listener->endpoint(); }
+    Door& door(std::size_t n) { return *m_doors[n]; }
     /// Writes as the operator or a server does, and returns the time of the acknowledgement.
     double put(const std::string& kind, const std::string& name, const std::string& spec)
     {
@@ -318,10 +330,11 @@
         set(kind, name, json::parse(spec));
         return now();
     }
-    void remove(const std::string& kind, const std::string& name)
+    double remove(const std::string& kind, const std::string& name)
     {
         const std::lock_guard lock(m_mutex);
         erase(kind, name);
+        return now();
     }
     void saveCopy()
     {
@@ -329,7 +342,11 @@
         m_copy = m_state;
     }
     /// The store is away: its port is closed and its connections are reset.
-    void goAway() { m_listener.close(); }
+    void goAway()
+    {
+        for (auto& it : m_doors)
+            it->listener->close();
+    }
     /// It is back from the copy, in the next era.
     void comeBackFromCopy()
     {
@@ -338,9 +355,13 @@
             m_state = m_copy;
             ++m_era;
         }
-        m_listener.open();
+        comeBack();
+    }
+    void comeBack()
+    {
+        for (auto& it : m_doors)
+            it->listener->open();
     }
-    void comeBack() { m_listener.open(); }
 
 private:
     struct Object {
@@ -390,12 +411,16 @@
         return { { "meta", json::object { { "name", name }, { "revision", object.revision }, { "createdRev", object.created }, { "finalizers", json::array() }, { "deletionPending", false } } }, { "spec", object.spec }, { "status", object.status } };
     }
 
-    void serve(int fd)
+    void serve(Door& door, int fd)
     {
         std::string buffer;
         while (const auto request = readMessage(fd, buffer, 3600)) {
-            const auto [status, body] = answer(*request);
-            if (!m_listener.isOpen() || !sendAll(fd, responseText(status, "Content-Type: application/json\r\nStore-Era: " + std::to_string(m_era) + "\r\n", json::serialize(body))))
+            ++door.calls;
+            const auto wait = request->target().find("&waitMs=");
+            if (wait != std::string::npos && std::atoi(request->target().c_str() + wait + 8) >= 500)
+                ++door.longWatches;
+            const auto [status, body] = door.isBusy ? std::pair<int, json::value>(503, json::object()) : answer(*request);
+            if (!door.listener->isOpen() || !sendAll(fd, responseText(status, "Content-Type: application/json\r\nStore-Era: " + std::to_string(m_era) + "\r\n", json::serialize(body))))
                 return;
         }
     }
@@ -469,7 +494,7 @@
     State m_state;
     State m_copy;
     std::atomic<std::uint64_t> m_era { 1 };
-    Listener m_listener;
+    std::vector<std::unique_ptr<Door>> m_doors;
 };
 
 /// A request that a server has begun to work on.
@@ -550,17 +575,19 @@
 /// A gateway process, with the settings that deploy/gateway.ini gets on a small deployment. It is started in the repository's root.
 class Gateway {
 public:
-    Gateway(const std::string& name, const std::string& zone, const std::string& ip, const std::string& store, const std::string& folder)
+    Gateway(const std::string& name, const std::string& zone, const std::string& ip, const std::string& store, const std::string& folder, const std::map<std::string, std::string>& changed = {})
         : m_name(name)
         , m_ip(ip)
         , m_path(folder + "/" + name)
         , m_front(freePort(ip))
         , m_ready(freePort(ip))
     {
-        const std::map<std::string, std::string> values { { "nodeName", name }, { "zone", zone }, { "portRange.0", std::to_string(freePort(ip)) }, { "listenAddrs.front", ip + ":" + std::to_string(m_front) },
+        std::map<std::string, std::string> values { { "nodeName", name }, { "zone", zone }, { "portRange.0", std::to_string(freePort(ip)) }, { "listenAddrs.front", ip + ":" + std::to_string(m_front) },
             { "listenAddrs.readyAddr", ip + ":" + std::to_string(m_ready) }, { "platform.address", store }, { "limits.cpuShare", "0.5" }, { "heartbeatMs", "1200" }, { "bounds.configApplyMs", "5000" }, { "bounds.drainMs", "5000" },
             { "bounds.evacuateMs", "5000" }, { "bounds.graceS", "6" }, { "bounds.retryBudgetRatio", "0.2" }, { "bounds.retrySlack", "58" }, { "bounds.budgetWindowS", "10" }, { "bounds.warmupOvershoot", "1.5" }, { "bounds.warmupSlack", "5" },
             { "bounds.strictRevoke", "true" }, { "bounds.revokeMs", "5000" }, { "bounds.quotaWindowS", "5" }, { "bounds.quotaOvershoot", "0.1" }, { "bounds.quotaSlack", "20" } };
+        for (const auto& [key, value] : changed)
+            values[key] = value;
         std::ifstream in("deploy/gateway.ini");
         std::ofstream out(m_path + ".ini");
         for (std::string line; std::getline(in, line);) {
