--- a/review/11/main.cpp
+++ b/review/11/main.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr double recovery = 15; // recoveryS of the site
-constexpr double killedFor = 0.8;
+constexpr double killedFor = 0.55;
 constexpr double observedFor = 10; // Beyond the time for the recovery.
 constexpr double heartbeat = 1.2;
 constexpr double pauseBetweenRequests = 0.5; // Of each of three callers: 6 requests a second, of a quota of 20.
