--- a/src/admission/quota_action.h
+++ b/src/admission/quota_action.h
@@ -5,6 +5,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 
+#include <cstdint>
 #include <variant>
 #include <vector>
 
@@ -27,10 +28,16 @@
     RequestNumber number;
 };
 
-/// The request is beyond its team's quota, as far as this instance can tell.
+enum class QuotaRefusal : std::uint8_t {
+    OverQuota, ///< The request is beyond its team's quota, as far as this instance can tell.
+    NotGranted, ///< No instance that this one reaches grants the team's quota at present.
+};
+
+/// The request isn't admitted.
 struct RefuseRequest {
     RequestNumber number;
     Duration retryAfter {}; ///< Time until the team may have a permit again.
+    QuotaRefusal why = QuotaRefusal::OverQuota;
 };
 
 /// Send the claim to the instance. An answer may follow; it doesn't have to.
@@ -60,7 +67,12 @@
     QuotaCredit credit; ///< That came or left with it.
 };
 
-using QuotaAction = std::variant<AskKeeper, AnswerCall, AdmitRequest, RefuseRequest, SendClaim, AnswerClaim, AnnounceResignation, ListInstances, ReportRole>;
+/// A role that this instance is to have has been waited for unusually long; for logs.
+struct ReportRoleWait {
+    RoleWait wait;
+};
+
+using QuotaAction = std::variant<AskKeeper, AnswerCall, AdmitRequest, RefuseRequest, SendClaim, AnswerClaim, AnnounceResignation, ListInstances, ReportRole, ReportRoleWait>;
 using QuotaActions = std::vector<QuotaAction>;
 
 }
--- a/src/admission/quota_client.cpp
+++ b/src/admission/quota_client.cpp
@@ -84,7 +84,7 @@
         return;
     }
     if (now < state.deniedUntil)
-        return refuse(number, state.deniedUntil - now, actions);
+        return refuse(number, state, now, actions);
     state.waiting.push_back(number);
     ask(team, state);
 }
@@ -123,10 +123,10 @@
     actions.emplace_back(AdmitRequest { number });
 }
 
-void QuotaClient::refuse(RequestNumber number, Duration retryAfter, QuotaActions& actions)
+void QuotaClient::refuse(RequestNumber number, const TeamState& state, TimePoint now, QuotaActions& actions)
 {
     ++m_counters.refused;
-    actions.emplace_back(RefuseRequest { number, retryAfter });
+    actions.emplace_back(RefuseRequest { number, state.deniedUntil - now, state.whyDenied });
 }
 
 void QuotaClient::onGrant(const QuotaGrant& grant, TimePoint sentAt, TimePoint now, QuotaActions& actions)
@@ -139,6 +139,7 @@
     // Permits of an earlier grant may outlive this one, so they are dropped rather than added.
     state.permits = grant.permits;
     state.permitsUntil = sentAt + grant.lifetime;
+    state.whyDenied = QuotaRefusal::OverQuota;
     if (grant.retryAfter > Duration {})
         state.deniedUntil = now + std::max(grant.retryAfter, minAskInterval);
     serveWaiting(grant.team, state, now, actions);
@@ -157,7 +158,7 @@
     if (now >= state.deniedUntil)
         return ask(team, state);
     for (const auto& it : state.waiting)
-        refuse(it, state.deniedUntil - now, actions);
+        refuse(it, state, now, actions);
     state.waiting.clear();
 }
 
@@ -177,6 +178,7 @@
     state.ownPermits -= static_cast<float>(permits);
     state.permits = static_cast<std::uint32_t>(permits);
     state.permitsUntil = now + Duration(1);
+    state.whyDenied = QuotaRefusal::NotGranted;
     if (permits < state.waiting.size())
         state.deniedUntil = now + minAskInterval;
     serveWaiting(team, state, now, actions);
--- a/src/admission/quota_client.h
+++ b/src/admission/quota_client.h
@@ -62,6 +62,7 @@
         float demand = 0; ///< Requests per second, as a moving average.
         float ownPermits = 0;
         bool isAsked = false;
+        QuotaRefusal whyDenied = QuotaRefusal::OverQuota;
         TimePoint permitsUntil {};
         TimePoint deniedUntil {};
         TimePoint demandAt {};
@@ -72,7 +73,7 @@
     static std::uint32_t askAhead(const TeamState&, TimePoint);
     void ask(const TeamName&, TeamState&);
     void admit(RequestNumber, QuotaActions&);
-    void refuse(RequestNumber, Duration retryAfter, QuotaActions&);
+    void refuse(RequestNumber, const TeamState&, TimePoint, QuotaActions&);
     void serveWaiting(const TeamName&, TeamState&, TimePoint, QuotaActions&);
 
     AdmissionSettings m_settings;
--- a/src/admission/quota_engine.cpp
+++ b/src/admission/quota_engine.cpp
@@ -30,6 +30,9 @@
 /// Between two requests for a list of the instances; doubles until one comes.
 constexpr Duration minListingPause = 500ms;
 constexpr Duration maxListingPause = 8s;
+/// A claim is usually answered within a round trip.
+constexpr Duration minReportedWait = 1s;
+constexpr Duration waitReportPeriod = 10s;
 
 }
 
@@ -88,6 +91,18 @@
     actions.emplace_back(ListInstances {});
 }
 
+void QuotaEngine::reportWaits(TimePoint now, QuotaActions& actions)
+{
+    if (now < m_nextWaitReport)
+        return;
+    for (auto& it : m_claims.waits()) {
+        if (now < it.since + minReportedWait)
+            continue;
+        actions.emplace_back(ReportRoleWait { std::move(it) });
+        m_nextWaitReport = now + waitReportPeriod;
+    }
+}
+
 void QuotaEngine::setTeams(const std::vector<Team>& teams, TimePoint now, QuotaActions& actions)
 {
     observe(now);
@@ -394,6 +409,7 @@
     for (const auto& it : late)
         fail(it, now, actions);
     askAll(now, actions);
+    reportWaits(now, actions);
     flushClaims(now, actions);
 }
 
--- a/src/admission/quota_engine.h
+++ b/src/admission/quota_engine.h
@@ -88,6 +88,8 @@
     bool endsPause(TimePoint) const;
     /// Appends what follows from claims and their answers.
     void flushClaims(TimePoint, QuotaActions&);
+    /// Reports each role that is awaited for unusually long, and again periodically.
+    void reportWaits(TimePoint, QuotaActions&);
     /// Ranks the instances without those that have resigned. Returns the roles that this one is to have.
     std::set<TeamRole> rank();
     std::set<InstanceName> resigned() const;
@@ -114,6 +116,7 @@
     KeeperBackoff m_backoff;
     RoleClaims m_claims;
     std::vector<ReportRole> m_roleChanges; ///< Not yet reported.
+    TimePoint m_nextWaitReport {};
     std::vector<Instance> m_instances;
     StoreRevision m_rankedRevision; ///< Of the list by which the instances are ranked.
     TimePoint m_listedAt {}; ///< When that list was asked for.
--- a/src/admission/role_claims.cpp
+++ b/src/admission/role_claims.cpp
@@ -40,6 +40,22 @@
     return it != m_claims.end() && it->second.isHeld && now < it->second.heldUntil;
 }
 
+std::vector<RoleWait> RoleClaims::waits() const
+{
+    std::vector<RoleWait> waits;
+    for (const auto& [role, claim] : m_claims) {
+        if (!claim.isWanted || claim.isHeld || claim.awaited.empty())
+            continue;
+        RoleWait wait { role, claim.claimedAt, {}, {} };
+        for (const auto& [name, awaited] : claim.awaited) {
+            wait.until = std::max(wait.until, awaited.lapsesAt);
+            wait.silent.push_back(name);
+        }
+        waits.push_back(std::move(wait));
+    }
+    return waits;
+}
+
 std::uint64_t RoleClaims::hashOf(const std::vector<Instance>& instances)
 {
     std::uint64_t hash = 0;
@@ -115,8 +131,10 @@
     }
     const auto [it, isNew] = m_claims.try_emplace(role);
     auto& claim = it->second;
-    if (isNew || !claim.revision)
+    if (isNew || !claim.revision) {
         claim.firstSequence = m_lastSequence + 1;
+        claim.claimedAt = now;
+    }
     claim.answered.clear();
     // A wait rests on lists that have held this instance ever since, one after the other: the silent instance has read them too, or none.
     const bool isContinued = claim.revision == earlier.revision && earlier.revision.epoch == m_basis->revision.epoch && now < earlier.validUntil;
--- a/src/admission/role_claims.h
+++ b/src/admission/role_claims.h
@@ -32,6 +32,16 @@
     friend bool operator==(const OutgoingClaim&, const OutgoingClaim&) = default;
 };
 
+/// A role that this process is to have and doesn't have yet, as other instances haven't answered its claim.
+struct RoleWait {
+    TeamRole role;
+    TimePoint since {};
+    TimePoint until {}; ///< The role isn't gained before, unless all answer.
+    std::vector<InstanceName> silent;
+
+    friend bool operator==(const RoleWait&, const RoleWait&) = default;
+};
+
 /// Decides which roles this process has, so that no two processes of the fleet have the same one at the same time.
 ///
 /// A process that a list names for a role claims it from all instances in the list. It gains the role as soon as the process that has it
@@ -73,6 +83,8 @@
 
     bool has(const TeamRole&, TimePoint) const;
     bool hasAny() const { return !m_claims.empty(); }
+    /// The claims that wait for answers.
+    std::vector<RoleWait> waits() const;
     /// A claim needs the store's latest list, asked for from now on.
     bool needsListing() const { return m_needsListing; }
     void requireListing() { m_needsListing = true; }
@@ -110,6 +122,7 @@
         bool isWanted = true;
         bool isHeld = false;
         TimePoint heldUntil {};
+        TimePoint claimedAt {}; ///< When the process began to wait for the role.
         std::uint64_t firstSequence = 0;
         std::optional<StoreRevision> revision; ///< Of the last list by which the role was claimed; empty: all have to be asked again.
         std::map<InstanceName, Awaited> awaited; ///< Whose answers the present listing still needs.
--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -119,10 +119,14 @@
     startRequest(std::move(request));
 }
 
-void ForwardDriver::onOverQuota(RequestNumber number, Duration retryAfter)
+void ForwardDriver::onQuotaRefused(RequestNumber number, QuotaRefusal why, Duration retryAfter)
 {
-    if (m_held.contains(number))
+    if (!m_held.contains(number))
+        return;
+    if (why == QuotaRefusal::OverQuota)
         refuseHeld(number, { tooManyRequests, retryAfter, "over the team's quota" });
+    else
+        refuseHeld(number, { unavailable, retryAfter, "not run: no instance grants the team's quota at present" });
 }
 
 void ForwardDriver::refuseHeld(RequestNumber number, const EarlyRefusal& refusal)
--- a/src/gateway/forward_driver.h
+++ b/src/gateway/forward_driver.h
@@ -62,7 +62,7 @@
     void cancelDelegated(const InstanceName& delegator, std::uint64_t sequence) override;
     void cancelAllDelegated(const InstanceName& delegator) override;
     void onWithinQuota(RequestNumber) override;
-    void onOverQuota(RequestNumber, Duration retryAfter) override;
+    void onQuotaRefused(RequestNumber, QuotaRefusal, Duration retryAfter) override;
 
     /// Lets the driver delegate legs of searches from now on. Precondition: both outlive the driver's use.
     void setDelegation(SearchDelegation& delegation, DelegateChooser& chooser)
--- a/src/gateway/quota_driver.cpp
+++ b/src/gateway/quota_driver.cpp
@@ -10,6 +10,8 @@
 
 /// Lines about roles that change at the same time; a fleet may have thousands of teams.
 constexpr std::uint32_t maxRoleLines = 200;
+/// Characters of the names of instances.
+constexpr std::size_t maxNamesInLine = 400;
 
 }
 
@@ -148,15 +150,39 @@
 
 void QuotaDriver::execute(const ReportRole& report)
 {
-    if (m_roleLinesLeft == 0)
+    if (!mayWriteRoleLine())
         return;
-    if (--m_roleLinesLeft == 0)
-        return m_log.write(LineImportance::State, m_clock.now(), "quota roles changed; further ones are not listed", {});
     const auto level = std::to_string(static_cast<std::int64_t>(report.credit.level));
     m_log.write(LineImportance::State, m_clock.now(), report.isGained ? "quota role gained" : "quota role lost",
         { { "team", report.role.team.value() }, { "role", toString(report.role.role) }, { "permits", level } });
 }
 
+void QuotaDriver::execute(const ReportRoleWait& report)
+{
+    if (!mayWriteRoleLine())
+        return;
+    const auto& wait = report.wait;
+    std::string names;
+    for (const auto& it : wait.silent)
+        names.append(names.empty() ? "" : " ").append(it.value());
+    if (names.size() > maxNamesInLine)
+        names = names.substr(0, names.rfind(' ', maxNamesInLine)) + " ...";
+    const auto now = m_clock.now();
+    const auto millis = [](Duration time) { return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()); };
+    m_log.write(LineImportance::State, now, "quota role awaited; it is gained when these instances have answered, or after the time",
+        { { "team", wait.role.team.value() }, { "role", toString(wait.role.role) }, { "waited_ms", millis(now - wait.since) }, { "silent", std::to_string(wait.silent.size()) }, { "instances", names }, { "left_ms", millis(std::max(Duration {}, wait.until - now)) } });
+}
+
+bool QuotaDriver::mayWriteRoleLine()
+{
+    if (m_roleLinesLeft == 0)
+        return false;
+    if (--m_roleLinesLeft > 0)
+        return true;
+    m_log.write(LineImportance::State, m_clock.now(), "quota roles changed or are awaited; further ones are not listed", {});
+    return false;
+}
+
 void QuotaDriver::setTimer()
 {
     const auto wake = m_engine.nextWake();
--- a/src/gateway/quota_driver.h
+++ b/src/gateway/quota_driver.h
@@ -21,7 +21,7 @@
 public:
     virtual ~QuotaDecisionEvents() = default;
     virtual void onWithinQuota(RequestNumber) = 0;
-    virtual void onOverQuota(RequestNumber, Duration retryAfter) = 0;
+    virtual void onQuotaRefused(RequestNumber, QuotaRefusal, Duration retryAfter) = 0;
 };
 
 /// Reads the store's list of the instances. Called on the gateway's executor.
@@ -72,12 +72,15 @@
     void execute(const AskKeeper&);
     void execute(const AnswerCall&);
     void execute(const AdmitRequest& admitted) { m_events.onWithinQuota(admitted.number); }
-    void execute(const RefuseRequest& refused) { m_events.onOverQuota(refused.number, refused.retryAfter); }
+    void execute(const RefuseRequest& refused) { m_events.onQuotaRefused(refused.number, refused.why, refused.retryAfter); }
     void execute(const SendClaim&);
     void execute(const AnswerClaim&);
     void execute(const AnnounceResignation&);
     void execute(const ListInstances&);
     void execute(const ReportRole&);
+    void execute(const ReportRoleWait&);
+    /// Whether another line about roles may be written during these actions; writes one that says so in place of the last.
+    bool mayWriteRoleLine();
     /// Opens connections to the instances that keep quotas, so that no request waits for one.
     void connectToKeepers();
     void setTimer();
--- a/tests/admission/quota_engine_test.cpp
+++ b/tests/admission/quota_engine_test.cpp
@@ -182,7 +182,9 @@
             asker.engine->onUndelivered(asker.call.sequence, asker.now, asker.actions);
         };
         failBoth();
-        CHECK(asker.count<RefuseRequest>() == 1);
+        REQUIRE(asker.count<RefuseRequest>() == 1);
+        // Callers were told that they are over the quota, where nobody counted their requests.
+        CHECK(std::get<RefuseRequest>(asker.actions[0]).why == QuotaRefusal::NotGranted);
         asker.now += 10s;
         asker.request();
         REQUIRE(asker.asks(asker.ranked[0]));
@@ -310,6 +312,23 @@
         answer(RoleVerdict::Released, { 2, 0 });
         CHECK(permits() == 2);
     }
+    // After a restart of everything no line told whom the claims waited for, nor until when.
+    SUBCASE("a wait of more than a second is reported with the silent instances and its end")
+    {
+        list(latestListing(asker.instances, now));
+        const auto since = now;
+        pass(1s);
+        std::vector<RoleWait> waits;
+        for (const auto& it : actions) {
+            if (const auto* report = std::get_if<ReportRoleWait>(&it))
+                waits.push_back(report->wait);
+        }
+        REQUIRE(waits.size() == 1);
+        CHECK(waits[0].role == TeamRole { asker.team, QuotaRole::Keeper });
+        CHECK(waits[0].since == since);
+        CHECK(waits[0].until == since + 112s);
+        CHECK(std::set<InstanceName>(waits[0].silent.begin(), waits[0].silent.end()) == std::set { asker.ranked[1], asker.ranked[2] });
+    }
     SUBCASE("one that doesn't answer is waited for until its lists have ended")
     {
         list(latestListing(asker.instances, now));
