--- a/src/admission/instance_listing.h
+++ b/src/admission/instance_listing.h
@@ -15,6 +15,7 @@
 struct RoleDeclaration {
     std::set<TeamRole> roles; ///< All that the process has or may gain, and perhaps more.
     bool isLeaving = false; ///< The process is about to end and gains no role any more.
+    bool hasEnded = false; ///< The process has ended, or ends without using anything that others count.
 
     friend bool operator==(const RoleDeclaration&, const RoleDeclaration&) = default;
 };
--- a/src/admission/quota_engine.cpp
+++ b/src/admission/quota_engine.cpp
@@ -103,7 +103,10 @@
 
 void QuotaEngine::requestDeclaration(TimePoint now, QuotaActions& actions)
 {
-    if (m_claims.needsDeclaration()) {
+    if (m_isResigning && declaration() != m_requested) {
+        // Others need the latest word of a process that may be gone soon.
+        m_declareAt = now;
+    } else if (m_claims.needsDeclaration()) {
         const bool isRepeated = declaration() == m_requested;
         m_declareAt = std::min(m_declareAt, isRepeated ? std::max(now, m_requestedAt + declarationPause) : now);
         // A list that is read before the declaration doesn't show it; the one after it is read at once.
@@ -156,7 +159,12 @@
 {
     observe(now);
     // A list that was asked for before a pause may be as old as the pause.
-    m_wasPaused = m_wasPaused && !(listing.isLatest && listing.askedAt >= m_resumedAt);
+    if (m_wasPaused && listing.isLatest && listing.askedAt >= m_resumedAt) {
+        m_wasPaused = false;
+        // Its object may have been removed before the store came back from a copy, both during the pause.
+        if (!listing.holdsSelf)
+            m_claims.giveUpAll(now);
+    }
     m_instances = listing.instances;
     m_rankedRevision = listing.revision;
     m_listedAt = listing.askedAt;
@@ -256,10 +264,26 @@
     m_isResigning = true;
     m_claims.setWanted(resigned(), {});
     // Also without a role: it may be the next in line for one.
+    for (const auto& it : hasQuotas() ? otherInstances() : std::vector<InstanceName>())
+        actions.emplace_back(AnnounceResignation { it });
+    flushClaims(now, actions);
+}
+
+std::vector<InstanceName> QuotaEngine::otherInstances() const
+{
+    std::vector<InstanceName> names;
     for (const auto& it : m_instances) {
-        if (hasQuotas() && it.name != m_self)
-            actions.emplace_back(AnnounceResignation { it.name });
+        if (it.name != m_self)
+            names.push_back(it.name);
     }
+    return names;
+}
+
+void QuotaEngine::end(TimePoint now, QuotaActions& actions)
+{
+    observe(now);
+    m_hasEnded = true;
+    m_claims.giveUpAll(now);
     flushClaims(now, actions);
 }
 
--- a/src/admission/quota_engine.h
+++ b/src/admission/quota_engine.h
@@ -34,11 +34,12 @@
     /// This process's object has left the store, so that others don't ask it any more: it gives up its roles. Called before the object is written again.
     void onObjectLost(TimePoint, QuotaActions&);
     /// What this process has to declare in its object in the store.
-    RoleDeclaration declaration() const { return { m_claims.rolesToDeclare(), m_isResigning }; }
+    RoleDeclaration declaration() const { return { m_claims.rolesToDeclare(), m_isResigning, m_hasEnded }; }
     /// Whether the next list of the instances must be the store's latest one.
     bool needsLatestListing() const { return m_claims.hasAny() || m_claims.needsListing(); }
 
     bool hasQuotas() const { return !m_client.teams().empty(); }
+    std::vector<InstanceName> otherInstances() const;
     /// The other instances that may keep quotas.
     std::set<InstanceName> keepers() const;
 
@@ -58,6 +59,8 @@
     void onResignation(const InstanceName& from, const RoleResignation&, TimePoint, QuotaActions&);
     /// This process is about to end: others take over its roles. It goes on admitting requests.
     void resign(TimePoint, QuotaActions&);
+    /// This process ends: it gives up the roles that nobody has claimed, and grants and admits nothing any more. Precondition: resign() was called.
+    void end(TimePoint, QuotaActions&);
     void onTimer(TimePoint, QuotaActions&);
     /// When onTimer() is due.
     TimePoint nextWake() const;
@@ -145,6 +148,7 @@
     TimePoint m_resumedAt {}; ///< When the end of the last pause was noticed.
     bool m_wasPaused = false; ///< The process was paused, and the instances haven't been listed since.
     bool m_isResigning = false;
+    bool m_hasEnded = false;
 };
 
 }
--- a/src/admission/role_claim.h
+++ b/src/admission/role_claim.h
@@ -46,6 +46,7 @@
 /// Tells that the sender's process is about to end, so that others take over its roles.
 struct RoleResignation {
     ProcessLife life;
+    bool hasEnded = false; ///< It ends now, without any role, and the store doesn't know it.
 
     friend bool operator==(const RoleResignation&, const RoleResignation&) = default;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -27,6 +27,9 @@
 namespace {
 
 constexpr Duration housekeepingPeriod = std::chrono::seconds(1);
+/// A stop has more time left than these two.
+constexpr Duration recordEndTimeout = std::chrono::milliseconds(400);
+constexpr Duration announceEndTime = std::chrono::milliseconds(50);
 constexpr unsigned ok = 200;
 constexpr unsigned unavailable = 503;
 
@@ -124,7 +127,11 @@
         m_quotas.onObjectLost();
     }
     RoleDeclaration roleDeclaration() const { return m_quotas.declaration(); }
-    void setInstanceRegistry(InstanceRegistry& registry) { m_quotas.setInstanceRegistry(registry); }
+    void setInstanceRegistry(InstanceRegistry& registry)
+    {
+        m_registry = &registry;
+        m_quotas.setInstanceRegistry(registry);
+    }
     void setFollower(StoreFollower& follower) { m_follower = &follower; }
     void setQuarantineStore(QuarantineStore& store) { m_quarantineStore = &store; }
 
@@ -338,7 +345,30 @@
         });
     }
 
+    /// Ends the run once the store or the other instances know of it.
     void endRun()
+    {
+        if (std::exchange(m_isEnding, true))
+            return;
+        m_quotas.end();
+        if (!m_registry)
+            return stopLoop();
+        m_housekeeping.expires_after(recordEndTimeout);
+        m_housekeeping.async_wait([this](const boost::system::error_code& ec) {
+            if (!ec)
+                announceEnd();
+        });
+        m_registry->recordEnd([this](bool isRecorded) { isRecorded ? stopLoop() : announceEnd(); });
+    }
+
+    void announceEnd()
+    {
+        m_quotas.announceEnd();
+        m_housekeeping.expires_after(announceEndTime);
+        m_housekeeping.async_wait([this](const boost::system::error_code&) { stopLoop(); });
+    }
+
+    void stopLoop()
     {
         logState("stopped", { { "in_flight", std::to_string(m_driver.inFlight()) } });
         m_io.stop();
@@ -380,6 +410,8 @@
     bool m_isListingSettled = false;
     PlannedStop m_stop;
     std::atomic<bool> m_isReady { false };
+    InstanceRegistry* m_registry = nullptr;
+    bool m_isEnding = false;
     bool m_isShortOfConnections = false;
 };
 
--- a/src/gateway/instance_census.h
+++ b/src/gateway/instance_census.h
@@ -58,6 +58,7 @@
         std::optional<RoleDeclaration> declared;
     };
 
+    static bool hasEnded(const InstanceSighting&);
     /// An object of an older copy of the store has another version too, so a change of it shows no life by itself.
     static bool isRefreshed(const KnownInstance&, const InstanceSighting&);
     static KnownInstance update(const KnownInstance&, const InstanceSighting&, TimePoint);
--- a/src/gateway/quota_driver.cpp
+++ b/src/gateway/quota_driver.cpp
@@ -63,6 +63,17 @@
     callEngine([&](TimePoint now, QuotaActions& actions) { m_engine.resign(now, actions); });
 }
 
+void QuotaDriver::end()
+{
+    callEngine([&](TimePoint now, QuotaActions& actions) { m_engine.end(now, actions); });
+}
+
+void QuotaDriver::announceEnd()
+{
+    for (const auto& it : m_engine.otherInstances())
+        m_delegation->sendOnAnyConnection(it, RoleResignation { m_delegation->life(), true });
+}
+
 void QuotaDriver::connectToKeepers()
 {
     if (!m_delegation || !m_engine.hasQuotas())
@@ -109,6 +120,8 @@
 void QuotaDriver::onRoleResignation(const InstanceName& from, const RoleResignation& resignation)
 {
     callEngine([&](TimePoint now, QuotaActions& actions) { m_engine.onResignation(from, resignation, now, actions); });
+    if (resignation.hasEnded && m_registry)
+        m_registry->recordEndOf(from, resignation.life);
 }
 
 void QuotaDriver::execute(const QuotaActions& actions)
--- a/src/gateway/quota_driver.h
+++ b/src/gateway/quota_driver.h
@@ -12,6 +12,7 @@
 #include <boost/asio/strand.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <set>
 
 namespace lycheefield {
@@ -32,6 +33,10 @@
     virtual void listInstances() = 0;
     /// Writes the object soon unless it has been written with what this process declares now; reads the latest list once a new role is declared.
     virtual void declareRoles() = 0;
+    /// Writes the object for the last time, to say that this process has ended. Calls the handler once, with whether the store has it.
+    virtual void recordEnd(std::function<void(bool)>) = 0;
+    /// Another instance's process of this life has ended and could not say so in the store: writes its object for it.
+    virtual void recordEndOf(const InstanceName&, ProcessLife) = 0;
 };
 
 /// Runs a QuotaEngine: exchanges its messages with the other instances and reports its decisions. All functions are called on the strand.
@@ -56,6 +61,10 @@
     void setInstanceRegistry(InstanceRegistry& registry) { m_registry = &registry; }
     /// This process is about to end: others take over its roles.
     void resign();
+    /// This process ends. Precondition: resign() was called.
+    void end();
+    /// Tells the other instances that this process ends and that the store doesn't know it.
+    void announceEnd();
 
     void onRequest(RequestNumber, const TeamName&);
     void onCancel(RequestNumber number, const TeamName& team) { m_engine.onCancel(number, team); }
--- a/src/wire/convert.cpp
+++ b/src/wire/convert.cpp
@@ -350,6 +350,7 @@
     {
         RoleResignation body;
         body.life = toSigned(resignation.life.value());
+        body.__set_hasEnded(resignation.hasEnded);
         out.__set_roleResignation(body);
     }
     void operator()(const lycheefield::ClockCall& call) const
--- a/src/wire/convert_from.cpp
+++ b/src/wire/convert_from.cpp
@@ -417,7 +417,7 @@
     if (set.roleClaimReply)
         return fromWire(in.roleClaimReply, reader);
     if (set.roleResignation)
-        return lycheefield::RoleResignation { ProcessLife(Reader::number(in.roleResignation.life)) };
+        return lycheefield::RoleResignation { ProcessLife(Reader::number(in.roleResignation.life)), in.roleResignation.hasEnded };
     return fromWire(in.control);
 }
 
--- a/src/wire/inner.thrift
+++ b/src/wire/inner.thrift
@@ -269,6 +269,7 @@
 // The sender's process is about to end.
 struct RoleResignation {
     1: required i64 life
+    2: optional bool hasEnded = false // It ends now, and the store doesn't know it.
 }
 
 // Asks for the receiver's clock.
--- a/tests/adapter/decode_test.cpp
+++ b/tests/adapter/decode_test.cpp
@@ -87,7 +87,7 @@
 
 TEST_CASE("An instance's object declares the roles of its process" * doctest::test_suite("adapter"))
 {
-    const RoleDeclaration declared { { { TeamName("a"), QuotaRole::Keeper }, { TeamName("b"), QuotaRole::Keeper }, { TeamName("a"), QuotaRole::Standby } }, true };
+    const RoleDeclaration declared { { { TeamName("a"), QuotaRole::Keeper }, { TeamName("b"), QuotaRole::Keeper }, { TeamName("a"), QuotaRole::Standby } }, true, true };
     CHECK(decodeDeclaration(encodeInstance({}, 1, declared)) == declared);
     CHECK(decodeDeclaration(encodeInstance({}, 1, {})) == RoleDeclaration());
 
--- a/tests/admission/quota_engine_test.cpp
+++ b/tests/admission/quota_engine_test.cpp
@@ -375,6 +375,16 @@
             list(latestListing(asker.instances, now));
             CHECK(permits() == 3);
         }
+        SUBCASE("after a pause it stops when its object is missing, in whatever epoch")
+        {
+            now += 4s;
+            CHECK(permits() == -1);
+            auto listing = latestListing({ Instance { asker.ranked[1], {}, {}, {}, {} } }, now);
+            listing.revision.epoch = 2;
+            listing.holdsSelf = false;
+            list(listing);
+            CHECK(permits() == -1);
+        }
         SUBCASE("without a list for long it stops, since others may no longer list it")
         {
             pass(109s);
--- a/tests/admission/quota_fleet.h
+++ b/tests/admission/quota_fleet.h
@@ -144,6 +144,8 @@
     void restoreStore(TimePoint);
     void stopInTurn();
     void startInPart(TimePoint);
+    /// Ends a process that has resigned, for good.
+    void endPlanned(std::size_t node);
     void cut(TimePoint);
     void pause(TimePoint);
     void restart(std::size_t node, Duration down);
--- a/tests/admission/quota_fleet_faults.cpp
+++ b/tests/admission/quota_fleet_faults.cpp
@@ -105,9 +105,8 @@
             atNode(node, m_now, [this, node] { call(node, [&](QuotaEngine& engine, QuotaActions& actions) { engine.resign(m_now, actions); }); });
             const bool isGone = chance(0.3);
             atNode(node, m_now + randomDuration(1s, 4s), [this, node, isGone] {
-                m_nodes[node].isGone = isGone;
                 if (isGone)
-                    end(node);
+                    endPlanned(node);
                 else
                     restart(node, randomDuration(100ms, 2s));
             });
@@ -147,6 +146,17 @@
     });
 }
 
+void QuotaFleet::endPlanned(std::size_t node)
+{
+    auto& it = m_nodes[node];
+    call(node, [&](QuotaEngine& engine, QuotaActions& actions) { engine.end(m_now, actions); });
+    // A process may be killed before it has recorded its end.
+    if (chance(0.7))
+        m_store.write(node, it.version, { it.life, ++it.refreshes, it.engine->declaration(), 0 }, m_now);
+    end(node);
+    it.isGone = true;
+}
+
 void QuotaFleet::cut(TimePoint time)
 {
     at(time, [this] {
--- a/tests/gateway/instance_census_test.cpp
+++ b/tests/gateway/instance_census_test.cpp
@@ -33,6 +33,15 @@
             CHECK(census.alive().size() == 3);
         }
     }
+    SUBCASE("an instance whose object says that it has ended is not counted, until a new process writes it")
+    {
+        auto ended = sighting("c", 4, 2);
+        ended.declared = RoleDeclaration { {}, true, true };
+        census.onList({ sighting("a", 1), sighting("b", 2), ended }, start + 1s);
+        CHECK(census.alive().size() == 2);
+        census.onList({ sighting("a", 1), sighting("b", 2), sighting("c", 5, 1, 2) }, start + 2s);
+        CHECK(census.alive().size() == 3);
+    }
     SUBCASE("an instance whose object an older copy of the store lacks is counted until it has had the time to write it again")
     {
         census.recordNewEpoch(start + 20s);
--- a/tests/wire/search_codec_test.cpp
+++ b/tests/wire/search_codec_test.cpp
@@ -199,7 +199,7 @@
         const TeamRole standby { TeamName("vans"), QuotaRole::Standby };
         const RoleClaim claim { 9, { 3, 4711 }, 0xfedcba9876543210, { keeper, standby } };
         const RoleClaimReply reply { 9, { { keeper, RoleVerdict::Released, { 12.5, 3 }, { InstanceName("g1"), InstanceName("g2") } }, { standby, RoleVerdict::Outdated, {}, {} } } };
-        const RoleResignation resignation { ProcessLife(0xfedcba9876543210) };
+        const RoleResignation resignation { ProcessLife(0xfedcba9876543210), true };
         CHECK(std::get<RoleClaim>(roundTrip(claim).value()) == claim);
         CHECK(std::get<RoleClaimReply>(roundTrip(reply).value()) == reply);
         CHECK(std::get<RoleResignation>(roundTrip(resignation).value()) == resignation);
