--- a/src/gateway/planned_stop.cpp
+++ b/src/gateway/planned_stop.cpp
@@ -9,6 +9,8 @@
 
 /// Requests still in flight this long before the limit are answered with the parts received so far.
 constexpr Duration finishBeforeLimit = std::chrono::milliseconds(1000);
+/// What is left for the end of the process.
+constexpr Duration stopBeforeLimit = std::chrono::milliseconds(500);
 /// The time for the last answers to reach their callers.
 constexpr Duration answerFlushTime = std::chrono::milliseconds(200);
 constexpr Duration checkPeriod = std::chrono::milliseconds(100);
@@ -48,12 +50,14 @@
     const bool isLast = since >= m_times.limit - finishBeforeLimit;
     if (isLast)
         m_driver.finishAll();
-    if (m_driver.inFlight() > 0)
+    // Callers that read slowly get their answers as long as there is time.
+    if (m_driver.inFlight() > 0 || m_callers.isSending())
         m_idleSince = never;
     else if (m_idleSince == never)
         m_idleSince = now;
     const bool isIdle = m_idleSince != never && now - m_idleSince >= answerFlushTime;
-    if (m_isClosing && isIdle)
+    const bool mustStop = since >= m_times.limit - stopBeforeLimit;
+    if (mustStop || (m_isClosing && isIdle))
         return m_onStopped();
     if (!m_isClosing && (isLast || (since >= m_times.balancerLag && isIdle)))
         stopAcceptingCallers();
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -3,6 +3,7 @@
 #include "base/accept_loop.h"
 #include "http/http_server_session.h"
 
+#include <algorithm>
 #include <map>
 #include <mutex>
 
@@ -36,6 +37,12 @@
             session->closeIfIdle();
     }
 
+    bool isSending()
+    {
+        const std::lock_guard lock(m_mutex);
+        return std::any_of(m_sessions.begin(), m_sessions.end(), [](const auto& it) { return it.second->isSending(); });
+    }
+
     void stopListening() { m_acceptLoop->close(); }
 
     void close()
@@ -102,6 +109,11 @@
     m_impl->beginDrain();
 }
 
+bool HttpServer::isSending() const
+{
+    return m_impl->isSending();
+}
+
 void HttpServer::stopListening()
 {
     m_impl->stopListening();
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -56,6 +56,8 @@
     void closeAfterResponses();
     /// Makes each later response close its connection, and closes idle connections.
     void beginDrain();
+    /// Whether a caller still reads a response that has not been handed to the system as a whole.
+    bool isSending() const;
     /// Stops accepting connections; open connections stay open.
     void stopListening();
     /// Stops accepting and closes every connection.
--- a/src/http/http_server_session.cpp
+++ b/src/http/http_server_session.cpp
@@ -271,6 +271,7 @@
 {
     m_outgoing = formatResponse(response, keepAlive);
     m_writeStarted = m_context.clock->now();
+    m_isSending = true;
     chargeOutgoing();
     boost::asio::async_write(m_socket, boost::asio::buffer(m_outgoing),
         [self = shared_from_this(), keepAlive](const boost::system::error_code& ec, std::size_t) { self->onWritten(ec, keepAlive); });
@@ -300,6 +301,7 @@
 void HttpServerSession::onWritten(const boost::system::error_code& ec, bool keepAlive)
 {
     releaseOutgoing();
+    m_isSending = false;
     if (m_closed)
         return;
     m_writeStarted = never;
--- a/src/http/http_server_session.h
+++ b/src/http/http_server_session.h
@@ -46,6 +46,8 @@
     void close();
     /// Closes the connection unless a request is being read or handled.
     void closeIfIdle();
+    /// Whether a response has not yet been handed to the system as a whole. Thread safe.
+    bool isSending() const { return m_isSending; }
     /// Sends the response to the request of that number; ignored unless that request is the current one.
     void respond(std::uint64_t requestNumber, HttpResponse);
     void setDisconnectHandler(std::uint64_t requestNumber, std::function<void()>);
@@ -99,6 +101,7 @@
     TimePoint m_writeStarted = never;
     TimePoint m_idleSince = never;
     TimePoint m_lingerStarted = never; ///< `never` until linger() is called.
+    std::atomic<bool> m_isSending = false;
     bool m_handling = false; ///< A request waits for its response, or the response is being written.
     bool m_keepAlive = true;
     bool m_reading = false;
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -2,6 +2,12 @@
 
 #include <doctest/doctest.h>
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <vector>
+
 using namespace lycheefield;
 
 TEST_SUITE_BEGIN("http");
@@ -137,6 +143,27 @@
     CHECK(handler.requests[1].body == "second");
 }
 
+// A process that stopped took an answer for delivered once it was written, and cut it off while the caller still read (review/14).
+TEST_CASE_FIXTURE(ServerFixture, "The server is sending until its system has taken each response as a whole")
+{
+    constexpr std::size_t size = 16 * 1024 * 1024;
+    handler.respondsImmediately = false;
+    boost::asio::ip::tcp::socket caller(io);
+    caller.connect({ boost::asio::ip::make_address(endpoint.address), endpoint.port });
+    boost::asio::write(caller, boost::asio::buffer(goodRequest));
+    runUntil(io, [&] { return handler.exchanges.size() == 1; });
+    CHECK_FALSE(server.isSending());
+    handler.exchanges.front()->respond({ 200, "text/plain", std::string(size, 'x') });
+    runUntil(io, [&] { return server.isSending(); });
+    io.restart();
+    io.poll();
+    CHECK(server.isSending());
+    std::vector<char> received(size);
+    boost::asio::async_read(caller, boost::asio::buffer(received), [](const boost::system::error_code&, std::size_t) {});
+    runUntil(io, [&] { return !server.isSending(); });
+    CHECK_FALSE(server.isSending());
+}
+
 TEST_CASE_FIXTURE(ServerFixture, "A draining server closes idle connections at once and the others after their responses")
 {
     handler.respondsImmediately = false;
