--- a/src/admission/instance_listing.h
+++ b/src/admission/instance_listing.h
@@ -33,6 +33,7 @@
     TimePoint listedUntil {}; ///< Until then the others count this instance as alive, even if none of its next refreshes succeeds.
     std::map<InstanceName, RoleDeclaration> declared {}; ///< By instance, also this one; an object of an earlier release declares nothing.
     std::map<InstanceName, TimePoint> refreshedAt {}; ///< When this process first saw the latest refresh of each object.
+    std::vector<Instance> ended {}; ///< Not among the instances: their processes have ended lately, and may start again. Shares of limits still count them.
     std::set<InstanceName> unverified {}; ///< Those of which this process has seen no refresh: their objects may be left from long ago.
 
     friend bool operator==(const InstanceListing&, const InstanceListing&) = default;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -110,7 +110,9 @@
     {
         m_instances = listing.instances;
         m_isListingSettled = listing.isSettled;
-        m_driver.setInstances(m_instances);
+        auto counted = m_instances;
+        counted.insert(counted.end(), listing.ended.begin(), listing.ended.end());
+        m_driver.setInstances(counted);
         m_presence.setInstances(m_instances, listing.unverified, m_clock->now());
         onPresence();
         auto reachable = listing;
--- a/src/gateway/instance_census.cpp
+++ b/src/gateway/instance_census.cpp
@@ -4,9 +4,9 @@
 
 namespace lycheefield {
 
-bool InstanceCensus::hasEnded(const InstanceSighting& sighting)
+bool InstanceCensus::hasEnded(const KnownInstance& known)
 {
-    return sighting.declared && sighting.declared->hasEnded;
+    return known.declared && known.declared->hasEnded;
 }
 
 bool InstanceCensus::isRefreshed(const KnownInstance& known, const InstanceSighting& sighting)
@@ -24,7 +24,7 @@
     const auto changedAt = hasRefreshed ? now : known.changedAt;
     const bool isSameProcess = sighting.instance.life == known.instance.life;
     const auto refreshes = isSameProcess ? std::max(known.refreshes, sighting.refreshes) : sighting.refreshes;
-    return { sighting.version, refreshes, changedAt, now - changedAt < staleAfter && !hasEnded(sighting), known.isVerified || hasRefreshed, sighting.instance, sighting.declared };
+    return { sighting.version, refreshes, changedAt, now - changedAt < staleAfter, known.isVerified || hasRefreshed, sighting.instance, sighting.declared };
 }
 
 void InstanceCensus::onList(const std::vector<InstanceSighting>& sightings, TimePoint now)
@@ -35,7 +35,7 @@
     for (const auto& it : sightings) {
         const auto known = m_known.find(it.instance.name);
         const bool isNew = known == m_known.end();
-        current[it.instance.name] = isNew ? KnownInstance { it.version, it.refreshes, now, !hasEnded(it), isVerified, it.instance, it.declared } : update(known->second, it, now);
+        current[it.instance.name] = isNew ? KnownInstance { it.version, it.refreshes, now, true, isVerified, it.instance, it.declared } : update(known->second, it, now);
     }
     if (now < m_keptUntil)
         current.merge(m_known);
@@ -46,7 +46,7 @@
 {
     std::vector<Instance> instances;
     for (const auto& [name, known] : m_known) {
-        if (known.isAlive)
+        if (known.isAlive && !hasEnded(known))
             instances.push_back(known.instance);
     }
     return instances;
@@ -57,6 +57,10 @@
     for (const auto& [name, known] : m_known) {
         if (!known.isAlive)
             continue;
+        if (hasEnded(known)) {
+            listing.ended.push_back(known.instance);
+            continue;
+        }
         listing.instances.push_back(known.instance);
         listing.refreshedAt.emplace(name, known.changedAt);
         if (known.declared)
--- a/src/gateway/instance_census.h
+++ b/src/gateway/instance_census.h
@@ -42,7 +42,7 @@
     /// Records that the store came back from an older copy: until then an instance is counted whose object is missing, as each writes again what was
     /// lost.
     void recordNewEpoch(TimePoint keptUntil) { m_keptUntil = std::max(m_keptUntil, keptUntil); }
-    /// The instances whose objects are not stale.
+    /// The instances whose objects are not stale and don't say that they have ended.
     std::vector<Instance> alive() const;
     /// Adds to the listing the instances whose objects are not stale, and what is known of each.
     void describe(InstanceListing&) const;
@@ -58,7 +58,7 @@
         std::optional<RoleDeclaration> declared;
     };
 
-    static bool hasEnded(const InstanceSighting&);
+    static bool hasEnded(const KnownInstance&);
     /// An object of an older copy of the store has another version too, so a change of it shows no life by itself.
     static bool isRefreshed(const KnownInstance&, const InstanceSighting&);
     static KnownInstance update(const KnownInstance&, const InstanceSighting&, TimePoint);
--- a/tests/gateway/instance_census_test.cpp
+++ b/tests/gateway/instance_census_test.cpp
@@ -39,6 +39,11 @@
         ended.declared = RoleDeclaration { {}, true, true };
         census.onList({ sighting("a", 1), sighting("b", 2), ended }, start + 1s);
         CHECK(census.alive().size() == 2);
+        // With a share more for each of the others, a restart gave out more than a server's limit until they counted it again.
+        InstanceListing listing;
+        census.describe(listing);
+        CHECK(listing.instances.size() == 2);
+        CHECK(listing.ended.size() == 1);
         census.onList({ sighting("a", 1), sighting("b", 2), sighting("c", 5, 1, 2) }, start + 2s);
         CHECK(census.alive().size() == 3);
     }
