--- a/src/admission/quota_engine.cpp
+++ b/src/admission/quota_engine.cpp
@@ -172,6 +172,7 @@
         m_listedSince = std::min(m_listedSince, now);
     // A resignation ends with the process.
     std::erase_if(m_resigned, [&](const auto& it) { return std::none_of(m_instances.begin(), m_instances.end(), [&](const auto& listed) { return listed.name == it.first && listed.life == it.second; }); });
+    m_mayKeep = m_mayKeep || listing.isSettled || std::any_of(m_instances.begin(), m_instances.end(), [&](const auto& it) { return it.name == m_self; });
     m_leaving.clear();
     for (const auto& [name, declared] : listing.declared) {
         if (declared.isLeaving)
@@ -222,7 +223,7 @@
 std::set<TeamRole> QuotaEngine::wantedRoles() const
 {
     std::set<TeamRole> wanted;
-    if (m_isResigning)
+    if (m_isResigning || !m_mayKeep)
         return wanted;
     for (const auto& team : m_client.teams()) {
         const auto keepers = m_ranking.keepersOf(team);
--- a/src/admission/quota_engine.h
+++ b/src/admission/quota_engine.h
@@ -147,6 +147,7 @@
     TimePoint m_lastEvent = never;
     TimePoint m_resumedAt {}; ///< When the end of the last pause was noticed.
     bool m_wasPaused = false; ///< The process was paused, and the instances haven't been listed since.
+    bool m_mayKeep = false; ///< A list was complete enough to rank this instance. The first one of a starting fleet is not.
     bool m_isResigning = false;
     bool m_hasEnded = false;
 };
