--- a/src/admission/role_claims.cpp
+++ b/src/admission/role_claims.cpp
@@ -153,9 +153,10 @@
     m_gone = gone;
     if (!m_basis)
         return;
-    for (auto& [role, claim] : m_claims) {
-        std::erase_if(claim.awaited, [&](const auto& it) { return m_gone.contains(it.first) && !mayHave(it.first, role, *m_basis); });
-        complete(role, claim, now);
+    for (auto& it : m_claims) {
+        const auto& role = it.first;
+        std::erase_if(it.second.awaited, [&](const auto& awaited) { return m_gone.contains(awaited.first) && !mayHave(awaited.first, role, *m_basis); });
+        complete(role, it.second, now);
     }
 }
 
