--- a/src/admission/role_claims.cpp
+++ b/src/admission/role_claims.cpp
@@ -16,8 +16,8 @@
 
 /// The time in which a permit that was granted at the end of a role may still be used.
 constexpr Duration permitTime = 2s;
-/// For the answer of an instance that can't have the role.
-constexpr Duration courtesyTime = 1s;
+/// For the answer of an instance that can't have the role, which then takes it on by no earlier list.
+constexpr Duration fenceTime = 1s;
 /// An answer takes a round trip, and perhaps a new connection.
 constexpr Duration minResend = 100ms;
 /// A message that comes so soon after a claim doesn't show that the claim was lost.
@@ -94,9 +94,7 @@
     // A copy from before this process started may lack what an earlier process of this instance has answered.
     if (listing.isLatest || m_seen)
         m_seen = { listing.revision, hashOf(listing.instances) };
-    const auto own = listing.declared.find(m_self);
-    if (listing.isLatest)
-        m_declared = listing.holdsSelf && own != listing.declared.end() ? own->second.roles : std::set<TeamRole>();
+    noteDeclared(listing);
     setWanted(resigned, wanted);
     const bool isMissing = listing.isLatest && !listing.holdsSelf && m_basis && listing.revision.epoch == m_basis->revision.epoch;
     if (isMissing)
@@ -118,6 +116,16 @@
     wakeBy(now);
 }
 
+void RoleClaims::noteDeclared(const InstanceListing& listing)
+{
+    const auto own = listing.declared.find(m_self);
+    const auto declared = listing.holdsSelf && own != listing.declared.end() ? own->second.roles : std::set<TeamRole>();
+    if (listing.isLatest)
+        m_declared = declared;
+    else if (listing.holdsSelf)
+        std::erase_if(m_declared, [&](const auto& it) { return !declared.contains(it) && !m_wanted.contains(it); });
+}
+
 void RoleClaims::setWanted(const std::set<InstanceName>& resigned, const std::set<TeamRole>& wanted)
 {
     m_resigned = resigned;
@@ -155,7 +163,8 @@
         return;
     for (auto& it : m_claims) {
         const auto& role = it.first;
-        std::erase_if(it.second.awaited, [&](const auto& awaited) { return m_gone.contains(awaited.first) && !mayHave(awaited.first, role, *m_basis); });
+        const auto isNeedless = [&](const InstanceName& name, const Awaited& awaited) { return m_gone.contains(name) && !awaited.isByEarlierEpoch && !mayHave(name, role, *m_basis); };
+        std::erase_if(it.second.awaited, [&](const auto& awaited) { return isNeedless(awaited.first, awaited.second); });
         complete(role, it.second, now);
     }
 }
@@ -199,15 +208,20 @@
     for (const auto& [name, member] : m_basis->others) {
         const bool mayHaveRole = mayHave(name, role, *m_basis);
         const bool isAdded = !earlier.others.contains(name) || (mayHaveRole && !mayHave(name, role, earlier));
-        if ((asksAll || isAdded) && (mayHaveRole || !m_gone.contains(name)))
-            await(claim, name, mayHaveRole, now);
+        if (!asksAll && !isAdded)
+            continue;
+        if (mayHaveRole)
+            awaitRelease(claim, name, false, now);
+        else if (!m_gone.contains(name))
+            awaitFence(claim, name, now);
     }
     const bool asksClaimants = !isContinued && !claim.isHeld;
     for (const auto& it : asksClaimants ? m_fences.claimsOf(role, m_self, now) : std::vector<RoleFence>()) {
         // The store may have lost what was declared in an earlier epoch. In this one its object has been removed, if it isn't listed.
-        const bool mayBeLost = it.revision.epoch < m_basis->revision.epoch;
-        if (mayBeLost || !m_basis->others.contains(it.claimant))
-            await(claim, it.claimant, mayBeLost, now);
+        if (it.revision.epoch < m_basis->revision.epoch)
+            awaitRelease(claim, it.claimant, true, now);
+        else if (!m_basis->others.contains(it.claimant))
+            awaitFence(claim, it.claimant, now);
     }
     m_fences.record(role, { m_basis->revision, m_self, now });
     complete(role, claim, now);
@@ -215,20 +229,27 @@
 
 void RoleClaims::endWaits(const TeamRole& role, Claim& claim, const Basis& earlier) const
 {
+    for (auto it = claim.awaited.begin(); it != claim.awaited.end();)
+        it = endsWait(role, it->first, it->second, earlier) ? claim.awaited.erase(it) : std::next(it);
+}
+
+bool RoleClaims::endsWait(const TeamRole& role, const InstanceName& name, Awaited& awaited, const Basis& earlier) const
+{
+    // One that the list no longer holds has not refreshed its object for longer than its roles last, or has ended without a role.
+    if (earlier.others.contains(name) && !m_basis->others.contains(name))
+        return true;
+    const auto refreshed = m_basis->refreshedAt.find(name);
+    const bool isRefreshed = refreshed != m_basis->refreshedAt.end() && refreshed->second > awaited.since;
+    const bool declaresOthersOnly = m_basis->declared.contains(name) && !mayHave(name, role, *m_basis);
+    // An object that came back with an older copy doesn't tell what its process has declared since.
+    if (awaited.mayHaveRole && declaresOthersOnly && (isRefreshed || !awaited.isByEarlierEpoch))
+        return true;
     // One that refreshes its object also reads lists, and may gain the role as this process may.
-    for (auto& [name, awaited] : claim.awaited) {
-        const auto refreshed = m_basis->refreshedAt.find(name);
-        if (refreshed == m_basis->refreshedAt.end() || refreshed->second <= awaited.since || !awaited.mayHaveRole)
-            continue;
+    if (awaited.mayHaveRole && isRefreshed) {
         awaited.since = refreshed->second;
         awaited.lapsesAt = refreshed->second + roleLifetime + permitTime;
     }
-    // One that the list no longer holds has not refreshed its object for longer than its roles last, or has removed it after them.
-    const auto isDropped = [&](const InstanceName& name) { return earlier.others.contains(name) && !m_basis->others.contains(name); };
-    const auto hasGivenUp = [&](const InstanceName& name) { return m_basis->declared.contains(name) && !mayHave(name, role, *m_basis); };
-    std::erase_if(claim.awaited, [&](const auto& it) {
-        return isDropped(it.first) || (it.second.mayHaveRole && hasGivenUp(it.first)) || m_basis->askedAt >= it.second.lapsesAt;
-    });
+    return m_basis->askedAt >= awaited.lapsesAt;
 }
 
 bool RoleClaims::admits(const TeamRole& role, const StoreRevision& revision, const InstanceName& claimant, TimePoint now) const
@@ -244,12 +265,23 @@
     return isGivenUp || m_resigned.contains(fence->claimant);
 }
 
-void RoleClaims::await(Claim& claim, const InstanceName& name, bool mayHaveRole, TimePoint now)
+void RoleClaims::awaitRelease(Claim& claim, const InstanceName& name, bool isByEarlierEpoch, TimePoint now)
+{
+    await(claim, name, { now, now + roleLifetime + permitTime, m_lastSequence + 1, true, isByEarlierEpoch }, now);
+}
+
+void RoleClaims::awaitFence(Claim& claim, const InstanceName& name, TimePoint now)
+{
+    await(claim, name, { now, now + fenceTime, m_lastSequence + 1, false, false }, now);
+}
+
+void RoleClaims::await(Claim& claim, const InstanceName& name, const Awaited& added, TimePoint now)
 {
-    const Awaited added { now, now + (mayHaveRole ? roleLifetime + permitTime : courtesyTime), m_lastSequence + 1, mayHaveRole };
     const auto [it, isNew] = claim.awaited.try_emplace(name, added);
-    if (!isNew && mayHaveRole && !it->second.mayHaveRole)
+    const bool isStronger = added.mayHaveRole && !it->second.mayHaveRole;
+    if (!isNew && isStronger)
         it->second = added;
+    it->second.isByEarlierEpoch = it->second.isByEarlierEpoch || added.isByEarlierEpoch;
     m_peers[name] = { now, minResend, {}, false };
     wakeBy(now);
 }
@@ -369,7 +401,7 @@
     }
     for (const auto& name : answer.claimants) {
         if (name != m_self && !claim.isHeld && !claim.answered.contains(name) && !claim.awaited.contains(name))
-            await(claim, name, true, now);
+            awaitRelease(claim, name, true, now);
     }
     complete(answer.role, claim, now);
 }
--- a/src/admission/role_claims.h
+++ b/src/admission/role_claims.h
@@ -131,7 +131,8 @@
         TimePoint since {};
         TimePoint lapsesAt {}; ///< Each list on which the instance may have the role has ended by then.
         std::uint64_t firstSequence = 0; ///< Answers to earlier claims don't count.
-        bool mayHaveRole = true; ///< Otherwise the answer is worth only a short wait.
+        bool mayHaveRole = true; ///< Otherwise it is asked only so that it takes on the role by no earlier list.
+        bool isByEarlierEpoch = false; ///< It claimed the role in an epoch whose declarations the store may have lost.
     };
     struct Claim {
         bool isWanted = true;
@@ -156,13 +157,21 @@
     static bool isGrowth(const Basis& earlier, const Basis& later);
     /// Whether the instance may have the role, or gain it without asking this one, as far as the list shows.
     bool mayHave(const InstanceName&, const TeamRole&, const Basis&) const;
+    /// Notes what this process declares by the list. A copy, which may be older than the declaration, shows only what is declared no longer.
+    void noteDeclared(const InstanceListing&);
     /// Claims the role by the present basis.
     void claim(const TeamRole&, const Basis& earlier, TimePoint);
     /// Whether the role may be claimed by the list of that revision, as far as this process knows.
     bool admits(const TeamRole&, const StoreRevision&, const InstanceName& claimant, TimePoint) const;
     /// Ends the waits for silent instances that can't have the role by now.
     void endWaits(const TeamRole&, Claim&, const Basis& earlier) const;
-    void await(Claim&, const InstanceName&, bool mayHaveRole, TimePoint);
+    /// Whether the present list shows that the silent instance can't have the role. Begins the wait again if the instance has refreshed its object.
+    bool endsWait(const TeamRole&, const InstanceName&, Awaited&, const Basis& earlier) const;
+    /// Waits for an instance that may have the role.
+    void awaitRelease(Claim&, const InstanceName&, bool isByEarlierEpoch, TimePoint);
+    /// Waits for an instance that can't have the role, for a short time.
+    void awaitFence(Claim&, const InstanceName&, TimePoint);
+    void await(Claim&, const InstanceName&, const Awaited&, TimePoint);
     void complete(const TeamRole&, Claim&, TimePoint);
     RoleAnswer answer(const InstanceName& from, const TeamRole&, const RoleClaim&, TimePoint);
     void applyAnswer(const InstanceName& from, std::uint64_t sequence, const RoleAnswer&, TimePoint);
--- a/src/gateway/instance_census.cpp
+++ b/src/gateway/instance_census.cpp
@@ -18,13 +18,27 @@
     return sighting.version > known.version;
 }
 
-InstanceCensus::KnownInstance InstanceCensus::update(const KnownInstance& known, const InstanceSighting& sighting, TimePoint now)
+std::optional<RoleDeclaration> InstanceCensus::declaredBy(const KnownInstance& known, const InstanceSighting& sighting, TimePoint now) const
+{
+    if (sighting.instance.life != known.instance.life || !known.declared)
+        return sighting.declared;
+    // A process that has ended doesn't run again, whatever an older copy of the store says of it.
+    if (known.declared->hasEnded)
+        return known.declared;
+    auto declared = sighting.declared;
+    // The copy may lack what the process has declared since, which it declares again within this time.
+    if (declared && now < m_keptUntil)
+        declared->roles.insert(known.declared->roles.begin(), known.declared->roles.end());
+    return declared;
+}
+
+InstanceCensus::KnownInstance InstanceCensus::update(const KnownInstance& known, const InstanceSighting& sighting, TimePoint now) const
 {
     const bool hasRefreshed = isRefreshed(known, sighting);
     const auto changedAt = hasRefreshed ? now : known.changedAt;
     const bool isSameProcess = sighting.instance.life == known.instance.life;
     const auto refreshes = isSameProcess ? std::max(known.refreshes, sighting.refreshes) : sighting.refreshes;
-    return { sighting.version, refreshes, changedAt, now - changedAt < staleAfter, known.isVerified || hasRefreshed, sighting.instance, sighting.declared };
+    return { sighting.version, refreshes, changedAt, now - changedAt < staleAfter, known.isVerified || hasRefreshed, sighting.instance, declaredBy(known, sighting, now) };
 }
 
 void InstanceCensus::onList(const std::vector<InstanceSighting>& sightings, TimePoint now)
--- a/src/gateway/instance_census.h
+++ b/src/gateway/instance_census.h
@@ -61,7 +61,9 @@
     static bool hasEnded(const KnownInstance&);
     /// An object of an older copy of the store has another version too, so a change of it shows no life by itself.
     static bool isRefreshed(const KnownInstance&, const InstanceSighting&);
-    static KnownInstance update(const KnownInstance&, const InstanceSighting&, TimePoint);
+    KnownInstance update(const KnownInstance&, const InstanceSighting&, TimePoint) const;
+    /// What the process declares, as far as this sighting and the earlier ones tell.
+    std::optional<RoleDeclaration> declaredBy(const KnownInstance&, const InstanceSighting&, TimePoint) const;
 
     TimePoint m_keptUntil {};
     bool m_hasList = false;
--- a/tests/admission/role_claims_test.cpp
+++ b/tests/admission/role_claims_test.cpp
@@ -183,6 +183,25 @@
         CHECK(fleet.holders() == "c");
         CHECK(fleet.running.at(InstanceName("c"))->permits == 7);
     }
+    // The wait for it ended with the next list, as if it had withdrawn the declaration that the store had lost.
+    SUBCASE("a keeper whose object is an older one again, without the role, is waited for until it has written it itself")
+    {
+        fleet.start("x");
+        fleet.list("x", { "a", "b", "c", "x" }, true);
+        REQUIRE(fleet.holders() == "x");
+        fleet.cutOff.insert(InstanceName("x"));
+        fleet.epoch = 2;
+        fleet.declared = { { InstanceName("a"), {} }, { InstanceName("b"), {} }, { InstanceName("x"), {} } };
+        for (int i = 0; i < 3; ++i) {
+            fleet.list("c", { "a", "b", "c", "x" }, true);
+            fleet.pass(10s);
+        }
+        CHECK(fleet.holders() == "x");
+        fleet.refreshedAt[InstanceName("x")] = fleet.now;
+        fleet.running.erase(InstanceName("x"));
+        fleet.list("c", { "a", "b", "c", "x" }, true);
+        CHECK(fleet.holders() == "c");
+    }
     // Otherwise a quiet store, whose revision doesn't rise, left the team without a keeper after a planned stop.
     SUBCASE("a process that is about to end hands the role over by the list on which it rests itself, to one successor only")
     {
--- a/tests/gateway/instance_census_test.cpp
+++ b/tests/gateway/instance_census_test.cpp
@@ -44,9 +44,34 @@
         census.describe(listing);
         CHECK(listing.instances.size() == 2);
         CHECK(listing.ended.size() == 1);
-        census.onList({ sighting("a", 1), sighting("b", 2), sighting("c", 5, 1, 2) }, start + 2s);
+        // An older copy of the store brought an instance that had ended back into the ranking.
+        census.recordNewEpoch(start + 20s);
+        census.onList({ sighting("a", 1), sighting("b", 2), sighting("c", 3, 1) }, start + 2s);
+        CHECK(census.alive().size() == 2);
+        census.onList({ sighting("a", 1), sighting("b", 2), sighting("c", 5, 1, 2) }, start + 3s);
         CHECK(census.alive().size() == 3);
     }
+    // A role that was declared after the copy was made looked free to the others.
+    SUBCASE("an older copy takes back no declaration until its process has had the time to write it again")
+    {
+        const TeamRole keeper { TeamName("parts"), QuotaRole::Keeper };
+        const auto declaring = [&](std::uint64_t refreshes, const std::set<TeamRole>& roles) {
+            auto it = sighting("c", 3, refreshes);
+            it.declared = RoleDeclaration { roles, false, false };
+            return it;
+        };
+        const auto declared = [&] {
+            InstanceListing listing;
+            census.describe(listing);
+            return listing.declared.at(InstanceName("c")).roles;
+        };
+        census.onList({ declaring(2, { keeper }) }, start + 1s);
+        census.recordNewEpoch(start + 20s);
+        census.onList({ declaring(1, {}) }, start + 2s);
+        CHECK(declared() == std::set { keeper });
+        census.onList({ declaring(3, {}) }, start + 20s);
+        CHECK(declared().empty());
+    }
     SUBCASE("an instance whose object an older copy of the store lacks is counted until it has had the time to write it again")
     {
         census.recordNewEpoch(start + 20s);
