--- a/src/admission/quota_action.h
+++ b/src/admission/quota_action.h
@@ -28,8 +28,10 @@
     RequestNumber number;
 };
 
+/// Why a request isn't admitted.
 enum class QuotaRefusal : std::uint8_t {
     OverQuota, ///< The request is beyond its team's quota, as far as this instance can tell.
+    PartGranted, ///< Only the standby's part of the team's quota is granted at present, and it is used up.
     NotGranted, ///< No instance that this one reaches grants the team's quota at present.
 };
 
--- a/src/admission/quota_client.cpp
+++ b/src/admission/quota_client.cpp
@@ -129,7 +129,7 @@
     actions.emplace_back(RefuseRequest { number, state.deniedUntil - now, state.whyDenied });
 }
 
-void QuotaClient::onGrant(const QuotaGrant& grant, TimePoint sentAt, TimePoint now, QuotaActions& actions)
+void QuotaClient::onGrant(const QuotaGrant& grant, QuotaRefusal whyDenied, TimePoint sentAt, TimePoint now, QuotaActions& actions)
 {
     const auto it = m_teams.find(grant.team);
     if (it == m_teams.end())
@@ -139,7 +139,7 @@
     // Permits of an earlier grant may outlive this one, so they are dropped rather than added.
     state.permits = grant.permits;
     state.permitsUntil = sentAt + grant.lifetime;
-    state.whyDenied = QuotaRefusal::OverQuota;
+    state.whyDenied = whyDenied;
     if (grant.retryAfter > Duration {})
         state.deniedUntil = now + std::max(grant.retryAfter, minAskInterval);
     serveWaiting(grant.team, state, now, actions);
--- a/src/admission/quota_client.h
+++ b/src/admission/quota_client.h
@@ -45,8 +45,8 @@
     std::vector<TeamName> takeUnasked();
     /// Appends what to ask for the team.
     void appendWishes(const TeamName&, bool isForKeeper, TimePoint, std::vector<QuotaWish>&) const;
-    /// A keeper granted permits in reply to a call that was sent then.
-    void onGrant(const QuotaGrant&, TimePoint sentAt, TimePoint, QuotaActions&);
+    /// A keeper or standby granted permits in reply to a call that was sent then. whyDenied: of the requests for which the permits don't suffice.
+    void onGrant(const QuotaGrant&, QuotaRefusal whyDenied, TimePoint sentAt, TimePoint, QuotaActions&);
     /// No keeper answers for the team: this instance uses permits of its own. perWindow: the most in one window.
     void fallBack(const TeamName&, double perWindow, TimePoint, QuotaActions&);
 
--- a/src/admission/quota_engine.cpp
+++ b/src/admission/quota_engine.cpp
@@ -103,8 +103,8 @@
 
 void QuotaEngine::requestDeclaration(TimePoint now, QuotaActions& actions)
 {
-    if (m_isResigning && declaration() != m_requested) {
-        // Others need the latest word of a process that may be gone soon.
+    if (m_isResigning && hasQuotas() && declaration() != m_requested) {
+        // The process may end before a later one.
         m_declareAt = now;
     } else if (m_claims.needsDeclaration()) {
         const bool isRepeated = declaration() == m_requested;
@@ -359,7 +359,10 @@
 double QuotaEngine::ownPermits(const TeamName& team, TimePoint now) const
 {
     const bool isListedByAll = m_listedSince != never && now >= m_listedSince + maxOwnListAge + maxCopyAge;
-    if (!isListedByAll || now >= m_listedAt + maxOwnListAge || m_ranking.instances() == 0 || !m_gone.empty())
+    if (!isListedByAll || now >= m_listedAt + maxOwnListAge || m_ranking.instances() == 0)
+        return 0;
+    // The others don't count a process that resigns, and may count one that is presumed gone here.
+    if (m_isResigning || !m_gone.empty())
         return 0;
     const auto all = m_client.limitsOf(team).ownPermits;
     const auto share = all / static_cast<double>(m_ranking.instances());
@@ -434,7 +437,8 @@
             granted.retryAfter = std::min(granted.retryAfter, maxStandbyDenial);
         else
             m_lastGranters[asked.team] = call.instance;
-        m_client.onGrant(granted, call.sentAt, now, actions);
+        const auto whyDenied = asked.choice == Choice::Standby ? QuotaRefusal::PartGranted : QuotaRefusal::OverQuota;
+        m_client.onGrant(granted, whyDenied, call.sentAt, now, actions);
     }
     passOver(notKept, now, actions);
 }
--- a/src/admission/quota_engine.h
+++ b/src/admission/quota_engine.h
@@ -59,7 +59,7 @@
     void onResignation(const InstanceName& from, const RoleResignation&, TimePoint, QuotaActions&);
     /// This process is about to end: others take over its roles. It goes on admitting requests.
     void resign(TimePoint, QuotaActions&);
-    /// This process ends: it gives up the roles that nobody has claimed, and grants and admits nothing any more. Precondition: resign() was called.
+    /// This process ends: it gives up the roles that nobody has claimed, and gains none any more. Precondition: resign() was called.
     void end(TimePoint, QuotaActions&);
     void onTimer(TimePoint, QuotaActions&);
     /// When onTimer() is due.
--- a/src/gateway/forward_driver.cpp
+++ b/src/gateway/forward_driver.cpp
@@ -123,10 +123,14 @@
 {
     if (!m_held.contains(number))
         return;
-    if (why == QuotaRefusal::OverQuota)
-        refuseHeld(number, { tooManyRequests, retryAfter, "over the team's quota" });
-    else
-        refuseHeld(number, { unavailable, retryAfter, "not run: no instance grants the team's quota at present" });
+    switch (why) {
+    case QuotaRefusal::OverQuota:
+        return refuseHeld(number, { tooManyRequests, retryAfter, "over the team's quota" });
+    case QuotaRefusal::PartGranted:
+        return refuseHeld(number, { unavailable, retryAfter, "not run: only a part of the team's quota is granted at present" });
+    case QuotaRefusal::NotGranted:
+        return refuseHeld(number, { unavailable, retryAfter, "not run: no instance grants the team's quota at present" });
+    }
 }
 
 void ForwardDriver::refuseHeld(RequestNumber number, const EarlyRefusal& refusal)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -367,7 +367,10 @@
     {
         m_quotas.announceEnd();
         m_housekeeping.expires_after(announceEndTime);
-        m_housekeeping.async_wait([this](const boost::system::error_code&) { stopLoop(); });
+        m_housekeeping.async_wait([this](const boost::system::error_code& ec) {
+            if (!ec)
+                stopLoop();
+        });
     }
 
     void stopLoop()
--- a/src/gateway/planned_stop.cpp
+++ b/src/gateway/planned_stop.cpp
@@ -9,8 +9,8 @@
 
 /// Requests still in flight this long before the limit are answered with the parts received so far.
 constexpr Duration finishBeforeLimit = std::chrono::milliseconds(1000);
-/// What is left for the end of the process.
-constexpr Duration stopBeforeLimit = std::chrono::milliseconds(500);
+/// What is left for the end of the process after the check that finds the limit near.
+constexpr Duration stopBeforeLimit = std::chrono::milliseconds(600);
 /// The time for the last answers to reach their callers.
 constexpr Duration answerFlushTime = std::chrono::milliseconds(200);
 constexpr Duration checkPeriod = std::chrono::milliseconds(100);
--- a/tests/admission/quota_engine_test.cpp
+++ b/tests/admission/quota_engine_test.cpp
@@ -147,6 +147,8 @@
             asker.grant(asker.ranked[1], 0, 1h);
             REQUIRE(asker.count<RefuseRequest>() == 1);
             CHECK(std::get<RefuseRequest>(asker.actions[0]).retryAfter == 1s);
+            // Callers within the quota were told that they are over it.
+            CHECK(std::get<RefuseRequest>(asker.actions[0]).why == QuotaRefusal::PartGranted);
         }
         SUBCASE("and once it has answered, its next answer is expected sooner")
         {
