--- a/src/admission/quota_engine.h
+++ b/src/admission/quota_engine.h
@@ -89,6 +89,11 @@
     };
     using AskedByInstance = std::map<InstanceName, std::vector<AskedTeam>>;
 
+    /// Between two requests for a list of the instances; doubles until one comes.
+    static constexpr Duration minListingPause = std::chrono::milliseconds(500);
+
+    /// The factor of the pauses between lists, which differs between processes.
+    static double listingPace(std::uint64_t seed);
     void onRoleGained(const TeamRole&, const QuotaCredit&, TimePoint) override;
     QuotaCredit onRoleLost(const TeamRole&, TimePoint) override;
     /// Notices pauses of the process, and ends roles that have expired.
@@ -142,7 +147,7 @@
     std::map<std::uint64_t, Call> m_calls; ///< By sequence, and so nearly by deadline.
     std::uint64_t m_lastSequence = 0;
     TimePoint m_nextListing {}; ///< No list is requested before.
-    double m_listingPace; ///< Factor of the pauses between lists.
+    double m_listingPace;
     Duration m_listingPause;
     TimePoint m_lastEvent = never;
     TimePoint m_resumedAt {}; ///< When the end of the last pause was noticed.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,13 +3,14 @@
 #include "base/buffer_limit.h"
 #include "gateway/computed_response.h"
 #include "gateway/descriptor_budget.h"
+#include "gateway/end_record.h"
 #include "gateway/followed_states.h"
 #include "gateway/forward_driver.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/key_admission.h"
 #include "gateway/known_configuration.h"
 #include "gateway/known_servers.h"
-#include "gateway/peer_presence.h"
+#include "gateway/peer_prober.h"
 #include "gateway/planned_stop.h"
 #include "gateway/port_opener.h"
 #include "http/probe_limits.h"
@@ -20,16 +21,12 @@
 
 #include <algorithm>
 #include <csignal>
-#include <utility>
 
 namespace lycheefield {
 
 namespace {
 
 constexpr Duration housekeepingPeriod = std::chrono::seconds(1);
-/// A stop has more time left than these two.
-constexpr Duration recordEndTimeout = std::chrono::milliseconds(400);
-constexpr Duration announceEndTime = std::chrono::milliseconds(50);
 constexpr unsigned ok = 200;
 constexpr unsigned unavailable = 503;
 
@@ -47,8 +44,9 @@
         , m_driver({ m_strand, *m_clock, protocols.callers, protocols.servers, m_metrics, m_log, m_freshness, m_states, m_descriptors.forServers() }, forwardSettings(settings))
         , m_delegateChooser(settings.instance.name, settings.instance.zone)
         , m_delegation({ m_io, m_strand, m_clock, m_driver, m_metrics, m_log, *this }, m_delegateChooser, settings.instance.name, settings.instance.zone)
-        , m_presence(settings.instance.name)
         , m_quotas(m_strand, *m_clock, m_driver, m_metrics, m_log, settings.instance.name, settings.admission)
+        , m_prober(m_strand, *m_clock, m_delegation, m_log, settings.instance.name, [this] { onPresence(); })
+        , m_end(m_strand, m_quotas)
         , m_servers(settings.gateway.renewalPeriod, settings.gateway.zoneDrainLimit, *m_clock, m_driver, m_log)
         , m_loop(m_io, m_metrics, [this](std::string_view why) { logState("handler threw an exception; its request ends, others continue", { { "why", why } }); })
         , m_ports(m_strand, *m_clock, *this)
@@ -60,15 +58,10 @@
         , m_metricsServer(m_io, m_metricsPage, m_clock, m_probeCounters, probeLimits())
         , m_signals(m_strand, SIGTERM, SIGINT, SIGHUP)
         , m_housekeeping(m_strand)
-        , m_presenceTimer(m_strand)
         , m_stop(m_strand, *m_clock, m_driver, m_callerServer, { settings.gateway.stopLimit, settings.drain.balancerLag }, [this] { endRun(); })
     {
         m_driver.setDelegation(m_delegation, m_delegateChooser);
         m_quotas.setDelegation(m_delegation);
-        m_delegation.setPeerHeardHandler([this](const InstanceName& from) {
-            if (m_presence.onMessage(from))
-                onPresence();
-        });
         m_driver.setQuotas(m_quotas);
         BufferLimit::ofProcess()->setMax(settings.instance.maxBuffered);
         followStates();
@@ -113,13 +106,13 @@
         auto counted = m_instances;
         counted.insert(counted.end(), listing.ended.begin(), listing.ended.end());
         m_driver.setInstances(counted);
-        m_presence.setInstances(m_instances, listing.unverified, m_clock->now());
+        m_prober.setInstances(listing);
         onPresence();
         auto reachable = listing;
         // Others could not ask this instance for a role.
         reachable.holdsSelf = listing.holdsSelf && m_ports.areRequiredOpen();
         m_quotas.setInstances(reachable);
-        askForLife();
+        m_prober.probe();
     }
 
     bool needsLatestListing() const { return m_quotas.needsLatestListing(); }
@@ -131,7 +124,7 @@
     RoleDeclaration roleDeclaration() const { return m_quotas.declaration(); }
     void setInstanceRegistry(InstanceRegistry& registry)
     {
-        m_registry = &registry;
+        m_end.setInstanceRegistry(registry);
         m_quotas.setInstanceRegistry(registry);
     }
     void setFollower(StoreFollower& follower) { m_follower = &follower; }
@@ -251,31 +244,12 @@
     /// Passes on the instances and which of them are presumed gone.
     void onPresence()
     {
-        m_delegation.onPeers(m_instances, m_presence.gone());
-        m_quotas.setGone(m_presence.gone());
+        m_delegation.onPeers(m_instances, m_prober.gone());
+        m_quotas.setGone(m_prober.gone());
         if (m_follower)
             m_follower->onRank(m_isListingSettled ? m_delegation.newsRank() : std::max(1U, m_delegation.newsRank()));
     }
 
-    /// Asks instances that nothing shows to run for a sign of life.
-    void askForLife()
-    {
-        const auto now = m_clock->now();
-        if (m_presence.onTimer(now)) {
-            logState("instances presumed gone; they get no duty until they are heard of", { { "instances", std::to_string(m_presence.gone().size()) } });
-            onPresence();
-        }
-        for (const auto& it : m_presence.takeDue(now))
-            m_delegation.sendOnAnyConnection(it, QuotaCall {});
-        if (m_presence.nextWake() == never)
-            return;
-        m_presenceTimer.expires_after(std::max(Duration {}, m_presence.nextWake() - now));
-        m_presenceTimer.async_wait([this](const boost::system::error_code& ec) {
-            if (!ec)
-                askForLife();
-        });
-    }
-
     void followStates()
     {
         m_states.follow(FollowedObjects::Configuration, m_settings.gateway.configurationLimit);
@@ -350,35 +324,12 @@
     /// Ends the run once the store or the other instances know of it.
     void endRun()
     {
-        if (std::exchange(m_isEnding, true))
-            return;
-        m_quotas.end();
-        if (!m_registry)
-            return stopLoop();
-        m_housekeeping.expires_after(recordEndTimeout);
-        m_housekeeping.async_wait([this](const boost::system::error_code& ec) {
-            if (!ec)
-                announceEnd();
-        });
-        m_registry->recordEnd([this](bool isRecorded) { isRecorded ? stopLoop() : announceEnd(); });
-    }
-
-    void announceEnd()
-    {
-        m_quotas.announceEnd();
-        m_housekeeping.expires_after(announceEndTime);
-        m_housekeeping.async_wait([this](const boost::system::error_code& ec) {
-            if (!ec)
-                stopLoop();
+        m_end.begin([this] {
+            logState("stopped", { { "in_flight", std::to_string(m_driver.inFlight()) } });
+            m_io.stop();
         });
     }
 
-    void stopLoop()
-    {
-        logState("stopped", { { "in_flight", std::to_string(m_driver.inFlight()) } });
-        m_io.stop();
-    }
-
     const Settings m_settings;
     const DescriptorBudget m_descriptors = DescriptorBudget::ofProcess();
     boost::asio::io_context m_io { 1 };
@@ -392,8 +343,9 @@
     ForwardDriver m_driver;
     DelegateChooser m_delegateChooser;
     SearchDelegation m_delegation;
-    PeerPresence m_presence;
     QuotaDriver m_quotas;
+    PeerProber m_prober;
+    EndRecord m_end;
     StoreFollower* m_follower = nullptr;
     QuarantineStore* m_quarantineStore = nullptr;
     Endpoint m_inner;
@@ -410,13 +362,10 @@
     HttpServer m_metricsServer;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_housekeeping;
-    boost::asio::steady_timer m_presenceTimer;
     std::vector<Instance> m_instances; ///< Of the last listing.
     bool m_isListingSettled = false;
     PlannedStop m_stop;
     std::atomic<bool> m_isReady { false };
-    InstanceRegistry* m_registry = nullptr;
-    bool m_isEnding = false;
     bool m_isShortOfConnections = false;
 };
 
--- a/src/gateway/peer_presence.cpp
+++ b/src/gateway/peer_presence.cpp
@@ -11,12 +11,12 @@
 
 namespace {
 
-/// The message or its answer may be lost.
-constexpr Duration askPeriod = 500ms;
-/// Of an instance that is presumed gone.
-constexpr Duration goneAskPeriod = 10s;
+/// Between two probes of an instance; either or the answer may be lost.
+constexpr Duration probePeriod = 500ms;
+/// The same, of an instance that is presumed gone.
+constexpr Duration gonePeriod = 10s;
 /// Each opens a connection.
-constexpr std::size_t askedTogether = 64;
+constexpr std::size_t probedTogether = 64;
 constexpr Duration pauseBetweenGroups = 250ms;
 
 }
@@ -34,28 +34,29 @@
     std::map<InstanceName, Unverified> current;
     for (const auto* it : order) {
         const auto known = m_unverified.find(it->name);
-        current.emplace(it->name, known == m_unverified.end() ? Unverified {} : known->second);
+        const auto added = m_hasBegun ? Unverified { never, now } : Unverified {};
+        current.emplace(it->name, known == m_unverified.end() ? added : known->second);
     }
     m_unverified = std::move(current);
-    if (m_asksAll) {
-        askAll(now);
+    if (m_probesAll) {
+        probeAll(now);
     } else if (!std::exchange(m_hasBegun, true)) {
         const auto keyOf = [](const Instance* it) { return std::tuple(-it->cores, stableHash(it->name.value())); };
         std::sort(order.begin(), order.end(), [&](const auto* a, const auto* b) { return keyOf(a) < keyOf(b); });
-        order.resize(std::min(order.size(), askedFirst));
+        order.resize(std::min(order.size(), probedFirst));
         for (const auto* it : order)
-            m_unverified.at(it->name).nextAskAt = now;
+            m_unverified.at(it->name).nextProbeAt = now;
     }
     return std::erase_if(m_gone, [&](const auto& it) { return !m_unverified.contains(it); }) > 0;
 }
 
-void PeerPresence::askAll(TimePoint now)
+void PeerPresence::probeAll(TimePoint now)
 {
-    m_asksAll = true;
+    m_probesAll = true;
     std::size_t n = 0;
     for (auto& [name, it] : m_unverified) {
-        if (it.nextAskAt == never)
-            it.nextAskAt = now + n++ / askedTogether * pauseBetweenGroups;
+        if (it.nextProbeAt == never)
+            it.nextProbeAt = now + n++ / probedTogether * pauseBetweenGroups;
     }
 }
 
@@ -71,22 +72,22 @@
 {
     bool hasChanged = false;
     for (const auto& [name, it] : m_unverified) {
-        if (it.askedAt != never && now >= it.askedAt + answerTime)
+        if (it.probedAt != never && now >= it.probedAt + answerTime)
             hasChanged = m_gone.insert(name).second || hasChanged;
     }
-    if (hasChanged && !m_asksAll)
-        askAll(now);
+    if (hasChanged && !m_probesAll)
+        probeAll(now);
     return hasChanged;
 }
 
-std::vector<InstanceName> PeerPresence::takeDue(TimePoint now)
+std::vector<InstanceName> PeerPresence::takeProbes(TimePoint now)
 {
     std::vector<InstanceName> due;
     for (auto& [name, it] : m_unverified) {
-        if (now < it.nextAskAt)
+        if (now < it.nextProbeAt)
             continue;
-        it.askedAt = std::min(it.askedAt, now);
-        it.nextAskAt = now + (m_gone.contains(name) ? goneAskPeriod : askPeriod);
+        it.probedAt = std::min(it.probedAt, now);
+        it.nextProbeAt = now + (m_gone.contains(name) ? gonePeriod : probePeriod);
         due.push_back(name);
     }
     return due;
@@ -96,9 +97,9 @@
 {
     auto wake = never;
     for (const auto& [name, it] : m_unverified) {
-        wake = std::min(wake, it.nextAskAt);
-        if (it.askedAt != never && !m_gone.contains(name))
-            wake = std::min(wake, it.askedAt + answerTime);
+        wake = std::min(wake, it.nextProbeAt);
+        if (it.probedAt != never && !m_gone.contains(name))
+            wake = std::min(wake, it.probedAt + answerTime);
     }
     return wake;
 }
--- a/src/gateway/peer_presence.h
+++ b/src/gateway/peer_presence.h
@@ -11,11 +11,11 @@
 
 namespace lycheefield {
 
-/// Tells which of the listed instances are presumed gone, so that no duty is given to them.
+/// Tells which of the listed instances are presumed gone, so that no work is assigned to them.
 ///
 /// The objects that a process finds in the store when it starts may be left from instances that have ended. Such an instance is unverified until
-/// its object is refreshed or a message comes from it. The ones with the most processor are asked for a sign of life at once, and all
-/// others as soon as one of those stays silent. One that stays silent is presumed gone until it shows life; that proves nothing: it may run and be out of reach.
+/// its object is refreshed or a message comes from it. The ones with the most processor are probed at once, and all others as soon as one of those
+/// doesn't answer. One that doesn't answer is presumed gone until a refresh or a message comes. It may run and be out of reach, so the presumption is no reason to grant what it may grant.
 /// Performs no I/O. Not thread safe.
 class PeerPresence {
 public:
@@ -30,31 +30,31 @@
     bool onMessage(const InstanceName& from);
     /// Returns whether gone() has changed.
     bool onTimer(TimePoint);
-    /// Takes the instances that are to be asked for a sign of life now.
-    std::vector<InstanceName> takeDue(TimePoint);
-    /// When onTimer() or takeDue() has something to do, or earlier.
+    /// Takes the instances that are to be probed now.
+    std::vector<InstanceName> takeProbes(TimePoint);
+    /// When onTimer() or takeProbes() has something to do, or earlier.
     TimePoint nextWake() const;
     const std::set<InstanceName>& gone() const { return m_gone; }
 
-    /// An instance that has been asked is presumed gone when it has been silent for so long.
+    /// An instance is presumed gone when it hasn't answered for so long.
     static constexpr Duration answerTime = std::chrono::milliseconds(1500);
-    static constexpr std::size_t askedFirst = 16;
+    static constexpr std::size_t probedFirst = 16;
 
 private:
     struct Unverified {
-        TimePoint askedAt = never; ///< For the first time.
-        TimePoint nextAskAt = never;
+        TimePoint probedAt = never; ///< For the first time.
+        TimePoint nextProbeAt = never;
     };
 
-    /// Lets all unverified instances be asked, few at a time.
-    void askAll(TimePoint);
+    /// Lets all unverified instances be probed, few at a time.
+    void probeAll(TimePoint);
 
     InstanceName m_self;
     std::map<InstanceName, Unverified> m_unverified;
     std::set<InstanceName> m_heard;
     std::set<InstanceName> m_gone;
     bool m_hasBegun = false;
-    bool m_asksAll = false;
+    bool m_probesAll = false;
 };
 
 }
--- a/tests/admission/quota_fleet.h
+++ b/tests/admission/quota_fleet.h
@@ -130,8 +130,8 @@
     /// Writes the object of the node, later if a write is in flight.
     void write(std::size_t node);
     void onWritten(std::size_t node, const RoleDeclaration&, TimePoint sentAt, bool isDone);
-    /// Asks instances that nothing shows to run for a sign of life.
-    void askForLife(std::size_t node);
+    /// Probes instances that nothing shows to run.
+    void probePeers(std::size_t node);
     void add(std::size_t nodes);
     /// Notes how many processes grant in each role.
     void checkHolders();
--- a/tests/gateway/peer_presence_test.cpp
+++ b/tests/gateway/peer_presence_test.cpp
@@ -36,7 +36,7 @@
     PeerPresence presence(instances[0].name);
     TimePoint now { 1000s };
     presence.setInstances(instances, namesOf(instances), now);
-    CHECK(presence.takeDue(now).size() == 2);
+    CHECK(presence.takeProbes(now).size() == 2);
     CHECK(presence.gone().empty());
 
     SUBCASE("one that answers is not")
@@ -60,28 +60,36 @@
         CHECK(presence.setInstances(instances, { instances[2].name }, now));
         CHECK(presence.gone() == std::set { instances[2].name });
     }
-    SUBCASE("it is asked again, as a message may be lost")
+    SUBCASE("it is probed again, as a message may be lost")
     {
         now += 1s;
-        CHECK(presence.takeDue(now).size() == 2);
+        CHECK(presence.takeProbes(now).size() == 2);
     }
-    SUBCASE("one that has been seen to refresh its object isn't asked")
+    // The store may bring back the object of an instance that has ended, with an older copy.
+    SUBCASE("one that is listed later without being verified is probed too")
+    {
+        const auto more = instancesNamed(4);
+        presence.takeProbes(now);
+        presence.setInstances(more, namesOf(more), now);
+        CHECK(presence.takeProbes(now) == std::vector { more[3].name });
+    }
+    SUBCASE("one that has been seen to refresh its object isn't probed")
     {
         PeerPresence calm(instances[0].name);
         calm.setInstances(instances, {}, now);
-        CHECK(calm.takeDue(now).empty());
+        CHECK(calm.takeProbes(now).empty());
         CHECK(calm.nextWake() == never);
     }
 }
 
-TEST_CASE("Of many unverified instances few are asked, and all once one of those is silent" * doctest::test_suite("gateway"))
+TEST_CASE("Of many unverified instances few are probed, and all once one of those is silent" * doctest::test_suite("gateway"))
 {
     const auto instances = instancesNamed(200);
     PeerPresence presence(instances[0].name);
     TimePoint now { 1000s };
     presence.setInstances(instances, namesOf(instances), now);
-    const auto first = presence.takeDue(now);
-    REQUIRE(first.size() == PeerPresence::askedFirst);
+    const auto first = presence.takeProbes(now);
+    REQUIRE(first.size() == PeerPresence::probedFirst);
 
     SUBCASE("all of them answer")
     {
@@ -89,7 +97,7 @@
             presence.onMessage(it);
         now += 1min;
         CHECK_FALSE(presence.onTimer(now));
-        CHECK(presence.takeDue(now).empty());
+        CHECK(presence.takeProbes(now).empty());
     }
     SUBCASE("one doesn't")
     {
@@ -99,7 +107,7 @@
         for (int i = 0; i < 60; ++i) {
             now += 100ms;
             presence.onTimer(now);
-            const auto due = presence.takeDue(now).size();
+            const auto due = presence.takeProbes(now).size();
             CHECK(due <= 150);
             asked += due;
         }
