--- a/src/gateway/instance_census.cpp
+++ b/src/gateway/instance_census.cpp
@@ -66,6 +66,16 @@
     return instances;
 }
 
+std::map<InstanceName, ObjectVersion> InstanceCensus::removable(TimePoint now) const
+{
+    std::map<InstanceName, ObjectVersion> objects;
+    for (const auto& [name, known] : m_known) {
+        if (now >= std::max(known.changedAt, m_keptUntil) + removableAfter)
+            objects.emplace(name, known.version);
+    }
+    return objects;
+}
+
 void InstanceCensus::describe(InstanceListing& listing) const
 {
     for (const auto& [name, known] : m_known) {
--- a/src/gateway/instance_census.h
+++ b/src/gateway/instance_census.h
@@ -37,6 +37,9 @@
     /// An instance that has not refreshed its object for so long is no longer counted.
     static constexpr Duration staleAfter = 3 * refreshPeriod;
 
+    /// The object of an instance that hasn't refreshed it for so long may be removed: its roles ended long before, even if its clock runs slowly.
+    static constexpr Duration removableAfter = staleAfter + refreshPeriod;
+
     /// Processes a list of all instances' objects.
     void onList(const std::vector<InstanceSighting>&, TimePoint);
     /// Records that the store came back from an older copy: until then an instance is counted whose object is missing, as each writes again what was
@@ -44,6 +47,8 @@
     void recordNewEpoch(TimePoint keptUntil) { m_keptUntil = std::max(m_keptUntil, keptUntil); }
     /// The instances whose objects are not stale and don't say that they have ended.
     std::vector<Instance> alive() const;
+    /// The instances whose objects may be removed, with the versions at which they may be. None soon after the store came back from an older copy.
+    std::map<InstanceName, ObjectVersion> removable(TimePoint) const;
     /// Adds to the listing the instances whose objects are not stale, and what is known of each.
     void describe(InstanceListing&) const;
 
--- a/src/gateway/search_delegation.h
+++ b/src/gateway/search_delegation.h
@@ -102,7 +102,7 @@
     /// Opens the listening port for other instances and returns its endpoint.
     Result<Endpoint> listen(const Endpoint&);
     ProcessLife life() const { return m_life; }
-    /// Sets the instances of the fleet, with or without this one. Those that are gone get no duty, and can be sent messages.
+    /// Sets the instances of the fleet, with or without this one. Those that are presumed gone are assigned no work, and can be sent messages.
     void onPeers(const std::vector<Instance>&, const std::set<InstanceName>& gone);
 
     /// Sets who receives messages about quotas; without it they are ignored. Preconditions: called before listen(); the events outlive the SearchDelegation.
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -23,13 +23,15 @@
 
 bool isWrite(PlatformCallKind kind)
 {
-    return kind == PlatformCallKind::Write || kind == PlatformCallKind::Create || kind == PlatformCallKind::Report;
+    return kind == PlatformCallKind::Write || kind == PlatformCallKind::Create || kind == PlatformCallKind::Remove || kind == PlatformCallKind::Report;
 }
 
 PlatformMethod methodOf(PlatformCallKind kind)
 {
     if (kind == PlatformCallKind::Create)
         return PlatformMethod::Post;
+    if (kind == PlatformCallKind::Remove)
+        return PlatformMethod::Delete;
     return isWrite(kind) ? PlatformMethod::Put : PlatformMethod::Get;
 }
 
@@ -202,6 +204,7 @@
             return;
         case PlatformCallKind::Write:
         case PlatformCallKind::Create:
+        case PlatformCallKind::Remove:
             ++counters.writes;
             return;
         case PlatformCallKind::List:
--- a/src/platform/platform_client.h
+++ b/src/platform/platform_client.h
@@ -20,6 +20,7 @@
     Read,
     Write,
     Create, ///< A write by POST of an object that does not exist yet.
+    Remove, ///< By DELETE.
     List,
     Watch,
     Instances,
--- a/src/platform/platform_connection.cpp
+++ b/src/platform/platform_connection.cpp
@@ -29,6 +29,8 @@
         return http::verb::get;
     case PlatformMethod::Put:
         return http::verb::put;
+    case PlatformMethod::Delete:
+        return http::verb::delete_;
     case PlatformMethod::Post:
         break;
     }
--- a/src/platform/platform_connection.h
+++ b/src/platform/platform_connection.h
@@ -18,6 +18,7 @@
     Get,
     Put,
     Post,
+    Delete,
 };
 
 /// An HTTP request to the platform.
--- a/tests/adapter/published_store_test.cpp
+++ b/tests/adapter/published_store_test.cpp
@@ -229,6 +229,31 @@
     CHECK(write({}) == StoreStatus::Conflict);
 }
 
+TEST_CASE("PublishedStore removes an object at the version that was seen only" * doctest::test_suite("adapter"))
+{
+    StoreFixture fixture;
+    fixture.server.put("gateways", "g1", "{}");
+    std::optional<WatchBatch> batch;
+    const auto list = [&] {
+        batch.reset();
+        fixture.store->list("gateways/", [&](WatchBatch it) { batch = std::move(it); });
+        fixture.runUntil([&] { return batch.has_value(); });
+        return batch->changed;
+    };
+    const auto remove = [&](ObjectVersion expected) {
+        std::optional<StoreStatus> status;
+        fixture.store->remove("gateways/g1", expected, [&](StoreStatus it) { status = it; });
+        fixture.runUntil([&] { return status.has_value(); });
+        return *status;
+    };
+    const auto seen = list().at(0).version;
+    fixture.server.put("gateways", "g1", "{}");
+    CHECK(remove(seen) == StoreStatus::Conflict);
+    CHECK(remove(list().at(0).version) == StoreStatus::Ok);
+    CHECK(list().empty());
+    CHECK(remove(seen) == StoreStatus::NotFound);
+}
+
 TEST_CASE("A StoreWatcher follows the published store" * doctest::test_suite("adapter"))
 {
     StoreFixture fixture;
--- a/tests/gateway/instance_census_test.cpp
+++ b/tests/gateway/instance_census_test.cpp
@@ -72,6 +72,17 @@
         census.onList({ declaring(3, {}) }, start + 20s);
         CHECK(declared().empty());
     }
+    // With each machine that was ever replaced, all that start had one more object to list and one more instance to probe.
+    SUBCASE("the object of an instance that was gone for long may be removed, as it was last seen")
+    {
+        const auto later = start + InstanceCensus::removableAfter;
+        census.onList({ sighting("a", 10), sighting("b", 11), sighting("c", 3) }, later - 1s);
+        CHECK(census.removable(later - 1s).empty());
+        CHECK(census.removable(later) == std::map<InstanceName, ObjectVersion> { { InstanceName("c"), ObjectVersion { 3 } } });
+        census.recordNewEpoch(later);
+        CHECK(census.removable(later).empty());
+        CHECK(census.removable(later + InstanceCensus::removableAfter).size() == 3);
+    }
     SUBCASE("an instance whose object an older copy of the store lacks is counted until it has had the time to write it again")
     {
         census.recordNewEpoch(start + 20s);
--- a/tests/standin/published_store.cpp
+++ b/tests/standin/published_store.cpp
@@ -179,6 +179,17 @@
     return { 200, "application/json", objectText(name, listener.rewrite(kind, name, objects.at(name).spec), m_state.revision) };
 }
 
+HttpResponse PublishedStoreServer::handleRemoval(const Listener& listener, const std::string& kind, const std::string& name, const std::string& revision)
+{
+    if (!contains(kind, name))
+        return { 404, "application/json", "{}" };
+    const auto object = m_state.objects.at(kind).at(name);
+    if (!revision.empty() && std::to_string(object.revision) != revision)
+        return { 409, "application/json", objectText(name, listener.rewrite(kind, name, object.spec), object.revision) };
+    remove(kind, name);
+    return { 200, "application/json", "{}" };
+}
+
 void PublishedStoreServer::respond(HttpExchange& exchange, HttpResponse response) const
 {
     if (m_namesEpoch)
@@ -219,6 +230,8 @@
         return respond(*exchange, { 404, "application/json", "{}" });
     const auto rest = path.substr(root.size());
     const auto kind = rest.substr(0, rest.find('/'));
+    if (request.method == "DELETE")
+        return respond(*exchange, handleRemoval(listener, kind, rest.substr(std::min(rest.size(), kind.size() + 1)), queryValue(request.target, "revision")));
     if (request.method != "GET")
         return respond(*exchange, write(listener, request, kind));
     if (kind.size() < rest.size())
--- a/tests/standin/published_store.h
+++ b/tests/standin/published_store.h
@@ -95,6 +95,7 @@
     HttpResponse list(const Listener&, const std::string& kind, const std::string& after) const;
     HttpResponse read(const Listener&, const std::string& kind, const std::string& name) const;
     HttpResponse write(const Listener&, const HttpRequest&, const std::string& kind);
+    HttpResponse handleRemoval(const Listener&, const std::string& kind, const std::string& name, const std::string& revision);
     void watch(const Listener&, const std::string& kind, std::uint64_t after, std::int64_t waitMs, std::shared_ptr<HttpExchange>);
     HttpResponse eventsAfter(const Listener&, const std::string& kind, std::uint64_t after) const;
     bool hasEvents(const std::string& kind, std::uint64_t after) const;
