Object store: the handler of a removal is passed by reference, as clang-tidy asks

Cause: performance-unnecessary-value-param on the default of ObjectStore::remove(). Change: the parameter alone. Measured: clang-tidy on the files of the change, published_store_test.

--- a/src/platform/object_store.h
+++ b/src/platform/object_store.h
@@ -46,7 +46,7 @@
     using RemovalHandler = std::function<void(StoreStatus)>;
     /// Removes the object if its version is still `expected`. NotFound: there was none. The default removes nothing and calls the handler with Unavailable, for a store
     /// that offers no removal. Precondition: expected is not 0.
-    virtual void remove(const std::string& /*key*/, ObjectVersion /*expected*/, RemovalHandler handler) { handler(StoreStatus::Unavailable); }
+    virtual void remove(const std::string& /*key*/, ObjectVersion /*expected*/, const RemovalHandler& handler) { handler(StoreStatus::Unavailable); }
     /// Lists all objects below the prefix.
     virtual void list(const std::string& prefix, ListHandler) = 0;
     /// Lists all objects below the prefix as of a few seconds ago at most. Costs less at a store that offers such
